core, state: start with ids, clock, results, events and contracts

Cause: an empty tree; the layers' interfaces have to stand before the modules can be written side by side.

--- /dev/null
+++ b/coordination/coordination.h
@@ -0,0 +1,9 @@
+#ifndef COORDINATION_COORDINATION_H_
+#define COORDINATION_COORDINATION_H_
+
+// Public header of the coordination library: everything that decides. No part
+// of it does input or output, reads a clock or starts a thread.
+
+#include "coordination/request.h"
+
+#endif  // COORDINATION_COORDINATION_H_
--- /dev/null
+++ b/coordination/request.cc
@@ -0,0 +1,55 @@
+#include "coordination/request.h"
+
+namespace gcw {
+
+std::string_view RefusalKindName(RefusalKind kind) {
+  switch (kind) {
+    case RefusalKind::kUnknownKey:
+      return "unknown_key";
+    case RefusalKind::kContractNotValid:
+      return "contract_not_valid";
+    case RefusalKind::kModelNotAllowed:
+      return "model_not_allowed";
+    case RefusalKind::kServiceNotAllowed:
+      return "service_not_allowed";
+    case RefusalKind::kUnknownModel:
+      return "unknown_model";
+    case RefusalKind::kUnknownService:
+      return "unknown_service";
+    case RefusalKind::kRequestRate:
+      return "request_rate";
+    case RefusalKind::kTokenRate:
+      return "token_rate";
+    case RefusalKind::kConcurrency:
+      return "concurrency";
+    case RefusalKind::kQueueFull:
+      return "queue_full";
+    case RefusalKind::kNoCapacity:
+      return "no_capacity";
+    case RefusalKind::kTrialNoHeadroom:
+      return "trial_no_headroom";
+    case RefusalKind::kDeadline:
+      return "deadline";
+    case RefusalKind::kNoEndpoint:
+      return "no_endpoint";
+    case RefusalKind::kRetryBudget:
+      return "retry_budget";
+    case RefusalKind::kFingerprintBlocked:
+      return "fingerprint_blocked";
+    case RefusalKind::kNotReady:
+      return "not_ready";
+    case RefusalKind::kDraining:
+      return "draining";
+    case RefusalKind::kOnceUnavailable:
+      return "once_unavailable";
+    case RefusalKind::kOnceMismatch:
+      return "once_mismatch";
+    case RefusalKind::kOnceInProgress:
+      return "once_in_progress";
+    case RefusalKind::kEndpointRefused:
+      return "endpoint_refused";
+  }
+  return "unknown";
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/core/core.h
@@ -0,0 +1,14 @@
+#ifndef CORE_CORE_H_
+#define CORE_CORE_H_
+
+// Public header of the core library: ids, units, clock, results and events.
+// No part of it does input or output.
+
+#include "core/clock.h"
+#include "core/event.h"
+#include "core/ids.h"
+#include "core/random.h"
+#include "core/result.h"
+#include "core/strong_id.h"
+
+#endif  // CORE_CORE_H_
--- /dev/null
+++ b/state/state.h
@@ -0,0 +1,13 @@
+#ifndef STATE_STATE_H_
+#define STATE_STATE_H_
+
+// Public header of the state library: what nodes know and agree on.
+
+#include "state/contract.h"
+#include "state/domain_record.h"
+#include "state/endpoint.h"
+#include "state/load_report.h"
+#include "state/store_types.h"
+#include "state/vm_list.h"
+
+#endif  // STATE_STATE_H_
--- /dev/null
+++ b/transport/transport.h
@@ -0,0 +1,11 @@
+#ifndef TRANSPORT_TRANSPORT_H_
+#define TRANSPORT_TRANSPORT_H_
+
+// Public header of the transport library: everything that meets the network,
+// files and system clocks.
+
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+#include "transport/http_types.h"
+
+#endif  // TRANSPORT_TRANSPORT_H_
