--- /dev/null
+++ b/protocol/sse_parser.h
@@ -0,0 +1,35 @@
+#ifndef PROTOCOL_SSE_PARSER_H_
+#define PROTOCOL_SSE_PARSER_H_
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace gcw {
+
+// Cuts a stream of server-sent events into the events' data, however the bytes
+// are split over reads.
+class SseParser {
+ public:
+  // Without a bound an endpoint that never ends its line would fill the memory.
+  static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
+  using DataHook = std::function<void(std::string_view data)>;
+
+  // Calls `on_data` for each event that `bytes` completes. Returns false, and
+  // for good, when an event is over `kMaxEventBytes`.
+  bool Feed(std::string_view bytes, const DataHook& on_data);
+
+ private:
+  void TakeLine(std::string_view line, const DataHook& on_data);
+
+  std::string line_;
+  std::string data_;
+  bool has_data_ = false;
+  bool failed_ = false;
+};
+
+}  // namespace gcw
+
+#endif  // PROTOCOL_SSE_PARSER_H_
