--- /dev/null
+++ b/coordination/endpoint_desk.cc
@@ -0,0 +1,321 @@
+#include "coordination/endpoint_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gcw {
+namespace {
+
+// Endpoints that take the same requests: one model's or one service's.
+std::string PoolOf(const Endpoint& endpoint) {
+  return endpoint.service.empty() ? "model/" + endpoint.model.value()
+                                  : "service/" + endpoint.service.value();
+}
+
+}  // namespace
+
+EndpointDesk::EndpointDesk(EndpointDeskSettings settings,
+                           NodeId self,
+                           ZoneId zone,
+                           EndpointModules modules)
+    : settings_(settings),
+      self_{self, zone},
+      modules_(modules),
+      loads_(settings_.loads, self, zone) {}
+
+EndpointDeskActions EndpointDesk::OnView(Time now, const View& view) {
+  nodes_.clear();
+  std::vector<GatePeer> peers;
+  for (const NodeId& node : view.Owners()) {
+    const ZoneId zone = view.Find(node)->record.zone;
+    nodes_.push_back(NodePlace{node, zone});
+    peers.push_back(GatePeer{node, zone});
+  }
+  subset_is_stale_ = true;
+  modules_.router->SetNodeCount(static_cast<std::int64_t>(nodes_.size()));
+  loads_.OnView(view);
+  Apply(now, modules_.gate->OnPeers(now, peers));
+  return TakeActions();
+}
+
+EndpointDeskActions EndpointDesk::OnDomainRecord(Time now,
+                                                 const DomainRecord& record,
+                                                 Revision revision) {
+  modules_.keeper->OnDomainRecord(record, revision);
+  Apply(now, modules_.gate->OnDomainRecord(now, record, revision));
+  return TakeActions();
+}
+
+EndpointDeskActions EndpointDesk::OnVmList(Time now,
+                                           const VmListSnapshot& snapshot) {
+  for (const VmEntry& vm : snapshot.vms) {
+    if (vm.purpose == VmPurpose::kModelEngine && vm.zone == self_.zone) {
+      domains_.insert(vm.domain);
+    }
+  }
+  modules_.keeper->OnVmList(now, snapshot);
+  Apply(now, modules_.gate->OnVmList(now, snapshot));
+  return TakeActions();
+}
+
+EndpointDeskActions EndpointDesk::OnProbe(Time now,
+                                          NodeModule module,
+                                          ProbeId id,
+                                          const ProbeReply& reply) {
+  if (module == NodeModule::kGroupKeeper) {
+    modules_.keeper->OnProbeReply(now, id, reply);
+  } else {
+    Apply(now, modules_.gate->OnProbeReply(now, id, reply));
+  }
+  return TakeActions();
+}
+
+EndpointDeskActions EndpointDesk::OnOrder(Time now,
+                                          OrderId id,
+                                          const OrderReply& reply) {
+  modules_.keeper->OnOrderReply(now, id, reply);
+  return TakeActions();
+}
+
+EndpointDeskActions EndpointDesk::OnStore(Time now,
+                                          StoreCallId id,
+                                          const StoreReply& reply) {
+  Apply(modules_.keeper->OnStoreReply(now, id, reply));
+  return TakeActions();
+}
+
+EndpointDeskActions EndpointDesk::OnPresence(Time now,
+                                             const NodeId& from,
+                                             const PresenceReport& report) {
+  Apply(now, modules_.gate->OnPresenceReport(now, from, report));
+  return TakeActions();
+}
+
+EndpointDeskActions EndpointDesk::OnLoad(Time now, const LoadReport& report) {
+  loads_.OnRead(now, report);
+  UseReport(now, report);
+  return TakeActions();
+}
+
+EndpointDeskActions EndpointDesk::OnLoads(Time now, const LoadDigest& digest) {
+  for (const LoadReport& report : loads_.OnDigest(now, digest)) {
+    UseReport(now, report);
+  }
+  return TakeActions();
+}
+
+EndpointDeskActions EndpointDesk::OnCacheEvents(Time now,
+                                                const EndpointId& endpoint,
+                                                const CacheEventBatch& batch) {
+  const auto reading = cache_readings_.find(endpoint);
+  if (reading != cache_readings_.end()) {
+    reading->second.after = batch.next - 1;
+    modules_.router->OnCacheEvents(now, batch);
+  }
+  return TakeActions();
+}
+
+void EndpointDesk::OnRequestStarted(const EndpointId& endpoint) {
+  modules_.gate->OnRequestStarted(endpoint);
+  const auto report = reports_.find(endpoint);
+  if (report != reports_.end()) {
+    ++report->second.sent_since;
+  }
+}
+
+EndpointDeskActions EndpointDesk::OnRequestEnded(Time now,
+                                                 const EndpointId& endpoint) {
+  Apply(now, modules_.gate->OnRequestEnded(now, endpoint));
+  return TakeActions();
+}
+
+EndpointDeskActions EndpointDesk::OnFoundLost(Time now,
+                                              const EndpointId& endpoint) {
+  Apply(now, modules_.gate->OnUnreachable(now, endpoint));
+  return TakeActions();
+}
+
+EndpointDeskActions EndpointDesk::Tick(Time now) {
+  Apply(now, modules_.gate->Tick(now));
+  Apply(modules_.keeper->Tick(now));
+  if (std::exchange(subset_is_stale_, false)) {
+    ChooseUsed(now);
+  }
+  for (LoadExchangeAction& action : loads_.Tick(now)) {
+    std::visit(Overloaded{[this](LoadReadDue& due) {
+                            actions_.emplace_back(
+                                NodeAction(ReadLoad{std::move(due.endpoint)}));
+                          },
+                          [this](PeerSend<LoadDigest>& send) {
+                            actions_.emplace_back(std::move(send));
+                          }},
+               action);
+  }
+  ReadPlatform(now);
+  if (std::exchange(capacity_is_stale_, false)) {
+    TellCapacity(now);
+  }
+  return TakeActions();
+}
+
+void EndpointDesk::Apply(Time now, std::vector<ServingGateAction> actions) {
+  for (ServingGateAction& action : actions) {
+    std::visit(Overloaded{[this](EndpointOpened& opened) {
+                            open_.insert_or_assign(opened.endpoint.id,
+                                                   opened.endpoint);
+                            subset_is_stale_ = true;
+                          },
+                          [this, now](EndpointClosed& closed) {
+                            open_.erase(closed.endpoint);
+                            // Closing takes effect at once, not with the next
+                            // subset.
+                            if (used_.erase(closed.endpoint) > 0) {
+                              modules_.router->OnEndpointDown(now,
+                                                              closed.endpoint);
+                              loads_.OnEndpointDown(closed.endpoint);
+                              reports_.erase(closed.endpoint);
+                              cache_readings_.erase(closed.endpoint);
+                              capacity_is_stale_ = true;
+                            }
+                            subset_is_stale_ = true;
+                          },
+                          [](EndpointDrained&) {},
+                          [this](ProbeVm& probe) {
+                            actions_.emplace_back(NodeAction(SendProbe{
+                                NodeModule::kServingGate, std::move(probe)}));
+                          },
+                          [this](PeerSend<PresenceReport>& send) {
+                            actions_.emplace_back(std::move(send));
+                          }},
+               action);
+  }
+}
+
+void EndpointDesk::Apply(std::vector<GroupKeeperAction> actions) {
+  for (GroupKeeperAction& action : actions) {
+    std::visit(
+        Overloaded{[this](StoreRequest& request) {
+                     actions_.emplace_back(NodeAction(
+                         CallStore{NodeModule::kGroupKeeper, request.id,
+                                   std::move(request.call)}));
+                   },
+                   [this](SendOrder& order) {
+                     actions_.emplace_back(NodeAction(std::move(order)));
+                   },
+                   [this](ProbeVm& probe) {
+                     actions_.emplace_back(NodeAction(SendProbe{
+                         NodeModule::kGroupKeeper, std::move(probe)}));
+                   },
+                   [this](RecordCommitted& committed) {
+                     actions_.emplace_back(NodeAction(PublishRecord{
+                         std::move(committed.record), committed.revision}));
+                   }},
+        action);
+  }
+}
+
+void EndpointDesk::ChooseUsed(Time now) {
+  std::map<std::string, std::vector<Endpoint>> pools;
+  for (const auto& [id, endpoint] : open_) {
+    pools[PoolOf(endpoint)].push_back(endpoint);
+  }
+  std::map<EndpointId, Endpoint> chosen;
+  for (const auto& [pool, endpoints] : pools) {
+    for (const EndpointId& id :
+         ChooseEndpointSubset(settings_.subset, self_, nodes_, endpoints)) {
+      chosen.emplace(id, open_.at(id));
+    }
+  }
+  for (const auto& [id, endpoint] : used_) {
+    if (!chosen.contains(id)) {
+      modules_.router->OnEndpointDown(now, id);
+      loads_.OnEndpointDown(id);
+      reports_.erase(id);
+      cache_readings_.erase(id);
+    }
+  }
+  for (const auto& [id, endpoint] : chosen) {
+    const auto before = used_.find(id);
+    if (before == used_.end() || before->second != endpoint) {
+      modules_.router->OnEndpointUp(now, endpoint);
+      loads_.OnEndpointUp(now, endpoint);
+      if (endpoint.service.empty()) {
+        cache_readings_[id] = CacheReading{0, now};
+      }
+    }
+  }
+  used_ = std::move(chosen);
+  capacity_is_stale_ = true;
+}
+
+void EndpointDesk::UseReport(Time now, const LoadReport& report) {
+  if (!used_.contains(report.endpoint)) {
+    return;
+  }
+  reports_[report.endpoint] = Load{report, 0};
+  modules_.router->OnLoadReport(now, report);
+  capacity_is_stale_ = true;
+}
+
+void EndpointDesk::TellCapacity(Time now) {
+  std::map<ModelId, std::vector<const Endpoint*>> by_model;
+  for (const auto& [id, endpoint] : used_) {
+    if (endpoint.service.empty()) {
+      by_model[endpoint.model].push_back(&endpoint);
+    }
+  }
+  for (const auto& [model, endpoints] : by_model) {
+    actions_.emplace_back(
+        modules_.admission->OnCapacity(now, model, HeadroomOf(endpoints)));
+  }
+}
+
+Headroom EndpointDesk::HeadroomOf(
+    const std::vector<const Endpoint*>& endpoints) const {
+  Headroom headroom;
+  headroom.sharing_nodes =
+      std::max<std::int64_t>(1, static_cast<std::int64_t>(nodes_.size()));
+  for (const Endpoint* endpoint : endpoints) {
+    const auto found = reports_.find(endpoint->id);
+    if (found == reports_.end()) {
+      continue;
+    }
+    const LoadReport& report = found->second.report;
+    EndpointHeadroom room;
+    room.endpoint = endpoint->id;
+    room.batch_limit = report.batch_limit;
+    room.running = report.running_requests;
+    room.queued = report.queued_requests + found->second.sent_since;
+    if (report.cache_capacity > TokenCount()) {
+      room.cache_share = static_cast<double>(report.cache_used.value()) /
+                         static_cast<double>(report.cache_capacity.value());
+    }
+    headroom.endpoints.push_back(room);
+    headroom.taken_at = std::max(headroom.taken_at, report.taken_at);
+  }
+  return headroom;
+}
+
+void EndpointDesk::ReadPlatform(Time now) {
+  if (now >= next_vm_list_) {
+    next_vm_list_ = now + settings_.vm_list_interval;
+    actions_.emplace_back(NodeAction(ReadVmList{}));
+  }
+  if (now >= next_weight_store_) {
+    next_weight_store_ = now + settings_.weight_store_interval;
+    actions_.emplace_back(NodeAction(ReadWeightStore{}));
+  }
+  for (auto& [id, reading] : cache_readings_) {
+    if (now >= reading.next) {
+      reading.next = now + settings_.cache_events_interval;
+      actions_.emplace_back(
+          NodeAction(ReadCacheEvents{used_.at(id), reading.after}));
+    }
+  }
+}
+
+EndpointDeskActions EndpointDesk::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/endpoint_desk.h
@@ -0,0 +1,127 @@
+#ifndef COORDINATION_ENDPOINT_DESK_H_
+#define COORDINATION_ENDPOINT_DESK_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coordination/admission.h"
+#include "coordination/endpoint_subset.h"
+#include "coordination/group_keeper.h"
+#include "coordination/load_exchange.h"
+#include "coordination/node_actions.h"
+#include "coordination/router.h"
+#include "coordination/serving_gate.h"
+
+namespace gcw {
+
+struct EndpointDeskSettings {
+  EndpointSubsetSettings subset;
+  LoadExchangeSettings loads;
+  // Between reads of the platform's VM list and of the weight store.
+  Duration vm_list_interval = Duration::Seconds(5);
+  Duration weight_store_interval = Duration::Seconds(10);
+  // Between reads of an endpoint's cache events.
+  Duration cache_events_interval = Duration::Seconds(2);
+};
+
+// The modules that know of endpoints. All outlive the desk.
+struct EndpointModules {
+  ServingGate* gate = nullptr;
+  GroupKeeper* keeper = nullptr;
+  Router* router = nullptr;
+  Admission* admission = nullptr;
+};
+
+using EndpointDeskAction = std::variant<NodeAction,
+                                        PeerSend<PresenceReport>,
+                                        PeerSend<LoadDigest>,
+                                        std::vector<AdmissionAction>>;
+using EndpointDeskActions = std::vector<EndpointDeskAction>;
+
+// Knows which endpoints there are and how loaded they are: joins the serving
+// gate, the keeper of replica groups and the exchange of load reports, and
+// tells the router and the admission.
+class EndpointDesk {
+ public:
+  EndpointDesk(EndpointDeskSettings settings,
+               NodeId self,
+               ZoneId zone,
+               EndpointModules modules);
+
+  EndpointDeskActions OnView(Time now, const View& view);
+  EndpointDeskActions OnDomainRecord(Time now,
+                                     const DomainRecord& record,
+                                     Revision revision);
+  EndpointDeskActions OnVmList(Time now, const VmListSnapshot& snapshot);
+  EndpointDeskActions OnProbe(Time now,
+                              NodeModule module,
+                              ProbeId id,
+                              const ProbeReply& reply);
+  EndpointDeskActions OnOrder(Time now, OrderId id, const OrderReply& reply);
+  EndpointDeskActions OnStore(Time now,
+                              StoreCallId id,
+                              const StoreReply& reply);
+  EndpointDeskActions OnPresence(Time now,
+                                 const NodeId& from,
+                                 const PresenceReport& report);
+  EndpointDeskActions OnLoad(Time now, const LoadReport& report);
+  EndpointDeskActions OnLoads(Time now, const LoadDigest& digest);
+  EndpointDeskActions OnCacheEvents(Time now,
+                                    const EndpointId& endpoint,
+                                    const CacheEventBatch& batch);
+
+  void OnRequestStarted(const EndpointId& endpoint);
+  EndpointDeskActions OnRequestEnded(Time now, const EndpointId& endpoint);
+  // A request found nothing there.
+  EndpointDeskActions OnFoundLost(Time now, const EndpointId& endpoint);
+  EndpointDeskActions Tick(Time now);
+
+  // Fabric domains that the VM list names, of this node's zone.
+  const std::set<FabricDomainId>& domains() const { return domains_; }
+  std::size_t open_endpoints() const { return open_.size(); }
+
+ private:
+  struct Load {
+    LoadReport report;
+    // Requests that this node sent since.
+    std::int64_t sent_since = 0;
+  };
+  struct CacheReading {
+    std::int64_t after = 0;
+    Time next;
+  };
+
+  void Apply(Time now, std::vector<ServingGateAction> actions);
+  void Apply(std::vector<GroupKeeperAction> actions);
+  void ChooseUsed(Time now);
+  void UseReport(Time now, const LoadReport& report);
+  void TellCapacity(Time now);
+  Headroom HeadroomOf(const std::vector<const Endpoint*>& endpoints) const;
+  void ReadPlatform(Time now);
+  EndpointDeskActions TakeActions();
+
+  EndpointDeskSettings settings_;
+  NodePlace self_;
+  EndpointModules modules_;
+  LoadExchange loads_;
+  std::vector<NodePlace> nodes_;
+  std::set<FabricDomainId> domains_;
+  // Endpoints whose serving gate is open, and those of them that this node
+  // uses.
+  std::map<EndpointId, Endpoint> open_;
+  std::map<EndpointId, Endpoint> used_;
+  bool subset_is_stale_ = false;
+  std::map<EndpointId, Load> reports_;
+  std::map<EndpointId, CacheReading> cache_readings_;
+  bool capacity_is_stale_ = false;
+  Time next_vm_list_;
+  Time next_weight_store_;
+  EndpointDeskActions actions_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_ENDPOINT_DESK_H_
--- /dev/null
+++ b/coordination/node_core.cc
@@ -0,0 +1,447 @@
+#include "coordination/node_core.h"
+
+#include <utility>
+
+namespace gcw {
+namespace {
+
+constexpr std::string_view kKeeperRole = "keeper/";
+
+// Makes attempt ids unique over nodes and their runs.
+std::string AttemptPrefix(const NodeCoreSettings& settings) {
+  return settings.self.id.value() + "." +
+         std::to_string(settings.incarnation.value()) + ".";
+}
+
+}  // namespace
+
+NodeCore::NodeCore(NodeCoreSettings settings,
+                   NodeCodecs codecs,
+                   Random random,
+                   EventSink events,
+                   Time started)
+    : settings_(std::move(settings)),
+      codecs_(std::move(codecs)),
+      events_(std::move(events)),
+      lease_(NodeLease::Builder()
+                 .SetSettings(settings_.lease)
+                 .SetRecord(settings_.self)
+                 .SetEncode(codecs_.node_record.encode)
+                 .SetRandom(random)
+                 .SetEventSink(events_)
+                 .Build()),
+      roles_(RoleLeases::Builder()
+                 .SetSettings(settings_.roles)
+                 .SetSelf(settings_.self.id)
+                 .SetLease([this](Time now) { return lease_.Held(now); })
+                 .SetRevisionFloor(
+                     [this] { return configuration_->highest_revision(); })
+                 .SetRandom(random)
+                 .SetEventSink(events_)
+                 .Build()),
+      membership_(Membership::Builder()
+                      .SetSettings(settings_.membership)
+                      .SetSelf(settings_.self)
+                      .SetSeeds(settings_.seeds)
+                      .SetDecode(codecs_.node_record.decode)
+                      .SetRandom(random)
+                      .SetEventSink(events_)
+                      .Build()),
+      configuration_(ConfigSync::Builder()
+                         .SetSettings(settings_.configuration)
+                         .SetSelf(settings_.self.id, settings_.self.zone)
+                         .SetCodec(codecs_.config_record)
+                         .SetRandom(random)
+                         .SetEventSink(events_)
+                         .Build()),
+      entries_(settings_.entries, settings_.self.id, random),
+      limits_(Limits::Builder()
+                  .SetSelf(settings_.self.id,
+                           settings_.self.zone,
+                           settings_.incarnation)
+                  .SetSettings(settings_.limits)
+                  .SetEventSink(events_)
+                  .Build(started)),
+      admission_(Admission::Builder()
+                     .SetSettings(settings_.admission)
+                     .SetRandom(random)
+                     .SetEventSink(events_)
+                     .SetLimits(&limits_)
+                     .Build()),
+      router_(RouterBuilder()
+                  .SetSettings(settings_.router)
+                  .SetRandom(random)
+                  .SetEventSink(events_)
+                  .Build()),
+      retries_(settings_.retries),
+      retry_after_(settings_.retry_after, random),
+      once_client_(OnceClient::Builder()
+                       .SetSelf(settings_.self.id, settings_.incarnation)
+                       .SetSettings(settings_.once_client)
+                       .SetEvents(events_)
+                       .Build()),
+      once_owner_(OnceOwner::Builder()
+                      .SetSelf(settings_.self.id, settings_.incarnation)
+                      .SetSettings(settings_.once_owner)
+                      .SetRandom(random)
+                      .SetEvents(events_)
+                      .Build()),
+      guard_(FingerprintGuard::Builder()
+                 .SetSelf(settings_.self.id)
+                 .SetSettings(settings_.guard)
+                 .SetEvents(events_)
+                 .Build()),
+      gate_(ServingGate::Builder()
+                .SetSelf(settings_.self.id,
+                         settings_.incarnation,
+                         settings_.self.zone)
+                .SetSettings(settings_.gate)
+                .SetEventSink(events_)
+                .Build()),
+      keeper_(GroupKeeper::Builder()
+                  .SetZone(settings_.self.zone)
+                  .SetSettings(settings_.keeper)
+                  .SetCodec(codecs_.encode_domain, codecs_.decode_domain)
+                  .SetEventSink(events_)
+                  .Build()),
+      endpoints_(settings_.endpoints,
+                 settings_.self.id,
+                 settings_.self.zone,
+                 EndpointModules{&gate_, &keeper_, &router_, &admission_}),
+      requests_(settings_.requests,
+                RequestModules{&admission_, &router_, once_client_.get(),
+                               guard_.get(), &retries_, &retry_after_},
+                AttemptPrefix(settings_),
+                events_) {
+  membership_.SetIncarnation(started, settings_.incarnation);
+  requests_.SetRefusal(RefusalKind::kNotReady);
+  events_(EventDraft{EventKind::kNodeStarted,
+                     settings_.self.id.value(),
+                     EventId(),
+                     {{"incarnation", settings_.incarnation.value()}}});
+}
+
+NodeActions NodeCore::Handle(Time now, const NodeEvent& event) {
+  std::visit([this, now](const auto& happened) { On(now, happened); }, event);
+  while (!to_self_.empty()) {
+    const PeerMessage message = std::move(to_self_.front());
+    to_self_.pop_front();
+    std::visit(
+        [this, now](const auto& body) { OnPeer(now, settings_.self.id, body); },
+        message);
+  }
+  return std::exchange(actions_, {});
+}
+
+EntryAnswer NodeCore::Entries() const {
+  return entries_.Answer(membership_.view());
+}
+
+IdempotencyKey NodeCore::IssueKey(Time now, const KeyDigest& key) {
+  const Contract* contract = admission_.FindContract(key);
+  if (contract == nullptr) {
+    return IdempotencyKey();
+  }
+  return once_owner_->IssueKey(now, contract->id);
+}
+
+const Contract* NodeCore::FindContract(const KeyDigest& key) const {
+  return admission_.FindContract(key);
+}
+
+std::vector<DomainRecord> NodeCore::Domains() const {
+  std::vector<DomainRecord> records;
+  for (const auto& [key, entry] : configuration_->store().entries()) {
+    if (!key.starts_with(kDomainPrefix) || !entry.record.value) {
+      continue;
+    }
+    if (std::optional<DomainRecord> record =
+            codecs_.decode_domain(*entry.record.value)) {
+      records.push_back(std::move(*record));
+    }
+  }
+  return records;
+}
+
+void NodeCore::On(Time now, const TimePassed&) {
+  Apply(now, lease_.Tick(now));
+  Apply(now, membership_.Tick(now));
+  if (membership_.view_version() != seen_view_) {
+    seen_view_ = membership_.view_version();
+    OnViewChanged(now);
+  }
+  Apply(now, configuration_->Tick(now));
+  UpdateRoles(now);
+  Apply(now, roles_.Tick(now));
+  TellRoles(now);
+  Apply(now, limits_.Tick(now));
+  Apply(now, once_owner_->Tick(now));
+  Apply(now, endpoints_.Tick(now));
+  Apply(now, requests_.OnOnce(now, once_client_->Tick(now)));
+  Apply(now, requests_.OnGuard(now, guard_->Tick(now)));
+  Apply(now, requests_.OnAdmission(now, admission_.Tick(now)));
+  router_.Tick(now);
+  retries_.Tick(now);
+  Apply(now, requests_.Tick(now));
+  UpdateRefusal(now);
+  AdvanceStop(now);
+}
+
+void NodeCore::On(Time now, const CallerArrived& event) {
+  Apply(now, requests_.OnArrived(now, event));
+}
+
+void NodeCore::On(Time now, const CallerGone& event) {
+  Apply(now, requests_.OnCallerGone(now, event.request));
+}
+
+void NodeCore::On(Time now, const AttemptFirstByte& event) {
+  Apply(now, requests_.OnFirstByte(now, event));
+}
+
+void NodeCore::On(Time now, const AttemptEnded& event) {
+  Apply(now, requests_.OnEnded(now, event));
+}
+
+void NodeCore::On(Time now, const StoreAnswered& event) {
+  switch (event.module) {
+    case NodeModule::kNodeLease:
+      Apply(now, lease_.OnStoreReply(now, event.id, event.reply));
+      break;
+    case NodeModule::kRoleLeases:
+      Apply(now, roles_.OnStoreReply(now, event.id, event.reply));
+      break;
+    case NodeModule::kMembership:
+      Apply(now, membership_.OnStoreReply(now, event.id, event.reply));
+      break;
+    case NodeModule::kConfiguration:
+      Apply(now, configuration_->OnStoreReply(now, event.id, event.reply));
+      break;
+    case NodeModule::kOnceOwner:
+      Apply(now, once_owner_->OnStoreReply(now, event.id, event.reply));
+      break;
+    case NodeModule::kGroupKeeper:
+      Apply(now, endpoints_.OnStore(now, event.id, event.reply));
+      break;
+    case NodeModule::kServingGate:
+    case NodeModule::kRequests:
+      break;
+  }
+}
+
+void NodeCore::On(Time now, const PeerReceived& event) {
+  std::visit(
+      [this, now, &event](const auto& body) { OnPeer(now, event.from, body); },
+      event.message);
+}
+
+void NodeCore::On(Time now, const VmListRead& event) {
+  Apply(now, endpoints_.OnVmList(now, event.snapshot));
+}
+
+void NodeCore::On(Time now, const ProbeAnswered& event) {
+  if (event.module == NodeModule::kRequests) {
+    Apply(now, requests_.OnChecked(now, event.id, event.reply));
+    return;
+  }
+  Apply(now, endpoints_.OnProbe(now, event.module, event.id, event.reply));
+}
+
+void NodeCore::On(Time now, const OrderAnswered& event) {
+  Apply(now, endpoints_.OnOrder(now, event.id, event.reply));
+}
+
+void NodeCore::On(Time now, const LoadReportRead& event) {
+  Apply(now, endpoints_.OnLoad(now, event.report));
+}
+
+void NodeCore::On(Time now, const CacheEventsRead& event) {
+  Apply(now, endpoints_.OnCacheEvents(now, event.endpoint, event.batch));
+}
+
+void NodeCore::On(Time, const WeightStoreRead& event) {
+  keeper_.OnWeightStoreWait(event.wait);
+}
+
+void NodeCore::On(Time now, const OperatorChange& event) {
+  operator_calls_[event.change.change].push_back(event.call);
+  Apply(now, configuration_->Propose(now, event.change));
+}
+
+void NodeCore::On(Time, const OperatorDrainGroup& event) {
+  keeper_.OnDrainAsked(event.domain, event.group);
+}
+
+void NodeCore::On(Time now, const OperatorAskRevision& event) {
+  Apply(now, configuration_->AskFloors(event.revision));
+}
+
+void NodeCore::On(Time now, const StopAsked&) {
+  if (leaving_since_) {
+    return;
+  }
+  leaving_since_ = now;
+  events_(EventDraft{
+      EventKind::kNodeDraining, settings_.self.id.value(), EventId(), {}});
+  Apply(now, membership_.Leave(now));
+  NodeRecord record = settings_.self;
+  record.leaving = true;
+  Apply(now, lease_.SetRecord(now, record));
+}
+
+// Carries a planned stop on: callers that keep this node's address are served
+// for as long as they were told to keep it, and no request is cut off.
+void NodeCore::AdvanceStop(Time now) {
+  if (!leaving_since_ || stopped_ ||
+      now < entries_.ServeUntil(*leaving_since_) ||
+      requests_.open_requests() > 0) {
+    return;
+  }
+  Apply(now, once_owner_->Release(now));
+  if (!once_owner_->released() || !roles_.HeldRoles(now).empty()) {
+    return;
+  }
+  stopped_ = true;
+  Apply(now, lease_.Release(now));
+  events_(EventDraft{
+      EventKind::kNodeStopped, settings_.self.id.value(), EventId(), {}});
+  actions_.emplace_back(StopNow{});
+}
+
+void NodeCore::UpdateRefusal(Time now) {
+  if (leaving_since_ && now >= entries_.ServeUntil(*leaving_since_)) {
+    requests_.SetRefusal(RefusalKind::kDraining);
+    return;
+  }
+  if (!configuration_->ready()) {
+    requests_.SetRefusal(RefusalKind::kNotReady);
+    return;
+  }
+  requests_.SetRefusal(std::nullopt);
+}
+
+void NodeCore::OnViewChanged(Time now) {
+  const View& view = membership_.view();
+  configuration_->SetView(now, view);
+  std::vector<OnceMember> once_members;
+  std::vector<LimitPeer> limit_peers;
+  for (const NodeId& node : view.Owners()) {
+    const Member* member = view.Find(node);
+    once_members.push_back(OnceMember{node, member->version.incarnation});
+    limit_peers.push_back(LimitPeer{node, member->record.zone});
+  }
+  limits_.OnView(now, limit_peers);
+  Apply(now, once_owner_->OnMembers(now, once_members));
+  Apply(now, requests_.OnOnce(
+                 now, once_client_->OnMembers(now, std::move(once_members))));
+  Apply(now, requests_.OnGuard(now, guard_->OnMembers(now, view.Owners())));
+  Apply(now, endpoints_.OnView(now, view));
+}
+
+void NodeCore::UpdateRoles(Time now) {
+  std::set<RoleName> keepers;
+  for (const FabricDomainId& domain : endpoints_.domains()) {
+    keepers.insert(RoleName(std::string(kKeeperRole) + domain.value()));
+  }
+  std::set<RoleName> shards;
+  for (std::int64_t shard = 0; shard < settings_.limits.shards; ++shard) {
+    shards.insert(LimitRole(LimitShard(shard)));
+  }
+  std::set<RoleName> desired;
+  if (configuration_->ready() && !leaving_since_) {
+    const View& view = membership_.view();
+    desired =
+        RolesOf(settings_.self.id, keepers, view.OwnersIn(settings_.self.zone));
+    desired.merge(RolesOf(settings_.self.id, shards, view.Owners()));
+  }
+  // A limit role is given up only when nothing granted under it lives.
+  for (const RoleName& role : roles_.HeldRoles(now)) {
+    const std::optional<LimitShard> shard = LimitShardOf(role);
+    if (!shard || desired.contains(role)) {
+      releasing_.erase(role);
+      continue;
+    }
+    const auto [release, fresh] = releasing_.try_emplace(role, now);
+    if (fresh) {
+      release->second = limits_.PrepareRelease(now, *shard);
+    }
+    if (now < release->second) {
+      desired.insert(role);
+    }
+  }
+  Apply(now, roles_.SetDesired(now, std::move(desired)));
+}
+
+void NodeCore::TellRoles(Time now) {
+  std::map<RoleName, Time> held;
+  for (const RoleName& role : roles_.HeldRoles(now)) {
+    const HeldRole lease = *roles_.Held(role, now);
+    const auto before = announced_roles_.find(role);
+    Time announced = now;
+    if (before != announced_roles_.end() &&
+        now - before->second < settings_.role_announcement) {
+      announced = before->second;
+    } else {
+      AnnounceRole(now, role, lease.fence);
+    }
+    held.emplace(role, announced);
+    if (const std::optional<LimitShard> shard = LimitShardOf(role)) {
+      if (!releasing_.contains(role)) {
+        limits_.OnRoleHeld(now, *shard, lease.fence, lease.valid_until);
+      }
+      limits_.OnOwner(now, *shard, settings_.self.id, lease.fence);
+    } else if (role.value().starts_with(kKeeperRole)) {
+      keeper_.OnRoleHeld(
+          now, FabricDomainId(role.value().substr(kKeeperRole.size())),
+          lease.fence, lease.valid_until);
+    }
+  }
+  for (const auto& [role, time] : announced_roles_) {
+    if (held.contains(role)) {
+      continue;
+    }
+    releasing_.erase(role);
+    if (const std::optional<LimitShard> shard = LimitShardOf(role)) {
+      limits_.OnRoleLost(now, *shard);
+    } else if (role.value().starts_with(kKeeperRole)) {
+      keeper_.OnRoleLost(
+          FabricDomainId(role.value().substr(kKeeperRole.size())));
+    }
+  }
+  announced_roles_ = std::move(held);
+}
+
+void NodeCore::AnnounceRole(Time now,
+                            const RoleName& role,
+                            FencingToken fence) {
+  if (LimitShardOf(role)) {
+    membership_.Spread(now, RoleHolderDelta{role, fence});
+  }
+}
+
+NodeCore::Builder& NodeCore::Builder::SetSettings(NodeCoreSettings settings) {
+  settings_ = std::move(settings);
+  return *this;
+}
+
+NodeCore::Builder& NodeCore::Builder::SetCodecs(NodeCodecs codecs) {
+  codecs_ = std::move(codecs);
+  return *this;
+}
+
+NodeCore::Builder& NodeCore::Builder::SetRandom(Random random) {
+  random_ = std::move(random);
+  return *this;
+}
+
+NodeCore::Builder& NodeCore::Builder::SetEventSink(EventSink events) {
+  events_ = std::move(events);
+  return *this;
+}
+
+std::unique_ptr<NodeCore> NodeCore::Builder::Build(Time started) const {
+  return std::unique_ptr<NodeCore>(
+      new NodeCore(settings_, codecs_, random_, events_, started));
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/node_core.h
@@ -0,0 +1,221 @@
+#ifndef COORDINATION_NODE_CORE_H_
+#define COORDINATION_NODE_CORE_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/admission.h"
+#include "coordination/config_sync.h"
+#include "coordination/endpoint_desk.h"
+#include "coordination/entry_directory.h"
+#include "coordination/fingerprint_guard.h"
+#include "coordination/limits.h"
+#include "coordination/membership.h"
+#include "coordination/node_actions.h"
+#include "coordination/node_events.h"
+#include "coordination/node_keys.h"
+#include "coordination/node_lease.h"
+#include "coordination/once_client.h"
+#include "coordination/once_owner.h"
+#include "coordination/request_desk.h"
+#include "coordination/role_assignment.h"
+#include "coordination/role_leases.h"
+#include "state/state.h"
+
+namespace gcw {
+
+// How values stand in the key-value service. Codecs live in a higher layer.
+struct NodeCodecs {
+  NodeRecordCodec node_record;
+  ConfigRecordCodec config_record;
+  EncodeDomainRecord encode_domain;
+  DecodeDomainRecord decode_domain;
+  // Absent where the text is no contract.
+  std::function<std::optional<Contract>(std::string_view)> decode_contract;
+  std::function<std::optional<WantedModel>(std::string_view)> decode_model;
+};
+
+struct NodeCoreSettings {
+  NodeRecord self;
+  // Tells this run of the process from earlier ones; later runs have higher
+  // numbers.
+  Incarnation incarnation;
+  std::vector<NodeRecord> seeds;
+  NodeLeaseSettings lease;
+  RoleLeasesSettings roles;
+  MembershipSettings membership;
+  ConfigSyncSettings configuration;
+  EntryDirectorySettings entries;
+  LimitSettings limits;
+  AdmissionSettings admission;
+  RouterSettings router;
+  RetryBudgetSettings retries;
+  RetryAfterSettings retry_after;
+  OnceClientSettings once_client;
+  OnceOwnerSettings once_owner;
+  FingerprintGuardSettings guard;
+  GateSettings gate;
+  KeeperSettings keeper;
+  EndpointDeskSettings endpoints;
+  RequestDeskSettings requests;
+  // Between announcements of a role to nodes that came later.
+  Duration role_announcement = Duration::Seconds(20);
+};
+
+// The decisions of one node: takes what happened and a time, returns what to
+// do. It does no input or output and holds no thread; the daemon, tests and any
+// harness drive it alike. See docs/CORE.md.
+class NodeCore {
+ public:
+  class Builder;
+
+  NodeCore(const NodeCore&) = delete;
+  NodeCore& operator=(const NodeCore&) = delete;
+
+  NodeActions Handle(Time now, const NodeEvent& event);
+
+  // The answer to `GET /v1/entries`.
+  EntryAnswer Entries() const;
+  // A key for `POST /v1/idempotency-keys`; empty where the caller is unknown.
+  IdempotencyKey IssueKey(Time now, const KeyDigest& key);
+
+  // For the operators' pages.
+  const Contract* FindContract(const KeyDigest& key) const;
+  bool ready() const { return configuration_->ready(); }
+  bool draining() const { return leaving_since_.has_value(); }
+  bool store_reachable() const { return lease_.store_reachable(); }
+  std::size_t open_requests() const { return requests_.open_requests(); }
+  const View& view() const { return membership_.view(); }
+  const ConfigSync& configuration() const { return *configuration_; }
+  const OnceOwner& once_owner() const { return *once_owner_; }
+  std::vector<ShareView> Shares(Time now) const { return limits_.View(now); }
+  std::vector<EndpointView> Endpoints(Time now) const {
+    return router_.Endpoints(now);
+  }
+  std::vector<RoleName> Roles(Time now) const { return roles_.HeldRoles(now); }
+  // The newest domain records that this node knows.
+  std::vector<DomainRecord> Domains() const;
+  std::int64_t queued(Tier tier) const { return admission_.queued(tier); }
+  std::int64_t running(Tier tier) const { return admission_.running(tier); }
+
+ private:
+  NodeCore(NodeCoreSettings settings,
+           NodeCodecs codecs,
+           Random random,
+           EventSink events,
+           Time started);
+
+  // Events.
+  void On(Time now, const TimePassed& event);
+  void On(Time now, const CallerArrived& event);
+  void On(Time now, const CallerGone& event);
+  void On(Time now, const AttemptFirstByte& event);
+  void On(Time now, const AttemptEnded& event);
+  void On(Time now, const StoreAnswered& event);
+  void On(Time now, const PeerReceived& event);
+  void On(Time now, const VmListRead& event);
+  void On(Time now, const ProbeAnswered& event);
+  void On(Time now, const OrderAnswered& event);
+  void On(Time now, const LoadReportRead& event);
+  void On(Time now, const CacheEventsRead& event);
+  void On(Time now, const WeightStoreRead& event);
+  void On(Time now, const OperatorChange& event);
+  void On(Time now, const OperatorDrainGroup& event);
+  void On(Time now, const OperatorAskRevision& event);
+  void On(Time now, const StopAsked& event);
+
+  // Messages of other nodes.
+  void OnPeer(Time now, const NodeId& from, const MembershipMessage& message);
+  void OnPeer(Time now, const NodeId& from, const ConfigMessage& message);
+  void OnPeer(Time now, const NodeId& from, const LimitBatch& message);
+  void OnPeer(Time now, const NodeId& from, const OnceMessage& message);
+  void OnPeer(Time now, const NodeId& from, const GuardMessage& message);
+  void OnPeer(Time now, const NodeId& from, const PresenceReport& message);
+  void OnPeer(Time now, const NodeId& from, const LoadDigest& message);
+
+  // Actions of the modules.
+  void Apply(Time now, std::vector<NodeLeaseAction> actions);
+  void Apply(Time now, std::vector<RoleLeasesAction> actions);
+  void Apply(Time now, std::vector<MembershipAction> actions);
+  void Apply(Time now, std::vector<ConfigSyncAction> actions);
+  void Apply(Time now, std::vector<LimitsAction> actions);
+  void Apply(Time now, OnceOwnerActions actions);
+  void Apply(Time now, EndpointDeskActions actions);
+  void Apply(Time now, RequestDeskActions actions);
+
+  void OnDelta(Time now, const DeltaHeard& heard);
+  void OnConfigApplied(Time now, const ConfigEntry& entry);
+  void OnContractEntry(Time now, const ConfigEntry& entry);
+  void OnModelEntry(const ConfigEntry& entry);
+  void OnProposalFinished(const ProposalFinished& finished);
+  void OnViewChanged(Time now);
+  void UpdateRoles(Time now);
+  void TellRoles(Time now);
+  void AnnounceRole(Time now, const RoleName& role, FencingToken fence);
+  void UpdateRefusal(Time now);
+  void AdvanceStop(Time now);
+  void CallStoreFor(NodeModule module, StoreRequest request);
+  // Messages to this node itself are handled after the event at hand.
+  void Send(const NodeId& to, PeerMessage message);
+
+  NodeCoreSettings settings_;
+  NodeCodecs codecs_;
+  EventSink events_;
+
+  NodeLease lease_;
+  RoleLeases roles_;
+  Membership membership_;
+  std::unique_ptr<ConfigSync> configuration_;
+  EntryDirectory entries_;
+  Limits limits_;
+  Admission admission_;
+  Router router_;
+  RetryBudget retries_;
+  RetryAfterPlanner retry_after_;
+  std::unique_ptr<OnceClient> once_client_;
+  std::unique_ptr<OnceOwner> once_owner_;
+  std::unique_ptr<FingerprintGuard> guard_;
+  ServingGate gate_;
+  GroupKeeper keeper_;
+  EndpointDesk endpoints_;
+  RequestDesk requests_;
+
+  std::uint64_t seen_view_ = 0;
+  // Roles that were held at the last tick, and when each was announced.
+  std::map<RoleName, Time> announced_roles_;
+  // Limit roles that go to another node, and when they may be released.
+  std::map<RoleName, Time> releasing_;
+  std::map<std::string, WantedModel> wanted_;
+  std::map<ChangeId, std::vector<OperatorCallId>> operator_calls_;
+  std::optional<Time> leaving_since_;
+  bool stopped_ = false;
+  std::deque<PeerMessage> to_self_;
+  NodeActions actions_;
+};
+
+class NodeCore::Builder {
+ public:
+  Builder& SetSettings(NodeCoreSettings settings);
+  Builder& SetCodecs(NodeCodecs codecs);
+  Builder& SetRandom(Random random);
+  Builder& SetEventSink(EventSink events);
+  // All codecs must be set.
+  std::unique_ptr<NodeCore> Build(Time started) const;
+
+ private:
+  NodeCoreSettings settings_;
+  NodeCodecs codecs_;
+  Random random_ = SeededRandom(0);
+  EventSink events_ = DiscardEvents();
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_NODE_CORE_H_
--- /dev/null
+++ b/coordination/node_keys.h
@@ -0,0 +1,44 @@
+#ifndef COORDINATION_NODE_KEYS_H_
+#define COORDINATION_NODE_KEYS_H_
+
+#include <charconv>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "coordination/limit_messages.h"
+#include "coordination/role_assignment.h"
+
+namespace gcw {
+
+// Families of keys in the key-value service that are spread to every node.
+inline constexpr std::string_view kContractPrefix = "contract/";
+inline constexpr std::string_view kModelPrefix = "setting/model/";
+inline constexpr std::string_view kDomainPrefix = "domain/";
+
+inline constexpr std::string_view kLimitRolePrefix = "limit/";
+
+inline RoleName LimitRole(LimitShard shard) {
+  return RoleName(std::string(kLimitRolePrefix) +
+                  std::to_string(shard.value()));
+}
+
+// Absent where the role is not a limit owner's.
+inline std::optional<LimitShard> LimitShardOf(const RoleName& role) {
+  std::string_view text = role.value();
+  if (!text.starts_with(kLimitRolePrefix)) {
+    return std::nullopt;
+  }
+  text.remove_prefix(kLimitRolePrefix.size());
+  std::int64_t shard = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), shard);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return LimitShard(shard);
+}
+
+}  // namespace gcw
+
+#endif  // COORDINATION_NODE_KEYS_H_
--- /dev/null
+++ b/coordination/request_desk.h
@@ -0,0 +1,190 @@
+#ifndef COORDINATION_REQUEST_DESK_H_
+#define COORDINATION_REQUEST_DESK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "coordination/admission.h"
+#include "coordination/attempt_log.h"
+#include "coordination/fingerprint_guard.h"
+#include "coordination/node_actions.h"
+#include "coordination/node_events.h"
+#include "coordination/once_client.h"
+#include "coordination/retry_after.h"
+#include "coordination/retry_budget.h"
+#include "coordination/router.h"
+
+namespace gcw {
+
+struct RequestDeskSettings {
+  int most_attempts = 3;
+  // Endpoints that a suspected request offers to the permit desk.
+  std::size_t permit_candidates = 3;
+  // How long an endpoint may take to answer whether it lives, after an attempt
+  // there broke.
+  Duration check_timeout = Duration::Millis(500);
+  // A request that may not be repeated must leave within this time of its first
+  // claim; see `OnceClientSettings::grant_time_to_live`.
+  Duration grant_time_to_live = Duration::Seconds(30);
+  // When a caller whose trial request was stopped should come back.
+  Duration preempted_retry_after = Duration::Seconds(5);
+};
+
+// The modules that decide on requests. All outlive the desk.
+struct RequestModules {
+  Admission* admission = nullptr;
+  Router* router = nullptr;
+  OnceClient* once = nullptr;
+  FingerprintGuard* guard = nullptr;
+  RetryBudget* retries = nullptr;
+  RetryAfterPlanner* retry_after = nullptr;
+};
+
+// An endpoint turned out to be gone when an attempt there broke.
+struct EndpointFoundLost {
+  EndpointId endpoint;
+};
+struct RequestStartedAt {
+  EndpointId endpoint;
+};
+struct RequestEndedAt {
+  EndpointId endpoint;
+};
+
+using RequestDeskAction = std::variant<NodeAction,
+                                       EndpointFoundLost,
+                                       RequestStartedAt,
+                                       RequestEndedAt,
+                                       OncePeerSend,
+                                       GuardSpread,
+                                       GuardPeerSend>;
+using RequestDeskActions = std::vector<RequestDeskAction>;
+
+// Takes each request of a caller through claim, admission, routing, attempts
+// and retries to exactly one final answer.
+class RequestDesk {
+ public:
+  // `attempt_prefix` makes attempt ids unique over nodes and their runs.
+  RequestDesk(RequestDeskSettings settings,
+              RequestModules modules,
+              std::string attempt_prefix,
+              EventSink events);
+
+  RequestDeskActions OnArrived(Time now, const CallerArrived& arrived);
+  RequestDeskActions OnCallerGone(Time now, const RequestId& request);
+  RequestDeskActions OnFirstByte(Time now, const AttemptFirstByte& first);
+  RequestDeskActions OnEnded(Time now, const AttemptEnded& ended);
+  RequestDeskActions OnChecked(Time now, ProbeId id, const ProbeReply& reply);
+
+  RequestDeskActions OnAdmission(Time now,
+                                 const std::vector<AdmissionAction>& actions);
+  RequestDeskActions OnOnce(Time now, const OnceClientActions& actions);
+  RequestDeskActions OnGuard(Time now, const GuardActions& actions);
+  RequestDeskActions Tick(Time now);
+
+  // Refuses new requests from now on with this reason; nothing to accept again.
+  void SetRefusal(std::optional<RefusalKind> refusal);
+  std::size_t open_requests() const { return requests_.size(); }
+
+ private:
+  enum class Phase {
+    kClaiming,
+    kOffered,
+    kAwaitingPermit,
+    kRunning,
+    // The attempt broke; whether its endpoint lives is being asked.
+    kChecking,
+  };
+  struct Attempt {
+    AttemptId id;
+    Endpoint endpoint;
+    DispatchTicket ticket;
+    bool first_byte = false;
+  };
+  struct Request {
+    RequestProfile profile;
+    AttemptLog log;
+    Phase phase = Phase::kOffered;
+    // A claim was granted and its outcome has to be reported.
+    bool claimed = false;
+    bool admitted = false;
+    // The caller left; nothing is told any more.
+    bool abandoned = false;
+    bool preempted = false;
+    EnginePriority priority;
+    // Where a trial request may go; empty for everywhere.
+    std::vector<EndpointId> allowed;
+    std::vector<EndpointId> excluded;
+    std::optional<Attempt> attempt;
+    // The attempt that was dispatched last.
+    AttemptId last_attempt;
+    std::int64_t attempts = 0;
+    TokenCount resume_from;
+    // The broken end that waits for the endpoint's check.
+    std::optional<AttemptBroke> broke;
+    OnceOutcome outcome = OnceNotRun{};
+    EventId last_event;
+  };
+  struct Check {
+    Endpoint endpoint;
+    std::vector<RequestId> waiting;
+    Time give_up;
+  };
+
+  Request* Find(const RequestId& id);
+  bool IsKeyed(const RequestProfile& profile) const;
+  void Offer(Time now, Request& request);
+  void StartAttempt(Time now, Request& request);
+  std::optional<Route> ChooseRoute(Time now,
+                                   const Request& request,
+                                   RefusalKind& reason);
+  void AskPermit(Time now, Request& request);
+  void Dispatch(Time now, Request& request, const Route& route, AttemptId id);
+  AttemptId NextAttemptId();
+  bool MayLeave(Time now, Request& request);
+  void EndAttempt(Time now, Request& request, bool completed);
+  void OnAnswered(Time now, Request& request, const AttemptAnswered& answered);
+  void OnBroke(Time now, Request& request, const AttemptBroke& broke);
+  void StartCheck(Time now, Request& request);
+  void FinishCheck(Time now, ProbeId id, bool lost, bool alive);
+  void Settle(Time now, Request& request, const AttemptFailure& failure);
+  void TryAgain(Time now, Request& request, const AttemptAgain& again);
+  void GiveUp(Time now, Request& request, RefusalKind reason);
+  void Conclude(Time now, Request& request, const AttemptDecision& decision);
+  void TellRefusal(Time now, Request& request, Refusal refusal);
+  // Tells the other modules that the request is over, and forgets it.
+  void Forget(Time now, const RequestId& id, TokenCount generated);
+  void Apply(Time now, const std::vector<AdmissionAction>& actions);
+  void Apply(Time now, const OnceClientActions& actions);
+  void Apply(Time now, const GuardActions& actions);
+  void Apply(Time now, const AdmissionAction& action);
+  void Apply(Time now, const OnceClientAction& action);
+  void Apply(Time now, const GuardAction& action);
+  void Preempt(Time now, Request& request);
+  void Report(Request& request, EventKind kind, std::vector<EventField> fields);
+  RequestDeskActions TakeActions();
+
+  RequestDeskSettings settings_;
+  RequestModules modules_;
+  std::string attempt_prefix_;
+  EventSink events_;
+  std::optional<RefusalKind> refusal_;
+  std::unordered_map<RequestId, Request> requests_;
+  std::unordered_map<AttemptId, RequestId> attempts_;
+  std::map<ProbeId, Check> checks_;
+  std::map<EndpointId, ProbeId> check_of_;
+  // Requests ordered by deadline, to be given up in time.
+  std::multimap<Time, RequestId> deadlines_;
+  std::int64_t last_attempt_ = 0;
+  ProbeId last_probe_;
+  RequestDeskActions actions_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_REQUEST_DESK_H_
