--- /dev/null
+++ b/transport/caller_exchange.cc
@@ -0,0 +1,298 @@
+#include "transport/caller_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "protocol/protocol.h"
+#include "transport/refusal_http.h"
+
+namespace gcw {
+namespace {
+
+constexpr int kStatusBadGateway = 502;
+
+AttemptBreakKind BreakKindOf(HttpFailureKind kind) {
+  switch (kind) {
+    case HttpFailureKind::kConnectRefused:
+      return AttemptBreakKind::kConnectRefused;
+    case HttpFailureKind::kConnectTimeout:
+      return AttemptBreakKind::kConnectTimeout;
+    case HttpFailureKind::kConnectionReset:
+      return AttemptBreakKind::kReset;
+    case HttpFailureKind::kSilent:
+      return AttemptBreakKind::kSilent;
+    case HttpFailureKind::kDeadline:
+      return AttemptBreakKind::kDeadline;
+    case HttpFailureKind::kMalformedAnswer:
+      return AttemptBreakKind::kMalformed;
+    case HttpFailureKind::kTruncated:
+      return AttemptBreakKind::kTruncated;
+    case HttpFailureKind::kCancelled:
+      return AttemptBreakKind::kWithheld;
+  }
+  return AttemptBreakKind::kReset;
+}
+
+AttemptProgress ProgressOf(HttpProgress progress) {
+  switch (progress) {
+    case HttpProgress::kNothingSent:
+      return AttemptProgress::kNothingSent;
+    case HttpProgress::kMaybeSent:
+      return AttemptProgress::kMaybeSent;
+    case HttpProgress::kAnswerBegun:
+      return AttemptProgress::kAnswerBegun;
+  }
+  return AttemptProgress::kMaybeSent;
+}
+
+}  // namespace
+
+CallerExchange::CallerExchange(boost::asio::io_context& context,
+                               HttpClient& client,
+                               RequestId id,
+                               std::shared_ptr<HttpResponder> responder,
+                               std::unique_ptr<AnswerReceiver> receiver,
+                               HttpCallOptions options,
+                               Hooks hooks)
+    : strand_(boost::asio::make_strand(context)),
+      client_(client),
+      id_(std::move(id)),
+      responder_(std::move(responder)),
+      receiver_(std::move(receiver)),
+      options_(options),
+      hooks_(std::move(hooks)) {}
+
+void CallerExchange::Dispatch(DispatchAttempt dispatch) {
+  boost::asio::post(
+      strand_, [self = shared_from_this(), dispatch = std::move(dispatch)] {
+        self->StartAttempt(dispatch);
+      });
+}
+
+void CallerExchange::Cancel(AttemptId attempt) {
+  boost::asio::post(strand_,
+                    [self = shared_from_this(), attempt = std::move(attempt)] {
+                      if (self->attempt_ == attempt && self->call_ != nullptr) {
+                        self->call_->Cancel();
+                      }
+                    });
+}
+
+void CallerExchange::Tell(FinalAnswer answer) {
+  boost::asio::post(strand_,
+                    [self = shared_from_this(), answer = std::move(answer)] {
+                      self->TellNow(answer);
+                    });
+}
+
+void CallerExchange::OnCallerGone() {
+  boost::asio::post(strand_, [self = shared_from_this()] {
+    if (self->over_) {
+      return;
+    }
+    self->hooks_.post(CallerGone{self->id_});
+    self->Over();
+  });
+}
+
+void CallerExchange::StartAttempt(const DispatchAttempt& dispatch) {
+  attempt_ = dispatch.attempt;
+  first_byte_ = false;
+  malformed_ = false;
+  HttpCallOptions options = options_;
+  options.deadline =
+      std::max(Duration::Millis(1), dispatch.deadline - hooks_.clock());
+  options.reuse_connection = !dispatch.fresh_connection;
+  call_ = client_.Send(dispatch.endpoint.address, receiver_->Start(dispatch),
+                       options, MakeHandlers(dispatch));
+}
+
+// The client's handlers run on its own executor; each is passed on to the
+// exchange's strand in the order in which they come.
+HttpCallHandlers CallerExchange::MakeHandlers(const DispatchAttempt& dispatch) {
+  const auto self = shared_from_this();
+  const AttemptId attempt = dispatch.attempt;
+  HttpCallHandlers handlers;
+  handlers.before_send = [clock = hooks_.clock,
+                          send_before = dispatch.send_before] {
+    return clock() < send_before;
+  };
+  handlers.on_head = [self, attempt](const HttpResponse& head) {
+    boost::asio::post(self->strand_, [self, attempt, head] {
+      if (self->attempt_ == attempt) {
+        self->receiver_->OnHead(head);
+      }
+    });
+  };
+  handlers.on_body = [self, attempt](std::string_view chunk) {
+    boost::asio::post(self->strand_,
+                      [self, attempt, text = std::string(chunk)] {
+                        self->OnBody(attempt, text);
+                      });
+  };
+  handlers.on_end = [self, attempt] {
+    boost::asio::post(self->strand_, [self, attempt] { self->OnEnd(attempt); });
+  };
+  handlers.on_failure = [self, attempt](HttpFailure failure) {
+    boost::asio::post(self->strand_, [self, attempt, failure] {
+      self->OnFailure(attempt, failure);
+    });
+  };
+  return handlers;
+}
+
+void CallerExchange::OnBody(const AttemptId& attempt, std::string_view chunk) {
+  if (attempt_ != attempt || malformed_ || over_) {
+    return;
+  }
+  if (!receiver_->OnBody(chunk)) {
+    malformed_ = true;
+    call_->Cancel();
+    return;
+  }
+  if (!first_byte_) {
+    first_byte_ = true;
+    hooks_.post(AttemptFirstByte{id_, attempt});
+  }
+  if (responder_->unsent_bytes() > kMaxUnsentBytes) {
+    responder_->Abort();
+    hooks_.post(CallerGone{id_});
+    Over();
+  }
+}
+
+void CallerExchange::OnEnd(const AttemptId& attempt) {
+  if (attempt_ != attempt) {
+    return;
+  }
+  if (over_) {
+    // The caller left or was told; the answer is kept for its next send.
+    EndAttempt(attempt, receiver_->OnEnd());
+    return;
+  }
+  AttemptEnd end = malformed_
+                       ? AttemptEnd(AttemptBroke{AttemptBreakKind::kMalformed,
+                                                 AttemptProgress::kAnswerBegun,
+                                                 receiver_->delivered()})
+                       : receiver_->OnEnd();
+  const bool answered = std::holds_alternative<AttemptAnswered>(end);
+  EndAttempt(attempt, std::move(end));
+  if (answered) {
+    Over();
+  }
+}
+
+void CallerExchange::OnFailure(const AttemptId& attempt,
+                               const HttpFailure& failure) {
+  if (attempt_ != attempt) {
+    return;
+  }
+  AttemptBroke broke;
+  broke.kind =
+      malformed_ ? AttemptBreakKind::kMalformed : BreakKindOf(failure.kind);
+  broke.progress = ProgressOf(failure.progress);
+  broke.delivered = receiver_->delivered();
+  EndAttempt(attempt, broke);
+}
+
+void CallerExchange::EndAttempt(const AttemptId& attempt, AttemptEnd end) {
+  call_.reset();
+  attempt_ = AttemptId();
+  hooks_.post(AttemptEnded{id_, attempt, std::move(end)});
+}
+
+void CallerExchange::TellNow(const FinalAnswer& answer) {
+  if (over_) {
+    return;
+  }
+  std::visit(
+      Overloaded{
+          [this](const TellRefused& told) {
+            if (receiver_->begun()) {
+              Break(RefusalKindName(told.refusal.kind),
+                    RefusalMessage(told.refusal.kind),
+                    told.refusal.retry_after);
+              return;
+            }
+            Respond(RefusalStatus(told.refusal.kind),
+                    WriteError(RefusalKindName(told.refusal.kind),
+                               RefusalMessage(told.refusal.kind), id_,
+                               told.refusal.retry_after),
+                    told.refusal.retry_after);
+          },
+          [this](const TellUnknown&) {
+            Break("outcome_unknown",
+                  "The request may have run; its answer was lost.", Duration());
+          },
+          [this](const TellStreamBroken&) {
+            Break("answer_broken",
+                  "The answer broke off and could not be continued.",
+                  Duration());
+          },
+          [this](const TellPreempted& told) {
+            Break("trial_preempted",
+                  "Trial work was stopped to make room; come back later.",
+                  told.retry_after);
+          },
+          [this](const TellReplay& told) {
+            HttpResponse response;
+            response.status = told.answer.status;
+            response.body = told.answer.body;
+            for (const OnceHeader& header : told.answer.headers) {
+              response.headers.push_back(HttpHeader{header.name, header.value});
+            }
+            response.headers.push_back(HttpHeader{"X-Gcw-Replayed", "1"});
+            response.headers.push_back(
+                HttpHeader{"X-Gcw-Request", id_.value()});
+            responder_->Respond(std::move(response));
+          },
+          [this](const TellEarlierSend& told) {
+            Break(told.certain ? "ran_earlier" : "outcome_unknown",
+                  told.certain
+                      ? "An earlier send with this key ran; its answer is no "
+                        "longer held. This send was not run."
+                      : "An earlier send with this key may have run. This send "
+                        "was not run.",
+                  Duration());
+          }},
+      answer);
+  Over();
+}
+
+void CallerExchange::Respond(int status,
+                             std::string body,
+                             Duration retry_after) {
+  HttpResponse response;
+  response.status = status;
+  response.body = std::move(body);
+  response.headers = {{"Content-Type", "application/json"},
+                      {"X-Gcw-Request", id_.value()}};
+  AddRetryAfter(retry_after, response);
+  responder_->Respond(std::move(response));
+}
+
+// Ends an answer that cannot become whole. A stream that has begun gets an
+// explicit error event and no end marker, and its connection is closed without
+// the last chunk, so that no client takes it for whole.
+void CallerExchange::Break(std::string_view type,
+                           std::string_view message,
+                           Duration retry_after) {
+  std::string error = WriteError(type, message, id_, retry_after);
+  if (!receiver_->begun()) {
+    Respond(kStatusBadGateway, std::move(error), retry_after);
+    return;
+  }
+  responder_->Write("data: " + error + "\n\n");
+  responder_->Abort();
+}
+
+void CallerExchange::Over() {
+  if (std::exchange(over_, true)) {
+    return;
+  }
+  hooks_.on_over();
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/transport/caller_exchange.h
@@ -0,0 +1,88 @@
+#ifndef TRANSPORT_CALLER_EXCHANGE_H_
+#define TRANSPORT_CALLER_EXCHANGE_H_
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+#include "coordination/coordination.h"
+#include "transport/answer_receiver.h"
+#include "transport/http_client.h"
+#include "transport/http_types.h"
+
+namespace gcw {
+
+// The final answers that the core can tell a caller.
+using FinalAnswer = std::variant<TellRefused,
+                                 TellUnknown,
+                                 TellStreamBroken,
+                                 TellPreempted,
+                                 TellReplay,
+                                 TellEarlierSend>;
+
+// One request of a caller on the traffic threads: carries out the attempts that
+// the core decides on and sees to it that the caller gets exactly one answer.
+class CallerExchange : public std::enable_shared_from_this<CallerExchange> {
+ public:
+  struct Hooks {
+    // Hands an event to the core; callable from any thread.
+    std::function<void(NodeEvent)> post;
+    // Counts time suspended.
+    Clock clock;
+    // Once, when the caller's answer has ended in any way.
+    std::function<void()> on_over;
+  };
+
+  CallerExchange(boost::asio::io_context& context,
+                 HttpClient& client,
+                 RequestId id,
+                 std::shared_ptr<HttpResponder> responder,
+                 std::unique_ptr<AnswerReceiver> receiver,
+                 HttpCallOptions options,
+                 Hooks hooks);
+
+  // All callable from any thread.
+  void Dispatch(DispatchAttempt dispatch);
+  void Cancel(AttemptId attempt);
+  void Tell(FinalAnswer answer);
+  void OnCallerGone();
+
+ private:
+  // The caller is too slow to take its stream; its part that waits here would
+  // fill the memory.
+  static constexpr std::size_t kMaxUnsentBytes = 4 * 1024 * 1024;
+
+  void StartAttempt(const DispatchAttempt& dispatch);
+  HttpCallHandlers MakeHandlers(const DispatchAttempt& dispatch);
+  void OnBody(const AttemptId& attempt, std::string_view chunk);
+  void OnEnd(const AttemptId& attempt);
+  void OnFailure(const AttemptId& attempt, const HttpFailure& failure);
+  void EndAttempt(const AttemptId& attempt, AttemptEnd end);
+  void TellNow(const FinalAnswer& answer);
+  void Respond(int status, std::string body, Duration retry_after);
+  void Break(std::string_view type,
+             std::string_view message,
+             Duration retry_after);
+  void Over();
+
+  boost::asio::strand<boost::asio::io_context::executor_type> strand_;
+  HttpClient& client_;
+  RequestId id_;
+  std::shared_ptr<HttpResponder> responder_;
+  std::unique_ptr<AnswerReceiver> receiver_;
+  HttpCallOptions options_;
+  Hooks hooks_;
+
+  AttemptId attempt_;
+  std::shared_ptr<HttpCall> call_;
+  bool first_byte_ = false;
+  // The answer broke the protocol; the call is being stopped.
+  bool malformed_ = false;
+  bool over_ = false;
+};
+
+}  // namespace gcw
+
+#endif  // TRANSPORT_CALLER_EXCHANGE_H_
