core, transport: declare event log, settings, log and metrics

- SettingsReader binds keys to variables; the default is the variable's value when it is declared, so that defaults stand in one place.

--- a/core/core.h
+++ b/core/core.h
@@ -6,6 +6,10 @@
 
 #include "core/clock.h"
 #include "core/event.h"
+#include "core/event_causes.h"
+#include "core/event_id.h"
+#include "core/event_log.h"
+#include "core/hybrid_clock.h"
 #include "core/ids.h"
 #include "core/random.h"
 #include "core/result.h"
--- /dev/null
+++ b/transport/settings_reader.h
@@ -0,0 +1,241 @@
+#ifndef TRANSPORT_SETTINGS_READER_H_
+#define TRANSPORT_SETTINGS_READER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/core.h"
+#include "transport/secret.h"
+
+namespace gcw {
+
+enum class SettingErrorKind {
+  kFileUnreadable,
+  kSyntax,
+  kUnknownKey,
+  kMissing,
+  kWrongType,
+  kOutOfRange,
+  // The file that a `*_file` key names cannot be read, or its content is too
+  // short or too long.
+  kSecretUnreadable,
+  // The program declared the key wrongly: twice, or without its unit.
+  kBadDeclaration,
+};
+
+std::string_view SettingErrorKindName(SettingErrorKind kind);
+
+struct SettingError {
+  SettingErrorKind kind;
+  std::string file;
+  // Starts at 1; 0 where no line is to blame, as for a missing key.
+  int line = 0;
+  // The path of the key, such as "limits.queue_wait_ms".
+  std::string key;
+  // As written in the file; withheld where it may be a secret.
+  std::string value;
+  // What would have been accepted, or what the parser said.
+  std::string allowed;
+};
+
+// One line for people: `file:line: key = value: kind, allowed ...`.
+std::ostream& operator<<(std::ostream& out, const SettingError& error);
+
+enum class Presence { kOptional, kRequired };
+
+// Both ends are allowed.
+struct IntegerRange {
+  std::int64_t min = std::numeric_limits<std::int64_t>::min();
+  std::int64_t max = std::numeric_limits<std::int64_t>::max();
+};
+struct NumberRange {
+  double min = std::numeric_limits<double>::lowest();
+  double max = std::numeric_limits<double>::max();
+};
+struct DurationRange {
+  Duration min;
+  Duration max;
+};
+// Length in bytes.
+struct TextRange {
+  std::size_t min = 0;
+  std::size_t max = 4096;
+};
+// Number of items.
+struct ListRange {
+  std::size_t min = 0;
+  std::size_t max = 1024;
+};
+
+// Reads a program's settings from TOML. The program declares each key with the
+// variable it fills; the variable's value at that time is the default. Reading
+// reports all errors at once and fills either all variables or none.
+//
+//   SettingsReader reader;
+//   reader.Add("callers.port", &settings.port, IntegerRange{0, 65535},
+//              "Port for callers; 0 lets the kernel choose.");
+//   const std::vector<SettingError> errors = reader.ReadFile(path);
+class SettingsReader {
+ public:
+  void Add(std::string_view key,
+           std::int64_t* target,
+           IntegerRange range,
+           std::string_view doc,
+           Presence presence = Presence::kOptional);
+  void Add(std::string_view key,
+           int* target,
+           IntegerRange range,
+           std::string_view doc,
+           Presence presence = Presence::kOptional);
+  void Add(std::string_view key,
+           double* target,
+           NumberRange range,
+           std::string_view doc,
+           Presence presence = Presence::kOptional);
+  void Add(std::string_view key,
+           bool* target,
+           std::string_view doc,
+           Presence presence = Presence::kOptional);
+  void Add(std::string_view key,
+           std::string* target,
+           TextRange range,
+           std::string_view doc,
+           Presence presence = Presence::kOptional);
+  // The key must end in `_ms`.
+  void Add(std::string_view key,
+           Duration* target,
+           DurationRange range,
+           std::string_view doc,
+           Presence presence = Presence::kOptional);
+  // A list of texts.
+  void Add(std::string_view key,
+           std::vector<std::string>* target,
+           ListRange range,
+           std::string_view doc,
+           Presence presence = Presence::kOptional);
+  template <typename Tag>
+  void Add(std::string_view key,
+           StrongId<Tag>* target,
+           TextRange range,
+           std::string_view doc,
+           Presence presence = Presence::kOptional) {
+    AddText(key, target->value(), range, doc, presence,
+            [target](std::string text) {
+              *target = StrongId<Tag>(std::move(text));
+            });
+  }
+  template <typename Tag>
+  void Add(std::string_view key,
+           StrongNumber<Tag>* target,
+           IntegerRange range,
+           std::string_view doc,
+           Presence presence = Presence::kOptional) {
+    AddInteger(
+        key, target->value(), range, doc, presence,
+        [target](std::int64_t number) { *target = StrongNumber<Tag>(number); });
+  }
+  // One of the named choices.
+  template <typename Choice>
+  void AddChoice(std::string_view key,
+                 Choice* target,
+                 std::vector<std::pair<std::string, Choice>> choices,
+                 std::string_view doc,
+                 Presence presence = Presence::kOptional) {
+    std::vector<std::string> names;
+    std::string default_name;
+    for (const auto& [name, choice] : choices) {
+      names.push_back(name);
+      if (choice == *target) {
+        default_name = name;
+      }
+    }
+    AddNamedChoice(key, std::move(default_name), std::move(names), doc,
+                   presence,
+                   [target, choices = std::move(choices)](std::size_t index) {
+                     *target = choices[index].second;
+                   });
+  }
+  // The key names a file that holds a secret, which ends at the first line
+  // break; it must end in `_file`. A relative path starts at the folder of the
+  // settings file. The range is that of the secret's length.
+  void AddSecret(std::string_view key,
+                 Secret* target,
+                 TextRange range,
+                 std::string_view doc,
+                 Presence presence = Presence::kOptional);
+
+  // Empty when all is well; else no variable has changed.
+  std::vector<SettingError> ReadFile(const std::string& path);
+  // Like `ReadFile` for a text that is at hand; `file` is for errors and for
+  // the place of relative paths.
+  std::vector<SettingError> ReadText(std::string_view text,
+                                     const std::string& file);
+
+  // Writes the declared keys as a Markdown table for docs/SETTINGS.md.
+  void WriteReference(std::ostream& out) const;
+
+ private:
+  // A value as the file has it, of the types that settings use.
+  using Value = std::variant<std::int64_t,
+                             double,
+                             bool,
+                             std::string,
+                             std::vector<std::string>>;
+  // Fills a variable once all keys are known to be sound.
+  using Apply = std::function<void()>;
+  struct Refusal {
+    SettingErrorKind kind;
+  };
+  // Checks a value and gives back how to apply it.
+  using Check =
+      std::function<Result<Apply, Refusal>(const Value&, const std::string&)>;
+  struct Declaration {
+    std::string key;
+    std::string type;
+    std::string allowed;
+    std::string default_value;
+    std::string doc;
+    Presence presence;
+    bool is_secret = false;
+    Check check;
+  };
+  struct Document;
+
+  void AddInteger(std::string_view key,
+                  std::int64_t default_value,
+                  IntegerRange range,
+                  std::string_view doc,
+                  Presence presence,
+                  std::function<void(std::int64_t)> apply);
+  void AddText(std::string_view key,
+               std::string default_value,
+               TextRange range,
+               std::string_view doc,
+               Presence presence,
+               std::function<void(std::string)> apply);
+  void AddNamedChoice(std::string_view key,
+                      std::string default_name,
+                      std::vector<std::string> names,
+                      std::string_view doc,
+                      Presence presence,
+                      std::function<void(std::size_t)> apply);
+  void Declare(Declaration declaration);
+  void RefuseDeclaration(std::string_view key, std::string allowed);
+  const Declaration* Find(std::string_view key) const;
+  std::vector<SettingError> Evaluate(const Document& document);
+
+  std::vector<Declaration> declarations_;
+  std::vector<SettingError> declaration_errors_;
+};
+
+}  // namespace gcw
+
+#endif  // TRANSPORT_SETTINGS_READER_H_
--- a/transport/transport.h
+++ b/transport/transport.h
@@ -7,5 +7,9 @@
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/http_types.h"
+#include "transport/json_log.h"
+#include "transport/metrics.h"
+#include "transport/secret.h"
+#include "transport/settings_reader.h"
 
 #endif  // TRANSPORT_TRANSPORT_H_
