--- /dev/null
+++ b/protocol/prefix_blocks.h
@@ -0,0 +1,23 @@
+#ifndef PROTOCOL_PREFIX_BLOCKS_H_
+#define PROTOCOL_PREFIX_BLOCKS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace gcw {
+
+// Bytes of prompt in one block of a model engine's prefix cache.
+inline constexpr std::size_t kPrefixBlockBytes = 64;
+
+// One hash per whole block, in order: XXH3-64 with seed 0 over the prompt up to
+// the block's end. Equal hashes mean equal prompts up to there.
+std::vector<std::uint64_t> PrefixBlocks(std::string_view prompt);
+
+// XXH3-64 with seed 0.
+std::uint64_t HashOf(std::string_view text);
+
+}  // namespace gcw
+
+#endif  // PROTOCOL_PREFIX_BLOCKS_H_
