--- /dev/null
+++ b/coordination/backoff.h
@@ -0,0 +1,31 @@
+#ifndef COORDINATION_BACKOFF_H_
+#define COORDINATION_BACKOFF_H_
+
+#include "core/core.h"
+
+namespace gcw {
+
+struct BackoffSettings {
+  Duration initial = Duration::Millis(500);
+  Duration maximum = Duration::Seconds(8);
+};
+
+// Exponential backoff with full jitter. When the key-value service comes back
+// from an outage, all nodes would otherwise call it in the same instant and
+// push it over its rate again.
+class Backoff {
+ public:
+  explicit Backoff(BackoffSettings settings) : settings_(settings) {}
+
+  // How long to wait after one more failure.
+  Duration Next(const Random& random);
+  void Reset() { failures_ = 0; }
+
+ private:
+  BackoffSettings settings_;
+  int failures_ = 0;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_BACKOFF_H_
--- /dev/null
+++ b/coordination/role_leases.h
@@ -0,0 +1,134 @@
+#ifndef COORDINATION_ROLE_LEASES_H_
+#define COORDINATION_ROLE_LEASES_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include "coordination/actions.h"
+#include "coordination/backoff.h"
+#include "coordination/node_lease.h"
+#include "coordination/role_assignment.h"
+#include "state/state.h"
+
+namespace gcw {
+
+struct RoleLeasesSettings {
+  // Between attempts to take a role that another node holds.
+  Duration retry_interval = Duration::Seconds(2);
+  Duration call_timeout = Duration::Seconds(2);
+  // Most calls under way at once, so that taking many roles does not spend the
+  // service's rate in one burst.
+  std::size_t parallel_calls = 4;
+  BackoffSettings backoff;
+};
+
+using RoleLeasesAction = std::variant<StoreRequest>;
+
+struct HeldRole {
+  // Goes on every order given in this role. Revision of the role's key.
+  FencingToken fence;
+  Time valid_until;
+};
+
+// The roles that this node holds. Each is a key `role/<name>` that hangs on
+// the node's lease; its revision is the fencing number.
+class RoleLeases {
+ public:
+  class Builder;
+
+  // Takes the roles in `desired` that are free and gives up the others.
+  std::vector<RoleLeasesAction> SetDesired(Time now,
+                                           std::set<RoleName> desired);
+  std::vector<RoleLeasesAction> Tick(Time now);
+  std::vector<RoleLeasesAction> OnStoreReply(Time now,
+                                             StoreCallId id,
+                                             const StoreReply& reply);
+
+  // Absent where the node may not act in this role at `now`.
+  std::optional<HeldRole> Held(const RoleName& role, Time now) const;
+  // All roles that are held at `now`.
+  std::vector<RoleName> HeldRoles(Time now) const;
+
+ private:
+  enum class Phase { kFree, kTaking, kHeld, kReleasing };
+  struct Role {
+    Phase phase = Phase::kFree;
+    // The lease that the key hangs on, or is to hang on.
+    LeaseId lease;
+    Revision revision;
+    Time next_attempt;
+    std::optional<StoreCallId> call;
+  };
+  struct PendingCall {
+    RoleName role;
+    LeaseId lease;
+    Time sent;
+  };
+
+  RoleLeases(RoleLeasesSettings settings,
+             NodeId self,
+             std::function<std::optional<HeldLease>(Time)> lease,
+             std::function<Revision()> revision_floor,
+             Random random,
+             EventSink sink);
+
+  std::vector<RoleLeasesAction> NextCalls(Time now);
+  std::optional<StoreRequest> NextCall(Time now,
+                                       const RoleName& name,
+                                       Role& role,
+                                       const HeldLease& lease);
+  StoreRequest Call(Time now, const RoleName& name, Role& role, StoreCall call);
+  void DropLapsed(Time now);
+  void ExpireCalls(Time now);
+  void OnTakingReply(Time now,
+                     const RoleName& name,
+                     Role& role,
+                     const StoreReply& reply);
+  void OnReleasingReply(Time now, Role& role, const StoreReply& reply);
+  void Take(const RoleName& name, Role& role, Revision revision);
+  void RetryLater(Time now, Role& role, const StoreReply& reply);
+  void ReportLost(const RoleName& name, const Role& role);
+
+  RoleLeasesSettings settings_;
+  NodeId self_;
+  std::function<std::optional<HeldLease>(Time)> lease_;
+  std::function<Revision()> revision_floor_;
+  Random random_;
+  EventSink sink_;
+  Backoff backoff_;
+
+  std::set<RoleName> desired_;
+  std::map<RoleName, Role> roles_;
+  std::map<StoreCallId, PendingCall> pending_;
+  StoreCallId last_id_;
+};
+
+class RoleLeases::Builder {
+ public:
+  Builder& SetSettings(RoleLeasesSettings settings);
+  Builder& SetSelf(NodeId self);
+  // Tells the node's lease at a time; usually `NodeLease::Held`.
+  Builder& SetLease(std::function<std::optional<HeldLease>(Time)> lease);
+  // The highest revision that this node knows to have existed. A role taken
+  // at or below it comes from a service that was set back.
+  Builder& SetRevisionFloor(std::function<Revision()> floor);
+  Builder& SetRandom(Random random);
+  Builder& SetEventSink(EventSink sink);
+  RoleLeases Build() const;
+
+ private:
+  RoleLeasesSettings settings_;
+  NodeId self_;
+  std::function<std::optional<HeldLease>(Time)> lease_;
+  std::function<Revision()> revision_floor_ = [] { return Revision(); };
+  Random random_ = SeededRandom(0);
+  EventSink sink_ = DiscardEvents();
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_ROLE_LEASES_H_
--- /dev/null
+++ b/coordination/rumor_queue.h
@@ -0,0 +1,44 @@
+#ifndef COORDINATION_RUMOR_QUEUE_H_
+#define COORDINATION_RUMOR_QUEUE_H_
+
+#include <cstddef>
+#include <list>
+#include <string>
+#include <vector>
+
+#include "coordination/membership_messages.h"
+
+namespace gcw {
+
+// Rumors that still ride along with messages. Each is sent a number of times
+// that grows with the logarithm of the fleet, the least sent first.
+class RumorQueue {
+ public:
+  // `transmissions`: how often each rumor is sent.
+  void SetTransmissions(int transmissions) { transmissions_ = transmissions; }
+
+  // Replaces an older rumor on the same subject.
+  void Add(const Rumor& rumor);
+  // The next rumors to send, within about `max_bytes` together.
+  std::vector<Rumor> Take(std::size_t max_bytes);
+  std::size_t size() const { return waiting_.size(); }
+
+ private:
+  struct Waiting {
+    std::string subject;
+    Rumor rumor;
+    std::size_t bytes;
+    int sent = 0;
+  };
+
+  // Beyond this the most sent ones are dropped.
+  static constexpr std::size_t kMaxWaiting = 2048;
+
+  int transmissions_ = 1;
+  // In order of `sent`.
+  std::list<Waiting> waiting_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_RUMOR_QUEUE_H_
--- a/state/state.h
+++ b/state/state.h
@@ -3,10 +3,12 @@
 
 // Public header of the state library: what nodes know and agree on.
 
+#include "state/config_store.h"
 #include "state/contract.h"
 #include "state/domain_record.h"
 #include "state/endpoint.h"
 #include "state/load_report.h"
+#include "state/node_record.h"
 #include "state/store_types.h"
 #include "state/vm_list.h"
 
