tests: fakes of the key-value service and the network

In virtual time: leases, compare-and-swap, watches, and the faults that modules must stand: outage, lost calls and answers, busy, stale reads, a restored backup; delay, loss, doubling and partition between nodes.

--- /dev/null
+++ b/tests/support/fake_network.h
@@ -0,0 +1,95 @@
+#ifndef TESTS_SUPPORT_FAKE_NETWORK_H_
+#define TESTS_SUPPORT_FAKE_NETWORK_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/core.h"
+
+namespace gcw {
+
+// What may go wrong with messages between nodes. Shares are from 0 to 1.
+struct FakeNetworkFaults {
+  Duration min_delay = Duration::Millis(1);
+  // Delays differ, so that messages overtake each other.
+  Duration max_delay = Duration::Millis(3);
+  double lost = 0;
+  double doubled = 0;
+};
+
+// Carries messages between nodes in virtual time.
+template <typename Message>
+class FakeNetwork {
+ public:
+  struct Delivery {
+    NodeId from;
+    NodeId to;
+    Message message;
+  };
+
+  explicit FakeNetwork(Random random) : random_(std::move(random)) {}
+
+  FakeNetworkFaults& faults() { return faults_; }
+  // Pairs for which this holds reach each other; all do at first.
+  void SetConnected(
+      std::function<bool(const NodeId& from, const NodeId& to)> connected) {
+    connected_ = std::move(connected);
+  }
+
+  void Send(Time now, const NodeId& from, const NodeId& to, Message message) {
+    ++sent_;
+    if (!connected_(from, to)) {
+      return;
+    }
+    if (Draws(faults_.doubled)) {
+      Enqueue(now, from, to, message);
+    }
+    if (!Draws(faults_.lost)) {
+      Enqueue(now, from, to, std::move(message));
+    }
+  }
+
+  // The messages that have arrived by `now`, in order of arrival.
+  std::vector<Delivery> Deliver(Time now) {
+    std::vector<Delivery> due;
+    while (!under_way_.empty() && under_way_.begin()->first <= now) {
+      Delivery delivery = std::move(under_way_.begin()->second);
+      under_way_.erase(under_way_.begin());
+      if (connected_(delivery.from, delivery.to)) {
+        due.push_back(std::move(delivery));
+      }
+    }
+    return due;
+  }
+
+  std::int64_t sent() const { return sent_; }
+
+ private:
+  bool Draws(double share) { return share > 0 && DrawUnit(random_) < share; }
+
+  void Enqueue(Time now,
+               const NodeId& from,
+               const NodeId& to,
+               Message message) {
+    const auto spread = faults_.max_delay.millis() - faults_.min_delay.millis();
+    const Duration delay =
+        faults_.min_delay +
+        Duration::Millis(static_cast<std::int64_t>(
+            DrawBelow(random_, static_cast<std::uint64_t>(spread) + 1)));
+    under_way_.emplace(now + delay, Delivery{from, to, std::move(message)});
+  }
+
+  Random random_;
+  FakeNetworkFaults faults_;
+  std::function<bool(const NodeId&, const NodeId&)> connected_ =
+      [](const NodeId&, const NodeId&) { return true; };
+  std::multimap<Time, Delivery> under_way_;
+  std::int64_t sent_ = 0;
+};
+
+}  // namespace gcw
+
+#endif  // TESTS_SUPPORT_FAKE_NETWORK_H_
--- /dev/null
+++ b/tests/support/fake_store_link.h
@@ -0,0 +1,171 @@
+#ifndef TESTS_SUPPORT_FAKE_STORE_LINK_H_
+#define TESTS_SUPPORT_FAKE_STORE_LINK_H_
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tests/support/fake_store.h"
+
+namespace gcw {
+
+// What may go wrong between callers and the key-value service. Shares are of
+// all calls, from 0 to 1.
+struct FakeStoreFaults {
+  Duration min_delay = Duration::Millis(1);
+  // Each way; delays differ, so that calls overtake each other.
+  Duration max_delay = Duration::Millis(5);
+  // No call arrives and no reply leaves.
+  bool outage = false;
+  double request_lost = 0;
+  double reply_lost = 0;
+  double busy = 0;
+  // Reads are answered from the service's state `stale_by` earlier.
+  double stale_read = 0;
+};
+
+// Carries calls to a `FakeStore` and replies back in virtual time. Calls that
+// are lost get no reply at all, as after a silent connection.
+class FakeStoreLink {
+ public:
+  struct Delivery {
+    std::string caller;
+    StoreCallId id;
+    StoreReply reply;
+  };
+
+  explicit FakeStoreLink(Random random) : random_(std::move(random)) {}
+
+  FakeStore& store() { return store_; }
+  FakeStoreFaults& faults() { return faults_; }
+  // Callers for which this holds reach the service; all do at first.
+  void SetReaches(std::function<bool(const std::string& caller)> reaches) {
+    reaches_ = std::move(reaches);
+  }
+
+  void SetOutage(Time now, bool outage) {
+    if (faults_.outage && !outage) {
+      store_.ExtendLeases(now);
+    }
+    faults_.outage = outage;
+  }
+  // Keeps the present state for `Restore` and for stale reads.
+  void Snapshot() { snapshot_ = store_; }
+  // Sets the service back to the last snapshot, as a restored backup.
+  void Restore() { store_ = snapshot_; }
+
+  void Send(Time now, std::string caller, StoreCallId id, StoreCall call) {
+    ++calls_;
+    if (faults_.outage || !reaches_(caller) || Draws(faults_.request_lost)) {
+      return;
+    }
+    Waiting waiting{now + Delay(), {}, std::move(caller), id, std::move(call)};
+    if (const auto* watch = std::get_if<StoreWatch>(&waiting.call)) {
+      waiting.watch_ends = waiting.at + watch->wait;
+    }
+    waiting_.push_back(std::move(waiting));
+  }
+
+  // Runs what has arrived by `now` and returns the replies that are back.
+  std::vector<Delivery> Deliver(Time now) {
+    if (!faults_.outage) {
+      store_.DropLapsed(now);
+      RunArrived(now);
+    }
+    std::vector<Delivery> due;
+    std::erase_if(replies_, [&](Reply& reply) {
+      if (reply.at > now) {
+        return false;
+      }
+      due.push_back(std::move(reply.delivery));
+      return true;
+    });
+    return due;
+  }
+
+  // All calls so far, and the watches that wait now.
+  std::int64_t calls() const { return calls_; }
+  std::size_t waiting_watches() const {
+    std::size_t count = 0;
+    for (const Waiting& waiting : waiting_) {
+      count += std::holds_alternative<StoreWatch>(waiting.call) ? 1 : 0;
+    }
+    return count;
+  }
+
+ private:
+  struct Waiting {
+    Time at;
+    Time watch_ends;
+    std::string caller;
+    StoreCallId id;
+    StoreCall call;
+  };
+  struct Reply {
+    Time at;
+    Delivery delivery;
+  };
+
+  bool Draws(double share) { return share > 0 && DrawUnit(random_) < share; }
+
+  Duration Delay() {
+    const auto spread = faults_.max_delay.millis() - faults_.min_delay.millis();
+    return faults_.min_delay +
+           Duration::Millis(static_cast<std::int64_t>(
+               DrawBelow(random_, static_cast<std::uint64_t>(spread) + 1)));
+  }
+
+  void RunArrived(Time now) {
+    std::vector<Waiting> waiting = std::move(waiting_);
+    waiting_.clear();
+    for (Waiting& call : waiting) {
+      if (call.at > now || !Run(now, call)) {
+        waiting_.push_back(std::move(call));
+      }
+    }
+  }
+
+  // False where a watch goes on waiting.
+  bool Run(Time now, const Waiting& waiting) {
+    std::optional<StoreReply> reply = Answer(now, waiting);
+    if (!reply) {
+      return false;
+    }
+    if (!Draws(faults_.reply_lost) && reaches_(waiting.caller)) {
+      replies_.push_back(
+          {now + Delay(), {waiting.caller, waiting.id, *std::move(reply)}});
+    }
+    return true;
+  }
+
+  std::optional<StoreReply> Answer(Time now, const Waiting& waiting) {
+    if (Draws(faults_.busy)) {
+      return StoreBusy{Duration::Millis(200)};
+    }
+    if (std::holds_alternative<StoreRange>(waiting.call) &&
+        Draws(faults_.stale_read)) {
+      return snapshot_.Execute(now, waiting.call);
+    }
+    auto reply = store_.Execute(now, waiting.call);
+    if (!reply && waiting.watch_ends <= now) {
+      return StoreWatchReply{store_.revision(), {}, {}, false};
+    }
+    return reply;
+  }
+
+  Random random_;
+  FakeStore store_;
+  FakeStore snapshot_;
+  FakeStoreFaults faults_;
+  std::function<bool(const std::string&)> reaches_ = [](const std::string&) {
+    return true;
+  };
+  std::vector<Waiting> waiting_;
+  std::vector<Reply> replies_;
+  std::int64_t calls_ = 0;
+};
+
+}  // namespace gcw
+
+#endif  // TESTS_SUPPORT_FAKE_STORE_LINK_H_
