--- /dev/null
+++ b/coordination/backoff.cc
@@ -0,0 +1,23 @@
+#include "coordination/backoff.h"
+
+#include <algorithm>
+
+namespace gcw {
+
+Duration Backoff::Next(const Random& random) {
+  // Enough to pass any maximum, and too little to overflow.
+  constexpr int kMaxDoublings = 20;
+  const Duration ceiling = std::min(
+      settings_.maximum, settings_.initial * (std::int64_t{1} << std::min(
+                                                  failures_, kMaxDoublings)));
+  ++failures_;
+  // Never zero, so that a failing call is not repeated in the same tick.
+  const std::int64_t least = std::max<std::int64_t>(1, ceiling.millis() / 4);
+  const std::int64_t spread =
+      std::max<std::int64_t>(1, ceiling.millis() - least);
+  return Duration::Millis(least +
+                          static_cast<std::int64_t>(DrawBelow(
+                              random, static_cast<std::uint64_t>(spread))));
+}
+
+}  // namespace gcw
--- a/coordination/config_gossip.h
+++ b/coordination/config_gossip.h
@@ -33,6 +33,7 @@
 struct ConfigPeerStatus {
   Revision floor;
   bool ready = false;
+  Time heard;
 };
 
 // Compares and exchanges copies of the configuration between nodes.
@@ -45,7 +46,7 @@
     std::function<const ConfigStore&()> store;
     std::function<ConfigDigest()> digest;
     // Everything up to the revision is now held.
-    std::function<void(Time now, Revision)> raise_floor;
+    std::function<void(Revision)> raise_floor;
   };
 
   ConfigGossip(ConfigGossipSettings settings, Hooks hooks, Random random);
@@ -62,16 +63,16 @@
   // Asks the peers not known to hold everything up to `revision`.
   std::vector<ConfigGossipAction> AskFloors(Revision revision) const;
 
-  // Starts to ask every peer for its copy; see `Surveyed`.
-  void StartSurvey();
-  // How many peers have been asked until their copy held nothing new, and
-  // how many of these were ready.
-  std::size_t settled() const { return settled_; }
-  std::size_t settled_ready() const { return settled_ready_; }
-  // Whether every peer has settled or is unreachable.
+  // While surveying, every peer is asked until its copy holds nothing that is
+  // not held here.
+  void SetSurveying(bool surveying);
+  // Whether every peer has settled so or is unreachable.
   bool SurveyDone() const;
+  // Whether one that has settled was itself ready.
+  bool SettledWithReadyPeer() const;
 
   const std::map<NodeId, ConfigPeerStatus>& peers() const { return status_; }
+  const std::vector<NodeId>& peer_ids() const { return peers_; }
 
  private:
   // How far the survey of one peer is.
@@ -94,7 +95,7 @@
                                             const ConfigEntries& entries);
   void OnPush(Time now, const ConfigPush& push);
   void Learn(Time now, const NodeId& from, const ConfigDigest& digest);
-  void Settle(const NodeId& from, bool ready);
+  void Settle(const NodeId& from);
   void Survey(Time now, std::vector<ConfigGossipAction>& actions);
   ConfigEntries Collect(const std::vector<std::string>& keys) const;
 
@@ -103,11 +104,10 @@
   Random random_;
   std::vector<NodeId> peers_;
   std::map<NodeId, ConfigPeerStatus> status_;
+  // The epoch before the first tick.
   Time next_compare_;
   bool surveying_ = false;
   std::map<NodeId, Inquiry> inquiries_;
-  std::size_t settled_ = 0;
-  std::size_t settled_ready_ = 0;
 };
 
 }  // namespace gcw
--- a/coordination/config_messages.h
+++ b/coordination/config_messages.h
@@ -40,6 +40,8 @@
   std::vector<std::string> wanted;
   // Whether entries were left out to keep the message small.
   bool more = false;
+  // Whether this answers a pull, so that the sender holds nothing else newer.
+  bool answers_pull = false;
 };
 
 // New versions, sent without being asked.
@@ -54,7 +56,8 @@
 using ConfigMessage = std::
     variant<ConfigDigest, ConfigBuckets, ConfigPull, ConfigEntries, ConfigPush>;
 
-// About how many bytes a message takes on the wire.
+// About how many bytes each takes on the wire.
+std::size_t EstimatedSize(const ConfigEntry& entry);
 std::size_t EstimatedSize(const ConfigMessage& message);
 
 }  // namespace gcw
--- /dev/null
+++ b/coordination/config_proposer.cc
@@ -0,0 +1,378 @@
+#include "coordination/config_proposer.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace gcw {
+namespace {
+
+// Higher than any revision of a key.
+constexpr Revision kNoRevision(std::numeric_limits<std::int64_t>::max());
+
+bool IsAbsent(const std::optional<ConfigEntry>& entry) {
+  return !entry || !entry->record.value;
+}
+
+// Whether the operator's expectation holds for `current`.
+bool Meets(const std::optional<ConfigEntry>& current, Revision expected) {
+  if (expected == Revision()) {
+    return IsAbsent(current);
+  }
+  return current && current->revision == expected;
+}
+
+// The version of `entry` that `change` made, if it is still known.
+std::optional<Revision> FindChange(const ConfigEntry& entry,
+                                   const ChangeId& change) {
+  if (entry.record.change == change) {
+    return entry.revision;
+  }
+  for (const ConfigVersion& version : entry.record.history) {
+    if (version.change == change) {
+      return version.revision;
+    }
+  }
+  return std::nullopt;
+}
+
+// Whether the history names every version after `base`.
+bool Covers(const ConfigEntry& entry, Revision base) {
+  const auto& history = entry.record.history;
+  return history.size() < ConfigRecord::kHistoryLimit ||
+         history.back().revision <= base;
+}
+
+// The entry's version, then the ones before it.
+std::vector<ConfigVersion> VersionsOf(const ConfigEntry& entry) {
+  std::vector<ConfigVersion> versions = {{entry.record.change, entry.revision}};
+  versions.insert(versions.end(), entry.record.history.begin(),
+                  entry.record.history.end());
+  if (versions.size() > ConfigRecord::kHistoryLimit) {
+    versions.resize(ConfigRecord::kHistoryLimit);
+  }
+  return versions;
+}
+
+}  // namespace
+
+std::string_view ChangeUnavailableKindName(ChangeUnavailableKind kind) {
+  switch (kind) {
+    case ChangeUnavailableKind::kNotWritten:
+      return "not_written";
+    case ChangeUnavailableKind::kOutcomeUnknown:
+      return "outcome_unknown";
+    case ChangeUnavailableKind::kStoreRewound:
+      return "store_rewound";
+  }
+  return "unknown";
+}
+
+ConfigProposer::ConfigProposer(ConfigProposerSettings settings,
+                               ConfigRecordCodec codec,
+                               ConfigProposerHooks hooks,
+                               Random random,
+                               EventSink sink)
+    : settings_(settings),
+      codec_(std::move(codec)),
+      hooks_(std::move(hooks)),
+      random_(std::move(random)),
+      sink_(std::move(sink)) {}
+
+std::vector<ConfigProposerAction> ConfigProposer::Propose(Time now,
+                                                          ConfigChange change) {
+  if (open_.contains(change.change)) {
+    return {};
+  }
+  Proposal proposal{.change = std::move(change),
+                    .deadline = now + settings_.settle_timeout,
+                    .next_call = now,
+                    .backoff = Backoff(settings_.backoff),
+                    .base = {},
+                    .history = {},
+                    .maybe_written = false,
+                    .call = {},
+                    .call_is_put = false,
+                    .call_sent = {},
+                    .known_at_call = {},
+                    .own_at_call = {},
+                    .seen = {}};
+  const ConfigEntry* own = hooks_.find(proposal.change.key);
+  if (own != nullptr) {
+    // The operator asks again for the outcome of a change that is known.
+    if (const auto revision = FindChange(*own, proposal.change.change)) {
+      proposal.seen = *own;
+      return {Finish(proposal, ChangeAccepted{*revision})};
+    }
+  }
+  StartFromOwnCopy(proposal);
+  const auto [it, inserted] =
+      open_.emplace(proposal.change.change, std::move(proposal));
+  std::optional<ConfigProposerAction> action = Advance(now, it->second);
+  if (!action) {
+    return {};
+  }
+  if (std::holds_alternative<ProposalFinished>(*action)) {
+    open_.erase(it);
+  }
+  return {*std::move(action)};
+}
+
+void ConfigProposer::StartFromOwnCopy(Proposal& proposal) const {
+  const ConfigEntry* own = hooks_.find(proposal.change.key);
+  const auto current =
+      own == nullptr ? std::nullopt : std::optional<ConfigEntry>(*own);
+  // The own copy may be behind, so it never settles a conflict; but a version
+  // that meets the expectation is a good guess to compare and swap against.
+  if (!Meets(current, proposal.change.expected)) {
+    return;
+  }
+  proposal.base = current ? current->revision : Revision();
+  proposal.history =
+      current ? VersionsOf(*current) : std::vector<ConfigVersion>();
+}
+
+std::vector<ConfigProposerAction> ConfigProposer::Tick(Time now) {
+  std::vector<ConfigProposerAction> actions;
+  for (auto it = open_.begin(); it != open_.end();) {
+    const auto current = it++;
+    std::optional<ConfigProposerAction> action = Advance(now, current->second);
+    if (!action) {
+      continue;
+    }
+    const bool finished = std::holds_alternative<ProposalFinished>(*action);
+    actions.push_back(*std::move(action));
+    if (finished) {
+      open_.erase(current);
+    }
+  }
+  return actions;
+}
+
+std::optional<ConfigProposerAction> ConfigProposer::Advance(
+    Time now,
+    Proposal& proposal) {
+  if (hooks_.rewound()) {
+    return Finish(proposal,
+                  ChangeUnavailable{ChangeUnavailableKind::kStoreRewound});
+  }
+  const bool put_is_open = proposal.call && proposal.call_is_put;
+  if (now >= proposal.deadline) {
+    const bool unknown =
+        proposal.maybe_written || put_is_open || proposal.change.repeated;
+    return Finish(proposal, ChangeUnavailable{
+                                unknown ? ChangeUnavailableKind::kOutcomeUnknown
+                                        : ChangeUnavailableKind::kNotWritten});
+  }
+  if (proposal.call && now - proposal.call_sent >= settings_.call_timeout) {
+    proposal.maybe_written |= put_is_open;
+    Wait(now, proposal, Duration());
+  }
+  if (proposal.call || now < proposal.next_call) {
+    return std::nullopt;
+  }
+  return Call(now, proposal);
+}
+
+StoreRequest ConfigProposer::Call(Time now, Proposal& proposal) {
+  proposal.call = ++last_id_;
+  proposal.call_sent = now;
+  proposal.known_at_call = hooks_.known();
+  const ConfigEntry* own = hooks_.find(proposal.change.key);
+  proposal.own_at_call = own == nullptr ? Revision() : own->revision;
+  proposal.call_is_put = proposal.base.has_value();
+  if (!proposal.base) {
+    // Reads the key by a compare-and-swap that cannot match. A plain read may
+    // be answered from an old state, and an operator would be told of a
+    // conflict although the change has taken effect.
+    return {last_id_, StoreDelete{proposal.change.key, kNoRevision}};
+  }
+  // After a lost answer the same put goes out again. It cannot take effect
+  // twice, since the first one moves the key off `base`; its conflict then
+  // shows the first one's change id.
+  return {last_id_, StorePut{.key = proposal.change.key,
+                             .value = codec_.encode(NewRecord(proposal)),
+                             .expected = *proposal.base,
+                             .lease = LeaseId()}};
+}
+
+ConfigRecord ConfigProposer::NewRecord(const Proposal& proposal) const {
+  return {.value = proposal.change.value,
+          .change = proposal.change.change,
+          .history = proposal.history};
+}
+
+std::vector<ConfigProposerAction> ConfigProposer::OnStoreReply(
+    Time now,
+    StoreCallId id,
+    const StoreReply& reply) {
+  const auto it = std::find_if(open_.begin(), open_.end(), [&](const auto& p) {
+    return p.second.call == id;
+  });
+  if (it == open_.end()) {
+    return {};
+  }
+  Proposal& proposal = it->second;
+  if (const auto outcome = OnReply(now, proposal, reply)) {
+    const ProposalFinished finished = Finish(proposal, *outcome);
+    open_.erase(it);
+    return {finished};
+  }
+  if (auto action = Advance(now, proposal)) {
+    const bool finished = std::holds_alternative<ProposalFinished>(*action);
+    if (finished) {
+      open_.erase(it);
+    }
+    return {*std::move(action)};
+  }
+  return {};
+}
+
+std::optional<ChangeOutcome> ConfigProposer::OnReply(Time now,
+                                                     Proposal& proposal,
+                                                     const StoreReply& reply) {
+  if (const auto* busy = std::get_if<StoreBusy>(&reply)) {
+    Wait(now, proposal, busy->retry_after);
+    return std::nullopt;
+  }
+  if (std::holds_alternative<StoreNoAnswer>(reply)) {
+    proposal.maybe_written |= proposal.call_is_put;
+    Wait(now, proposal, Duration());
+    return std::nullopt;
+  }
+  proposal.call.reset();
+  if (const auto* written = std::get_if<StoreWritten>(&reply)) {
+    return OnWritten(proposal, written->revision);
+  }
+  if (const auto* conflict = std::get_if<StoreConflict>(&reply)) {
+    return OnConflict(proposal, *conflict);
+  }
+  return std::nullopt;
+}
+
+std::optional<ChangeOutcome> ConfigProposer::OnWritten(
+    const Proposal& proposal,
+    Revision revision) const {
+  if (revision <= proposal.known_at_call) {
+    // Nodes hold newer versions and would never take this one.
+    return ChangeUnavailable{ChangeUnavailableKind::kStoreRewound};
+  }
+  return ChangeAccepted{revision};
+}
+
+std::optional<ChangeOutcome> ConfigProposer::OnConflict(
+    Proposal& proposal,
+    const StoreConflict& conflict) {
+  std::optional<ConfigEntry> current;
+  if (conflict.current) {
+    current = Decode(*conflict.current);
+  }
+  const Revision found =
+      conflict.current ? conflict.current->revision : Revision();
+  // Keys of the configuration are never deleted and only move up, and a
+  // compare-and-swap is never answered from an old state.
+  if (found < proposal.base.value_or(Revision()) ||
+      found < proposal.own_at_call) {
+    return ChangeUnavailable{ChangeUnavailableKind::kStoreRewound};
+  }
+  return Judge(proposal, current);
+}
+
+std::optional<ChangeOutcome> ConfigProposer::Judge(
+    Proposal& proposal,
+    const std::optional<ConfigEntry>& current) {
+  proposal.seen = current;
+  if (current) {
+    if (const auto revision = FindChange(*current, proposal.change.change)) {
+      return ChangeAccepted{*revision};
+    }
+  }
+  if (Meets(current, proposal.change.expected)) {
+    proposal.base = current ? current->revision : Revision();
+    proposal.history =
+        current ? VersionsOf(*current) : std::vector<ConfigVersion>();
+    return std::nullopt;
+  }
+  // Others have changed the key since. If this change had come before theirs,
+  // the history would name it, unless it does not reach back far enough.
+  const bool asked_before = proposal.maybe_written || proposal.change.repeated;
+  if (asked_before && current && !Covers(*current, proposal.change.expected)) {
+    return ChangeUnavailable{ChangeUnavailableKind::kOutcomeUnknown};
+  }
+  return ChangeConflict{current};
+}
+
+void ConfigProposer::Wait(Time now, Proposal& proposal, Duration at_least) {
+  proposal.call.reset();
+  proposal.next_call = now + std::max(at_least, proposal.backoff.Next(random_));
+}
+
+std::optional<ConfigEntry> ConfigProposer::Decode(
+    const StoreEntry& entry) const {
+  std::optional<ConfigRecord> record = codec_.decode(entry.value);
+  if (!record) {
+    return std::nullopt;
+  }
+  return ConfigEntry{entry.key, entry.revision, *std::move(record)};
+}
+
+ProposalFinished ConfigProposer::Finish(const Proposal& proposal,
+                                        ChangeOutcome outcome) {
+  ProposalFinished finished{proposal.change, std::move(outcome), std::nullopt};
+  const auto* accepted = std::get_if<ChangeAccepted>(&finished.outcome);
+  if (accepted != nullptr) {
+    // Others may have built on the change already.
+    finished.entry =
+        proposal.seen && proposal.seen->revision >= accepted->revision
+            ? proposal.seen
+            : ConfigEntry{proposal.change.key, accepted->revision,
+                          NewRecord(proposal)};
+    sink_({.kind = proposal.change.value ? EventKind::kContractAccepted
+                                         : EventKind::kContractWithdrawn,
+           .subject = proposal.change.key,
+           .cause = {},
+           .fields = {{"revision", accepted->revision.value()},
+                      {"change", proposal.change.change.value()}}});
+  } else if (std::holds_alternative<ChangeConflict>(finished.outcome)) {
+    sink_({.kind = EventKind::kContractConflict,
+           .subject = proposal.change.key,
+           .cause = {},
+           .fields = {{"expected", proposal.change.expected.value()},
+                      {"change", proposal.change.change.value()}}});
+  }
+  return finished;
+}
+
+ConfigProposer::Builder& ConfigProposer::Builder::SetSettings(
+    ConfigProposerSettings settings) {
+  settings_ = settings;
+  return *this;
+}
+
+ConfigProposer::Builder& ConfigProposer::Builder::SetCodec(
+    ConfigRecordCodec codec) {
+  codec_ = std::move(codec);
+  return *this;
+}
+
+ConfigProposer::Builder& ConfigProposer::Builder::SetHooks(
+    ConfigProposerHooks hooks) {
+  hooks_ = std::move(hooks);
+  return *this;
+}
+
+ConfigProposer::Builder& ConfigProposer::Builder::SetRandom(Random random) {
+  random_ = std::move(random);
+  return *this;
+}
+
+ConfigProposer::Builder& ConfigProposer::Builder::SetEventSink(EventSink sink) {
+  sink_ = std::move(sink);
+  return *this;
+}
+
+ConfigProposer ConfigProposer::Builder::Build() const {
+  return ConfigProposer(settings_, codec_, hooks_, random_, sink_);
+}
+
+}  // namespace gcw
--- a/coordination/config_proposer.h
+++ b/coordination/config_proposer.h
@@ -26,6 +26,8 @@
   // Chosen by the operator's client. The same change may be proposed again
   // under the same id, through any node, to learn its outcome.
   ChangeId change;
+  // Whether the operator proposed it before and got no final outcome.
+  bool repeated = false;
 };
 
 // The change is committed at this revision. Others may have followed since.
@@ -62,7 +64,7 @@
 struct ProposalFinished {
   ConfigChange change;
   ChangeOutcome outcome;
-  // The committed entry; absent where there is none to pass on.
+  // The key as it stands after an accepted change; absent otherwise.
   std::optional<ConfigEntry> entry;
 };
 
@@ -73,6 +75,16 @@
   BackoffSettings backoff;
 };
 
+// What the proposer asks of the owner of the node's copy.
+struct ConfigProposerHooks {
+  // The node's own version of a key; null where it has none.
+  std::function<const ConfigEntry*(const std::string&)> find;
+  // The highest revision that the node knows of.
+  std::function<Revision()> known;
+  // Whether the service is known to have been set back.
+  std::function<bool()> rewound;
+};
+
 using ConfigProposerAction = std::variant<StoreRequest, ProposalFinished>;
 
 // Commits changes by compare-and-swap and settles the ones whose answer was
@@ -95,42 +107,51 @@
     Time deadline;
     Time next_call;
     Backoff backoff;
-    // The version that the next put replaces; absent until it is known.
+    // The version that the next put replaces, zero for none; absent until it
+    // is known.
     std::optional<Revision> base;
-    std::vector<ConfigVersion> base_history;
-    // A put was sent and its outcome is not known.
+    // The base and the versions before it.
+    std::vector<ConfigVersion> history;
+    // A put went unanswered.
     bool maybe_written = false;
-    StoreCallId call;
-    bool awaiting = false;
+    std::optional<StoreCallId> call;
     bool call_is_put = false;
     Time call_sent;
+    // The highest known revision, and the one of the node's own version of the
+    // key, when the call was sent.
+    Revision known_at_call;
+    Revision own_at_call;
+    // The key as the service last showed it.
+    std::optional<ConfigEntry> seen;
   };
 
   ConfigProposer(ConfigProposerSettings settings,
                  ConfigRecordCodec codec,
-                 std::function<const ConfigEntry*(const std::string&)> find,
-                 std::function<bool()> rewound,
+                 ConfigProposerHooks hooks,
                  Random random,
                  EventSink sink);
 
-  // One step: an outcome, or the next call where one is due.
+  // An outcome, the next call where one is due, or nothing.
   std::optional<ConfigProposerAction> Advance(Time now, Proposal& proposal);
+  std::optional<ChangeOutcome> OnReply(Time now,
+                                       Proposal& proposal,
+                                       const StoreReply& reply);
+  std::optional<ChangeOutcome> OnWritten(const Proposal& proposal,
+                                         Revision revision) const;
+  std::optional<ChangeOutcome> OnConflict(Proposal& proposal,
+                                          const StoreConflict& conflict);
   std::optional<ChangeOutcome> Judge(Proposal& proposal,
                                      const std::optional<ConfigEntry>& current);
-  std::optional<ChangeOutcome> OnReply(Proposal& proposal,
-                                       const StoreReply& reply);
-  std::optional<ChangeOutcome> OnWritten(Proposal& proposal, Revision revision);
-  std::optional<ChangeOutcome> JudgeLocal(Proposal& proposal);
+  void StartFromOwnCopy(Proposal& proposal) const;
   StoreRequest Call(Time now, Proposal& proposal);
+  void Wait(Time now, Proposal& proposal, Duration at_least);
   ConfigRecord NewRecord(const Proposal& proposal) const;
   std::optional<ConfigEntry> Decode(const StoreEntry& entry) const;
   ProposalFinished Finish(const Proposal& proposal, ChangeOutcome outcome);
-  ChangeUnavailable GiveUp(const Proposal& proposal) const;
 
   ConfigProposerSettings settings_;
   ConfigRecordCodec codec_;
-  std::function<const ConfigEntry*(const std::string&)> find_;
-  std::function<bool()> rewound_;
+  ConfigProposerHooks hooks_;
   Random random_;
   EventSink sink_;
 
@@ -142,10 +163,7 @@
  public:
   Builder& SetSettings(ConfigProposerSettings settings);
   Builder& SetCodec(ConfigRecordCodec codec);
-  // The node's own copy of a key; null where it has none.
-  Builder& SetFind(std::function<const ConfigEntry*(const std::string&)> find);
-  // Whether the service is known to have been set back.
-  Builder& SetRewound(std::function<bool()> rewound);
+  Builder& SetHooks(ConfigProposerHooks hooks);
   Builder& SetRandom(Random random);
   Builder& SetEventSink(EventSink sink);
   ConfigProposer Build() const;
@@ -153,8 +171,7 @@
  private:
   ConfigProposerSettings settings_;
   ConfigRecordCodec codec_;
-  std::function<const ConfigEntry*(const std::string&)> find_;
-  std::function<bool()> rewound_ = [] { return false; };
+  ConfigProposerHooks hooks_;
   Random random_ = SeededRandom(0);
   EventSink sink_ = DiscardEvents();
 };
--- a/coordination/config_sync.h
+++ b/coordination/config_sync.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -76,8 +77,8 @@
 // every such read has failed and at least one ready peer has answered; and (b)
 // every peer of the view either has nothing newer than this node or did not
 // answer `ConfigGossipSettings::attempts` times. What this can miss: a version
-// that is known only to nodes that cannot be reached, while the service cannot
-// be reached either.
+// that is known only to nodes that cannot be reached or are not in the view,
+// while the service cannot be reached either or answers from an old state.
 class ConfigSync {
  public:
   class Builder;
@@ -104,8 +105,8 @@
   ConfigConfirmation Confirmation(Revision revision) const;
 
   const ConfigStore& store() const { return store_; }
-  ConfigState state() const { return state_; }
-  bool ready() const { return state_ != ConfigState::kLearning; }
+  ConfigState state() const;
+  bool ready() const { return learnt_; }
   // Every change up to this revision is held.
   Revision floor() const { return floor_; }
   // The highest revision that this node knows to have existed.
@@ -121,21 +122,27 @@
              EventSink sink);
 
   bool Merge(Time now, const ConfigEntry& entry);
-  void OnBatch(Time now, const std::string& prefix, const ConfigBatch& batch);
-  void MergeBatch(Time now, const ConfigBatch& batch);
-  bool Misses(const std::string& prefix, const ConfigBatch& batch) const;
-  void NoteBehind(Time now, Revision revision);
-  void MarkRewound(Revision revision);
+  // What the service said.
+  void OnBatch(Time now, ConfigWatch& watch, const ConfigBatch& batch);
+  std::vector<ConfigEntry> Decode(const ConfigBatch& batch) const;
+  bool ProvesRewind(const std::string& prefix,
+                    const ConfigBatch& batch,
+                    const std::vector<ConfigEntry>& entries) const;
+  bool IsBehind(Time now, const ConfigBatch& batch);
+  void MarkRewound(Time now, const ConfigBatch& batch);
+  void OnGoodRead(const ConfigWatch& watch, const ConfigBatch& batch);
   void RaiseFloor(Revision revision);
-  void RaiseFloorFromStore(Time now);
+  void PokeLagging();
   void ScheduleReads(Time now);
   void UpdateReadiness(Time now);
   ConfigDigest OwnDigest() const;
-  std::vector<ConfigSyncAction> TakeApplied();
-  void Append(Time now,
-              std::vector<ConfigProposerAction> from,
-              std::vector<ConfigSyncAction>& to);
+  // Collects what came up while an event was handled.
+  std::vector<ConfigSyncAction> Flush(std::vector<ConfigSyncAction> actions);
   void PushFresh(std::vector<ConfigSyncAction>& actions);
+  void PushFloor(std::vector<ConfigSyncAction>& actions);
+  void OnProposerActions(Time now,
+                         std::vector<ConfigProposerAction> from,
+                         std::vector<ConfigSyncAction>& to);
 
   ConfigSyncSettings settings_;
   NodeId self_;
@@ -148,21 +155,30 @@
   ConfigGossip gossip_;
   ConfigProposer proposer_;
   std::vector<ConfigWatch> watches_;
+  // The proposer counts its own calls; these are the ones it sees.
+  std::map<StoreCallId, StoreCallId> proposer_calls_;
   StoreCallId last_id_;
 
-  ConfigState state_ = ConfigState::kLearning;
+  bool learnt_ = false;
+  bool rewound_ = false;
   Revision floor_;
   // For each prefix, the service's revision up to which it was read.
   std::map<std::string, Revision> read_to_;
-  Revision store_revision_;
+  // Prefixes that were read in full and well since the service was seen to be
+  // set back.
+  std::set<std::string> read_well_;
+  // The highest revision that the service or a peer spoke of.
+  Revision highest_seen_;
   bool watching_ = false;
   std::size_t node_count_ = 1;
   std::vector<NodeId> zone_peers_;
+  // Watchers of all zones but this node.
   std::vector<NodeId> watchers_;
   Time next_read_;
-  // Applied and not yet reported, and not yet pushed on.
+  // In force since the last flush.
   std::vector<ConfigEntry> applied_;
-  std::vector<ConfigEntry> fresh_;
+  // Accepted by this node since the last flush.
+  std::vector<ConfigEntry> accepted_;
   Revision pushed_floor_;
   // Since when and how often replies have been behind known revisions.
   std::optional<Time> behind_since_;
--- /dev/null
+++ b/coordination/config_sync_store.cc
@@ -0,0 +1,200 @@
+// How the node's copy takes in what the key-value service says, and when it can
+// be relied on.
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "coordination/config_sync.h"
+
+namespace gcw {
+namespace {
+
+// Between reads while the service's replies are behind what nodes know.
+constexpr Duration kBehindInterval = Duration::Seconds(2);
+
+}  // namespace
+
+bool ConfigSync::Merge(Time, const ConfigEntry& entry) {
+  const ConfigMergeResult result = store_.Merge(entry);
+  if (result != ConfigMergeResult::kApplied) {
+    return false;
+  }
+  applied_.push_back(entry);
+  if (learnt_) {
+    sink_({.kind = EventKind::kConfigurationApplied,
+           .subject = entry.key,
+           .cause = {},
+           .fields = {{"revision", entry.revision.value()},
+                      {"change", entry.record.change.value()}}});
+  }
+  return true;
+}
+
+void ConfigSync::OnBatch(Time now,
+                         ConfigWatch& watch,
+                         const ConfigBatch& batch) {
+  const std::vector<ConfigEntry> entries = Decode(batch);
+  if (ProvesRewind(watch.prefix(), batch, entries)) {
+    MarkRewound(now, batch);
+    watch.RequestRead(now + kBehindInterval);
+    return;
+  }
+  // Entries only move up, so that an old state does no harm here.
+  for (const ConfigEntry& entry : entries) {
+    Merge(now, entry);
+  }
+  if (IsBehind(now, batch)) {
+    watch.RequestRead(now + kBehindInterval);
+    return;
+  }
+  OnGoodRead(watch, batch);
+}
+
+std::vector<ConfigEntry> ConfigSync::Decode(const ConfigBatch& batch) const {
+  std::vector<ConfigEntry> entries;
+  for (const StoreEntry& entry : batch.entries) {
+    if (auto record = codec_.decode(entry.value)) {
+      entries.push_back({entry.key, entry.revision, *std::move(record)});
+    }
+  }
+  return entries;
+}
+
+// A state of the service at some revision holds every version up to it, since
+// keys are never deleted. One that lacks a version that this node holds, or
+// holds another change under its revision, is of another history.
+bool ConfigSync::ProvesRewind(const std::string& prefix,
+                              const ConfigBatch& batch,
+                              const std::vector<ConfigEntry>& entries) const {
+  std::map<std::string, const ConfigEntry*> read;
+  for (const ConfigEntry& entry : entries) {
+    read[entry.key] = &entry;
+    const ConfigEntry* own = store_.Find(entry.key);
+    if (own != nullptr && own->revision == entry.revision &&
+        own->record.change != entry.record.change) {
+      return true;
+    }
+  }
+  if (batch.after) {
+    return false;
+  }
+  for (const auto& [key, own] : store_.entries()) {
+    if (!key.starts_with(prefix) || own.revision > batch.revision) {
+      continue;
+    }
+    const auto it = read.find(key);
+    if (it == read.end() || it->second->revision < own.revision) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Whether the service speaks of a revision below one that was known when it was
+// asked. That may be a stale read; if it lasts, the service was set back.
+bool ConfigSync::IsBehind(Time now, const ConfigBatch& batch) {
+  if (batch.revision >= batch.known) {
+    behind_since_.reset();
+    behind_replies_ = 0;
+    return false;
+  }
+  if (!behind_since_) {
+    behind_since_ = now;
+  }
+  ++behind_replies_;
+  if (behind_replies_ >= settings_.rewind_replies &&
+      now - *behind_since_ >= settings_.rewind_grace) {
+    MarkRewound(now, batch);
+  }
+  return true;
+}
+
+void ConfigSync::MarkRewound(Time, const ConfigBatch& batch) {
+  read_well_.clear();
+  if (rewound_) {
+    return;
+  }
+  rewound_ = true;
+  sink_({.kind = EventKind::kStoreRewound,
+         .subject = self_.value(),
+         .cause = {},
+         .fields = {{"revision", batch.revision.value()},
+                    {"known", highest_revision().value()}}});
+}
+
+void ConfigSync::OnGoodRead(const ConfigWatch& watch,
+                            const ConfigBatch& batch) {
+  highest_seen_ = std::max(highest_seen_, batch.revision);
+  if (!batch.after) {
+    read_well_.insert(watch.prefix());
+  }
+  // The service is believed again once it shows all that this node holds.
+  if (read_well_.size() == watches_.size()) {
+    rewound_ = false;
+  }
+  if (rewound_) {
+    return;
+  }
+  Revision& read_to = read_to_[watch.prefix()];
+  // A watch reports changes after a revision; it says nothing about a gap
+  // before that.
+  if (!batch.after || *batch.after <= read_to) {
+    read_to = std::max(read_to, batch.revision);
+  }
+  PokeLagging();
+  Revision all = batch.revision;
+  for (const ConfigWatch& each : watches_) {
+    all = std::min(all, read_to_[each.prefix()]);
+  }
+  RaiseFloor(all);
+}
+
+// A change below one prefix moves the floor only when the other prefixes are
+// known to be unchanged up to its revision.
+void ConfigSync::PokeLagging() {
+  for (ConfigWatch& watch : watches_) {
+    if (read_to_[watch.prefix()] < store_.newest()) {
+      watch.Poke();
+    }
+  }
+}
+
+void ConfigSync::RaiseFloor(Revision revision) {
+  floor_ = std::max(floor_, revision);
+}
+
+void ConfigSync::UpdateReadiness(Time) {
+  if (learnt_) {
+    return;
+  }
+  if (!gossip_.SurveyDone()) {
+    return;
+  }
+  const bool all_read = read_well_.size() == watches_.size();
+  const bool all_fail =
+      rewound_ || std::all_of(watches_.begin(), watches_.end(),
+                              [](const ConfigWatch& w) { return w.failing(); });
+  // A copy that no ready peer vouches for may be as empty as this node's own.
+  if (!all_read && !(all_fail && gossip_.SettledWithReadyPeer())) {
+    return;
+  }
+  learnt_ = true;
+  gossip_.SetSurveying(false);
+  sink_({.kind = EventKind::kConfigurationApplied,
+         .subject = self_.value(),
+         .cause = {},
+         .fields = {
+             {"entries", static_cast<std::int64_t>(store_.entries().size())},
+             {"newest", store_.newest().value()},
+             {"from_store", all_read}}});
+}
+
+ConfigDigest ConfigSync::OwnDigest() const {
+  return {.digest = store_.Digest(),
+          .floor = floor_,
+          .ready = learnt_,
+          .reply = false};
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/config_watch.cc
@@ -0,0 +1,108 @@
+#include "coordination/config_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gcw {
+
+ConfigWatch::ConfigWatch(ConfigWatchSettings settings,
+                         std::string prefix,
+                         Random random)
+    : settings_(settings),
+      prefix_(std::move(prefix)),
+      random_(std::move(random)),
+      backoff_(settings.backoff) {}
+
+void ConfigWatch::RequestRead(Time not_before) {
+  read_due_ = true;
+  next_read_ = not_before;
+}
+
+void ConfigWatch::Poke() {
+  poked_ = watching_;
+}
+
+std::optional<StoreRequest> ConfigWatch::Tick(Time now,
+                                              StoreCallId& last_id,
+                                              Revision known) {
+  if (call_ && now >= call_expires_) {
+    OnFailure(now, Duration());
+  }
+  const bool reads = read_due_ && now >= next_read_;
+  // A read or a poke does not wait for a watch to end; its reply, should it
+  // still come, is dropped.
+  if (call_ && call_is_watch_ && (reads || poked_)) {
+    call_.reset();
+  }
+  if (call_ || now < next_call_) {
+    return std::nullopt;
+  }
+  if (reads) {
+    call_is_watch_ = false;
+    return Call(now, last_id, known, StoreRange{prefix_}, Duration());
+  }
+  if (!watching_) {
+    return std::nullopt;
+  }
+  call_is_watch_ = !poked_;
+  const Duration wait = poked_ ? Duration() : settings_.watch_wait;
+  poked_ = false;
+  return Call(now, last_id, known, StoreWatch{prefix_, position_, wait}, wait);
+}
+
+StoreRequest ConfigWatch::Call(Time now,
+                               StoreCallId& last_id,
+                               Revision known,
+                               StoreCall call,
+                               Duration wait) {
+  call_ = ++last_id;
+  call_expires_ = now + wait + settings_.call_timeout;
+  known_at_call_ = known;
+  return {last_id, std::move(call)};
+}
+
+std::optional<ConfigBatch> ConfigWatch::OnStoreReply(Time now,
+                                                     const StoreReply& reply) {
+  if (const auto* busy = std::get_if<StoreBusy>(&reply)) {
+    OnFailure(now, busy->retry_after);
+    return std::nullopt;
+  }
+  if (std::holds_alternative<StoreNoAnswer>(reply)) {
+    OnFailure(now, Duration());
+    return std::nullopt;
+  }
+  call_.reset();
+  failing_ = false;
+  backoff_.Reset();
+  if (const auto* watched = std::get_if<StoreWatchReply>(&reply)) {
+    return OnWatchReply(now, *watched);
+  }
+  const auto* range = std::get_if<StoreRangeReply>(&reply);
+  if (range == nullptr) {
+    return std::nullopt;
+  }
+  read_due_ = false;
+  position_ = range->revision;
+  return ConfigBatch{range->revision, known_at_call_, std::nullopt,
+                     range->entries};
+}
+
+std::optional<ConfigBatch> ConfigWatch::OnWatchReply(
+    Time now,
+    const StoreWatchReply& reply) {
+  if (reply.compacted || reply.revision < position_) {
+    RequestRead(now);
+    return std::nullopt;
+  }
+  const Revision after = position_;
+  position_ = reply.revision;
+  return ConfigBatch{reply.revision, known_at_call_, after, reply.changed};
+}
+
+void ConfigWatch::OnFailure(Time now, Duration at_least) {
+  call_.reset();
+  failing_ = true;
+  next_call_ = now + std::max(at_least, backoff_.Next(random_));
+}
+
+}  // namespace gcw
--- a/coordination/config_watch.h
+++ b/coordination/config_watch.h
@@ -24,14 +24,14 @@
 struct ConfigBatch {
   // The service's revision.
   Revision revision;
+  // The highest revision that the node knew of when it asked.
+  Revision known;
   // Changes after this revision are all in `entries`; absent for a full read,
   // which holds every key.
   std::optional<Revision> after;
   std::vector<StoreEntry> entries;
 };
 
-using ConfigWatchAction = std::variant<StoreRequest, ConfigBatch>;
-
 // Reads one prefix of the key-value service and, where asked to, keeps
 // watching it.
 class ConfigWatch {
@@ -40,24 +40,33 @@
 
   // A watching node keeps one waiting call at the service.
   void SetWatching(bool watching) { watching_ = watching; }
-  // Makes the next call a full read.
-  void RequestRead() { read_due_ = true; }
+  // Makes the next call a full read, at `not_before` or later.
+  void RequestRead(Time not_before);
+  // Makes the service tell its revision at once instead of at the end of the
+  // watch.
+  void Poke();
 
-  // `last_id` is the owner's counter of calls.
-  std::vector<ConfigWatchAction> Tick(Time now, StoreCallId& last_id);
-  // Empty where the reply is not for this prefix or brought nothing.
-  std::vector<ConfigWatchAction> OnStoreReply(Time now,
-                                              StoreCallId id,
-                                              const StoreReply& reply);
+  // `last_id` is the owner's counter of calls, `known` the highest revision
+  // that the node knows of.
+  std::optional<StoreRequest> Tick(Time now,
+                                   StoreCallId& last_id,
+                                   Revision known);
+  // Absent where the reply brought nothing.
+  std::optional<ConfigBatch> OnStoreReply(Time now, const StoreReply& reply);
 
   const std::string& prefix() const { return prefix_; }
   bool Awaits(StoreCallId id) const { return call_ == id; }
-  // When the service last answered; absent before.
-  std::optional<Time> answered() const { return answered_; }
   // Whether calls have gone unanswered since the last answer.
   bool failing() const { return failing_; }
 
  private:
+  StoreRequest Call(Time now,
+                    StoreCallId& last_id,
+                    Revision known,
+                    StoreCall call,
+                    Duration wait);
+  std::optional<ConfigBatch> OnWatchReply(Time now,
+                                          const StoreWatchReply& reply);
   void OnFailure(Time now, Duration at_least);
 
   ConfigWatchSettings settings_;
@@ -66,14 +75,16 @@
   Backoff backoff_;
   bool watching_ = false;
   bool read_due_ = true;
+  bool poked_ = false;
   bool failing_ = false;
   // Watch after this revision.
   Revision position_;
   Time next_call_;
+  Time next_read_;
   std::optional<StoreCallId> call_;
   bool call_is_watch_ = false;
+  Revision known_at_call_;
   Time call_expires_;
-  std::optional<Time> answered_;
 };
 
 }  // namespace gcw
--- a/coordination/node_lease.h
+++ b/coordination/node_lease.h
@@ -69,6 +69,8 @@
     Time sent;
     // The lease that the call is about; zero for a grant.
     LeaseId lease;
+    // Version of the record that a put writes.
+    std::int64_t record_version;
   };
 
   NodeLease(NodeLeaseSettings settings,
@@ -79,11 +81,13 @@
 
   NodeLeaseAction Call(Time now, CallKind kind, StoreCall call);
   std::vector<NodeLeaseAction> NextCall(Time now);
-  void OnLeaseReply(Time now, const PendingCall& pending, LeaseId lease);
-  void OnWritten(Revision revision);
-  void OnConflict(Time now, const StoreConflict& conflict);
-  void OnLeaseUnknown(Time now, const PendingCall& pending);
-  void OnUnanswered(Time now, const PendingCall& pending);
+  void HandleReply(Time now,
+                   const PendingCall& pending,
+                   const StoreReply& reply);
+  void OnLeaseReply(const PendingCall& pending, const StoreLeaseReply& reply);
+  void OnWritten(const PendingCall& pending, Revision revision);
+  void OnConflict(const PendingCall& pending, const StoreConflict& conflict);
+  void OnUnanswered(Time now);
   void ExpireCalls(Time now);
   void ReportValidity(Time now);
   void ReportReachable(bool reachable);
@@ -102,8 +106,9 @@
   // Revision that `node/<id>` is believed to have.
   Revision key_revision_;
   bool record_written_ = false;
-  // The record that the pending put writes.
-  NodeRecord sent_record_;
+  // Counts the changes of `record_`.
+  std::int64_t record_version_ = 0;
+  Time renewal_due_;
   Time next_call_;
   StoreCallId last_id_;
   // Unanswered calls; late replies of renewals still count.
--- /dev/null
+++ b/coordination/role_assignment.cc
@@ -0,0 +1,60 @@
+#include "coordination/role_assignment.h"
+
+#include "coordination/rendezvous.h"
+
+namespace gcw {
+namespace {
+
+// Enough preferences that a role finds a node below its limit in nearly every
+// case without sorting the whole fleet for each role.
+constexpr std::size_t kFirstPreferences = 8;
+
+std::optional<NodeId> FirstWithRoom(const std::vector<NodeId>& order,
+                                    const std::map<NodeId, std::size_t>& taken,
+                                    std::size_t limit) {
+  for (const NodeId& node : order) {
+    const auto it = taken.find(node);
+    if (it == taken.end() || it->second < limit) {
+      return node;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::map<RoleName, NodeId> AssignRoles(const std::set<RoleName>& roles,
+                                       const std::vector<NodeId>& nodes) {
+  std::map<RoleName, NodeId> assigned;
+  if (nodes.empty()) {
+    return assigned;
+  }
+  const std::size_t limit = (roles.size() + nodes.size() - 1) / nodes.size();
+  std::map<NodeId, std::size_t> taken;
+  for (const RoleName& role : roles) {
+    std::optional<NodeId> node = FirstWithRoom(
+        RendezvousOrder(role.value(), nodes, kFirstPreferences), taken, limit);
+    if (!node) {
+      node = FirstWithRoom(RendezvousOrder(role.value(), nodes, nodes.size()),
+                           taken, limit);
+    }
+    // The limits add up to at least the number of roles.
+    ++taken[*node];
+    assigned.emplace(role, *node);
+  }
+  return assigned;
+}
+
+std::set<RoleName> RolesOf(const NodeId& self,
+                           const std::set<RoleName>& roles,
+                           const std::vector<NodeId>& nodes) {
+  std::set<RoleName> mine;
+  for (const auto& [role, node] : AssignRoles(roles, nodes)) {
+    if (node == self) {
+      mine.insert(role);
+    }
+  }
+  return mine;
+}
+
+}  // namespace gcw
--- a/coordination/role_leases.h
+++ b/coordination/role_leases.h
@@ -23,6 +23,15 @@
   // Most calls under way at once, so that taking many roles does not spend the
   // service's rate in one burst.
   std::size_t parallel_calls = 4;
+  // Every node reads who holds the roles once per this long for each node of
+  // the fleet, so that the fleet's reads do not grow with its size.
+  Duration read_interval_per_node = Duration::Millis(100);
+  Duration min_read_interval = Duration::Seconds(10);
+  // A known role that was free in this many reads is taken by whoever sees it:
+  // the node that it falls to may not reach the service.
+  int free_reads_before_stand_in = 3;
+  // How long a stand-in keeps a role.
+  Duration stand_in_time = Duration::Seconds(600);
   BackoffSettings backoff;
 };
 
@@ -43,6 +52,8 @@
   // Takes the roles in `desired` that are free and gives up the others.
   std::vector<RoleLeasesAction> SetDesired(Time now,
                                            std::set<RoleName> desired);
+  // All roles of the fleet and the number of its nodes.
+  void SetFleet(std::set<RoleName> roles, std::size_t nodes);
   std::vector<RoleLeasesAction> Tick(Time now);
   std::vector<RoleLeasesAction> OnStoreReply(Time now,
                                              StoreCallId id,
@@ -60,12 +71,13 @@
     // The lease that the key hangs on, or is to hang on.
     LeaseId lease;
     Revision revision;
+    // The highest known revision when the first put was sent.
+    Revision floor;
     Time next_attempt;
     std::optional<StoreCallId> call;
   };
   struct PendingCall {
     RoleName role;
-    LeaseId lease;
     Time sent;
   };
 
@@ -77,21 +89,34 @@
              EventSink sink);
 
   std::vector<RoleLeasesAction> NextCalls(Time now);
-  std::optional<StoreRequest> NextCall(Time now,
-                                       const RoleName& name,
-                                       Role& role,
-                                       const HeldLease& lease);
-  StoreRequest Call(Time now, const RoleName& name, Role& role, StoreCall call);
-  void DropLapsed(Time now);
+  std::optional<StoreCall> NextCall(const RoleName& name,
+                                    Role& role,
+                                    const HeldLease& lease);
+  bool Wants(const RoleName& name, Time now) const;
+  void DropOtherLeases(Time now, LeaseId lease);
   void ExpireCalls(Time now);
+  void OnRoleReply(Time now,
+                   const RoleName& name,
+                   Role& role,
+                   const StoreReply& reply);
   void OnTakingReply(Time now,
                      const RoleName& name,
                      Role& role,
                      const StoreReply& reply);
   void OnReleasingReply(Time now, Role& role, const StoreReply& reply);
-  void Take(const RoleName& name, Role& role, Revision revision);
-  void RetryLater(Time now, Role& role, const StoreReply& reply);
-  void ReportLost(const RoleName& name, const Role& role);
+  void Take(const RoleName& name,
+            Role& role,
+            Revision revision,
+            Revision floor);
+  void Lose(const RoleName& name, Role& role);
+  void Pause(Time now, const StoreReply& reply);
+  std::optional<StoreRequest> NextRead(Time now);
+  void OnRead(Time now, const StoreRangeReply& reply);
+  void CompareWithRead(Time now,
+                       const std::map<RoleName, StoreEntry>& read,
+                       Revision revision);
+  void CountFree(Time now, const std::map<RoleName, StoreEntry>& read);
+  void Report(EventKind kind, const RoleName& name, const Role& role);
 
   RoleLeasesSettings settings_;
   NodeId self_;
@@ -103,8 +128,23 @@
 
   std::set<RoleName> desired_;
   std::map<RoleName, Role> roles_;
+  // The lease seen last, and the highest known revision when it was new.
+  LeaseId lease_seen_;
+  Revision lease_floor_;
+  // No call is sent before then, after one was refused or unanswered.
+  Time next_call_;
   std::map<StoreCallId, PendingCall> pending_;
   StoreCallId last_id_;
+
+  std::set<RoleName> known_;
+  std::size_t node_count_ = 1;
+  std::optional<StoreCallId> read_;
+  Time read_sent_;
+  Time next_read_;
+  // In how many reads in a row a known role was free.
+  std::map<RoleName, int> free_reads_;
+  // Roles taken although they fall to another node, and until when.
+  std::map<RoleName, Time> stand_ins_;
 };
 
 class RoleLeases::Builder {
--- /dev/null
+++ b/coordination/role_leases_read.cc
@@ -0,0 +1,91 @@
+// The periodic read of who holds the roles. It finds keys that hang on this
+// node's lease without its knowledge, holds that ended without its knowledge,
+// and roles that nobody takes.
+
+#include <algorithm>
+#include <string_view>
+
+#include "coordination/role_leases.h"
+
+namespace gcw {
+namespace {
+
+constexpr std::string_view kPrefix = "role/";
+
+}  // namespace
+
+std::optional<StoreRequest> RoleLeases::NextRead(Time now) {
+  if (read_ || now < next_read_) {
+    return std::nullopt;
+  }
+  const Duration interval = std::max(
+      settings_.min_read_interval, settings_.read_interval_per_node *
+                                       static_cast<std::int64_t>(node_count_));
+  // A random phase keeps the fleet's reads apart.
+  next_read_ = now + interval / 2 +
+               Duration::Millis(static_cast<std::int64_t>(DrawBelow(
+                   random_, static_cast<std::uint64_t>(interval.millis()))));
+  read_ = ++last_id_;
+  read_sent_ = now;
+  return StoreRequest{last_id_, StoreRange{std::string(kPrefix)}};
+}
+
+void RoleLeases::OnRead(Time now, const StoreRangeReply& reply) {
+  std::map<RoleName, StoreEntry> read;
+  for (const StoreEntry& entry : reply.entries) {
+    read.emplace(RoleName(entry.key.substr(kPrefix.size())), entry);
+  }
+  CompareWithRead(now, read, reply.revision);
+  CountFree(now, read);
+}
+
+void RoleLeases::CompareWithRead(Time now,
+                                 const std::map<RoleName, StoreEntry>& read,
+                                 Revision revision) {
+  for (auto& [name, role] : roles_) {
+    // An older state of the service says nothing about this hold.
+    if (role.phase != Phase::kHeld || revision < role.revision) {
+      continue;
+    }
+    const auto it = read.find(name);
+    if (it == read.end() || it->second.revision != role.revision) {
+      Lose(name, role);
+    }
+  }
+  const std::optional<HeldLease> lease = lease_(now);
+  for (const auto& [name, entry] : read) {
+    if (!lease || entry.lease != lease->lease || roles_.contains(name)) {
+      continue;
+    }
+    // A put that was given up on arrived late: the key blocks the role for
+    // everybody while nobody acts in it. Deleting by revision harms nothing if
+    // the read was stale.
+    Role& role = roles_[name];
+    role.phase = Phase::kReleasing;
+    role.lease = entry.lease;
+    role.revision = entry.revision;
+  }
+}
+
+void RoleLeases::CountFree(Time now,
+                           const std::map<RoleName, StoreEntry>& read) {
+  std::erase_if(stand_ins_,
+                [&](const auto& stand_in) { return stand_in.second <= now; });
+  std::erase_if(free_reads_, [&](const auto& counted) {
+    return !known_.contains(counted.first);
+  });
+  for (const RoleName& name : known_) {
+    if (read.contains(name) || desired_.contains(name)) {
+      free_reads_.erase(name);
+      continue;
+    }
+    if (++free_reads_[name] < settings_.free_reads_before_stand_in) {
+      continue;
+    }
+    free_reads_.erase(name);
+    stand_ins_[name] = now + settings_.stand_in_time;
+    roles_.try_emplace(name);
+  }
+}
+
+}  // namespace gcw
