--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -4,6 +4,14 @@
 // Public header of the coordination library: everything that decides. No part
 // of it does input or output, reads a clock or starts a thread.
 
+#include "coordination/attempt_log.h"
+#include "coordination/fingerprint_guard.h"
+#include "coordination/guard_messages.h"
+#include "coordination/once_client.h"
+#include "coordination/once_messages.h"
+#include "coordination/once_owner.h"
+#include "coordination/once_placement.h"
 #include "coordination/request.h"
+#include "coordination/store_request.h"
 
 #endif  // COORDINATION_COORDINATION_H_
--- /dev/null
+++ b/coordination/fingerprint_guard.h
@@ -0,0 +1,157 @@
+#ifndef COORDINATION_FINGERPRINT_GUARD_H_
+#define COORDINATION_FINGERPRINT_GUARD_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "coordination/guard_messages.h"
+#include "coordination/permit_desk.h"
+#include "coordination/request.h"
+#include "coordination/suspect_table.h"
+
+namespace gcw {
+
+struct FingerprintGuardSettings {
+  SuspectSettings suspects;
+  PermitDeskSettings permits;
+  // A fingerprint that ended well is not suspected at its next loss, for so
+  // long.
+  Duration proven_for = Duration::Seconds(1800);
+  std::size_t most_proven = 50000;
+  Duration permit_retry = Duration::Millis(200);
+  // Sign of life of a running permit.
+  Duration permit_renewal = Duration::Seconds(2);
+  // A suspect that gets no permit for so long is refused.
+  Duration permit_timeout = Duration::Seconds(20);
+  Duration retry_after = Duration::Seconds(5);
+};
+
+// Nothing is known against the request.
+struct GuardFree {};
+// An unproven copy of the request runs at this endpoint; the next one goes
+// there too, so that copies sent at once take one endpoint of this node's.
+struct GuardPinned {
+  EndpointId endpoint;
+};
+// Ask for a permit before dispatch.
+struct GuardSuspect {};
+// Refuse with `RefusalKind::kFingerprintBlocked`.
+struct GuardBlocked {};
+
+using GuardVerdict =
+    std::variant<GuardFree, GuardPinned, GuardSuspect, GuardBlocked>;
+
+// Dispatch the attempt to this endpoint.
+struct GuardPermit {
+  AttemptId attempt;
+  EndpointId endpoint;
+};
+// Refuse the request.
+struct GuardRefuse {
+  AttemptId attempt;
+  Refusal refusal;
+};
+// Spread to every node.
+struct GuardSpread {
+  SuspectRumor rumor;
+};
+
+using GuardAction =
+    std::variant<GuardPermit, GuardRefuse, GuardSpread, GuardPeerSend>;
+using GuardActions = std::vector<GuardAction>;
+
+// Keeps a request that crashes endpoints from taking more than a few of them,
+// and keeps healthy requests that ran beside it from being refused.
+class FingerprintGuard {
+ public:
+  class Builder;
+
+  // Nodes among which the permit desk is chosen.
+  GuardActions OnMembers(Time now, std::vector<NodeId> members);
+
+  GuardVerdict Judge(Time now, Fingerprint fingerprint) const;
+  // Asks for a permit; `GuardPermit` or `GuardRefuse` follows.
+  GuardActions AskPermit(Time now,
+                         const AttemptId& attempt,
+                         Fingerprint fingerprint,
+                         std::vector<EndpointId> candidates);
+  void OnStarted(Time now,
+                 const AttemptId& attempt,
+                 Fingerprint fingerprint,
+                 const EndpointId& endpoint);
+  // `completed`: the endpoint answered the whole request.
+  GuardActions OnFinished(Time now, const AttemptId& attempt, bool completed);
+  // The endpoint was lost while requests may have run there. Losses with a
+  // known cause (a planned stop, a dark fabric domain) are not reported here.
+  // Call it before `OnFinished` of the attempts that broke with it.
+  GuardActions OnEndpointLost(Time now, const EndpointRun& endpoint);
+
+  GuardActions OnMessage(Time now,
+                         const NodeId& from,
+                         const GuardMessage& message);
+  GuardActions OnRumor(Time now, const SuspectRumor& rumor);
+  // All that this node knows, for a node that has just started.
+  std::vector<SuspectRumor> Rumors(Time now) const;
+  // The operators' override, from `setting/...`.
+  void SetAllowed(std::set<Fingerprint> allowed);
+  GuardActions Tick(Time now);
+
+ private:
+  friend class Builder;
+  FingerprintGuard(NodeId self,
+                   FingerprintGuardSettings settings,
+                   EventSink events);
+
+  struct Running {
+    Fingerprint fingerprint;
+    EndpointId endpoint;
+    // Runs by a permit, alone among suspects.
+    bool permitted = false;
+    Time next_renewal;
+  };
+  struct Asking {
+    PermitRequest request;
+    Time since;
+    Time next_ask;
+  };
+
+  void Spread(Time now, Fingerprint fingerprint, GuardActions& actions);
+  void Ask(Time now, Asking& asking, GuardActions& actions);
+  void SendToDesk(GuardMessage message, GuardActions& actions);
+  void OnPermitReply(Time now, const PermitReply& reply, GuardActions& actions);
+  bool Proven(Time now, Fingerprint fingerprint) const;
+  void ReportLevel(Fingerprint fingerprint, SuspectLevel before, Time now);
+
+  NodeId self_;
+  FingerprintGuardSettings settings_;
+  EventSink events_;
+  SuspectTable suspects_;
+  PermitDesk desk_;
+  std::optional<NodeId> desk_node_;
+  std::map<AttemptId, Running> running_;
+  std::map<AttemptId, Asking> asking_;
+  // Attempts with a permit that were not started yet, by endpoint.
+  std::map<AttemptId, EndpointId> permitted_;
+  std::unordered_map<Fingerprint, Time> proven_;
+};
+
+class FingerprintGuard::Builder {
+ public:
+  Builder& SetSelf(NodeId self);
+  Builder& SetSettings(FingerprintGuardSettings settings);
+  Builder& SetEvents(EventSink events);
+  std::unique_ptr<FingerprintGuard> Build() const;
+
+ private:
+  NodeId self_;
+  FingerprintGuardSettings settings_;
+  EventSink events_ = DiscardEvents();
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_FINGERPRINT_GUARD_H_
--- /dev/null
+++ b/coordination/once_owner.h
@@ -0,0 +1,104 @@
+#ifndef COORDINATION_ONCE_OWNER_H_
+#define COORDINATION_ONCE_OWNER_H_
+
+#include <map>
+#include <memory>
+#include <variant>
+#include <vector>
+
+#include "coordination/issued_keys.h"
+#include "coordination/once_messages.h"
+#include "coordination/once_placement.h"
+#include "coordination/once_shard_owner.h"
+#include "coordination/store_request.h"
+
+namespace gcw {
+
+using OnceOwnerAction = std::variant<StoreRequest, OncePeerSend>;
+using OnceOwnerActions = std::vector<OnceOwnerAction>;
+
+// Decides at one node which sends may run: for the shards of callers' keys that
+// the node owns, and for the keys that it issued itself.
+class OnceOwner {
+ public:
+  class Builder;
+
+  // The nodes that may own shards, this one among them unless it is leaving.
+  OnceOwnerActions OnMembers(Time now, std::vector<OnceMember> members);
+  OnceOwnerActions OnClaim(Time now,
+                           const NodeId& from,
+                           const OnceClaimRequest& request);
+  OnceOwnerActions OnFinish(Time now,
+                            const NodeId& from,
+                            const OnceFinish& finish);
+  OnceOwnerActions OnStoreReply(Time now,
+                                StoreCallId id,
+                                const StoreReply& reply);
+  OnceOwnerActions Tick(Time now);
+  // Planned stop: journals what is open, then gives every shard up.
+  OnceOwnerActions Release(Time now);
+  bool released() const;
+
+  // A key for `POST /v1/idempotency-keys`.
+  IdempotencyKey IssueKey(Time now, const ContractId& contract);
+
+  // Tells the highest revision of the key-value service that others saw.
+  void OnRevisionSeen(Revision revision);
+  Revision seen() const { return seen_; }
+  // The service was restored to the past: claims are refused until an operator
+  // accepts that.
+  bool rewound() const { return rewound_; }
+  // An operator's word that the restored service is the one to go on with.
+  // Until the window has passed, keys without an entry are refused.
+  void AcceptRewound(Time now);
+
+  std::int64_t owned_shards() const;
+
+ private:
+  friend class Builder;
+  OnceOwner(OnceMember self,
+            OnceOwnerSettings settings,
+            IssuedKeysSettings issued,
+            Random random,
+            EventSink events);
+
+  OnceShardOwner& ShardFor(const IdempotencyKey& key);
+  OnceOwnerHooks MakeHooks();
+  void Reply(const NodeId& to, const OnceClaimId& claim, OnceVerdict verdict);
+  bool Alive(const OnceMember& member) const;
+  OnceOwnerActions TakeActions();
+
+  OnceMember self_;
+  OnceOwnerSettings settings_;
+  OnceOwnerHooks hooks_;
+  IssuedKeys issued_;
+  std::vector<OnceMember> members_;
+  std::map<OnceShardId, std::unique_ptr<OnceShardOwner>> shards_;
+  OnceOwnerActions actions_;
+  std::int64_t last_call_ = 0;
+  std::int64_t last_change_ = 0;
+  Revision seen_;
+  bool rewound_ = false;
+  bool releasing_ = false;
+};
+
+class OnceOwner::Builder {
+ public:
+  Builder& SetSelf(NodeId node, Incarnation incarnation);
+  Builder& SetSettings(OnceOwnerSettings settings);
+  Builder& SetIssuedKeys(IssuedKeysSettings settings);
+  Builder& SetRandom(Random random);
+  Builder& SetEvents(EventSink events);
+  std::unique_ptr<OnceOwner> Build() const;
+
+ private:
+  OnceMember self_;
+  OnceOwnerSettings settings_;
+  IssuedKeysSettings issued_;
+  Random random_;
+  EventSink events_ = DiscardEvents();
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_ONCE_OWNER_H_
