--- a/coordination/issued_keys.h
+++ b/coordination/issued_keys.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "coordination/once_messages.h"
+#include "coordination/once_placement.h"
 #include "coordination/once_shard.h"
 
 namespace gcw {
@@ -25,6 +26,8 @@
   IdempotencyKey Format() const;
   // Absent where the text is not an issued key.
   static std::optional<IssuedKey> Parse(std::string_view text);
+  // As above, for a key in its contract's scope.
+  static std::optional<IssuedKey> ParseScoped(const IdempotencyKey& key);
 };
 
 struct IssuedKeysSettings {
@@ -43,7 +46,7 @@
   // A fresh key for a caller of the contract.
   IdempotencyKey Issue(Time now, const ContractId& contract);
 
-  // Decides a claim on a key whose home is this node. `contract` scopes it.
+  // Decides a claim on a key whose home is this node.
   OnceVerdict Claim(Time now, const OnceClaimRequest& request);
   void Finish(Time now, const OnceFinish& finish);
   void Tick(Time now);
@@ -55,7 +58,7 @@
     ContractId contract;
   };
 
-  bool Knows(const IssuedKey& key) const;
+  bool Knows(const IssuedKey& key, const IdempotencyKey& scoped) const;
 
   OnceMember self_;
   IssuedKeysSettings settings_;
--- a/coordination/once_client.h
+++ b/coordination/once_client.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -32,6 +33,8 @@
   // Reports of ended claims are repeated until acknowledged, so many times.
   Duration finish_retry = Duration::Millis(500);
   int most_finish_sends = 40;
+  // Larger answers are not kept for a second send.
+  std::size_t largest_answer_bytes = 64 * 1024;
   // When a refused caller should come back.
   Duration retry_after = Duration::Seconds(1);
 };
@@ -107,18 +110,21 @@
 
   struct Send {
     OnceSend send;
+    // Empty where the caller gave no key.
     OnceClaimId claim;
-    // The key in the contract's scope.
+    // The key in the contract's scope; empty where the caller gave none.
     IdempotencyKey key;
-    // Of the first claim message; the grant counts from here.
+    // Time of the first claim message; the grant counts from here.
     Time first_sent;
     Time next_ask;
     int unanswered = 0;
+    int redirects = 0;
     bool granted = false;
-    NodeId owner;
+    // The owner said that an earlier send still runs.
+    bool earlier_runs = false;
   };
   // An ended claim whose report is not acknowledged yet.
-  struct Report {
+  struct OpenReport {
     OnceFinish finish;
     Time next_send;
     int sends = 0;
@@ -127,20 +133,31 @@
   void Ask(Time now, Send& send, OnceClientActions& actions);
   NodeId OwnerOf(const IdempotencyKey& key) const;
   void ForgetOwner(const IdempotencyKey& key);
+  void OnVerdict(Time now,
+                 Send& send,
+                 const OnceVerdict& verdict,
+                 OnceClientActions& actions);
+  void Run(Time now, Send& send, OnceClientActions& actions);
+  bool GrantHolds(Time now, const Send& send) const;
+  Time GivesUpAt(const Send& send) const;
   // Ends the send and reports its outcome to the owner.
   void End(Time now,
            const RequestId& request,
            OnceOutcome outcome,
            OnceClientActions& actions);
-  void Refuse(Time now,
-              const RequestId& request,
+  // Ends a send that nothing has to be reported of.
+  void Drop(const RequestId& request);
+  void GiveBack(Time now,
+                const RequestId& request,
+                RefusalKind kind,
+                OnceClientActions& actions);
+  void Refuse(const RequestId& request,
               RefusalKind kind,
               OnceClientActions& actions);
-  void OnVerdict(Time now,
-                 Send& send,
-                 const OnceVerdict& verdict,
-                 OnceClientActions& actions);
-  void SendReport(Time now, Report& report, OnceClientActions& actions);
+  // A report reached a node that knows who owns the key.
+  void RedirectReport(const OnceClaimReply& reply);
+  void SendReport(Time now, OpenReport& report, OnceClientActions& actions);
+  void Report(EventKind kind, const RequestId& request, std::string_view why);
 
   OnceMember self_;
   OnceClientSettings settings_;
@@ -148,7 +165,7 @@
   std::vector<OnceMember> members_;
   std::unordered_map<RequestId, Send> sends_;
   std::unordered_map<OnceClaimId, RequestId> requests_;
-  std::map<OnceClaimId, Report> reports_;
+  std::map<OnceClaimId, OpenReport> reports_;
   // Owners learnt from replies.
   std::map<OnceShardId, NodeId> owners_;
   std::int64_t last_claim_ = 0;
--- a/coordination/once_journal.h
+++ b/coordination/once_journal.h
@@ -18,7 +18,11 @@
   OnceMember owner;
   // Settles whether a write whose answer was lost took effect.
   ChangeId change;
-  // The owner may have granted claims that stand in no journal.
+  // For how long after its last write the owner may grant claims that stand in
+  // no journal. A new owner waits this out and then distrusts the journal.
+  Duration outage_lease;
+  // Claims may have been granted that stand in no journal: keys without an
+  // entry are refused for a window.
   bool may_miss_claims = false;
   std::vector<OnceEntry> entries;
 
--- a/coordination/once_owner.h
+++ b/coordination/once_owner.h
@@ -63,14 +63,15 @@
             EventSink events);
 
   OnceShardOwner& ShardFor(const IdempotencyKey& key);
-  OnceOwnerHooks MakeHooks();
+  OnceOwnerHooks MakeHooks(OnceShardId shard);
+  void OnRewound(const std::string& key);
   void Reply(const NodeId& to, const OnceClaimId& claim, OnceVerdict verdict);
   bool Alive(const OnceMember& member) const;
   OnceOwnerActions TakeActions();
 
   OnceMember self_;
   OnceOwnerSettings settings_;
-  OnceOwnerHooks hooks_;
+  EventSink events_;
   IssuedKeys issued_;
   std::vector<OnceMember> members_;
   std::map<OnceShardId, std::unique_ptr<OnceShardOwner>> shards_;
@@ -79,6 +80,8 @@
   std::int64_t last_change_ = 0;
   Revision seen_;
   bool rewound_ = false;
+  // The shard at which the rewind showed; the others follow at the next tick.
+  bool rewind_pending_ = false;
   bool releasing_ = false;
 };
 
--- a/coordination/once_shard.h
+++ b/coordination/once_shard.h
@@ -109,6 +109,7 @@
                   Claimed& claimed,
                   const OnceAnswer& answer);
   void DropOldestAnswer();
+  void SkipForgottenAnswers();
 
   OnceShardSettings settings_;
   std::unordered_map<IdempotencyKey, Claimed> claims_;
--- a/coordination/once_shard_owner.h
+++ b/coordination/once_shard_owner.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "coordination/once_journal.h"
@@ -31,6 +32,8 @@
   Duration outage_lease;
   // The service counts as down for a shard once a write is unanswered so long.
   Duration outage_after = Duration::Millis(500);
+  // How long a node believes who owns a shard without reading it again.
+  Duration owner_known_for = Duration::Seconds(1);
   // Largest drift of two nodes' clocks over an outage lease.
   Duration margin = Duration::Seconds(1);
   OnceShardSettings shard;
@@ -53,6 +56,8 @@
   std::function<void(Revision)> on_revision;
   // Whether this incarnation of the node lives, as far as this node knows.
   std::function<bool(const OnceMember&)> alive;
+  // The member that should take the shard; empty where there is none.
+  std::function<OnceMember()> preferred;
   // Reports that the service was restored to the past.
   std::function<void(const std::string& key)> on_rewound;
   EventSink events;
@@ -66,19 +71,25 @@
   OnceShardOwner(OnceShardId id,
                  OnceMember self,
                  const OnceOwnerSettings& settings,
-                 const OnceOwnerHooks& hooks);
+                 OnceOwnerHooks hooks);
 
   void Claim(Time now, const OncePendingClaim& claim);
-  void Finish(Time now, const OnceFinish& finish);
+  // Returns whether the report was taken in. Only the owner takes it; another
+  // node says who owns the shard, if it knows.
+  bool Finish(Time now, const NodeId& from, const OnceFinish& finish);
+  // Takes the shard over if its owner is gone and this node is to follow it.
+  void LookAfter(Time now);
   // Returns whether the reply was for this shard.
   bool OnStoreReply(Time now, StoreCallId id, const StoreReply& reply);
   void Tick(Time now);
-  // Gives the shard up for good, so that the next owner need not wait.
+  // Gives the shard up, so that the next owner need not wait.
   void Release(Time now);
+  // The service was restored to the past: gives the shard up unwritten, and
+  // distrusts the record when it takes the shard the next time.
   void OnRewound(Time now);
 
   bool owned() const { return state_ == State::kOwned; }
-  // Nothing is owned and no call is out.
+  // Nothing is owned, asked for or being written.
   bool idle() const { return state_ == State::kNone && !call_; }
   const OnceShard& shard() const { return shard_; }
 
@@ -92,62 +103,86 @@
     // Writes itself down as the owner.
     kTaking,
     kOwned,
-    // Writes itself down as owner no more.
+    // Writes down that nobody owns the shard.
     kReleasing,
   };
   struct Call {
     StoreCallId id;
     Time sent;
+    bool write = false;
     // Version of the shard that the write holds.
     std::int64_t version = 0;
-    bool write = false;
+    // What this node had heard of when it made the call. An answer below it
+    // comes from the past.
+    Revision seen;
+  };
+  // A recorded claim that waits for the journal.
+  struct Waiting {
+    OncePendingClaim claim;
+    std::int64_t version = 0;
   };
 
-  void StartReading(Time now);
-  void StartWrite(Time now, bool release);
-  void OnRecord(Time now, const StoreRangeReply& reply);
+  bool KnowsOwner(Time now) const;
+  void StartRead(Time now);
+  void StartWrite(Time now, State state);
+  void WriteIfDue(Time now);
+  bool WriteDue(Time now) const;
+
+  void OnRecord(Time now, const Call& call, const StoreRangeReply& reply);
   void Consider(Time now, Revision revision, const OnceJournal& journal);
-  void Take(Time now, const OnceJournal& journal, bool may_miss_claims);
-  void OnWritten(Time now, Revision revision);
+  void WaitOut(Time now, Revision revision, const OnceJournal& journal);
+  void Take(Time now, Revision revision, const OnceJournal& journal);
+  void OnWritten(Time now, const Call& call, Revision revision);
   void OnConflict(Time now, const StoreConflict& conflict);
-  void OnNoAnswer(Time now);
-  void Lose(Time now);
-  void AnswerDurable(Time now);
-  void AnswerAll(const OnceVerdict& verdict);
+  void OnNoAnswer(Time now, const Call& call, Duration retry_after);
+  void Rewound(Time now);
+  void Lose(Time now, const OnceMember& owner);
+
   void Decide(Time now, const OncePendingClaim& claim);
-  bool DueForWrite(Time now) const;
+  void DecideArriving(Time now);
+  void GrantUpTo(Time now, std::int64_t version);
+  void AnswerArriving(const OnceVerdict& verdict);
   bool MayGrantUnjournaled(Time now) const;
-  void GrantUnjournaled(Time now);
+  void Report(EventKind kind, std::string_view why);
 
-  OnceShardId id_;
   std::string key_;
   OnceMember self_;
   const OnceOwnerSettings& settings_;
-  const OnceOwnerHooks& hooks_;
+  OnceOwnerHooks hooks_;
   State state_ = State::kNone;
   OnceShard shard_;
+
+  std::optional<Call> call_;
+  // No call is made before this time.
+  Time next_call_;
+  Time last_write_;
   // Revision of the record on which the next write builds.
   Revision base_;
   // Own writes whose fate is open.
   std::set<ChangeId> open_changes_;
-  std::optional<Call> call_;
-  Time next_call_;
-  Time last_write_;
+  // Version of the shard that the record is known to hold.
+  std::int64_t durable_version_ = 0;
+  // When the shard changed after that.
+  std::optional<Time> dirty_since_;
   // When the last write known to be committed was sent.
   Time confirmed_;
-  Time dirty_since_;
-  std::int64_t durable_version_ = 0;
+  // When the first of the writes since then was sent.
+  std::optional<Time> unanswered_since_;
   bool release_wanted_ = false;
-  bool may_miss_claims_ = false;
-  // The record under which an owner last wrote, and when it was first seen.
+  // The service was restored to the past: its record may miss claims.
+  bool distrusts_record_ = false;
+
+  // Who owned the shard when the record was read last, and until when that is
+  // believed without reading again.
+  OnceMember known_owner_;
+  Time known_until_;
+  // The record of an owner that is gone, and when this node first saw it.
   Revision observed_;
   Time observed_at_;
-  // Claims that wait for the takeover or for the journal.
+  Time wait_until_;
+
+  // Claims that wait for the takeover.
   std::vector<OncePendingClaim> arriving_;
-  struct Waiting {
-    OncePendingClaim claim;
-    std::int64_t version;
-  };
   std::vector<Waiting> waiting_;
 };
 
