--- a/coordination/once_owner.h
+++ b/coordination/once_owner.h
@@ -6,11 +6,11 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/actions.h"
 #include "coordination/issued_keys.h"
 #include "coordination/once_messages.h"
 #include "coordination/once_placement.h"
 #include "coordination/once_shard_owner.h"
-#include "coordination/store_request.h"
 
 namespace gcw {
 
--- a/coordination/once_shard_owner.h
+++ b/coordination/once_shard_owner.h
@@ -8,10 +8,10 @@
 #include <string_view>
 #include <vector>
 
+#include "coordination/actions.h"
 #include "coordination/once_journal.h"
 #include "coordination/once_messages.h"
 #include "coordination/once_shard.h"
-#include "coordination/store_request.h"
 
 namespace gcw {
 
