--- /dev/null
+++ b/bench/event_queue.h
@@ -0,0 +1,51 @@
+#ifndef BENCH_EVENT_QUEUE_H_
+#define BENCH_EVENT_QUEUE_H_
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "core/core.h"
+
+namespace gcw::bench {
+
+// Virtual time of a benchmark in microseconds: network delays lie below the
+// millisecond of `Time`.
+using Micros = std::int64_t;
+
+constexpr Micros MicrosOf(double millis) {
+  return static_cast<Micros>(millis * 1000.0);
+}
+
+// Runs callbacks in the order of their virtual time; callbacks of the same
+// time run in the order in which they were added.
+class EventQueue {
+ public:
+  using Callback = std::function<void()>;
+
+  Micros now() const { return now_; }
+  // The same instant as the decision core counts it.
+  Time time() const { return Time::FromMillis(now_ / 1000); }
+
+  void At(Micros when, Callback callback);
+  void After(Micros delay, Callback callback);
+  // Runs everything up to and including `end`, then sets the time to `end`.
+  void RunUntil(Micros end);
+
+ private:
+  struct Entry {
+    Micros when;
+    std::uint64_t order;
+    Callback callback;
+  };
+  static bool IsLater(const Entry& a, const Entry& b);
+
+  Micros now_ = 0;
+  std::uint64_t next_order_ = 0;
+  // A heap with the earliest entry in front.
+  std::vector<Entry> entries_;
+};
+
+}  // namespace gcw::bench
+
+#endif  // BENCH_EVENT_QUEUE_H_
