--- /dev/null
+++ b/coordination/contract_share.cc
@@ -0,0 +1,115 @@
+#include "coordination/contract_share.h"
+
+#include <algorithm>
+
+namespace gcw {
+namespace {
+
+constexpr double kMillisPerSecond = 1000.0;
+constexpr double kRounding = 1e-6;
+
+double PartOf(double amount, double limit) {
+  return limit > 0 ? amount / limit : 0;
+}
+
+}  // namespace
+
+void ContractShare::SetLimit(Time now,
+                             const LimitVector& limit,
+                             Duration burst) {
+  limit_ = limit;
+  SetRates(now, burst);
+}
+
+void ContractShare::SetShare(Time now,
+                             const LimitVector& share,
+                             Duration burst) {
+  share_ = share;
+  SetRates(now, burst);
+  if (!share_.IsZero()) {
+    is_starved_ = false;
+  }
+}
+
+void ContractShare::SetRates(Time now, Duration burst) {
+  const double seconds = static_cast<double>(burst.millis()) / kMillisPerSecond;
+  const double requests = share_[LimitResource::kRequests];
+  const double tokens = share_[LimitResource::kTokens];
+  requests_.SetRate(now, requests, std::max(1.0, requests * seconds));
+  tokens_.SetRate(now, tokens, std::max(1.0, tokens * seconds));
+  if (!is_fresh_ || share_.IsZero()) {
+    return;
+  }
+  // All nodes together start with one burst of the whole limit: if each began
+  // with a request of its own, a contract of one request a second would get as
+  // many at once as there are nodes.
+  const double limit = limit_[LimitResource::kRequests];
+  requests_.Fill(std::max(1.0, limit * seconds) * PartOf(requests, limit));
+  tokens_.Fill(tokens * seconds);
+  is_fresh_ = false;
+}
+
+ShareDecision ContractShare::TryAcquire(Time now,
+                                        double estimate,
+                                        AcquireAttempt attempt) {
+  if (attempt == AcquireAttempt::kFirst) {
+    request_demand_.Add(1);
+    token_demand_.Add(estimate);
+  }
+  last_attempt_ = now;
+  const ShareDecision decision = Decide(now, estimate);
+  if (decision.outcome == ShareOutcome::kGranted) {
+    requests_.Take(1);
+    tokens_.Take(estimate);
+    ++running_;
+  }
+  if (decision.outcome == ShareOutcome::kConcurrency &&
+      attempt == AcquireAttempt::kFirst) {
+    ++turned_away_;
+  }
+  is_starved_ |= decision.outcome == ShareOutcome::kPending;
+  return decision;
+}
+
+ShareDecision ContractShare::Decide(Time now, double estimate) {
+  if (share_.IsZero()) {
+    return {ShareOutcome::kPending, {}};
+  }
+  if (static_cast<double>(running_ + 1) >
+      share_[LimitResource::kConcurrency] + kRounding) {
+    return {ShareOutcome::kConcurrency, {}};
+  }
+  if (!requests_.Has(now, 1)) {
+    return {ShareOutcome::kRequestRate, requests_.WaitFor(now, 1)};
+  }
+  if (!tokens_.Has(now, estimate)) {
+    return {ShareOutcome::kTokenRate, tokens_.WaitFor(now, estimate)};
+  }
+  return {ShareOutcome::kGranted, {}};
+}
+
+void ContractShare::Release(double estimate, double actual) {
+  tokens_.Return(estimate - actual);
+  running_ = std::max<std::int64_t>(0, running_ - 1);
+}
+
+LimitDemand ContractShare::Measure(Time now, const ContractId& contract) {
+  const double requests = request_demand_.Measure(now);
+  const double tokens = token_demand_.Measure(now);
+  // One more than runs, so that the next request finds room.
+  const auto at_once = static_cast<double>(running_ + 1 + turned_away_);
+  turned_away_ = 0;
+  const double concurrency = limit_[LimitResource::kConcurrency];
+  return {.contract = contract,
+          .demand = {PartOf(requests, limit_[LimitResource::kRequests]),
+                     PartOf(tokens, limit_[LimitResource::kTokens]),
+                     PartOf(at_once, concurrency)},
+          .running = PartOf(static_cast<double>(running_), concurrency)};
+}
+
+bool ContractShare::IsIdle(Time now, Duration idle_after) {
+  return running_ == 0 && last_attempt_ + idle_after < now &&
+         tokens_.Has(now, 0);
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/limit_ledger.cc
@@ -0,0 +1,179 @@
+#include "coordination/limit_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace gcw {
+namespace {
+
+// Sums of fractions may miss a whole unit by rounding.
+constexpr double kRounding = 1e-9;
+
+double WholeUnitsBelow(double amount, double unit) {
+  return std::floor(amount / unit + kRounding) * unit;
+}
+
+double WholeUnitsAbove(double amount, double unit) {
+  return std::ceil(amount / unit - kRounding) * unit;
+}
+
+struct Claim {
+  double demand = 0;
+  double weight = 1;
+};
+
+// The level per weight at which the claims use up `total` (max-min fairness).
+// Claims must ask for more than `total` together.
+double WaterLevel(std::vector<Claim> claims, double total) {
+  std::sort(claims.begin(), claims.end(), [](const Claim& a, const Claim& b) {
+    return a.demand * b.weight < b.demand * a.weight;
+  });
+  double weight = 0;
+  for (const Claim& claim : claims) {
+    weight += claim.weight;
+  }
+  double left = total;
+  for (const Claim& claim : claims) {
+    const double level = left / weight;
+    if (claim.demand > level * claim.weight) {
+      return level;
+    }
+    left -= claim.demand;
+    weight -= claim.weight;
+  }
+  return std::numeric_limits<double>::infinity();
+}
+
+}  // namespace
+
+LimitLedger::Member& LimitLedger::MemberOf(PartyIndex party) {
+  const auto found =
+      std::find_if(members_.begin(), members_.end(),
+                   [party](const Member& m) { return m.party == party; });
+  if (found != members_.end()) {
+    return *found;
+  }
+  members_.push_back({.party = party, .demand = {}, .holdings = {}});
+  return members_.back();
+}
+
+void LimitLedger::Observe(PartyIndex party, const Demand& demand) {
+  MemberOf(party).demand = demand;
+}
+
+void LimitLedger::Acknowledge(PartyIndex party, LimitSequence applied) {
+  std::erase_if(MemberOf(party).holdings, [applied](const Holding& holding) {
+    return holding.sequence < applied;
+  });
+}
+
+LimitVector LimitLedger::HeldBy(const Member& member, Time now) {
+  LimitVector held;
+  for (const Holding& holding : member.holdings) {
+    if (holding.expires > now) {
+      held = Max(held, holding.amount);
+    }
+  }
+  return held;
+}
+
+LimitVector LimitLedger::Held(Time now) const {
+  LimitVector sum;
+  for (const Member& member : members_) {
+    sum = sum + HeldBy(member, now);
+  }
+  return sum;
+}
+
+LimitVector LimitLedger::TotalDemand(Time now) const {
+  LimitVector sum;
+  for (const Member& member : members_) {
+    if (member.demand.valid_until > now) {
+      sum = sum + member.demand.amount;
+    }
+  }
+  return sum;
+}
+
+double LimitLedger::TotalRunning(Time now) const {
+  double sum = 0;
+  for (const Member& member : members_) {
+    if (member.demand.valid_until > now) {
+      sum += member.demand.running;
+    }
+  }
+  return sum;
+}
+
+double LimitLedger::FairAmount(Time now,
+                               const Member& member,
+                               LimitResource resource,
+                               double total) const {
+  std::vector<Claim> claims;
+  claims.reserve(members_.size());
+  double asked = 0;
+  double weight = 0;
+  for (const Member& other : members_) {
+    if (other.demand.valid_until <= now) {
+      continue;
+    }
+    claims.push_back({other.demand.amount[resource], other.demand.weight});
+    asked += other.demand.amount[resource];
+    weight += other.demand.weight;
+  }
+  const Demand& own = member.demand;
+  if (asked > total) {
+    const double level = WaterLevel(std::move(claims), total);
+    return std::min(own.amount[resource], level * own.weight);
+  }
+  // What nobody asks for is lent evenly, to take up the next burst.
+  return own.amount[resource] + (total - asked) * own.weight / weight;
+}
+
+LimitVector LimitLedger::FairShare(Time now,
+                                   const Member& member,
+                                   const LimitVector& total) const {
+  LimitVector share;
+  for (const LimitResource resource : kLimitResources) {
+    share[resource] = FairAmount(now, member, resource, total[resource]);
+  }
+  return share;
+}
+
+LimitVector LimitLedger::Grant(Time now,
+                               PartyIndex party,
+                               LimitSequence sequence,
+                               const LimitVector& total,
+                               double concurrency_unit,
+                               Time expires) {
+  Member& member = MemberOf(party);
+  LimitVector share = FairShare(now, member, total);
+  // Of a concurrency that does not divide, whoever asks first gets the odd
+  // unit; running requests are counted, since they can't be taken back.
+  double& concurrency = share[LimitResource::kConcurrency];
+  const double asked =
+      std::min(concurrency, member.demand.amount[LimitResource::kConcurrency]);
+  concurrency = std::max({WholeUnitsBelow(concurrency, concurrency_unit),
+                          WholeUnitsAbove(asked, concurrency_unit),
+                          member.demand.running});
+  const LimitVector others = Held(now) - HeldBy(member, now);
+  LimitVector amount = Min(share, Max(total - others, LimitVector()));
+  amount[LimitResource::kConcurrency] =
+      WholeUnitsBelow(amount[LimitResource::kConcurrency], concurrency_unit);
+  member.holdings.push_back({sequence, amount, expires});
+  return amount;
+}
+
+void LimitLedger::Expire(Time now) {
+  for (Member& member : members_) {
+    std::erase_if(member.holdings, [now](const Holding& holding) {
+      return holding.expires <= now;
+    });
+  }
+  std::erase_if(members_, [now](const Member& member) {
+    return member.holdings.empty() && member.demand.valid_until <= now;
+  });
+}
+
+}  // namespace gcw
--- a/coordination/limit_messages.h
+++ b/coordination/limit_messages.h
@@ -25,31 +25,48 @@
   friend auto operator<=>(const LimitParty&, const LimitParty&) = default;
 };
 
-// What a node, or a zone's nodes together, could use of a contract.
+// All amounts below are fractions of the contract's limits, so that a changed
+// contract takes effect at each node that knows it and the fractions still sum
+// to one at most. A codec must not round them up.
+
+// What a node, or the nodes behind a relay together, could use of a contract.
 struct LimitDemand {
   ContractId contract;
   LimitVector demand;
-  // Requests that run now; they can't be taken back.
-  std::int64_t running = 0;
+  // Part of the concurrency that is in use; it can't be taken back.
+  double running = 0;
 };
 
-// Sent up each period: node to owner in small fleets, else node to zone relay
-// to owner.
+// A granter's clock and process, to be echoed to it.
+struct LimitEcho {
+  Incarnation granter;
+  Time granted_at;
+
+  friend bool operator==(const LimitEcho&, const LimitEcho&) = default;
+};
+
+enum class LimitReporter { kNode, kRelay };
+
+// Sent up each period: node to owner in small fleets, else node to relay to
+// owner.
 struct LimitReport {
   LimitParty sender;
+  LimitReporter kind = LimitReporter::kNode;
   LimitShard shard;
   LimitSequence sequence;
-  // Sender's clock. Echoed, so that the grant's life is counted from before
-  // the receiver could have granted it, without comparing clocks.
+  // Sender's clock. Echoed, so that a grant's life is counted from before the
+  // receiver could have given it, without comparing clocks.
   Time sent_at;
   // Newest grants that the sender works by; it never goes back to older ones.
   LimitSequence applied;
-  // Receiver's clock in the newest grants that the sender has seen. Cessions
-  // are counted from it. Absent on first contact.
-  std::optional<Time> echoed;
-  // Nodes that use no floor in this shard for `ceded_for` after `echoed`.
+  // From the newest grants that the sender got of this receiver. Cessions are
+  // counted from it. Absent on first contact.
+  std::optional<LimitEcho> echo;
+  // Nodes that use no floor in this shard for `ceded_for` after the echo.
   std::vector<NodeId> ceding;
   Duration ceded_for;
+  // Nodes that the demand comes from.
+  std::int64_t weight = 1;
   // Contracts with demand only.
   std::vector<LimitDemand> demands;
 };
@@ -66,15 +83,15 @@
   LimitShard shard;
   // Of the report that is answered.
   LimitSequence sequence;
-  // To which run of the receiver's process they were given.
+  LimitReporter receiver_kind = LimitReporter::kNode;
+  // The run of the receiver's process that it is for.
   Incarnation receiver;
   // Of the owner's role. Grants with a lower one than one already seen are
   // stale.
   FencingToken fence;
-  // From the report: `sent_at`.
+  LimitEcho echo;
+  // `sent_at` of the report.
   Time report_sent_at;
-  // Sender's clock, to be echoed.
-  Time granted_at;
   // Counted from `report_sent_at` on the receiver's clock.
   Duration lifetime;
   std::vector<LimitGrant> grants;
--- /dev/null
+++ b/coordination/limit_owner.cc
@@ -0,0 +1,114 @@
+#include "coordination/limit_owner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gcw {
+
+LimitOwner::LimitOwner(const LimitTopology* topology,
+                       const ContractLimits* limits,
+                       Incarnation self)
+    : topology_(topology), limits_(limits), self_(self) {}
+
+void LimitOwner::OnRoleHeld(LimitShard shard,
+                            FencingToken fence,
+                            Time valid_until) {
+  const auto found = shards_.find(shard);
+  if (found != shards_.end() && found->second.fence == fence) {
+    found->second.valid_until = valid_until;
+    return;
+  }
+  shards_.insert_or_assign(shard, OwnedShard{.fence = fence,
+                                             .valid_until = valid_until,
+                                             .releasing = false,
+                                             .granter = {shard, self_}});
+}
+
+void LimitOwner::OnRoleLost(LimitShard shard) {
+  shards_.erase(shard);
+}
+
+Time LimitOwner::PrepareRelease(Time now, LimitShard shard) {
+  const auto found = shards_.find(shard);
+  if (found == shards_.end()) {
+    return now;
+  }
+  found->second.releasing = true;
+  return std::max(now, found->second.granter.last_expiry());
+}
+
+bool LimitOwner::Owns(Time now, LimitShard shard) const {
+  const auto found = shards_.find(shard);
+  return found != shards_.end() && !found->second.releasing &&
+         now < found->second.valid_until;
+}
+
+std::optional<LimitGrants> LimitOwner::OnReport(Time now,
+                                                const LimitReport& report) {
+  if (!Owns(now, report.shard)) {
+    return std::nullopt;
+  }
+  OwnedShard& owned = shards_.at(report.shard);
+  const Duration full =
+      topology_->settings().GrantLifetime(topology_->live_nodes());
+  if (!owned.granter.Observe(now, report, full)) {
+    return std::nullopt;
+  }
+  const Duration lifetime = std::min(full, owned.valid_until - now);
+  const std::int64_t reserved = ReservedFloors(owned, report, now + lifetime);
+  return owned.granter.Answer(
+      now, report,
+      {.fence = owned.fence,
+       .lifetime = lifetime,
+       .total = [&](const ContractId& c) { return Total(c, reserved); },
+       .concurrency_unit =
+           [&](const ContractId& c) { return limits_->ConcurrencyUnit(c); }});
+}
+
+// How many nodes may be on their floor before a grant of now expires. A node
+// that reports for itself uses its floor or its grant, whichever is more, so
+// that its own floor is part of what it may be granted.
+std::int64_t LimitOwner::ReservedFloors(const OwnedShard& owned,
+                                        const LimitReport& report,
+                                        Time expires) const {
+  const CessionBook& cessions = owned.granter.cessions();
+  std::int64_t reserved =
+      topology_->FloorNodes() - cessions.CoveredUntil(expires);
+  if (report.kind == LimitReporter::kNode &&
+      !cessions.Covers(report.sender.node, expires)) {
+    --reserved;
+  }
+  return std::max<std::int64_t>(0, reserved);
+}
+
+LimitVector LimitOwner::Total(const ContractId& contract,
+                              std::int64_t reserved) const {
+  const LimitVector limit = limits_->Of(contract);
+  if (limit.IsZero()) {
+    return {};
+  }
+  const auto nodes = static_cast<double>(topology_->FloorNodes());
+  const double rate = 1 - static_cast<double>(reserved) / nodes;
+  const double concurrency = limit[LimitResource::kConcurrency];
+  // Floors of concurrency are whole; any of the nodes may hold an odd unit.
+  const double held_back =
+      std::min(concurrency,
+               static_cast<double>(reserved) * std::ceil(concurrency / nodes));
+  return {rate, rate, concurrency > 0 ? 1 - held_back / concurrency : 0};
+}
+
+LimitVector LimitOwner::Held(Time now, const ContractId& contract) const {
+  LimitVector held;
+  for (const auto& [shard, owned] : shards_) {
+    held = held + owned.granter.Held(now, contract);
+  }
+  return held;
+}
+
+void LimitOwner::Expire(Time now) {
+  for (auto& [shard, owned] : shards_) {
+    owned.granter.Expire(now);
+  }
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/limit_owner.h
@@ -0,0 +1,56 @@
+#ifndef COORDINATION_LIMIT_OWNER_H_
+#define COORDINATION_LIMIT_OWNER_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "coordination/contract_limits.h"
+#include "coordination/limit_granter.h"
+#include "coordination/limit_topology.h"
+
+namespace gcw {
+
+// Grants the limits of the shards whose role this node holds. Every grant ends
+// before the role's lease may lapse, so that the next holder finds all earlier
+// grants expired: two nodes that both believe to be owner never hand out more
+// than the limit together.
+class LimitOwner {
+ public:
+  LimitOwner(const LimitTopology* topology,
+             const ContractLimits* limits,
+             Incarnation self);
+
+  void OnRoleHeld(LimitShard shard, FencingToken fence, Time valid_until);
+  void OnRoleLost(LimitShard shard);
+  // Gives no more grants; tells when the last one has expired.
+  Time PrepareRelease(Time now, LimitShard shard);
+
+  // Absent where this node may not grant the shard now.
+  std::optional<LimitGrants> OnReport(Time now, const LimitReport& report);
+  LimitVector Held(Time now, const ContractId& contract) const;
+  bool Owns(Time now, LimitShard shard) const;
+  void Expire(Time now);
+
+ private:
+  struct OwnedShard {
+    FencingToken fence;
+    Time valid_until;
+    bool releasing = false;
+    LimitGranter granter;
+  };
+
+  LimitVector Total(const ContractId& contract, std::int64_t reserved) const;
+  std::int64_t ReservedFloors(const OwnedShard& owned,
+                              const LimitReport& report,
+                              Time expires) const;
+
+  const LimitTopology* topology_;
+  const ContractLimits* limits_;
+  Incarnation self_;
+  std::map<LimitShard, OwnedShard> shards_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_LIMIT_OWNER_H_
--- /dev/null
+++ b/coordination/limit_relay.cc
@@ -0,0 +1,132 @@
+#include "coordination/limit_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gcw {
+
+LimitRelay::LimitRelay(const LimitTopology* topology,
+                       const ContractLimits* limits,
+                       LimitParty self)
+    : topology_(topology), limits_(limits), self_(std::move(self)) {}
+
+LimitRelay::RelayedShard& LimitRelay::ShardFor(LimitShard shard) {
+  const auto found = shards_.find(shard);
+  if (found != shards_.end()) {
+    return found->second;
+  }
+  RelayedShard fresh{.granter = {shard, self_.incarnation},
+                     .client = {self_, LimitReporter::kRelay, shard},
+                     .reporters = {},
+                     .acknowledged = {},
+                     .urgent = true};
+  return shards_.emplace(shard, std::move(fresh)).first->second;
+}
+
+std::optional<LimitGrants> LimitRelay::OnReport(Time now,
+                                                const LimitReport& report) {
+  RelayedShard& relayed = ShardFor(report.shard);
+  const Duration full =
+      topology_->settings().GrantLifetime(topology_->live_nodes());
+  if (!relayed.granter.Observe(now, report, full)) {
+    return std::nullopt;
+  }
+  const bool is_new =
+      relayed.reporters.insert_or_assign(report.sender.node, now).second;
+  relayed.urgent |= is_new || relayed.granter.TakeNewDemand();
+  const Duration left = relayed.client.granted_until() - now;
+  if (left <= Duration()) {
+    return std::nullopt;
+  }
+  return relayed.granter.Answer(
+      now, report,
+      {.fence = relayed.client.fence(),
+       .lifetime = std::min(full, left),
+       .total =
+           [&](const ContractId& c) { return relayed.client.Granted(now, c); },
+       .concurrency_unit =
+           [&](const ContractId& c) { return limits_->ConcurrencyUnit(c); }});
+}
+
+void LimitRelay::OnGrants(Time now,
+                          const NodeId& from,
+                          const LimitGrants& grants) {
+  const auto found = shards_.find(grants.shard);
+  if (found != shards_.end()) {
+    found->second.client.OnGrants(now, from, grants);
+  }
+}
+
+bool LimitRelay::IsDue(Time now, RelayedShard& relayed) const {
+  const LimitSettings& settings = topology_->settings();
+  const auto reported = relayed.client.reported_at();
+  const Duration period = relayed.urgent
+                              ? settings.urgent_interval
+                              : settings.Period(topology_->live_nodes());
+  return !reported || now >= *reported + period;
+}
+
+// A relay whose grant shrank has still given on more than it now has, until its
+// nodes report again. If it acknowledged the smaller grant at once, the owner
+// would give the difference to others while the nodes still use it: the sum of
+// shares would exceed the limit for one grant's life.
+void LimitRelay::Acknowledge(Time now, RelayedShard& relayed) {
+  constexpr double kRounding = 1e-9;
+  const LimitVector slack = LimitVector::All(kRounding);
+  for (const ContractId& contract : relayed.granter.Contracts()) {
+    const LimitVector held = relayed.granter.Held(now, contract);
+    const LimitVector granted = relayed.client.Granted(now, contract) + slack;
+    if (!(Max(held, granted) == granted)) {
+      return;
+    }
+  }
+  relayed.acknowledged = relayed.client.applied();
+}
+
+LimitReport LimitRelay::MakeReport(Time now, RelayedShard& relayed) const {
+  relayed.urgent = false;
+  LimitReport report = relayed.client.StartReport(now);
+  Acknowledge(now, relayed);
+  report.applied = relayed.acknowledged;
+  report.weight = std::max<std::int64_t>(1, std::ssize(relayed.reporters));
+  // Counted by the owner from its clock in the echo, which was before the echo
+  // arrived here.
+  if (const auto answered = relayed.client.answered_at()) {
+    report.ceded_for =
+        topology_->settings().RelayCessionLifetime(topology_->live_nodes());
+    report.ceding = relayed.granter.cessions().NodesCoveredUntil(
+        *answered + report.ceded_for);
+  }
+  for (const LimitDemandTotal& total : relayed.granter.Demands(now)) {
+    report.demands.push_back({total.contract, total.demand, total.running});
+  }
+  return report;
+}
+
+std::vector<LimitReport> LimitRelay::Tick(Time now) {
+  const Duration memory =
+      topology_->settings().CessionLifetime(topology_->live_nodes());
+  std::vector<LimitReport> reports;
+  for (auto& [shard, relayed] : shards_) {
+    relayed.granter.Expire(now);
+    std::erase_if(relayed.reporters, [&](const auto& entry) {
+      return entry.second + memory < now;
+    });
+    relayed.client.SetUpstream(topology_->Owner(shard));
+    const bool has_owner = !relayed.client.upstream().empty();
+    if (has_owner && !relayed.reporters.empty() && IsDue(now, relayed)) {
+      reports.push_back(MakeReport(now, relayed));
+    }
+  }
+  return reports;
+}
+
+LimitVector LimitRelay::Held(Time now, const ContractId& contract) const {
+  LimitVector held;
+  for (const auto& [shard, relayed] : shards_) {
+    held = held + relayed.granter.Held(now, contract);
+  }
+  return held;
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/limit_shares.cc
@@ -0,0 +1,260 @@
+#include "coordination/limit_shares.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace gcw {
+namespace {
+
+constexpr Time kNever =
+    Time::FromMillis(std::numeric_limits<std::int64_t>::max());
+// A receiver that was silent for longer is not counted on: a node goes on
+// ceding its floor only while somebody grants in return.
+constexpr std::int64_t kAnswerPeriods = 2;
+
+}  // namespace
+
+LimitShares::LimitShares(const LimitTopology* topology,
+                         const ContractLimits* limits,
+                         LimitParty self,
+                         EventSink sink,
+                         Time started)
+    : topology_(topology),
+      limits_(limits),
+      self_(std::move(self)),
+      sink_(std::move(sink)) {
+  const LimitSettings& settings = topology_->settings();
+  // The node's earlier run may have ceded its floors just before it ended, and
+  // others may be using them.
+  const Time ceded_until =
+      started + settings.period_max * settings.relayed_cession_periods;
+  for (std::int64_t i = 0; i < settings.shards; ++i) {
+    shards_.push_back({.client = {self_, LimitReporter::kNode, LimitShard(i)},
+                       .ceded_until = ceded_until,
+                       .urgent = false});
+  }
+}
+
+LimitShares::ShardState& LimitShares::StateOf(LimitShard shard) {
+  return shards_[static_cast<std::size_t>(shard.value())];
+}
+
+const LimitShares::ShardState& LimitShares::StateOf(LimitShard shard) const {
+  return shards_[static_cast<std::size_t>(shard.value())];
+}
+
+LimitVector LimitShares::Floor(const ContractId& contract) const {
+  const double rate = 1 / static_cast<double>(topology_->FloorNodes());
+  const double limit = limits_->Of(contract)[LimitResource::kConcurrency];
+  if (limit <= 0) {
+    return {rate, rate, 0};
+  }
+  const auto units =
+      topology_->FloorConcurrency(contract, static_cast<std::int64_t>(limit));
+  return {rate, rate, static_cast<double>(units) / limit};
+}
+
+std::pair<LimitVector, Time> LimitShares::Allowed(
+    Time now,
+    const ContractId& contract,
+    const ShardState& shard) const {
+  const LimitVector granted = shard.client.Granted(now, contract);
+  const Time granted_until = shard.client.granted_until();
+  const Time grant_end = now < granted_until ? granted_until : kNever;
+  if (now < shard.ceded_until) {
+    return {granted, std::min(grant_end, shard.ceded_until)};
+  }
+  return {Max(granted, Floor(contract)), grant_end};
+}
+
+void LimitShares::Refresh(Time now,
+                          const ContractId& contract,
+                          ContractState& state) {
+  const ShardState& shard = StateOf(state.shard);
+  const auto [fraction, until] = Allowed(now, contract, shard);
+  const bool on_floor =
+      now >= shard.ceded_until && shard.client.Granted(now, contract).IsZero();
+  if (on_floor != state.on_floor) {
+    ReportFloor(contract, on_floor);
+  }
+  state.on_floor = on_floor;
+  state.valid_until = until;
+  state.share.SetShare(now, fraction * state.share.limit(),
+                       topology_->settings().burst);
+}
+
+void LimitShares::ReportFloor(const ContractId& contract, bool on_floor) {
+  sink_({.kind = on_floor ? EventKind::kShareExpired : EventKind::kShareGranted,
+         .subject = contract.value(),
+         .cause = {},
+         .fields = {}});
+}
+
+void LimitShares::RefreshShard(Time now, LimitShard shard) {
+  for (auto& [contract, state] : contracts_) {
+    if (state.shard == shard) {
+      Refresh(now, contract, state);
+    }
+  }
+}
+
+LimitShares::ContractState* LimitShares::Activate(Time now,
+                                                  const ContractId& contract) {
+  const LimitVector limit = limits_->Of(contract);
+  if (limit.IsZero()) {
+    return nullptr;
+  }
+  const LimitShard shard = ShardOf(contract, topology_->settings().shards);
+  ContractState fresh{.share = ContractShare(limit),
+                      .shard = shard,
+                      .valid_until = {},
+                      .on_floor = false};
+  ContractState& state =
+      contracts_.emplace(contract, std::move(fresh)).first->second;
+  Refresh(now, contract, state);
+  StateOf(shard).urgent = true;
+  return &state;
+}
+
+void LimitShares::OnContractChanged(Time now, const ContractId& contract) {
+  const auto found = contracts_.find(contract);
+  if (found == contracts_.end()) {
+    return;
+  }
+  found->second.share.SetLimit(now, limits_->Of(contract),
+                               topology_->settings().burst);
+  Refresh(now, contract, found->second);
+}
+
+void LimitShares::OnContractWithdrawn(const ContractId& contract) {
+  contracts_.erase(contract);
+}
+
+ShareDecision LimitShares::TryAcquire(Time now,
+                                      const ContractId& contract,
+                                      TokenCount estimate,
+                                      AcquireAttempt attempt) {
+  const auto found = contracts_.find(contract);
+  ContractState* state =
+      found == contracts_.end() ? Activate(now, contract) : &found->second;
+  if (state == nullptr) {
+    return {ShareOutcome::kUnknownContract, {}};
+  }
+  if (now >= state->valid_until) {
+    Refresh(now, contract, *state);
+  }
+  const ShareDecision decision = state->share.TryAcquire(
+      now, static_cast<double>(estimate.value()), attempt);
+  if (decision.outcome == ShareOutcome::kPending) {
+    StateOf(state->shard).urgent = true;
+  }
+  return decision;
+}
+
+void LimitShares::Release(const ContractId& contract,
+                          TokenCount estimate,
+                          TokenCount actual) {
+  const auto found = contracts_.find(contract);
+  if (found != contracts_.end()) {
+    found->second.share.Release(static_cast<double>(estimate.value()),
+                                static_cast<double>(actual.value()));
+  }
+}
+
+void LimitShares::OnGrants(Time now,
+                           const NodeId& from,
+                           const LimitGrants& grants) {
+  if (grants.shard.value() < 0 || grants.shard.value() >= std::ssize(shards_)) {
+    return;
+  }
+  if (StateOf(grants.shard).client.OnGrants(now, from, grants)) {
+    RefreshShard(now, grants.shard);
+  }
+}
+
+void LimitShares::DropIdle(Time now) {
+  const Duration idle_after = topology_->settings().idle_after;
+  for (auto entry = contracts_.begin(); entry != contracts_.end();) {
+    if (entry->second.share.IsIdle(now, idle_after)) {
+      entry = contracts_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+}
+
+bool LimitShares::IsDue(Time now, const ShardState& shard) const {
+  const LimitSettings& settings = topology_->settings();
+  const auto reported = shard.client.reported_at();
+  const Duration period = shard.urgent
+                              ? settings.urgent_interval
+                              : settings.Period(topology_->live_nodes());
+  return !reported || now >= *reported + period;
+}
+
+bool LimitShares::MayCede(Time now, const ShardState& shard) const {
+  const Duration period = topology_->settings().Period(topology_->live_nodes());
+  const auto answered = shard.client.answered_at();
+  return answered && now <= *answered + period * kAnswerPeriods;
+}
+
+LimitReport LimitShares::MakeReport(Time now, ShardState& shard) {
+  shard.urgent = false;
+  LimitReport report = shard.client.StartReport(now);
+  if (MayCede(now, shard)) {
+    const LimitSettings& settings = topology_->settings();
+    report.ceding = {topology_->self()};
+    report.ceded_for = is_leaving_
+                           ? settings.floor_memory
+                           : settings.CessionLifetime(topology_->live_nodes());
+    shard.ceded_until = std::max(shard.ceded_until, now + report.ceded_for);
+  }
+  for (auto& [contract, state] : contracts_) {
+    if (state.shard == report.shard) {
+      report.demands.push_back(state.share.Measure(now, contract));
+    }
+  }
+  return report;
+}
+
+std::vector<LimitReport> LimitShares::Tick(Time now) {
+  DropIdle(now);
+  if (topology_->version() != seen_version_) {
+    seen_version_ = topology_->version();
+    for (auto& [contract, state] : contracts_) {
+      Refresh(now, contract, state);
+    }
+  }
+  std::vector<LimitReport> reports;
+  for (ShardState& shard : shards_) {
+    const LimitShard number = shard.client.shard();
+    shard.client.SetUpstream(topology_->Upstream(number));
+    if (shard.client.upstream().empty() || !IsDue(now, shard)) {
+      continue;
+    }
+    reports.push_back(MakeReport(now, shard));
+    // Ceding the floor ends its use here and now.
+    RefreshShard(now, number);
+  }
+  return reports;
+}
+
+LimitVector LimitShares::ShareOf(Time now, const ContractId& contract) const {
+  const LimitShard shard = ShardOf(contract, topology_->settings().shards);
+  return Allowed(now, contract, StateOf(shard)).first * limits_->Of(contract);
+}
+
+std::vector<ShareView> LimitShares::View(Time now) const {
+  std::vector<ShareView> views;
+  views.reserve(contracts_.size());
+  for (const auto& [contract, state] : contracts_) {
+    views.push_back({.contract = contract,
+                     .limit = state.share.limit(),
+                     .share = ShareOf(now, contract),
+                     .floor = state.on_floor,
+                     .running = state.share.running()});
+  }
+  return views;
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/limit_topology.cc
@@ -0,0 +1,102 @@
+#include "coordination/limit_topology.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "coordination/rendezvous.h"
+
+namespace gcw {
+
+LimitTopology::LimitTopology(NodeId self, ZoneId zone, LimitSettings settings)
+    : self_(std::move(self)), zone_(std::move(zone)), settings_(settings) {
+  known_.emplace(self_, Time());
+}
+
+void LimitTopology::OnView(Time now, const std::vector<LimitPeer>& peers) {
+  const std::size_t known_before = known_.size();
+  for (const LimitPeer& peer : peers) {
+    known_.insert_or_assign(peer.node, now);
+  }
+  known_.insert_or_assign(self_, now);
+  const Time forgotten = now - settings_.floor_memory;
+  const auto erased = std::erase_if(
+      known_, [forgotten](const auto& e) { return e.second < forgotten; });
+  if (erased > 0 || known_.size() != known_before) {
+    ++version_;
+  }
+  live_nodes_ = std::max<std::int64_t>(1, std::ssize(peers));
+  FindRelays(peers);
+}
+
+// Relays are picked among the nodes of a zone that share a group, so that the
+// load spreads and a report never crosses zones twice.
+void LimitTopology::FindRelays(const std::vector<LimitPeer>& peers) {
+  relays_.clear();
+  if (!settings_.HasRelays(live_nodes_)) {
+    return;
+  }
+  std::vector<NodeId> zone_nodes;
+  for (const LimitPeer& peer : peers) {
+    if (peer.zone == zone_) {
+      zone_nodes.push_back(peer.node);
+    }
+  }
+  std::sort(zone_nodes.begin(), zone_nodes.end());
+  const auto count = std::ssize(zone_nodes);
+  const std::int64_t groups =
+      (count + settings_.relay_group_nodes - 1) / settings_.relay_group_nodes;
+  const auto own =
+      std::lower_bound(zone_nodes.begin(), zone_nodes.end(), self_);
+  if (groups == 0 || own == zone_nodes.end()) {
+    return;
+  }
+  const std::int64_t group = (own - zone_nodes.begin()) * groups / count;
+  std::vector<NodeId> members;
+  for (std::int64_t i = 0; i < count; ++i) {
+    if (i * groups / count == group) {
+      members.push_back(zone_nodes[static_cast<std::size_t>(i)]);
+    }
+  }
+  for (std::int64_t shard = 0; shard < settings_.shards; ++shard) {
+    const std::string key = "limit_relay/" + std::to_string(shard);
+    relays_.push_back(RendezvousOwner(key, members).value_or(NodeId()));
+  }
+}
+
+void LimitTopology::OnOwner(LimitShard shard,
+                            const NodeId& owner,
+                            FencingToken fence) {
+  auto& known = owners_[shard];
+  if (fence >= known.first) {
+    known = {fence, owner};
+  }
+}
+
+NodeId LimitTopology::Owner(LimitShard shard) const {
+  const auto found = owners_.find(shard);
+  return found == owners_.end() ? NodeId() : found->second.second;
+}
+
+NodeId LimitTopology::Upstream(LimitShard shard) const {
+  const auto index = static_cast<std::size_t>(shard.value());
+  return index < relays_.size() ? relays_[index] : Owner(shard);
+}
+
+std::int64_t LimitTopology::FloorNodes() const {
+  return std::max(settings_.floor_nodes, std::ssize(known_));
+}
+
+std::int64_t LimitTopology::FloorConcurrency(const ContractId& contract,
+                                             std::int64_t limit) const {
+  const std::int64_t nodes = FloorNodes();
+  const std::int64_t odd = limit % nodes;
+  const auto own = RendezvousScore(contract.value(), self_);
+  const auto ahead =
+      std::count_if(known_.begin(), known_.end(), [&](const auto& entry) {
+        return RendezvousScore(contract.value(), entry.first) > own;
+      });
+  return limit / nodes + (ahead < odd ? 1 : 0);
+}
+
+}  // namespace gcw
--- a/coordination/limit_vector.h
+++ b/coordination/limit_vector.h
@@ -37,6 +37,11 @@
     return amounts_[static_cast<std::size_t>(resource)];
   }
 
+  // The same amount of each resource.
+  static constexpr LimitVector All(double amount) {
+    return {amount, amount, amount};
+  }
+
   constexpr bool IsZero() const {
     return amounts_ == std::array<double, kLimitResourceCount>{};
   }
@@ -52,6 +57,11 @@
                                          const LimitVector& b) {
     return Combine(a, b, [](double x, double y) { return x - y; });
   }
+  // Product of each resource.
+  friend constexpr LimitVector operator*(const LimitVector& a,
+                                         const LimitVector& b) {
+    return Combine(a, b, [](double x, double y) { return x * y; });
+  }
   friend constexpr LimitVector operator*(const LimitVector& a, double factor) {
     return Combine(a, a, [factor](double x, double) { return x * factor; });
   }
@@ -77,9 +87,6 @@
   std::array<double, kLimitResourceCount> amounts_{};
 };
 
-// Rounds concurrency, which is a whole number of requests, down.
-LimitVector WholeConcurrency(const LimitVector& amounts);
-
 }  // namespace gcw
 
 #endif  // COORDINATION_LIMIT_VECTOR_H_
--- a/coordination/limits.h
+++ b/coordination/limits.h
@@ -1,61 +1,24 @@
 #ifndef COORDINATION_LIMITS_H_
 #define COORDINATION_LIMITS_H_
 
+#include <map>
 #include <memory>
-#include <optional>
 #include <variant>
 #include <vector>
 
+#include "coordination/actions.h"
+#include "coordination/contract_limits.h"
 #include "coordination/limit_messages.h"
+#include "coordination/limit_owner.h"
+#include "coordination/limit_relay.h"
 #include "coordination/limit_settings.h"
+#include "coordination/limit_shares.h"
+#include "coordination/limit_topology.h"
 #include "core/core.h"
 
 namespace gcw {
 
-class LimitOwner;
-class LimitRelay;
-class LimitShares;
-class LimitTopology;
-
-// To be sent to a peer; losing it does no harm.
-struct LimitSend {
-  NodeId to;
-  LimitBatch message;
-};
-
-using LimitsAction = std::variant<LimitSend>;
-
-// A live node as the membership view shows it.
-struct LimitPeer {
-  NodeId node;
-  ZoneId zone;
-};
-
-enum class ShareOutcome {
-  kGranted,
-  // The contract has no share here yet; the owner is asked. Try again at the
-  // next tick.
-  kPending,
-  kRequestRate,
-  kTokenRate,
-  kConcurrency,
-};
-
-struct ShareDecision {
-  ShareOutcome outcome = ShareOutcome::kPending;
-  // Until this node's share allows the request; zero when granted.
-  Duration wait;
-};
-
-// What this node may use of a contract now, for the limit view.
-struct ShareView {
-  ContractId contract;
-  LimitVector limit;
-  LimitVector share;
-  // True where the share is the floor, since no grant lives.
-  bool floor = false;
-  std::int64_t running = 0;
-};
+using LimitsAction = std::variant<PeerSend<LimitBatch>>;
 
 // All that one node does for contract limits: its own shares, and granting to
 // others where it owns a shard or relays for its zone. A plain facade over
@@ -64,32 +27,22 @@
  public:
   class Builder;
 
-  Limits(Limits&&) noexcept;
-  Limits& operator=(Limits&&) noexcept;
-  ~Limits();
-
   // The contract set. A change takes effect at once for new requests.
   void OnContract(Time now, const Contract& contract);
-  void OnContractWithdrawn(Time now, const ContractId& contract);
+  void OnContractWithdrawn(const ContractId& contract);
 
   // Live nodes, this one included. Views may differ between nodes.
   void OnView(Time now, const std::vector<LimitPeer>& peers);
 
   // This node holds role `limit/<shard>` and believes so until `valid_until`.
   // To be repeated at each renewal of the node's lease.
-  void OnRoleHeld(Time now,
-                  LimitShard shard,
-                  FencingToken fence,
-                  Time valid_until);
-  void OnRoleLost(Time now, LimitShard shard);
+  void OnRoleHeld(LimitShard shard, FencingToken fence, Time valid_until);
+  void OnRoleLost(LimitShard shard);
   // Before this node gives up the role by deleting its key: no more grants are
   // given. The role may be released from the returned time on.
   Time PrepareRelease(Time now, LimitShard shard);
   // Who holds the role now, as far as this node knows; empty for nobody.
-  void OnOwner(Time now,
-               LimitShard shard,
-               const NodeId& owner,
-               FencingToken fence);
+  void OnOwner(LimitShard shard, const NodeId& owner, FencingToken fence);
 
   std::vector<LimitsAction> OnBatch(Time now,
                                     const NodeId& from,
@@ -100,13 +53,17 @@
   // says why not. A refused request counts as demand.
   ShareDecision TryAcquire(Time now,
                            const ContractId& contract,
-                           TokenCount estimate);
+                           TokenCount estimate,
+                           AcquireAttempt attempt = AcquireAttempt::kFirst);
   // The request ended and used `actual` tokens.
-  void Release(Time now,
-               const ContractId& contract,
+  void Release(const ContractId& contract,
                TokenCount estimate,
                TokenCount actual);
 
+  // A planned stop: this node's floors may be used by others from now on. Call
+  // it when the node takes no new requests.
+  void Leave();
+
   std::vector<ShareView> View(Time now) const;
   // Sum of what this node has granted to others and not expired.
   LimitVector GrantedBy(Time now, const ContractId& contract) const;
@@ -114,16 +71,32 @@
   LimitVector ShareOf(Time now, const ContractId& contract) const;
 
  private:
-  Limits();
+  // Messages of one event, one batch for each receiver.
+  using Outbox = std::map<NodeId, LimitBatch>;
+
+  Limits(LimitParty self,
+         ZoneId zone,
+         const LimitSettings& settings,
+         EventSink sink,
+         Time started);
+
+  void HandleReport(Time now, const LimitReport& report, Outbox& outbox);
+  void HandleGrants(Time now, const NodeId& from, const LimitGrants& grants);
+  void Deliver(Time now, const NodeId& to, LimitReport report, Outbox& outbox);
+  static std::vector<LimitsAction> ActionsOf(Outbox outbox);
 
+  // On the heap, since the parts below point to them.
   std::unique_ptr<LimitTopology> topology_;
-  std::unique_ptr<LimitShares> shares_;
-  std::unique_ptr<LimitOwner> owner_;
-  std::unique_ptr<LimitRelay> relay_;
+  std::unique_ptr<ContractLimits> limits_;
+  LimitShares shares_;
+  LimitOwner owner_;
+  LimitRelay relay_;
+  NodeId self_;
 };
 
 class Limits::Builder {
  public:
+  // `incarnation` differs for each run of the process, such as its start time.
   Builder& SetSelf(NodeId node, ZoneId zone, Incarnation incarnation);
   Builder& SetSettings(LimitSettings settings);
   Builder& SetEventSink(EventSink sink);
--- /dev/null
+++ b/coordination/share_decision.h
@@ -0,0 +1,30 @@
+#ifndef COORDINATION_SHARE_DECISION_H_
+#define COORDINATION_SHARE_DECISION_H_
+
+#include "core/core.h"
+
+namespace gcw {
+
+enum class ShareOutcome {
+  kGranted,
+  // The contract has no share here yet; the owner is asked. Try again at the
+  // next tick.
+  kPending,
+  kRequestRate,
+  kTokenRate,
+  kConcurrency,
+  kUnknownContract,
+};
+
+struct ShareDecision {
+  ShareOutcome outcome = ShareOutcome::kPending;
+  // Until this node's share allows the request; zero when granted or unknown.
+  Duration wait;
+};
+
+// Only a request's first attempt counts as demand.
+enum class AcquireAttempt { kFirst, kRepeated };
+
+}  // namespace gcw
+
+#endif  // COORDINATION_SHARE_DECISION_H_
--- /dev/null
+++ b/coordination/token_bucket.cc
@@ -0,0 +1,53 @@
+#include "coordination/token_bucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gcw {
+namespace {
+
+constexpr Duration kNever = Duration::Seconds(86400);
+// Refilling in many small steps must not miss a whole token by rounding.
+constexpr double kRounding = 1e-6;
+constexpr double kMillisPerSecond = 1000.0;
+
+}  // namespace
+
+void TokenBucket::Refill(Time now) {
+  // Events may come with a time slightly before one already seen.
+  if (now <= refilled_) {
+    return;
+  }
+  const auto millis = static_cast<double>((now - refilled_).millis());
+  level_ = std::min(depth_, level_ + rate_ * millis / kMillisPerSecond);
+  refilled_ = now;
+}
+
+void TokenBucket::SetRate(Time now, double rate, double depth) {
+  Refill(now);
+  rate_ = rate;
+  depth_ = depth;
+  level_ = std::min(level_, depth_);
+}
+
+bool TokenBucket::Has(Time now, double amount) {
+  Refill(now);
+  return level_ + kRounding >= std::min(amount, depth_);
+}
+
+void TokenBucket::Return(double amount) {
+  level_ = std::min(depth_, level_ + amount);
+}
+
+Duration TokenBucket::WaitFor(Time now, double amount) {
+  if (Has(now, amount)) {
+    return {};
+  }
+  const double missing = std::min(amount, depth_) - level_;
+  const auto never = static_cast<double>(kNever.millis());
+  const double millis = missing * kMillisPerSecond / std::max(rate_, 1e-9);
+  return Duration::Millis(
+      static_cast<std::int64_t>(std::ceil(std::min(millis, never))));
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/token_bucket.h
@@ -0,0 +1,38 @@
+#ifndef COORDINATION_TOKEN_BUCKET_H_
+#define COORDINATION_TOKEN_BUCKET_H_
+
+#include "core/core.h"
+
+namespace gcw {
+
+// A token bucket whose rate changes at run time and which may go into debt:
+// what a request used is known only when it ended.
+class TokenBucket {
+ public:
+  // `rate` per second; the bucket holds at most `depth`.
+  void SetRate(Time now, double rate, double depth);
+  // Gives the first tokens to a bucket that has just come into use.
+  void Fill(double level) { level_ = level; }
+
+  // Whether `amount`, or a full bucket where it holds less, is there.
+  bool Has(Time now, double amount);
+  void Take(double amount) { level_ -= amount; }
+  void Return(double amount);
+  // Until `Has(amount)` at the present rate; a day where the rate is zero.
+  Duration WaitFor(Time now, double amount);
+
+  double rate() const { return rate_; }
+  double level() const { return level_; }
+
+ private:
+  void Refill(Time now);
+
+  double rate_ = 0;
+  double depth_ = 0;
+  double level_ = 0;
+  Time refilled_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_TOKEN_BUCKET_H_
