--- /dev/null
+++ b/tests/coordination/limits_property_test.cc
@@ -0,0 +1,130 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "tests/coordination/limits_fleet.h"
+
+namespace gcw {
+namespace {
+
+constexpr double kRounding = 1e-6;
+constexpr Duration kRoleLife = Duration::Seconds(3);
+constexpr Duration kRoleMargin = Duration::Millis(200);
+
+LimitSettings SettingsFor(std::size_t nodes, bool relays) {
+  LimitSettings settings;
+  settings.shards = 2;
+  settings.floor_nodes = static_cast<std::int64_t>(nodes);
+  settings.relay_above_nodes = relays ? 1 : 100;
+  settings.relay_group_nodes = 2;
+  return settings;
+}
+
+// One random run: callers, faults of the network, pauses, restarts, changes of
+// the contract and of the owner, which its lease alone protects.
+class HostileRun {
+ public:
+  HostileRun(std::size_t nodes, bool relays, std::uint64_t seed)
+      : settings_(SettingsFor(nodes, relays)),
+        fleet_(nodes, settings_, TestContract("c", 40, 900, 7), seed) {
+    auto& faults = fleet_.network().faults();
+    faults.lost = 0.3 * DrawUnit(fleet_.random());
+    faults.doubled = 0.3 * DrawUnit(fleet_.random());
+    faults.max_delay = Duration::Millis(
+        3 + static_cast<std::int64_t>(DrawBelow(fleet_.random(), 1500)));
+    fleet_.GiveRole(0, kRoleLife);
+  }
+
+  void Run(Duration span) {
+    for (const Time end = fleet_.now() + span; fleet_.now() < end;) {
+      RandomEvent();
+      for (std::size_t i = 0; i < fleet_.nodes().size(); ++i) {
+        if (DrawUnit(fleet_.random()) < 0.3) {
+          fleet_.Offer(i);
+        }
+      }
+      MoveRole();
+      fleet_.Step(Duration::Millis(10));
+      worst_ = std::max(worst_, fleet_.WorstSum());
+    }
+  }
+  double worst() const { return worst_; }
+  std::int64_t granted() const { return fleet_.granted(); }
+
+ private:
+  void RandomEvent() {
+    const std::size_t i = fleet_.RandomNode();
+    switch (DrawBelow(fleet_.random(), 300)) {
+      case 0:
+        fleet_.node(i).is_paused = true;
+        break;
+      case 1:
+      case 2:
+        fleet_.node(i).is_paused = false;
+        break;
+      case 3:
+        CutOff(i);
+        break;
+      case 4:
+      case 5:
+        fleet_.network().SetConnected(
+            [](const NodeId&, const NodeId&) { return true; });
+        break;
+      case 6:
+        Restart(i);
+        break;
+      case 7:
+        fleet_.ChangeContract(
+            i, TestContract("c", 20, 300, 3 + static_cast<std::int64_t>(i)));
+        break;
+      default:
+        break;
+    }
+  }
+
+  void CutOff(std::size_t i) {
+    const NodeId cut = fleet_.node(i).id;
+    fleet_.network().SetConnected([cut](const NodeId& from, const NodeId& to) {
+      return from != cut && to != cut;
+    });
+  }
+
+  // An owner that restarts has lost its lease; its role comes back by lapse.
+  void Restart(std::size_t i) {
+    if (i != fleet_.owner()) {
+      fleet_.Restart(i, settings_);
+    }
+  }
+
+  // A running owner renews its lease most of the time. When it lapsed, another
+  // node takes the role, while the old one may still believe in it.
+  void MoveRole() {
+    const bool renews = !fleet_.node(fleet_.owner()).is_paused &&
+                        DrawUnit(fleet_.random()) < 0.01 &&
+                        fleet_.now() < fleet_.role_until();
+    if (renews) {
+      fleet_.Renew(kRoleLife);
+    }
+    if (fleet_.now() > fleet_.role_until() + kRoleMargin) {
+      fleet_.GiveRole(fleet_.RandomNode(), kRoleLife);
+    }
+  }
+
+  LimitSettings settings_;
+  LimitsFleet fleet_;
+  double worst_ = 0;
+};
+
+RC_GTEST_PROP(LimitsProperty, SharesNeverExceedTheLimit, ()) {
+  const auto nodes = *rc::gen::inRange<std::size_t>(2, 7);
+  const auto relays = *rc::gen::arbitrary<bool>();
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  HostileRun run(nodes, relays, seed);
+  run.Run(Duration::Seconds(30));
+  RC_ASSERT(run.worst() <= 1 + kRounding);
+  // A fleet that grants nothing would pass without meaning anything.
+  RC_ASSERT(run.granted() > 0);
+}
+
+}  // namespace
+}  // namespace gcw
