--- /dev/null
+++ b/coordination/endpoint_pool.cc
@@ -0,0 +1,210 @@
+#include "coordination/endpoint_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gcw {
+namespace {
+
+// How fast the record of what this node sent fades.
+constexpr double kRateSpanMillis = 10000;
+constexpr double kServiceWeight = 0.02;
+
+Duration RoundedMillis(double millis) {
+  return Duration::Millis(static_cast<std::int64_t>(std::llround(millis)));
+}
+
+}  // namespace
+
+EndpointPool::EndpointPool(const RouterSettings& settings,
+                           const std::vector<EndpointState>& endpoints)
+    : settings_(settings),
+      endpoints_(endpoints),
+      stragglers_(settings.stragglers),
+      service_millis_(settings.initial_service_millis) {}
+
+void EndpointPool::Add(EndpointSlot slot) {
+  slots_.push_back(slot);
+  stragglers_.Add(slot);
+}
+
+void EndpointPool::Remove(EndpointSlot slot) {
+  std::erase(slots_, slot);
+  stragglers_.Remove(slot);
+}
+
+Result<Route, RefusalKind> EndpointPool::Choose(const ChooseInput& input,
+                                                const Random& random) {
+  Candidate probe;
+  if (TakeProbe(input, probe)) {
+    return RouteTo(probe, true);
+  }
+  Collect(input, Scope::kHealthy);
+  if (candidates_.empty()) {
+    Collect(input, Scope::kAny);
+  }
+  if (candidates_.empty()) {
+    return RefusalKind::kNoEndpoint;
+  }
+  const Candidate& chosen = Draw(random);
+  if (input.now + RoundedMillis(chosen.first_byte_millis) >
+      input.profile.deadline) {
+    return RefusalKind::kDeadline;
+  }
+  return RouteTo(chosen, false);
+}
+
+bool EndpointPool::TakeProbe(const ChooseInput& input, Candidate& probe) const {
+  if (!input.profile.repeatable || !input.excluded.empty()) {
+    return false;
+  }
+  const EndpointSlot slot = stragglers_.DueProbe(input.now);
+  if (slot.value() < 0 || !StateOf(slot).backoff.IsOpen(input.now)) {
+    return false;
+  }
+  probe = CandidateFor(input, Peers(input.now, input.nodes), slot);
+  return true;
+}
+
+void EndpointPool::Collect(const ChooseInput& input, Scope scope) {
+  candidates_.clear();
+  const PeerAssumption peers = Peers(input.now, input.nodes);
+  for (const EndpointSlot slot : slots_) {
+    const EndpointId& id = StateOf(slot).endpoint->id;
+    if (std::ranges::find(input.excluded, id) != input.excluded.end()) {
+      continue;
+    }
+    if (scope == Scope::kAny || IsHealthy(input.now, slot)) {
+      candidates_.push_back(CandidateFor(input, peers, slot));
+    }
+  }
+}
+
+bool EndpointPool::IsHealthy(Time now, EndpointSlot slot) const {
+  return !stragglers_.IsEjected(slot) && StateOf(slot).backoff.IsOpen(now);
+}
+
+EndpointPool::Candidate EndpointPool::CandidateFor(const ChooseInput& input,
+                                                   const PeerAssumption& peers,
+                                                   EndpointSlot slot) const {
+  const EndpointState& state = StateOf(slot);
+  const LoadEstimate load = state.load.Estimate(input.now, peers);
+  const double cached =
+      input.cached_blocks[static_cast<std::size_t>(slot.value())] *
+      static_cast<double>(settings_.tokens_per_block);
+  const auto prompt = static_cast<double>(input.profile.prompt_tokens.value());
+  const double uncached = std::max(0.0, prompt - cached);
+  const double millis =
+      2 * state.distance_millis + settings_.step_millis + QueueMillis(load) +
+      (load.tokens + uncached) / peers.tokens_per_milli + state.overdue_millis;
+  return {.slot = slot,
+          .cost = millis + OccupancyMillis(load),
+          .first_byte_millis = millis,
+          .uncached_tokens = uncached};
+}
+
+// Requests beyond the batch wait until as many others have ended.
+double EndpointPool::QueueMillis(const LoadEstimate& load) const {
+  if (load.batch_limit <= 0) {
+    return 0;
+  }
+  const double excess = load.requests + 1 - load.batch_limit;
+  return std::max(0.0, excess) * service_millis_ / load.batch_limit;
+}
+
+double EndpointPool::OccupancyMillis(const LoadEstimate& load) const {
+  if (load.batch_limit <= 0) {
+    return load.requests * settings_.step_millis;
+  }
+  return settings_.occupancy_millis *
+         std::pow(load.requests / load.batch_limit, settings_.occupancy_power);
+}
+
+double EndpointPool::WaitMillis(Time now,
+                                const EndpointState& state,
+                                std::int64_t nodes) const {
+  const PeerAssumption peers = Peers(now, nodes);
+  const LoadEstimate load = state.load.Estimate(now, peers);
+  return QueueMillis(load) + load.tokens / peers.tokens_per_milli +
+         state.overdue_millis;
+}
+
+// Nodes with the same old reports agree on the best endpoint; if all took it,
+// it would be the worst. So two are drawn from all that are nearly as good, and
+// the better one of these is taken.
+const EndpointPool::Candidate& EndpointPool::Draw(const Random& random) {
+  const double least =
+      std::ranges::min_element(candidates_, {}, &Candidate::cost)->cost;
+  const double limit =
+      least * (1 + settings_.near_best_share) + settings_.near_best_millis;
+  near_best_.clear();
+  for (std::size_t i = 0; i < candidates_.size(); ++i) {
+    if (candidates_[i].cost <= limit) {
+      near_best_.push_back(i);
+    }
+  }
+  const Candidate& first =
+      candidates_[near_best_[DrawBelow(random, near_best_.size())]];
+  const Candidate& second =
+      candidates_[near_best_[DrawBelow(random, near_best_.size())]];
+  return second.cost < first.cost ? second : first;
+}
+
+Route EndpointPool::RouteTo(const Candidate& candidate, bool is_probe) const {
+  const auto tokens = static_cast<std::int64_t>(candidate.uncached_tokens);
+  return {.endpoint = StateOf(candidate.slot).endpoint,
+          .slot = candidate.slot,
+          .uncached_tokens = TokenCount(tokens),
+          .expected_first_byte = RoundedMillis(candidate.first_byte_millis),
+          .is_probe = is_probe};
+}
+
+void EndpointPool::OnDispatched(Time now, const Route& route) {
+  sent_requests_ = RatePerMilli(now, sent_requests_) * kRateSpanMillis + 1;
+  sent_tokens_ = RatePerMilli(now, sent_tokens_) * kRateSpanMillis +
+                 static_cast<double>(route.uncached_tokens.value());
+  sent_updated_ = now;
+  if (route.is_probe) {
+    stragglers_.OnProbeSent(now, route.slot);
+  }
+}
+
+double EndpointPool::RatePerMilli(Time now, double sum) const {
+  const auto since = static_cast<double>((now - sent_updated_).millis());
+  return sum * std::exp(-since / kRateSpanMillis) / kRateSpanMillis;
+}
+
+void EndpointPool::OnFinished(Time now,
+                              EndpointSlot slot,
+                              Duration service,
+                              double millis_per_token) {
+  const auto millis = static_cast<double>(service.millis());
+  service_millis_ += kServiceWeight * (millis - service_millis_);
+  service_millis_ = std::max(service_millis_, 1.0);
+  if (millis_per_token > 0) {
+    stragglers_.OnSample(now, slot, millis_per_token);
+  }
+}
+
+std::vector<StragglerAction> EndpointPool::Tick(Time now) {
+  return stragglers_.Tick(now);
+}
+
+PeerAssumption EndpointPool::Peers(Time now, std::int64_t nodes) const {
+  const auto endpoints =
+      static_cast<double>(std::max<std::size_t>(1, slots_.size()));
+  return {
+      .others = static_cast<double>(nodes - 1),
+      .likeness = settings_.peer_likeness,
+      .mean_requests_per_milli = RatePerMilli(now, sent_requests_) / endpoints,
+      .mean_tokens_per_milli = RatePerMilli(now, sent_tokens_) / endpoints,
+      .service_millis = service_millis_,
+      .tokens_per_milli = settings_.prefill_tokens_per_second / 1000,
+      .report_timeout = settings_.report_timeout};
+}
+
+const EndpointState& EndpointPool::StateOf(EndpointSlot slot) const {
+  return endpoints_[static_cast<std::size_t>(slot.value())];
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/endpoint_state.h
@@ -0,0 +1,32 @@
+#ifndef COORDINATION_ENDPOINT_STATE_H_
+#define COORDINATION_ENDPOINT_STATE_H_
+
+#include <cstdint>
+#include <memory>
+
+#include "coordination/endpoint_load.h"
+#include "coordination/failure_backoff.h"
+#include "state/state.h"
+
+namespace gcw {
+
+class EndpointPool;
+
+// What a node keeps of one endpoint that it routes to.
+struct EndpointState {
+  // Null while the slot is free.
+  std::shared_ptr<const Endpoint> endpoint;
+  EndpointPool* pool = nullptr;
+  // Tells this use of the slot from earlier ones.
+  std::int64_t use = 0;
+  // One way.
+  double distance_millis = 0;
+  EndpointLoad load;
+  FailureBackoff backoff{FailureBackoffSettings()};
+  // As of the last tick.
+  double overdue_millis = 0;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_ENDPOINT_STATE_H_
--- /dev/null
+++ b/coordination/endpoint_subset.cc
@@ -0,0 +1,101 @@
+#include "coordination/endpoint_subset.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string_view>
+#include <utility>
+
+namespace gcw {
+namespace {
+
+// FNV-1a (Fowler, Noll, Vo), finished by the mix of MurmurHash3: all nodes must
+// order alike, which `std::hash` does not promise.
+std::uint64_t StableHash(std::string_view text) {
+  std::uint64_t hash = 0xcbf29ce484222325;
+  for (const char character : text) {
+    hash ^= static_cast<unsigned char>(character);
+    hash *= 0x100000001b3;
+  }
+  hash ^= hash >> 33;
+  hash *= 0xff51afd7ed558ccd;
+  hash ^= hash >> 33;
+  return hash;
+}
+
+template <typename Id>
+struct RingPlace {
+  std::uint64_t hash = 0;
+  Id id;
+
+  friend auto operator<=>(const RingPlace&, const RingPlace&) = default;
+};
+
+template <typename Id>
+using Ring = std::vector<RingPlace<Id>>;
+
+using EndpointRings = std::map<ZoneId, Ring<EndpointId>>;
+
+EndpointRings RingsByZone(const std::vector<Endpoint>& endpoints) {
+  EndpointRings rings;
+  for (const Endpoint& endpoint : endpoints) {
+    rings[endpoint.zone].push_back(
+        {StableHash(endpoint.id.value()), endpoint.id});
+  }
+  for (auto& [zone, ring] : rings) {
+    std::ranges::sort(ring);
+  }
+  return rings;
+}
+
+// Where the node stands among the nodes of its zone, as a share of the ring.
+double ShareOfRing(const NodePlace& self, const std::vector<NodePlace>& nodes) {
+  const std::uint64_t own_hash = StableHash(self.id.value());
+  std::int64_t before = 0;
+  std::int64_t peers = 1;
+  for (const NodePlace& node : nodes) {
+    if (node.zone != self.zone || node.id == self.id) {
+      continue;
+    }
+    ++peers;
+    const auto place = std::make_pair(StableHash(node.id.value()), node.id);
+    before += place < std::make_pair(own_hash, self.id) ? 1 : 0;
+  }
+  return static_cast<double>(before) / static_cast<double>(peers);
+}
+
+void AppendArc(const Ring<EndpointId>& ring,
+               double share,
+               std::size_t length,
+               std::vector<EndpointId>& chosen) {
+  const auto first =
+      static_cast<std::size_t>(share * static_cast<double>(ring.size()));
+  for (std::size_t i = 0; i < std::min(length, ring.size()); ++i) {
+    chosen.push_back(ring[(first + i) % ring.size()].id);
+  }
+}
+
+}  // namespace
+
+std::vector<EndpointId> ChooseEndpointSubset(
+    const EndpointSubsetSettings& settings,
+    const NodePlace& self,
+    const std::vector<NodePlace>& nodes,
+    const std::vector<Endpoint>& endpoints) {
+  std::vector<EndpointId> chosen;
+  if (endpoints.size() <= settings.max_endpoints) {
+    for (const Endpoint& endpoint : endpoints) {
+      chosen.push_back(endpoint.id);
+    }
+    return chosen;
+  }
+  const double share = ShareOfRing(self, nodes);
+  for (const auto& [zone, ring] : RingsByZone(endpoints)) {
+    const std::size_t length =
+        zone == self.zone ? settings.own_zone : settings.other_zone;
+    AppendArc(ring, share, length, chosen);
+  }
+  return chosen;
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/failure_backoff.cc
@@ -0,0 +1,49 @@
+#include "coordination/failure_backoff.h"
+
+#include <algorithm>
+
+namespace gcw {
+namespace {
+
+constexpr std::int64_t kMaxDoublings = 10;
+
+}  // namespace
+
+FailureBackoff::FailureBackoff(const FailureBackoffSettings& settings)
+    : settings_(settings) {}
+
+bool FailureBackoff::IsOpen(Time now) const {
+  if (failures_ == 0) {
+    return true;
+  }
+  if (now < until_) {
+    return false;
+  }
+  return !has_trial_ || now - trial_sent_ >= settings_.trial_timeout;
+}
+
+void FailureBackoff::OnSent(Time now) {
+  if (failures_ > 0) {
+    has_trial_ = true;
+    trial_sent_ = now;
+  }
+}
+
+void FailureBackoff::OnSucceeded() {
+  has_trial_ = false;
+  failures_ /= 2;
+}
+
+void FailureBackoff::OnFailed(Time now) {
+  has_trial_ = false;
+  // Requests that were under way together fail together: one step, not many.
+  if (failures_ > 0 && now < until_) {
+    return;
+  }
+  const std::int64_t doublings = std::min(failures_, kMaxDoublings);
+  const Duration wait = settings_.first * (std::int64_t{1} << doublings);
+  until_ = now + std::min(wait, settings_.longest);
+  ++failures_;
+}
+
+}  // namespace gcw
--- a/coordination/request.h
+++ b/coordination/request.h
@@ -26,9 +26,6 @@
 
 using RequestTarget = std::variant<ModelTarget, ServiceTarget>;
 
-// Hash of a prompt up to the end of a block; see docs/PLATFORM.md.
-using PrefixBlock = std::uint64_t;
-
 // What the decisions need to know of a caller's request. The body stays with
 // the transport.
 struct RequestProfile {
--- /dev/null
+++ b/state/prefix_index.cc
@@ -0,0 +1,298 @@
+#include "state/prefix_index.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace gcw {
+namespace {
+
+constexpr std::size_t kWordBits = 64;
+// Of entries that only cache events brought. Those of this node's own requests
+// have later stamps, so that other nodes' sessions never push them out.
+constexpr std::uint32_t kEventStamp = 1;
+constexpr Duration kSweepPeriod = Duration::Seconds(1);
+
+std::size_t WordOf(EndpointSlot slot) {
+  return static_cast<std::size_t>(slot.value()) / kWordBits;
+}
+
+std::uint64_t BitOf(EndpointSlot slot) {
+  return std::uint64_t{1} << (static_cast<std::size_t>(slot.value()) %
+                              kWordBits);
+}
+
+}  // namespace
+
+PrefixIndex::PrefixIndex(const PrefixIndexSettings& settings)
+    : doubt_span_(settings.doubt_span),
+      words_(
+          (static_cast<std::size_t>(settings.max_endpoints) + kWordBits - 1) /
+          kWordBits) {
+  const auto wanted = static_cast<std::size_t>(settings.max_blocks);
+  const std::size_t entries = std::bit_ceil(std::max(wanted, kWays));
+  bucket_mask_ = entries / kWays - 1;
+  blocks_.resize(entries);
+  stamps_.resize(entries);
+  masks_.resize(entries * words_ * 2);
+  slots_.resize(words_ * kWordBits);
+  unconfirm_.resize(words_);
+  seen_.resize(words_);
+}
+
+void PrefixIndex::OnDispatched(Time /*now*/,
+                               EndpointSlot slot,
+                               std::span<const PrefixBlock> blocks) {
+  ++next_stamp_;
+  for (const PrefixBlock block : blocks) {
+    Store(slot, block, next_stamp_);
+  }
+}
+
+bool PrefixIndex::OnCacheEvents(Time now,
+                                EndpointSlot slot,
+                                const CacheEventBatch& batch) {
+  SlotState& state = slots_[static_cast<std::size_t>(slot.value())];
+  // Numbers that ran backwards mean a new run of the engine, with an empty
+  // cache.
+  if (state.has_sequence && batch.next <= state.last_sequence) {
+    Forget(slot);
+  }
+  bool is_complete = true;
+  if (state.has_sequence && batch.first > state.last_sequence + 1) {
+    is_complete = false;
+  }
+  for (const CacheEvent& event : batch.events) {
+    if (state.has_sequence && event.sequence <= state.last_sequence) {
+      continue;
+    }
+    if (state.has_sequence && event.sequence != state.last_sequence + 1) {
+      is_complete = false;
+    }
+    state.has_sequence = true;
+    state.last_sequence = event.sequence;
+  }
+  if (!is_complete) {
+    MarkDoubtful(now, slot);
+  }
+  for (const CacheEvent& event : batch.events) {
+    Apply(slot, event);
+  }
+  state.has_sequence = true;
+  state.last_sequence = std::max(state.last_sequence, batch.next - 1);
+  return is_complete;
+}
+
+void PrefixIndex::Apply(EndpointSlot slot, const CacheEvent& event) {
+  if (event.kind == CacheEventKind::kStored) {
+    Store(slot, event.block, kEventStamp);
+    return;
+  }
+  const std::size_t entry = Find(event.block);
+  if (entry != kNotFound) {
+    Held(entry)[WordOf(slot)] &= ~BitOf(slot);
+    DropIfUnheld(entry);
+  }
+}
+
+void PrefixIndex::Store(EndpointSlot slot,
+                        PrefixBlock block,
+                        std::uint32_t stamp) {
+  const std::size_t entry = FindOrReplace(block, stamp);
+  if (entry == kNotFound) {
+    return;
+  }
+  stamps_[entry] = std::max(stamps_[entry], stamp);
+  Held(entry)[WordOf(slot)] |= BitOf(slot);
+  Confirmed(entry)[WordOf(slot)] |= BitOf(slot);
+}
+
+void PrefixIndex::Forget(EndpointSlot slot) {
+  for (std::size_t entry = 0; entry < blocks_.size(); ++entry) {
+    Held(entry)[WordOf(slot)] &= ~BitOf(slot);
+    DropIfUnheld(entry);
+  }
+  slots_[static_cast<std::size_t>(slot.value())] = SlotState();
+}
+
+void PrefixIndex::MarkDoubtful(Time now, EndpointSlot slot) {
+  SlotState& state = slots_[static_cast<std::size_t>(slot.value())];
+  // What was doubtful before keeps its age: a gap each few seconds must not
+  // keep old entries for ever.
+  if (!state.is_doubtful) {
+    state.is_doubtful = true;
+    state.doubtful_since = now;
+  }
+  unconfirm_[WordOf(slot)] |= BitOf(slot);
+}
+
+void PrefixIndex::Tick(Time now) {
+  if (now < next_sweep_) {
+    return;
+  }
+  next_sweep_ = now + kSweepPeriod;
+  std::vector<Word> drop(words_);
+  for (std::size_t index = 0; index < slots_.size(); ++index) {
+    SlotState& state = slots_[index];
+    if (state.is_doubtful && now - state.doubtful_since >= doubt_span_) {
+      state.is_doubtful = false;
+      drop[index / kWordBits] |= Word{1} << (index % kWordBits);
+    }
+  }
+  Sweep(drop);
+}
+
+// One pass over the table serves all endpoints that have waited for it: a pass
+// for each gap would take processor time in proportion to their number.
+void PrefixIndex::Sweep(std::span<const Word> drop) {
+  const auto is_zero = [](Word word) { return word == 0; };
+  const bool has_drop = !std::ranges::all_of(drop, is_zero);
+  if (!has_drop && std::ranges::all_of(unconfirm_, is_zero)) {
+    return;
+  }
+  for (std::size_t entry = 0; entry < blocks_.size(); ++entry) {
+    const std::span<Word> held = Held(entry);
+    const std::span<Word> confirmed = Confirmed(entry);
+    for (std::size_t word = 0; word < words_; ++word) {
+      confirmed[word] &= ~unconfirm_[word];
+      held[word] &= confirmed[word] | ~drop[word];
+    }
+    if (has_drop) {
+      DropIfUnheld(entry);
+    }
+  }
+  std::ranges::fill(unconfirm_, 0);
+}
+
+void PrefixIndex::Match(std::span<const PrefixBlock> blocks,
+                        std::vector<PrefixMatch>& matches) {
+  matches.clear();
+  std::fill(seen_.begin(), seen_.end(), 0);
+  std::size_t depth = DeepestHeld(blocks);
+  while (depth > 0) {
+    AppendHolders(Find(blocks[depth - 1]), depth, matches);
+    depth = DeepestHeld(blocks.first(depth - 1));
+  }
+}
+
+// An endpoint that holds a block nearly always holds the ones before it, so
+// the holders not yet seen end at some depth, found by bisection. Where the
+// belief has holes, the match comes out too short, which costs time only.
+std::size_t PrefixIndex::DeepestHeld(
+    std::span<const PrefixBlock> blocks) const {
+  std::size_t low = 0;
+  std::size_t high = blocks.size();
+  while (low < high) {
+    const std::size_t middle = (low + high + 1) / 2;
+    if (HoldsUnseen(Find(blocks[middle - 1]))) {
+      low = middle;
+    } else {
+      high = middle - 1;
+    }
+  }
+  return low;
+}
+
+bool PrefixIndex::HoldsUnseen(std::size_t entry) const {
+  if (entry == kNotFound) {
+    return false;
+  }
+  const std::span<const Word> held = Held(entry);
+  for (std::size_t word = 0; word < words_; ++word) {
+    if ((held[word] & ~seen_[word]) != 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void PrefixIndex::AppendHolders(std::size_t entry,
+                                std::size_t depth,
+                                std::vector<PrefixMatch>& matches) {
+  const std::span<const Word> held = Held(entry);
+  const std::span<const Word> confirmed = Confirmed(entry);
+  for (std::size_t word = 0; word < words_; ++word) {
+    Word fresh = held[word] & ~seen_[word];
+    seen_[word] |= fresh;
+    while (fresh != 0) {
+      const auto bit = static_cast<std::size_t>(std::countr_zero(fresh));
+      const Word mask = Word{1} << bit;
+      fresh &= ~mask;
+      const auto slot = static_cast<std::int64_t>(word * kWordBits + bit);
+      matches.push_back({.slot = EndpointSlot(slot),
+                         .blocks = static_cast<std::int64_t>(depth),
+                         .is_doubtful = (confirmed[word] & mask) == 0});
+    }
+  }
+}
+
+std::size_t PrefixIndex::Find(PrefixBlock block) const {
+  const std::size_t bucket = BucketOf(block);
+  for (std::size_t entry = bucket; entry < bucket + kWays; ++entry) {
+    if (blocks_[entry] == block && stamps_[entry] != 0) {
+      return entry;
+    }
+  }
+  return kNotFound;
+}
+
+std::size_t PrefixIndex::FindOrReplace(PrefixBlock block, std::uint32_t stamp) {
+  const std::size_t found = Find(block);
+  if (found != kNotFound) {
+    return found;
+  }
+  const std::size_t bucket = BucketOf(block);
+  std::size_t oldest = bucket;
+  for (std::size_t entry = bucket + 1; entry < bucket + kWays; ++entry) {
+    if (stamps_[entry] < stamps_[oldest]) {
+      oldest = entry;
+    }
+  }
+  if (stamps_[oldest] > stamp) {
+    return kNotFound;
+  }
+  known_blocks_ += stamps_[oldest] == 0 ? 1 : 0;
+  blocks_[oldest] = block;
+  stamps_[oldest] = stamp;
+  std::ranges::fill(Held(oldest), 0);
+  std::ranges::fill(Confirmed(oldest), 0);
+  return oldest;
+}
+
+void PrefixIndex::DropIfUnheld(std::size_t entry) {
+  if (stamps_[entry] == 0) {
+    return;
+  }
+  const std::span<const Word> held = Held(entry);
+  if (std::ranges::all_of(held, [](Word word) { return word == 0; })) {
+    stamps_[entry] = 0;
+    --known_blocks_;
+  }
+}
+
+std::size_t PrefixIndex::BucketOf(PrefixBlock block) const {
+  return (static_cast<std::size_t>(block) & bucket_mask_) * kWays;
+}
+
+std::span<PrefixIndex::Word> PrefixIndex::Held(std::size_t entry) {
+  return {masks_.data() + entry * words_ * 2, words_};
+}
+
+std::span<const PrefixIndex::Word> PrefixIndex::Held(std::size_t entry) const {
+  return {masks_.data() + entry * words_ * 2, words_};
+}
+
+std::span<PrefixIndex::Word> PrefixIndex::Confirmed(std::size_t entry) {
+  return {masks_.data() + (entry * 2 + 1) * words_, words_};
+}
+
+std::span<const PrefixIndex::Word> PrefixIndex::Confirmed(
+    std::size_t entry) const {
+  return {masks_.data() + (entry * 2 + 1) * words_, words_};
+}
+
+std::size_t PrefixIndex::memory_bytes() const {
+  return blocks_.size() * (sizeof(PrefixBlock) + sizeof(std::uint32_t)) +
+         masks_.size() * sizeof(Word) + slots_.size() * sizeof(SlotState);
+}
+
+}  // namespace gcw
--- a/state/state.h
+++ b/state/state.h
@@ -3,10 +3,13 @@
 
 // Public header of the state library: what nodes know and agree on.
 
+#include "state/cache_events.h"
 #include "state/contract.h"
 #include "state/domain_record.h"
 #include "state/endpoint.h"
 #include "state/load_report.h"
+#include "state/prefix_block.h"
+#include "state/prefix_index.h"
 #include "state/store_types.h"
 #include "state/vm_list.h"
 
