--- a/state/state.h
+++ b/state/state.h
@@ -5,6 +5,7 @@
 
 #include "state/cache_event.h"
 #include "state/config_store.h"
+#include "state/cache_events.h"
 #include "state/contract.h"
 #include "state/contract_entry.h"
 #include "state/domain_record.h"
@@ -13,6 +14,8 @@
 #include "state/engine_status.h"
 #include "state/load_report.h"
 #include "state/node_record.h"
+#include "state/prefix_block.h"
+#include "state/prefix_index.h"
 #include "state/store_types.h"
 #include "state/vm_list.h"
 #include "state/weight_store_status.h"
