--- /dev/null
+++ b/coordination/kept_domain.h
@@ -0,0 +1,94 @@
+#ifndef COORDINATION_KEPT_DOMAIN_H_
+#define COORDINATION_KEPT_DOMAIN_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "coordination/domain_writer.h"
+#include "coordination/keeper_settings.h"
+#include "coordination/order_sender.h"
+#include "coordination/repair_planner.h"
+#include "coordination/vm_tracker.h"
+#include "state/state.h"
+
+namespace gcw {
+
+// One fabric domain while this node holds its keeper role: keeps its record and
+// its engines in step. The record goes first; engines are told only what is
+// known to be committed.
+class KeptDomain {
+ public:
+  KeptDomain(FabricDomainId domain,
+             const KeeperSettings& settings,
+             DomainWriter writer,
+             EventSink events);
+
+  void OnRoleHeld(Time now, FencingToken fence, Time valid_until);
+
+  // Writes down what the evidence confirms and what `moves` ask for, if
+  // anything, in one compare-and-swap.
+  void Advance(Time now,
+               const VmTracker& tracker,
+               const std::vector<RepairMove>& moves);
+
+  // The call to the key-value service that is due.
+  std::optional<StoreCall> DueCall(Time now) { return writer_.Tick(now); }
+  void OnCallSent(Time now, StoreCallId id) { writer_.OnCallSent(now, id); }
+  // Returns whether a newer record became known.
+  bool OnStoreReply(Time now, StoreCallId id, const StoreReply& reply);
+
+  // The orders that the committed record calls for and that may leave now.
+  // Their ids are unique within the domain.
+  std::vector<SendOrder> DueOrders(Time now, const VmTracker& tracker);
+  void OnOrderReply(Time now, OrderId id, const OrderReply& reply);
+
+  // How closely each VM of the domain must be watched.
+  void SetWatches(VmTracker& tracker) const;
+
+  // Whether the VM is in no group by the record, and its engine said so after
+  // anything that was ordered of it was over.
+  bool IsAssignable(Time now, const VmTracker& tracker, const VmId& vm) const;
+
+  // Whether the engine lost its place: it restarted, failed, or does not
+  // answer.
+  bool IsLost(Time now, const VmTracker& tracker, const VmId& vm) const;
+
+  const DomainWriter& writer() const { return writer_; }
+
+ private:
+  bool ConfirmLeft(Time now, const VmTracker& tracker, DomainRecord& next);
+  bool ConfirmReady(const VmTracker& tracker, DomainRecord& next);
+  bool ConfirmDrained(Time now, const VmTracker& tracker, DomainRecord& next);
+  bool HasLeft(Time now,
+               const VmTracker& tracker,
+               const LeavingMember& member) const;
+  bool IsReady(const VmTracker& tracker,
+               const GroupRecord& group,
+               const VmId& vm) const;
+  std::optional<EngineOrder> OrderFor(const VmTracker& tracker,
+                                      const VmFacts& facts) const;
+  EngineOrder MakeOrder(const VmTracker& tracker,
+                        EngineOrderKind kind,
+                        const GroupRecord& group) const;
+  EngineOrder LeaveOrder(const EngineStatus& status) const;
+  ChangeId NextChange();
+  GroupId NextGroup();
+
+  FabricDomainId domain_;
+  KeeperSettings settings_;
+  DomainWriter writer_;
+  OrderSender sender_;
+  EventSink events_;
+  // Since when a group's record has said that it drains, as this node knows.
+  std::map<GroupId, Time> draining_since_;
+  // Since when the record has named a VM as leaving, as this node knows.
+  std::map<VmId, Time> leaving_since_;
+  std::int64_t last_change_ = 0;
+  std::int64_t last_group_ = 0;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_KEPT_DOMAIN_H_
--- /dev/null
+++ b/coordination/presence_prober.h
@@ -0,0 +1,106 @@
+#ifndef COORDINATION_PRESENCE_PROBER_H_
+#define COORDINATION_PRESENCE_PROBER_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "coordination/groups_messages.h"
+#include "coordination/vm_probe.h"
+#include "state/state.h"
+
+namespace gcw {
+
+// Settings of the prober.
+struct ProberSettings {
+  // Between probes of a group's first VM, or of a plain service.
+  Duration interval = Duration::Millis(1000);
+  // Between probes of each other VM of a group. Where engines do not vouch,
+  // `interval` is used for all.
+  Duration member_interval = Duration::Seconds(10);
+  Duration timeout = Duration::Millis(500);
+  // A VM counts as present this long after the sending of a probe that it
+  // answered.
+  Duration fresh = Duration::Millis(2500);
+  // Whether rank 0's `members_seen` counts as evidence of other members.
+  bool engines_vouch = true;
+  // How far `members_seen` may lag behind the members.
+  Duration vouch_lag = Duration::Millis(500);
+};
+
+// Whom to ask about one endpoint.
+struct ProbeTarget {
+  EndpointId endpoint;
+  // Empty for plain services.
+  GroupId group;
+  Generation generation;
+  VmPurpose purpose = VmPurpose::kModelEngine;
+  // In rank order.
+  std::vector<GroupMember> members;
+
+  friend bool operator==(const ProbeTarget&, const ProbeTarget&) = default;
+};
+
+// What the prober found about one endpoint.
+struct PresenceFinding {
+  Presence presence = Presence::kIncomplete;
+  // Meaningful where complete: no member's evidence is older.
+  Time evidence_time;
+  // The first VM at fault where incomplete.
+  VmId missing;
+};
+
+// Probes the VMs of the endpoints that this node was chosen for and tells
+// whether each endpoint is complete.
+class PresenceProber {
+ public:
+  explicit PresenceProber(ProberSettings settings);
+
+  // Replaces the endpoints to probe; keeps what is known of those that stay.
+  void SetTargets(Time now, const std::vector<ProbeTarget>& targets);
+
+  // The probes that are due.
+  std::vector<ProbeVm> Tick(Time now);
+
+  void OnReply(Time now, ProbeId id, const ProbeReply& reply);
+
+  // Nothing for endpoints that are not probed here.
+  std::optional<PresenceFinding> Find(Time now,
+                                      const EndpointId& endpoint) const;
+
+  // Whether most VMs seem lost at once, which more likely means that this node
+  // is cut off than that they all are.
+  bool SeemsCutOff(Time now) const;
+
+ private:
+  struct VmView {
+    Address address;
+    VmPurpose purpose = VmPurpose::kModelEngine;
+    Duration interval;
+    Time next_probe;
+    // When the answered probe was sent; absent until one is.
+    std::optional<Time> answered;
+    bool refused = false;
+    EngineStatus status;
+  };
+  struct Sent {
+    VmId vm;
+    Time at;
+  };
+
+  bool IsPresent(Time now,
+                 const ProbeTarget& target,
+                 const GroupMember& member,
+                 Time& evidence) const;
+
+  ProberSettings settings_;
+  std::map<EndpointId, ProbeTarget> targets_;
+  std::map<VmId, VmView> vms_;
+  std::map<ProbeId, Sent> sent_;
+  ProbeId last_id_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_PRESENCE_PROBER_H_
--- /dev/null
+++ b/coordination/serving_gate.h
@@ -0,0 +1,238 @@
+#ifndef COORDINATION_SERVING_GATE_H_
+#define COORDINATION_SERVING_GATE_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "coordination/actions.h"
+#include "coordination/groups_messages.h"
+#include "coordination/peer_presence.h"
+#include "coordination/presence_log.h"
+#include "coordination/presence_prober.h"
+#include "coordination/vm_probe.h"
+#include "state/state.h"
+
+namespace gcw {
+
+// Settings of the serving gate.
+struct GateSettings {
+  ProberSettings prober;
+  // Nodes of its zone that probe each endpoint.
+  int probers_per_endpoint = 2;
+  // Nodes of each other zone from which this node hears of that zone.
+  int correspondents_per_zone = 2;
+  // Between reports to each peer. Changes are sent at the next tick.
+  Duration report_interval = Duration::Millis(1000);
+  // An endpoint of this zone stays open at most this long after the newest
+  // evidence that all its VMs were present.
+  Duration max_evidence_age = Duration::Millis(4000);
+  // The same for endpoints of other zones, whose evidence travels further.
+  Duration max_remote_evidence_age = Duration::Millis(8000);
+  // A peer that stays silent this long gets no reports unless this node chose
+  // it.
+  Duration peer_timeout = Duration::Seconds(10);
+};
+
+// A node as far as evidence needs it.
+struct GatePeer {
+  NodeId id;
+  ZoneId zone;
+
+  friend bool operator==(const GatePeer&, const GatePeer&) = default;
+};
+
+// Why an endpoint gets no requests.
+enum class CloseReason {
+  // A VM is missing, restarted, or not in this generation.
+  kVmMissing,
+  // Nobody vouched for the endpoint lately, for example since this node is cut
+  // off.
+  kStaleEvidence,
+  // The group's record says that it drains.
+  kDraining,
+  // The VM list says that one of its VMs is about to go.
+  kLeaving,
+  // The members changed; the new generation opens on its own evidence.
+  kNewGeneration,
+  // The group or service VM no longer exists.
+  kGone,
+  // A request found nothing listening there.
+  kUnreachable,
+};
+
+std::string_view CloseReasonName(CloseReason reason);
+
+// Requests may go there from now on.
+struct EndpointOpened {
+  Endpoint endpoint;
+};
+
+// No new request goes there from now on.
+struct EndpointClosed {
+  EndpointId endpoint;
+  CloseReason reason = CloseReason::kVmMissing;
+};
+
+// The endpoint is leaving and this node's last request there has ended.
+struct EndpointDrained {
+  EndpointId endpoint;
+};
+
+using ServingGateAction = std::variant<EndpointOpened,
+                                       EndpointClosed,
+                                       EndpointDrained,
+                                       ProbeVm,
+                                       PeerSend<PresenceReport>>;
+
+// Decides at each node which endpoints may get requests. An endpoint is open
+// only on fresh evidence that each of its VMs is present in the generation that
+// the domain's record names; without evidence it closes, and with it opens
+// again, whether or not the key-value service answers.
+class ServingGate {
+ public:
+  class Builder;
+
+  // The newest known record of a domain, from a read, a watch or a peer. Older
+  // ones than already known are ignored.
+  std::vector<ServingGateAction> OnDomainRecord(Time now,
+                                                const DomainRecord& record,
+                                                Revision revision);
+  // The domain's record was deleted.
+  std::vector<ServingGateAction> OnDomainGone(Time now,
+                                              const FabricDomainId& domain,
+                                              Revision revision);
+  std::vector<ServingGateAction> OnVmList(Time now,
+                                          const VmListSnapshot& snapshot);
+  // All living nodes, this one included.
+  std::vector<ServingGateAction> OnPeers(Time now,
+                                         const std::vector<GatePeer>& peers);
+  std::vector<ServingGateAction> OnProbeReply(Time now,
+                                              ProbeId id,
+                                              const ProbeReply& reply);
+  std::vector<ServingGateAction> OnPresenceReport(Time now,
+                                                  const NodeId& from,
+                                                  const PresenceReport& report);
+
+  // This node's own requests, so that the last one of a leaving endpoint is
+  // known.
+  void OnRequestStarted(const EndpointId& endpoint);
+  std::vector<ServingGateAction> OnRequestEnded(Time now,
+                                                const EndpointId& endpoint);
+  // A connection to the endpoint was refused. It stays closed here until
+  // evidence taken after `now` says that it is complete.
+  std::vector<ServingGateAction> OnUnreachable(Time now,
+                                               const EndpointId& endpoint);
+
+  std::vector<ServingGateAction> Tick(Time now);
+
+  // Whether a request may go there now.
+  bool IsOpen(const EndpointId& endpoint) const;
+
+  // The endpoint's id for a group.
+  static EndpointId EndpointOf(const GroupId& group);
+
+ private:
+  struct Known {
+    Endpoint endpoint;
+    ProbeTarget target;
+    bool draining = false;
+    bool leaving = false;
+    // Present in records or the VM list.
+    bool exists = true;
+    bool open = false;
+    bool drained_reported = false;
+    std::int64_t running = 0;
+    std::optional<Time> unreachable_since;
+  };
+  struct DomainView {
+    DomainRecord record;
+    Revision revision;
+  };
+  // What the evidence says of one endpoint.
+  struct Verdict {
+    bool open = false;
+    CloseReason reason = CloseReason::kStaleEvidence;
+    // Of the newest evidence that it is complete.
+    Time evidence_time;
+  };
+
+  ServingGate(NodeId self,
+              Incarnation incarnation,
+              ZoneId zone,
+              GateSettings settings,
+              EventSink events);
+
+  void RebuildEndpoints(Time now, std::vector<ServingGateAction>& actions);
+  void AddGroupEndpoints(std::map<EndpointId, Known>& found) const;
+  void AddServiceEndpoints(std::map<EndpointId, Known>& found) const;
+  void ChooseTargets(Time now);
+  bool IsProberOf(const EndpointId& endpoint) const;
+  void Review(Time now, std::vector<ServingGateAction>& actions);
+  Verdict Judge(Time now, const Known& known) const;
+  void Consider(Time now,
+                const Known& known,
+                const PresenceEntry& entry,
+                Time evidence,
+                Verdict& verdict,
+                bool& denied) const;
+  Duration MaxAge(const Known& known) const;
+  void Open(Known& known, std::vector<ServingGateAction>& actions);
+  void Close(Known& known,
+             CloseReason reason,
+             std::vector<ServingGateAction>& actions);
+  void ReportDrained(Known& known, std::vector<ServingGateAction>& actions);
+  bool UpdateOwnFindings(Time now);
+  bool UpdateZoneFindings(Time now);
+  void SendReports(Time now, std::vector<ServingGateAction>& actions);
+  PresenceReport MakeReport(Time now,
+                            const PresenceLog& log,
+                            Duration oldest_age,
+                            const NodeId& to) const;
+  bool IsCorrespondent(const GatePeer& peer) const;
+  Duration OldestOwnAge(Time now) const;
+  Duration OldestZoneAge(Time now) const;
+
+  NodeId self_;
+  Incarnation incarnation_;
+  ZoneId zone_;
+  GateSettings settings_;
+  EventSink events_;
+  PresenceProber prober_;
+  // What this node's own probes found, for its zone.
+  PresenceLog own_log_;
+  // What this node knows of its whole zone, for other zones.
+  PresenceLog zone_log_;
+  std::map<NodeId, GatePeer> peers_;
+  std::map<NodeId, PeerPresence> heard_;
+  std::set<NodeId> correspondents_;
+  std::map<FabricDomainId, DomainView> records_;
+  std::map<VmId, VmEntry> vms_;
+  Time vm_list_as_of_;
+  std::map<EndpointId, Known> endpoints_;
+  Time next_report_;
+};
+
+// Builds a serving gate.
+class ServingGate::Builder {
+ public:
+  // `incarnation` must differ between runs of this node.
+  Builder& SetSelf(NodeId self, Incarnation incarnation, ZoneId zone);
+  Builder& SetSettings(GateSettings settings);
+  Builder& SetEventSink(EventSink events);
+  ServingGate Build() const;
+
+ private:
+  NodeId self_;
+  Incarnation incarnation_;
+  ZoneId zone_;
+  GateSettings settings_;
+  EventSink events_ = DiscardEvents();
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_SERVING_GATE_H_
--- a/state/state.h
+++ b/state/state.h
@@ -7,9 +7,12 @@
 #include "state/contract.h"
 #include "state/domain_record.h"
 #include "state/endpoint.h"
+#include "state/engine_order.h"
+#include "state/engine_status.h"
 #include "state/load_report.h"
 #include "state/node_record.h"
 #include "state/store_types.h"
 #include "state/vm_list.h"
+#include "state/wanted_model.h"
 
 #endif  // STATE_STATE_H_
