--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -20,6 +20,8 @@
 #include "coordination/limit_settings.h"
 #include "coordination/limit_vector.h"
 #include "coordination/limits.h"
+#include "coordination/group_keeper.h"
+#include "coordination/groups_messages.h"
 #include "coordination/member.h"
 #include "coordination/membership.h"
 #include "coordination/membership_messages.h"
@@ -29,6 +31,7 @@
 #include "coordination/once_owner.h"
 #include "coordination/once_placement.h"
 #include "coordination/rendezvous.h"
+#include "coordination/repair_planner.h"
 #include "coordination/request.h"
 #include "coordination/role_assignment.h"
 #include "coordination/role_leases.h"
@@ -44,5 +47,7 @@
 #include "coordination/router.h"
 #include "coordination/router_settings.h"
 #include "coordination/straggler_detector.h"
+#include "coordination/serving_gate.h"
+#include "coordination/vm_probe.h"
 
 #endif  // COORDINATION_COORDINATION_H_
