--- a/coordination/endpoint_pool.cc
+++ b/coordination/endpoint_pool.cc
@@ -55,7 +55,8 @@
 }
 
 bool EndpointPool::TakeProbe(const ChooseInput& input, Candidate& probe) const {
-  if (!input.profile.repeatable || !input.excluded.empty()) {
+  if (!input.profile.repeatable || !input.excluded.empty() ||
+      !input.allowed.empty()) {
     return false;
   }
   const EndpointSlot slot = stragglers_.DueProbe(input.now);
@@ -74,6 +75,10 @@
     if (std::ranges::find(input.excluded, id) != input.excluded.end()) {
       continue;
     }
+    if (!input.allowed.empty() &&
+        std::ranges::find(input.allowed, id) == input.allowed.end()) {
+      continue;
+    }
     if (scope == Scope::kAny || IsHealthy(input.now, slot)) {
       candidates_.push_back(CandidateFor(input, peers, slot));
     }
--- a/coordination/endpoint_pool.h
+++ b/coordination/endpoint_pool.h
@@ -16,6 +16,8 @@
   Time now;
   const RequestProfile& profile;
   std::span<const EndpointId> excluded;
+  // Only these may be chosen; all where empty.
+  std::span<const EndpointId> allowed;
   // By slot: blocks of the prompt believed to be held.
   std::span<const double> cached_blocks;
   // Nodes that route to the same endpoints, with this one.
--- a/coordination/membership_messages.h
+++ b/coordination/membership_messages.h
@@ -7,7 +7,9 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/guard_messages.h"
 #include "coordination/member.h"
+#include "coordination/role_assignment.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -22,36 +24,18 @@
   std::optional<NodeRecord> record;
 };
 
-// A request with this fingerprint is not to be dispatched, since it crashed
-// endpoints, or may be dispatched again.
-struct FingerprintDelta {
-  Fingerprint fingerprint;
-  bool blocked = true;
-  // Endpoints that it crashed so far.
-  std::int64_t losses = 0;
-  // From the receipt on; clocks of nodes may differ.
-  Duration time_to_live;
-
-  friend bool operator==(const FingerprintDelta&,
-                         const FingerprintDelta&) = default;
-};
+// The sender holds a control role.
+struct RoleHolderDelta {
+  RoleName role;
+  FencingToken fence;
 
-// Fresh evidence that a VM of a replica group is present or missing.
-struct GroupEvidenceDelta {
-  GroupId group;
-  Generation generation;
-  VmId vm;
-  bool present = false;
-  // How old the evidence was when the origin sent it.
-  Duration age;
-
-  friend bool operator==(const GroupEvidenceDelta&,
-                         const GroupEvidenceDelta&) = default;
+  friend bool operator==(const RoleHolderDelta&,
+                         const RoleHolderDelta&) = default;
 };
 
 // Small soft state of other modules that rides along. Each delta replaces what
 // earlier ones of the same origin said of the same subject.
-using Delta = std::variant<FingerprintDelta, GroupEvidenceDelta>;
+using Delta = std::variant<SuspectRumor, RoleHolderDelta>;
 
 // A delta on its way through the fleet.
 struct DeltaRumor {
--- a/coordination/node_core.cc
+++ b/coordination/node_core.cc
@@ -107,9 +107,9 @@
       endpoints_(settings_.endpoints,
                  settings_.self.id,
                  settings_.self.zone,
-                 EndpointModules{&gate_, &keeper_, &router_, &admission_}),
+                 EndpointModules{&gate_, &keeper_, router_.get(), &admission_}),
       requests_(settings_.requests,
-                RequestModules{&admission_, &router_, once_client_.get(),
+                RequestModules{&admission_, router_.get(), once_client_.get(),
                                guard_.get(), &retries_, &retry_after_},
                 AttemptPrefix(settings_),
                 events_) {
@@ -164,7 +164,7 @@
 }
 
 void NodeCore::On(Time now, const TimePassed&) {
-  Apply(now, lease_.Tick(now));
+  CallStoreFor(NodeModule::kNodeLease, lease_.Tick(now));
   Apply(now, membership_.Tick(now));
   if (membership_.view_version() != seen_view_) {
     seen_view_ = membership_.view_version();
@@ -172,7 +172,7 @@
   }
   Apply(now, configuration_->Tick(now));
   UpdateRoles(now);
-  Apply(now, roles_.Tick(now));
+  CallStoreFor(NodeModule::kRoleLeases, roles_.Tick(now));
   TellRoles(now);
   Apply(now, limits_.Tick(now));
   Apply(now, once_owner_->Tick(now));
@@ -180,7 +180,7 @@
   Apply(now, requests_.OnOnce(now, once_client_->Tick(now)));
   Apply(now, requests_.OnGuard(now, guard_->Tick(now)));
   Apply(now, requests_.OnAdmission(now, admission_.Tick(now)));
-  router_.Tick(now);
+  router_->Tick(now);
   retries_.Tick(now);
   Apply(now, requests_.Tick(now));
   UpdateRefusal(now);
@@ -206,10 +206,12 @@
 void NodeCore::On(Time now, const StoreAnswered& event) {
   switch (event.module) {
     case NodeModule::kNodeLease:
-      Apply(now, lease_.OnStoreReply(now, event.id, event.reply));
+      CallStoreFor(NodeModule::kNodeLease,
+                   lease_.OnStoreReply(now, event.id, event.reply));
       break;
     case NodeModule::kRoleLeases:
-      Apply(now, roles_.OnStoreReply(now, event.id, event.reply));
+      CallStoreFor(NodeModule::kRoleLeases,
+                   roles_.OnStoreReply(now, event.id, event.reply));
       break;
     case NodeModule::kMembership:
       Apply(now, membership_.OnStoreReply(now, event.id, event.reply));
@@ -286,7 +288,7 @@
   Apply(now, membership_.Leave(now));
   NodeRecord record = settings_.self;
   record.leaving = true;
-  Apply(now, lease_.SetRecord(now, record));
+  CallStoreFor(NodeModule::kNodeLease, lease_.SetRecord(now, record));
 }
 
 // Carries a planned stop on: callers that keep this node's address are served
@@ -297,12 +299,13 @@
       requests_.open_requests() > 0) {
     return;
   }
+  limits_.Leave();
   Apply(now, once_owner_->Release(now));
   if (!once_owner_->released() || !roles_.HeldRoles(now).empty()) {
     return;
   }
   stopped_ = true;
-  Apply(now, lease_.Release(now));
+  CallStoreFor(NodeModule::kNodeLease, lease_.Release(now));
   events_(EventDraft{
       EventKind::kNodeStopped, settings_.self.id.value(), EventId(), {}});
   actions_.emplace_back(StopNow{});
@@ -369,7 +372,8 @@
       desired.insert(role);
     }
   }
-  Apply(now, roles_.SetDesired(now, std::move(desired)));
+  CallStoreFor(NodeModule::kRoleLeases,
+               roles_.SetDesired(now, std::move(desired)));
 }
 
 void NodeCore::TellRoles(Time now) {
@@ -387,9 +391,9 @@
     held.emplace(role, announced);
     if (const std::optional<LimitShard> shard = LimitShardOf(role)) {
       if (!releasing_.contains(role)) {
-        limits_.OnRoleHeld(now, *shard, lease.fence, lease.valid_until);
+        limits_.OnRoleHeld(*shard, lease.fence, lease.valid_until);
       }
-      limits_.OnOwner(now, *shard, settings_.self.id, lease.fence);
+      limits_.OnOwner(*shard, settings_.self.id, lease.fence);
     } else if (role.value().starts_with(kKeeperRole)) {
       keeper_.OnRoleHeld(
           now, FabricDomainId(role.value().substr(kKeeperRole.size())),
@@ -402,7 +406,7 @@
     }
     releasing_.erase(role);
     if (const std::optional<LimitShard> shard = LimitShardOf(role)) {
-      limits_.OnRoleLost(now, *shard);
+      limits_.OnRoleLost(*shard);
     } else if (role.value().starts_with(kKeeperRole)) {
       keeper_.OnRoleLost(
           FabricDomainId(role.value().substr(kKeeperRole.size())));
--- a/coordination/node_core.h
+++ b/coordination/node_core.h
@@ -97,7 +97,7 @@
   const OnceOwner& once_owner() const { return *once_owner_; }
   std::vector<ShareView> Shares(Time now) const { return limits_.View(now); }
   std::vector<EndpointView> Endpoints(Time now) const {
-    return router_.Endpoints(now);
+    return router_->Endpoints(now);
   }
   std::vector<RoleName> Roles(Time now) const { return roles_.HeldRoles(now); }
   // The newest domain records that this node knows.
@@ -141,8 +141,8 @@
   void OnPeer(Time now, const NodeId& from, const LoadDigest& message);
 
   // Actions of the modules.
-  void Apply(Time now, std::vector<NodeLeaseAction> actions);
-  void Apply(Time now, std::vector<RoleLeasesAction> actions);
+  void CallStoreFor(NodeModule module,
+                    std::vector<std::variant<StoreRequest>> actions);
   void Apply(Time now, std::vector<MembershipAction> actions);
   void Apply(Time now, std::vector<ConfigSyncAction> actions);
   void Apply(Time now, std::vector<LimitsAction> actions);
@@ -176,7 +176,7 @@
   EntryDirectory entries_;
   Limits limits_;
   Admission admission_;
-  Router router_;
+  std::unique_ptr<Router> router_;
   RetryBudget retries_;
   RetryAfterPlanner retry_after_;
   std::unique_ptr<OnceClient> once_client_;
--- a/coordination/node_core_actions.cc
+++ b/coordination/node_core_actions.cc
@@ -81,17 +81,10 @@
   Apply(now, endpoints_.OnLoads(now, message));
 }
 
-void NodeCore::Apply(Time, std::vector<NodeLeaseAction> actions) {
-  for (NodeLeaseAction& action : actions) {
-    CallStoreFor(NodeModule::kNodeLease,
-                 std::get<StoreRequest>(std::move(action)));
-  }
-}
-
-void NodeCore::Apply(Time, std::vector<RoleLeasesAction> actions) {
-  for (RoleLeasesAction& action : actions) {
-    CallStoreFor(NodeModule::kRoleLeases,
-                 std::get<StoreRequest>(std::move(action)));
+void NodeCore::CallStoreFor(NodeModule module,
+                            std::vector<std::variant<StoreRequest>> actions) {
+  for (std::variant<StoreRequest>& action : actions) {
+    CallStoreFor(module, std::get<StoreRequest>(std::move(action)));
   }
 }
 
@@ -132,7 +125,7 @@
 
 void NodeCore::Apply(Time, std::vector<LimitsAction> actions) {
   for (LimitsAction& action : actions) {
-    LimitSend& send = std::get<LimitSend>(action);
+    auto& send = std::get<PeerSend<LimitBatch>>(action);
     Send(send.to, std::move(send.message));
   }
 }
@@ -204,18 +197,17 @@
 }
 
 void NodeCore::OnDelta(Time now, const DeltaHeard& heard) {
-  std::visit(
-      Overloaded{[&](const SuspectRumor& rumor) {
-                   Apply(now,
-                         requests_.OnGuard(now, guard_->OnRumor(now, rumor)));
-                 },
-                 [&](const RoleHolderDelta& holder) {
-                   if (const std::optional<LimitShard> shard =
-                           LimitShardOf(holder.role)) {
-                     limits_.OnOwner(now, *shard, heard.origin, holder.fence);
-                   }
-                 }},
-      heard.delta);
+  std::visit(Overloaded{[&](const SuspectRumor& rumor) {
+                          Apply(now, requests_.OnGuard(
+                                         now, guard_->OnRumor(now, rumor)));
+                        },
+                        [&](const RoleHolderDelta& holder) {
+                          if (const std::optional<LimitShard> shard =
+                                  LimitShardOf(holder.role)) {
+                            limits_.OnOwner(*shard, heard.origin, holder.fence);
+                          }
+                        }},
+             heard.delta);
 }
 
 void NodeCore::OnConfigApplied(Time now, const ConfigEntry& entry) {
@@ -238,7 +230,7 @@
     contract = codecs_.decode_contract(*entry.record.value);
   }
   if (!contract) {
-    limits_.OnContractWithdrawn(now, id);
+    limits_.OnContractWithdrawn(id);
     Apply(now,
           requests_.OnAdmission(now, admission_.OnContractWithdrawn(now, id)));
     return;
--- a/coordination/request_desk.cc
+++ b/coordination/request_desk.cc
@@ -62,10 +62,9 @@
   }
   const RequestId id = profile.id;
   AttemptLog log(PolicyFor(profile, settings_.most_attempts));
-  Request& request = requests_
-                         .emplace(id, Request{.profile = std::move(profile),
-                                              .log = std::move(log)})
-                         .first->second;
+  Request& request =
+      requests_.try_emplace(id, std::move(profile), std::move(log))
+          .first->second;
   deadlines_.emplace(request.profile.deadline, id);
   if (contract == nullptr) {
     GiveUp(now, request, RefusalKind::kUnknownKey);
--- a/coordination/request_desk.h
+++ b/coordination/request_desk.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "coordination/admission.h"
@@ -107,6 +108,9 @@
     bool first_byte = false;
   };
   struct Request {
+    Request(RequestProfile with_profile, AttemptLog with_log)
+        : profile(std::move(with_profile)), log(std::move(with_log)) {}
+
     RequestProfile profile;
     AttemptLog log;
     Phase phase = Phase::kOffered;
--- a/coordination/router.cc
+++ b/coordination/router.cc
@@ -122,6 +122,14 @@
     Time now,
     const RequestProfile& profile,
     std::span<const EndpointId> excluded) {
+  return ChooseAmong(now, profile, excluded, {});
+}
+
+Result<Route, RefusalKind> Router::ChooseAmong(
+    Time now,
+    const RequestProfile& profile,
+    std::span<const EndpointId> excluded,
+    std::span<const EndpointId> allowed) {
   EndpointPool* pool = FindPool(profile.target);
   if (pool == nullptr) {
     return std::holds_alternative<ModelTarget>(profile.target)
@@ -137,6 +145,7 @@
   auto result = pool->Choose({.now = now,
                               .profile = profile,
                               .excluded = excluded,
+                              .allowed = allowed,
                               .cached_blocks = cached_blocks_,
                               .nodes = nodes_},
                              random_);
--- a/coordination/router.h
+++ b/coordination/router.h
@@ -50,6 +50,11 @@
   Result<Route, RefusalKind> Choose(Time now,
                                     const RequestProfile& profile,
                                     std::span<const EndpointId> excluded);
+  // The same, but only among `allowed`; among all where it is empty.
+  Result<Route, RefusalKind> ChooseAmong(Time now,
+                                         const RequestProfile& profile,
+                                         std::span<const EndpointId> excluded,
+                                         std::span<const EndpointId> allowed);
 
   // The attempt left for the route's endpoint. The ticket names it afterwards;
   // each of the calls below may come late or twice.
--- a/state/cache_event.h
+++ b/state/cache_event.h
@@ -4,6 +4,9 @@
 #include <cstdint>
 #include <vector>
 
+#include "core/core.h"
+#include "state/prefix_block.h"
+
 namespace gcw {
 
 enum class CacheEventKind { kStored, kEvicted };
@@ -14,7 +17,7 @@
   std::int64_t sequence = 0;
   CacheEventKind kind = CacheEventKind::kStored;
   // Hash of the prompt up to the block's end; see docs/PLATFORM.md.
-  std::uint64_t block = 0;
+  PrefixBlock block = 0;
 
   friend bool operator==(const CacheEvent&, const CacheEvent&) = default;
 };
@@ -22,6 +25,9 @@
 // The events after the sequence number that was asked for. Where `first` is not
 // the number after it, the events between are lost.
 struct CacheEventBatch {
+  // Set by whoever asked; the engine's answer does not name them.
+  EndpointId endpoint;
+  Generation generation;
   std::int64_t first = 1;
   // The number of the first event that is not in the batch. Not above the asked
   // number where the engine has started anew since.
--- a/state/prefix_index.h
+++ b/state/prefix_index.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/core.h"
-#include "state/cache_events.h"
+#include "state/cache_event.h"
 #include "state/prefix_block.h"
 
 namespace gcw {
--- a/state/state.h
+++ b/state/state.h
@@ -5,7 +5,6 @@
 
 #include "state/cache_event.h"
 #include "state/config_store.h"
-#include "state/cache_events.h"
 #include "state/contract.h"
 #include "state/contract_entry.h"
 #include "state/domain_record.h"
@@ -18,7 +17,7 @@
 #include "state/prefix_index.h"
 #include "state/store_types.h"
 #include "state/vm_list.h"
-#include "state/weight_store_status.h"
 #include "state/wanted_model.h"
+#include "state/weight_store_status.h"
 
 #endif  // STATE_STATE_H_
