--- a/coordination/node_core.h
+++ b/coordination/node_core.h
@@ -92,6 +92,10 @@
   bool draining() const { return leaving_since_.has_value(); }
   bool store_reachable() const { return lease_.store_reachable(); }
   std::size_t open_requests() const { return requests_.open_requests(); }
+  // Whether the request is still being worked on.
+  bool HasRequest(const RequestId& request) const {
+    return requests_.Has(request);
+  }
   const View& view() const { return membership_.view(); }
   const ConfigSync& configuration() const { return *configuration_; }
   const OnceOwner& once_owner() const { return *once_owner_; }
--- a/coordination/request_desk.h
+++ b/coordination/request_desk.h
@@ -91,6 +91,9 @@
   // Refuses new requests from now on with this reason; nothing to accept again.
   void SetRefusal(std::optional<RefusalKind> refusal);
   std::size_t open_requests() const { return requests_.size(); }
+  bool Has(const RequestId& request) const {
+    return requests_.contains(request);
+  }
 
  private:
   enum class Phase {
--- a/transport/caller_exchange.cc
+++ b/transport/caller_exchange.cc
@@ -93,7 +93,7 @@
       return;
     }
     self->hooks_.post(CallerGone{self->id_});
-    self->Over();
+    self->over_ = true;
   });
 }
 
@@ -159,7 +159,7 @@
   if (responder_->unsent_bytes() > kMaxUnsentBytes) {
     responder_->Abort();
     hooks_.post(CallerGone{id_});
-    Over();
+    over_ = true;
   }
 }
 
@@ -180,7 +180,7 @@
   const bool answered = std::holds_alternative<AttemptAnswered>(end);
   EndAttempt(attempt, std::move(end));
   if (answered) {
-    Over();
+    over_ = true;
   }
 }
 
@@ -258,7 +258,7 @@
                   Duration());
           }},
       answer);
-  Over();
+  over_ = true;
 }
 
 void CallerExchange::Respond(int status,
@@ -288,11 +288,4 @@
   responder_->Abort();
 }
 
-void CallerExchange::Over() {
-  if (std::exchange(over_, true)) {
-    return;
-  }
-  hooks_.on_over();
-}
-
 }  // namespace gcw
--- a/transport/caller_exchange.h
+++ b/transport/caller_exchange.h
@@ -31,8 +31,6 @@
     std::function<void(NodeEvent)> post;
     // Counts time suspended.
     Clock clock;
-    // Once, when the caller's answer has ended in any way.
-    std::function<void()> on_over;
   };
 
   CallerExchange(boost::asio::io_context& context,
@@ -65,7 +63,6 @@
   void Break(std::string_view type,
              std::string_view message,
              Duration retry_after);
-  void Over();
 
   boost::asio::strand<boost::asio::io_context::executor_type> strand_;
   HttpClient& client_;
--- /dev/null
+++ b/transport/caller_service.cc
@@ -0,0 +1,280 @@
+#include "transport/caller_service.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "protocol/protocol.h"
+#include "transport/chat_receiver.h"
+#include "transport/key_digest.h"
+#include "transport/refusal_http.h"
+#include "transport/service_receiver.h"
+
+namespace gcw {
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kServicePath = "/services/";
+constexpr std::string_view kTimeoutHeader = "X-Gcw-Timeout-Ms";
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusUnauthorized = 401;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusMethodNotAllowed = 405;
+
+void RespondJson(const std::shared_ptr<HttpResponder>& responder,
+                 int status,
+                 std::string body) {
+  responder->Respond(HttpResponse{
+      status, {{"Content-Type", "application/json"}}, std::move(body)});
+}
+
+void RespondError(const std::shared_ptr<HttpResponder>& responder,
+                  int status,
+                  std::string_view type,
+                  std::string_view message) {
+  RespondJson(responder, status,
+              WriteError(type, message, RequestId(), Duration()));
+}
+
+// The digest of the caller's key; empty where there is none.
+KeyDigest ReadKey(const HttpRequest& request) {
+  const std::string& authorization = request.Header("Authorization");
+  if (!authorization.starts_with(kBearer)) {
+    return KeyDigest();
+  }
+  return DigestKey(std::string_view(authorization).substr(kBearer.size()));
+}
+
+// Absent where the header is no positive number.
+std::optional<Duration> ReadTimeout(const HttpRequest& request,
+                                    Duration default_timeout) {
+  const std::string& text = request.Header(kTimeoutHeader);
+  if (text.empty()) {
+    return default_timeout;
+  }
+  std::int64_t millis = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), millis);
+  if (error != std::errc() || end != text.data() + text.size() || millis <= 0) {
+    return std::nullopt;
+  }
+  return Duration::Millis(millis);
+}
+
+// Methods that a service may run twice without harm (RFC 9110, section 9.2.1).
+bool IsSafeMethod(const std::string& method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+Fingerprint FingerprintOf(std::string_view first, std::string_view second) {
+  std::string text(first);
+  text.push_back('\n');
+  text.append(second);
+  // The sign bit is dropped, since codecs carry no negative numbers beyond 53
+  // bits either.
+  constexpr std::uint64_t kMask = (std::uint64_t{1} << 52) - 1;
+  return Fingerprint(static_cast<std::int64_t>(HashOf(text) & kMask));
+}
+
+}  // namespace
+
+CallerService::CallerService(CallerServiceSettings settings,
+                             boost::asio::io_context& traffic,
+                             HttpClient& client,
+                             NodeRuntime& runtime,
+                             NodeMetrics& metrics,
+                             Clock clock)
+    : settings_(std::move(settings)),
+      traffic_(traffic),
+      client_(client),
+      runtime_(runtime),
+      metrics_(metrics),
+      clock_(std::move(clock)) {}
+
+void CallerService::Handle(HttpRequest request,
+                           std::shared_ptr<HttpResponder> responder) {
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  if (path.starts_with(kServicePath)) {
+    HandleService(std::move(request), responder);
+  } else if (path == "/v1/entries" && request.method == "GET") {
+    HandleEntries(responder);
+  } else if (path == "/v1/chat/completions" && request.method == "POST") {
+    HandleChat(request, responder);
+  } else if (path == "/v1/idempotency-keys" && request.method == "POST") {
+    HandleIssueKey(request, responder);
+  } else if (path == "/v1/entries" || path == "/v1/chat/completions" ||
+             path == "/v1/idempotency-keys") {
+    RespondError(responder, kStatusMethodNotAllowed, "method_not_allowed",
+                 "This path takes another method; see docs/API.md.");
+  } else {
+    RespondError(responder, kStatusNotFound, "unknown_path",
+                 "There is no such path; see docs/API.md.");
+  }
+}
+
+void CallerService::HandleChat(const HttpRequest& request,
+                               const Responder& responder) {
+  const Decoded<ChatRequest> decoded = DecodeChatRequest(request.body);
+  if (!IsOk(decoded)) {
+    const CodecError& error = ErrorOf(decoded);
+    RespondError(responder, kStatusBadRequest, "invalid_request",
+                 std::string(CodecErrorKindName(error.kind)) +
+                     (error.field.empty() ? "" : ": " + error.field));
+    return;
+  }
+  const ChatRequest& chat = ValueOf(decoded);
+  CallerArrived arrived;
+  if (!ReadCommon(request, settings_.default_model_timeout, responder,
+                  arrived)) {
+    return;
+  }
+  const std::string prompt = PromptOf(chat);
+  RequestProfile& profile = arrived.profile;
+  const ModelTarget target{chat.model, chat.adapter};
+  profile.target = target;
+  profile.prompt_tokens = PromptTokens(prompt);
+  profile.max_generated_tokens = chat.max_tokens;
+  profile.prefix_blocks = PrefixBlocks(prompt);
+  profile.fingerprint = FingerprintOf(chat.model.value(), prompt);
+  profile.repeatable = profile.idempotency_key.empty();
+  ChatReceiver::Request receiver_request{profile.id, target, request.body,
+                                         profile.prompt_tokens, chat.stream};
+  auto receiver = std::make_unique<ChatReceiver>(
+      std::move(receiver_request), responder,
+      [this, arrival = profile.arrived, last = Time()]() mutable {
+        const Time now = clock_();
+        if (last == Time()) {
+          metrics_.OnFirstToken(now - arrival);
+        } else {
+          metrics_.OnNextToken(now - last);
+        }
+        last = now;
+      });
+  Arrive(std::move(arrived), responder, std::move(receiver),
+         settings_.model_progress_timeout);
+}
+
+void CallerService::HandleService(HttpRequest request,
+                                  const Responder& responder) {
+  CallerArrived arrived;
+  if (!ReadCommon(request, settings_.default_service_timeout, responder,
+                  arrived)) {
+    return;
+  }
+  const std::string rest = request.target.substr(kServicePath.size());
+  const std::size_t slash = rest.find_first_of("/?");
+  const std::string name = rest.substr(0, slash);
+  if (name.empty()) {
+    RespondError(responder, kStatusNotFound, "unknown_service",
+                 "The path names no service.");
+    return;
+  }
+  std::string target =
+      slash == std::string::npos ? std::string("/") : rest.substr(slash);
+  if (target.front() == '?') {
+    target.insert(target.begin(), '/');
+  }
+  RequestProfile& profile = arrived.profile;
+  profile.target = ServiceTarget{ServiceId(name)};
+  profile.fingerprint =
+      FingerprintOf(request.method + " " + request.target, request.body);
+  profile.repeatable =
+      IsSafeMethod(request.method) && profile.idempotency_key.empty();
+  request.target = std::move(target);
+  std::erase_if(request.headers, [](const HttpHeader& header) {
+    return !IsForwardedHeader(header.name);
+  });
+  auto receiver = std::make_unique<ServiceReceiver>(
+      profile.id, std::move(request), responder);
+  Arrive(std::move(arrived), responder, std::move(receiver),
+         settings_.service_progress_timeout);
+}
+
+void CallerService::HandleEntries(const Responder& responder) {
+  runtime_.Run([responder](NodeCore& core, EventLog&, Time) {
+    const EntryAnswer answer = core.Entries();
+    boost::json::array entries;
+    for (const EntryAddress& entry : answer.entries) {
+      entries.emplace_back(
+          boost::json::object{{"address", entry.address.value()},
+                              {"zone", entry.zone.value()},
+                              {"region", entry.region.value()},
+                              {"weight", entry.weight}});
+    }
+    RespondJson(responder, kStatusOk,
+                boost::json::serialize(boost::json::object{
+                    {"entries", entries}, {"keep_ms", answer.keep.millis()}}));
+  });
+}
+
+void CallerService::HandleIssueKey(const HttpRequest& request,
+                                   const Responder& responder) {
+  const KeyDigest key = ReadKey(request);
+  runtime_.Run([responder, key](NodeCore& core, EventLog&, Time now) {
+    const IdempotencyKey issued = core.IssueKey(now, key);
+    if (issued.empty()) {
+      RespondError(responder, kStatusUnauthorized,
+                   RefusalKindName(RefusalKind::kUnknownKey),
+                   RefusalMessage(RefusalKind::kUnknownKey));
+      return;
+    }
+    RespondJson(responder, kStatusOk,
+                boost::json::serialize(
+                    boost::json::object{{"idempotency_key", issued.value()}}));
+  });
+}
+
+bool CallerService::ReadCommon(const HttpRequest& request,
+                               Duration default_timeout,
+                               const Responder& responder,
+                               CallerArrived& arrived) {
+  arrived.key = ReadKey(request);
+  if (arrived.key.empty()) {
+    RespondError(responder, kStatusUnauthorized, "key_missing",
+                 "Send the contract's key as `Authorization: Bearer KEY`.");
+    return false;
+  }
+  const std::optional<Duration> timeout = ReadTimeout(request, default_timeout);
+  if (!timeout) {
+    RespondError(responder, kStatusBadRequest, "invalid_timeout",
+                 "X-Gcw-Timeout-Ms is not a positive number.");
+    return false;
+  }
+  RequestProfile& profile = arrived.profile;
+  profile.id = RequestId(settings_.id_prefix + std::to_string(++last_request_));
+  profile.arrived = clock_();
+  profile.deadline =
+      profile.arrived + std::min(*timeout, settings_.longest_timeout);
+  profile.idempotency_key =
+      IdempotencyKey(request.Header(kIdempotencyKeyHeader));
+  return true;
+}
+
+void CallerService::Arrive(CallerArrived arrived,
+                           const Responder& responder,
+                           std::unique_ptr<AnswerReceiver> receiver,
+                           Duration progress_timeout) {
+  HttpCallOptions options;
+  options.connect_timeout = settings_.connect_timeout;
+  options.progress_timeout = progress_timeout;
+  CallerExchange::Hooks hooks;
+  hooks.post = [this](NodeEvent event) { runtime_.Post(std::move(event)); };
+  hooks.clock = clock_;
+  auto exchange = std::make_shared<CallerExchange>(
+      traffic_, client_, arrived.profile.id, responder, std::move(receiver),
+      options, std::move(hooks));
+  // The responder must not keep the exchange alive, nor the other way about for
+  // longer than the request.
+  responder->OnCallerGone([weak = std::weak_ptr<CallerExchange>(exchange)] {
+    if (const std::shared_ptr<CallerExchange> gone = weak.lock()) {
+      gone->OnCallerGone();
+    }
+  });
+  runtime_.Arrive(std::move(arrived), std::move(exchange));
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/transport/node_runtime.cc
@@ -0,0 +1,151 @@
+#include "transport/node_runtime.h"
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+namespace gcw {
+namespace {
+
+// The request that an event may end.
+std::optional<RequestId> RequestOf(const NodeEvent& event) {
+  if (const auto* ended = std::get_if<AttemptEnded>(&event)) {
+    return ended->request;
+  }
+  if (const auto* gone = std::get_if<CallerGone>(&event)) {
+    return gone->request;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+NodeRuntime::NodeRuntime(NodeCore& core,
+                         EventLog& log,
+                         ActionExecutor& executor,
+                         NodeMetrics& metrics,
+                         Hooks hooks)
+    : core_(core),
+      log_(log),
+      executor_(executor),
+      metrics_(metrics),
+      hooks_(std::move(hooks)),
+      timer_(control_) {}
+
+NodeRuntime::~NodeRuntime() {
+  Stop();
+}
+
+void NodeRuntime::Start() {
+  executor_.SetPost([this](NodeEvent event) { Post(std::move(event)); });
+  ScheduleTick();
+  thread_ = std::thread([this] { control_.run(); });
+}
+
+void NodeRuntime::Stop() {
+  control_.stop();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+void NodeRuntime::Post(NodeEvent event) {
+  boost::asio::post(control_,
+                    [this, event = std::move(event)] { Handle(event); });
+}
+
+void NodeRuntime::Run(std::function<void(NodeCore&, EventLog&, Time)> task) {
+  boost::asio::post(control_, [this, task = std::move(task)] {
+    task(core_, log_, hooks_.clock());
+  });
+}
+
+void NodeRuntime::Arrive(CallerArrived arrived,
+                         std::shared_ptr<CallerExchange> exchange) {
+  boost::asio::post(control_, [this, arrived = std::move(arrived),
+                               exchange = std::move(exchange)] {
+    exchanges_.emplace(arrived.profile.id, exchange);
+    Handle(arrived);
+  });
+}
+
+void NodeRuntime::Change(ConfigChange change,
+                         std::function<void(const ChangeOutcome&)> done) {
+  boost::asio::post(control_,
+                    [this, change = std::move(change), done = std::move(done)] {
+                      const OperatorCallId call = ++last_call_;
+                      operator_calls_.emplace(call, done);
+                      Handle(OperatorChange{call, change});
+                    });
+}
+
+void NodeRuntime::ScheduleTick() {
+  timer_.expires_after(std::chrono::milliseconds(kTickInterval.millis()));
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) {
+      return;
+    }
+    Handle(TimePassed{});
+    ScheduleTick();
+  });
+}
+
+void NodeRuntime::Handle(const NodeEvent& event) {
+  metrics_.OnEvent(event);
+  for (NodeAction& action : core_.Handle(hooks_.clock(), event)) {
+    Execute(std::move(action));
+  }
+  const std::optional<RequestId> request = RequestOf(event);
+  if (request && !core_.HasRequest(*request)) {
+    exchanges_.erase(*request);
+    metrics_.Forget(*request);
+  }
+}
+
+template <typename Told>
+void NodeRuntime::Tell(const Told& told) {
+  const auto exchange = exchanges_.find(told.request);
+  if (exchange == exchanges_.end()) {
+    return;
+  }
+  exchange->second->Tell(told);
+  exchanges_.erase(exchange);
+}
+
+void NodeRuntime::Execute(NodeAction action) {
+  metrics_.OnAction(action);
+  std::visit(
+      Overloaded{
+          [this](DispatchAttempt& dispatch) {
+            const auto exchange = exchanges_.find(dispatch.request);
+            if (exchange != exchanges_.end()) {
+              exchange->second->Dispatch(std::move(dispatch));
+            }
+          },
+          [this](CancelAttempt& cancel) {
+            const auto exchange = exchanges_.find(cancel.request);
+            if (exchange != exchanges_.end()) {
+              exchange->second->Cancel(cancel.attempt);
+            }
+          },
+          [this](TellRefused& told) { Tell(told); },
+          [this](TellUnknown& told) { Tell(told); },
+          [this](TellStreamBroken& told) { Tell(told); },
+          [this](TellPreempted& told) { Tell(told); },
+          [this](TellReplay& told) { Tell(told); },
+          [this](TellEarlierSend& told) { Tell(told); },
+          [this](AnswerOperator& answer) {
+            const auto call = operator_calls_.find(answer.call);
+            if (call != operator_calls_.end()) {
+              call->second(answer.outcome);
+              operator_calls_.erase(call);
+            }
+          },
+          [this](StopNow&) { hooks_.on_stopped(); },
+          [this](auto& outward) { executor_.Execute(std::move(outward)); }},
+      action);
+}
+
+}  // namespace gcw
