standin: logic of the stand-ins, their faults and HTTP shells

Cause: nodes need a platform to run against: key-value service, VM list, weight store, model engine, plain service, each with faults switched on at run time.

Faults of connections are one wrapper of the responder: an exchange that went silent stays so, as a stream that went on later would have a hole.

--- /dev/null
+++ b/programs/gcw_standin/command_line.cc
@@ -0,0 +1,95 @@
+#include "programs/gcw_standin/command_line.h"
+
+#include <iostream>
+
+#include <boost/program_options/parsers.hpp>
+
+namespace gcw {
+namespace {
+
+namespace options = boost::program_options;
+
+options::options_description CommonDescription() {
+  options::options_description description("All stand-ins");
+  description.add_options()("help", "print this")(
+      "ip", options::value<std::string>()->default_value("127.0.0.1"),
+      "address to listen on")("port",
+                              options::value<std::uint16_t>()->default_value(0),
+                              "port to listen on; 0 lets the kernel choose")(
+      "fault", options::value<std::vector<std::string>>()->composing(),
+      "NAME=VALUE, switched on at the start; may stand repeatedly");
+  return description;
+}
+
+// "slow_ms=20" as the body of `POST /faults`. A value that is no JSON is text.
+std::string FaultMessage(const std::string& setting) {
+  const std::size_t equals = setting.find('=');
+  const std::string name = setting.substr(0, equals);
+  const std::string text =
+      equals == std::string::npos ? "true" : setting.substr(equals + 1);
+  boost::json::error_code syntax;
+  boost::json::value value = boost::json::parse(text, syntax);
+  if (syntax) {
+    value = ToJson(std::string_view(text));
+  }
+  return boost::json::serialize(
+      boost::json::object{{"name", name}, {"value", std::move(value)}});
+}
+
+// Whether all settings were understood.
+bool ReadFaults(const options::variables_map& values, Faults& faults) {
+  if (values.count("fault") == 0) {
+    return true;
+  }
+  for (const std::string& setting :
+       values["fault"].as<std::vector<std::string>>()) {
+    Decoded<Faults> changed = ApplyFault(faults, FaultMessage(setting));
+    if (!IsOk(changed)) {
+      std::cerr << "--fault " << setting << ": "
+                << CodecErrorKindName(ErrorOf(changed).kind) << " at "
+                << ErrorOf(changed).field << '\n';
+      return false;
+    }
+    faults = std::move(ValueOf(changed));
+  }
+  return true;
+}
+
+}  // namespace
+
+std::variant<ParsedCommand, CommandEnded> ParseCommand(
+    const std::string& name,
+    const std::string& examples,
+    const options::options_description& own_options,
+    const std::vector<std::string>& arguments) {
+  options::options_description description;
+  description.add(own_options).add(CommonDescription());
+  ParsedCommand parsed;
+  try {
+    options::store(
+        options::command_line_parser(arguments).options(description).run(),
+        parsed.values);
+    // A call for help need not be complete.
+    if (parsed.values.count("help") == 0) {
+      options::notify(parsed.values);
+    }
+  } catch (const options::error& error) {
+    std::cerr << "gcw-standin " << name << ": " << error.what()
+              << "; see gcw-standin " << name << " --help\n";
+    return CommandEnded{kExitUsage};
+  }
+  if (parsed.values.count("help") > 0) {
+    std::cout << "gcw-standin " << name << " [options]\n"
+              << description << "\nExamples\n"
+              << examples;
+    return CommandEnded{kExitOk};
+  }
+  parsed.common.ip = parsed.values["ip"].as<std::string>();
+  parsed.common.port = parsed.values["port"].as<std::uint16_t>();
+  if (!ReadFaults(parsed.values, parsed.common.faults)) {
+    return CommandEnded{kExitUsage};
+  }
+  return parsed;
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/programs/gcw_standin/commands.cc
@@ -0,0 +1,285 @@
+#include "programs/gcw_standin/commands.h"
+
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <iterator>
+#include <utility>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "programs/gcw_standin/command_line.h"
+#include "programs/gcw_standin/engine_shell.h"
+#include "programs/gcw_standin/service_shell.h"
+#include "programs/gcw_standin/store_shell.h"
+#include "programs/gcw_standin/vm_list_shell.h"
+#include "programs/gcw_standin/weights_shell.h"
+
+namespace gcw {
+namespace {
+
+namespace options = boost::program_options;
+
+using Description = options::options_description;
+using Arguments = std::vector<std::string>;
+
+template <typename Value>
+auto Default(Value value) {
+  return options::value<Value>()->default_value(value);
+}
+
+template <typename Value>
+Value Get(const ParsedCommand& parsed, const char* name) {
+  return parsed.values[name].as<Value>();
+}
+
+Duration GetMillis(const ParsedCommand& parsed, const char* name) {
+  return Duration::Millis(Get<std::int64_t>(parsed, name));
+}
+
+std::string_view ListenErrorName(ListenErrorKind kind) {
+  switch (kind) {
+    case ListenErrorKind::kAddressMalformed:
+      return "malformed address";
+    case ListenErrorKind::kAddressInUse:
+      return "address in use";
+    case ListenErrorKind::kRefused:
+      return "refused by the system";
+  }
+  return "unknown";
+}
+
+// Serves until a signal. `make_shell(server)` builds what answers.
+template <typename MakeShell>
+int Serve(const std::string& name,
+          const CommonOptions& common,
+          MakeShell make_shell) {
+  boost::asio::io_context context;
+  StandinServer server(context, common.faults);
+  auto shell = make_shell(server);
+  const auto listening =
+      server.Listen(name, common.ip, common.port, shell->MakeHooks());
+  if (!IsOk(listening)) {
+    std::cerr << "gcw-standin " << name << ": cannot listen on " << common.ip
+              << ':' << common.port << ": "
+              << ListenErrorName(ErrorOf(listening).kind) << '\n';
+    return kExitListen;
+  }
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait(
+      [&context](boost::system::error_code, int) { context.stop(); });
+  context.run();
+  return kExitOk;
+}
+
+int RunStore(const ParsedCommand& parsed) {
+  StandinStore::Settings settings;
+  settings.calls_per_second = Get<double>(parsed, "calls-per-s");
+  settings.writes_per_second = Get<double>(parsed, "writes-per-s");
+  settings.history = Get<std::size_t>(parsed, "history");
+  settings.first_revision =
+      Revision(Get<std::int64_t>(parsed, "first-revision"));
+  return Serve("store", parsed.common, [&](StandinServer& server) {
+    return std::make_unique<StoreShell>(server, settings);
+  });
+}
+
+Description StoreOptions() {
+  Description description("Key-value service");
+  description.add_options()("calls-per-s", Default(2000.0),
+                            "calls a second before 429; 0 for no limit")(
+      "writes-per-s", Default(400.0),
+      "writes a second before 429; 0 for no limit")(
+      "history", Default(std::size_t{10000}), "changes kept for watches")(
+      "first-revision", Default(std::int64_t{1}),
+      "where the revision counter starts");
+  return description;
+}
+
+// The rows of a file in the shape of `GET /vms`; none without a file.
+Decoded<VmListSnapshot> ReadVmFile(const std::string& path) {
+  if (path.empty()) {
+    return VmListSnapshot{};
+  }
+  std::ifstream file(path);
+  const std::string text((std::istreambuf_iterator<char>(file)), {});
+  return DecodeVmList(text);
+}
+
+int RunVmList(const ParsedCommand& parsed) {
+  const std::string path = Get<std::string>(parsed, "vms");
+  const auto vms = ReadVmFile(path);
+  if (!IsOk(vms)) {
+    std::cerr << "gcw-standin vmlist: " << path << ": "
+              << CodecErrorKindName(ErrorOf(vms).kind) << " at "
+              << ErrorOf(vms).field << '\n';
+    return kExitUsage;
+  }
+  return Serve("vmlist", parsed.common, [&](StandinServer& server) {
+    return std::make_unique<VmListShell>(server, ValueOf(vms).vms);
+  });
+}
+
+Description VmListOptions() {
+  Description description("VM list");
+  description.add_options()("vms", Default(std::string()),
+                            "JSON file in the shape of GET /vms");
+  return description;
+}
+
+int RunWeights(const ParsedCommand& parsed) {
+  const auto rate = Get<std::int64_t>(parsed, "bytes-per-s");
+  if (rate <= 0) {
+    std::cerr << "gcw-standin weights: --bytes-per-s must be positive\n";
+    return kExitUsage;
+  }
+  return Serve("weights", parsed.common, [&](StandinServer& server) {
+    return std::make_unique<WeightsShell>(server, rate);
+  });
+}
+
+Description WeightsOptions() {
+  Description description("Weight store");
+  description.add_options()("bytes-per-s", Default(std::int64_t{2000000000}),
+                            "rate that all fetches share, one after another");
+  return description;
+}
+
+EngineShell::Settings EngineSettings(const ParsedCommand& parsed) {
+  EngineShell::Settings settings;
+  settings.weight_store = Address(Get<std::string>(parsed, "weights"));
+  settings.shard_bytes = Get<std::int64_t>(parsed, "shard-bytes");
+  EngineMember::Settings& member = settings.engine.member;
+  member.vm = VmId(Get<std::string>(parsed, "vm"));
+  member.incarnation = Incarnation(SystemClock()().millis());
+  member.load_time = GetMillis(parsed, "load-ms");
+  member.uses_weight_store = !settings.weight_store.empty();
+  member.member_timeout = GetMillis(parsed, "member-timeout-ms");
+  Batch::Settings& batch = settings.engine.batch;
+  batch.batch_limit = Get<std::int64_t>(parsed, "batch-limit");
+  batch.prefill_tokens_per_second =
+      Get<std::int64_t>(parsed, "prefill-tokens-per-s");
+  batch.step = GetMillis(parsed, "step-ms");
+  batch.cache_blocks = Get<std::size_t>(parsed, "cache-blocks");
+  settings.engine.events.capacity = Get<std::size_t>(parsed, "cache-events");
+  settings.engine.queue_limit = Get<std::int64_t>(parsed, "queue-limit");
+  return settings;
+}
+
+int RunEngine(const ParsedCommand& parsed) {
+  const EngineShell::Settings settings = EngineSettings(parsed);
+  const Batch::Settings& batch = settings.engine.batch;
+  if (batch.step <= Duration() || batch.prefill_tokens_per_second <= 0) {
+    std::cerr << "gcw-standin engine: --step-ms and --prefill-tokens-per-s "
+                 "must be positive\n";
+    return kExitUsage;
+  }
+  CommonOptions common = parsed.common;
+  common.faults.ignore_fence |= parsed.values.count("ignore-fence") > 0;
+  return Serve("engine", common, [&](StandinServer& server) {
+    return std::make_unique<EngineShell>(server, settings);
+  });
+}
+
+Description EngineOptions() {
+  const Batch::Settings batch;
+  Description description("Model engine of one VM");
+  description.add_options()("vm", options::value<std::string>()->required(),
+                            "the VM's id")(
+      "weights", Default(std::string()),
+      "IP:PORT of the weight store; none if empty")(
+      "shard-bytes", Default(std::int64_t{1000000000}),
+      "bytes fetched for a load")("load-ms", Default(std::int64_t{0}),
+                                  "time of a load after the fetch")(
+      "ignore-fence", "carry out orders with an old fencing number")(
+      "member-timeout-ms", Default(std::int64_t{700}),
+      "a member unseen for so long is missing")(
+      "batch-limit", Default(batch.batch_limit), "requests run at once")(
+      "prefill-tokens-per-s", Default(batch.prefill_tokens_per_second),
+      "prompt tokens computed a second")(
+      "step-ms", Default(batch.step.millis()), "time between tokens")(
+      "cache-blocks", Default(batch.cache_blocks),
+      "prefix blocks of 64 bytes kept")(
+      "cache-events", Default(std::size_t{4096}), "cache events kept")(
+      "queue-limit", Default(std::int64_t{256}), "waiting requests before 503");
+  return description;
+}
+
+int RunService(const ParsedCommand& parsed) {
+  const StandinService::Settings settings{
+      .endpoint = EndpointId(Get<std::string>(parsed, "vm"))};
+  const Duration delay = GetMillis(parsed, "delay-ms");
+  return Serve("service", parsed.common, [&](StandinServer& server) {
+    return std::make_unique<ServiceShell>(server, settings, delay);
+  });
+}
+
+Description ServiceOptions() {
+  Description description("Plain service");
+  description.add_options()("vm", options::value<std::string>()->required(),
+                            "the VM's id")("delay-ms", Default(std::int64_t{5}),
+                                           "time that a call takes");
+  return description;
+}
+
+struct Command {
+  const char* name;
+  Description (*describe)();
+  int (*run)(const ParsedCommand&);
+  const char* examples;
+};
+
+constexpr Command kCommands[] = {
+    {"store", StoreOptions, RunStore,
+     "  gcw-standin store --port 7001\n"
+     "  gcw-standin store --writes-per-s 100 --fault lose_answer=1\n"},
+    {"vmlist", VmListOptions, RunVmList,
+     "  gcw-standin vmlist --port 7002 --vms vms.json --fault lag_ms=3000\n"},
+    {"weights", WeightsOptions, RunWeights,
+     "  gcw-standin weights --port 7003 --bytes-per-s 500000000\n"},
+    {"engine", EngineOptions, RunEngine,
+     "  gcw-standin engine --vm vm-1 --ip 127.0.0.11 --load-ms 200\n"
+     "  gcw-standin engine --vm vm-2 --weights 127.0.0.1:7003 "
+     "--ignore-fence\n"},
+    {"service", ServiceOptions, RunService,
+     "  gcw-standin service --vm shelf-1 --delay-ms 20 --fault slow_ms=500\n"},
+};
+
+int PrintUsage(std::ostream& out, int exit_status) {
+  out << "gcw-standin COMMAND [options]\n\nCommands\n";
+  for (const Command& command : kCommands) {
+    out << "  " << command.name << '\n';
+  }
+  out << "\nEach prints one JSON line with its port once it listens, and ends "
+         "on SIGTERM.\ngcw-standin COMMAND --help tells its options; "
+         "docs/STANDIN.md the faults.\n\nExamples\n";
+  for (const Command& command : kCommands) {
+    out << command.examples;
+  }
+  return exit_status;
+}
+
+}  // namespace
+
+int RunStandin(const std::vector<std::string>& arguments) {
+  if (arguments.empty() || arguments.front() == "--help") {
+    return PrintUsage(std::cout, arguments.empty() ? kExitUsage : kExitOk);
+  }
+  const Arguments rest(arguments.begin() + 1, arguments.end());
+  for (const Command& command : kCommands) {
+    if (arguments.front() != command.name) {
+      continue;
+    }
+    const auto parsed =
+        ParseCommand(command.name, command.examples, command.describe(), rest);
+    if (const auto* ended = std::get_if<CommandEnded>(&parsed)) {
+      return ended->exit_status;
+    }
+    return command.run(std::get<ParsedCommand>(parsed));
+  }
+  std::cerr << "gcw-standin: no command " << arguments.front() << "\n\n";
+  return PrintUsage(std::cerr, kExitUsage);
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/programs/gcw_standin/engine_shell.h
@@ -0,0 +1,76 @@
+#ifndef PROGRAMS_GCW_STANDIN_ENGINE_SHELL_H_
+#define PROGRAMS_GCW_STANDIN_ENGINE_SHELL_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "programs/gcw_standin/standin_engine.h"
+#include "programs/gcw_standin/standin_server.h"
+#include "transport/http_client.h"
+
+namespace gcw {
+
+// Puts a `StandinEngine` on HTTP. `GET /executions` tells what truly ran.
+class EngineShell {
+ public:
+  struct Settings {
+    StandinEngine::Settings engine;
+    // Empty where loading takes a fixed time only.
+    Address weight_store;
+    std::int64_t shard_bytes = 1000000000;
+  };
+
+  EngineShell(StandinServer& server, Settings settings);
+
+  StandinServer::Hooks MakeHooks();
+
+ private:
+  struct Exchange {
+    std::shared_ptr<HttpResponder> responder;
+    AttemptId attempt;
+    bool stream = false;
+    bool stream_started = false;
+  };
+
+  void Handle(Time now,
+              const HttpRequest& request,
+              std::shared_ptr<HttpResponder> responder);
+  // Whether the path was one of them.
+  bool HandleRead(Time now,
+                  const HttpRequest& request,
+                  HttpResponder& responder) const;
+  void HandleOrder(Time now,
+                   const HttpRequest& request,
+                   HttpResponder& responder);
+  void HandleCancel(const HttpRequest& request, HttpResponder& responder);
+  void HandleChat(Time now,
+                  const HttpRequest& request,
+                  std::shared_ptr<HttpResponder> responder);
+
+  void Run(const std::vector<EngineAction>& actions);
+  void Run(const SendToken& action);
+  void Run(const FinishAnswer& action);
+  void Run(const BreakAnswer& action);
+  void Run(const RefuseCall& action);
+  void Run(const PollMember& action);
+  void Run(const FetchWeights& action);
+
+  void StartStream(Exchange& exchange);
+  // Hands over the exchange and forgets it; without responder if it is gone.
+  Exchange Take(Ticket ticket);
+  void OnFaults();
+
+  StandinServer& server_;
+  Settings settings_;
+  StandinEngine engine_;
+  HttpClient client_;
+  Ticket last_ticket_;
+  std::map<Ticket, Exchange> exchanges_;
+  std::int64_t cache_gaps_ = 0;
+};
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_STANDIN_ENGINE_SHELL_H_
--- /dev/null
+++ b/programs/gcw_standin/lagging.h
@@ -0,0 +1,50 @@
+#ifndef PROGRAMS_GCW_STANDIN_LAGGING_H_
+#define PROGRAMS_GCW_STANDIN_LAGGING_H_
+
+#include <cstddef>
+#include <deque>
+#include <utility>
+
+#include "core/core.h"
+
+namespace gcw {
+
+// Values over time, so that a reader can be given an old one.
+template <typename Value>
+class Lagging {
+ public:
+  struct Entry {
+    Time time;
+    Value value;
+  };
+
+  // `time` never goes back.
+  void Put(Time time, Value value) {
+    entries_.push_back({time, std::move(value)});
+    if (entries_.size() > kMaxEntries) {
+      entries_.pop_front();
+    }
+  }
+
+  bool empty() const { return entries_.empty(); }
+
+  // The newest entry put at or before `time`, or the oldest one where all are
+  // newer. There must be one.
+  const Entry& At(Time time) const {
+    for (auto entry = entries_.rbegin(); entry != entries_.rend(); ++entry) {
+      if (entry->time <= time) {
+        return *entry;
+      }
+    }
+    return entries_.front();
+  }
+
+ private:
+  static constexpr std::size_t kMaxEntries = 1000;
+
+  std::deque<Entry> entries_;
+};
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_STANDIN_LAGGING_H_
--- /dev/null
+++ b/programs/gcw_standin/prefix_cache.h
@@ -0,0 +1,46 @@
+#ifndef PROGRAMS_GCW_STANDIN_PREFIX_CACHE_H_
+#define PROGRAMS_GCW_STANDIN_PREFIX_CACHE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+#include "state/state.h"
+
+namespace gcw {
+
+// Which prefix blocks an engine has computed, in limited memory; the least
+// recently used block goes first.
+class PrefixCache {
+ public:
+  using Sink = std::function<void(CacheEventKind, std::uint64_t block)>;
+
+  PrefixCache(std::size_t capacity_blocks, Sink sink);
+
+  // How many leading blocks are cached; counts as a use of them.
+  std::size_t Touch(const std::vector<std::uint64_t>& blocks);
+  void Store(const std::vector<std::uint64_t>& blocks);
+  void Clear();
+
+  std::size_t size() const { return by_block_.size(); }
+  std::size_t capacity() const { return capacity_blocks_; }
+
+ private:
+  using Order = std::list<std::uint64_t>;
+
+  bool Use(std::uint64_t block);
+  void EvictOldest();
+
+  std::size_t capacity_blocks_;
+  Sink sink_;
+  // The most recently used block comes first.
+  Order order_;
+  std::unordered_map<std::uint64_t, Order::iterator> by_block_;
+};
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_STANDIN_PREFIX_CACHE_H_
--- /dev/null
+++ b/programs/gcw_standin/service_shell.h
@@ -0,0 +1,36 @@
+#ifndef PROGRAMS_GCW_STANDIN_SERVICE_SHELL_H_
+#define PROGRAMS_GCW_STANDIN_SERVICE_SHELL_H_
+
+#include <memory>
+
+#include "programs/gcw_standin/lagging.h"
+#include "programs/gcw_standin/standin_server.h"
+#include "programs/gcw_standin/standin_service.h"
+
+namespace gcw {
+
+// Puts a `StandinService` on HTTP. `GET /executions` tells what truly ran.
+class ServiceShell {
+ public:
+  ServiceShell(StandinServer& server,
+               StandinService::Settings settings,
+               Duration delay);
+
+  StandinServer::Hooks MakeHooks();
+
+ private:
+  void Handle(const HttpRequest& request,
+              const std::shared_ptr<HttpResponder>& responder);
+  void Run(const HttpRequest& request,
+           const std::shared_ptr<HttpResponder>& responder);
+  void RespondLoad(HttpResponder& responder) const;
+
+  StandinServer& server_;
+  StandinService service_;
+  Duration delay_;
+  Lagging<LoadReport> reports_;
+};
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_STANDIN_SERVICE_SHELL_H_
--- /dev/null
+++ b/programs/gcw_standin/standin_engine.h
@@ -0,0 +1,143 @@
+#ifndef PROGRAMS_GCW_STANDIN_STANDIN_ENGINE_H_
+#define PROGRAMS_GCW_STANDIN_STANDIN_ENGINE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "programs/gcw_standin/batch.h"
+#include "programs/gcw_standin/cache_event_log.h"
+#include "programs/gcw_standin/engine_member.h"
+#include "programs/gcw_standin/execution_counts.h"
+#include "programs/gcw_standin/faults.h"
+#include "programs/gcw_standin/lagging.h"
+#include "programs/gcw_standin/ticket.h"
+#include "protocol/protocol.h"
+
+namespace gcw {
+
+// A chat request with what its headers say.
+struct EngineCall {
+  AttemptId attempt;
+  ChatRequest chat;
+  // Any generation will do where absent.
+  std::optional<Generation> generation;
+  std::int64_t priority = 0;
+  std::int64_t resume_from = 0;
+  std::optional<Time> deadline;
+};
+
+// A token of a streamed answer.
+struct SendToken {
+  Ticket ticket;
+  ChatToken token;
+};
+// The answer is whole; `answer` has all its text.
+struct FinishAnswer {
+  Ticket ticket;
+  ChatAnswer answer;
+};
+// The answer can never be whole.
+struct BreakAnswer {
+  Ticket ticket;
+};
+
+enum class NotRunReason {
+  // The group cannot serve, or this is not its first VM.
+  kNotServing,
+  kOtherGeneration,
+  kOtherModel,
+  kQueueFull,
+  kDeadline,
+};
+
+// Refused without running.
+struct RefuseCall {
+  Ticket ticket;
+  NotRunReason reason = NotRunReason::kNotServing;
+};
+
+using EngineAction = std::variant<SendToken,
+                                  FinishAnswer,
+                                  BreakAnswer,
+                                  RefuseCall,
+                                  PollMember,
+                                  FetchWeights>;
+
+struct EngineOrderResult {
+  EngineOrderReply reply;
+  std::vector<EngineAction> actions;
+};
+
+// One VM's model engine without I/O: its part in a group, the batch at rank 0,
+// the prefix cache with its events, lagging load reports, and counts of what
+// truly ran.
+class StandinEngine {
+ public:
+  struct Settings {
+    EngineMember::Settings member;
+    Batch::Settings batch;
+    CacheEventLog::Settings events;
+    std::int64_t queue_limit = 256;
+    Duration load_report_period = Duration::Millis(50);
+  };
+
+  // `faults` outlives the engine and may change at any time.
+  StandinEngine(Settings settings, const Faults& faults);
+
+  EngineOrderResult OnOrder(Time now, const EngineOrder& order);
+  std::vector<EngineAction> OnChat(Time now, Ticket ticket, EngineCall call);
+  // The caller went away.
+  void Forget(Ticket ticket);
+  // Whether the attempt was still in hand. Its caller's answer breaks.
+  bool OnCancel(const AttemptId& attempt, std::vector<EngineAction>& actions);
+  std::vector<EngineAction> OnMemberStatus(Time now,
+                                           const EngineStatus& status);
+  void OnWeights(Time now, Generation generation);
+  std::vector<EngineAction> Tick(Time now);
+
+  EngineStatus Status(Time now) const;
+  LoadReport Load(Time now) const;
+  CacheEventBatch CacheEvents(Time now, std::int64_t after) const;
+  // Loses the cache events so far.
+  void DropCacheEvents() { events_.Drop(); }
+  const ExecutionCounts& executions() const { return executions_; }
+
+ private:
+  struct Held {
+    EngineCall call;
+    std::string prompt;
+    std::uint64_t prompt_hash = 0;
+    std::string text;
+    std::int64_t tokens_sent = 0;
+  };
+
+  std::optional<NotRunReason> FindRefusal(const EngineCall& call) const;
+  BatchRequest MakeBatchRequest(Ticket ticket, const Held& held) const;
+  void Apply(const BatchEvent& event, std::vector<EngineAction>& actions);
+  void ApplyToken(const BatchToken& token, std::vector<EngineAction>& actions);
+  void Finish(Ticket ticket, std::vector<EngineAction>& actions);
+  void Apply(const std::vector<MemberAction>& member_actions,
+             std::vector<EngineAction>& actions);
+  void BreakAll(std::vector<EngineAction>& actions);
+  void TakeLoadReport(Time now);
+
+  Settings settings_;
+  const Faults* faults_;
+  CacheEventLog events_;
+  EngineMember member_;
+  Batch batch_;
+  std::map<Ticket, Held> held_;
+  ExecutionCounts executions_;
+  Lagging<LoadReport> reports_;
+  Time next_report_;
+  // Of the call being handled, for the cache's hook.
+  Time now_;
+};
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_STANDIN_STANDIN_ENGINE_H_
--- /dev/null
+++ b/programs/gcw_standin/standin_server.cc
@@ -0,0 +1,148 @@
+#include "programs/gcw_standin/standin_server.h"
+
+#include <unistd.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "programs/gcw_standin/faulty_responder.h"
+#include "programs/gcw_standin/http_answers.h"
+
+namespace gcw {
+namespace {
+
+// Exit status after a request that was to crash the process.
+constexpr int kCrashStatus = 86;
+
+// Paths by which tests look inside; no fault concerns them.
+bool IsTestPath(std::string_view path) {
+  return path == "/faults" || path == "/executions" || path == "/counts";
+}
+
+bool IsCrashing(const Faults& faults, const HttpRequest& request) {
+  return !faults.crash_on.empty() &&
+         request.body.find(faults.crash_on) != std::string::npos;
+}
+
+void PrintStart(const std::string& name,
+                const std::string& ip,
+                std::uint16_t port) {
+  std::cout << boost::json::serialize(boost::json::object{
+                   {"standin", name},
+                   {"address", ip + ':' + std::to_string(port)},
+                   {"port", port},
+                   {"pid", getpid()}})
+            << std::endl;
+}
+
+}  // namespace
+
+StandinServer::StandinServer(boost::asio::io_context& context, Faults faults)
+    : context_(context), faults_(std::move(faults)), clock_(SystemClock()) {}
+
+Result<std::uint16_t, ListenError> StandinServer::Listen(
+    const std::string& name,
+    const std::string& ip,
+    std::uint16_t port,
+    Hooks hooks) {
+  hooks_ = std::move(hooks);
+  auto server = HttpServer::Listen(
+      context_, ip, port, HttpServerLimits{},
+      [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+        OnRequest(std::move(request), std::move(responder));
+      });
+  if (!IsOk(server)) {
+    return ErrorOf(server);
+  }
+  server_ = std::move(ValueOf(server));
+  PrintStart(name, ip, server_->port());
+  return server_->port();
+}
+
+void StandinServer::After(Duration delay, std::function<void(Time)> action) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(
+      context_, std::chrono::milliseconds(delay.millis()));
+  timer->async_wait([this, timer, action = std::move(action)](
+                        boost::system::error_code failure) {
+    if (!failure) {
+      action(now());
+    }
+  });
+}
+
+void StandinServer::Every(Duration period, std::function<void(Time)> action) {
+  After(period, [this, period, action = std::move(action)](Time now) {
+    action(now);
+    Every(period, action);
+  });
+}
+
+void StandinServer::OnRequest(HttpRequest request,
+                              std::shared_ptr<HttpResponder> responder) {
+  const std::string_view path = TargetPath(request.target);
+  if (path == "/faults") {
+    OnFaultsRequest(request, *responder);
+    return;
+  }
+  if (IsTestPath(path)) {
+    hooks_.handle(now(), std::move(request), std::move(responder));
+    return;
+  }
+  const auto faulty = FaultyResponder::Wrap(std::move(responder), faults_,
+                                            TakeLostAnswer(request));
+  if (faults_.silent) {
+    faulty->Silence();
+    return;
+  }
+  if (faults_.slow == Duration()) {
+    Pass(std::move(request), faulty);
+    return;
+  }
+  After(faults_.slow, [this, request = std::move(request), faulty](Time) {
+    Pass(request, faulty);
+  });
+}
+
+void StandinServer::OnFaultsRequest(const HttpRequest& request,
+                                    HttpResponder& responder) {
+  if (request.method == "GET") {
+    responder.Respond(JsonResponse(200, EncodeFaults(faults_)));
+    return;
+  }
+  Decoded<Faults> changed = ApplyFault(faults_, request.body);
+  if (!IsOk(changed)) {
+    responder.Respond(MalformedResponse(ErrorOf(changed)));
+    return;
+  }
+  faults_ = std::move(ValueOf(changed));
+  if (hooks_.on_faults) {
+    hooks_.on_faults();
+  }
+  responder.Respond(JsonResponse(200, EncodeFaults(faults_)));
+}
+
+void StandinServer::Pass(HttpRequest request,
+                         std::shared_ptr<HttpResponder> responder) {
+  const bool is_work = hooks_.is_work(request);
+  if (faults_.outage || (faults_.refuse && is_work)) {
+    responder->Respond(NotRunResponse(503, "fault"));
+    return;
+  }
+  if (is_work && IsCrashing(faults_, request)) {
+    std::_Exit(kCrashStatus);
+  }
+  hooks_.handle(now(), std::move(request), std::move(responder));
+}
+
+bool StandinServer::TakeLostAnswer(const HttpRequest& request) {
+  if (faults_.lose_answer == 0 || !hooks_.is_write(request)) {
+    return false;
+  }
+  --faults_.lose_answer;
+  return true;
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/programs/gcw_standin/standin_server.h
@@ -0,0 +1,64 @@
+#ifndef PROGRAMS_GCW_STANDIN_STANDIN_SERVER_H_
+#define PROGRAMS_GCW_STANDIN_STANDIN_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "programs/gcw_standin/faults.h"
+#include "transport/http_server.h"
+
+namespace gcw {
+
+// What all stand-ins share: the server, the faults with their test interface
+// `GET` and `POST /faults`, timers and the line printed at the start. Runs on
+// one thread.
+class StandinServer {
+ public:
+  using Handler = std::function<
+      void(Time now, HttpRequest, std::shared_ptr<HttpResponder>)>;
+  using RequestTest = std::function<bool(const HttpRequest&)>;
+
+  struct Hooks {
+    Handler handle;
+    // Which requests the faults `refuse` and `crash_on` concern.
+    RequestTest is_work;
+    // Which requests the fault `lose_answer` concerns.
+    RequestTest is_write;
+    // After a change of the faults.
+    std::function<void()> on_faults;
+  };
+
+  StandinServer(boost::asio::io_context& context, Faults faults);
+
+  // The faults that hold now; the reference stays valid.
+  const Faults& faults() const { return faults_; }
+  Time now() const { return clock_(); }
+  boost::asio::io_context& context() { return context_; }
+
+  // Listens and prints a JSON line with the port.
+  Result<std::uint16_t, ListenError> Listen(const std::string& name,
+                                            const std::string& ip,
+                                            std::uint16_t port,
+                                            Hooks hooks);
+  void After(Duration delay, std::function<void(Time)> action);
+  void Every(Duration period, std::function<void(Time)> action);
+
+ private:
+  void OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+  void OnFaultsRequest(const HttpRequest& request, HttpResponder& responder);
+  void Pass(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+  bool TakeLostAnswer(const HttpRequest& request);
+
+  boost::asio::io_context& context_;
+  Faults faults_;
+  Clock clock_;
+  Hooks hooks_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_STANDIN_STANDIN_SERVER_H_
--- /dev/null
+++ b/programs/gcw_standin/standin_store.cc
@@ -0,0 +1,251 @@
+#include "programs/gcw_standin/standin_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "protocol/protocol.h"
+
+namespace gcw {
+namespace {
+
+// A watch waits no longer than this, whatever its caller asks for.
+constexpr Duration kMaxWatchWait = Duration::Seconds(60);
+
+}  // namespace
+
+StandinStore::StandinStore(Settings settings)
+    : settings_(settings),
+      call_rate_(settings.calls_per_second),
+      write_rate_(settings.writes_per_second),
+      revision_(settings.first_revision),
+      compacted_(settings.first_revision) {}
+
+std::vector<StoreAnswer> StandinStore::OnCall(Time now,
+                                              Ticket ticket,
+                                              const StoreCall& call) {
+  std::vector<StoreAnswer> answers;
+  EndLapsedLeases(now);
+  if (!TakeRate(now, call)) {
+    ++counts_.busy;
+    answers.emplace_back(ticket, StoreReply(Busy()));
+  } else if (const auto* watch = std::get_if<StoreWatch>(&call)) {
+    watches_[ticket] = {*watch, now + std::min(watch->wait, kMaxWatchWait),
+                        watch->after};
+  } else {
+    StoreReply reply =
+        std::visit([&](const auto& typed) { return Run(now, typed); }, call);
+    answers.emplace_back(ticket, std::move(reply));
+  }
+  AnswerDueWatches(now, answers);
+  return answers;
+}
+
+std::vector<StoreAnswer> StandinStore::Tick(Time now) {
+  std::vector<StoreAnswer> answers;
+  EndLapsedLeases(now);
+  AnswerDueWatches(now, answers);
+  return answers;
+}
+
+void StandinStore::Forget(Ticket ticket) {
+  watches_.erase(ticket);
+}
+
+bool StandinStore::TakeRate(Time now, const StoreCall& call) {
+  const bool is_write = IsStoreWrite(call);
+  if (!call_rate_.HasRoom(now) || (is_write && !write_rate_.HasRoom(now))) {
+    return false;
+  }
+  call_rate_.Take();
+  ++counts_.calls;
+  if (is_write) {
+    write_rate_.Take();
+    ++counts_.writes;
+  }
+  return true;
+}
+
+StoreBusy StandinStore::Busy() const {
+  const Duration wait = std::max(call_rate_.Wait(), write_rate_.Wait());
+  return {.retry_after = std::max(wait, Duration::Millis(1))};
+}
+
+StoreReply StandinStore::Run(Time, const StoreRange& call) {
+  StoreRangeReply reply{.revision = revision_, .entries = {}};
+  for (auto entry = entries_.lower_bound(call.prefix);
+       entry != entries_.end() && entry->first.starts_with(call.prefix);
+       ++entry) {
+    reply.entries.push_back(entry->second);
+  }
+  return reply;
+}
+
+StoreReply StandinStore::Run(Time, const StorePut& call) {
+  if (call.lease != LeaseId() && !leases_.contains(call.lease)) {
+    return StoreLeaseUnknown{};
+  }
+  if (auto conflict = FindConflict(call.key, call.expected)) {
+    return *std::move(conflict);
+  }
+  const auto old = entries_.find(call.key);
+  if (old != entries_.end() && old->second.lease != LeaseId()) {
+    leases_.at(old->second.lease).keys.erase(call.key);
+  }
+  StoreEntry entry{call.key, call.value, ++revision_, call.lease};
+  if (call.lease != LeaseId()) {
+    leases_.at(call.lease).keys.insert(call.key);
+  }
+  entries_[call.key] = entry;
+  Remember({.entry = std::move(entry)});
+  return StoreWritten{.revision = revision_};
+}
+
+StoreReply StandinStore::Run(Time, const StoreDelete& call) {
+  if (auto conflict = FindConflict(call.key, call.expected)) {
+    return *std::move(conflict);
+  }
+  if (entries_.contains(call.key)) {
+    Erase(call.key);
+  }
+  return StoreWritten{.revision = revision_};
+}
+
+StoreReply StandinStore::Run(Time now, const StoreLeaseGrant& call) {
+  const LeaseId lease = ++last_lease_;
+  leases_[lease] = {call.time_to_live, now + call.time_to_live, {}};
+  return StoreLeaseReply{lease, call.time_to_live};
+}
+
+StoreReply StandinStore::Run(Time now, const StoreLeaseKeepAlive& call) {
+  const auto found = leases_.find(call.lease);
+  if (found == leases_.end()) {
+    return StoreLeaseUnknown{};
+  }
+  found->second.expires = now + found->second.time_to_live;
+  return StoreLeaseReply{call.lease, found->second.time_to_live};
+}
+
+StoreReply StandinStore::Run(Time, const StoreLeaseRevoke& call) {
+  if (!leases_.contains(call.lease)) {
+    return StoreLeaseUnknown{};
+  }
+  EndLease(call.lease);
+  return StoreLeaseReply{call.lease, Duration()};
+}
+
+StoreReply StandinStore::Run(Time, const StoreWatch& call) {
+  StoreWatchReply reply{.revision = revision_,
+                        .changed = {},
+                        .deleted = {},
+                        .compacted = IsCompacted(call.after)};
+  if (reply.compacted) {
+    return reply;
+  }
+  // Only the last change of each key counts.
+  std::map<std::string, const Change*> last;
+  for (auto change = ChangesAfter(call.after); change != history_.end();
+       ++change) {
+    if (change->entry.key.starts_with(call.prefix)) {
+      last[change->entry.key] = &*change;
+    }
+  }
+  for (const auto& [key, change] : last) {
+    if (change->deleted) {
+      reply.deleted.push_back({key, change->entry.revision});
+    } else {
+      reply.changed.push_back(change->entry);
+    }
+  }
+  return reply;
+}
+
+bool StandinStore::IsDue(Time now, Watch& watch) const {
+  if (watch.deadline <= now || IsCompacted(watch.call.after)) {
+    return true;
+  }
+  const auto first = ChangesAfter(watch.checked);
+  watch.checked = revision_;
+  return std::any_of(first, history_.end(), [&](const Change& change) {
+    return change.entry.key.starts_with(watch.call.prefix);
+  });
+}
+
+std::deque<StandinStore::Change>::const_iterator StandinStore::ChangesAfter(
+    Revision revision) const {
+  return std::upper_bound(history_.begin(), history_.end(), revision,
+                          [](Revision after, const Change& change) {
+                            return after < change.entry.revision;
+                          });
+}
+
+// A revision above the counter comes from before the store was restored.
+bool StandinStore::IsCompacted(Revision after) const {
+  return after < compacted_ || after > revision_;
+}
+
+std::optional<StoreConflict> StandinStore::FindConflict(
+    const std::string& key,
+    Revision expected) const {
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) {
+    return expected == Revision()
+               ? std::nullopt
+               : std::optional(StoreConflict{.current = std::nullopt});
+  }
+  if (found->second.revision == expected) {
+    return std::nullopt;
+  }
+  return StoreConflict{.current = found->second};
+}
+
+void StandinStore::Erase(const std::string& key) {
+  StoreEntry entry = entries_.at(key);
+  entries_.erase(key);
+  if (entry.lease != LeaseId()) {
+    leases_.at(entry.lease).keys.erase(key);
+  }
+  entry.revision = ++revision_;
+  Remember({.entry = std::move(entry), .deleted = true});
+}
+
+void StandinStore::EndLease(LeaseId lease) {
+  const std::set<std::string> keys = leases_.at(lease).keys;
+  for (const std::string& key : keys) {
+    Erase(key);
+  }
+  leases_.erase(lease);
+}
+
+void StandinStore::EndLapsedLeases(Time now) {
+  std::vector<LeaseId> lapsed;
+  for (const auto& [id, lease] : leases_) {
+    if (lease.expires <= now) {
+      lapsed.push_back(id);
+    }
+  }
+  for (const LeaseId lease : lapsed) {
+    EndLease(lease);
+  }
+}
+
+void StandinStore::Remember(Change change) {
+  history_.push_back(std::move(change));
+  while (history_.size() > settings_.history) {
+    compacted_ = history_.front().entry.revision;
+    history_.pop_front();
+  }
+}
+
+void StandinStore::AnswerDueWatches(Time now,
+                                    std::vector<StoreAnswer>& answers) {
+  for (auto watch = watches_.begin(); watch != watches_.end();) {
+    if (!IsDue(now, watch->second)) {
+      ++watch;
+      continue;
+    }
+    answers.emplace_back(watch->first, Run(now, watch->second.call));
+    watch = watches_.erase(watch);
+  }
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/programs/gcw_standin/standin_store.h
@@ -0,0 +1,117 @@
+#ifndef PROGRAMS_GCW_STANDIN_STANDIN_STORE_H_
+#define PROGRAMS_GCW_STANDIN_STANDIN_STORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "programs/gcw_standin/rate_limit.h"
+#include "programs/gcw_standin/ticket.h"
+#include "state/state.h"
+
+namespace gcw {
+
+struct StoreAnswer {
+  Ticket ticket;
+  StoreReply reply;
+};
+
+struct StoreCounts {
+  // Answered other than by `StoreBusy`; a watch counts when it arrives.
+  std::int64_t calls = 0;
+  std::int64_t writes = 0;
+  std::int64_t busy = 0;
+};
+
+// The key-value service in memory: compare-and-swap, leases, watches and a rate
+// limit, on one revision counter. It has no I/O and no clock.
+class StandinStore {
+ public:
+  struct Settings {
+    // 0 for no limit.
+    double calls_per_second = 0;
+    double writes_per_second = 0;
+    // Changes kept for watches; older ones are compacted away.
+    std::size_t history = 10000;
+    // The counter starts here; a lower one than before stands for a restored
+    // store.
+    Revision first_revision = Revision(1);
+  };
+
+  explicit StandinStore(Settings settings);
+
+  // Answers that are due now: that of the call, unless it is a watch that
+  // waits, and those of the watches that it woke.
+  std::vector<StoreAnswer> OnCall(Time now,
+                                  Ticket ticket,
+                                  const StoreCall& call);
+  // Ends leases and watches whose time is over.
+  std::vector<StoreAnswer> Tick(Time now);
+  // The caller of a waiting watch went away.
+  void Forget(Ticket ticket);
+
+  const StoreCounts& counts() const { return counts_; }
+
+ private:
+  struct Lease {
+    Duration time_to_live;
+    Time expires;
+    std::set<std::string> keys;
+  };
+
+  struct Change {
+    StoreEntry entry;
+    bool deleted = false;
+  };
+
+  struct Watch {
+    StoreWatch call;
+    Time deadline;
+    // No change up to here concerns it.
+    Revision checked;
+  };
+
+  bool TakeRate(Time now, const StoreCall& call);
+  StoreBusy Busy() const;
+
+  StoreReply Run(Time now, const StoreRange& call);
+  StoreReply Run(Time now, const StorePut& call);
+  StoreReply Run(Time now, const StoreDelete& call);
+  StoreReply Run(Time now, const StoreLeaseGrant& call);
+  StoreReply Run(Time now, const StoreLeaseKeepAlive& call);
+  StoreReply Run(Time now, const StoreLeaseRevoke& call);
+  // The reply of a watch that does not have to wait longer.
+  StoreReply Run(Time now, const StoreWatch& call);
+
+  bool IsDue(Time now, Watch& watch) const;
+  // The first change kept after a revision.
+  std::deque<Change>::const_iterator ChangesAfter(Revision revision) const;
+  bool IsCompacted(Revision after) const;
+  std::optional<StoreConflict> FindConflict(const std::string& key,
+                                            Revision expected) const;
+  void Erase(const std::string& key);
+  void EndLease(LeaseId lease);
+  void EndLapsedLeases(Time now);
+  void Remember(Change change);
+  void AnswerDueWatches(Time now, std::vector<StoreAnswer>& answers);
+
+  Settings settings_;
+  RateLimit call_rate_;
+  RateLimit write_rate_;
+  Revision revision_;
+  // Changes up to this revision are no longer kept.
+  Revision compacted_;
+  LeaseId last_lease_;
+  std::map<std::string, StoreEntry> entries_;
+  std::map<LeaseId, Lease> leases_;
+  std::deque<Change> history_;
+  std::map<Ticket, Watch> watches_;
+  StoreCounts counts_;
+};
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_STANDIN_STANDIN_STORE_H_
--- /dev/null
+++ b/programs/gcw_standin/standin_vm_list.h
@@ -0,0 +1,25 @@
+#ifndef PROGRAMS_GCW_STANDIN_STANDIN_VM_LIST_H_
+#define PROGRAMS_GCW_STANDIN_STANDIN_VM_LIST_H_
+
+#include <vector>
+
+#include "programs/gcw_standin/lagging.h"
+#include "state/state.h"
+
+namespace gcw {
+
+// The platform's VM list, which tells what held `lag` ago.
+class StandinVmList {
+ public:
+  explicit StandinVmList(Time now, std::vector<VmEntry> vms);
+
+  void Replace(Time now, std::vector<VmEntry> vms);
+  VmListSnapshot Read(Time now, Duration lag) const;
+
+ private:
+  Lagging<std::vector<VmEntry>> lists_;
+};
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_STANDIN_STANDIN_VM_LIST_H_
--- /dev/null
+++ b/programs/gcw_standin/standin_weights.cc
@@ -0,0 +1,29 @@
+#include "programs/gcw_standin/standin_weights.h"
+
+#include <algorithm>
+
+namespace gcw {
+namespace {
+
+constexpr std::int64_t kMillisPerSecond = 1000;
+
+}  // namespace
+
+StandinWeights::StandinWeights(std::int64_t bytes_per_second)
+    : bytes_per_second_(bytes_per_second) {}
+
+Time StandinWeights::Enqueue(Time now, std::int64_t bytes) {
+  const double seconds =
+      static_cast<double>(bytes) / static_cast<double>(bytes_per_second_);
+  const auto millis = static_cast<std::int64_t>(seconds * kMillisPerSecond);
+  free_at_ = std::max(free_at_, now) + Duration::Millis(millis);
+  return free_at_;
+}
+
+WeightStoreStatus StandinWeights::Status(Time now) const {
+  const std::int64_t wait = std::max(free_at_ - now, Duration()).millis();
+  return {.bytes_per_second = bytes_per_second_,
+          .queue_bytes = wait * bytes_per_second_ / kMillisPerSecond};
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/programs/gcw_standin/weights_shell.h
@@ -0,0 +1,34 @@
+#ifndef PROGRAMS_GCW_STANDIN_WEIGHTS_SHELL_H_
+#define PROGRAMS_GCW_STANDIN_WEIGHTS_SHELL_H_
+
+#include <cstdint>
+#include <memory>
+
+#include "programs/gcw_standin/standin_server.h"
+#include "programs/gcw_standin/standin_weights.h"
+
+namespace gcw {
+
+// Puts a `StandinWeights` on HTTP. `POST /fetch {"bytes"}` answers when its
+// turn is through.
+class WeightsShell {
+ public:
+  WeightsShell(StandinServer& server, std::int64_t bytes_per_second);
+
+  StandinServer::Hooks MakeHooks();
+
+ private:
+  void Handle(Time now,
+              const HttpRequest& request,
+              const std::shared_ptr<HttpResponder>& responder);
+  void Fetch(Time now,
+             const HttpRequest& request,
+             const std::shared_ptr<HttpResponder>& responder);
+
+  StandinServer& server_;
+  StandinWeights weights_;
+};
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_STANDIN_WEIGHTS_SHELL_H_
