--- a/coordination/node_core.h
+++ b/coordination/node_core.h
@@ -88,6 +88,7 @@
 
   // For the operators' pages.
   const Contract* FindContract(const KeyDigest& key) const;
+  const NodeId& id() const { return settings_.self.id; }
   bool ready() const { return configuration_->ready(); }
   bool draining() const { return leaving_since_.has_value(); }
   bool store_reachable() const { return lease_.store_reachable(); }
--- /dev/null
+++ b/protocol/wanted_model_json.h
@@ -0,0 +1,24 @@
+#ifndef PROTOCOL_WANTED_MODEL_JSON_H_
+#define PROTOCOL_WANTED_MODEL_JSON_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "protocol/codec_error.h"
+#include "state/state.h"
+
+namespace gcw {
+
+// A model that operators want served:
+//
+//   {"model":"notes","vms_per_group":4,"rank":1,
+//    "targets":[{"zone":"lj-1","wanted":2,"most":3}]}
+std::string EncodeWantedModel(const WantedModel& model);
+
+// Refuses groups of no VM, negative numbers and a target named twice.
+Decoded<WantedModel> DecodeWantedModel(std::string_view text);
+
+}  // namespace gcw
+
+#endif  // PROTOCOL_WANTED_MODEL_JSON_H_
--- a/state/contract.cc
+++ b/state/contract.cc
@@ -119,47 +119,57 @@
   return *this;
 }
 
-Result<Contract, ContractError> ContractBuilder::Build() const {
-  if (contract_.id.empty()) {
+std::optional<ContractError> FindFault(const Contract& contract) {
+  if (contract.id.empty()) {
     return ContractError{ContractErrorKind::kIdMissing, "id"};
   }
-  if (!IsWellFormedId(contract_.id.value())) {
+  if (!IsWellFormedId(contract.id.value())) {
     return ContractError{ContractErrorKind::kIdMalformed, "id"};
   }
-  if (contract_.customer.empty()) {
+  if (contract.customer.empty()) {
     return ContractError{ContractErrorKind::kCustomerMissing, "customer"};
   }
-  if (contract_.models.empty() && contract_.services.empty()) {
+  if (contract.models.empty() && contract.services.empty()) {
     return ContractError{ContractErrorKind::kNothingAllowed, "models"};
   }
-  if (!(contract_.requests_per_second > 0 &&
-        contract_.requests_per_second <= kMaxRequestsPerSecond)) {
+  if (!(contract.requests_per_second > 0 &&
+        contract.requests_per_second <=
+            ContractBuilder::kMaxRequestsPerSecond)) {
     return ContractError{ContractErrorKind::kRequestRateOutOfRange,
                          "requests_per_second"};
   }
-  if (!contract_.models.empty() &&
-      !(contract_.tokens_per_second > 0 &&
-        contract_.tokens_per_second <= kMaxTokensPerSecond)) {
+  if (!contract.models.empty() &&
+      !(contract.tokens_per_second > 0 &&
+        contract.tokens_per_second <= ContractBuilder::kMaxTokensPerSecond)) {
     return ContractError{ContractErrorKind::kTokenRateOutOfRange,
                          "tokens_per_second"};
   }
-  if (contract_.concurrency < 1 || contract_.concurrency > kMaxConcurrency) {
+  if (contract.concurrency < 1 ||
+      contract.concurrency > ContractBuilder::kMaxConcurrency) {
     return ContractError{ContractErrorKind::kConcurrencyOutOfRange,
                          "concurrency"};
   }
-  if (contract_.rank.value() < 0 || contract_.rank.value() > kMaxRank) {
+  if (contract.rank.value() < 0 ||
+      contract.rank.value() > ContractBuilder::kMaxRank) {
     return ContractError{ContractErrorKind::kRankOutOfRange, "rank"};
   }
-  if (contract_.valid_until && *contract_.valid_until <= contract_.valid_from) {
+  if (contract.valid_until && *contract.valid_until <= contract.valid_from) {
     return ContractError{ContractErrorKind::kValidityEmpty, "valid_until_ms"};
   }
-  if (contract_.keys.empty()) {
+  if (contract.keys.empty()) {
     return ContractError{ContractErrorKind::kKeyMissing, "keys"};
   }
-  if (!std::all_of(contract_.keys.begin(), contract_.keys.end(),
+  if (!std::all_of(contract.keys.begin(), contract.keys.end(),
                    IsWellFormedDigest)) {
     return ContractError{ContractErrorKind::kKeyMalformed, "keys"};
   }
+  return std::nullopt;
+}
+
+Result<Contract, ContractError> ContractBuilder::Build() const {
+  if (const std::optional<ContractError> fault = FindFault(contract_)) {
+    return *fault;
+  }
   return contract_;
 }
 
--- a/state/contract.h
+++ b/state/contract.h
@@ -59,6 +59,9 @@
 
 std::string_view ContractErrorKindName(ContractErrorKind kind);
 
+// The first reason why the contract cannot be accepted, if there is one.
+std::optional<ContractError> FindFault(const Contract& contract);
+
 // Checks and builds a contract.
 class ContractBuilder {
  public:
--- /dev/null
+++ b/transport/operator_service.h
@@ -0,0 +1,65 @@
+#ifndef TRANSPORT_OPERATOR_SERVICE_H_
+#define TRANSPORT_OPERATOR_SERVICE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "transport/http_types.h"
+#include "transport/metrics.h"
+#include "transport/node_runtime.h"
+#include "transport/secret.h"
+
+namespace gcw {
+
+// What operators can ask a node for, on its own port and with its own
+// credential; see docs/API.md.
+class OperatorService {
+ public:
+  // All references outlive the service.
+  OperatorService(Secret credential, NodeRuntime& runtime, Metrics& metrics);
+
+  // To be used as the handler of an `HttpServer`.
+  void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+
+ private:
+  using Responder = std::shared_ptr<HttpResponder>;
+  // A family of configuration keys that operators write.
+  struct Family {
+    // In paths and as the name of the list.
+    std::string_view name;
+    std::string_view prefix;
+    // The text that stands in the store for what the operator sent; on an
+    // error, the reason as `field: kind`.
+    std::function<Result<std::string, HttpResponse>(const std::string& id,
+                                                    std::string_view text)>
+        normalize;
+  };
+
+  bool IsAuthorized(const HttpRequest& request) const;
+  bool HandlePage(const HttpRequest& request, const Responder& responder);
+  bool HandleAction(const HttpRequest& request, const Responder& responder);
+  bool HandleFamily(const Family& family,
+                    const HttpRequest& request,
+                    const Responder& responder);
+  void ShowEntry(const std::string& key, const Responder& responder);
+  void WriteEntry(const Family& family,
+                  const std::string& id,
+                  const HttpRequest& request,
+                  const Responder& responder);
+  void ShowTimeline(const HttpRequest& request, const Responder& responder);
+  void ShowWhy(const HttpRequest& request, const Responder& responder);
+  void ShowChange(const std::string& text, const Responder& responder);
+  void DrainGroup(const HttpRequest& request, const Responder& responder);
+
+  Secret credential_;
+  NodeRuntime& runtime_;
+  Metrics& metrics_;
+  std::vector<Family> families_;
+};
+
+}  // namespace gcw
+
+#endif  // TRANSPORT_OPERATOR_SERVICE_H_
