--- /dev/null
+++ b/programs/gcw_node/node_settings.cc
@@ -0,0 +1,277 @@
+#include "programs/gcw_node/node_settings.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace gcw {
+namespace {
+
+constexpr TextRange kIdText{1, 64};
+constexpr TextRange kAddressText{3, 64};
+constexpr IntegerRange kPort{0, 65535};
+constexpr TextRange kSecretText{16, 512};
+constexpr ListRange kAnyList{0, 64};
+constexpr DurationRange kShortSpan{Duration::Millis(10),
+                                   Duration::Seconds(60)};
+constexpr DurationRange kLongSpan{Duration::Millis(100),
+                                  Duration::Seconds(24 * 3600)};
+
+// Keys whose text needs a second look once it is read.
+struct RawSettings {
+  std::vector<std::string> seeds;
+  std::vector<std::string> zone_distances;
+};
+
+void DeclareIdentity(NodeSettings& settings, SettingsReader& reader) {
+  NodeRecord& self = settings.core.self;
+  reader.Add("node.id", &self.id, kIdText,
+             "Name of this node, stable over restarts.", SettingNeed::kRequired);
+  reader.Add("node.zone", &self.zone, kIdText, "Data centre of this node.",
+             SettingNeed::kRequired);
+  reader.Add("node.region", &self.region, kIdText, "Region of the data centre.",
+             SettingNeed::kRequired);
+  reader.Add("node.weight", &self.weight, IntegerRange{1, 1000},
+             "Share of callers relative to other nodes.");
+  reader.Add("node.traffic_threads", &settings.traffic_threads,
+             IntegerRange{1, 64},
+             "Threads for callers and endpoints, beside the control thread.");
+}
+
+void DeclareListening(NodeSettings& settings, SettingsReader& reader) {
+  reader.Add("callers.ip", &settings.caller_listen.ip, kAddressText,
+             "IP address for callers.");
+  reader.Add("callers.port", &settings.caller_listen.port, kPort,
+             "Port for callers; 0 lets the kernel choose.");
+  reader.Add("peers.ip", &settings.peer_listen.ip, kAddressText,
+             "IP address for other nodes.");
+  reader.Add("peers.port", &settings.peer_listen.port, kPort,
+             "Port for other nodes; 0 lets the kernel choose.");
+  reader.Add("operators.ip", &settings.operator_listen.ip, kAddressText,
+             "IP address for operators.");
+  reader.Add("operators.port", &settings.operator_listen.port, kPort,
+             "Port for operators; 0 lets the kernel choose.");
+  reader.AddSecret("peers.secret_file", &settings.peer_secret, kSecretText,
+                   "File with the secret that all nodes share.",
+                   SettingNeed::kRequired);
+  reader.AddSecret("operators.credential_file", &settings.operator_credential,
+                   kSecretText, "File with the operators' credential.",
+                   SettingNeed::kRequired);
+}
+
+void DeclarePlatform(NodeSettings& settings, SettingsReader& reader) {
+  reader.Add("store.address", &settings.store, kAddressText,
+             "Address of the key-value service.", SettingNeed::kRequired);
+  reader.Add("store.timeout_ms", &settings.store_timeout, kShortSpan,
+             "Longest wait for an answer of the key-value service.");
+  reader.Add("vm_list.address", &settings.vm_list, kAddressText,
+             "Address of the VM list.", SettingNeed::kRequired);
+  reader.Add("vm_list.interval_ms", &settings.core.endpoints.vm_list_interval,
+             kLongSpan, "Time between reads of the VM list.");
+  reader.Add("weights.address", &settings.weights, kAddressText,
+             "Address of the weight store.", SettingNeed::kRequired);
+}
+
+void DeclareCallers(NodeSettings& settings, SettingsReader& reader) {
+  reader.Add("entries.keep_ms", &settings.core.entries.keep, kLongSpan,
+             "How long callers may keep an answer of GET /v1/entries.");
+  reader.Add("entries.spread_ms", &settings.core.entries.spread_time, kLongSpan,
+             "Time until a node's leaving has reached all nodes.");
+  reader.Add("callers.connect_timeout_ms", &settings.callers.connect_timeout,
+             kShortSpan, "Longest wait for a connection to an endpoint.");
+  reader.Add("callers.model_progress_timeout_ms",
+             &settings.callers.model_progress_timeout, kShortSpan,
+             "An engine's stream without a byte for so long is silent.");
+  reader.Add("callers.service_progress_timeout_ms",
+             &settings.callers.service_progress_timeout, kShortSpan,
+             "A plain service without a byte for so long is silent.");
+  reader.Add("callers.model_timeout_ms",
+             &settings.callers.default_model_timeout, kLongSpan,
+             "Deadline of model requests that name none.");
+  reader.Add("callers.service_timeout_ms",
+             &settings.callers.default_service_timeout, kLongSpan,
+             "Deadline of plain service requests that name none.");
+}
+
+void DeclareControl(NodeSettings& settings, SettingsReader& reader) {
+  NodeCoreSettings& core = settings.core;
+  reader.Add("lease.time_to_live_ms", &core.lease.time_to_live, kLongSpan,
+             "Life of the node's lease without a renewal.");
+  reader.Add("lease.renew_interval_ms", &core.lease.renew_interval, kLongSpan,
+             "Time between renewals of the node's lease.");
+  reader.Add("lease.margin_ms", &core.lease.margin, kLongSpan,
+             "Time before its end from which the lease is not relied on.");
+  reader.Add("orders.takeover_wait_ms", &core.keeper.order.takeover_wait,
+             kLongSpan,
+             "Wait of a new keeper before its first order; not less than the "
+             "lease's time to live.");
+  reader.Add("membership.period_ms", &core.membership.period, kShortSpan,
+             "Time between probes of other nodes.");
+  reader.Add("gate.max_evidence_age_ms", &core.gate.max_evidence_age,
+             kShortSpan,
+             "A group of this zone closes when the evidence that it is "
+             "complete is older.");
+  reader.Add("gate.max_remote_evidence_age_ms",
+             &core.gate.max_remote_evidence_age, kShortSpan,
+             "The same for groups of other zones.");
+  reader.Add("keeper.loss_after_ms", &core.keeper.tracker.loss_after,
+             kShortSpan, "A VM that is silent for so long counts as lost.");
+  reader.Add("keeper.list_lag_ms", &core.keeper.tracker.list_lag, kLongSpan,
+             "How far the VM list may lag behind.");
+  reader.Add("keeper.plan_interval_ms", &core.keeper.plan_interval, kShortSpan,
+             "Time between two repair plans.");
+  reader.Add("repair.group_downtime_weight",
+             &core.keeper.planner.weights.group_downtime, NumberRange{0, 1e6},
+             "Cost of a second in which a wanted group cannot serve.");
+  reader.Add("repair.stranded_accelerator_weight",
+             &core.keeper.planner.weights.stranded_accelerator,
+             NumberRange{0, 1e6}, "Cost of a second of an idle accelerator.");
+  reader.Add("limits.shards", &core.limits.shards, IntegerRange{1, 1024},
+             "Owners that contracts' limits are spread over; the same on all "
+             "nodes.");
+}
+
+void DeclareLogging(NodeSettings& settings, SettingsReader& reader) {
+  reader.Add("log.events_kept", &settings.events_kept,
+             IntegerRange{100, 10000000}, "Events of the time line in memory.");
+  reader.Add("log.events", &settings.log_events,
+             "Whether events of the time line go to the log too.");
+  reader.AddChoice<LogSeverity>("log.severity", &settings.log_severity,
+                                {{"info", LogSeverity::kInfo},
+                                 {"warning", LogSeverity::kWarning},
+                                 {"error", LogSeverity::kError}},
+                                "Lowest severity that is logged.");
+}
+
+void DeclareAll(NodeSettings& settings,
+                RawSettings& raw,
+                SettingsReader& reader) {
+  DeclareIdentity(settings, reader);
+  DeclareListening(settings, reader);
+  DeclarePlatform(settings, reader);
+  DeclareCallers(settings, reader);
+  DeclareControl(settings, reader);
+  DeclareLogging(settings, reader);
+  reader.Add("peers.seeds", &raw.seeds, kAnyList,
+             "Nodes to ask while the key-value service is down: "
+             "\"id@ip:port\".");
+  reader.Add("zones.distances", &raw.zone_distances, kAnyList,
+             "One-way delay to other data centres: \"zone=milliseconds\".");
+}
+
+SettingError BadItem(const std::string& path,
+                     std::string_view key,
+                     const std::string& value,
+                     std::string_view allowed) {
+  SettingError error;
+  error.kind = SettingErrorKind::kOutOfRange;
+  error.file = path;
+  error.key = key;
+  error.value = value;
+  error.allowed = allowed;
+  return error;
+}
+
+std::optional<NodeRecord> ParseSeed(const std::string& text) {
+  const std::size_t at = text.find('@');
+  if (at == std::string::npos || at == 0 ||
+      text.find(':', at) == std::string::npos) {
+    return std::nullopt;
+  }
+  NodeRecord seed;
+  seed.id = NodeId(text.substr(0, at));
+  seed.peer_address = Address(text.substr(at + 1));
+  return seed;
+}
+
+std::optional<ZoneDistance> ParseDistance(const std::string& text) {
+  const std::size_t equals = text.find('=');
+  if (equals == std::string::npos || equals == 0) {
+    return std::nullopt;
+  }
+  ZoneDistance distance;
+  distance.zone = ZoneId(text.substr(0, equals));
+  const char* begin = text.data() + equals + 1;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(begin, end, distance.millis);
+  if (result.ec != std::errc() || result.ptr != end || distance.millis < 0) {
+    return std::nullopt;
+  }
+  return distance;
+}
+
+std::vector<SettingError> ReadItems(const std::string& path,
+                                    const RawSettings& raw,
+                                    NodeSettings& settings) {
+  std::vector<SettingError> errors;
+  for (const std::string& text : raw.seeds) {
+    if (std::optional<NodeRecord> seed = ParseSeed(text)) {
+      settings.core.seeds.push_back(std::move(*seed));
+    } else {
+      errors.push_back(BadItem(path, "peers.seeds", text, "id@ip:port"));
+    }
+  }
+  for (const std::string& text : raw.zone_distances) {
+    if (std::optional<ZoneDistance> distance = ParseDistance(text)) {
+      settings.core.router.distances.push_back(std::move(*distance));
+    } else {
+      errors.push_back(
+          BadItem(path, "zones.distances", text, "zone=milliseconds"));
+    }
+  }
+  return errors;
+}
+
+// Values that are each in range but do not fit together.
+std::vector<SettingError> CheckTogether(const std::string& path,
+                                        const NodeSettings& settings) {
+  std::vector<SettingError> errors;
+  const NodeLeaseSettings& lease = settings.core.lease;
+  if (lease.renew_interval * 2 + lease.margin > lease.time_to_live) {
+    errors.push_back(
+        BadItem(path, "lease.time_to_live_ms",
+                std::to_string(lease.time_to_live.millis()),
+                "at least twice renew_interval_ms plus margin_ms, so that one "
+                "lost renewal does not end the lease"));
+  }
+  const Duration wait = settings.core.keeper.order.takeover_wait;
+  if (wait < lease.time_to_live) {
+    errors.push_back(BadItem(path, "orders.takeover_wait_ms",
+                             std::to_string(wait.millis()),
+                             "at least lease.time_to_live_ms"));
+  }
+  return errors;
+}
+
+}  // namespace
+
+std::variant<NodeSettings, std::vector<SettingError>> ReadNodeSettings(
+    const std::string& path) {
+  NodeSettings settings;
+  RawSettings raw;
+  SettingsReader reader;
+  DeclareAll(settings, raw, reader);
+  std::vector<SettingError> errors = reader.ReadFile(path);
+  if (!errors.empty()) {
+    return errors;
+  }
+  errors = ReadItems(path, raw, settings);
+  if (errors.empty()) {
+    errors = CheckTogether(path, settings);
+  }
+  if (!errors.empty()) {
+    return errors;
+  }
+  settings.core.router.zone = settings.core.self.zone;
+  return settings;
+}
+
+void WriteNodeSettingsReference(std::ostream& out) {
+  NodeSettings settings;
+  RawSettings raw;
+  SettingsReader reader;
+  DeclareAll(settings, raw, reader);
+  reader.WriteReference(out);
+}
+
+}  // namespace gcw
--- a/transport/operator_pages.cc
+++ b/transport/operator_pages.cc
@@ -20,9 +20,9 @@
 }
 
 json::object LimitsOf(const LimitVector& limits) {
-  return json::object{{"requests_per_second", limits.requests},
-                      {"tokens_per_second", limits.tokens},
-                      {"concurrency", limits.concurrency}};
+  return json::object{{"requests_per_second", limits[LimitResource::kRequests]},
+                      {"tokens_per_second", limits[LimitResource::kTokens]},
+                      {"concurrency", limits[LimitResource::kConcurrency]}};
 }
 
 json::object GroupOf(const DomainRecord& domain, const GroupRecord& group) {
--- a/transport/operator_service.cc
+++ b/transport/operator_service.cc
@@ -1,5 +1,6 @@
 #include "transport/operator_service.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -361,7 +362,8 @@
                                      "Give `domain` and `group`."));
     return;
   }
-  runtime_.Run([responder, domain, group](NodeCore& core, EventLog&, Time now) {
+  runtime_.Run([this, responder, domain, group](NodeCore& core, EventLog&,
+                                                Time now) {
     const RoleName role("keeper/" + domain.value());
     const std::vector<RoleName> roles = core.Roles(now);
     if (std::find(roles.begin(), roles.end(), role) == roles.end()) {
@@ -371,7 +373,7 @@
                         "status lists its role."));
       return;
     }
-    core.Handle(now, OperatorDrainGroup{domain, group});
+    runtime_.Post(OperatorDrainGroup{domain, group});
     responder->Respond(JsonResponse(
         kStatusAccepted, json::serialize(json::object{{"draining", true}})));
   });
