--- a/programs/gcw_node/main.cc
+++ b/programs/gcw_node/main.cc
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 
+#include <cstdint>
 #include <iostream>
 #include <string>
 
@@ -17,6 +18,7 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitSettings = 3;
 constexpr int kExitListen = 4;
+constexpr std::int64_t kSignalWaitNanos = 100'000'000;
 
 constexpr std::string_view kExamples =
     "Examples:\n"
@@ -41,7 +43,7 @@
 }
 
 // Blocks the signals of a planned stop in all threads that start later; they
-// are taken by `sigwait`.
+// are taken by `sigtimedwait`.
 sigset_t BlockStopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
@@ -74,10 +76,13 @@
     return kExitListen;
   }
   gcw::NodeProcess& node = *std::get<0>(started);
-  int signal_number = 0;
-  sigwait(&signals, &signal_number);
-  node.BeginStop();
-  node.Wait();
+  // A planned stop may also begin through the operators' port.
+  const timespec patience{0, kSignalWaitNanos};
+  while (!node.stopped()) {
+    if (sigtimedwait(&signals, nullptr, &patience) > 0) {
+      node.BeginStop();
+    }
+  }
   return kExitOk;
 }
 
--- a/programs/gcw_node/node_process.h
+++ b/programs/gcw_node/node_process.h
@@ -28,8 +28,8 @@
 
   // Begins a planned stop; callable from any thread.
   void BeginStop();
-  // Returns once the planned stop is complete.
-  void Wait();
+  // Whether the planned stop is complete.
+  bool stopped() const;
 
  private:
   struct Parts;
