--- a/core/event.cc
+++ b/core/event.cc
@@ -1,6 +1,11 @@
 #include "core/event.h"
 
 namespace gcw {
+namespace {
+
+constexpr std::string_view kUnknownKind = "unknown";
+
+}  // namespace
 
 std::string_view EventKindName(EventKind kind) {
   switch (kind) {
@@ -111,7 +116,24 @@
     case EventKind::kConnectionSilent:
       return "connection_silent";
   }
-  return "unknown";
+  return kUnknownKind;
+}
+
+std::optional<EventKind> EventKindFromName(std::string_view name) {
+  if (name == kUnknownKind) {
+    return std::nullopt;
+  }
+  // Kinds are numbered from 0 without gaps; past the last one there is no name.
+  for (int number = 0;; ++number) {
+    const auto kind = static_cast<EventKind>(number);
+    const std::string_view kind_name = EventKindName(kind);
+    if (kind_name == name) {
+      return kind;
+    }
+    if (kind_name == kUnknownKind) {
+      return std::nullopt;
+    }
+  }
 }
 
 EventSink DiscardEvents() {
--- a/core/event.h
+++ b/core/event.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -77,6 +78,9 @@
 // "group_serving".
 std::string_view EventKindName(EventKind kind);
 
+// The kind of that name; nothing where there is none.
+std::optional<EventKind> EventKindFromName(std::string_view name);
+
 // A typed detail of an event; `name` is a literal.
 struct EventField {
   std::string_view name;
--- /dev/null
+++ b/protocol/trace_file.cc
@@ -0,0 +1,140 @@
+#include "protocol/trace_file.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "protocol/event_field_json.h"
+
+namespace gcw {
+namespace {
+
+constexpr std::int64_t kMicrosPerMilli = 1000;
+// Events have no length; viewers draw arrows only between slices, so each
+// event is a slice of this length.
+constexpr std::int64_t kSliceMicros = 100;
+
+// "group" of "group_serving".
+std::string_view FamilyOf(EventKind kind) {
+  const std::string_view name = EventKindName(kind);
+  return name.substr(0, name.find('_'));
+}
+
+// The counter keeps the order of events within a millisecond visible.
+std::int64_t Microseconds(const HybridTime& time) {
+  const std::int64_t within =
+      std::clamp<std::int64_t>(time.logical, 0, kMicrosPerMilli - 1);
+  return time.physical.millis() * kMicrosPerMilli + within;
+}
+
+class TraceWriter {
+ public:
+  explicit TraceWriter(const std::vector<TimelineEvent>& events)
+      : events_(events) {
+    for (std::size_t index = 0; index < events.size(); ++index) {
+      index_of_.emplace(events[index].id, index);
+      processes_[events[index].node] = 0;
+      lanes_[FamilyOf(events[index].draft.kind)] = 0;
+    }
+    Number(processes_);
+    Number(lanes_);
+  }
+
+  std::string Write() {
+    WriteNames();
+    for (const TimelineEvent& event : events_) {
+      WriteSlice(event);
+      WriteArrow(event);
+    }
+    return boost::json::serialize(boost::json::object{
+        {"displayTimeUnit", "ms"}, {"traceEvents", std::move(entries_)}});
+  }
+
+ private:
+  template <typename Key>
+  static void Number(std::map<Key, std::int64_t>& numbers) {
+    std::int64_t next = 1;
+    for (auto& [key, number] : numbers) {
+      number = next++;
+    }
+  }
+
+  boost::json::object Entry(std::string_view phase,
+                            const TimelineEvent& event) const {
+    return {{"ph", phase},
+            {"ts", Microseconds(event.time)},
+            {"pid", processes_.at(event.node)},
+            {"tid", lanes_.at(FamilyOf(event.draft.kind))}};
+  }
+
+  void WriteNames() {
+    for (const auto& [node, process] : processes_) {
+      entries_.push_back(
+          boost::json::object{{"ph", "M"},
+                              {"name", "process_name"},
+                              {"pid", process},
+                              {"args", {{"name", TextToJson(node.value())}}}});
+      for (const auto& [family, lane] : lanes_) {
+        entries_.push_back(boost::json::object{{"ph", "M"},
+                                               {"name", "thread_name"},
+                                               {"pid", process},
+                                               {"tid", lane},
+                                               {"args", {{"name", family}}}});
+      }
+    }
+  }
+
+  void WriteSlice(const TimelineEvent& event) {
+    boost::json::object arguments = FieldsToJson(event.draft.fields);
+    arguments.insert_or_assign("id", TextToJson(event.id.value()));
+    arguments.insert_or_assign("subject", TextToJson(event.draft.subject));
+    boost::json::object entry = Entry("X", event);
+    entry["dur"] = kSliceMicros;
+    entry["name"] = EventKindName(event.draft.kind);
+    entry["cat"] = FamilyOf(event.draft.kind);
+    entry["args"] = std::move(arguments);
+    entries_.push_back(std::move(entry));
+  }
+
+  void WriteArrow(const TimelineEvent& effect) {
+    const auto cause = index_of_.find(effect.draft.cause);
+    if (cause == index_of_.end()) {
+      return;
+    }
+    // Binds to the enclosing slice at both ends.
+    boost::json::object start = Entry("s", events_[cause->second]);
+    boost::json::object finish = Entry("f", effect);
+    finish["bp"] = "e";
+    ++arrows_;
+    for (boost::json::object* end : {&start, &finish}) {
+      (*end)["id"] = arrows_;
+      (*end)["name"] = "cause";
+      (*end)["cat"] = "cause";
+    }
+    entries_.push_back(std::move(start));
+    entries_.push_back(std::move(finish));
+  }
+
+  const std::vector<TimelineEvent>& events_;
+  std::unordered_map<EventId, std::size_t> index_of_;
+  std::map<NodeId, std::int64_t> processes_;
+  std::map<std::string_view, std::int64_t> lanes_;
+  std::int64_t arrows_ = 0;
+  boost::json::array entries_;
+};
+
+}  // namespace
+
+std::string ExportTrace(const std::vector<TimelineEvent>& events) {
+  return TraceWriter(events).Write();
+}
+
+}  // namespace gcw
