--- /dev/null
+++ b/tests/transport/settings_reader_test.cc
@@ -0,0 +1,194 @@
+#include "transport/settings_reader.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace gcw {
+namespace {
+
+using testing::HasSubstr;
+using testing::Not;
+
+enum class Mode { kFast, kSafe };
+
+struct ExampleSettings {
+  NodeId node;
+  int port = 8080;
+  double headroom = 0.1;
+  bool is_verbose = false;
+  Duration wait = Duration::Millis(250);
+  Mode mode = Mode::kSafe;
+  std::vector<std::string> zones = {"a"};
+  Secret operator_key;
+};
+
+class SettingsReaderTest : public testing::Test {
+ protected:
+  SettingsReaderTest() {
+    reader_.Add("node", &settings_.node, TextRange{1, 8}, "Its id.",
+                Presence::kRequired);
+    reader_.Add("callers.port", &settings_.port, IntegerRange{0, 65535},
+                "Port for callers.");
+    reader_.Add("limits.headroom", &settings_.headroom, NumberRange{0, 1},
+                "Share kept free.");
+    reader_.Add("limits.queue_wait_ms", &settings_.wait,
+                DurationRange{Duration::Millis(1), Duration::Seconds(10)},
+                "Longest wait.");
+    reader_.Add("verbose", &settings_.is_verbose, "More lines.");
+    reader_.AddChoice("mode", &settings_.mode,
+                      {{"fast", Mode::kFast}, {"safe", Mode::kSafe}}, "Mode.");
+    reader_.Add("zones", &settings_.zones, ListRange{1, 2}, "Zones.");
+    reader_.AddSecret("operators.key_file", &settings_.operator_key,
+                      TextRange{8, 64}, "Operators' credential.");
+  }
+
+  std::vector<SettingError> Read(const std::string& text) {
+    return reader_.ReadText(text, "gcw.toml");
+  }
+
+  // The kind of the only error that the text gives beside a sound node.
+  SettingErrorKind KindOf(const std::string& text) {
+    const auto errors = Read("node = \"n1\"\n" + text);
+    EXPECT_EQ(errors.size(), 1U) << text;
+    return errors.empty() ? SettingErrorKind::kBadDeclaration : errors[0].kind;
+  }
+
+  static std::string Shown(const std::vector<SettingError>& errors) {
+    std::ostringstream out;
+    for (const SettingError& error : errors) {
+      out << error << '\n';
+    }
+    return out.str();
+  }
+
+  ExampleSettings settings_;
+  SettingsReader reader_;
+};
+
+TEST_F(SettingsReaderTest, FillsWhatIsGivenAndKeepsDefaults) {
+  EXPECT_EQ(Shown(Read("node = \"n1\"\nzones = [\"b\", \"c\"]\nmode = 'fast'\n"
+                       "[limits]\nheadroom = 1\nqueue_wait_ms = 40\n")),
+            "");
+  EXPECT_EQ(settings_.node, NodeId("n1"));
+  EXPECT_EQ(settings_.port, 8080);
+  EXPECT_EQ(settings_.headroom, 1.0);
+  EXPECT_EQ(settings_.wait, Duration::Millis(40));
+  EXPECT_EQ(settings_.mode, Mode::kFast);
+  EXPECT_EQ(settings_.zones, (std::vector<std::string>{"b", "c"}));
+}
+
+// Symptom: an operator mends one setting after another, a restart each.
+// Sequence: a file has several faults, of which the first is reported.
+// Cause: reading stops at the first fault, perhaps with half the values set.
+TEST_F(SettingsReaderTest, ReportsAllErrorsAtOnceAndChangesNothing) {
+  const auto errors = Read(
+      "mode = \"slow\"\n"
+      "[callers]\n"
+      "prot = 1\n"
+      "port = 70000 # too high\n"
+      "[limits]\n"
+      "headroom = nan\n"
+      "queue_wait_ms = 40\n");
+  EXPECT_EQ(Shown(errors),
+            "gcw.toml: node: missing; text, 1 to 8 bytes\n"
+            "gcw.toml:1: mode = \"slow\": out of range; choice, fast, safe\n"
+            "gcw.toml:3: callers.prot = 1: unknown key; "
+            "is callers.port meant?\n"
+            "gcw.toml:4: callers.port = 70000: out of range; "
+            "integer, 0 to 65535\n"
+            "gcw.toml:6: limits.headroom = nan: out of range; "
+            "number, 0 to 1\n");
+  EXPECT_EQ(settings_.wait, Duration::Millis(250));
+}
+
+TEST_F(SettingsReaderTest, RefusesWrongTypesRangesAndKeys) {
+  for (const char* text :
+       {"callers.port = \"80\"", "callers.port = 80.0", "verbose = 1",
+        "zones = \"a\"", "zones = [1]", "zones = 1979-05-27", "mode = 1",
+        "limits.headroom = true", "operators.key_file = 1",
+        "callers.port = {a = 1}"}) {
+    EXPECT_EQ(KindOf(text), SettingErrorKind::kWrongType) << text;
+  }
+  for (const char* text :
+       {"zones = []", "zones = ['a', 'b', 'c']", "callers.port = -1",
+        "limits.headroom = -0.1", "limits.queue_wait_ms = 0"}) {
+    EXPECT_EQ(KindOf(text), SettingErrorKind::kOutOfRange) << text;
+  }
+  for (const char* text : {"other = 1", "[other]", "[[other]]\na = 1",
+                           "limits.other = 1", "\"callers.port\" = 80"}) {
+    EXPECT_EQ(KindOf(text), SettingErrorKind::kUnknownKey) << text;
+  }
+  EXPECT_EQ(Read("node = ")[0].kind, SettingErrorKind::kSyntax);
+  EXPECT_EQ(Read("node = \"n1\"\nnode = \"n2\"")[0].line, 2);
+  EXPECT_EQ(reader_.ReadFile("/nonexistent/gcw.toml")[0].kind,
+            SettingErrorKind::kFileUnreadable);
+}
+
+class SecretSettingTest : public SettingsReaderTest {
+ protected:
+  SecretSettingTest() { std::filesystem::create_directories(folder_); }
+  ~SecretSettingTest() override { std::filesystem::remove_all(folder_); }
+
+  void WriteFile(const std::string& name, const std::string& content) {
+    std::ofstream(folder_ / name) << content;
+  }
+
+  std::filesystem::path folder_ = std::filesystem::path(testing::TempDir()) /
+                                  ("gcw_secret_" + std::to_string(getpid()));
+};
+
+TEST_F(SecretSettingTest, ReadsSecretsBesideTheSettingsFile) {
+  WriteFile("operator.key", "correct-horse\nnot this\n");
+  WriteFile("gcw.toml",
+            "node = \"n1\"\noperators.key_file = \"operator.key\"\n");
+  EXPECT_EQ(Shown(reader_.ReadFile(folder_ / "gcw.toml")), "");
+  EXPECT_TRUE(settings_.operator_key.Matches("correct-horse"));
+}
+
+// Symptom: a key stands in the log.
+// Sequence: an operator writes the key itself where its file's path belongs, or
+// under a key that the program does not have; the start fails.
+// Cause: errors show the value as written.
+TEST_F(SecretSettingTest, NoErrorShowsASecret) {
+  WriteFile("short.key", "hush");
+  const std::string shown =
+      Shown(Read("node = \"n1\"\noperators.key_file = \"hush-hush\"")) +
+      Shown(Read("node = \"n1\"\noperators.key_file = \"" +
+                 (folder_ / "short.key").string() + "\"")) +
+      Shown(Read("node = \"n1\"\noperators.key = \"hush-hush\"")) +
+      Shown(Read("node = \"n1\"\noperators = {key = \"hush-hush\"}")) +
+      Shown(Read("node = \"n1\"\noperator = {key = \"hush-hush\"}"));
+  EXPECT_THAT(shown, HasSubstr("secret cannot be read"));
+  EXPECT_THAT(shown, HasSubstr("short.key"));
+  EXPECT_THAT(shown, HasSubstr("8 to 64 bytes"));
+  EXPECT_THAT(shown, Not(HasSubstr("hush")));
+}
+
+TEST_F(SettingsReaderTest, RefusesDeclarationsWithoutUnitOrTwice) {
+  SettingsReader reader;
+  Duration wait;
+  Secret key;
+  reader.Add("wait", &wait, DurationRange{}, "No unit.");
+  reader.AddSecret("key", &key, TextRange{}, "Not a file.");
+  reader.Add("twice_ms", &wait, DurationRange{}, "Once.");
+  reader.Add("twice_ms", &wait, DurationRange{}, "Again.");
+  const auto errors = reader.ReadText("", "gcw.toml");
+  ASSERT_EQ(errors.size(), 3U);
+  EXPECT_EQ(errors[0].kind, SettingErrorKind::kBadDeclaration);
+}
+
+TEST_F(SettingsReaderTest, WritesTheReference) {
+  std::ostringstream out;
+  reader_.WriteReference(out);
+  EXPECT_THAT(out.str(), HasSubstr("| `node` | text | 1 to 8 bytes | required "
+                                   "| Its id. |\n"));
+  EXPECT_THAT(out.str(), HasSubstr("| `limits.queue_wait_ms` | integer | 1 to "
+                                   "10000 | `250` | Longest wait. |\n"));
+}
+
+}  // namespace
+}  // namespace gcw
--- a/transport/metrics.h
+++ b/transport/metrics.h
@@ -56,10 +56,12 @@
   explicit Distribution(const BucketRange& range);
   ~Distribution();
 
+  // Negative values count as 0; values that are not finite are ignored.
   void Record(double value);
 
   struct Bucket {
-    // Values up to here are in this bucket; infinite for the last.
+    // Values below this are in this bucket or an earlier one; infinite for the
+    // last.
     double upper_bound;
     std::uint64_t count;
   };
--- a/transport/settings_reader.h
+++ b/transport/settings_reader.h
@@ -157,8 +157,7 @@
         default_name = name;
       }
     }
-    AddNamedChoice(key, std::move(default_name), std::move(names), doc,
-                   presence,
+    AddNamedChoice(key, default_name, std::move(names), doc, presence,
                    [target, choices = std::move(choices)](std::size_t index) {
                      *target = choices[index].second;
                    });
@@ -216,13 +215,13 @@
                   Presence presence,
                   std::function<void(std::int64_t)> apply);
   void AddText(std::string_view key,
-               std::string default_value,
+               const std::string& default_value,
                TextRange range,
                std::string_view doc,
                Presence presence,
                std::function<void(std::string)> apply);
   void AddNamedChoice(std::string_view key,
-                      std::string default_name,
+                      const std::string& default_name,
                       std::vector<std::string> names,
                       std::string_view doc,
                       Presence presence,
@@ -230,6 +229,8 @@
   void Declare(Declaration declaration);
   void RefuseDeclaration(std::string_view key, std::string allowed);
   const Declaration* Find(std::string_view key) const;
+  bool HasKeysBelow(std::string_view table) const;
+  std::string SuggestionFor(std::string_view key) const;
   std::vector<SettingError> Evaluate(const Document& document);
 
   std::vector<Declaration> declarations_;
