settings: call whether a key must be given SettingNeed

Cause: the serving gate's module names what a prober saw of an endpoint `Presence`; two enums of one name cannot stand in one namespace. Measured: the settings tests pass as before.

--- a/transport/settings_reader.cc
+++ b/transport/settings_reader.cc
@@ -238,7 +238,7 @@
                          std::int64_t* target,
                          IntegerRange range,
                          std::string_view doc,
-                         Presence presence) {
+                         SettingNeed presence) {
   AddInteger(key, *target, range, doc, presence,
              [target](std::int64_t number) { *target = number; });
 }
@@ -247,7 +247,7 @@
                          int* target,
                          IntegerRange range,
                          std::string_view doc,
-                         Presence presence) {
+                         SettingNeed presence) {
   using Limits = std::numeric_limits<int>;
   range.min = std::max<std::int64_t>(range.min, Limits::min());
   range.max = std::min<std::int64_t>(range.max, Limits::max());
@@ -260,7 +260,7 @@
                          double* target,
                          NumberRange range,
                          std::string_view doc,
-                         Presence presence) {
+                         SettingNeed presence) {
   std::ostringstream default_value;
   default_value << *target;
   Declare({std::string(key), "number", RangeText(range.min, range.max),
@@ -287,7 +287,7 @@
 void SettingsReader::Add(std::string_view key,
                          bool* target,
                          std::string_view doc,
-                         Presence presence) {
+                         SettingNeed presence) {
   Declare({std::string(key), "boolean", "true or false",
            *target ? "true" : "false", std::string(doc), presence, false,
            [target](const Value& value,
@@ -304,7 +304,7 @@
                          std::string* target,
                          TextRange range,
                          std::string_view doc,
-                         Presence presence) {
+                         SettingNeed presence) {
   AddText(key, *target, range, doc, presence,
           [target](std::string text) { *target = std::move(text); });
 }
@@ -313,7 +313,7 @@
                          Duration* target,
                          DurationRange range,
                          std::string_view doc,
-                         Presence presence) {
+                         SettingNeed presence) {
   if (!key.ends_with(kDurationSuffix)) {
     RefuseDeclaration(key, "a span of time whose key ends in _ms");
   }
@@ -327,7 +327,7 @@
                          std::vector<std::string>* target,
                          ListRange range,
                          std::string_view doc,
-                         Presence presence) {
+                         SettingNeed presence) {
   std::vector<std::string> defaults;
   std::transform(target->begin(), target->end(), std::back_inserter(defaults),
                  Quoted);
@@ -351,7 +351,7 @@
                                Secret* target,
                                TextRange range,
                                std::string_view doc,
-                               Presence presence) {
+                               SettingNeed presence) {
   if (!key.ends_with(kSecretSuffix)) {
     RefuseDeclaration(key, "a secret whose key ends in _file");
   }
@@ -387,7 +387,7 @@
                                 std::int64_t default_value,
                                 IntegerRange range,
                                 std::string_view doc,
-                                Presence presence,
+                                SettingNeed presence,
                                 std::function<void(std::int64_t)> apply) {
   Declare(
       {std::string(key), "integer", RangeText(range.min, range.max),
@@ -409,7 +409,7 @@
                              const std::string& default_value,
                              TextRange range,
                              std::string_view doc,
-                             Presence presence,
+                             SettingNeed presence,
                              std::function<void(std::string)> apply) {
   Declare(
       {std::string(key), "text", RangeText(range.min, range.max, " bytes"),
@@ -431,7 +431,7 @@
                                     const std::string& default_name,
                                     std::vector<std::string> names,
                                     std::string_view doc,
-                                    Presence presence,
+                                    SettingNeed presence,
                                     std::function<void(std::size_t)> apply) {
   const std::string allowed = Joined(names);
   Declare(
@@ -573,7 +573,7 @@
     errors.push_back(std::move(error));
   }
   for (const Declaration& declaration : declarations_) {
-    if (declaration.presence == Presence::kRequired &&
+    if (declaration.presence == SettingNeed::kRequired &&
         !document.entries.contains(declaration.key)) {
       errors.push_back({SettingErrorKind::kMissing, document.file, 0,
                         declaration.key, "",
@@ -596,7 +596,7 @@
   out << "| key | type | allowed | default | meaning |\n"
       << "|---|---|---|---|---|\n";
   for (const Declaration& each : declarations_) {
-    const bool is_required = each.presence == Presence::kRequired;
+    const bool is_required = each.presence == SettingNeed::kRequired;
     out << "| `" << each.key << "` | " << each.type << " | " << each.allowed
         << " | " << (is_required ? "required" : '`' + each.default_value + '`')
         << " | " << each.doc << " |\n";
--- a/transport/settings_reader.h
+++ b/transport/settings_reader.h
@@ -49,7 +49,7 @@
 // One line for people: `file:line: key = value: kind, allowed ...`.
 std::ostream& operator<<(std::ostream& out, const SettingError& error);
 
-enum class Presence { kOptional, kRequired };
+enum class SettingNeed { kOptional, kRequired };
 
 // Both ends are allowed.
 struct IntegerRange {
@@ -89,44 +89,44 @@
            std::int64_t* target,
            IntegerRange range,
            std::string_view doc,
-           Presence presence = Presence::kOptional);
+           SettingNeed presence = SettingNeed::kOptional);
   void Add(std::string_view key,
            int* target,
            IntegerRange range,
            std::string_view doc,
-           Presence presence = Presence::kOptional);
+           SettingNeed presence = SettingNeed::kOptional);
   void Add(std::string_view key,
            double* target,
            NumberRange range,
            std::string_view doc,
-           Presence presence = Presence::kOptional);
+           SettingNeed presence = SettingNeed::kOptional);
   void Add(std::string_view key,
            bool* target,
            std::string_view doc,
-           Presence presence = Presence::kOptional);
+           SettingNeed presence = SettingNeed::kOptional);
   void Add(std::string_view key,
            std::string* target,
            TextRange range,
            std::string_view doc,
-           Presence presence = Presence::kOptional);
+           SettingNeed presence = SettingNeed::kOptional);
   // The key must end in `_ms`.
   void Add(std::string_view key,
            Duration* target,
            DurationRange range,
            std::string_view doc,
-           Presence presence = Presence::kOptional);
+           SettingNeed presence = SettingNeed::kOptional);
   // A list of texts.
   void Add(std::string_view key,
            std::vector<std::string>* target,
            ListRange range,
            std::string_view doc,
-           Presence presence = Presence::kOptional);
+           SettingNeed presence = SettingNeed::kOptional);
   template <typename Tag>
   void Add(std::string_view key,
            StrongId<Tag>* target,
            TextRange range,
            std::string_view doc,
-           Presence presence = Presence::kOptional) {
+           SettingNeed presence = SettingNeed::kOptional) {
     AddText(key, target->value(), range, doc, presence,
             [target](std::string text) {
               *target = StrongId<Tag>(std::move(text));
@@ -137,7 +137,7 @@
            StrongNumber<Tag>* target,
            IntegerRange range,
            std::string_view doc,
-           Presence presence = Presence::kOptional) {
+           SettingNeed presence = SettingNeed::kOptional) {
     AddInteger(
         key, target->value(), range, doc, presence,
         [target](std::int64_t number) { *target = StrongNumber<Tag>(number); });
@@ -148,7 +148,7 @@
                  Choice* target,
                  std::vector<std::pair<std::string, Choice>> choices,
                  std::string_view doc,
-                 Presence presence = Presence::kOptional) {
+                 SettingNeed presence = SettingNeed::kOptional) {
     std::vector<std::string> names;
     std::string default_name;
     for (const auto& [name, choice] : choices) {
@@ -169,7 +169,7 @@
                  Secret* target,
                  TextRange range,
                  std::string_view doc,
-                 Presence presence = Presence::kOptional);
+                 SettingNeed presence = SettingNeed::kOptional);
 
   // Empty when all is well; else no variable has changed.
   std::vector<SettingError> ReadFile(const std::string& path);
@@ -202,7 +202,7 @@
     std::string allowed;
     std::string default_value;
     std::string doc;
-    Presence presence;
+    SettingNeed presence;
     bool is_secret = false;
     Check check;
   };
@@ -212,19 +212,19 @@
                   std::int64_t default_value,
                   IntegerRange range,
                   std::string_view doc,
-                  Presence presence,
+                  SettingNeed presence,
                   std::function<void(std::int64_t)> apply);
   void AddText(std::string_view key,
                const std::string& default_value,
                TextRange range,
                std::string_view doc,
-               Presence presence,
+               SettingNeed presence,
                std::function<void(std::string)> apply);
   void AddNamedChoice(std::string_view key,
                       const std::string& default_name,
                       std::vector<std::string> names,
                       std::string_view doc,
-                      Presence presence,
+                      SettingNeed presence,
                       std::function<void(std::size_t)> apply);
   void Declare(Declaration declaration);
   void RefuseDeclaration(std::string_view key, std::string allowed);
