--- /dev/null
+++ b/tests/scripts/scripts_test.py
@@ -0,0 +1,148 @@
+"""Tests of the checks that CI relies on: each must find what it is for."""
+
+import importlib.machinery
+import importlib.util
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import unittest
+
+SCRIPTS = pathlib.Path(__file__).resolve().parent.parent.parent / "scripts"
+sys.dont_write_bytecode = True
+
+
+def load(name):
+    loader = importlib.machinery.SourceFileLoader(name, str(SCRIPTS / name))
+    spec = importlib.util.spec_from_loader(name, loader)
+    module = importlib.util.module_from_spec(spec)
+    sys.modules[name] = module
+    loader.exec_module(module)
+    return module
+
+
+class ScriptTest(unittest.TestCase):
+    def setUp(self):
+        self.holder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.holder.cleanup)
+        self.root = pathlib.Path(self.holder.name)
+
+    def write(self, path, text):
+        target = self.root / path
+        target.parent.mkdir(parents=True, exist_ok=True)
+        target.write_text(text)
+        return target
+
+    def run_script(self, name, *arguments):
+        return subprocess.run(
+            [str(SCRIPTS / name), *map(str, arguments)],
+            capture_output=True, text=True, stdin=subprocess.DEVNULL,
+        )
+
+
+class LayersTest(ScriptTest):
+    def faults(self, path, include):
+        self.write(path, f"#include {include}\n")
+        found = load("check_layers").check(self.root)
+        (self.root / path).unlink()
+        return found
+
+    def test_sound_includes_pass(self):
+        for path, include in [
+            ("state/a.cc", '"state/b.h"'),
+            ("protocol/a.cc", '"core/core.h"'),
+            ("tests/state/a_test.cc", '"state/b.h"'),
+            ("bench/a_bench.cc", '"state/state.h"'),
+            ("transport/a.cc", "<thread>"),
+            ("core/clock.cc", "<time.h>"),
+        ]:
+            self.assertEqual(self.faults(path, include), [], path)
+
+    def test_each_broken_rule_is_found(self):
+        for path, include in [
+            ("core/a.h", '"state/state.h"'),
+            ("state/a.cc", '"core/ids.h"'),
+            ("state/a.cc", '"b.h"'),
+            ("transport/a.cc", '"tests/fakes/a.h"'),
+            ("tests/state/a_test.cc", '"core/ids.h"'),
+            ("coordination/a.cc", "<thread>"),
+            ("state/a.cc", "<boost/asio/ip/tcp.hpp>"),
+            ("core/random.cc", "<time.h>"),
+        ]:
+            self.assertEqual(len(self.faults(path, include)), 1, path)
+
+
+class BoundsTest(ScriptTest):
+    def check(self, bounds, figures='{"figures": {"ratio": 1.5}}', code=0):
+        program = self.write(
+            "build/bench/a_bench",
+            "#!/bin/sh\n"
+            f"[ \"$1 $2\" = '--rounds --json' ] && echo '{figures}' > \"$3\"\n"
+            f"exit {code}\n",
+        )
+        program.chmod(0o755)
+        benchmark = {"program": "a_bench", "arguments": ["--rounds"],
+                     "bounds": bounds}
+        path = self.write("bounds.json", json.dumps({"benchmarks": [benchmark]}))
+        return self.run_script(
+            "check_bounds", "--build", self.root / "build", "--bounds", path
+        ).returncode
+
+    def test_within(self):
+        self.assertEqual(self.check([{"figure": "ratio", "max": 1.5}]), 0)
+
+    def test_faults(self):
+        self.assertEqual(self.check([{"figure": "ratio", "max": 1.4}]), 1)
+        self.assertEqual(self.check([{"figure": "ratio", "min": 1.6}]), 1)
+        self.assertEqual(self.check([{"figure": "other", "max": 9}]), 1)
+        sound = [{"figure": "ratio", "max": 2}]
+        self.assertEqual(self.check(sound, code=3), 1)
+        self.assertEqual(self.check(sound, figures="not JSON"), 1)
+        self.assertEqual(self.check(sound, figures='{"figures": {"ratio": NaN}}'), 1)
+
+
+class KnownRedTest(ScriptTest):
+    def run_tests(self, known_red):
+        self.write(
+            "CMakeLists.txt",
+            "cmake_minimum_required(VERSION 3.25)\nproject(p NONE)\n"
+            "enable_testing()\n"
+            "add_test(NAME A.Good COMMAND true)\n"
+            "add_test(NAME A.Bad COMMAND false)\n",
+        )
+        build = self.root / "build"
+        subprocess.run(["cmake", "-S", self.root, "-B", build],
+                       check=True, capture_output=True)
+        listed = self.write("KNOWN-RED.txt", known_red)
+        summary = self.root / "summary"
+        run = self.run_script("check_tests", build, "--known-red", listed,
+                              "--summary", summary)
+        return run, summary.read_text() if summary.exists() else ""
+
+    def test_a_failure_that_is_not_listed_fails(self):
+        run, summary = self.run_tests("")
+        self.assertEqual(run.returncode, 1)
+        self.assertEqual(summary, "50% tests passed, 1 tests failed out of 2\n")
+
+    def test_a_listed_failure_is_printed_and_passes(self):
+        run, summary = self.run_tests("A.Bad, the reply is lost, issue 7\n")
+        self.assertEqual(run.returncode, 0)
+        self.assertIn("KNOWN RED A.Bad: fails as listed: the reply is lost "
+                      "(issue 7)", run.stdout)
+        self.assertEqual(summary, "100% tests passed, 0 tests failed out of 1\n")
+
+    def test_a_listed_test_that_passes_is_reported(self):
+        run, _ = self.run_tests("A.Bad, cause, issue 7\nA.Good, cause, issue 8\n")
+        self.assertIn("KNOWN RED A.Good: passes now", run.stdout)
+
+    def test_bad_lists_fail(self):
+        for listed in ["A.Gone, cause, issue 7\nA.Bad, cause, issue 7\n",
+                       "A.Bad, cause\n",
+                       "".join(f"A.Bad{n}, c, issue 7\n" for n in range(4))]:
+            run, _ = self.run_tests(listed)
+            self.assertEqual(run.returncode, 1, listed)
+
+
+if __name__ == "__main__":
+    unittest.main()
