--- a/programs/gcw_standin/cache_event_log.cc
+++ b/programs/gcw_standin/cache_event_log.cc
@@ -15,13 +15,11 @@
 CacheEventBatch CacheEventLog::Read(Time now,
                                     std::int64_t after,
                                     Duration lag) const {
-  CacheEventBatch batch{.first = after + 1, .next = after + 1, .events = {}};
   if (after > last_sequence_) {
     // The reader knows an earlier run of this process.
-    batch.first = 1;
-    batch.next = 1;
-    return batch;
+    return {};
   }
+  CacheEventBatch batch{.first = after + 1, .next = after + 1, .events = {}};
   for (const Entry& entry : entries_) {
     if (entry.event.sequence <= after) {
       continue;
--- a/programs/gcw_standin/commands.cc
+++ b/programs/gcw_standin/commands.cc
@@ -70,6 +70,7 @@
   signals.async_wait(
       [&context](boost::system::error_code, int) { context.stop(); });
   context.run();
+  server.Close();
   return kExitOk;
 }
 
--- a/programs/gcw_standin/engine_shell.cc
+++ b/programs/gcw_standin/engine_shell.cc
@@ -10,7 +10,7 @@
 
 constexpr Duration kTick = Duration::Millis(5);
 constexpr Duration kWeightsRetry = Duration::Seconds(1);
-constexpr Duration kWeightsTimeout = Duration::Seconds(24 * 3600);
+constexpr Duration kWeightsTimeout = Duration::Seconds(24L * 3600);
 constexpr int kNotServing = 503;
 constexpr int kOtherGeneration = 409;
 
@@ -114,7 +114,8 @@
   } else if (path == "/load") {
     responder.Respond(JsonResponse(200, EncodeLoadReport(engine_.Load(now))));
   } else if (path == "/cache_events") {
-    const auto after = QueryNumber(request.target, "after").value_or(0);
+    const auto asked = QueryNumber(request.target, "after").value_or(0);
+    const std::int64_t after = std::max<std::int64_t>(asked, 0);
     responder.Respond(
         JsonResponse(200, EncodeCacheEvents(engine_.CacheEvents(now, after))));
   } else if (path == "/executions") {
--- a/programs/gcw_standin/faulty_responder.cc
+++ b/programs/gcw_standin/faulty_responder.cc
@@ -6,18 +6,21 @@
 
 FaultyResponder::FaultyResponder(std::shared_ptr<HttpResponder> inner,
                                  const Faults& faults,
+                                 Silenced& silenced,
                                  bool loses_answer)
     : inner_(std::move(inner)),
       faults_(&faults),
+      silenced_(&silenced),
       loses_answer_(loses_answer),
       epoch_(faults.silenced_epoch) {}
 
 std::shared_ptr<FaultyResponder> FaultyResponder::Wrap(
     std::shared_ptr<HttpResponder> inner,
     const Faults& faults,
+    Silenced& silenced,
     bool loses_answer) {
-  const std::shared_ptr<FaultyResponder> responder(
-      new FaultyResponder(std::move(inner), faults, loses_answer));
+  std::shared_ptr<FaultyResponder> responder(
+      new FaultyResponder(std::move(inner), faults, silenced, loses_answer));
   responder->inner_->OnCallerGone([weak = responder->weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->HandleCallerGone();
@@ -27,8 +30,9 @@
 }
 
 void FaultyResponder::Silence() {
+  is_silenced_ = true;
   if (!caller_gone_) {
-    keep_open_ = shared_from_this();
+    silenced_->insert(shared_from_this());
   }
 }
 
@@ -88,12 +92,12 @@
   if (faults_->silent || faults_->silenced_epoch != epoch_) {
     Silence();
   }
-  return keep_open_ != nullptr || caller_gone_;
+  return is_silenced_ || caller_gone_;
 }
 
 void FaultyResponder::HandleCallerGone() {
   caller_gone_ = true;
-  const std::shared_ptr<FaultyResponder> keep = std::move(keep_open_);
+  silenced_->erase(shared_from_this());
   if (caller_gone_hook_) {
     std::exchange(caller_gone_hook_, nullptr)();
   }
--- a/programs/gcw_standin/faulty_responder.h
+++ b/programs/gcw_standin/faulty_responder.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,11 +19,16 @@
 class FaultyResponder : public HttpResponder,
                         public std::enable_shared_from_this<FaultyResponder> {
  public:
-  // `faults` outlives the responder. With `loses_answer` the connection closes
-  // in place of an answer.
+  // Silenced exchanges, kept here since a connection would close with the last
+  // owner of its responder.
+  using Silenced = std::set<std::shared_ptr<FaultyResponder>>;
+
+  // `faults` and `silenced` outlive the exchange. With `loses_answer` the
+  // connection closes in place of an answer.
   static std::shared_ptr<FaultyResponder> Wrap(
       std::shared_ptr<HttpResponder> inner,
       const Faults& faults,
+      Silenced& silenced,
       bool loses_answer);
 
   // Never answers, and keeps the connection open.
@@ -39,6 +45,7 @@
  private:
   FaultyResponder(std::shared_ptr<HttpResponder> inner,
                   const Faults& faults,
+                  Silenced& silenced,
                   bool loses_answer);
 
   // Whether nothing may be sent; stays so, since a stream that went on later
@@ -48,12 +55,12 @@
 
   std::shared_ptr<HttpResponder> inner_;
   const Faults* faults_;
+  Silenced* silenced_;
   bool loses_answer_;
   std::int64_t epoch_;
+  bool is_silenced_ = false;
   bool caller_gone_ = false;
   std::function<void()> caller_gone_hook_;
-  // Itself while silenced: the connection would close with the last owner.
-  std::shared_ptr<FaultyResponder> keep_open_;
 };
 
 }  // namespace gcw
--- a/programs/gcw_standin/standin_engine.cc
+++ b/programs/gcw_standin/standin_engine.cc
@@ -127,8 +127,8 @@
   request.priority = held.call.priority;
   request.blocks = PrefixBlocks(held.prompt);
   request.prompt_tokens = PromptTokens(held.prompt).value();
-  request.next_token = held.call.resume_from;
   request.end_token = held.call.chat.max_tokens.value();
+  request.next_token = std::min(held.call.resume_from, request.end_token);
   request.deadline = held.call.deadline;
   return request;
 }
--- a/programs/gcw_standin/standin_server.cc
+++ b/programs/gcw_standin/standin_server.cc
@@ -2,13 +2,14 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <cstdlib>
 #include <iostream>
 #include <utility>
 
 #include <boost/asio/steady_timer.hpp>
 
-#include "programs/gcw_standin/faulty_responder.h"
 #include "programs/gcw_standin/http_answers.h"
 
 namespace gcw {
@@ -16,6 +17,8 @@
 
 // Exit status after a request that was to crash the process.
 constexpr int kCrashStatus = 86;
+// The timer counts nanoseconds, so a longer one could overflow.
+constexpr Duration kLongestDelay = Duration::Seconds(365L * 24 * 3600);
 
 // Paths by which tests look inside; no fault concerns them.
 bool IsTestPath(std::string_view path) {
@@ -62,9 +65,15 @@
   return server_->port();
 }
 
+void StandinServer::Close() {
+  server_.reset();
+  silenced_.clear();
+}
+
 void StandinServer::After(Duration delay, std::function<void(Time)> action) {
   const auto timer = std::make_shared<boost::asio::steady_timer>(
-      context_, std::chrono::milliseconds(delay.millis()));
+      context_,
+      std::chrono::milliseconds(std::min(delay, kLongestDelay).millis()));
   timer->async_wait([this, timer, action = std::move(action)](
                         boost::system::error_code failure) {
     if (!failure) {
@@ -92,7 +101,7 @@
     return;
   }
   const auto faulty = FaultyResponder::Wrap(std::move(responder), faults_,
-                                            TakeLostAnswer(request));
+                                            silenced_, TakeLostAnswer(request));
   if (faults_.silent) {
     faulty->Silence();
     return;
--- a/programs/gcw_standin/standin_server.h
+++ b/programs/gcw_standin/standin_server.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "programs/gcw_standin/faults.h"
+#include "programs/gcw_standin/faulty_responder.h"
 #include "transport/http_server.h"
 
 namespace gcw {
@@ -43,6 +44,8 @@
                                             const std::string& ip,
                                             std::uint16_t port,
                                             Hooks hooks);
+  // Ends all connections; what answers them may then go away.
+  void Close();
   void After(Duration delay, std::function<void(Time)> action);
   void Every(Duration period, std::function<void(Time)> action);
 
@@ -56,6 +59,7 @@
   Faults faults_;
   Clock clock_;
   Hooks hooks_;
+  FaultyResponder::Silenced silenced_;
   std::unique_ptr<HttpServer> server_;
 };
 
--- a/programs/gcw_standin/standin_store.h
+++ b/programs/gcw_standin/standin_store.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "programs/gcw_standin/rate_limit.h"
@@ -15,6 +16,9 @@
 namespace gcw {
 
 struct StoreAnswer {
+  StoreAnswer(Ticket answered, StoreReply answer)
+      : ticket(answered), reply(std::move(answer)) {}
+
   Ticket ticket;
   StoreReply reply;
 };
--- a/programs/gcw_standin/standin_weights.cc
+++ b/programs/gcw_standin/standin_weights.cc
@@ -5,7 +5,7 @@
 namespace gcw {
 namespace {
 
-constexpr std::int64_t kMillisPerSecond = 1000;
+constexpr double kMillisPerSecond = 1000;
 
 }  // namespace
 
@@ -21,9 +21,12 @@
 }
 
 WeightStoreStatus StandinWeights::Status(Time now) const {
-  const std::int64_t wait = std::max(free_at_ - now, Duration()).millis();
+  const auto wait =
+      static_cast<double>(std::max(free_at_ - now, Duration()).millis());
+  const double bytes =
+      wait / kMillisPerSecond * static_cast<double>(bytes_per_second_);
   return {.bytes_per_second = bytes_per_second_,
-          .queue_bytes = wait * bytes_per_second_ / kMillisPerSecond};
+          .queue_bytes = static_cast<std::int64_t>(bytes)};
 }
 
 }  // namespace gcw
--- a/tests/programs/standin_parts_test.cc
+++ b/tests/programs/standin_parts_test.cc
@@ -83,8 +83,9 @@
 // Cause: were the rest passed on, the caller would get an answer with a hole.
 TEST(FaultyResponderTest, ASilencedExchangeStaysSilent) {
   Faults faults;
+  FaultyResponder::Silenced silenced;
   const auto inner = std::make_shared<RecordingResponder>();
-  const auto responder = FaultyResponder::Wrap(inner, faults, false);
+  const auto responder = FaultyResponder::Wrap(inner, faults, silenced, false);
   responder->StartStream(200, {});
   responder->Write("a");
   faults.silent = true;
@@ -93,26 +94,29 @@
   responder->Write("c");
   responder->Finish();
   EXPECT_EQ(inner->sent, "start a ");
+  EXPECT_EQ(silenced.size(), 1U);
   inner->caller_gone();
+  EXPECT_TRUE(silenced.empty());
 }
 
 TEST(FaultyResponderTest, OnlyOpenExchangesGoSilent) {
   Faults faults;
+  FaultyResponder::Silenced silenced;
   const auto open = std::make_shared<RecordingResponder>();
-  const auto old = FaultyResponder::Wrap(open, faults, false);
+  const auto old = FaultyResponder::Wrap(open, faults, silenced, false);
   ++faults.silenced_epoch;
   const auto fresh = std::make_shared<RecordingResponder>();
   old->Respond({});
-  FaultyResponder::Wrap(fresh, faults, false)->Respond({});
+  FaultyResponder::Wrap(fresh, faults, silenced, false)->Respond({});
   EXPECT_EQ(open->sent, "");
   EXPECT_EQ(fresh->sent, "respond ");
-  open->caller_gone();
 }
 
 TEST(FaultyResponderTest, ALostAnswerClosesTheConnection) {
   const Faults faults;
+  FaultyResponder::Silenced silenced;
   const auto inner = std::make_shared<RecordingResponder>();
-  FaultyResponder::Wrap(inner, faults, true)->Respond({});
+  FaultyResponder::Wrap(inner, faults, silenced, true)->Respond({});
   EXPECT_EQ(inner->sent, "abort ");
 }
 
--- a/tests/protocol/generators.h
+++ b/tests/protocol/generators.h
@@ -39,6 +39,7 @@
 auto AnyList(Make make) {
   std::vector<decltype(make())> items;
   const int size = *rc::gen::inRange(0, 5);
+  items.reserve(size);
   for (int i = 0; i < size; ++i) {
     items.push_back(make());
   }
