--- a/coordination/config_sync_store.cc
+++ b/coordination/config_sync_store.cc
@@ -75,6 +75,11 @@
         own->record.change != entry.record.change) {
       return true;
     }
+    // Everything up to the floor is held, so this was written twice.
+    const bool newer = own == nullptr || own->revision < entry.revision;
+    if (newer && entry.revision <= floor_) {
+      return true;
+    }
   }
   if (batch.after) {
     return false;
--- a/coordination/config_watch.cc
+++ b/coordination/config_watch.cc
@@ -15,9 +15,18 @@
 
 void ConfigWatch::RequestRead(Time not_before) {
   read_due_ = true;
+  read_is_routine_ = false;
   next_read_ = not_before;
 }
 
+void ConfigWatch::RequestRoutineRead(Time now) {
+  if (read_due_) {
+    return;
+  }
+  RequestRead(now);
+  read_is_routine_ = true;
+}
+
 void ConfigWatch::Poke() {
   poked_ = watching_;
 }
@@ -102,6 +111,10 @@
 void ConfigWatch::OnFailure(Time now, Duration at_least) {
   call_.reset();
   failing_ = true;
+  if (read_is_routine_) {
+    read_due_ = false;
+    read_is_routine_ = false;
+  }
   next_call_ = now + std::max(at_least, backoff_.Next(random_));
 }
 
--- a/coordination/config_watch.h
+++ b/coordination/config_watch.h
@@ -42,6 +42,10 @@
   void SetWatching(bool watching) { watching_ = watching; }
   // Makes the next call a full read, at `not_before` or later.
   void RequestRead(Time not_before);
+  // The same, but a read that fails is not repeated. If each node repeated its
+  // routine read through an outage, all would read everything in the seconds
+  // after it.
+  void RequestRoutineRead(Time now);
   // Makes the service tell its revision at once instead of at the end of the
   // watch.
   void Poke();
@@ -75,6 +79,7 @@
   Backoff backoff_;
   bool watching_ = false;
   bool read_due_ = true;
+  bool read_is_routine_ = false;
   bool poked_ = false;
   bool failing_ = false;
   // Watch after this revision.
--- a/coordination/delta_filter.h
+++ b/coordination/delta_filter.h
@@ -22,7 +22,7 @@
   static constexpr std::int64_t kWindow = 64;
 
   struct Origin {
-    MemberVersion version;
+    Incarnation incarnation;
     std::int64_t highest = 0;
     // Bit n stands for sequence number `highest` - n.
     std::uint64_t heard = 0;
--- /dev/null
+++ b/coordination/entry_directory.cc
@@ -0,0 +1,32 @@
+#include "coordination/entry_directory.h"
+
+#include <utility>
+
+namespace gcw {
+
+EntryDirectory::EntryDirectory(EntryDirectorySettings settings,
+                               NodeId self,
+                               Random random)
+    : settings_(settings), self_(std::move(self)), random_(std::move(random)) {}
+
+EntryAnswer EntryDirectory::Answer(const View& view) const {
+  std::vector<const NodeRecord*> usable;
+  for (const auto& [node, member] : view.members()) {
+    if (member.state == MemberState::kAlive) {
+      usable.push_back(&member.record);
+    }
+  }
+  EntryAnswer answer{.entries = {}, .keep = settings_.keep};
+  for (std::size_t i = 0; i < usable.size() && i < settings_.max_entries; ++i) {
+    std::swap(usable[i], usable[i + DrawBelow(random_, usable.size() - i)]);
+    answer.entries.push_back({usable[i]->caller_address, usable[i]->zone,
+                              usable[i]->region, usable[i]->weight});
+  }
+  return answer;
+}
+
+Time EntryDirectory::ServeUntil(Time since) const {
+  return since + settings_.spread_time + settings_.keep;
+}
+
+}  // namespace gcw
--- a/coordination/member.h
+++ b/coordination/member.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,11 @@
   Incarnation incarnation;
   std::int64_t refutation = 0;
 
+  // Above every other version.
+  static constexpr MemberVersion Highest() {
+    return {Incarnation(std::numeric_limits<std::int64_t>::max()), 0};
+  }
+
   friend auto operator<=>(const MemberVersion&, const MemberVersion&) = default;
 };
 
--- /dev/null
+++ b/coordination/membership.cc
@@ -0,0 +1,306 @@
+#include "coordination/membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace gcw {
+namespace {
+
+Duration RandomPart(const Random& random, Duration of) {
+  return Duration::Millis(static_cast<std::int64_t>(
+      DrawBelow(random, static_cast<std::uint64_t>(of.millis()))));
+}
+
+}  // namespace
+
+Membership::Membership(
+    MembershipSettings settings,
+    NodeRecord self,
+    std::vector<NodeRecord> seeds,
+    std::function<std::optional<NodeRecord>(std::string_view)> decode,
+    Random random,
+    EventSink sink)
+    : settings_(settings),
+      self_(self.id),
+      seeds_(std::move(seeds)),
+      decode_(std::move(decode)),
+      random_(std::move(random)),
+      sink_(std::move(sink)),
+      backoff_(settings.backoff) {
+  OwnMember().record = std::move(self);
+}
+
+const Member& Membership::self() const {
+  return *view_.Find(self_);
+}
+
+std::vector<MembershipAction> Membership::Tick(Time now) {
+  if (!last_tick_) {
+    Start(now);
+  }
+  NoticePause(now);
+  last_tick_ = now;
+  CheckProbe(now);
+  if (now >= next_period_) {
+    BeginPeriod(now);
+  }
+  ExpireSuspects(now);
+  Reconnect(now);
+  ReadNodes(now);
+  return TakeActions();
+}
+
+void Membership::Start(Time now) {
+  OwnMember().since = now;
+  // Random phases keep the nodes of a fleet that started together apart.
+  next_period_ = now + RandomPart(random_, settings_.period);
+  next_reconnect_ = now + RandomPart(random_, settings_.reconnect_interval);
+  for (const NodeRecord& seed : seeds_) {
+    if (seed.id != self_) {
+      HearAlive(now,
+                {.node = seed.id,
+                 .version = {},
+                 .state = MemberState::kAlive,
+                 .record = seed},
+                /*pass_on=*/false);
+    }
+  }
+  UpdateScale();
+  AnnounceSelf();
+}
+
+// A node that was paused finds its probe unanswered and its suspects' time run
+// out, although the others did answer. Without this it would report healthy
+// members as dead to the whole fleet.
+void Membership::NoticePause(Time now) {
+  if (!last_tick_ || now - *last_tick_ <= settings_.pause_threshold) {
+    return;
+  }
+  const Duration gap = now - *last_tick_;
+  probe_.reset();
+  relays_.clear();
+  for (auto& [node, deadline] : suspects_) {
+    deadline = deadline + gap;
+  }
+}
+
+void Membership::BeginPeriod(Time now) {
+  next_period_ = std::max(next_period_ + settings_.period, now);
+  urgent_left_ = settings_.urgent_per_period;
+  if (probe_) {
+    const Member* target = view_.Find(probe_->target);
+    if (target != nullptr) {
+      HearFailing(now, {.node = probe_->target,
+                        .version = target->version,
+                        .state = MemberState::kSuspect,
+                        .record = {}});
+    }
+    probe_.reset();
+  }
+  UpdateScale();
+  ForgetDead(now);
+  ExpireRelays(now);
+  StartProbe(now);
+}
+
+void Membership::StartProbe(Time now) {
+  const std::optional<NodeId> target = NextTarget();
+  if (!target) {
+    return;
+  }
+  SendPing(*target);
+  probe_ = Probe{*target, last_probe_, now, false};
+}
+
+// Each member once in a random order, then all again: a failed member is
+// probed by somebody within a bounded time, unlike with independent draws.
+std::optional<NodeId> Membership::NextTarget() {
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    while (!round_.empty()) {
+      const NodeId target = round_.back();
+      round_.pop_back();
+      const Member* member = view_.Find(target);
+      if (member != nullptr && member->state != MemberState::kDead) {
+        return target;
+      }
+    }
+    round_ = view_.Reachable();
+    std::erase(round_, self_);
+    for (std::size_t i = round_.size(); i > 1; --i) {
+      std::swap(round_[i - 1], round_[DrawBelow(random_, i)]);
+    }
+  }
+  return std::nullopt;
+}
+
+void Membership::CheckProbe(Time now) {
+  if (!probe_ || probe_->indirect ||
+      now - probe_->sent < settings_.probe_timeout) {
+    return;
+  }
+  probe_->indirect = true;
+  const MemberVersion version = self().version;
+  for (const NodeId& helper :
+       RandomPeers(settings_.indirect_probes, probe_->target)) {
+    Send(helper, PingRequest{probe_->id, probe_->target, version,
+                             RumorsFor(helper, MemberVersion::Highest())});
+  }
+}
+
+void Membership::ExpireSuspects(Time now) {
+  std::vector<NodeId> expired;
+  for (const auto& [node, deadline] : suspects_) {
+    if (now >= deadline) {
+      expired.push_back(node);
+    }
+  }
+  for (const NodeId& node : expired) {
+    suspects_.erase(node);
+    const Member* member = view_.Find(node);
+    if (member != nullptr && member->state == MemberState::kSuspect) {
+      HearFailing(now, {.node = node,
+                        .version = member->version,
+                        .state = MemberState::kDead,
+                        .record = {}});
+    }
+  }
+}
+
+void Membership::ExpireRelays(Time now) {
+  std::erase_if(relays_, [&](const auto& relay) {
+    return now - relay.second.sent >= settings_.period;
+  });
+}
+
+// Nobody probes a dead member in the normal round, so that after a partition
+// both halves would stay apart for good.
+void Membership::Reconnect(Time now) {
+  if (now < next_reconnect_) {
+    return;
+  }
+  next_reconnect_ = now + settings_.reconnect_interval;
+  std::vector<NodeId> dead;
+  for (const auto& [node, member] : view_.members()) {
+    if (member.state == MemberState::kDead) {
+      dead.push_back(node);
+    }
+  }
+  if (!dead.empty()) {
+    SendPing(dead[DrawBelow(random_, dead.size())]);
+  }
+  if (!listed_) {
+    for (const NodeId& peer : RandomPeers(1, self_)) {
+      Send(peer, MemberListRequest{self().version});
+    }
+  }
+}
+
+void Membership::ForgetDead(Time now) {
+  std::vector<NodeId> forgotten;
+  for (const auto& [node, member] : view_.members()) {
+    if (member.state == MemberState::kDead &&
+        now - member.since >= settings_.dead_memory &&
+        !in_store_.contains(node)) {
+      forgotten.push_back(node);
+    }
+  }
+  for (const NodeId& node : forgotten) {
+    view_.Erase(node);
+    deltas_.Forget(node);
+    ++view_version_;
+  }
+}
+
+void Membership::UpdateScale() {
+  live_ = view_.Reachable().size();
+  const double doublings = std::log2(static_cast<double>(live_) + 1);
+  rumors_.SetTransmissions(
+      static_cast<int>(std::ceil(settings_.transmission_factor * doublings)));
+}
+
+Duration Membership::Suspicion() const {
+  const double periods =
+      settings_.suspicion_factor * std::log2(static_cast<double>(live_) + 1);
+  const auto millis = static_cast<std::int64_t>(
+      periods * static_cast<double>(settings_.period.millis()));
+  return std::max(settings_.min_suspicion, Duration::Millis(millis));
+}
+
+void Membership::SetIncarnation(Time, Incarnation incarnation) {
+  Member& own = OwnMember();
+  if (incarnation <= own.version.incarnation) {
+    return;
+  }
+  own.version = {incarnation, 0};
+  AnnounceSelf();
+}
+
+std::vector<MembershipAction> Membership::Leave(Time now) {
+  Member& own = OwnMember();
+  if (own.record.leaving) {
+    return {};
+  }
+  own.record.leaving = true;
+  ++own.version.refutation;
+  SetState(now, own, MemberState::kLeaving);
+  AnnounceSelf();
+  urgent_left_ = std::max(urgent_left_, settings_.urgent_fanout);
+  SendUrgent(RumorOn(own));
+  return TakeActions();
+}
+
+void Membership::Spread(const Delta& delta) {
+  const DeltaRumor rumor{.origin = self_,
+                         .origin_version = self().version,
+                         .sequence = ++last_sequence_,
+                         .delta = delta};
+  deltas_.FirstTime(rumor);
+  rumors_.Add(rumor);
+  if (IsUrgent(delta)) {
+    SendUrgent(rumor);
+  }
+}
+
+std::vector<MembershipAction> Membership::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+Membership::Builder& Membership::Builder::SetSettings(
+    MembershipSettings settings) {
+  settings_ = settings;
+  return *this;
+}
+
+Membership::Builder& Membership::Builder::SetSelf(NodeRecord self) {
+  self_ = std::move(self);
+  return *this;
+}
+
+Membership::Builder& Membership::Builder::SetSeeds(
+    std::vector<NodeRecord> seeds) {
+  seeds_ = std::move(seeds);
+  return *this;
+}
+
+Membership::Builder& Membership::Builder::SetDecode(
+    std::function<std::optional<NodeRecord>(std::string_view)> decode) {
+  decode_ = std::move(decode);
+  return *this;
+}
+
+Membership::Builder& Membership::Builder::SetRandom(Random random) {
+  random_ = std::move(random);
+  return *this;
+}
+
+Membership::Builder& Membership::Builder::SetEventSink(EventSink sink) {
+  sink_ = std::move(sink);
+  return *this;
+}
+
+Membership Membership::Builder::Build() const {
+  return Membership(settings_, self_, seeds_, decode_, random_, sink_);
+}
+
+}  // namespace gcw
--- a/coordination/membership.h
+++ b/coordination/membership.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -90,8 +91,9 @@
   void SetIncarnation(Time now, Incarnation incarnation);
   // A planned stop has begun: tells others at once.
   std::vector<MembershipAction> Leave(Time now);
-  // Lets a delta of another module ride along to all nodes.
-  void Spread(Time now, const Delta& delta);
+  // Lets a delta of another module ride along to all nodes; an urgent one
+  // leaves with the next tick.
+  void Spread(const Delta& delta);
 
   const View& view() const { return view_; }
   const Member& self() const;
@@ -121,12 +123,20 @@
              EventSink sink);
 
   // Periodic work.
+  void Start(Time now);
   void NoticePause(Time now);
+  void BeginPeriod(Time now);
   void CheckProbe(Time now);
   void StartProbe(Time now);
+  std::optional<NodeId> NextTarget();
   void ExpireSuspects(Time now);
+  void ExpireRelays(Time now);
   void Reconnect(Time now);
   void ForgetDead(Time now);
+  void UpdateScale();
+  Duration Suspicion() const;
+
+  // The list of nodes in the key-value service.
   void ReadNodes(Time now);
   void OnNodeList(Time now, const StoreRangeReply& reply);
 
@@ -138,25 +148,23 @@
   void OnMessage(Time now, const NodeId& from, const MemberListRequest&);
   void OnMessage(Time now, const NodeId& from, const MemberList& list);
   void Send(const NodeId& to, MembershipMessage message);
-  void SendPing(const NodeId& to, ProbeId id);
-  std::vector<Rumor> RumorsFor(const NodeId& to);
-  void SendUrgent(Time now, const Rumor& rumor);
+  void SendPing(const NodeId& to);
+  void SendUrgent(const Rumor& rumor);
+  std::vector<Rumor> RumorsFor(const NodeId& to, const MemberVersion& version);
+  std::vector<NodeId> RandomPeers(std::size_t count, const NodeId& except);
 
   // What is said of members.
   void HearAll(Time now, const NodeId& from, const std::vector<Rumor>& rumors);
   void Hear(Time now, const NodeId& from, const MemberRumor& rumor);
   void Hear(Time now, const NodeId& from, const DeltaRumor& rumor);
-  void HearOfSelf(Time now, const NodeId& from, const MemberRumor& rumor);
-  void HearAlive(Time now, const MemberRumor& rumor);
+  void HearOfSelf(const NodeId& from, const MemberRumor& rumor);
+  void HearAlive(Time now, const MemberRumor& rumor, bool pass_on);
   void HearFailing(Time now, const MemberRumor& rumor);
-  void HearFrom(Time now, const NodeId& from, const MemberVersion& version);
   void SetState(Time now, Member& member, MemberState state);
+  Member& OwnMember() { return view_.Upsert(self_); }
   MemberRumor RumorOn(const Member& member) const;
   void AnnounceSelf();
 
-  std::vector<NodeId> RandomPeers(std::size_t count, const NodeId& except);
-  Duration Suspicion() const;
-  void UpdateScale();
   std::vector<MembershipAction> TakeActions();
 
   MembershipSettings settings_;
@@ -174,7 +182,7 @@
   std::vector<MembershipAction> actions_;
 
   std::optional<Time> last_tick_;
-  Time next_probe_;
+  Time next_period_;
   std::optional<Probe> probe_;
   // The members still to be probed in this round, in random order.
   std::vector<NodeId> round_;
@@ -182,8 +190,12 @@
   std::map<ProbeId, Relay> relays_;
   std::map<NodeId, Time> suspects_;
   Time next_reconnect_;
+  // Members that are not dead, as of the last period.
+  std::size_t live_ = 1;
   std::size_t urgent_left_ = 0;
-  bool list_requested_ = false;
+  // The full list of members was received, from the service or a peer.
+  bool listed_ = false;
+  std::set<NodeId> in_store_;
 
   Backoff backoff_;
   StoreCallId last_id_;
--- a/coordination/membership_messages.h
+++ b/coordination/membership_messages.h
@@ -53,10 +53,13 @@
 // earlier ones of the same origin said of the same subject.
 using Delta = std::variant<FingerprintDelta, GroupEvidenceDelta>;
 
+// Whether a delta is sent on at once instead of riding along on probes.
+bool IsUrgent(const Delta& delta);
+
 // A delta on its way through the fleet.
 struct DeltaRumor {
   NodeId origin;
-  // Grows with each delta of the origin, over its restarts too.
+  // Sequence numbers begin anew with each incarnation.
   MemberVersion origin_version;
   std::int64_t sequence = 0;
   Delta delta;
--- /dev/null
+++ b/coordination/membership_peers.cc
@@ -0,0 +1,138 @@
+// How members talk: probes, acknowledgements, urgent rumors and lists.
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/membership.h"
+
+namespace gcw {
+
+std::vector<MembershipAction> Membership::OnPeer(
+    Time now,
+    const NodeId& from,
+    const MembershipMessage& message) {
+  std::visit([&](const auto& typed) { OnMessage(now, from, typed); }, message);
+  return TakeActions();
+}
+
+void Membership::OnMessage(Time now, const NodeId& from, const Ping& ping) {
+  HearAll(now, from, ping.rumors);
+  Send(from, PingAck{ping.probe, self_, self().version,
+                     RumorsFor(from, ping.version)});
+  if (view_.Find(from) == nullptr) {
+    // Its announcement was lost on the way here.
+    Send(from, MemberListRequest{self().version});
+  }
+}
+
+void Membership::OnMessage(Time now,
+                           const NodeId& from,
+                           const PingRequest& request) {
+  HearAll(now, from, request.rumors);
+  if (request.target == self_) {
+    Send(from, PingAck{request.probe, self_, self().version,
+                       RumorsFor(from, request.version)});
+    return;
+  }
+  SendPing(request.target);
+  relays_[last_probe_] = {from, request.probe, now};
+}
+
+void Membership::OnMessage(Time now, const NodeId& from, const PingAck& ack) {
+  HearAll(now, from, ack.rumors);
+  if (probe_ && probe_->id == ack.probe && probe_->target == ack.target) {
+    probe_.reset();
+    return;
+  }
+  const auto relay = relays_.find(ack.probe);
+  if (relay == relays_.end()) {
+    return;
+  }
+  Send(relay->second.requester,
+       PingAck{relay->second.requester_probe, ack.target, self().version, {}});
+  relays_.erase(relay);
+}
+
+void Membership::OnMessage(Time now,
+                           const NodeId& from,
+                           const UrgentRumors& urgent) {
+  HearAll(now, from, urgent.rumors);
+}
+
+void Membership::OnMessage(Time, const NodeId& from, const MemberListRequest&) {
+  MemberList list{self().version, {}};
+  for (const auto& [node, member] : view_.members()) {
+    if (member.state != MemberState::kDead) {
+      list.members.push_back(RumorOn(member));
+    }
+  }
+  Send(from, std::move(list));
+}
+
+void Membership::OnMessage(Time now,
+                           const NodeId& from,
+                           const MemberList& list) {
+  listed_ = true;
+  for (const MemberRumor& rumor : list.members) {
+    if (rumor.node == self_) {
+      HearOfSelf(from, rumor);
+    } else if (rumor.state == MemberState::kAlive) {
+      HearAlive(now, rumor, /*pass_on=*/false);
+    }
+  }
+}
+
+void Membership::Send(const NodeId& to, MembershipMessage message) {
+  actions_.emplace_back(PeerSend<MembershipMessage>{to, std::move(message)});
+}
+
+void Membership::SendPing(const NodeId& to) {
+  ++last_probe_;
+  Send(to,
+       Ping{last_probe_, self().version, RumorsFor(to, MemberVersion::Highest())});
+}
+
+void Membership::SendUrgent(const Rumor& rumor) {
+  // Bounded, so that many nodes leaving at once do not become a storm; the
+  // rumor still rides along on probes.
+  const std::size_t count = std::min(settings_.urgent_fanout, urgent_left_);
+  for (const NodeId& peer : RandomPeers(count, self_)) {
+    --urgent_left_;
+    Send(peer, UrgentRumors{self().version, {rumor}});
+  }
+}
+
+// What the receiver must hear of itself, then what is due to ride along. A
+// member that is wrongly believed failed, or that started anew without knowing
+// its incarnation, can only answer what it hears.
+std::vector<Rumor> Membership::RumorsFor(const NodeId& to,
+                                         const MemberVersion& version) {
+  std::vector<Rumor> rumors;
+  std::size_t bytes = settings_.rumor_bytes;
+  const Member* member = view_.Find(to);
+  if (member != nullptr &&
+      (member->state == MemberState::kSuspect ||
+       member->state == MemberState::kDead || member->version > version)) {
+    rumors.emplace_back(RumorOn(*member));
+    bytes -= std::min(bytes, EstimatedSize(rumors.back()));
+  }
+  for (Rumor& rumor : rumors_.Take(bytes)) {
+    rumors.push_back(std::move(rumor));
+  }
+  return rumors;
+}
+
+std::vector<NodeId> Membership::RandomPeers(std::size_t count,
+                                            const NodeId& except) {
+  std::vector<NodeId> peers = view_.Reachable();
+  std::erase(peers, self_);
+  std::erase(peers, except);
+  count = std::min(count, peers.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(peers[i], peers[i + DrawBelow(random_, peers.size() - i)]);
+  }
+  peers.resize(count);
+  return peers;
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/membership_rumors.cc
@@ -0,0 +1,217 @@
+// What is said of members, and how it changes the view.
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/membership.h"
+
+namespace gcw {
+namespace {
+
+std::optional<EventKind> EventOf(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return EventKind::kPeerAlive;
+    case MemberState::kSuspect:
+      return EventKind::kPeerSuspected;
+    case MemberState::kDead:
+      return EventKind::kPeerDead;
+    case MemberState::kLeaving:
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+MemberState HealthyState(const NodeRecord& record) {
+  return record.leaving ? MemberState::kLeaving : MemberState::kAlive;
+}
+
+}  // namespace
+
+void Membership::HearAll(Time now,
+                         const NodeId& from,
+                         const std::vector<Rumor>& rumors) {
+  for (const Rumor& rumor : rumors) {
+    std::visit([&](const auto& typed) { Hear(now, from, typed); }, rumor);
+  }
+}
+
+void Membership::Hear(Time now, const NodeId& from, const MemberRumor& rumor) {
+  if (rumor.node == self_) {
+    HearOfSelf(from, rumor);
+  } else if (rumor.state == MemberState::kAlive) {
+    HearAlive(now, rumor, /*pass_on=*/true);
+  } else {
+    HearFailing(now, rumor);
+  }
+}
+
+void Membership::Hear(Time, const NodeId&, const DeltaRumor& rumor) {
+  if (rumor.origin == self_ || !deltas_.FirstTime(rumor)) {
+    return;
+  }
+  rumors_.Add(rumor);
+  if (IsUrgent(rumor.delta)) {
+    SendUrgent(rumor);
+  }
+  actions_.emplace_back(DeltaHeard{rumor.origin, rumor.delta});
+}
+
+void Membership::HearOfSelf(const NodeId& from, const MemberRumor& rumor) {
+  Member& own = OwnMember();
+  const bool same = rumor.version == own.version &&
+                    rumor.state == MemberState::kAlive &&
+                    rumor.record == own.record;
+  if (rumor.version < own.version || same) {
+    return;
+  }
+  own.version = rumor.version;
+  ++own.version.refutation;
+  AnnounceSelf();
+  // Whoever believes it hears the answer at once and spreads it on its side,
+  // which may be a part of the fleet that this node is not probed from.
+  if (urgent_left_ > 0) {
+    --urgent_left_;
+    Send(from, UrgentRumors{own.version, {RumorOn(own)}});
+  }
+}
+
+void Membership::HearAlive(Time now, const MemberRumor& rumor, bool pass_on) {
+  if (!rumor.record) {
+    return;
+  }
+  const Member* known = view_.Find(rumor.node);
+  if (known != nullptr && rumor.version <= known->version) {
+    return;
+  }
+  const bool is_new = known == nullptr;
+  Member& member = view_.Upsert(rumor.node);
+  const bool starts_leaving =
+      rumor.record->leaving && !member.record.leaving && !is_new;
+  member.record = *rumor.record;
+  member.version = rumor.version;
+  ++view_version_;
+  suspects_.erase(rumor.node);
+  const MemberState state = HealthyState(member.record);
+  if (is_new || member.state != state) {
+    SetState(now, member, state);
+  }
+  if (pass_on) {
+    rumors_.Add(rumor);
+  }
+  if (starts_leaving) {
+    SendUrgent(rumor);
+  }
+}
+
+void Membership::HearFailing(Time now, const MemberRumor& rumor) {
+  const Member* known = view_.Find(rumor.node);
+  if (known == nullptr || rumor.version < known->version ||
+      known->state == MemberState::kDead) {
+    return;
+  }
+  if (rumor.state == MemberState::kSuspect &&
+      known->state == MemberState::kSuspect &&
+      rumor.version == known->version) {
+    return;
+  }
+  Member& member = view_.Upsert(rumor.node);
+  member.version = rumor.version;
+  if (rumor.state == MemberState::kSuspect) {
+    suspects_[rumor.node] = now + Suspicion();
+  } else {
+    suspects_.erase(rumor.node);
+  }
+  if (member.state != rumor.state) {
+    SetState(now, member, rumor.state);
+  }
+  rumors_.Add(rumor);
+}
+
+void Membership::SetState(Time now, Member& member, MemberState state) {
+  member.state = state;
+  member.since = now;
+  ++view_version_;
+  actions_.emplace_back(MemberChanged{member.record.id, state});
+  if (const auto kind = EventOf(state)) {
+    sink_({.kind = *kind,
+           .subject = member.record.id.value(),
+           .cause = {},
+           .fields = {{"incarnation", member.version.incarnation.value()},
+                      {"refutation", member.version.refutation}}});
+  }
+}
+
+MemberRumor Membership::RumorOn(const Member& member) const {
+  const bool failing = member.state == MemberState::kSuspect ||
+                       member.state == MemberState::kDead;
+  return {.node = member.record.id,
+          .version = member.version,
+          .state = failing ? member.state : MemberState::kAlive,
+          .record = failing ? std::nullopt
+                            : std::optional<NodeRecord>(member.record)};
+}
+
+void Membership::AnnounceSelf() {
+  ++view_version_;
+  rumors_.Add(RumorOn(self()));
+}
+
+std::vector<MembershipAction>
+Membership::OnStoreReply(Time now, StoreCallId id, const StoreReply& reply) {
+  if (call_ != id) {
+    return {};
+  }
+  call_.reset();
+  if (const auto* range = std::get_if<StoreRangeReply>(&reply)) {
+    OnNodeList(now, *range);
+  } else if (!listed_) {
+    next_read_ = now + backoff_.Next(random_);
+  }
+  return TakeActions();
+}
+
+void Membership::ReadNodes(Time now) {
+  if (call_ && now - call_sent_ >= settings_.call_timeout) {
+    call_.reset();
+    if (!listed_) {
+      next_read_ = now + backoff_.Next(random_);
+    }
+  }
+  if (call_ || now < next_read_) {
+    return;
+  }
+  const Duration interval = std::max(
+      settings_.min_read_interval,
+      settings_.read_interval_per_node * static_cast<std::int64_t>(live_));
+  next_read_ = now + interval / 2 +
+               Duration::Millis(static_cast<std::int64_t>(DrawBelow(
+                   random_, static_cast<std::uint64_t>(interval.millis()))));
+  call_ = ++last_id_;
+  call_sent_ = now;
+  actions_.emplace_back(StoreRequest{last_id_, StoreRange{"node/"}});
+}
+
+void Membership::OnNodeList(Time now, const StoreRangeReply& reply) {
+  listed_ = true;
+  backoff_.Reset();
+  in_store_.clear();
+  for (const StoreEntry& entry : reply.entries) {
+    const std::optional<NodeRecord> record = decode_(entry.value);
+    if (!record) {
+      continue;
+    }
+    in_store_.insert(record->id);
+    if (record->id == self_) {
+      continue;
+    }
+    HearAlive(now,
+              {.node = record->id,
+               .version = {Incarnation(entry.revision.value()), 0},
+               .state = MemberState::kAlive,
+               .record = record},
+              /*pass_on=*/false);
+  }
+}
+
+}  // namespace gcw
--- a/coordination/rumor_queue.h
+++ b/coordination/rumor_queue.h
@@ -2,7 +2,7 @@
 #define COORDINATION_RUMOR_QUEUE_H_
 
 #include <cstddef>
-#include <list>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -14,6 +14,14 @@
 // that grows with the logarithm of the fleet, the least sent first.
 class RumorQueue {
  public:
+  RumorQueue() = default;
+  // The index points into the queue.
+  RumorQueue(const RumorQueue&) = delete;
+  RumorQueue& operator=(const RumorQueue&) = delete;
+  RumorQueue(RumorQueue&&) = default;
+  RumorQueue& operator=(RumorQueue&&) = default;
+  ~RumorQueue() = default;
+
   // `transmissions`: how often each rumor is sent.
   void SetTransmissions(int transmissions) { transmissions_ = transmissions; }
 
@@ -28,15 +36,18 @@
     std::string subject;
     Rumor rumor;
     std::size_t bytes;
-    int sent = 0;
   };
+  // By how often it was sent.
+  using Queue = std::multimap<int, Waiting>;
 
   // Beyond this the most sent ones are dropped.
   static constexpr std::size_t kMaxWaiting = 2048;
 
+  void Erase(Queue::iterator it);
+
   int transmissions_ = 1;
-  // In order of `sent`.
-  std::list<Waiting> waiting_;
+  Queue waiting_;
+  std::map<std::string, Queue::iterator> by_subject_;
 };
 
 }  // namespace gcw
