configuration: tests of changes, outages, restores and partitions

Found by them: nodes repeated their routine read through an outage and read all at its end (94 calls in 10 s from 40 nodes, now below 30); a reachable peer counted as unreachable after three lost messages, so that an empty node became ready with a stale copy (now any message of the peer starts its count again, and five questions in a row must go unanswered).

--- a/coordination/config_gossip.cc
+++ b/coordination/config_gossip.cc
@@ -225,6 +225,11 @@
   status.floor = std::max(status.floor, digest.floor);
   status.ready = digest.ready;
   status.heard = now;
+  // It can be reached, so it is asked until it has settled.
+  const auto inquiry = inquiries_.find(from);
+  if (inquiry != inquiries_.end()) {
+    inquiry->second.attempts = std::min(inquiry->second.attempts, 1);
+  }
   // Equal copies hold the same, so what the peer vouches for holds here too.
   if (digest.digest == hooks_.digest().digest) {
     hooks_.raise_floor(digest.floor);
--- a/coordination/config_gossip.h
+++ b/coordination/config_gossip.h
@@ -20,7 +20,7 @@
   // A peer that has not answered within this is asked again.
   Duration answer_timeout = Duration::Seconds(1);
   // After this many questions without an answer a peer counts as unreachable.
-  int attempts = 3;
+  int attempts = 5;
   // Entries are left out of a message beyond this size.
   std::size_t message_bytes = 64 * 1024;
   // Peers asked at once while the node becomes ready.
--- a/coordination/config_sync.cc
+++ b/coordination/config_sync.cc
@@ -143,7 +143,7 @@
     return;
   }
   for (ConfigWatch& watch : watches_) {
-    watch.RequestRead(now);
+    watch.RequestRoutineRead(now);
   }
 }
 
--- /dev/null
+++ b/tests/coordination/config_sync_test.cc
@@ -0,0 +1,321 @@
+#include "coordination/config_sync.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/support/config_cluster.h"
+
+namespace gcw {
+namespace {
+
+constexpr char kKey[] = "contract/oblak";
+
+Revision AcceptedAt(const ChangeOutcome& outcome) {
+  const auto* accepted = std::get_if<ChangeAccepted>(&outcome);
+  return accepted == nullptr ? Revision() : accepted->revision;
+}
+
+std::string ValueAt(const ConfigCluster& cluster, std::size_t node) {
+  const ConfigEntry* entry = cluster.store_of(node).Find(kKey);
+  return entry == nullptr ? "none" : entry->record.value.value_or("withdrawn");
+}
+
+// Nodes whose messages and store calls are cut off.
+void Isolate(ConfigCluster& cluster, const std::set<NodeId>& nodes) {
+  cluster.network().SetConnected([nodes](const NodeId& a, const NodeId& b) {
+    return nodes.contains(a) == nodes.contains(b);
+  });
+  cluster.link().SetReaches([nodes](const std::string& caller) {
+    return !nodes.contains(NodeId("n" + caller.substr(0, caller.find('/'))));
+  });
+}
+
+TEST(ConfigSyncTest, ChangeReachesAllNodesAndIsConfirmed) {
+  ConfigCluster cluster(8, 1);
+  cluster.Run(Duration::Seconds(5));
+  for (const auto& node : cluster.nodes()) {
+    ASSERT_TRUE(node.sync->ready());
+  }
+  const Revision revision =
+      AcceptedAt(cluster.Settle(3, kKey, "a", Revision()));
+  ASSERT_GT(revision, Revision());
+  cluster.Run(Duration::Seconds(2));
+  EXPECT_TRUE(cluster.Converged());
+  EXPECT_TRUE(cluster.nodes()[0].sync->Confirmation(revision).pending.size() <
+              8U);
+  cluster.Run(Duration::Seconds(15));
+  EXPECT_TRUE(cluster.nodes()[0].sync->floor() >= revision);
+}
+
+TEST(ConfigSyncTest, OnlyAFewNodesWatch) {
+  ConfigCluster cluster(20, 2);
+  cluster.Run(Duration::Seconds(10));
+  // Two nodes in each of two zones, each for two prefixes.
+  EXPECT_EQ(cluster.link().waiting_watches(), 8U);
+}
+
+// Symptom: an operator is told of two outcomes for one revision.
+// Sequence: two operators change the same version through different nodes at
+// the same moment; a third withdraws it.
+// Cause: accepting a change before its compare-and-swap is known to be
+// committed.
+TEST(ConfigSyncTest, ExactlyOneOfRacingChangesWins) {
+  ConfigCluster cluster(4, 3);
+  cluster.Run(Duration::Seconds(5));
+  const Revision base = AcceptedAt(cluster.Settle(0, kKey, "a", Revision()));
+  cluster.Run(Duration::Seconds(2));
+  const std::vector<ChangeId> changes = {
+      cluster.Propose(1, kKey, "b", base), cluster.Propose(2, kKey, "c", base),
+      cluster.Propose(3, kKey, std::nullopt, base)};
+  cluster.Run(Duration::Seconds(5));
+  int accepted = 0;
+  for (const ChangeId& change : changes) {
+    const ChangeOutcome& outcome = cluster.outcomes().at(change);
+    if (std::holds_alternative<ChangeAccepted>(outcome)) {
+      ++accepted;
+      continue;
+    }
+    const auto* conflict = std::get_if<ChangeConflict>(&outcome);
+    ASSERT_NE(conflict, nullptr);
+    ASSERT_TRUE(conflict->current);
+    EXPECT_GT(conflict->current->revision, base);
+  }
+  EXPECT_EQ(accepted, 1);
+  EXPECT_TRUE(cluster.Converged());
+}
+
+// Symptom: an operator hears "conflict" for a change that is in force.
+// Sequence: the put takes effect; its answer is lost; another operator builds
+// on it before the first node reads back.
+// Cause: comparing only with the key's last change.
+TEST(ConfigSyncTest, LostAnswerIsSettledAlsoWhenOthersBuiltOnTheChange) {
+  ConfigCluster cluster(2, 4);
+  cluster.Run(Duration::Seconds(5));
+  cluster.link().faults().reply_lost = 1;
+  const ChangeId first = cluster.Propose(0, kKey, "a", Revision());
+  cluster.Run(Duration::Millis(100));
+  ASSERT_EQ(cluster.link().store().entries().count(kKey), 1U);
+  const Revision written = cluster.link().store().entries().at(kKey).revision;
+  cluster.link().faults().reply_lost = 0;
+  EXPECT_GT(AcceptedAt(cluster.Settle(1, kKey, "b", written)), written);
+  cluster.Run(Duration::Seconds(10));
+  EXPECT_EQ(AcceptedAt(cluster.outcomes().at(first)), written);
+}
+
+// Symptom: an operator never learns whether a change was accepted.
+// Sequence: the node answers "outcome unknown" during an outage, or dies; the
+// operator asks again through another node.
+// Cause: an outcome that only the first node could tell.
+TEST(ConfigSyncTest, AskingAgainThroughAnotherNodeSettles) {
+  ConfigCluster cluster(3, 5);
+  cluster.Run(Duration::Seconds(5));
+  cluster.link().faults().reply_lost = 1;
+  const ChangeId change = cluster.Propose(0, kKey, "a", Revision());
+  cluster.Run(Duration::Millis(100));
+  cluster.link().SetOutage(cluster.now(), true);
+  cluster.Run(Duration::Seconds(12));
+  const auto* unavailable =
+      std::get_if<ChangeUnavailable>(&cluster.outcomes().at(change));
+  ASSERT_NE(unavailable, nullptr);
+  EXPECT_EQ(unavailable->kind, ChangeUnavailableKind::kOutcomeUnknown);
+  cluster.link().SetOutage(cluster.now(), false);
+  cluster.link().faults().reply_lost = 0;
+  cluster.Propose(1, {kKey, "a", Revision(), change, true});
+  cluster.Run(Duration::Seconds(5));
+  EXPECT_EQ(AcceptedAt(cluster.outcomes().at(change)),
+            cluster.link().store().entries().at(kKey).revision);
+}
+
+// Symptom: a withdrawn contract comes back.
+// Sequence: a contract is withdrawn; a push of its earlier version was under
+// way for long and arrives afterwards.
+// Cause: a withdrawal that leaves nothing to compare with.
+TEST(ConfigSyncTest, WithdrawnKeyIsNotBroughtBackByALateMessage) {
+  ConfigCluster cluster(3, 6);
+  cluster.Run(Duration::Seconds(5));
+  const Revision first = AcceptedAt(cluster.Settle(0, kKey, "a", Revision()));
+  cluster.Run(Duration::Seconds(2));
+  const ConfigEntry old = *cluster.store_of(1).Find(kKey);
+  cluster.Settle(0, kKey, std::nullopt, first);
+  cluster.Run(Duration::Seconds(2));
+  cluster.network().Send(cluster.now(), NodeId("n0"), NodeId("n1"),
+                         ConfigPush{Revision(), Revision(), {old}});
+  cluster.Run(Duration::Seconds(1));
+  EXPECT_EQ(ValueAt(cluster, 1), "withdrawn");
+  EXPECT_FALSE(cluster.nodes()[1].reverted);
+}
+
+// Symptom: a node that slept applies old versions over new ones, or misses one.
+// Sequence: a node is paused; three changes are accepted; it wakes and its old
+// messages and replies reach it first.
+// Cause: taking what arrives last for what is newest.
+TEST(ConfigSyncTest, PausedNodeCatchesUpOverSeveralChanges) {
+  ConfigCluster cluster(6, 7);
+  cluster.Run(Duration::Seconds(5));
+  cluster.nodes()[2].paused = true;
+  Revision at;
+  for (const char* value : {"a", "b", "c"}) {
+    at = AcceptedAt(cluster.Settle(0, kKey, value, at));
+    ASSERT_GT(at, Revision());
+  }
+  cluster.Run(Duration::Seconds(60));
+  cluster.nodes()[2].paused = false;
+  cluster.Run(Duration::Seconds(5));
+  EXPECT_EQ(ValueAt(cluster, 2), "c");
+  EXPECT_FALSE(cluster.nodes()[2].reverted);
+}
+
+// Symptom: half of the fleet stays behind after a partition.
+// Sequence: half of the nodes lose the others and the service; a change is
+// accepted; the partition heals.
+// Cause: relying on pushes that were sent once.
+TEST(ConfigSyncTest, PartitionHeals) {
+  ConfigCluster cluster(8, 8);
+  cluster.Run(Duration::Seconds(5));
+  const std::set<NodeId> cut = {NodeId("n4"), NodeId("n5"), NodeId("n6"),
+                                NodeId("n7")};
+  Isolate(cluster, cut);
+  cluster.Settle(0, kKey, "a", Revision());
+  cluster.Run(Duration::Seconds(30));
+  EXPECT_EQ(ValueAt(cluster, 5), "none");
+  Isolate(cluster, {});
+  cluster.Run(Duration::Seconds(10));
+  EXPECT_TRUE(cluster.Converged());
+}
+
+class EmptyStartTest : public ::testing::Test {
+ protected:
+  // n1 is left behind at the first version, the others hold the second; then
+  // the service goes away and n0 starts anew.
+  EmptyStartTest() : cluster_(4, 9) {
+    cluster_.Run(Duration::Seconds(5));
+    first_ = AcceptedAt(cluster_.Settle(0, kKey, "old", Revision()));
+    cluster_.Run(Duration::Seconds(20));
+    Isolate(cluster_, {NodeId("n1")});
+    second_ = AcceptedAt(cluster_.Settle(0, kKey, "new", first_));
+    cluster_.Run(Duration::Seconds(5));
+    Isolate(cluster_, {});
+    cluster_.link().SetOutage(cluster_.now(), true);
+  }
+
+  void LetOnlyReach(const std::set<NodeId>& nodes) {
+    cluster_.network().SetConnected([nodes](const NodeId& a, const NodeId& b) {
+      return nodes.contains(a) && nodes.contains(b);
+    });
+  }
+
+  ConfigCluster cluster_;
+  Revision first_;
+  Revision second_;
+};
+
+// Symptom: a node serves by a contract that was changed before it started.
+// Sequence: the service is away; a node starts empty and hears a stale peer
+// first, a fresh one only after losses.
+// Cause: being ready with the first copy that turns up.
+TEST_F(EmptyStartTest, IsNotReadyBeforeItHoldsTheNewestReachable) {
+  LetOnlyReach({NodeId("n0"), NodeId("n1"), NodeId("n2")});
+  cluster_.network().faults().lost = 0.1;
+  for (int round = 0; round < 50; ++round) {
+    cluster_.Restart(0);
+    while (!cluster_.nodes()[0].sync->ready()) {
+      ASSERT_LT(cluster_.now(), Time::FromMillis(5000000));
+      cluster_.Step();
+    }
+    ASSERT_EQ(ValueAt(cluster_, 0), "new");
+  }
+}
+
+// Symptom: as above, where the newest version cannot be had at all.
+// Sequence: only a stale peer can be reached; later the fresh ones can.
+// Cause: none: the node serves by the newest that any reachable source knows,
+// as the guarantee says, and moves up as soon as another can be reached.
+TEST_F(EmptyStartTest, ServesByTheNewestThatCanBeReachedAndMovesUp) {
+  LetOnlyReach({NodeId("n0"), NodeId("n1")});
+  cluster_.Restart(0);
+  cluster_.Run(Duration::Seconds(15));
+  ASSERT_TRUE(cluster_.nodes()[0].sync->ready());
+  LetOnlyReach({NodeId("n0"), NodeId("n1"), NodeId("n2"), NodeId("n3")});
+  cluster_.Run(Duration::Seconds(10));
+  EXPECT_EQ(ValueAt(cluster_, 0), "new");
+  EXPECT_EQ(cluster_.store_of(1).newest(), second_);
+  EXPECT_FALSE(cluster_.nodes()[0].reverted);
+}
+
+// Symptom: a fleet that started during an outage serves without contracts.
+// Sequence: all nodes start anew while the service is away.
+// Cause: empty peers vouching for each other.
+TEST_F(EmptyStartTest, EmptyPeersDoNotMakeANodeReady) {
+  for (std::size_t i = 0; i < cluster_.nodes().size(); ++i) {
+    cluster_.Restart(i);
+  }
+  cluster_.Run(Duration::Seconds(60));
+  for (const auto& node : cluster_.nodes()) {
+    EXPECT_FALSE(node.sync->ready());
+  }
+  cluster_.link().SetOutage(cluster_.now(), false);
+  cluster_.Run(Duration::Seconds(20));
+  EXPECT_TRUE(cluster_.Converged());
+  EXPECT_TRUE(cluster_.nodes()[0].sync->ready());
+}
+
+// Symptom: accepted changes are gone everywhere.
+// Sequence: the service is restored from a backup taken before the change;
+// nodes read it again, and one of them starts anew.
+// Cause: taking the service's word over what nodes know to have been accepted.
+TEST(ConfigSyncTest, RestoredServiceIsRefusedLoudly) {
+  ConfigCluster cluster(6, 10);
+  cluster.Run(Duration::Seconds(5));
+  const Revision first = AcceptedAt(cluster.Settle(0, kKey, "a", Revision()));
+  cluster.link().Snapshot();
+  const Revision second = AcceptedAt(cluster.Settle(0, kKey, "b", first));
+  cluster.Run(Duration::Seconds(5));
+  cluster.link().Restore();
+  cluster.Run(Duration::Seconds(120));
+  EXPECT_GT(cluster.events(EventKind::kStoreRewound), 0);
+  for (std::size_t i = 0; i < 6; ++i) {
+    EXPECT_EQ(ValueAt(cluster, i), "b");
+    EXPECT_EQ(cluster.nodes()[i].sync->state(), ConfigState::kStoreRewound);
+  }
+  const ChangeOutcome outcome = cluster.Settle(1, kKey, "c", second);
+  ASSERT_TRUE(std::holds_alternative<ChangeUnavailable>(outcome));
+  EXPECT_EQ(std::get<ChangeUnavailable>(outcome).kind,
+            ChangeUnavailableKind::kStoreRewound);
+  // A node that starts now takes the peers' copy, not the service's.
+  cluster.Restart(2);
+  cluster.Run(Duration::Seconds(30));
+  EXPECT_TRUE(cluster.nodes()[2].sync->ready());
+  EXPECT_EQ(ValueAt(cluster, 2), "b");
+}
+
+// Symptom: operators are alarmed of a restored service that is well.
+// Sequence: the service answers some reads from an old state.
+// Cause: one old answer taken as proof.
+TEST(ConfigSyncTest, StaleReadsAreNotTakenForARestore) {
+  ConfigCluster cluster(6, 11);
+  cluster.Run(Duration::Seconds(5));
+  cluster.link().Snapshot();
+  cluster.Settle(0, kKey, "a", Revision());
+  cluster.link().faults().stale_read = 0.3;
+  cluster.Run(Duration::Seconds(300));
+  EXPECT_EQ(cluster.events(EventKind::kStoreRewound), 0);
+  EXPECT_TRUE(cluster.Converged());
+}
+
+// Symptom: the service is flooded when it returns.
+// Sequence: an outage of ten minutes, over which every node's routine read
+// comes due.
+// Cause: each node repeating its read until it succeeds.
+TEST(ConfigSyncTest, ReturnOfTheServiceDrawsNoBurst) {
+  ConfigCluster cluster(40, 12);
+  cluster.Run(Duration::Seconds(10));
+  cluster.link().SetOutage(cluster.now(), true);
+  cluster.Run(Duration::Seconds(600));
+  cluster.link().SetOutage(cluster.now(), false);
+  const std::int64_t before = cluster.link().calls();
+  cluster.Run(Duration::Seconds(10));
+  // Four watchers with two prefixes each, and two routine reads.
+  EXPECT_LT(cluster.link().calls() - before, 30);
+}
+
+}  // namespace
+}  // namespace gcw
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -16,6 +16,13 @@
 // effect at once. `FakeStoreLink` adds delay and faults.
 class FakeStore {
  public:
+  struct Change {
+    Revision revision;
+    std::string key;
+    // Absent where the key was deleted.
+    std::optional<StoreEntry> entry;
+  };
+
   // Absent where a watch has nothing to report yet.
   std::optional<StoreReply> Execute(Time now, const StoreCall& call) {
     DropLapsed(now);
@@ -40,6 +47,8 @@
 
   // What is held, for invariants.
   const std::map<std::string, StoreEntry>& entries() const { return entries_; }
+  // All writes so far, in order.
+  const std::vector<Change>& changes() const { return changes_; }
   Revision revision() const { return revision_; }
   bool HasLease(LeaseId lease) const { return leases_.contains(lease); }
 
@@ -58,12 +67,6 @@
     Duration time_to_live;
     Time expires;
   };
-  struct Change {
-    Revision revision;
-    std::string key;
-    // Absent where the key was deleted.
-    std::optional<StoreEntry> entry;
-  };
 
   StoreReply Run(Time, const StoreRange& range) const {
     StoreRangeReply reply{.revision = revision_, .entries = {}};
--- a/tests/support/fake_store_link.h
+++ b/tests/support/fake_store_link.h
@@ -38,6 +38,7 @@
   explicit FakeStoreLink(Random random) : random_(std::move(random)) {}
 
   FakeStore& store() { return store_; }
+  const FakeStore& store() const { return store_; }
   FakeStoreFaults& faults() { return faults_; }
   // Callers for which this holds reach the service; all do at first.
   void SetReaches(std::function<bool(const std::string& caller)> reaches) {
