--- a/coordination/once_shard_owner.cc
+++ b/coordination/once_shard_owner.cc
@@ -13,7 +13,8 @@
       self_(std::move(self)),
       settings_(settings),
       hooks_(std::move(hooks)),
-      shard_(settings.shard) {}
+      shard_(settings.shard),
+      timeout_(settings.store_timeout) {}
 
 // Claims ---------------------------------------------------------------------
 
@@ -322,6 +323,10 @@
   }
   const Call call = *call_;
   call_.reset();
+  if (!std::holds_alternative<StoreNoAnswer>(reply)) {
+    timeout_ = std::clamp((now - call.sent) * 3, settings_.store_timeout,
+                          settings_.longest_store_timeout);
+  }
   std::visit(
       Overloaded{
           [&](const StoreRangeReply& range) { OnRecord(now, call, range); },
@@ -412,9 +417,10 @@
 }
 
 void OnceShardOwner::Tick(Time now) {
-  if (call_ && now - call_->sent >= settings_.store_timeout) {
+  if (call_ && now - call_->sent >= timeout_) {
     const Call call = *call_;
     call_.reset();
+    timeout_ = std::min(timeout_ * 2, settings_.longest_store_timeout);
     OnNoAnswer(now, call, settings_.store_retry);
   }
   shard_.Tick(now);
--- a/coordination/once_shard_owner.h
+++ b/coordination/once_shard_owner.h
@@ -18,14 +18,18 @@
 struct OnceOwnerSettings {
   std::int64_t shard_count = 64;
   // Least time between two journal writes of a shard. Claims that arrive in
-  // between share the next one.
-  Duration journal_gap = Duration::Millis(50);
-  // A call without a reply counts as unanswered after this time.
-  Duration store_timeout = Duration::Seconds(2);
+  // between share the next one. All shards together write at most
+  // `shard_count / journal_gap`.
+  Duration journal_gap = Duration::Millis(200);
+  // A call without a reply counts as unanswered after this time, or three times
+  // what the last answered call took, and twice as long after each unanswered
+  // one: a slow service must not be taken for one that loses its answers.
+  Duration store_timeout = Duration::Millis(750);
+  Duration longest_store_timeout = Duration::Seconds(8);
   // Time to wait before asking the service again after it failed.
   Duration store_retry = Duration::Millis(250);
   // An ended claim reaches the journal by then even without new claims.
-  Duration finish_delay = Duration::Seconds(1);
+  Duration finish_delay = Duration::Seconds(3);
   // For how long after the last confirmed write an owner that the service does
   // not answer may grant claims that it cannot journal. Zero: never. See
   // docs/design/0011-at-most-once.md before raising it.
@@ -153,6 +157,7 @@
   OnceShard shard_;
 
   std::optional<Call> call_;
+  Duration timeout_;
   // No call is made before this time.
   Time next_call_;
   Time last_write_;
