--- a/coordination/admission.h
+++ b/coordination/admission.h
@@ -1,15 +1,24 @@
 #ifndef COORDINATION_ADMISSION_H_
 #define COORDINATION_ADMISSION_H_
 
+#include <array>
 #include <cstdint>
-#include <functional>
+#include <deque>
+#include <map>
 #include <memory>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
+#include "coordination/admission_queue.h"
+#include "coordination/admission_settings.h"
+#include "coordination/contract_directory.h"
+#include "coordination/demand_meter.h"
 #include "coordination/headroom.h"
 #include "coordination/limits.h"
 #include "coordination/request.h"
+#include "coordination/tier_room.h"
+#include "coordination/token_estimator.h"
 #include "core/core.h"
 
 namespace gcw {
@@ -17,12 +26,12 @@
 // Order in which engines serve; 0 first.
 using EnginePriority = StrongNumber<struct EnginePriorityTag>;
 
-// Dispatch the request now. Trial requests may go only to `endpoints`; for
-// paid ones the list is empty and the router chooses.
+// Dispatch the request now, to one of `endpoints` only; where there are none
+// given the router chooses among all.
 struct Admit {
   RequestId request;
   EnginePriority priority;
-  std::vector<EndpointId> endpoints;
+  EndpointList endpoints;
 };
 
 // Waits at this node; an `Admit` or `Refuse` follows by its deadline.
@@ -37,86 +46,152 @@
 };
 
 // Cancel this running trial request at its endpoint and end it towards its
-// caller. `OnFinished` follows when that is done.
+// caller. `OnFinished` is to follow.
 struct PreemptTrial {
   RequestId request;
 };
 
 using AdmissionAction = std::variant<Admit, Queued, Refuse, PreemptTrial>;
 
-struct AdmissionSettings {
-  // Requests that wait at this node.
-  std::int64_t paid_queue_limit = 1024;
-  std::int64_t trial_queue_limit = 128;
-  // One contract's part of its queue.
-  double contract_queue_share = 0.25;
-  // A trial request waits no longer than this for room.
-  Duration trial_wait = Duration::Millis(2000);
-  // A paid request waits no longer than this for its contract's share.
-  Duration share_wait = Duration::Millis(500);
-  // Tokens that one turn of the round robin is worth.
-  std::int64_t quantum_tokens = 512;
-  // Paid requests that may wait in an endpoint's own queue, per endpoint.
-  std::int64_t engine_backlog = 2;
-  // Refused callers come back after between one and two of these.
-  Duration retry_base = Duration::Millis(1000);
-  // Reports of room older than this count as no room for trial work.
-  Duration headroom_max_age = Duration::Millis(3000);
-  // Share of an endpoint's batch that is left free for paid arrivals before
-  // trial work may use the rest.
-  double paid_reserve = 0.25;
-  // KV cache above which no trial work is admitted.
-  double trial_cache_limit = 0.8;
-};
-
 // Decides for each request of a caller whether, when and how this node runs
 // it. Contracts are found by the digest of the caller's key.
 class Admission {
  public:
   class Builder;
 
-  Admission(Admission&&) noexcept;
-  Admission& operator=(Admission&&) noexcept;
-  ~Admission();
-
   // The contract set. A change takes effect at once for new requests and for
   // waiting ones; running ones finish.
-  void OnContract(Time now, const Contract& contract);
+  std::vector<AdmissionAction> OnContract(Time now, const Contract& contract);
   std::vector<AdmissionAction> OnContractWithdrawn(Time now,
                                                    const ContractId& contract);
-
   // The contract that a caller's key belongs to; none where it is unknown.
-  const Contract* FindContract(const KeyDigest& digest) const;
-  // A running estimate of what the request will use: prompt plus the learned
-  // mean of generated tokens of its contract, at most the caller's maximum.
-  TokenCount EstimateTokens(const RequestProfile& profile) const;
-
-  // `profile.contract` is as found by `FindContract`; tier and rank are taken
-  // from the contract.
+  const Contract* FindContract(const KeyDigest& digest) const {
+    return contracts_.FindByKey(digest);
+  }
+  const Contract* FindContract(const ContractId& id) const {
+    return contracts_.Find(id);
+  }
+
+  // `profile.contract` is as found by `FindContract`; tier, rank and limits
+  // are taken from the contract.
   std::vector<AdmissionAction> Offer(Time now, const RequestProfile& profile);
   std::vector<AdmissionAction> OnCapacity(Time now,
                                           const ModelId& model,
                                           Headroom headroom);
+  std::vector<AdmissionAction> OnCapacity(Time now,
+                                          const ServiceId& service,
+                                          Headroom headroom);
   // An admitted request was sent to this endpoint.
-  void OnDispatched(Time now,
-                    const RequestId& request,
-                    const EndpointId& endpoint);
+  void OnDispatched(const RequestId& request, const EndpointId& endpoint);
   // An admitted request ended, was cancelled or not run.
   std::vector<AdmissionAction> OnFinished(Time now,
                                           const RequestId& request,
                                           TokenCount generated);
-  // The caller gave up a waiting request. Its final answer is out already.
-  void OnAbandoned(Time now, const RequestId& request);
+  // The caller of a waiting request has gone.
+  void OnAbandoned(const RequestId& request);
   std::vector<AdmissionAction> Tick(Time now);
 
   std::int64_t queued(Tier tier) const;
   std::int64_t running(Tier tier) const;
 
  private:
-  class Impl;
-  explicit Admission(std::unique_ptr<Impl> impl);
-
-  std::unique_ptr<Impl> impl_;
+  using Actions = std::vector<AdmissionAction>;
+
+  // A model or plain service.
+  struct Target {
+    Target(const AdmissionSettings& settings, const Random& random);
+
+    AdmissionQueue& queue(Tier tier) {
+      return tier == Tier::kPaid ? paid : trial;
+    }
+    const AdmissionQueue& queue(Tier tier) const {
+      return tier == Tier::kPaid ? paid : trial;
+    }
+
+    TierRoom room;
+    AdmissionQueue paid;
+    AdmissionQueue trial;
+    // Estimated tokens admitted per second, by tier.
+    std::array<DemandMeter, 2> drain;
+  };
+  enum class Phase { kAwaitingShare, kAwaitingRoom, kRunning };
+  struct Request {
+    ContractId contract;
+    RequestTarget requested;
+    Tier tier = Tier::kTrial;
+    Rank rank;
+    // Of the contract within its rank.
+    double weight = 1;
+    TokenCount prompt_tokens;
+    TokenCount estimate;
+    Phase phase = Phase::kAwaitingShare;
+    Time deadline;
+    Time give_up_at;
+    Target* target = nullptr;
+    // Empty before it is dispatched.
+    EndpointId endpoint;
+    bool is_preempted = false;
+  };
+  using RequestMap = std::unordered_map<RequestId, Request>;
+
+  Admission(const AdmissionSettings& settings,
+            Random random,
+            EventSink sink,
+            Limits* limits);
+
+  Target& TargetOf(const RequestTarget& target);
+  Request MakeRequest(const Contract& contract, const RequestProfile& profile);
+  void AwaitShare(Time now,
+                  const RequestId& id,
+                  Request& request,
+                  Actions& actions);
+  void AwaitRoom(Time now,
+                 const RequestId& id,
+                 Request& request,
+                 Actions& actions);
+  void Start(Time now, const RequestId& id, Request& request, Actions& actions);
+  // Starts what has room now, else waits for it.
+  void Place(Time now, const RequestId& id, Request& request, Actions& actions);
+  void StartWaiting(Time now, Target& target, Tier tier, Actions& actions);
+  void StartAllWaiting(Time now, Target& target, Actions& actions);
+  void RetryShares(Time now, Actions& actions);
+  void RetryShare(Time now,
+                  const RequestId& id,
+                  Request& request,
+                  Actions& actions);
+  void TickTarget(Time now, Target& target, Actions& actions);
+  void PreemptOutside(const Target& target, Actions& actions);
+  void UpdateRoom(Time now,
+                  Target& target,
+                  Headroom headroom,
+                  Actions& actions);
+  static bool HasRoom(Time now, const Request& request);
+  static Duration ExpectedWait(const Target& target,
+                               Tier tier,
+                               const WaitingRequest& request);
+  // The final answer of a request that holds a share; gives the share back.
+  void Drop(const RequestId& id,
+            RefusalKind kind,
+            Duration wait,
+            Actions& actions);
+  void Answer(const RequestId& id,
+              RefusalKind kind,
+              Duration wait,
+              Actions& actions);
+  Duration RetryAfter(RefusalKind kind, Duration wait) const;
+  void Report(EventKind kind, const RequestId& id);
+
+  std::unique_ptr<AdmissionSettings> settings_;
+  Random random_;
+  EventSink sink_;
+  Limits* limits_;
+  ContractDirectory contracts_;
+  TokenEstimator estimator_;
+  std::map<ModelId, Target> models_;
+  std::map<ServiceId, Target> services_;
+  RequestMap requests_;
+  // In order of arrival; may name requests that are gone.
+  std::deque<RequestId> awaiting_share_;
 };
 
 class Admission::Builder {
@@ -130,7 +205,7 @@
 
  private:
   AdmissionSettings settings_;
-  Random random_;
+  Random random_ = SeededRandom(1);
   EventSink sink_ = DiscardEvents();
   Limits* limits_ = nullptr;
 };
--- /dev/null
+++ b/coordination/contract_directory.h
@@ -0,0 +1,35 @@
+#ifndef COORDINATION_CONTRACT_DIRECTORY_H_
+#define COORDINATION_CONTRACT_DIRECTORY_H_
+
+#include <optional>
+#include <unordered_map>
+
+#include "coordination/request.h"
+#include "state/state.h"
+
+namespace gcw {
+
+// The contracts in force at this node, by id and by the digests of their
+// callers' keys.
+class ContractDirectory {
+ public:
+  void Set(const Contract& contract);
+  void Remove(const ContractId& id);
+
+  const Contract* Find(const ContractId& id) const;
+  // Of two contracts that name the same key the one set last counts.
+  const Contract* FindByKey(const KeyDigest& digest) const;
+
+  // Why a request for this target may not run under the contract now.
+  static std::optional<RefusalKind> Check(const Contract& contract,
+                                          Time now,
+                                          const RequestTarget& target);
+
+ private:
+  std::unordered_map<ContractId, Contract> contracts_;
+  std::unordered_map<KeyDigest, ContractId> keys_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_CONTRACT_DIRECTORY_H_
--- a/coordination/limit_settings.cc
+++ b/coordination/limit_settings.cc
@@ -2,16 +2,9 @@
 
 #include <algorithm>
 
-namespace gcw {
-namespace {
-
-// FNV-1a. Not `std::hash`, whose values may differ between builds, while all
-// nodes must agree on a contract's shard.
-constexpr std::uint64_t kFnvOffset = 0xcbf29ce484222325;
-constexpr std::uint64_t kFnvPrime = 0x100000001b3;
-
-}  // namespace
+#include "coordination/stable_hash.h"
 
+namespace gcw {
 Duration LimitSettings::Period(std::int64_t nodes) const {
   return std::clamp(period_per_node * nodes, period_min, period_max);
 }
@@ -31,14 +24,8 @@
 }
 
 LimitShard ShardOf(const ContractId& contract, std::int64_t shards) {
-  std::uint64_t hash = kFnvOffset;
-  for (const char character : contract.value()) {
-    hash = (hash ^ static_cast<unsigned char>(character)) * kFnvPrime;
-  }
-  // The low bits of FNV-1a are weak for short texts.
-  hash ^= hash >> 32;
-  return LimitShard(
-      static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(shards)));
+  return LimitShard(static_cast<std::int64_t>(
+      StableHash(contract.value()) % static_cast<std::uint64_t>(shards)));
 }
 
 }  // namespace gcw
--- /dev/null
+++ b/coordination/tier_room.h
@@ -0,0 +1,74 @@
+#ifndef COORDINATION_TIER_ROOM_H_
+#define COORDINATION_TIER_ROOM_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "coordination/admission_settings.h"
+#include "coordination/headroom.h"
+#include "coordination/tier_pools.h"
+#include "state/state.h"
+
+namespace gcw {
+
+// Shared, since every admitted request carries it.
+using EndpointList = std::shared_ptr<const std::vector<EndpointId>>;
+
+// Room that this node may fill at one model or service: its part of what the
+// newest reports show, corrected by what it sent and finished since.
+class TierRoom {
+ public:
+  TierRoom(const AdmissionSettings& settings, Random random);
+
+  void Update(Time now, Headroom headroom);
+  // Whether there ever was a report.
+  bool is_known() const { return headroom_.has_value(); }
+  bool HasEndpoints() const;
+  bool HasRoom(Time now, Tier tier) const;
+  // Where requests of the tier may go.
+  const EndpointList& endpoints(Tier tier) const;
+  bool IsOpenToTrial(const EndpointId& endpoint) const;
+
+  void Admitted(Time now, Tier tier);
+  void Finished(Time now, Tier tier);
+
+ private:
+  struct Change {
+    Time when;
+    std::int64_t requests = 0;
+  };
+  struct TierState {
+    // This node's part of the free room at the time of the reports.
+    std::int64_t part = 0;
+    // Its own changes since, oldest first.
+    std::deque<Change> changes;
+    std::int64_t net = 0;
+    EndpointList endpoints;
+  };
+
+  TierState& StateOf(Tier tier) { return tiers_[Index(tier)]; }
+  const TierState& StateOf(Tier tier) const { return tiers_[Index(tier)]; }
+  static std::size_t Index(Tier tier) { return tier == Tier::kPaid ? 0 : 1; }
+  static void DropReported(TierState& state, Time taken_at);
+  static void Record(TierState& state, Time now, std::int64_t requests);
+  std::int64_t PartOf(std::int64_t free) const;
+  void DividePaid();
+  void DivideTrial();
+
+  const AdmissionSettings* settings_;
+  Random random_;
+  std::optional<Headroom> headroom_;
+  TierPools pools_;
+  std::array<TierState, 2> tiers_;
+  std::unordered_set<EndpointId> open_to_trial_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_TIER_ROOM_H_
