--- a/bench/endpoint_model.cc
+++ b/bench/endpoint_model.cc
@@ -201,6 +201,9 @@
   job.chunk = 0;
   ++job.generated;
   ++generated_tokens_;
+  if (on_token_) {
+    on_token_(job.request.id);
+  }
   return job.generated == 1 || IsDone(job);
 }
 
--- a/bench/endpoint_model.h
+++ b/bench/endpoint_model.h
@@ -71,6 +71,11 @@
   void PublishLoad(Micros first, Micros period, Micros lag, ReportHook hook);
   void set_on_cache_event(CacheHook hook) { on_cache_event_ = std::move(hook); }
 
+  // Called for each token with its request's id; must not change the engine.
+  void set_on_token(std::function<void(std::uint64_t id)> hook) {
+    on_token_ = std::move(hook);
+  }
+
   // 1 is full speed; 4 takes four times as long.
   void set_slowdown(double factor) { slowdown_ = factor; }
   // Fails everything here and empties the cache; new requests fail.
@@ -110,6 +115,7 @@
   EventQueue& events_;
   EngineSettings settings_;
   CacheHook on_cache_event_;
+  std::function<void(std::uint64_t id)> on_token_;
   std::int64_t next_cache_sequence_ = 1;
   BlockCache cache_;
   std::map<QueueKey, JobPointer> queue_;
--- /dev/null
+++ b/bench/tier_world.h
@@ -0,0 +1,164 @@
+#ifndef BENCH_TIER_WORLD_H_
+#define BENCH_TIER_WORLD_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "bench/endpoint_model.h"
+#include "bench/event_queue.h"
+#include "coordination/coordination.h"
+
+namespace gcw::bench {
+
+// How trial work is kept from paid work.
+enum class TierPolicy {
+  // Any endpoint with a free place in its batch; engines queue paid first.
+  kPriority,
+  // The same with at most `trial_cap` trial requests in a batch.
+  kCapped,
+  // `Admission`: endpoints of their own.
+  kPools,
+};
+
+struct TierWorldSettings {
+  TierPolicy policy = TierPolicy::kPools;
+  std::int64_t trial_cap = 4;
+  std::size_t nodes = 4;
+  std::size_t endpoints = 24;
+  std::size_t lost_endpoints = 0;
+  double paid_per_second = 80;
+  // By which paid arrivals rise for a quarter of each burst period; the mean
+  // stays. 1 is steady.
+  double burst_factor = 1;
+  double trial_per_second = 0;
+  // Extra requests of the first team, on top of the rest.
+  double flood_per_second = 0;
+  Micros warm_up = MicrosOf(10000);
+  Micros loss_at = MicrosOf(25000);
+  Micros end = MicrosOf(50000);
+  Micros report_period = MicrosOf(200);
+  Micros report_lag = MicrosOf(200);
+  AdmissionSettings admission;
+};
+
+// What one tier or team saw after the warm-up.
+struct TierOutcome {
+  std::vector<double> ttft_millis;
+  // Time between two tokens, as many per bucket of a tenth of a millisecond.
+  std::vector<std::int64_t> token_gaps;
+  std::int64_t offered = 0;
+  std::int64_t answered = 0;
+  std::int64_t refused = 0;
+  std::int64_t preempted = 0;
+  std::int64_t failed = 0;
+  std::int64_t tokens = 0;
+  // Of requests that were cancelled.
+  std::int64_t wasted_tokens = 0;
+
+  void AddGap(Micros gap);
+  double GapQuantile(double q) const;
+  double TtftQuantile(double q) const;
+};
+
+// Nodes, model engines and callers in virtual time.
+class TierWorld {
+ public:
+  TierWorld(TierWorldSettings settings, std::uint64_t seed);
+  void Run();
+
+  const TierOutcome& paid() const { return paid_; }
+  const TierOutcome& trial() const { return trial_; }
+  const TierOutcome& team(std::size_t i) const { return teams_[i]; }
+  double measured_seconds() const;
+  static constexpr std::size_t kTeams = 10;
+
+ private:
+  struct Node {
+    std::unique_ptr<Limits> limits;
+    std::unique_ptr<Admission> admission;
+    // Own dispatches to each endpoint since its newest report.
+    std::map<std::size_t, std::vector<Micros>> sent;
+  };
+  struct Report {
+    LoadReport load;
+    std::int64_t paid = 0;
+    bool is_known = false;
+  };
+  struct Call {
+    std::uint64_t id = 0;
+    std::size_t node = 0;
+    std::size_t team = 0;
+    Tier tier = Tier::kPaid;
+    std::int64_t prompt = 0;
+    std::int64_t generate = 0;
+    std::int64_t generated = 0;
+    std::size_t endpoint = 0;
+    bool is_placed = false;
+    Micros arrived = 0;
+    Micros last_token = 0;
+  };
+
+  void MakeNodes(std::uint64_t seed);
+  void MakeEndpoints();
+  void Publish(std::size_t endpoint);
+  void ScheduleArrival(Tier tier, double rate, bool flood);
+  void Arrive(Tier tier, bool flood);
+  double PaidRateNow() const;
+  void TickNodes();
+  void LoseEndpoints();
+
+  void Offer(Call& call);
+  void OfferToPolicy(Call& call);
+  void Apply(std::vector<AdmissionAction> actions);
+  std::vector<std::size_t> CandidatesOf(const Admit& admit) const;
+  void Dispatch(std::uint64_t id,
+                std::int64_t priority,
+                const std::vector<std::size_t>& candidates);
+  std::size_t Pick(std::size_t node,
+                   const std::vector<std::size_t>& candidates);
+  double LoadSeenBy(std::size_t node, std::size_t endpoint) const;
+  void OnToken(std::uint64_t id);
+  void Finish(std::uint64_t id);
+  void Fail(std::uint64_t id);
+  void Preempt(std::uint64_t id);
+  void Refused(std::uint64_t id);
+  void SendHeadroom(std::size_t node);
+  bool IsMeasured(const Call& call) const {
+    return call.arrived >= settings_.warm_up;
+  }
+  TierOutcome& OutcomeOf(const Call& call) {
+    return call.tier == Tier::kPaid ? paid_ : trial_;
+  }
+  template <typename Function>
+  void Record(const Call& call, Function function);
+  const Random& CallersOf(Tier tier, bool flood) const;
+  static std::int64_t LogNormal(const Random& random,
+                                double median,
+                                double sigma,
+                                std::int64_t most);
+
+  TierWorldSettings settings_;
+  Random random_;
+  // Paid, trial and flooding ones.
+  std::array<Random, 3> callers_;
+  EventQueue events_;
+  std::vector<Node> nodes_;
+  std::vector<std::unique_ptr<EndpointModel>> endpoints_;
+  std::vector<std::int64_t> paid_at_;
+  std::vector<std::int64_t> trial_at_;
+  std::vector<Report> reports_;
+  std::unordered_map<std::uint64_t, Call> calls_;
+  std::uint64_t next_call_ = 1;
+  TierOutcome paid_;
+  TierOutcome trial_;
+  std::vector<TierOutcome> teams_;
+};
+
+}  // namespace gcw::bench
+
+#endif  // BENCH_TIER_WORLD_H_
--- a/coordination/admission.cc
+++ b/coordination/admission.cc
@@ -396,7 +396,7 @@
   if (did_run) {
     estimator_.Learn(ended.contract, generated);
   }
-  ended.target->room.Finished(now, ended.tier);
+  ended.target->room.Finished(now, ended.tier, ended.endpoint);
   StartAllWaiting(now, *ended.target, actions);
   return actions;
 }
--- a/coordination/tier_room.cc
+++ b/coordination/tier_room.cc
@@ -44,8 +44,8 @@
 std::int64_t TierRoom::PartOf(std::int64_t free) const {
   const auto nodes =
       static_cast<double>(std::max<std::int64_t>(1, headroom_->sharing_nodes));
-  const double part = static_cast<double>(std::max<std::int64_t>(0, free)) *
-                      std::min(1.0, settings_->overcommit / nodes);
+  const double part =
+      static_cast<double>(free) * std::min(1.0, settings_->overcommit / nodes);
   const double whole = std::floor(part);
   return static_cast<std::int64_t>(whole) +
          (DrawUnit(random_) < part - whole ? 1 : 0);
@@ -81,8 +81,8 @@
     if (endpoint.cache_share > settings_->trial_cache_limit) {
       continue;
     }
-    free += std::max<std::int64_t>(
-        0, endpoint.batch_limit - endpoint.running - endpoint.queued);
+    // Below zero where more was sent than fits, until that has run.
+    free += endpoint.batch_limit - endpoint.running - endpoint.queued;
     chosen.push_back(endpoint.endpoint);
   }
   state.endpoints =
@@ -100,7 +100,7 @@
       now > headroom_->taken_at + settings_->headroom_max_age) {
     return false;
   }
-  return state.part - state.net > 0;
+  return !state.endpoints->empty() && state.part - state.net > 0;
 }
 
 const EndpointList& TierRoom::endpoints(Tier tier) const {
@@ -115,8 +115,12 @@
   Record(StateOf(tier), now, 1);
 }
 
-void TierRoom::Finished(Time now, Tier tier) {
-  Record(StateOf(tier), now, -1);
+// A trial request that was cancelled outside of the trial endpoints leaves no
+// room in them.
+void TierRoom::Finished(Time now, Tier tier, const EndpointId& endpoint) {
+  if (tier == Tier::kPaid || IsOpenToTrial(endpoint)) {
+    Record(StateOf(tier), now, -1);
+  }
 }
 
 }  // namespace gcw
--- a/coordination/tier_room.h
+++ b/coordination/tier_room.h
@@ -36,7 +36,7 @@
   bool IsOpenToTrial(const EndpointId& endpoint) const;
 
   void Admitted(Time now, Tier tier);
-  void Finished(Time now, Tier tier);
+  void Finished(Time now, Tier tier, const EndpointId& endpoint);
 
  private:
   struct Change {
