--- a/bench/block_cache.cc
+++ b/bench/block_cache.cc
@@ -5,7 +5,9 @@
 namespace gcw::bench {
 
 BlockCache::BlockCache(std::size_t capacity, ChangeHook on_change)
-    : capacity_(capacity), on_change_(std::move(on_change)) {}
+    : capacity_(capacity), on_change_(std::move(on_change)) {
+  places_.reserve(capacity);
+}
 
 std::size_t BlockCache::MatchedBlocks(
     const std::vector<PrefixBlock>& blocks) const {
--- /dev/null
+++ b/bench/router_policy.cc
@@ -0,0 +1,85 @@
+#include <unordered_map>
+#include <utility>
+
+#include "bench/routing_policy.h"
+
+namespace gcw::bench {
+namespace {
+
+// Drives the router as a node's core does.
+class RouterDriver final : public RoutingPolicy {
+ public:
+  RouterDriver(const RouterSettings& settings, const PolicyPlace& place)
+      : router_(RouterBuilder()
+                    .SetSettings(settings)
+                    .SetRandom(SeededRandom(place.seed))
+                    .Build()) {
+    router_->SetNodeCount(place.nodes);
+  }
+
+  void OnEndpointUp(Time now, const Endpoint& endpoint) override {
+    router_->OnEndpointUp(now, endpoint);
+  }
+  void OnEndpointDown(Time now, const EndpointId& endpoint) override {
+    router_->OnEndpointDown(now, endpoint);
+  }
+  void OnLoadReport(Time now, const LoadReport& report) override {
+    router_->OnLoadReport(now, report);
+  }
+  void OnCacheEvents(Time now, const CacheEventBatch& batch) override {
+    router_->OnCacheEvents(now, batch);
+  }
+  bool uses_cache_events() const override { return true; }
+  std::optional<EndpointId> Dispatch(
+      Time now,
+      std::uint64_t attempt,
+      const RequestProfile& profile,
+      std::span<const EndpointId> excluded) override {
+    const auto result = router_->Choose(now, profile, excluded);
+    if (!IsOk(result)) {
+      return std::nullopt;
+    }
+    const Route& route = ValueOf(result);
+    tickets_[attempt] = router_->OnDispatched(now, route, profile);
+    return route.endpoint->id;
+  }
+  void OnFirstByte(Time now, std::uint64_t attempt) override {
+    router_->OnFirstByte(now, tickets_[attempt]);
+  }
+  void OnFinished(Time now,
+                  std::uint64_t attempt,
+                  std::int64_t generated) override {
+    router_->OnFinished(now, tickets_[attempt], TokenCount(generated));
+    tickets_.erase(attempt);
+  }
+  void OnFailed(Time now, std::uint64_t attempt) override {
+    router_->OnFailed(now, tickets_[attempt]);
+    tickets_.erase(attempt);
+  }
+  void Tick(Time now) override { router_->Tick(now); }
+
+ private:
+  std::unique_ptr<Router> router_;
+  std::unordered_map<std::uint64_t, DispatchTicket> tickets_;
+};
+
+}  // namespace
+
+RouterSettings BenchRouterSettings(const PolicyPlace& place) {
+  RouterSettings settings;
+  settings.zone = place.zone;
+  settings.distances = place.distances;
+  return settings;
+}
+
+NamedPolicy RouterPolicy(std::string name,
+                         std::function<void(RouterSettings&)> change) {
+  return {std::move(name), [change = std::move(change)](
+                               const PolicyPlace& place) {
+            RouterSettings settings = BenchRouterSettings(place);
+            change(settings);
+            return std::make_unique<RouterDriver>(settings, place);
+          }};
+}
+
+}  // namespace gcw::bench
