--- a/bench/router_policy.cc
+++ b/bench/router_policy.cc
@@ -74,8 +74,8 @@
 
 NamedPolicy RouterPolicy(std::string name,
                          std::function<void(RouterSettings&)> change) {
-  return {std::move(name), [change = std::move(change)](
-                               const PolicyPlace& place) {
+  return {std::move(name),
+          [change = std::move(change)](const PolicyPlace& place) {
             RouterSettings settings = BenchRouterSettings(place);
             change(settings);
             return std::make_unique<RouterDriver>(settings, place);
--- a/bench/session_workload.cc
+++ b/bench/session_workload.cc
@@ -44,8 +44,8 @@
 Turn SessionWorkload::NextTurn(Session& session) {
   Turn turn;
   turn.prompt_tokens = session.context_tokens + MessageTokens();
-  const double answer = LogNormal(settings_.answer_log_median,
-                                  settings_.answer_log_deviation);
+  const double answer =
+      LogNormal(settings_.answer_log_median, settings_.answer_log_deviation);
   turn.answer_tokens =
       std::clamp(static_cast<std::int64_t>(answer), std::int64_t{1},
                  settings_.most_answer_tokens);
@@ -62,8 +62,8 @@
 }
 
 std::int64_t SessionWorkload::MessageTokens() {
-  double tokens = LogNormal(settings_.message_log_median,
-                            settings_.message_log_deviation);
+  double tokens =
+      LogNormal(settings_.message_log_median, settings_.message_log_deviation);
   if (DrawUnit(random_) < settings_.document_share) {
     tokens += settings_.least_document_tokens /
               std::pow(1 - DrawUnit(random_), 1 / settings_.document_tail);
--- a/coordination/retry_budget.h
+++ b/coordination/retry_budget.h
@@ -45,7 +45,7 @@
   // No byte of the request left this node, or the endpoint itself refused it.
   bool was_not_run = false;
   // Expected time to a first byte from the next endpoint.
-  Duration expected_first_byte;
+  Duration expected_first_byte = Duration();
 };
 
 // Limits extra work by retries. Without it, endpoints that fail multiply the
--- /dev/null
+++ b/tests/coordination/endpoint_subset_test.cc
@@ -0,0 +1,81 @@
+#include "coordination/endpoint_subset.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/coordination/routing_fixtures.h"
+
+namespace gcw {
+namespace {
+
+struct Fleet {
+  std::vector<NodePlace> nodes;
+  std::vector<Endpoint> endpoints;
+};
+
+Fleet LargeFleet(int nodes, int endpoints) {
+  Fleet fleet;
+  for (int i = 0; i < nodes; ++i) {
+    fleet.nodes.push_back({NodeId("node-" + std::to_string(i)),
+                           ZoneId("zone-" + std::to_string(i % 5))});
+  }
+  for (int i = 0; i < endpoints; ++i) {
+    fleet.endpoints.push_back(ModelEndpoint("endpoint-" + std::to_string(i),
+                                            "zone-" + std::to_string(i % 5)));
+  }
+  return fleet;
+}
+
+std::vector<EndpointId> SubsetOf(const Fleet& fleet, std::size_t node) {
+  return ChooseEndpointSubset(EndpointSubsetSettings(), fleet.nodes[node],
+                              fleet.nodes, fleet.endpoints);
+}
+
+TEST(EndpointSubsetTest, TakesAllOfASmallFleet) {
+  EXPECT_EQ(SubsetOf(LargeFleet(8, 68), 0).size(), 68U);
+}
+
+TEST(EndpointSubsetTest, IsBoundedAndCoversAllAlike) {
+  const Fleet fleet = LargeFleet(420, 620);
+  std::map<EndpointId, int> takers;
+  for (std::size_t node = 0; node < fleet.nodes.size(); ++node) {
+    const auto subset = SubsetOf(fleet, node);
+    EXPECT_EQ(subset.size(), 64U + 4 * 8);
+    EXPECT_EQ(std::set(subset.begin(), subset.end()).size(), subset.size());
+    for (const EndpointId& id : subset) {
+      ++takers[id];
+    }
+  }
+  ASSERT_EQ(takers.size(), 620U);
+  for (const auto& [id, count] : takers) {
+    EXPECT_GE(count, 60) << id;
+    EXPECT_LE(count, 70) << id;
+  }
+}
+
+// Symptom: one restart makes every node drop and open many connections.
+// Sequence: a node or an endpoint leaves the fleet.
+// Cause: subsets drawn anew from the whole list.
+TEST(EndpointSubsetTest, ALossMovesFewConnections) {
+  const Fleet before = LargeFleet(420, 620);
+  Fleet after = before;
+  after.nodes.erase(after.nodes.begin() + 200);
+  after.endpoints.erase(after.endpoints.begin() + 300);
+  std::size_t moved = 0;
+  for (std::size_t node = 0; node < 200; ++node) {
+    const auto old_subset = SubsetOf(before, node);
+    const std::set<EndpointId> kept(old_subset.begin(), old_subset.end());
+    for (const EndpointId& id : SubsetOf(after, node)) {
+      moved += kept.contains(id) ? 0 : 1;
+    }
+  }
+  EXPECT_LE(moved, 200U * 3);
+}
+
+}  // namespace
+}  // namespace gcw
--- /dev/null
+++ b/tests/coordination/retry_test.cc
@@ -0,0 +1,119 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "coordination/retry_after.h"
+#include "coordination/retry_budget.h"
+#include "tests/coordination/routing_fixtures.h"
+
+namespace gcw {
+namespace {
+
+RequestProfile RequestOf(const std::string& contract) {
+  RequestProfile profile = ModelRequest();
+  profile.contract = ContractId(contract);
+  return profile;
+}
+
+// Symptom: after a fault, load stays above what the endpoints can bear though
+// callers ask no more than before.
+// Sequence: a third of the endpoints fail; each failure is tried again.
+// Cause: retries in proportion to failures instead of to first attempts.
+TEST(RetryBudgetTest, RetriesAreAShareOfFirstAttempts) {
+  RetryBudget budget{RetryBudgetSettings()};
+  int retries = 0;
+  for (int i = 0; i < 4000; ++i) {
+    const RequestProfile profile = RequestOf("c" + std::to_string(i % 20));
+    budget.OnFirstAttempt(Millis(0), profile.contract);
+    retries += budget.Spend(Millis(0), profile, {}) == RetryVerdict::kAllowed;
+  }
+  // A tenth of the attempts and what was saved up.
+  EXPECT_LE(retries, 4000 / 10 + 50);
+  EXPECT_GE(retries, 4000 / 10);
+}
+
+// Symptom: one contract's failing requests leave no retries for the others.
+// Sequence: a contract floods with requests that fail.
+// Cause: a single budget for the node.
+TEST(RetryBudgetTest, AContractSpendsItsOwnBudgetFirst) {
+  RetryBudget budget{RetryBudgetSettings()};
+  const RequestProfile flood = RequestOf("flood");
+  RetryVerdict last = RetryVerdict::kAllowed;
+  for (int i = 0; i < 30; ++i) {
+    last = budget.Spend(Millis(0), flood, {});
+  }
+  EXPECT_EQ(last, RetryVerdict::kContractBudget);
+  EXPECT_EQ(budget.Spend(Millis(0), RequestOf("other"), {}),
+            RetryVerdict::kAllowed);
+}
+
+// Symptom: a reservation is confirmed twice.
+// Sequence: the endpoint's connection breaks after the request left.
+// Cause: a retry of what may have run.
+TEST(RetryBudgetTest, WhatMayHaveRunIsNotRepeated) {
+  RetryBudget budget{RetryBudgetSettings()};
+  RequestProfile profile = RequestOf("team");
+  profile.repeatable = false;
+  EXPECT_EQ(budget.Spend(Millis(0), profile, {.was_not_run = false}),
+            RetryVerdict::kNotRepeatable);
+  EXPECT_EQ(budget.Spend(Millis(0), profile, {.was_not_run = true}),
+            RetryVerdict::kAllowed);
+}
+
+TEST(RetryBudgetTest, NothingIsRetriedPastItsDeadlineOrTooOften) {
+  RetryBudget budget{RetryBudgetSettings()};
+  RequestProfile profile = RequestOf("team");
+  profile.deadline = Millis(1000);
+  EXPECT_EQ(budget.Spend(Millis(800), profile,
+                         {.expected_first_byte = Duration::Millis(300)}),
+            RetryVerdict::kDeadline);
+  EXPECT_EQ(budget.Spend(Millis(0), profile, {.attempts = 3}),
+            RetryVerdict::kTooManyAttempts);
+}
+
+TEST(RetryBudgetTest, ForgetsIdleContracts) {
+  RetryBudget budget{RetryBudgetSettings()};
+  budget.OnFirstAttempt(Millis(0), ContractId("a"));
+  budget.Tick(Millis(300000));
+  EXPECT_EQ(budget.known_contracts(), 0U);
+}
+
+// Symptom: the callers refused in one overload all return in the same second
+// and make the next one.
+// Sequence: 200 refusals within a moment.
+// Cause: the same time to come back for all.
+TEST(RetryAfterTest, RefusedCallersReturnApart) {
+  RetryAfterPlanner planner(RetryAfterSettings(), SeededRandom(3));
+  planner.SetReturnRate(20);
+  std::vector<std::int64_t> seconds(60);
+  for (int i = 0; i < 200; ++i) {
+    const Duration after = planner.Plan(Millis(0), RefusalKind::kNoCapacity);
+    ++seconds.at(static_cast<std::size_t>(after.millis() / 1000));
+  }
+  EXPECT_LE(*std::ranges::max_element(seconds), 40);
+}
+
+TEST(RetryAfterTest, ComingBackIsNotAskedForWhereItCannotHelp) {
+  RetryAfterPlanner planner(RetryAfterSettings(), SeededRandom(3));
+  EXPECT_EQ(planner.Plan(Millis(0), RefusalKind::kModelNotAllowed), Duration());
+  EXPECT_GT(planner.Plan(Millis(0), RefusalKind::kRequestRate), Duration());
+}
+
+RC_GTEST_PROP(RetryAfterTest, StaysWithinItsBounds, ()) {
+  const RetryAfterSettings settings;
+  RetryAfterPlanner planner(settings, SeededRandom(*rc::gen::inRange(0, 1000)));
+  std::int64_t now = 0;
+  const int steps = *rc::gen::inRange(1, 300);
+  for (int step = 0; step < steps; ++step) {
+    now += *rc::gen::inRange(0, 3000);
+    planner.SetReturnRate(*rc::gen::inRange(0, 50));
+    const Duration after = planner.Plan(Millis(now), RefusalKind::kQueueFull);
+    RC_ASSERT(after >= settings.shortest);
+    RC_ASSERT(after <= settings.longest * 5 / 4);
+  }
+}
+
+}  // namespace
+}  // namespace gcw
--- /dev/null
+++ b/tests/coordination/straggler_detector_test.cc
@@ -0,0 +1,97 @@
+#include "coordination/straggler_detector.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace gcw {
+namespace {
+
+Time At(std::int64_t seconds) {
+  return Time::FromMillis(seconds * 1000);
+}
+
+EndpointSlot Slot(std::int64_t slot) {
+  return EndpointSlot(slot);
+}
+
+// Ten peers, of which the first `slow` take four times as long.
+StragglerDetector Measured(std::int64_t slow) {
+  StragglerDetector detector{StragglerSettings()};
+  for (std::int64_t slot = 0; slot < 10; ++slot) {
+    detector.Add(Slot(slot));
+    for (int sample = 0; sample < 10; ++sample) {
+      detector.OnSample(At(0), Slot(slot), slot < slow ? 120 : 30);
+    }
+  }
+  return detector;
+}
+
+TEST(StragglerDetectorTest, EjectsOneThatIsSlowAgainstItsPeers) {
+  StragglerDetector detector = Measured(1);
+  EXPECT_EQ(detector.Tick(At(1)).size(), 1U);
+  EXPECT_TRUE(detector.IsEjected(Slot(0)));
+  EXPECT_FALSE(detector.IsEjected(Slot(1)));
+}
+
+// Symptom: no endpoint is left though all of them answer.
+// Sequence: several endpoints turn slow, or a release makes most of them slow.
+// Cause: ejection without a cap.
+TEST(StragglerDetectorTest, TheShareEjectedIsCapped) {
+  StragglerDetector some = Measured(4);
+  some.Tick(At(1));
+  EXPECT_EQ(some.ejected_count(), 2);
+  StragglerDetector all = Measured(10);
+  EXPECT_TRUE(all.Tick(At(1)).empty());
+}
+
+TEST(StragglerDetectorTest, IsProbedAndRestored) {
+  StragglerDetector detector = Measured(1);
+  detector.Tick(At(1));
+  EXPECT_LT(detector.DueProbe(At(2)), Slot(0));
+  EXPECT_EQ(detector.DueProbe(At(7)), Slot(0));
+  detector.OnProbeSent(At(7), Slot(0));
+  EXPECT_LT(detector.DueProbe(At(8)), Slot(0));
+  detector.OnSample(At(9), Slot(0), 31);
+  const auto actions = detector.Tick(At(9));
+  ASSERT_EQ(actions.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<StragglerRestored>(actions[0]));
+  EXPECT_FALSE(detector.IsEjected(Slot(0)));
+}
+
+// Symptom: an endpoint that stays slow costs a slow answer each few seconds.
+// Sequence: probe after probe is slow.
+// Cause: a fixed time between probes.
+TEST(StragglerDetectorTest, SlowProbesComeLessOften) {
+  StragglerDetector detector = Measured(1);
+  detector.Tick(At(1));
+  detector.OnProbeSent(At(7), Slot(0));
+  detector.OnSample(At(9), Slot(0), 120);
+  detector.Tick(At(9));
+  EXPECT_LT(detector.DueProbe(At(15)), Slot(0));
+  EXPECT_EQ(detector.DueProbe(At(20)), Slot(0));
+}
+
+// Symptom: an ejected endpoint is restored without having answered a probe.
+// Sequence: requests sent before the ejection end after it.
+// Cause: any late sample taken for a probe's.
+TEST(StragglerDetectorTest, LateSamplesAreNoProbe) {
+  StragglerDetector detector = Measured(1);
+  detector.Tick(At(1));
+  detector.OnSample(At(2), Slot(0), 30);
+  EXPECT_TRUE(detector.Tick(At(2)).empty());
+  EXPECT_TRUE(detector.IsEjected(Slot(0)));
+}
+
+// Symptom: a probe that was never answered keeps an endpoint out for ever.
+// Sequence: the probe's request is cancelled by its caller.
+// Cause: waiting for its sample without a limit.
+TEST(StragglerDetectorTest, ALostProbeIsSentAgain) {
+  StragglerDetector detector = Measured(1);
+  detector.Tick(At(1));
+  detector.OnProbeSent(At(7), Slot(0));
+  EXPECT_EQ(detector.DueProbe(At(18)), Slot(0));
+}
+
+}  // namespace
+}  // namespace gcw
