--- /dev/null
+++ b/coordination/domain_writer.cc
@@ -0,0 +1,154 @@
+#include "coordination/domain_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gcw {
+
+DomainWriter::DomainWriter(FabricDomainId domain,
+                           WriterSettings settings,
+                           DomainRecordCodec codec,
+                           EventSink events)
+    : domain_(std::move(domain)),
+      settings_(settings),
+      codec_(std::move(codec)),
+      events_(std::move(events)) {
+  record_.domain = domain_;
+}
+
+std::string DomainWriter::key() const {
+  return "domain/" + domain_.value();
+}
+
+void DomainWriter::Start(Time now, FencingToken fence) {
+  fence_ = fence;
+  call_.reset();
+  ReadLater(now);
+}
+
+bool DomainWriter::IsClaimed() const {
+  return revision_ != Revision() && record_.written_by == fence_;
+}
+
+bool DomainWriter::Propose(Time now, DomainRecord record, ChangeId change) {
+  if (state_ != WriterState::kReady) {
+    return false;
+  }
+  record.domain = domain_;
+  record.written_by = fence_;
+  record.change = std::move(change);
+  if (FindFault(record)) {
+    return false;
+  }
+  proposed_ = std::move(record);
+  state_ = WriterState::kWriting;
+  call_due_ = true;
+  due_ = now;
+  return true;
+}
+
+std::optional<StoreCall> DomainWriter::Tick(Time now) {
+  if (call_ && now - call_sent_ >= settings_.call_timeout) {
+    call_.reset();
+    // The write may have taken effect or may still: only reading tells.
+    ReadLater(now);
+  }
+  if (call_ || !call_due_ || now < due_) {
+    return std::nullopt;
+  }
+  if (state_ == WriterState::kWriting) {
+    return StorePut{key(), codec_.encode(proposed_), revision_, LeaseId()};
+  }
+  return StoreRange{key()};
+}
+
+void DomainWriter::OnCallSent(Time now, StoreCallId id) {
+  call_ = id;
+  call_sent_ = now;
+  call_due_ = false;
+}
+
+void DomainWriter::OnReply(Time now, StoreCallId id, const StoreReply& reply) {
+  if (call_ != id) {
+    return;
+  }
+  call_.reset();
+  if (const auto* range = std::get_if<StoreRangeReply>(&reply)) {
+    OnRange(now, *range);
+  } else if (const auto* written = std::get_if<StoreWritten>(&reply)) {
+    OnWritten(now, written->revision);
+  } else if (const auto* conflict = std::get_if<StoreConflict>(&reply)) {
+    Adopt(now, conflict->current);
+  } else if (const auto* busy = std::get_if<StoreBusy>(&reply)) {
+    // Nothing was done, so the same call may be made again.
+    call_due_ = true;
+    due_ = now + busy->retry_after;
+  } else {
+    ReadLater(now + settings_.retry_interval);
+  }
+}
+
+void DomainWriter::OnRange(Time now, const StoreRangeReply& reply) {
+  if (reply.revision < seen_) {
+    // Restored to the past, or a stale read: acting on it would put VMs into
+    // groups that have since been given away.
+    events_({EventKind::kStoreRewound,
+             key(),
+             EventId(),
+             {{"revision", reply.revision.value()}, {"seen", seen_.value()}}});
+    ReadLater(now + settings_.retry_interval);
+    return;
+  }
+  seen_ = reply.revision;
+  std::optional<StoreEntry> entry;
+  for (const StoreEntry& candidate : reply.entries) {
+    if (candidate.key == key()) {
+      entry = candidate;
+    }
+  }
+  Adopt(now, entry);
+}
+
+void DomainWriter::OnWritten(Time now, Revision revision) {
+  if (revision <= seen_ && seen_ != Revision()) {
+    ReadLater(now + settings_.retry_interval);
+    return;
+  }
+  seen_ = revision;
+  revision_ = revision;
+  record_ = proposed_;
+  state_ = WriterState::kReady;
+}
+
+void DomainWriter::Adopt(Time now, const std::optional<StoreEntry>& entry) {
+  if (IsBehind(entry)) {
+    ReadLater(now + settings_.retry_interval);
+    return;
+  }
+  if (!entry) {
+    state_ = WriterState::kReady;
+    return;
+  }
+  const std::optional<DomainRecord> record = codec_.decode(entry->value);
+  if (!record) {
+    ReadLater(now + settings_.retry_interval);
+    return;
+  }
+  seen_ = std::max(seen_, entry->revision);
+  revision_ = entry->revision;
+  record_ = *record;
+  state_ = record_.written_by > fence_ ? WriterState::kOvertaken
+                                       : WriterState::kReady;
+}
+
+bool DomainWriter::IsBehind(const std::optional<StoreEntry>& entry) const {
+  return entry ? entry->revision < revision_ : revision_ != Revision();
+}
+
+void DomainWriter::ReadLater(Time when) {
+  state_ = WriterState::kReading;
+  call_due_ = true;
+  due_ = when;
+}
+
+}  // namespace gcw
--- a/coordination/domain_writer.h
+++ b/coordination/domain_writer.h
@@ -4,17 +4,20 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "coordination/actions.h"
 #include "state/state.h"
 
 namespace gcw {
 
-// Codecs for `domain/<id>` live in a higher layer. Decoding a value that is no
-// record gives nothing.
-using EncodeDomainRecord = std::function<std::string(const DomainRecord&)>;
-using DecodeDomainRecord =
-    std::function<std::optional<DomainRecord>(const std::string&)>;
+// How domain records stand in the key-value service; the codecs live in a higher
+// layer.
+struct DomainRecordCodec {
+  std::function<std::string(const DomainRecord&)> encode;
+  // Absent where the text is no record.
+  std::function<std::optional<DomainRecord>(std::string_view)> decode;
+};
 
 // Settings of a domain writer.
 struct WriterSettings {
@@ -42,8 +45,7 @@
  public:
   DomainWriter(FabricDomainId domain,
                WriterSettings settings,
-               EncodeDomainRecord encode,
-               DecodeDomainRecord decode,
+               DomainRecordCodec codec,
                EventSink events);
 
   // Starts over as the holder of this fencing number.
@@ -71,15 +73,13 @@
  private:
   void OnRange(Time now, const StoreRangeReply& reply);
   void OnWritten(Time now, Revision revision);
-  void OnConflict(Time now, const StoreConflict& conflict);
   void Adopt(Time now, const std::optional<StoreEntry>& entry);
   void ReadLater(Time when);
   bool IsBehind(const std::optional<StoreEntry>& entry) const;
 
   FabricDomainId domain_;
   WriterSettings settings_;
-  EncodeDomainRecord encode_;
-  DecodeDomainRecord decode_;
+  DomainRecordCodec codec_;
   EventSink events_;
   FencingToken fence_;
   WriterState state_ = WriterState::kReading;
--- a/coordination/group_keeper.h
+++ b/coordination/group_keeper.h
@@ -48,7 +48,7 @@
   // From `GET /weights`: how long a load queued now waits.
   void OnWeightStoreWait(Duration wait);
   // An operator's planned stop of a group of a domain kept here.
-  void OnDrainAsked(const FabricDomainId& domain, const GroupId& group);
+  void OnDrainAsked(const GroupId& group);
 
   void OnProbeReply(Time now, ProbeId id, const ProbeReply& reply);
   std::vector<GroupKeeperAction> OnStoreReply(Time now,
@@ -70,21 +70,20 @@
 
   GroupKeeper(ZoneId zone,
               KeeperSettings settings,
-              EncodeDomainRecord encode,
-              DecodeDomainRecord decode,
+              DomainRecordCodec codec,
               EventSink events);
 
   PlannerView MakeView(Time now) const;
   PlannerVm Describe(Time now, const VmId& vm, const VmFacts& facts) const;
   std::map<FabricDomainId, std::vector<RepairMove>> PlanMoves(Time now);
   void NoteLosses(Time now);
+  void AdvanceAll(Time now);
   void CollectCalls(Time now, std::vector<GroupKeeperAction>& actions);
   void CollectOrders(Time now, std::vector<GroupKeeperAction>& actions);
 
   ZoneId zone_;
   KeeperSettings settings_;
-  EncodeDomainRecord encode_;
-  DecodeDomainRecord decode_;
+  DomainRecordCodec codec_;
   EventSink events_;
   VmTracker tracker_;
   FlapTracker flaps_;
@@ -93,17 +92,12 @@
   std::map<FabricDomainId, Foreign> foreign_;
   std::vector<WantedModel> wanted_;
   Duration load_wait_;
-  std::map<FabricDomainId, std::set<GroupId>> drains_asked_;
-  std::set<VmId> lost_;
+  std::set<GroupId> drains_asked_;
+  std::map<VmId, Incarnation> incarnations_;
+  std::set<VmId> unreachable_;
   Time next_plan_;
   StoreCallId last_call_;
-  std::map<StoreCallId, FabricDomainId> calls_;
   OrderId last_order_;
-  struct OrderOf {
-    FabricDomainId domain;
-    OrderId id;
-  };
-  std::map<OrderId, OrderOf> orders_;
 };
 
 // Builds a group keeper.
@@ -111,16 +105,15 @@
  public:
   Builder& SetZone(ZoneId zone);
   Builder& SetSettings(KeeperSettings settings);
-  // Both are required.
-  Builder& SetCodec(EncodeDomainRecord encode, DecodeDomainRecord decode);
+  // Both hooks are required.
+  Builder& SetCodec(DomainRecordCodec codec);
   Builder& SetEventSink(EventSink events);
   GroupKeeper Build() const;
 
  private:
   ZoneId zone_;
   KeeperSettings settings_;
-  EncodeDomainRecord encode_;
-  DecodeDomainRecord decode_;
+  DomainRecordCodec codec_;
   EventSink events_ = DiscardEvents();
 };
 
--- a/coordination/kept_domain.h
+++ b/coordination/kept_domain.h
@@ -40,8 +40,10 @@
   bool OnStoreReply(Time now, StoreCallId id, const StoreReply& reply);
 
   // The orders that the committed record calls for and that may leave now.
-  // Their ids are unique within the domain.
-  std::vector<SendOrder> DueOrders(Time now, const VmTracker& tracker);
+  // `last_order` is the newest id given out; ids are shared between domains.
+  std::vector<SendOrder> DueOrders(Time now,
+                                   const VmTracker& tracker,
+                                   OrderId& last_order);
   void OnOrderReply(Time now, OrderId id, const OrderReply& reply);
 
   // How closely each VM of the domain must be watched.
@@ -51,24 +53,34 @@
   // anything that was ordered of it was over.
   bool IsAssignable(Time now, const VmTracker& tracker, const VmId& vm) const;
 
-  // Whether the engine lost its place: it restarted, failed, or does not
-  // answer.
-  bool IsLost(Time now, const VmTracker& tracker, const VmId& vm) const;
+  VmCondition ConditionOf(Time now,
+                          const VmTracker& tracker,
+                          const VmId& vm) const;
+
+  // Draining groups that serve nothing any more.
+  std::set<GroupId> DrainedGroups(Time now, const VmTracker& tracker) const;
 
   const DomainWriter& writer() const { return writer_; }
 
  private:
+  void NoteTimes(Time now);
   bool ConfirmLeft(Time now, const VmTracker& tracker, DomainRecord& next);
   bool ConfirmReady(const VmTracker& tracker, DomainRecord& next);
-  bool ConfirmDrained(Time now, const VmTracker& tracker, DomainRecord& next);
+  bool ApplyMoves(const VmTracker& tracker,
+                  const std::vector<RepairMove>& moves,
+                  DomainRecord& next);
   bool HasLeft(Time now,
                const VmTracker& tracker,
                const LeavingMember& member) const;
-  bool IsReady(const VmTracker& tracker,
-               const GroupRecord& group,
-               const VmId& vm) const;
+  bool IsDrained(Time now,
+                 const VmTracker& tracker,
+                 const GroupRecord& group) const;
+  bool MayOrder(Time now, const VmFacts& facts) const;
   std::optional<EngineOrder> OrderFor(const VmTracker& tracker,
                                       const VmFacts& facts) const;
+  std::optional<EngineOrder> OrderForMember(const VmTracker& tracker,
+                                            const GroupRecord& group,
+                                            const EngineStatus& status) const;
   EngineOrder MakeOrder(const VmTracker& tracker,
                         EngineOrderKind kind,
                         const GroupRecord& group) const;
--- /dev/null
+++ b/coordination/kept_domain_orders.cc
@@ -0,0 +1,170 @@
+#include <algorithm>
+#include <utility>
+
+#include "coordination/kept_domain.h"
+#include "coordination/record_changes.h"
+
+namespace gcw {
+
+std::vector<SendOrder> KeptDomain::DueOrders(Time now,
+                                             const VmTracker& tracker,
+                                             OrderId& last_order) {
+  std::vector<SendOrder> orders;
+  // While a write is under way or unsettled, nobody knows what holds.
+  if (writer_.state() != WriterState::kReady || !writer_.IsClaimed() ||
+      !sender_.MaySend(now)) {
+    return orders;
+  }
+  for (const auto& [vm, facts] : tracker.all()) {
+    if (!MayOrder(now, facts)) {
+      continue;
+    }
+    std::optional<EngineOrder> order = OrderFor(tracker, facts);
+    if (!order) {
+      continue;
+    }
+    ++last_order;
+    events_({EventKind::kOrderSent,
+             vm.value(),
+             EventId(),
+             {{"group", order->group.value()},
+              {"generation", order->generation.value()}}});
+    orders.push_back(sender_.Send(last_order, vm, facts.entry.address,
+                                  *std::move(order)));
+  }
+  return orders;
+}
+
+// Each order is followed by a look at what became of it before the next one.
+bool KeptDomain::MayOrder(Time now, const VmFacts& facts) const {
+  const VmId& vm = facts.entry.id;
+  return facts.entry.domain == domain_ &&
+         facts.entry.purpose == VmPurpose::kModelEngine && facts.status &&
+         !facts.failing_since && !sender_.IsPending(now, vm) &&
+         facts.status_time >= sender_.SettledAt(vm) &&
+         facts.status_time >= sender_.first_order();
+}
+
+void KeptDomain::OnOrderReply(Time now, OrderId id, const OrderReply& reply) {
+  const std::optional<VmId> vm = sender_.OnReply(now, id, reply);
+  if (!vm) {
+    return;
+  }
+  if (const auto* stale = std::get_if<EngineOrderStale>(&reply)) {
+    // Another keeper has taken over, or the key-value service was restored and
+    // hands out numbers that it handed out before.
+    events_({EventKind::kOrderRefused,
+             vm->value(),
+             EventId(),
+             {{"seen", stale->seen.value()}}});
+  } else if (std::holds_alternative<OrderWithheld>(reply)) {
+    events_({EventKind::kOrderWithheld, vm->value(), EventId(), {}});
+  }
+}
+
+std::optional<EngineOrder> KeptDomain::OrderFor(const VmTracker& tracker,
+                                                const VmFacts& facts) const {
+  const EngineStatus& status = *facts.status;
+  const GroupRecord* group = FindGroupOf(writer_.record(), facts.entry.id);
+  if (group != nullptr) {
+    return OrderForMember(tracker, *group, status);
+  }
+  if (status.group.empty()) {
+    return std::nullopt;
+  }
+  return LeaveOrder(status);
+}
+
+std::optional<EngineOrder> KeptDomain::OrderForMember(
+    const VmTracker& tracker,
+    const GroupRecord& group,
+    const EngineStatus& status) const {
+  const bool is_elsewhere = !status.group.empty() && status.group != group.id;
+  const bool is_ahead =
+      status.group == group.id && status.generation > group.generation;
+  const bool is_at =
+      status.group == group.id && status.generation == group.generation;
+  const bool has_failed = status.state == EngineState::kFailed &&
+                          !status.group.empty();
+  if (is_elsewhere || is_ahead || has_failed) {
+    return LeaveOrder(status);
+  }
+  if (group.state == GroupState::kLoading && !is_at) {
+    return MakeOrder(tracker, EngineOrderKind::kLoad, group);
+  }
+  if (group.state == GroupState::kDraining && is_at &&
+      status.vm == group.members.front() &&
+      status.state == EngineState::kReady) {
+    return MakeOrder(tracker, EngineOrderKind::kDrain, group);
+  }
+  return std::nullopt;
+}
+
+EngineOrder KeptDomain::MakeOrder(const VmTracker& tracker,
+                                  EngineOrderKind kind,
+                                  const GroupRecord& group) const {
+  EngineOrder order;
+  order.kind = kind;
+  order.group = group.id;
+  order.model = group.model;
+  order.generation = group.generation;
+  order.change = writer_.record().change;
+  for (const VmId& vm : group.members) {
+    const VmFacts* facts = tracker.Find(vm);
+    order.members.push_back(GroupMember{
+        vm, facts == nullptr ? Address() : facts->entry.address});
+  }
+  return order;
+}
+
+EngineOrder KeptDomain::LeaveOrder(const EngineStatus& status) const {
+  EngineOrder order;
+  order.kind = EngineOrderKind::kLeave;
+  order.group = status.group;
+  order.model = status.model;
+  order.generation = status.generation;
+  order.change = writer_.record().change;
+  return order;
+}
+
+void KeptDomain::SetWatches(VmTracker& tracker) const {
+  std::map<VmId, Watch> watches;
+  for (const GroupRecord& group : writer_.record().groups) {
+    const VmFacts* first = tracker.Find(group.members.front());
+    const bool is_steady = group.state == GroupState::kServing;
+    for (const VmId& vm : group.members) {
+      watches[vm] = is_steady ? Watch::kIdle : Watch::kClose;
+    }
+    if (!is_steady) {
+      continue;
+    }
+    watches[group.members.front()] = Watch::kFirst;
+    if (first == nullptr || !first->status ||
+        first->status->group != group.id) {
+      continue;
+    }
+    // The first VM misses a member sooner than a slow probe would.
+    const std::vector<VmId>& seen = first->status->members_seen;
+    for (const VmId& vm : group.members) {
+      if (std::find(seen.begin(), seen.end(), vm) == seen.end()) {
+        watches[vm] = Watch::kClose;
+      }
+    }
+  }
+  for (const auto& [vm, facts] : tracker.all()) {
+    if (facts.entry.domain != domain_) {
+      continue;
+    }
+    const auto it = watches.find(vm);
+    Watch watch = it == watches.end() ? Watch::kIdle : it->second;
+    const bool is_unrecorded_member = it == watches.end() && facts.status &&
+                                      !facts.status->group.empty();
+    if (is_unrecorded_member || (it != watches.end() && facts.failing_since) ||
+        IsRecorded(writer_.record(), vm) != (it != watches.end())) {
+      watch = Watch::kClose;
+    }
+    tracker.SetWatch(vm, watch);
+  }
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/order_sender.cc
@@ -0,0 +1,72 @@
+#include "coordination/order_sender.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gcw {
+
+OrderSender::OrderSender(OrderSettings settings) : settings_(settings) {}
+
+void OrderSender::OnRoleHeld(Time now, FencingToken fence, Time valid_until) {
+  if (fence_ != fence) {
+    fence_ = fence;
+    first_order_ = now + settings_.takeover_wait;
+  }
+  valid_until_ = valid_until;
+}
+
+void OrderSender::OnRoleLost() {
+  fence_.reset();
+}
+
+bool OrderSender::MaySend(Time now) const {
+  return fence_ && now >= first_order_ &&
+         now < valid_until_ - settings_.timeout - settings_.margin;
+}
+
+bool OrderSender::IsPending(Time now, const VmId& vm) const {
+  const auto it = pending_.find(vm);
+  return it != pending_.end() && now < it->second.over;
+}
+
+Time OrderSender::SettledAt(const VmId& vm) const {
+  const auto pending = pending_.find(vm);
+  if (pending != pending_.end()) {
+    return pending->second.over;
+  }
+  const auto it = settled_.find(vm);
+  return it == settled_.end() ? Time() : it->second;
+}
+
+SendOrder OrderSender::Send(OrderId id,
+                            const VmId& vm,
+                            Address address,
+                            EngineOrder order) {
+  order.fence = *fence_;
+  // It leaves before `send_before` and is over a timeout later.
+  const Time send_before = valid_until_ - settings_.timeout - settings_.margin;
+  pending_[vm] = Pending{id, send_before + settings_.timeout};
+  return SendOrder{id,         vm,          std::move(address),
+                   std::move(order), send_before, settings_.timeout};
+}
+
+std::optional<VmId> OrderSender::OnReply(Time now,
+                                         OrderId id,
+                                         const OrderReply& reply) {
+  const auto it = std::find_if(pending_.begin(), pending_.end(),
+                               [&](auto& item) { return item.second.id == id; });
+  if (it == pending_.end()) {
+    return std::nullopt;
+  }
+  const VmId vm = it->first;
+  if (std::holds_alternative<OrderNoAnswer>(reply)) {
+    // The transport gave up on it, but its bytes may still be under way.
+    it->second.over = std::min(it->second.over, now + settings_.margin);
+    return vm;
+  }
+  pending_.erase(it);
+  settled_[vm] = now;
+  return vm;
+}
+
+}  // namespace gcw
--- a/coordination/order_sender.h
+++ b/coordination/order_sender.h
@@ -69,13 +69,15 @@
   // later probe tells what came of it.
   Time SettledAt(const VmId& vm) const;
 
-  // Where `MaySend` and not `IsPending`.
-  SendOrder Send(Time now, const VmId& vm, Address address, EngineOrder order);
+  // Where `MaySend` and not `IsPending`; `id` must be new.
+  SendOrder Send(OrderId id, const VmId& vm, Address address, EngineOrder order);
 
   // Returns the VM; nothing for orders unknown or given up.
   std::optional<VmId> OnReply(Time now, OrderId id, const OrderReply& reply);
 
   std::optional<FencingToken> fence() const { return fence_; }
+  // From then on no order of a predecessor can take effect.
+  Time first_order() const { return first_order_; }
 
  private:
   struct Pending {
@@ -87,7 +89,6 @@
   std::optional<FencingToken> fence_;
   Time valid_until_;
   Time first_order_;
-  OrderId last_id_;
   std::map<VmId, Pending> pending_;
   std::map<VmId, Time> settled_;
 };
--- /dev/null
+++ b/coordination/presence_prober.cc
@@ -0,0 +1,244 @@
+#include "coordination/presence_prober.h"
+
+#include <algorithm>
+
+namespace gcw {
+
+PresenceProber::PresenceProber(ProberSettings settings) : settings_(settings) {}
+
+void PresenceProber::SetTargets(Time now,
+                                const std::vector<ProbeTarget>& targets) {
+  const std::map<EndpointId, ProbeTarget> before = std::move(targets_);
+  targets_.clear();
+  std::map<VmId, VmView> known = std::move(vms_);
+  vms_.clear();
+  for (const ProbeTarget& target : targets) {
+    targets_[target.endpoint] = target;
+    for (std::size_t rank = 0; rank < target.members.size(); ++rank) {
+      AddVm(now, target, rank);
+    }
+  }
+  for (auto& [vm, view] : vms_) {
+    const auto it = known.find(vm);
+    if (it != known.end() && it->second.address == view.address) {
+      const Duration interval = view.interval;
+      view = it->second;
+      view.interval = interval;
+    }
+  }
+  for (const auto& [endpoint, target] : targets_) {
+    const auto it = before.find(endpoint);
+    if (it == before.end() || it->second != target) {
+      ProbeAllNow(now, target);
+    }
+  }
+}
+
+void PresenceProber::ProbeAllNow(Time now, const ProbeTarget& target) {
+  for (const GroupMember& member : target.members) {
+    const auto it = vms_.find(member.vm);
+    if (it != vms_.end()) {
+      it->second.next_probe = now;
+    }
+  }
+}
+
+void PresenceProber::AddVm(Time now,
+                           const ProbeTarget& target,
+                           std::size_t rank) {
+  const GroupMember& member = target.members[rank];
+  if (member.address.empty()) {
+    return;
+  }
+  VmView view;
+  view.address = member.address;
+  view.purpose = target.purpose;
+  const bool is_first = rank == 0 || !settings_.engines_vouch;
+  view.interval = is_first ? settings_.interval : settings_.member_interval;
+  view.next_probe = now;
+  vms_[member.vm] = view;
+}
+
+std::vector<ProbeVm> PresenceProber::Tick(Time now) {
+  ExpireProbes(now);
+  std::vector<ProbeVm> probes;
+  for (auto& [vm, view] : vms_) {
+    if (view.next_probe > now) {
+      continue;
+    }
+    view.next_probe = now + view.interval;
+    ++last_id_;
+    sent_[last_id_] = Sent{vm, now};
+    probes.push_back(ProbeVm{last_id_, vm, view.purpose, view.address,
+                             settings_.timeout});
+  }
+  return probes;
+}
+
+void PresenceProber::ExpireProbes(Time now) {
+  std::erase_if(sent_, [&](const auto& item) {
+    const Sent& sent = item.second;
+    if (now - sent.at <= settings_.timeout * 2) {
+      return false;
+    }
+    const auto it = vms_.find(sent.vm);
+    if (it != vms_.end()) {
+      OnFailure(now, sent, it->second, /*refused=*/false);
+    }
+    return true;
+  });
+}
+
+void PresenceProber::OnReply(Time now, ProbeId id, const ProbeReply& reply) {
+  const auto sent_it = sent_.find(id);
+  if (sent_it == sent_.end()) {
+    return;
+  }
+  const Sent sent = sent_it->second;
+  sent_.erase(sent_it);
+  const auto it = vms_.find(sent.vm);
+  if (it == vms_.end()) {
+    return;
+  }
+  VmView& view = it->second;
+  if (const auto* failed = std::get_if<ProbeFailed>(&reply)) {
+    OnFailure(now, sent, view, failed->failure != ProbeFailure::kTimeout);
+    return;
+  }
+  if (view.answered && sent.at < *view.answered) {
+    return;
+  }
+  const auto* status = std::get_if<EngineStatus>(&reply);
+  const bool is_expected = status != nullptr
+                               ? status->vm == sent.vm
+                               : view.purpose == VmPurpose::kPlainService;
+  if (!is_expected) {
+    // The address was given to another VM.
+    OnFailure(now, sent, view, /*refused=*/true);
+    return;
+  }
+  view.answered = sent.at;
+  view.answers = true;
+  view.refused = false;
+  view.concluded = true;
+  if (status == nullptr) {
+    return;
+  }
+  view.status = *status;
+  if (status->state != EngineState::kReady) {
+    view.next_probe = std::min(view.next_probe, now + settings_.interval);
+  }
+}
+
+void PresenceProber::OnFailure(Time now,
+                               const Sent& sent,
+                               VmView& view,
+                               bool refused) {
+  if (view.answered && sent.at < *view.answered) {
+    return;
+  }
+  view.concluded = true;
+  view.answers = false;
+  view.refused = refused;
+  view.next_probe = std::min(view.next_probe, now + settings_.interval);
+}
+
+std::optional<PresenceFinding> PresenceProber::Find(
+    Time now,
+    const EndpointId& endpoint) const {
+  const auto it = targets_.find(endpoint);
+  if (it == targets_.end()) {
+    return std::nullopt;
+  }
+  const ProbeTarget& target = it->second;
+  PresenceFinding finding{Presence::kComplete, now, VmId()};
+  bool all_known = true;
+  for (std::size_t rank = 0; rank < target.members.size(); ++rank) {
+    const MemberFinding member = FindMember(now, target, rank);
+    if (member.known && !member.evidence) {
+      return PresenceFinding{Presence::kIncomplete, now,
+                             target.members[rank].vm};
+    }
+    all_known = all_known && member.known;
+    if (member.evidence) {
+      finding.evidence_time = std::min(finding.evidence_time, *member.evidence);
+    }
+  }
+  if (!all_known) {
+    return std::nullopt;
+  }
+  return finding;
+}
+
+PresenceProber::MemberFinding PresenceProber::FindMember(
+    Time now,
+    const ProbeTarget& target,
+    std::size_t rank) const {
+  const VmId& vm = target.members[rank].vm;
+  const auto it = vms_.find(vm);
+  if (it == vms_.end()) {
+    return {.known = true, .evidence = std::nullopt};
+  }
+  const VmView& view = it->second;
+  if (!view.concluded) {
+    return {};
+  }
+  MemberFinding finding{.known = true, .evidence = std::nullopt};
+  if (view.refused || !view.answered || !IsInPlace(target, view)) {
+    return finding;
+  }
+  if (now - *view.answered > view.interval + settings_.fresh) {
+    return finding;
+  }
+  Time evidence = *view.answered;
+  if (rank != 0 && settings_.engines_vouch) {
+    const std::optional<Time> vouched = VouchedAt(target, vm);
+    if (!vouched) {
+      return finding;
+    }
+    evidence = std::max(evidence, *vouched);
+  }
+  if (now - evidence <= settings_.fresh) {
+    finding.evidence = evidence;
+  }
+  return finding;
+}
+
+std::optional<Time> PresenceProber::VouchedAt(const ProbeTarget& target,
+                                              const VmId& member) const {
+  const auto it = vms_.find(target.members.front().vm);
+  if (it == vms_.end() || !it->second.answered ||
+      !IsInPlace(target, it->second)) {
+    return std::nullopt;
+  }
+  const std::vector<VmId>& seen = it->second.status.members_seen;
+  if (std::find(seen.begin(), seen.end(), member) == seen.end()) {
+    return std::nullopt;
+  }
+  return *it->second.answered - settings_.vouch_lag;
+}
+
+bool PresenceProber::IsInPlace(const ProbeTarget& target, const VmView& view) {
+  if (view.purpose == VmPurpose::kPlainService) {
+    return true;
+  }
+  return view.status.group == target.group &&
+         view.status.generation == target.generation &&
+         view.status.state == EngineState::kReady;
+}
+
+bool PresenceProber::SeemsCutOff(Time now) const {
+  // With fewer VMs, two that fail by chance would look like a cut.
+  constexpr std::size_t kFewestVms = 4;
+  if (vms_.size() < kFewestVms) {
+    return false;
+  }
+  const auto lost = std::count_if(vms_.begin(), vms_.end(), [&](auto& item) {
+    const VmView& view = item.second;
+    return view.concluded && !view.answers && !view.refused &&
+           (!view.answered || now - *view.answered > settings_.interval);
+  });
+  return static_cast<std::size_t>(lost) * 2 >= vms_.size();
+}
+
+}  // namespace gcw
--- a/coordination/presence_prober.h
+++ b/coordination/presence_prober.h
@@ -1,6 +1,7 @@
 #ifndef COORDINATION_PRESENCE_PROBER_H_
 #define COORDINATION_PRESENCE_PROBER_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -79,9 +80,14 @@
     VmPurpose purpose = VmPurpose::kModelEngine;
     Duration interval;
     Time next_probe;
-    // When the answered probe was sent; absent until one is.
+    // When the newest answered probe was sent; absent until one is.
     std::optional<Time> answered;
+    // The newest probe whose outcome is known was answered.
+    bool answers = false;
+    // The newest outcome proves that the VM is not there as expected.
     bool refused = false;
+    // The outcome of at least one probe is known.
+    bool concluded = false;
     EngineStatus status;
   };
   struct Sent {
@@ -89,10 +95,23 @@
     Time at;
   };
 
-  bool IsPresent(Time now,
-                 const ProbeTarget& target,
-                 const GroupMember& member,
-                 Time& evidence) const;
+  // What is known of one member: nothing before its first probe's outcome; the
+  // time of the evidence where it is present; else absent.
+  struct MemberFinding {
+    bool known = false;
+    std::optional<Time> evidence;
+  };
+
+  void AddVm(Time now, const ProbeTarget& target, std::size_t rank);
+  void ProbeAllNow(Time now, const ProbeTarget& target);
+  void ExpireProbes(Time now);
+  void OnFailure(Time now, const Sent& sent, VmView& view, bool refused);
+  MemberFinding FindMember(Time now,
+                           const ProbeTarget& target,
+                           std::size_t rank) const;
+  std::optional<Time> VouchedAt(const ProbeTarget& target,
+                                const VmId& member) const;
+  static bool IsInPlace(const ProbeTarget& target, const VmView& view);
 
   ProberSettings settings_;
   std::map<EndpointId, ProbeTarget> targets_;
--- a/coordination/record_changes.h
+++ b/coordination/record_changes.h
@@ -10,6 +10,9 @@
 const GroupRecord* FindGroup(const DomainRecord& record, const GroupId& group);
 GroupRecord* FindGroup(DomainRecord& record, const GroupId& group);
 
+// The group that the VM is a member of, or null.
+const GroupRecord* FindGroupOf(const DomainRecord& record, const VmId& vm);
+
 // Whether the VM is a member of a group or still leaving one.
 bool IsRecorded(const DomainRecord& record, const VmId& vm);
 
--- /dev/null
+++ b/coordination/repair_plan.cc
@@ -0,0 +1,243 @@
+#include "coordination/repair_plan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gcw {
+
+RepairPlan::RepairPlan(const PlannerSettings& settings,
+                       const PlannerView& view,
+                       PlanContext context)
+    : settings_(settings), view_(view), context_(std::move(context)) {}
+
+std::vector<RepairMove> RepairPlan::Run() {
+  CollectFree();
+  CollectSeats();
+  FinishDrained();
+  StartPlannedStops();
+  RepairBroken();
+  FillWanted();
+  FillSurplus();
+  return std::move(moves_);
+}
+
+void RepairPlan::CollectFree() {
+  for (const auto& [id, vm] : view_.vms) {
+    ++vm_count_[vm.domain];
+    if (vm.assignable && !vm.held_off &&
+        vm.condition == VmCondition::kHealthy) {
+      free_[vm.domain].push_back(id);
+    }
+  }
+}
+
+void RepairPlan::CollectSeats() {
+  for (const auto& [domain, record] : view_.records) {
+    for (const GroupRecord& group : record.groups) {
+      seats_.push_back(Describe(domain, group));
+    }
+  }
+}
+
+RepairPlan::Seat RepairPlan::Describe(const FabricDomainId& domain,
+                                      const GroupRecord& group) const {
+  Seat seat;
+  seat.domain = domain;
+  seat.group = &group;
+  seat.model = FindModel(group.model);
+  for (const VmId& id : group.members) {
+    const auto it = view_.vms.find(id);
+    const bool is_known = it != view_.vms.end();
+    const VmCondition condition =
+        is_known ? it->second.condition : VmCondition::kLost;
+    const bool is_held_off = is_known && it->second.held_off;
+    // A VM that restarted may keep its place, unless it does so all the time.
+    const bool may_stay = condition == VmCondition::kHealthy ||
+                          (condition == VmCondition::kRestarted &&
+                           !is_held_off);
+    if (!may_stay) {
+      seat.lost.push_back(id);
+    }
+    seat.is_leaving = seat.is_leaving || condition == VmCondition::kLeaving;
+    seat.is_broken = seat.is_broken || condition == VmCondition::kLost ||
+                     condition == VmCondition::kRestarted;
+  }
+  return seat;
+}
+
+const WantedModel* RepairPlan::FindModel(const ModelId& model) const {
+  for (const WantedModel& wanted : view_.wanted) {
+    if (wanted.model == model) {
+      return &wanted;
+    }
+  }
+  return nullptr;
+}
+
+GroupTarget RepairPlan::TargetOf(const WantedModel& model) const {
+  const auto it = model.targets.find(view_.zone);
+  return it == model.targets.end() ? GroupTarget() : it->second;
+}
+
+// A drained group gets its leaving members replaced where spares allow, and is
+// taken apart otherwise.
+void RepairPlan::FinishDrained() {
+  for (Seat& seat : seats_) {
+    if (!view_.drained.contains(seat.group->id)) {
+      continue;
+    }
+    const bool is_asked = view_.drains_asked.contains(seat.group->id);
+    const bool has_spares = free_[seat.domain].size() >= seat.lost.size();
+    if (!is_asked && seat.is_leaving && has_spares) {
+      RepairInPlace(seat);
+      continue;
+    }
+    seat.is_taken = true;
+    moves_.emplace_back(DissolveGroup{seat.domain, seat.group->id,
+                                      RepairReason::kPlannedStop});
+  }
+}
+
+void RepairPlan::StartPlannedStops() {
+  for (Seat& seat : seats_) {
+    const bool is_over = view_.drains_asked.contains(seat.group->id) ||
+                         seat.model == nullptr ||
+                         (seat.is_leaving && !seat.is_broken);
+    if (is_over && seat.group->state == GroupState::kServing) {
+      moves_.emplace_back(DrainGroup{seat.domain, seat.group->id,
+                                     RepairReason::kPlannedStop});
+    }
+  }
+}
+
+void RepairPlan::RepairBroken() {
+  std::vector<Seat*> broken;
+  for (Seat& seat : seats_) {
+    const bool is_repairable = seat.model != nullptr && !seat.is_taken &&
+                               seat.group->state != GroupState::kDraining;
+    const bool has_lost_while_loading =
+        seat.group->state == GroupState::kLoading && !seat.lost.empty();
+    if (is_repairable && (seat.is_broken || has_lost_while_loading)) {
+      broken.push_back(&seat);
+    }
+  }
+  std::stable_sort(broken.begin(), broken.end(), [&](Seat* a, Seat* b) {
+    return settings_.by_need ? NeedOf(*a) < NeedOf(*b)
+                             : context_.broken_since.at(a->group->id) <
+                                   context_.broken_since.at(b->group->id);
+  });
+  for (Seat* seat : broken) {
+    Repair(*seat);
+  }
+}
+
+void RepairPlan::Repair(Seat& seat) {
+  // An earlier repair may have taken this group's members.
+  if (seat.is_taken || RepairInPlace(seat) || !settings_.by_need) {
+    return;
+  }
+  // While a domain is dark its groups would all move at once, and weights
+  // would still be loading when it returns.
+  if (IsHeldDark(seat.domain) || context_.loads <= 0) {
+    return;
+  }
+  if (Borrow(seat)) {
+    return;
+  }
+  RebuildElsewhere(seat);
+}
+
+bool RepairPlan::RepairInPlace(Seat& seat) {
+  if (context_.loads <= 0 && seat.group->state != GroupState::kLoading) {
+    return false;
+  }
+  if (free_[seat.domain].size() < seat.lost.size()) {
+    return false;
+  }
+  ReplaceMembers move{seat.domain, seat.group->id, seat.lost,
+                      TakeFree(seat.domain, seat.lost.size()),
+                      RepairReason::kSpare};
+  if (seat.group->state != GroupState::kLoading) {
+    --context_.loads;
+  }
+  seat.is_broken = false;
+  moves_.emplace_back(std::move(move));
+  return true;
+}
+
+// Frees VMs of a group of the same domain that is needed less. They become
+// spares when their engines have left it; a later round then repairs `seat`.
+bool RepairPlan::Borrow(Seat& seat) {
+  Seat* victim = nullptr;
+  for (Seat& candidate : seats_) {
+    const bool is_possible =
+        &candidate != &seat && candidate.domain == seat.domain &&
+        !candidate.is_taken && candidate.model != nullptr &&
+        NeedsLess(candidate, seat) &&
+        candidate.group->members.size() - candidate.lost.size() +
+                free_[seat.domain].size() >=
+            seat.lost.size();
+    if (is_possible && (victim == nullptr || NeedsLess(candidate, *victim))) {
+      victim = &candidate;
+    }
+  }
+  if (victim == nullptr) {
+    return false;
+  }
+  if (victim->group->state == GroupState::kDraining) {
+    // Already on its way.
+    return true;
+  }
+  if (victim->is_broken) {
+    victim->is_taken = true;
+    moves_.emplace_back(DissolveGroup{victim->domain, victim->group->id,
+                                      RepairReason::kBorrow});
+    return true;
+  }
+  if (context_.borrows <= 0) {
+    return false;
+  }
+  --context_.borrows;
+  ++borrowed_;
+  victim->is_taken = true;
+  moves_.emplace_back(DrainGroup{victim->domain, victim->group->id,
+                                 RepairReason::kBorrow});
+  return true;
+}
+
+bool RepairPlan::RebuildElsewhere(Seat& seat) {
+  if (!Form(*seat.model, RepairReason::kRebuildElsewhere)) {
+    return false;
+  }
+  seat.is_taken = true;
+  moves_.emplace_back(DissolveGroup{seat.domain, seat.group->id,
+                                    RepairReason::kRebuildElsewhere});
+  return true;
+}
+
+std::vector<VmId> RepairPlan::TakeFree(const FabricDomainId& domain,
+                                       std::size_t count) {
+  std::vector<VmId>& free = free_[domain];
+  const auto end = free.begin() + static_cast<std::ptrdiff_t>(count);
+  std::vector<VmId> taken(free.begin(), end);
+  free.erase(free.begin(), end);
+  return taken;
+}
+
+bool RepairPlan::Form(const WantedModel& model, RepairReason reason) {
+  if (context_.loads <= 0) {
+    return false;
+  }
+  const FabricDomainId* domain = RoomiestDomain(model.vms_per_group);
+  if (domain == nullptr) {
+    return false;
+  }
+  --context_.loads;
+  moves_.emplace_back(FormGroup{
+      *domain, model.model,
+      TakeFree(*domain, static_cast<std::size_t>(model.vms_per_group)),
+      reason});
+  return true;
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/repair_plan_needs.cc
@@ -0,0 +1,148 @@
+#include <algorithm>
+#include <cmath>
+
+#include "coordination/repair_plan.h"
+
+namespace gcw {
+namespace {
+
+constexpr double kSecondsPerDay = 86400;
+
+// The chance that a Poisson variable is at least `count`.
+double PoissonTail(double mean, std::int64_t count) {
+  double term = std::exp(-mean);
+  double below = 0;
+  for (std::int64_t i = 0; i < count; ++i) {
+    below += term;
+    term *= mean / static_cast<double>(i + 1);
+  }
+  return std::max(0.0, 1.0 - below);
+}
+
+}  // namespace
+
+bool RepairPlan::IsHeldDark(const FabricDomainId& domain) const {
+  const auto it = context_.dark_since.find(domain);
+  return it != context_.dark_since.end() &&
+         context_.now - it->second < settings_.dark_hold;
+}
+
+bool RepairPlan::IsSurplus(const Seat& seat) const {
+  return CountGroups(seat.model->model) > TargetOf(*seat.model).wanted;
+}
+
+// Groups above the wanted number are needed least; then the rank counts, then
+// how short the model is, then which broke first.
+std::tuple<bool, std::int64_t, std::int64_t, Time> RepairPlan::NeedOf(
+    const Seat& seat) const {
+  const std::int64_t shortfall =
+      TargetOf(*seat.model).wanted - CountServing(seat.model->model);
+  const auto since = context_.broken_since.find(seat.group->id);
+  return {IsSurplus(seat), seat.model->rank.value(), -shortfall,
+          since == context_.broken_since.end() ? Time() : since->second};
+}
+
+bool RepairPlan::NeedsLess(const Seat& a, const Seat& b) const {
+  const auto need_a = NeedOf(a);
+  const auto need_b = NeedOf(b);
+  const bool is_same_rank = std::get<0>(need_a) == std::get<0>(need_b) &&
+                            std::get<1>(need_a) == std::get<1>(need_b);
+  // Taking a whole group apart for one of the same rank only moves the loss.
+  if (!a.is_broken && is_same_rank) {
+    return false;
+  }
+  return need_a > need_b;
+}
+
+std::int64_t RepairPlan::CountGroups(const ModelId& model) const {
+  std::int64_t count = 0;
+  for (const Seat& seat : seats_) {
+    count += seat.group->model == model && !seat.is_taken &&
+                     seat.group->state != GroupState::kDraining
+                 ? 1
+                 : 0;
+  }
+  for (const RepairMove& move : moves_) {
+    const auto* form = std::get_if<FormGroup>(&move);
+    count += form != nullptr && form->model == model ? 1 : 0;
+  }
+  return count;
+}
+
+std::int64_t RepairPlan::CountServing(const ModelId& model) const {
+  std::int64_t count = 0;
+  for (const Seat& seat : seats_) {
+    count += seat.group->model == model && !seat.is_taken &&
+                     seat.group->state == GroupState::kServing &&
+                     !seat.is_broken
+                 ? 1
+                 : 0;
+  }
+  return count;
+}
+
+const FabricDomainId* RepairPlan::RoomiestDomain(std::int64_t vms) const {
+  const FabricDomainId* best = nullptr;
+  std::size_t most = 0;
+  for (const auto& [domain, free] : free_) {
+    if (free.size() >= static_cast<std::size_t>(vms) && free.size() > most &&
+        !context_.dark_since.contains(domain)) {
+      best = &domain;
+      most = free.size();
+    }
+  }
+  return best;
+}
+
+void RepairPlan::FillWanted() {
+  std::vector<const WantedModel*> models;
+  for (const WantedModel& model : view_.wanted) {
+    models.push_back(&model);
+  }
+  std::stable_sort(models.begin(), models.end(),
+                   [](const WantedModel* a, const WantedModel* b) {
+                     return a->rank < b->rank;
+                   });
+  for (const WantedModel* model : models) {
+    while (CountGroups(model->model) < TargetOf(*model).wanted &&
+           Form(*model, RepairReason::kFill)) {
+    }
+  }
+}
+
+void RepairPlan::FillSurplus() {
+  for (const WantedModel& model : view_.wanted) {
+    while (CountGroups(model.model) < TargetOf(model).most) {
+      const FabricDomainId* domain = RoomiestDomain(model.vms_per_group);
+      if (domain == nullptr ||
+          (settings_.by_need && !IsWorthMoreThanSpares(model, *domain)) ||
+          !Form(model, RepairReason::kFill)) {
+        break;
+      }
+    }
+  }
+}
+
+// Weighs what the domain's free VMs save as spares against what they cost while
+// idle. The k-th spare saves a group's downtime while at least k VMs of the
+// domain are out; the number out is taken as Poisson.
+bool RepairPlan::IsWorthMoreThanSpares(const WantedModel& model,
+                                       const FabricDomainId& domain) const {
+  const std::vector<VmId>& free = free_.at(domain);
+  const double mean_out = settings_.losses_per_vm_day / kSecondsPerDay *
+                          static_cast<double>(vm_count_.at(domain)) *
+                          static_cast<double>(settings_.usual_return.millis()) /
+                          1000.0;
+  const auto spares = static_cast<std::int64_t>(free.size());
+  double saved = 0;
+  double idle = 0;
+  for (std::int64_t k = spares - model.vms_per_group + 1; k <= spares; ++k) {
+    saved += PoissonTail(mean_out, k);
+    idle += static_cast<double>(
+        view_.vms.at(free[static_cast<std::size_t>(k - 1)]).accelerators);
+  }
+  return settings_.weights.stranded_accelerator * idle >
+         settings_.weights.group_downtime * saved;
+}
+
+}  // namespace gcw
--- a/coordination/repair_planner.h
+++ b/coordination/repair_planner.h
@@ -15,7 +15,9 @@
 enum class VmCondition {
   // Answers, and belongs where the records say.
   kHealthy,
-  // Does not answer, or answers as a new incarnation without its group.
+  // Answers as a new incarnation that is in no group.
+  kRestarted,
+  // Does not answer, or its engine failed.
   kLost,
   // The platform is about to take it away.
   kLeaving,
@@ -26,7 +28,7 @@
   FabricDomainId domain;
   std::int64_t accelerators = 0;
   VmCondition condition = VmCondition::kHealthy;
-  // Confirmed idle and in no group: may join one now.
+  // Confirmed idle and recorded nowhere: may join a group now.
   bool assignable = false;
   // Failed often of late: joins no group before its hold-off ends.
   bool held_off = false;
@@ -38,9 +40,11 @@
   std::map<FabricDomainId, DomainRecord> records;
   std::map<VmId, PlannerVm> vms;
   std::vector<WantedModel> wanted;
-  // Loads under way, and how long a load queued now would wait for the weight
-  // store.
-  std::int64_t loads_running = 0;
+  // Draining groups that serve nothing any more.
+  std::set<GroupId> drained;
+  // Groups that operators asked to stop.
+  std::set<GroupId> drains_asked;
+  // How long a load queued now would wait for the weight store.
   Duration load_wait;
 };
 
@@ -93,6 +97,10 @@
 // Settings of the planner.
 struct PlannerSettings {
   RepairWeights weights;
+  // Off: broken groups are repaired in order of arrival with spares of their
+  // domain, and free VMs form groups whatever the weights say. Kept as the
+  // benchmark's baseline.
+  bool by_need = true;
   // How long a lost VM is usually away until it answers again.
   Duration usual_return = Duration::Seconds(180);
   // How long a group usually takes to load.
@@ -106,6 +114,9 @@
   // Groups of a dark domain are rebuilt elsewhere only after this time: most
   // switches come back sooner than weights are loaded.
   Duration dark_hold = Duration::Seconds(120);
+  // No new load is started while one would wait longer than this for the weight
+  // store: it would only make all loads end late.
+  Duration longest_load_wait = Duration::Seconds(60);
   // Loads under way at once in the zone; more would only share the weight
   // store's rate and all end late.
   std::int64_t most_loads = 4;
@@ -124,13 +135,20 @@
   std::vector<RepairMove> Plan(Time now, const PlannerView& view);
 
   // Whether the domain lost so many VMs that it counts as dark.
-  bool IsDark(const FabricDomainId& domain) const;
+  bool IsDark(const FabricDomainId& domain) const {
+    return dark_since_.contains(domain);
+  }
 
  private:
+  void UpdateDark(Time now, const PlannerView& view);
+  void UpdateBroken(Time now, const PlannerView& view);
+  std::int64_t LoadBudget(const PlannerView& view) const;
+
   PlannerSettings settings_;
   std::map<FabricDomainId, Time> dark_since_;
-  std::vector<Time> borrows_;
   std::map<GroupId, Time> broken_since_;
+  // When serving groups were last taken apart for others.
+  std::vector<Time> borrows_;
 };
 
 }  // namespace gcw
--- a/coordination/serving_gate.h
+++ b/coordination/serving_gate.h
@@ -25,13 +25,15 @@
   int probers_per_endpoint = 2;
   // Nodes of each other zone from which this node hears of that zone.
   int correspondents_per_zone = 2;
-  // Between reports to each peer. Changes are sent at the next tick.
+  // Between reports to each peer while nothing changes.
   Duration report_interval = Duration::Millis(1000);
+  // Between reports when something does.
+  Duration shortest_report_interval = Duration::Millis(200);
   // An endpoint of this zone stays open at most this long after the newest
   // evidence that all its VMs were present.
-  Duration max_evidence_age = Duration::Millis(4000);
+  Duration max_evidence_age = Duration::Millis(5000);
   // The same for endpoints of other zones, whose evidence travels further.
-  Duration max_remote_evidence_age = Duration::Millis(8000);
+  Duration max_remote_evidence_age = Duration::Millis(10000);
   // A peer that stays silent this long gets no reports unless this node chose
   // it.
   Duration peer_timeout = Duration::Seconds(10);
@@ -141,22 +143,27 @@
     ProbeTarget target;
     bool draining = false;
     bool leaving = false;
-    // Present in records or the VM list.
+    // Present in the records or the VM list.
     bool exists = true;
     bool open = false;
     bool drained_reported = false;
     std::int64_t running = 0;
     std::optional<Time> unreachable_since;
+    // Peers that ever spoke of it.
+    std::set<NodeId> speakers;
+    // Of the newest evidence that it is complete.
+    Time evidence_time;
+    CloseReason reason = CloseReason::kStaleEvidence;
   };
   struct DomainView {
-    DomainRecord record;
+    // Absent where the domain's record was deleted.
+    std::optional<DomainRecord> record;
     Revision revision;
   };
   // What the evidence says of one endpoint.
   struct Verdict {
-    bool open = false;
-    CloseReason reason = CloseReason::kStaleEvidence;
-    // Of the newest evidence that it is complete.
+    bool complete = false;
+    bool denied = false;
     Time evidence_time;
   };
 
@@ -166,33 +173,40 @@
               GateSettings settings,
               EventSink events);
 
-  void RebuildEndpoints(Time now, std::vector<ServingGateAction>& actions);
-  void AddGroupEndpoints(std::map<EndpointId, Known>& found) const;
-  void AddServiceEndpoints(std::map<EndpointId, Known>& found) const;
+  void StoreRecord(const FabricDomainId& domain,
+                   std::optional<DomainRecord> record,
+                   Revision revision);
+  std::vector<ServingGateAction> Rebuild(Time now);
+  void AddGroups(const DomainRecord& record,
+                 std::map<EndpointId, Known>& found) const;
+  void AddServices(std::map<EndpointId, Known>& found) const;
+  void Merge(Known&& found, std::vector<ServingGateAction>& actions);
   void ChooseTargets(Time now);
-  bool IsProberOf(const EndpointId& endpoint) const;
-  void Review(Time now, std::vector<ServingGateAction>& actions);
+  std::vector<NodeId> NodesOf(const ZoneId& zone) const;
+  std::vector<ServingGateAction> Review(Time now);
+  void ReviewOne(Time now,
+                 Known& known,
+                 std::vector<ServingGateAction>& actions);
   Verdict Judge(Time now, const Known& known) const;
   void Consider(Time now,
                 const Known& known,
                 const PresenceEntry& entry,
                 Time evidence,
-                Verdict& verdict,
-                bool& denied) const;
-  Duration MaxAge(const Known& known) const;
+                Verdict& verdict) const;
   void Open(Known& known, std::vector<ServingGateAction>& actions);
   void Close(Known& known,
              CloseReason reason,
              std::vector<ServingGateAction>& actions);
   void ReportDrained(Known& known, std::vector<ServingGateAction>& actions);
-  bool UpdateOwnFindings(Time now);
-  bool UpdateZoneFindings(Time now);
+  void UpdateOwnLog(Time now);
+  void UpdateZoneLog();
   void SendReports(Time now, std::vector<ServingGateAction>& actions);
+  bool IsReportDue(Time now, bool changed) const;
+  bool HearsFromHere(Time now, const GatePeer& peer) const;
   PresenceReport MakeReport(Time now,
                             const PresenceLog& log,
                             Duration oldest_age,
                             const NodeId& to) const;
-  bool IsCorrespondent(const GatePeer& peer) const;
   Duration OldestOwnAge(Time now) const;
   Duration OldestZoneAge(Time now) const;
 
@@ -208,12 +222,16 @@
   PresenceLog zone_log_;
   std::map<NodeId, GatePeer> peers_;
   std::map<NodeId, PeerPresence> heard_;
-  std::set<NodeId> correspondents_;
-  std::map<FabricDomainId, DomainView> records_;
+  std::map<FabricDomainId, DomainView> domains_;
+  // Also VMs that the newest list leaves out, since their address is still
+  // needed while the list is late.
   std::map<VmId, VmEntry> vms_;
-  Time vm_list_as_of_;
+  std::set<VmId> listed_;
+  Time list_as_of_;
   std::map<EndpointId, Known> endpoints_;
-  Time next_report_;
+  Time last_report_;
+  std::int64_t reported_own_ = 0;
+  std::int64_t reported_zone_ = 0;
 };
 
 // Builds a serving gate.
--- /dev/null
+++ b/state/domain_record.cc
@@ -0,0 +1,85 @@
+#include "state/domain_record.h"
+
+#include <set>
+
+namespace gcw {
+namespace {
+
+DomainRecordError Fault(DomainRecordErrorKind kind, std::string_view subject) {
+  return DomainRecordError{kind, subject};
+}
+
+std::optional<DomainRecordError> FindGroupFault(const DomainRecord& record) {
+  std::set<GroupId> groups;
+  for (const GroupRecord& group : record.groups) {
+    if (group.members.empty()) {
+      return Fault(DomainRecordErrorKind::kGroupEmpty, group.id.value());
+    }
+    if (!groups.insert(group.id).second) {
+      return Fault(DomainRecordErrorKind::kGroupTwice, group.id.value());
+    }
+    if (group.generation < Generation(1)) {
+      return Fault(DomainRecordErrorKind::kGenerationWentBack,
+                   group.id.value());
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<DomainRecordError> FindVmFault(const DomainRecord& record) {
+  std::set<VmId> vms;
+  for (const GroupRecord& group : record.groups) {
+    for (const VmId& vm : group.members) {
+      if (!vms.insert(vm).second) {
+        return Fault(DomainRecordErrorKind::kVmInTwoPlaces, vm.value());
+      }
+    }
+  }
+  for (const LeavingMember& member : record.leaving) {
+    if (!vms.insert(member.vm).second) {
+      return Fault(DomainRecordErrorKind::kVmInTwoPlaces, member.vm.value());
+    }
+  }
+  return std::nullopt;
+}
+
+// A member left an earlier generation than the one its group is in now. Were
+// it the same one, the engine could not tell whether it still belongs.
+std::optional<DomainRecordError> FindGenerationFault(
+    const DomainRecord& record) {
+  for (const LeavingMember& member : record.leaving) {
+    for (const GroupRecord& group : record.groups) {
+      if (group.id == member.group && group.generation <= member.generation) {
+        return Fault(DomainRecordErrorKind::kGenerationWentBack,
+                     group.id.value());
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string_view GroupStateName(GroupState state) {
+  switch (state) {
+    case GroupState::kLoading:
+      return "loading";
+    case GroupState::kServing:
+      return "serving";
+    case GroupState::kDraining:
+      return "draining";
+  }
+  return "unknown";
+}
+
+std::optional<DomainRecordError> FindFault(const DomainRecord& record) {
+  if (const auto fault = FindGroupFault(record)) {
+    return fault;
+  }
+  if (const auto fault = FindVmFault(record)) {
+    return fault;
+  }
+  return FindGenerationFault(record);
+}
+
+}  // namespace gcw
