--- a/coordination/membership_messages.cc
+++ b/coordination/membership_messages.cc
@@ -21,12 +21,16 @@
          (rumor.record ? SizeOf(*rumor.record) : 0);
 }
 
-std::size_t SizeOf(const FingerprintDelta&) {
-  return 3 * kNumber;
+std::size_t SizeOf(const SuspectRumor& rumor) {
+  std::size_t size = 3 * kNumber;
+  for (const auto& [run, kind] : rumor.losses) {
+    size += kNumber + 2 + run.endpoint.value().size();
+  }
+  return size;
 }
 
-std::size_t SizeOf(const GroupEvidenceDelta& delta) {
-  return 2 * kNumber + 3 + delta.group.value().size() + delta.vm.value().size();
+std::size_t SizeOf(const RoleHolderDelta& delta) {
+  return kNumber + 1 + delta.role.value().size();
 }
 
 std::size_t SizeOf(const DeltaRumor& rumor) {
@@ -73,9 +77,8 @@
 }  // namespace
 
 bool IsUrgent(const Delta& delta) {
-  // While a block spreads, the request may crash more endpoints.
-  const auto* fingerprint = std::get_if<FingerprintDelta>(&delta);
-  return fingerprint != nullptr && fingerprint->blocked;
+  // While a suspicion spreads, the request may crash more endpoints.
+  return std::holds_alternative<SuspectRumor>(delta);
 }
 
 std::size_t EstimatedSize(const Rumor& rumor) {
--- a/coordination/node_core.cc
+++ b/coordination/node_core.cc
@@ -101,7 +101,7 @@
       keeper_(GroupKeeper::Builder()
                   .SetZone(settings_.self.zone)
                   .SetSettings(settings_.keeper)
-                  .SetCodec(codecs_.encode_domain, codecs_.decode_domain)
+                  .SetCodec(codecs_.domain_record)
                   .SetEventSink(events_)
                   .Build()),
       endpoints_(settings_.endpoints,
@@ -156,7 +156,7 @@
       continue;
     }
     if (std::optional<DomainRecord> record =
-            codecs_.decode_domain(*entry.record.value)) {
+            codecs_.domain_record.decode(*entry.record.value)) {
       records.push_back(std::move(*record));
     }
   }
@@ -271,7 +271,7 @@
 }
 
 void NodeCore::On(Time, const OperatorDrainGroup& event) {
-  keeper_.OnDrainAsked(event.domain, event.group);
+  keeper_.OnDrainAsked(event.group);
 }
 
 void NodeCore::On(Time now, const OperatorAskRevision& event) {
@@ -386,7 +386,7 @@
         now - before->second < settings_.role_announcement) {
       announced = before->second;
     } else {
-      AnnounceRole(now, role, lease.fence);
+      AnnounceRole(role, lease.fence);
     }
     held.emplace(role, announced);
     if (const std::optional<LimitShard> shard = LimitShardOf(role)) {
@@ -415,11 +415,9 @@
   announced_roles_ = std::move(held);
 }
 
-void NodeCore::AnnounceRole(Time now,
-                            const RoleName& role,
-                            FencingToken fence) {
+void NodeCore::AnnounceRole(const RoleName& role, FencingToken fence) {
   if (LimitShardOf(role)) {
-    membership_.Spread(now, RoleHolderDelta{role, fence});
+    membership_.Spread(RoleHolderDelta{role, fence});
   }
 }
 
--- a/coordination/node_core.h
+++ b/coordination/node_core.h
@@ -35,8 +35,7 @@
 struct NodeCodecs {
   NodeRecordCodec node_record;
   ConfigRecordCodec config_record;
-  EncodeDomainRecord encode_domain;
-  DecodeDomainRecord decode_domain;
+  DomainRecordCodec domain_record;
   // Absent where the text is no contract.
   std::function<std::optional<Contract>(std::string_view)> decode_contract;
   std::function<std::optional<WantedModel>(std::string_view)> decode_model;
@@ -163,7 +162,7 @@
   void OnViewChanged(Time now);
   void UpdateRoles(Time now);
   void TellRoles(Time now);
-  void AnnounceRole(Time now, const RoleName& role, FencingToken fence);
+  void AnnounceRole(const RoleName& role, FencingToken fence);
   void UpdateRefusal(Time now);
   void AdvanceStop(Time now);
   void CallStoreFor(NodeModule module, StoreRequest request);
--- a/coordination/node_core_actions.cc
+++ b/coordination/node_core_actions.cc
@@ -187,7 +187,7 @@
                      Send(send.to, std::move(send.message));
                    },
                    [this, now](GuardSpread& spread) {
-                     membership_.Spread(now, std::move(spread.rumor));
+                     membership_.Spread(std::move(spread.rumor));
                    },
                    [this](GuardPeerSend& send) {
                      Send(send.to, std::move(send.message));
@@ -217,7 +217,7 @@
     OnModelEntry(entry);
   } else if (entry.key.starts_with(kDomainPrefix) && entry.record.value) {
     if (const std::optional<DomainRecord> record =
-            codecs_.decode_domain(*entry.record.value)) {
+            codecs_.domain_record.decode(*entry.record.value)) {
       Apply(now, endpoints_.OnDomainRecord(now, *record, entry.revision));
     }
   }
--- a/coordination/request_desk.cc
+++ b/coordination/request_desk.cc
@@ -303,8 +303,7 @@
   attempt.ticket = modules_.router->OnDispatched(now, route, request.profile);
   modules_.guard->OnStarted(now, attempt.id, request.profile.fingerprint,
                             attempt.endpoint.id);
-  modules_.admission->OnDispatched(now, request.profile.id,
-                                   attempt.endpoint.id);
+  modules_.admission->OnDispatched(request.profile.id, attempt.endpoint.id);
   ++request.attempts;
   if (request.attempts == 1) {
     modules_.retries->OnFirstAttempt(now, request.profile.contract);
@@ -529,7 +528,7 @@
   if (request.admitted) {
     Apply(now, modules_.admission->OnFinished(now, id, generated));
   } else {
-    modules_.admission->OnAbandoned(now, id);
+    modules_.admission->OnAbandoned(id);
   }
   if (request.claimed) {
     Apply(now, modules_.once->Finish(now, id, request.outcome));
@@ -564,7 +563,9 @@
                           }
                           request->admitted = true;
                           request->priority = admit.priority;
-                          request->allowed = admit.endpoints;
+                          request->allowed = admit.endpoints == nullptr
+                                                 ? std::vector<EndpointId>()
+                                                 : *admit.endpoints;
                           Report(*request, EventKind::kRequestAdmitted, {});
                           StartAttempt(now, *request);
                         },
--- a/coordination/rumor_queue.cc
+++ b/coordination/rumor_queue.cc
@@ -6,12 +6,12 @@
 namespace gcw {
 namespace {
 
-std::string SubjectOf(const FingerprintDelta& delta) {
-  return "f/" + std::to_string(delta.fingerprint.value());
+std::string SubjectOf(const SuspectRumor& rumor) {
+  return "f/" + std::to_string(rumor.fingerprint.value());
 }
 
-std::string SubjectOf(const GroupEvidenceDelta& delta) {
-  return "g/" + delta.group.value() + "/" + delta.vm.value();
+std::string SubjectOf(const RoleHolderDelta& delta) {
+  return "r/" + delta.role.value();
 }
 
 std::string SubjectOf(const MemberRumor& rumor) {
