transport: HTTP server and client on Asio and Beast

One strand per connection. The client writes straight to the kernel, so that it knows at each moment whether a byte of the request has left; answers without a length are refused, since a cut one would look whole. The server waits without a buffer and goes on watching the socket while an answer is pending.

Ruled out: Beast's string body, which reserves the announced length.

Not run yet: ThreadSanitizer.

--- /dev/null
+++ b/tests/transport/http_server_test.cc
@@ -0,0 +1,343 @@
+#include "transport/http_server.h"
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <string>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "tests/transport/io_threads.h"
+#include "tests/transport/raw_peer.h"
+#include "transport/http_client.h"
+
+namespace gcw {
+namespace {
+
+using ::testing::HasSubstr;
+using ::testing::Not;
+using ::testing::StartsWith;
+using Responder = std::shared_ptr<HttpResponder>;
+
+constexpr std::string_view kGet = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+class HttpServerTest : public ::testing::Test {
+ protected:
+  ~HttpServerTest() override { io_.Stop(); }
+
+  void Serve(HttpHandler handler) {
+    auto result =
+        HttpServer::Listen(io_.context(), "127.0.0.1", 0, limits_,
+                           [this, handler = std::move(handler)](
+                               HttpRequest request, Responder responder) {
+                             ++handled_;
+                             handler(std::move(request), std::move(responder));
+                           });
+    ASSERT_TRUE(IsOk(result));
+    server_ = std::move(ValueOf(result));
+  }
+  void ServeEcho() {
+    Serve([](const HttpRequest& request, const Responder& responder) {
+      responder->Respond(
+          {200, {}, request.method + " " + request.target + request.body});
+    });
+  }
+  std::string Exchange(std::string_view bytes) {
+    RawPeer peer(server_->port());
+    peer.Send(bytes);
+    return peer.ReadToEnd();
+  }
+
+  HttpServerLimits limits_;
+  std::atomic<int> handled_ = 0;
+  std::unique_ptr<HttpServer> server_;
+  IoThreads io_;
+};
+
+TEST_F(HttpServerTest, RefusesMalformedRequestsWithTypedErrors) {
+  ServeEcho();
+  for (const std::string& request : std::vector<std::string>{
+           "nonsense\r\n\r\n",
+           "GET\r\n\r\n",
+           "GET / HTTP/9.9\r\n\r\n",
+           "GET / HTTP/1.1\r\nbroken header\r\n\r\n",
+           "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+           "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+           "POST / HTTP/1.1\r\nContent-Length: 1\r\n"  // NOLINT
+           "Transfer-Encoding: chunked\r\n\r\n",
+           "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+           "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+       }) {
+    const std::string answer = Exchange(request);
+    EXPECT_THAT(answer, StartsWith("HTTP/1.1 400 ")) << request;
+    EXPECT_THAT(answer, HasSubstr(R"({"error":{"type":"malformed_request")"));
+  }
+  EXPECT_EQ(handled_, 0);
+}
+
+TEST_F(HttpServerTest, RefusesOversizedRequests) {
+  limits_.max_body_bytes = 1000;
+  limits_.max_header_bytes = 2000;
+  ServeEcho();
+  EXPECT_THAT(Exchange("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n"),
+              HasSubstr(R"("type":"body_too_large")"));
+  EXPECT_THAT(Exchange("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "3e9\r\n" +
+                       std::string(1001, 'x')),
+              StartsWith("HTTP/1.1 413 "));
+  EXPECT_THAT(Exchange("GET / HTTP/1.1\r\nX: " + std::string(3000, 'x')),
+              StartsWith("HTTP/1.1 431 "));
+  EXPECT_EQ(handled_, 0);
+}
+
+TEST_F(HttpServerTest, EndsRequestsThatArriveTooSlowly) {
+  limits_.request_timeout = Duration::Millis(50);
+  ServeEcho();
+  EXPECT_THAT(Exchange("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab"),
+              StartsWith("HTTP/1.1 408 "));
+  EXPECT_EQ(handled_, 0);
+}
+
+TEST_F(HttpServerTest, ClosesIdleConnections) {
+  limits_.idle_timeout = Duration::Millis(50);
+  ServeEcho();
+  EXPECT_EQ(Exchange(""), "");
+}
+
+TEST_F(HttpServerTest, RefusesRequestsCutByAHalfClose) {
+  ServeEcho();
+  RawPeer peer(server_->port());
+  peer.Send("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
+  peer.CloseSending();
+  EXPECT_THAT(peer.ReadToEnd(), HasSubstr(R"("type":"incomplete_request")"));
+  EXPECT_EQ(handled_, 0);
+}
+
+TEST_F(HttpServerTest, RefusesConnectionsBeyondTheLimitAtOnce) {
+  limits_.max_connections = 2;
+  ServeEcho();
+  RawPeer first(server_->port());
+  RawPeer second(server_->port());
+  first.Send(kGet);
+  second.Send(kGet);
+  first.ReadUntil("GET /a");
+  second.ReadUntil("GET /a");
+  const std::string answer = Exchange("");
+  EXPECT_THAT(answer, StartsWith("HTTP/1.1 503 "));
+  EXPECT_THAT(answer, HasSubstr(R"("type":"too_many_connections")"));
+}
+
+TEST_F(HttpServerTest, AnswersPipelinedRequestsInOrder) {
+  ServeEcho();
+  const std::string answers = Exchange(
+      "GET /1 HTTP/1.1\r\n\r\n"
+      "POST /2 HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"
+      "GET /3 HTTP/1.1\r\nConnection: close\r\n\r\n");
+  EXPECT_LT(answers.find("GET /1"), answers.find("POST /2ab"));
+  EXPECT_LT(answers.find("POST /2ab"), answers.find("GET /3"));
+  EXPECT_NE(answers.find("GET /3"), std::string::npos);
+}
+
+TEST_F(HttpServerTest, AsksForABodyThatWaitsForLeave) {
+  ServeEcho();
+  RawPeer peer(server_->port());
+  peer.Send(
+      "POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  EXPECT_THAT(peer.ReadHead(), StartsWith("HTTP/1.1 100 "));
+  peer.Send("ab");
+  EXPECT_THAT(peer.ReadUntil("POST /aab"), StartsWith("HTTP/1.1 200 "));
+}
+
+// Symptom: an engine works on for a caller that has left. The caller closes or
+// resets its connection while its answer is pending; only a read shows it.
+TEST_F(HttpServerTest, TellsWhenTheCallerLeavesBeforeItsAnswer) {
+  std::promise<Responder> arrived;
+  std::atomic<int> gone = 0;
+  Serve([&](const HttpRequest&, const Responder& responder) {
+    arrived.set_value(responder);
+  });
+  for (const bool reset : {false, true}) {
+    arrived = {};
+    std::promise<void> told;
+    RawPeer peer(server_->port());
+    peer.Send(kGet);
+    const Responder responder = arrived.get_future().get();
+    responder->OnCallerGone([&] {
+      ++gone;
+      told.set_value();
+    });
+    reset ? peer.Reset() : peer.Close();
+    told.get_future().get();
+    // A hook that comes too late is called as well.
+    std::promise<void> told_late;
+    responder->OnCallerGone([&] { told_late.set_value(); });
+    told_late.get_future().get();
+    responder->Respond({200, {}, "too late"});
+  }
+  EXPECT_EQ(gone, 2);
+}
+
+TEST_F(HttpServerTest, CallsNoHookAfterAWholeAnswer) {
+  std::atomic<int> gone = 0;
+  Serve([&](const HttpRequest&, const Responder& responder) {
+    responder->OnCallerGone([&] { ++gone; });
+    responder->Respond({200, {}, "whole"});
+  });
+  EXPECT_THAT(Exchange("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"),
+              HasSubstr("whole"));
+  while (server_->open_connections() > 0) {
+    std::this_thread::yield();
+  }
+  EXPECT_EQ(gone, 0);
+}
+
+TEST_F(HttpServerTest, StreamsInChunks) {
+  Serve([](const HttpRequest&, const Responder& responder) {
+    responder->StartStream(200, {{"Content-Type", "text/event-stream"}});
+    responder->Write("one");
+    responder->Write("");
+    responder->Write("three");
+    responder->Finish();
+    responder->Write("after the end");
+  });
+  const std::string answer =
+      Exchange("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  EXPECT_THAT(answer, HasSubstr("Transfer-Encoding: chunked\r\n"));
+  EXPECT_THAT(answer, HasSubstr("3\r\none\r\n5\r\nthree\r\n0\r\n\r\n"));
+  EXPECT_THAT(answer, Not(HasSubstr("after the end")));
+}
+
+// Symptom: a caller takes a cut answer for a whole one. Without the last chunk
+// (HTTP/1.1) or with a reset (HTTP/1.0, where the close is the end) it cannot.
+TEST_F(HttpServerTest, AbortedStreamsDoNotLookWhole) {
+  Serve([](const HttpRequest&, const Responder& responder) {
+    responder->StartStream(200, {});
+    responder->Write("part");
+    responder->Abort();
+  });
+  const std::string answer = Exchange(kGet);
+  EXPECT_THAT(answer, HasSubstr("4\r\npart\r\n"));
+  EXPECT_THAT(answer, Not(HasSubstr("0\r\n\r\n")));
+
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect({boost::asio::ip::address_v4::loopback(), server_->port()});
+  boost::asio::write(socket, boost::asio::buffer("GET / HTTP/1.0\r\n\r\n", 18));
+  std::string bytes;
+  boost::system::error_code error;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(bytes), error);
+  EXPECT_EQ(error, boost::asio::error::connection_reset);
+}
+
+TEST_F(HttpServerTest, ARequestThatIsLetGoGetsAnError) {
+  Serve([](const HttpRequest& request, const Responder& responder) {
+    if (request.target == "/stream") {
+      responder->StartStream(200, {});
+    }
+  });
+  EXPECT_THAT(Exchange("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"),
+              StartsWith("HTTP/1.1 500 "));
+  EXPECT_THAT(Exchange("GET /stream HTTP/1.1\r\n\r\n"),
+              Not(HasSubstr("0\r\n\r\n")));
+}
+
+// Symptom: a piece of one answer in another. A responder of an ended answer
+// goes on writing while the connection carries the next one.
+TEST_F(HttpServerTest, AnEndedResponderCannotWriteIntoTheNextAnswer) {
+  Responder ended;
+  Serve([&](const HttpRequest& request, const Responder& responder) {
+    if (request.target == "/a") {
+      responder->Respond({200, {}, "first"});
+      ended = responder;
+      return;
+    }
+    responder->StartStream(200, {});
+    ended->Write("foreign");
+    ended->Respond({200, {}, "foreign"});
+    ended->Abort();
+    EXPECT_EQ(ended->unsent_bytes(), 0U);
+    responder->Write("second");
+    responder->Finish();
+  });
+  const std::string answers = Exchange(
+      std::string(kGet) + "GET /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+  EXPECT_THAT(answers, HasSubstr("first"));
+  EXPECT_THAT(answers, HasSubstr("6\r\nsecond\r\n0\r\n\r\n"));
+  EXPECT_THAT(answers, Not(HasSubstr("foreign")));
+  ended.reset();
+}
+
+TEST_F(HttpServerTest, ShowsWhatASlowCallerHasNotTaken) {
+  std::promise<Responder> arrived;
+  Serve([&](const HttpRequest&, const Responder& responder) {
+    responder->StartStream(200, {});
+    arrived.set_value(responder);
+  });
+  RawPeer peer(server_->port());
+  peer.Send(kGet);
+  const Responder responder = arrived.get_future().get();
+  const std::string chunk(1024UL * 1024, 'x');
+  // More than the kernel's buffers on both sides hold.
+  for (int i = 0; i < 32; ++i) {
+    responder->Write(chunk);
+  }
+  EXPECT_GT(responder->unsent_bytes(), chunk.size());
+  responder->Finish();
+  const std::string answer = peer.ReadUntil("\r\n0\r\n\r\n");
+  EXPECT_GT(answer.size(), 32 * chunk.size());
+  EXPECT_EQ(responder->unsent_bytes(), 0U);
+}
+
+TEST_F(HttpServerTest, ACallerThatTakesNothingCountsAsGone) {
+  limits_.write_timeout = Duration::Millis(100);
+  std::promise<void> gone;
+  Responder kept;
+  Serve([&](const HttpRequest&, const Responder& responder) {
+    kept = responder;
+    responder->OnCallerGone([&] { gone.set_value(); });
+    responder->StartStream(200, {});
+    responder->Write(std::string(32UL * 1024 * 1024, 'x'));
+  });
+  RawPeer peer(server_->port());
+  peer.Send(kGet);
+  gone.get_future().get();
+}
+
+TEST_F(HttpServerTest, StopsWithoutCuttingARunningRequest) {
+  std::promise<Responder> arrived;
+  Serve([&](const HttpRequest&, const Responder& responder) {
+    arrived.set_value(responder);
+  });
+  RawPeer peer(server_->port());
+  peer.Send(kGet);
+  const Responder responder = arrived.get_future().get();
+  server_->StopAccepting();
+  responder->Respond({200, {}, "whole"});
+  EXPECT_THAT(peer.ReadToEnd(), HasSubstr("whole"));
+}
+
+TEST_F(HttpServerTest, AnIdleConnectionMaySendOneMoreRequestAfterTheStop) {
+  ServeEcho();
+  RawPeer peer(server_->port());
+  peer.Send(kGet);
+  peer.ReadUntil("GET /a");
+  server_->StopAccepting();
+  peer.Send(kGet);
+  EXPECT_THAT(peer.ReadToEnd(), HasSubstr("Connection: close\r\n"));
+}
+
+TEST_F(HttpServerTest, ReportsWhyItCannotListen) {
+  ServeEcho();
+  const auto listen = [&](const std::string& ip, std::uint16_t port) {
+    return HttpServer::Listen(io_.context(), ip, port, limits_, {});
+  };
+  EXPECT_EQ(ErrorOf(listen("nowhere", 0)).kind,
+            ListenErrorKind::kAddressMalformed);
+  EXPECT_EQ(ErrorOf(listen("127.0.0.1", server_->port())).kind,
+            ListenErrorKind::kAddressInUse);
+  EXPECT_EQ(ErrorOf(listen("192.0.2.1", 0)).kind, ListenErrorKind::kRefused);
+}
+
+}  // namespace
+}  // namespace gcw
--- a/transport/http_client.h
+++ b/transport/http_client.h
@@ -18,11 +18,16 @@
   // Ends the exchange and closes its connection; `on_failure` follows with
   // kCancelled unless the call has ended.
   virtual void Cancel() = 0;
+  // Stops and resumes reading, so that a slow caller holds back the endpoint
+  // instead of filling this process. While paused only the deadline counts.
+  virtual void Pause() {}
+  virtual void Resume() {}
 };
 
 // Makes HTTP/1.1 calls to endpoints. A connection carries one request at a time
 // and returns to the pool only after an answer that ended properly, so that no
-// caller can receive a piece of another's answer.
+// caller can receive a piece of another's answer. May be used from any thread;
+// calls that run when the client is destroyed go on to their end.
 class HttpClient {
  public:
   explicit HttpClient(boost::asio::io_context& context);
--- /dev/null
+++ b/transport/http_client_call.cc
@@ -0,0 +1,348 @@
+#include "transport/http_client_call.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "transport/address.h"
+#include "transport/http_framing.h"
+#include "transport/socket_options.h"
+
+namespace gcw {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16UL * 1024;
+constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+
+HttpFailureKind ConnectFailure(const error_code& error) {
+  return error == boost::asio::error::timed_out
+             ? HttpFailureKind::kConnectTimeout
+             : HttpFailureKind::kConnectRefused;
+}
+
+HttpFailureKind ReadFailure(const error_code& error) {
+  // The kernel's own report of a silent peer, by TCP_USER_TIMEOUT.
+  return error == boost::asio::error::timed_out
+             ? HttpFailureKind::kSilent
+             : HttpFailureKind::kConnectionReset;
+}
+
+}  // namespace
+
+HttpClientCall::HttpClientCall(std::unique_ptr<HttpConnection> connection,
+                               bool pooled,
+                               std::shared_ptr<HttpConnectionPool> pool,
+                               Address address,
+                               HttpRequest request,
+                               HttpCallOptions options,
+                               HttpCallHandlers handlers)
+    : pool_(std::move(pool)),
+      address_(std::move(address)),
+      options_(options),
+      request_(std::move(request)),
+      handlers_(std::move(handlers)),
+      connection_(std::move(connection)),
+      pooled_(pooled),
+      strand_(connection_->strand),
+      timer_(strand_),
+      deadline_(SteadyClock::now() + ToChrono(options.deadline)) {}
+
+void HttpClientCall::Start() {
+  boost::asio::post(strand_, [self = shared_from_this()] { self->Begin(); });
+}
+
+void HttpClientCall::Cancel() {
+  boost::asio::post(strand_, [self = shared_from_this()] {
+    self->Fail(HttpFailureKind::kCancelled);
+  });
+}
+
+void HttpClientCall::Pause() {
+  boost::asio::post(strand_, [self = shared_from_this()] {
+    self->paused_ = true;
+    if (!self->done_) {
+      self->ExpectWithin(self->options_.deadline, HttpFailureKind::kDeadline);
+    }
+  });
+}
+
+void HttpClientCall::Resume() {
+  boost::asio::post(strand_, [self = shared_from_this()] {
+    if (!std::exchange(self->paused_, false) || self->done_) {
+      return;
+    }
+    if (self->parser_) {
+      self->ExpectProgress();
+      self->WaitReadable();
+    }
+  });
+}
+
+void HttpClientCall::Begin() {
+  if (done_) {
+    return;
+  }
+  timer_.Start(weak_from_this(), [this] { OnTimeout(); });
+  std::optional<std::string> encoded =
+      EncodeRequest(request_, address_.value());
+  if (!encoded) {
+    Fail(HttpFailureKind::kCancelled);
+    return;
+  }
+  encoded_ = std::move(*encoded);
+  request_.body = std::string();
+  if (pooled_) {
+    BeginExchange();
+  } else {
+    Connect();
+  }
+}
+
+void HttpClientCall::Connect() {
+  const auto endpoint = ParseAddress(address_);
+  if (!endpoint) {
+    Fail(HttpFailureKind::kConnectRefused);
+    return;
+  }
+  ExpectWithin(options_.connect_timeout, HttpFailureKind::kConnectTimeout);
+  connection_->socket.async_connect(
+      *endpoint, [self = shared_from_this()](const error_code& error) {
+        self->OnConnected(error);
+      });
+}
+
+void HttpClientCall::OnConnected(const error_code& error) {
+  if (done_) {
+    return;
+  }
+  if (error) {
+    Fail(ConnectFailure(error));
+    return;
+  }
+  error_code ignored;
+  connection_->socket.non_blocking(true, ignored);
+  BeginExchange();
+}
+
+void HttpClientCall::BeginExchange() {
+  // Bytes that are there before the request was sent belong to no answer of
+  // ours, and an end means that the server has closed an idle connection.
+  if (pooled_ && HasUnreadInput(connection_->socket)) {
+    pooled_ = false;
+    connection_->socket = StrandSocket(strand_);
+    Connect();
+    return;
+  }
+  SetConnectionOptions(connection_->socket, options_.progress_timeout);
+  StartParser();
+  if (handlers_.before_send && !handlers_.before_send()) {
+    Fail(HttpFailureKind::kCancelled);
+    return;
+  }
+  ExpectProgress();
+  Write();
+  WaitReadable();
+}
+
+void HttpClientCall::ExpectWithin(Duration limit,
+                                  HttpFailureKind timeout_kind) {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      deadline_ - SteadyClock::now());
+  timeout_kind_ = timeout_kind;
+  timer_.Set(std::clamp(Duration::Millis(left.count()), Duration(), limit));
+}
+
+void HttpClientCall::ExpectProgress() {
+  if (!paused_) {
+    ExpectWithin(options_.progress_timeout, HttpFailureKind::kSilent);
+  }
+}
+
+void HttpClientCall::OnTimeout() {
+  // The timer counts whole milliseconds.
+  const auto almost_now = SteadyClock::now() + std::chrono::milliseconds(1);
+  Fail(almost_now >= deadline_ ? HttpFailureKind::kDeadline : timeout_kind_);
+}
+
+void HttpClientCall::Write() {
+  while (!done_ && !write_failed_ && !request_sent()) {
+    error_code error;
+    const std::size_t size = connection_->socket.write_some(
+        boost::asio::buffer(encoded_.data() + written_,
+                            encoded_.size() - written_),
+        error);
+    if (error == boost::asio::error::would_block) {
+      WaitWritable();
+      return;
+    }
+    if (error && progress_ == HttpProgress::kNothingSent) {
+      Fail(HttpFailureKind::kConnectionReset);
+      return;
+    }
+    if (error) {
+      // The server may have answered before it closed: the reader decides.
+      write_failed_ = true;
+      return;
+    }
+    progress_ = std::max(progress_, HttpProgress::kMaybeSent);
+    written_ += size;
+    ExpectProgress();
+  }
+}
+
+void HttpClientCall::WaitWritable() {
+  connection_->socket.async_wait(
+      StrandSocket::wait_write,
+      [self = shared_from_this()](const error_code&) { self->Write(); });
+}
+
+void HttpClientCall::WaitReadable() {
+  if (done_ || read_waiting_ || paused_) {
+    return;
+  }
+  read_waiting_ = true;
+  connection_->socket.async_wait(
+      StrandSocket::wait_read,
+      [self = shared_from_this()](const error_code& error) {
+        self->read_waiting_ = false;
+        if (!self->done_ && !error) {
+          self->Read();
+        }
+      });
+}
+
+void HttpClientCall::Read() {
+  if (paused_) {
+    return;
+  }
+  error_code error;
+  const std::size_t size =
+      connection_->socket.read_some(buffer_.prepare(kReadBytes), error);
+  if (error == boost::asio::error::would_block) {
+    WaitReadable();
+    return;
+  }
+  if (error == boost::asio::error::eof) {
+    OnEof();
+    return;
+  }
+  if (error) {
+    Fail(ReadFailure(error));
+    return;
+  }
+  buffer_.commit(size);
+  ExpectProgress();
+  ParseBuffered();
+}
+
+void HttpClientCall::OnEof() {
+  const bool answer_began = parser_->got_some() || buffer_.size() > 0;
+  Fail(answer_began ? HttpFailureKind::kTruncated
+                    : HttpFailureKind::kConnectionReset);
+}
+
+void HttpClientCall::ParseBuffered() {
+  while (buffer_.size() > 0) {
+    error_code error;
+    const std::size_t size = parser_->put(buffer_.data(), error);
+    buffer_.consume(size);
+    const bool broken = error && error != http::error::need_more;
+    if (parser_->is_header_done() && !head_delivered_ && !AcceptHead()) {
+      return;
+    }
+    if (broken) {
+      Fail(HttpFailureKind::kMalformedAnswer);
+      return;
+    }
+    DeliverBody();
+    if (head_delivered_ && parser_->is_done()) {
+      End();
+      return;
+    }
+    if (size == 0) {
+      break;
+    }
+  }
+  WaitReadable();
+}
+
+void HttpClientCall::StartParser() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(kMaxHeadBytes);
+  parser_->body_limit(options_.max_answer_bytes);
+  parser_->skip(request_.method == "HEAD");
+}
+
+bool HttpClientCall::AcceptHead() {
+  const auto& head = parser_->get();
+  const unsigned status = head.result_int();
+  if (status == 101) {
+    Fail(HttpFailureKind::kMalformedAnswer);
+    return false;
+  }
+  if (status < 200) {
+    // An interim answer; the real one follows.
+    StartParser();
+    return true;
+  }
+  progress_ = HttpProgress::kAnswerBegun;
+  if (parser_->need_eof()) {
+    Fail(HttpFailureKind::kMalformedAnswer);
+    return false;
+  }
+  head_delivered_ = true;
+  if (handlers_.on_head) {
+    handlers_.on_head(
+        HttpResponse{static_cast<int>(status), ToHeaders(head), {}});
+  }
+  return true;
+}
+
+void HttpClientCall::DeliverBody() {
+  std::string& body = parser_->get().body();
+  if (body.empty()) {
+    return;
+  }
+  if (handlers_.on_body) {
+    handlers_.on_body(body);
+  }
+  body.clear();
+}
+
+void HttpClientCall::End() {
+  const bool reusable = parser_->keep_alive() && request_sent() &&
+                        buffer_.size() == 0 &&
+                        !HasUnreadInput(connection_->socket);
+  done_ = true;
+  timer_.Stop();
+  if (reusable) {
+    pool_->Put(address_, std::move(connection_));
+  }
+  connection_.reset();
+  const HttpCallHandlers handlers = std::exchange(handlers_, {});
+  if (handlers.on_end) {
+    handlers.on_end();
+  }
+}
+
+void HttpClientCall::Fail(HttpFailureKind kind) {
+  if (done_) {
+    return;
+  }
+  done_ = true;
+  timer_.Stop();
+  connection_.reset();
+  const HttpCallHandlers handlers = std::exchange(handlers_, {});
+  if (handlers.on_failure) {
+    handlers.on_failure(HttpFailure{kind, progress_});
+  }
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/transport/http_client_call.h
@@ -0,0 +1,96 @@
+#ifndef TRANSPORT_HTTP_CLIENT_CALL_H_
+#define TRANSPORT_HTTP_CLIENT_CALL_H_
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "transport/appending_body.h"
+#include "transport/http_client.h"
+#include "transport/http_connection.h"
+#include "transport/http_connection_pool.h"
+#include "transport/lazy_timer.h"
+
+namespace gcw {
+
+// One exchange on one connection: connects unless the connection came from the
+// pool, writes the request and reads the answer at the same time. Writes go
+// straight to the kernel, so that the call knows at each moment whether a byte
+// has left. All members are used on the connection's strand.
+class HttpClientCall final
+    : public HttpCall,
+      public std::enable_shared_from_this<HttpClientCall> {
+ public:
+  // `connection` is new and not yet open, or `pooled`.
+  HttpClientCall(std::unique_ptr<HttpConnection> connection,
+                 bool pooled,
+                 std::shared_ptr<HttpConnectionPool> pool,
+                 Address address,
+                 HttpRequest request,
+                 HttpCallOptions options,
+                 HttpCallHandlers handlers);
+
+  void Start();
+  void Cancel() override;
+  void Pause() override;
+  void Resume() override;
+
+ private:
+  using SteadyClock = std::chrono::steady_clock;
+  using Parser = boost::beast::http::response_parser<AppendingBody>;
+
+  void Begin();
+  void Connect();
+  void OnConnected(const boost::system::error_code& error);
+  void BeginExchange();
+  // Moves the time-out of the current step, within the call's deadline.
+  void ExpectWithin(Duration limit, HttpFailureKind timeout_kind);
+  void ExpectProgress();
+  void OnTimeout();
+
+  void Write();
+  void WaitWritable();
+
+  void WaitReadable();
+  void Read();
+  void OnEof();
+  void ParseBuffered();
+  void StartParser();
+  // Called when the head is whole. Returns whether the call goes on.
+  bool AcceptHead();
+  void DeliverBody();
+  void End();
+  void Fail(HttpFailureKind kind);
+  bool request_sent() const { return written_ == encoded_.size(); }
+
+  const std::shared_ptr<HttpConnectionPool> pool_;
+  const Address address_;
+  const HttpCallOptions options_;
+  HttpRequest request_;
+  HttpCallHandlers handlers_;
+  std::unique_ptr<HttpConnection> connection_;
+  bool pooled_;
+  // Outlives the connection, which returns to the pool.
+  const Strand strand_;
+  LazyTimer timer_;
+  const SteadyClock::time_point deadline_;
+  HttpFailureKind timeout_kind_ = HttpFailureKind::kConnectTimeout;
+  HttpProgress progress_ = HttpProgress::kNothingSent;
+  std::string encoded_;
+  std::size_t written_ = 0;
+  bool write_failed_ = false;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  bool head_delivered_ = false;
+  bool read_waiting_ = false;
+  bool paused_ = false;
+  bool done_ = false;
+};
+
+}  // namespace gcw
+
+#endif  // TRANSPORT_HTTP_CLIENT_CALL_H_
--- /dev/null
+++ b/transport/http_connection_pool.h
@@ -0,0 +1,56 @@
+#ifndef TRANSPORT_HTTP_CONNECTION_POOL_H_
+#define TRANSPORT_HTTP_CONNECTION_POOL_H_
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "state/state.h"
+#include "transport/http_connection.h"
+
+namespace gcw {
+
+// Idle connections by address, the most recently used first. Safe for use from
+// any thread. A connection may go silent while it is idle, with nothing to
+// show for it: so it lives here for `kMaxIdle` at most.
+class HttpConnectionPool
+    : public std::enable_shared_from_this<HttpConnectionPool> {
+ public:
+  static constexpr Duration kMaxIdle = Duration::Seconds(30);
+  static constexpr std::size_t kMaxPerAddress = 64;
+  static constexpr std::size_t kMaxTotal = 2048;
+
+  explicit HttpConnectionPool(boost::asio::io_context& context);
+
+  // An idle connection from which there is nothing to read, or null.
+  std::unique_ptr<HttpConnection> Take(const Address& address);
+  // Closes the connection instead where the pool is full or closed.
+  void Put(const Address& address, std::unique_ptr<HttpConnection> connection);
+  void Forget(const Address& address);
+  // Closes all connections and takes no more.
+  void Close();
+  std::size_t size() const;
+
+ private:
+  using SteadyClock = std::chrono::steady_clock;
+  using Connections = std::vector<std::unique_ptr<HttpConnection>>;
+
+  void ArmSweep();
+  void Sweep();
+
+  mutable std::mutex mutex_;
+  boost::asio::steady_timer sweep_timer_;
+  bool sweep_armed_ = false;
+  bool closed_ = false;
+  std::size_t size_ = 0;
+  std::unordered_map<Address, Connections> idle_;
+};
+
+}  // namespace gcw
+
+#endif  // TRANSPORT_HTTP_CONNECTION_POOL_H_
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -35,7 +35,8 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   std::uint16_t port() const;
-  // Takes no new connections; open ones end after the request they run.
+  // Takes no new connections. Open ones end after the request they run, or
+  // shortly after an answer that had promised to keep the connection.
   void StopAccepting();
   std::size_t open_connections() const;
 
--- /dev/null
+++ b/transport/http_server_session.cc
@@ -0,0 +1,375 @@
+#include "transport/http_server_session.h"
+
+#include <utility>
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "transport/http_session_responder.h"
+#include "transport/socket_options.h"
+
+namespace gcw {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 8UL * 1024;
+// What a caller may send ahead of its turn before its connection is no longer
+// read. Beyond this a caller that leaves is noticed by writes only.
+constexpr std::size_t kMaxAheadBytes = 16UL * 1024;
+constexpr std::size_t kMaxLingerBytes = 1024UL * 1024;
+
+HttpErrorKind KindOf(const error_code& error) {
+  if (error == http::error::body_limit) {
+    return HttpErrorKind::kBodyTooLarge;
+  }
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    return HttpErrorKind::kHeadersTooLarge;
+  }
+  return HttpErrorKind::kMalformedRequest;
+}
+
+}  // namespace
+
+HttpServerSession::HttpServerSession(StrandSocket socket,
+                                     std::shared_ptr<HttpServerState> server)
+    : socket_(std::move(socket)),
+      server_(std::move(server)),
+      outbox_([this] {
+        boost::asio::post(socket_.get_executor(),
+                          [self = shared_from_this()] { self->Flush(); });
+      }),
+      timer_(socket_.get_executor()) {}
+
+void HttpServerSession::Start() {
+  boost::asio::dispatch(socket_.get_executor(),
+                        [self = shared_from_this()] { self->Begin(); });
+}
+
+void HttpServerSession::Drain() {
+  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->phase_ == Phase::kIdle) {
+      self->EnterIdle();
+    }
+  });
+}
+
+void HttpServerSession::Close() {
+  boost::asio::post(socket_.get_executor(),
+                    [self = shared_from_this()] { self->CloseNow(); });
+}
+
+void HttpServerSession::Begin() {
+  timer_.Start(weak_from_this(), [this] { OnTimeout(); });
+  error_code error;
+  socket_.non_blocking(true, error);
+  SetConnectionOptions(socket_, server_->limits().write_timeout);
+  switch (server_->Add(shared_from_this())) {
+    case HttpServerState::Admission::kServe:
+      EnterIdle();
+      WaitReadable();
+      return;
+    case HttpServerState::Admission::kRefuse:
+      RespondError(HttpErrorKind::kTooManyConnections);
+      return;
+    case HttpServerState::Admission::kDrop:
+      CloseNow();
+      return;
+  }
+}
+
+void HttpServerSession::WaitReadable() {
+  if (read_waiting_ || phase_ == Phase::kClosed || eof_seen_) {
+    return;
+  }
+  read_waiting_ = true;
+  // Waits without a buffer: most connections are idle most of the time.
+  socket_.async_wait(StrandSocket::wait_read,
+                     [self = shared_from_this()](const error_code& error) {
+                       self->read_waiting_ = false;
+                       if (!error && self->phase_ != Phase::kClosed) {
+                         self->ReadAvailable();
+                       }
+                     });
+}
+
+void HttpServerSession::ReadAvailable() {
+  error_code error;
+  const std::size_t size =
+      socket_.read_some(buffer_.prepare(kReadBytes), error);
+  if (error == boost::asio::error::would_block) {
+    WaitReadable();
+    return;
+  }
+  if (error == boost::asio::error::eof) {
+    OnEof();
+    return;
+  }
+  if (error) {
+    CloseNow();
+    return;
+  }
+  buffer_.commit(size);
+  Process();
+}
+
+void HttpServerSession::Process() {
+  switch (phase_) {
+    case Phase::kIdle:
+    case Phase::kReading:
+      Feed();
+      return;
+    case Phase::kAnswering:
+      if (buffer_.size() < kMaxAheadBytes) {
+        WaitReadable();
+      }
+      return;
+    case Phase::kLingering:
+      lingered_bytes_ += buffer_.size();
+      buffer_.consume(buffer_.size());
+      if (lingered_bytes_ > kMaxLingerBytes) {
+        CloseNow();
+        return;
+      }
+      WaitReadable();
+      return;
+    case Phase::kClosed:
+      return;
+  }
+}
+
+void HttpServerSession::Feed() {
+  if (phase_ == Phase::kIdle) {
+    phase_ = Phase::kReading;
+    continue_sent_ = false;
+    timer_.Set(server_->limits().request_timeout);
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(
+        static_cast<std::uint32_t>(server_->limits().max_header_bytes));
+    parser_->body_limit(server_->limits().max_body_bytes);
+  }
+  error_code error;
+  buffer_.consume(parser_->put(buffer_.data(), error));
+  if (error && error != http::error::need_more) {
+    RespondError(KindOf(error));
+    return;
+  }
+  if (parser_->is_done()) {
+    Dispatch();
+    return;
+  }
+  SendContinueOnce();
+  WaitReadable();
+}
+
+void HttpServerSession::SendContinueOnce() {
+  if (continue_sent_ || !parser_->is_header_done() ||
+      !boost::beast::iequals(parser_->get()[http::field::expect],
+                             "100-continue")) {
+    return;
+  }
+  continue_sent_ = true;
+  outbox_.AppendRaw("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void HttpServerSession::Dispatch() {
+  auto message = parser_->release();
+  parser_.reset();
+  // A coding that is not chunked leaves the body's end unknown; taking the body
+  // for the next request would let one caller slip in requests of another.
+  if (message.count(http::field::transfer_encoding) > 0 && !message.chunked()) {
+    RespondError(HttpErrorKind::kMalformedRequest);
+    return;
+  }
+  if (server_->closed()) {
+    CloseNow();
+    return;
+  }
+  timer_.Clear();
+  phase_ = Phase::kAnswering;
+  framing_ = {
+      message.version(),
+      message.keep_alive() && message.version() >= 11 && !server_->stopping(),
+      message.method() == http::verb::head};
+  HttpRequest request{message.method_string(), message.target(),
+                      ToHeaders(message), std::move(message.body())};
+  const std::uint64_t answer = outbox_.Begin(framing_);
+  if (buffer_.size() < kMaxAheadBytes) {
+    WaitReadable();
+  }
+  server_->handler()(std::move(request), std::make_shared<HttpSessionResponder>(
+                                             shared_from_this(), answer));
+}
+
+void HttpServerSession::RespondError(HttpErrorKind kind) {
+  timer_.Clear();
+  parser_.reset();
+  phase_ = Phase::kAnswering;
+  framing_ = {11, false, false};
+  const std::uint64_t answer = outbox_.Begin(framing_);
+  outbox_.Respond(answer, MakeErrorResponse(kind));
+}
+
+void HttpServerSession::Flush() {
+  if (phase_ == Phase::kClosed || phase_ == Phase::kLingering ||
+      write_waiting_) {
+    return;
+  }
+  HttpAnswerEnd end = HttpAnswerEnd::kOpen;
+  do {
+    if (!WriteOut()) {
+      return;
+    }
+    writing_.clear();
+    written_ = 0;
+    end = outbox_.Take(writing_);
+  } while (!writing_.empty());
+  if (phase_ == Phase::kAnswering && end != HttpAnswerEnd::kOpen) {
+    OnAnswerSent(end);
+  }
+}
+
+bool HttpServerSession::WriteOut() {
+  while (written_ < writing_.size()) {
+    error_code error;
+    const std::size_t size =
+        socket_.write_some(boost::asio::buffer(writing_.data() + written_,
+                                               writing_.size() - written_),
+                           error);
+    if (error == boost::asio::error::would_block) {
+      WaitWritable();
+      return false;
+    }
+    if (error) {
+      CloseNow();
+      return false;
+    }
+    written_ += size;
+    outbox_.OnSent(size);
+  }
+  return true;
+}
+
+void HttpServerSession::WaitWritable() {
+  write_waiting_ = true;
+  if (phase_ == Phase::kAnswering) {
+    timer_.Set(server_->limits().write_timeout);
+  }
+  socket_.async_wait(StrandSocket::wait_write,
+                     [self = shared_from_this()](const error_code& error) {
+                       self->OnWritable(error);
+                     });
+}
+
+void HttpServerSession::OnWritable(const error_code& error) {
+  write_waiting_ = false;
+  if (error || phase_ == Phase::kClosed) {
+    return;
+  }
+  if (phase_ == Phase::kAnswering) {
+    timer_.Clear();
+  }
+  Flush();
+}
+
+void HttpServerSession::OnAnswerSent(HttpAnswerEnd end) {
+  if (end == HttpAnswerEnd::kAborted) {
+    // Without chunks, an orderly close would look like the answer's end.
+    if (framing_.version < 11) {
+      ResetOnClose(socket_);
+    }
+    CloseNow();
+    return;
+  }
+  // An answer that promised to keep the connection keeps it, also when the
+  // server stops meanwhile: the next request may be on its way.
+  if (!framing_.keep_alive || eof_seen_) {
+    Linger();
+    return;
+  }
+  NextRequest();
+}
+
+void HttpServerSession::NextRequest() {
+  phase_ = Phase::kIdle;
+  if (buffer_.size() > 0) {
+    Feed();
+    return;
+  }
+  if (!read_waiting_) {
+    WaitReadable();
+  }
+  buffer_.shrink_to_fit();
+  writing_.shrink_to_fit();
+  EnterIdle();
+}
+
+void HttpServerSession::EnterIdle() {
+  timer_.Set(server_->stopping() ? server_->limits().stopping_idle_timeout
+                                 : server_->limits().idle_timeout);
+}
+
+void HttpServerSession::Linger() {
+  if (eof_seen_) {
+    CloseNow();
+    return;
+  }
+  phase_ = Phase::kLingering;
+  buffer_.consume(buffer_.size());
+  error_code error;
+  socket_.shutdown(StrandSocket::shutdown_send, error);
+  timer_.Set(server_->limits().linger_timeout);
+  WaitReadable();
+}
+
+void HttpServerSession::OnEof() {
+  eof_seen_ = true;
+  switch (phase_) {
+    case Phase::kReading:
+      RespondError(HttpErrorKind::kIncompleteRequest);
+      return;
+    case Phase::kAnswering:
+      // A caller that closes its sending side after the whole answer was given
+      // still takes it; before that, nobody can tell whether it is gone.
+      if (outbox_.answer_ended()) {
+        return;
+      }
+      CloseNow();
+      return;
+    case Phase::kIdle:
+    case Phase::kLingering:
+    case Phase::kClosed:
+      CloseNow();
+      return;
+  }
+}
+
+void HttpServerSession::OnTimeout() {
+  if (phase_ == Phase::kReading) {
+    RespondError(HttpErrorKind::kRequestTimeout);
+    return;
+  }
+  CloseNow();
+}
+
+void HttpServerSession::CloseNow() {
+  if (phase_ == Phase::kClosed) {
+    return;
+  }
+  phase_ = Phase::kClosed;
+  timer_.Stop();
+  parser_.reset();
+  error_code error;
+  socket_.close(error);
+  server_->Remove(this);
+  if (const auto hook = outbox_.CallerGone()) {
+    hook();
+  }
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/transport/http_server_session.h
@@ -0,0 +1,81 @@
+#ifndef TRANSPORT_HTTP_SERVER_SESSION_H_
+#define TRANSPORT_HTTP_SERVER_SESSION_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "transport/appending_body.h"
+#include "transport/http_error.h"
+#include "transport/http_outbox.h"
+#include "transport/http_server_state.h"
+#include "transport/lazy_timer.h"
+#include "transport/net_types.h"
+
+namespace gcw {
+
+// One connection of a caller. Reads one request after another and, while an
+// answer is pending, goes on watching the socket, since a caller that left is
+// seen only by a read. All members but the outbox are used on the strand.
+class HttpServerSession
+    : public std::enable_shared_from_this<HttpServerSession> {
+ public:
+  HttpServerSession(StrandSocket socket,
+                    std::shared_ptr<HttpServerState> server);
+
+  // Called once, from any thread, as are the two below.
+  void Start();
+  // The server stops: ends after the request that runs, or soon if idle.
+  void Drain();
+  void Close();
+
+  HttpOutbox& outbox() { return outbox_; }
+
+ private:
+  enum class Phase { kIdle, kReading, kAnswering, kLingering, kClosed };
+
+  void Begin();
+  void WaitReadable();
+  void ReadAvailable();
+  void Process();
+  void Feed();
+  void SendContinueOnce();
+  void Dispatch();
+  void RespondError(HttpErrorKind kind);
+  void Flush();
+  // Returns whether everything taken from the outbox has been written.
+  bool WriteOut();
+  void WaitWritable();
+  void OnWritable(const boost::system::error_code& error);
+  void OnAnswerSent(HttpAnswerEnd end);
+  void NextRequest();
+  void EnterIdle();
+  void Linger();
+  void OnEof();
+  void OnTimeout();
+  void CloseNow();
+
+  StrandSocket socket_;
+  const std::shared_ptr<HttpServerState> server_;
+  HttpOutbox outbox_;
+  LazyTimer timer_;
+  Phase phase_ = Phase::kIdle;
+  boost::beast::flat_buffer buffer_;
+  std::optional<boost::beast::http::request_parser<AppendingBody>> parser_;
+  AnswerFraming framing_;
+  std::string writing_;
+  std::size_t written_ = 0;
+  std::size_t lingered_bytes_ = 0;
+  bool read_waiting_ = false;
+  bool write_waiting_ = false;
+  bool eof_seen_ = false;
+  bool continue_sent_ = false;
+};
+
+}  // namespace gcw
+
+#endif  // TRANSPORT_HTTP_SERVER_SESSION_H_
--- a/transport/http_types.h
+++ b/transport/http_types.h
@@ -54,22 +54,34 @@
   virtual void Abort() = 0;
   // Bytes given to `Write` that the caller has not taken yet.
   virtual std::size_t unsent_bytes() const = 0;
-  // Called once when the caller goes away before the answer ended.
+  // Called once, on a thread of the server's context, when the caller goes away
+  // before the answer ended. A caller that closes only its sending side counts
+  // as gone too, since both look alike.
   virtual void OnCallerGone(std::function<void()> hook) = 0;
 };
 
+// Runs on a thread of the server's context, for each connection on its strand,
+// so it must not block. A handler that lets go of the responder without an
+// answer gives the caller a 500.
 using HttpHandler =
     std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
 
 // Bounds that hold for each connection of a server.
 struct HttpServerLimits {
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 4 * 1024 * 1024;
+  std::size_t max_header_bytes = 16UL * 1024;
+  std::size_t max_body_bytes = 4UL * 1024 * 1024;
   std::size_t max_connections = 20000;
   // A request must arrive whole within this time of its first byte.
   Duration request_timeout = Duration::Seconds(20);
   // A connection without a request is closed after this time.
   Duration idle_timeout = Duration::Seconds(75);
+  // The same once the server stops. Not zero: a request may be on its way.
+  Duration stopping_idle_timeout = Duration::Seconds(2);
+  // A caller that takes no byte of its answer for this time counts as gone.
+  Duration write_timeout = Duration::Seconds(30);
+  // How long a refused caller may go on sending before the close. Closing at
+  // once would reset the connection and the refusal would be lost.
+  Duration linger_timeout = Duration::Seconds(2);
 };
 
 // How far a request got, which decides whether it may have run.
@@ -89,7 +101,8 @@
   // Nothing arrived for the progress timeout.
   kSilent,
   kDeadline,
-  // The answer broke the protocol or a bound.
+  // The answer broke the protocol or a bound, or names no length: such an
+  // answer ends with its connection and a cut one would look whole.
   kMalformedAnswer,
   // The answer ended before its length or its last chunk.
   kTruncated,
@@ -109,14 +122,15 @@
   Duration progress_timeout = Duration::Seconds(10);
   // Longest time for the whole exchange.
   Duration deadline = Duration::Seconds(60);
-  std::size_t max_answer_bytes = 64 * 1024 * 1024;
+  std::size_t max_answer_bytes = 64UL * 1024 * 1024;
   // Uses a pooled connection where one is free. Requests that may not be
   // repeated use a new one, since a pooled connection may have died unseen.
   bool reuse_connection = true;
 };
 
-// Receives one exchange. All calls come on the client's executor, in order,
-// and end with exactly one of `on_end` or `on_failure`.
+// Receives one exchange. All calls come on threads of the client's context, on
+// the connection's strand, in order, never from within `Send`, and end with
+// exactly one of `on_end` or `on_failure`.
 struct HttpCallHandlers {
   // Right before the first byte of the request is given to the kernel. Returns
   // whether to go on; `false` ends the call as kCancelled, kNothingSent.
