--- a/programs/gcw_standin/engine_shell.h
+++ b/programs/gcw_standin/engine_shell.h
@@ -8,7 +8,7 @@
 
 #include "programs/gcw_standin/standin_engine.h"
 #include "programs/gcw_standin/standin_server.h"
-#include "transport/http_client.h"
+#include "transport/transport.h"
 
 namespace gcw {
 
--- a/programs/gcw_standin/faulty_responder.h
+++ b/programs/gcw_standin/faulty_responder.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "programs/gcw_standin/faults.h"
-#include "transport/http_types.h"
+#include "transport/transport.h"
 
 namespace gcw {
 
--- a/programs/gcw_standin/http_answers.h
+++ b/programs/gcw_standin/http_answers.h
@@ -7,7 +7,7 @@
 #include <string_view>
 
 #include "protocol/protocol.h"
-#include "transport/http_types.h"
+#include "transport/transport.h"
 
 namespace gcw {
 
--- a/programs/gcw_standin/standin_server.h
+++ b/programs/gcw_standin/standin_server.h
@@ -9,7 +9,7 @@
 
 #include "programs/gcw_standin/faults.h"
 #include "programs/gcw_standin/faulty_responder.h"
-#include "transport/http_server.h"
+#include "transport/transport.h"
 
 namespace gcw {
 
--- a/protocol/protocol.h
+++ b/protocol/protocol.h
@@ -14,6 +14,7 @@
 #include "protocol/engine_headers.h"
 #include "protocol/engine_order_json.h"
 #include "protocol/engine_status_json.h"
+#include "protocol/event_field_json.h"
 #include "protocol/hex.h"
 #include "protocol/json_reader.h"
 #include "protocol/json_writer.h"
@@ -22,12 +23,11 @@
 #include "protocol/prefix_blocks.h"
 #include "protocol/reference_answer.h"
 #include "protocol/store_json.h"
-#include "protocol/vm_list_json.h"
-#include "protocol/weight_store_json.h"
-#include "protocol/event_field_json.h"
 #include "protocol/timeline_json.h"
 #include "protocol/timeline_merge.h"
 #include "protocol/trace_file.h"
 #include "protocol/utf8.h"
+#include "protocol/vm_list_json.h"
+#include "protocol/weight_store_json.h"
 
 #endif  // PROTOCOL_PROTOCOL_H_
