--- a/protocol/protocol.h
+++ b/protocol/protocol.h
@@ -17,6 +17,7 @@
 #include "protocol/engine_order_json.h"
 #include "protocol/engine_status_json.h"
 #include "protocol/error_json.h"
+#include "protocol/event_field_json.h"
 #include "protocol/hex.h"
 #include "protocol/json_reader.h"
 #include "protocol/json_writer.h"
@@ -34,5 +35,7 @@
 #include "protocol/timeline_merge.h"
 #include "protocol/trace_file.h"
 #include "protocol/utf8.h"
+#include "protocol/vm_list_json.h"
+#include "protocol/weight_store_json.h"
 
 #endif  // PROTOCOL_PROTOCOL_H_
