--- a/protocol/cache_event_json.cc
+++ b/protocol/cache_event_json.cc
@@ -47,9 +47,11 @@
 
 Decoded<CacheEventBatch> DecodeCacheEvents(std::string_view text) {
   return DecodeJson(text, [](JsonReader& reader) {
-    return CacheEventBatch{.first = reader.Count("first"),
-                           .next = reader.Count("next"),
-                           .events = reader.List("events", ReadEvent)};
+    CacheEventBatch batch;
+    batch.first = reader.Count("first");
+    batch.next = reader.Count("next");
+    batch.events = reader.List("events", ReadEvent);
+    return batch;
   });
 }
 
--- /dev/null
+++ b/transport/action_executor.h
@@ -0,0 +1,59 @@
+#ifndef TRANSPORT_ACTION_EXECUTOR_H_
+#define TRANSPORT_ACTION_EXECUTOR_H_
+
+#include <functional>
+#include <memory>
+
+#include "coordination/coordination.h"
+#include "transport/engine_client.h"
+#include "transport/http_client.h"
+#include "transport/peer_client.h"
+#include "transport/store_client.h"
+#include "transport/vm_list_client.h"
+
+namespace gcw {
+
+// Carries out the core's actions towards the platform, endpoints and other
+// nodes, and hands the answers back as events.
+class ActionExecutor {
+ public:
+  struct Clients {
+    StoreClient* store = nullptr;
+    VmListClient* vm_list = nullptr;
+    EngineClient* engines = nullptr;
+    PeerClient* peers = nullptr;
+    HttpClient* http = nullptr;
+  };
+
+  // All clients outlive the executor.
+  ActionExecutor(Clients clients, Address weights, Clock clock);
+
+  // Where events go; callable from any thread.
+  void SetPost(std::function<void(NodeEvent)> post) { post_ = std::move(post); }
+
+  // All on the control thread.
+  void Execute(CallStore action);
+  void Execute(SendToPeer action);
+  void Execute(SendProbe action);
+  void Execute(SendOrder action);
+  void Execute(const ReadVmList& action);
+  void Execute(const ReadWeightStore& action);
+  void Execute(ReadLoad action);
+  void Execute(ReadCacheEvents action);
+  void Execute(const DropConnections& action);
+  // The core spreads records itself.
+  void Execute(const PublishRecord&) {}
+
+ private:
+  void ProbeEngine(const SendProbe& action);
+  void ProbeService(const SendProbe& action);
+
+  Clients clients_;
+  Address weights_;
+  Clock clock_;
+  std::function<void(NodeEvent)> post_;
+};
+
+}  // namespace gcw
+
+#endif  // TRANSPORT_ACTION_EXECUTOR_H_
--- a/transport/node_metrics.cc
+++ b/transport/node_metrics.cc
@@ -68,10 +68,10 @@
                  [this](const TellRefused& told) {
                    Count("refused", RefusalKindName(told.refusal.kind));
                  },
-                 [this](const TellUnknown& told) { Count("unknown", ""); },
-                 [this](const TellStreamBroken& told) { Count("broken", ""); },
-                 [this](const TellPreempted& told) { Count("preempted", ""); },
-                 [this](const TellReplay& told) { Count("replayed", ""); },
+                 [this](const TellUnknown&) { Count("unknown", ""); },
+                 [this](const TellStreamBroken&) { Count("broken", ""); },
+                 [this](const TellPreempted&) { Count("preempted", ""); },
+                 [this](const TellReplay&) { Count("replayed", ""); },
                  [this](const TellEarlierSend& told) {
                    Count("earlier_send", told.certain ? "ran" : "unknown");
                  },
