--- a/programs/gcw_node/main.cc
+++ b/programs/gcw_node/main.cc
@@ -27,7 +27,8 @@
     "  gcw-node --settings-reference\n\n"
     "SIGTERM and SIGINT begin a planned stop: the node leaves the answers to\n"
     "callers at once, serves until they have moved on, and ends.\n\n"
-    "Exit codes: 0 stopped as planned, 2 wrong command line, 3 wrong settings,\n"
+    "Exit codes: 0 stopped as planned, 2 wrong command line, 3 wrong "
+    "settings,\n"
     "4 an address cannot be listened on.\n";
 
 std::string_view ListenerName(gcw::NodeListener listener) {
@@ -91,9 +92,10 @@
 int main(int argc, char** argv) {
   options::options_description description("gcw-node");
   description.add_options()("help,h", "show this help")(
-      "settings", options::value<std::string>(), "settings file; runs the node")(
-      "check-settings", options::value<std::string>(),
-      "check the settings file and end")(
+      "settings", options::value<std::string>(),
+      "settings file; runs the node")("check-settings",
+                                      options::value<std::string>(),
+                                      "check the settings file and end")(
       "settings-reference", "print all keys as a Markdown table");
   options::variables_map values;
   try {
--- a/programs/gcw_node/node_settings.cc
+++ b/programs/gcw_node/node_settings.cc
@@ -12,8 +12,7 @@
 constexpr IntegerRange kPort{0, 65535};
 constexpr TextRange kSecretText{16, 512};
 constexpr ListRange kAnyList{0, 64};
-constexpr DurationRange kShortSpan{Duration::Millis(10),
-                                   Duration::Seconds(60)};
+constexpr DurationRange kShortSpan{Duration::Millis(10), Duration::Seconds(60)};
 constexpr DurationRange kLongSpan{Duration::Millis(100),
                                   Duration::Seconds(24 * 3600)};
 
@@ -26,7 +25,8 @@
 void DeclareIdentity(NodeSettings& settings, SettingsReader& reader) {
   NodeRecord& self = settings.core.self;
   reader.Add("node.id", &self.id, kIdText,
-             "Name of this node, stable over restarts.", SettingNeed::kRequired);
+             "Name of this node, stable over restarts.",
+             SettingNeed::kRequired);
   reader.Add("node.zone", &self.zone, kIdText, "Data centre of this node.",
              SettingNeed::kRequired);
   reader.Add("node.region", &self.region, kIdText, "Region of the data centre.",
--- a/transport/action_executor.h
+++ b/transport/action_executor.h
@@ -2,12 +2,12 @@
 #define TRANSPORT_ACTION_EXECUTOR_H_
 
 #include <functional>
-#include <memory>
+
+#include <boost/asio/io_context.hpp>
 
 #include "coordination/coordination.h"
 #include "transport/engine_client.h"
 #include "transport/http_client.h"
-#include "transport/peer_client.h"
 #include "transport/store_client.h"
 #include "transport/vm_list_client.h"
 
@@ -21,12 +21,16 @@
     StoreClient* store = nullptr;
     VmListClient* vm_list = nullptr;
     EngineClient* engines = nullptr;
-    PeerClient* peers = nullptr;
-    HttpClient* http = nullptr;
+    // Towards endpoints; its pooled connections may be found dead.
+    HttpClient* endpoints = nullptr;
+    std::function<void(SendToPeer)> send_to_peer;
   };
 
-  // All clients outlive the executor.
-  ActionExecutor(Clients clients, Address weights, Clock clock);
+  // The clients outlive the executor.
+  ActionExecutor(boost::asio::io_context& context,
+                 Clients clients,
+                 Address weights,
+                 Clock clock);
 
   // Where events go; callable from any thread.
   void SetPost(std::function<void(NodeEvent)> post) { post_ = std::move(post); }
@@ -48,6 +52,7 @@
   void ProbeEngine(const SendProbe& action);
   void ProbeService(const SendProbe& action);
 
+  HttpClient platform_;
   Clients clients_;
   Address weights_;
   Clock clock_;
