transport: key digests, clients of the key-value service, VM list and engines

Whatever is not a clear answer of the key-value service is StoreNoAnswer; only 429 says that nothing was done.

--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -51,8 +51,9 @@
 
   HttpServerLimits limits_;
   std::atomic<int> handled_ = 0;
-  std::unique_ptr<HttpServer> server_;
+  // The server must not outlive the context.
   IoThreads io_;
+  std::unique_ptr<HttpServer> server_;
 };
 
 TEST_F(HttpServerTest, RefusesMalformedRequestsWithTypedErrors) {
--- /dev/null
+++ b/transport/call_error.h
@@ -0,0 +1,66 @@
+#ifndef TRANSPORT_CALL_ERROR_H_
+#define TRANSPORT_CALL_ERROR_H_
+
+#include <functional>
+#include <utility>
+#include <variant>
+
+#include "protocol/protocol.h"
+#include "transport/http_client.h"
+
+namespace gcw {
+
+// The service answered with a status that says nothing more.
+struct UnexpectedStatus {
+  int status = 0;
+};
+
+// Why a call to a service brought no usable answer: none came, its status is
+// not the expected one, or its body cannot be read.
+using CallError = std::variant<HttpFailure, UnexpectedStatus, CodecError>;
+
+// Runs on a thread of the client's context.
+template <typename Value>
+using CallDone = std::function<void(Result<Value, CallError>)>;
+
+// Makes a call and reads a 200's body by `decode`.
+template <typename Value>
+std::shared_ptr<HttpCall> FetchDecoded(
+    HttpClient& client,
+    const Address& address,
+    HttpRequest request,
+    const HttpCallOptions& options,
+    Decoded<Value> (*decode)(std::string_view),
+    CallDone<Value> done) {
+  return client.Fetch(
+      address, std::move(request), options,
+      [decode, done = std::move(done)](
+          const Result<HttpResponse, HttpFailure>& answer) {
+        if (!IsOk(answer)) {
+          done(CallError(ErrorOf(answer)));
+          return;
+        }
+        if (ValueOf(answer).status != 200) {
+          done(CallError(UnexpectedStatus{ValueOf(answer).status}));
+          return;
+        }
+        Decoded<Value> decoded = decode(ValueOf(answer).body);
+        if (!IsOk(decoded)) {
+          done(CallError(ErrorOf(decoded)));
+          return;
+        }
+        done(std::move(ValueOf(decoded)));
+      });
+}
+
+// The options of a small call that must end within `timeout`.
+inline HttpCallOptions OptionsWithin(Duration timeout) {
+  HttpCallOptions options;
+  options.progress_timeout = timeout;
+  options.deadline = timeout;
+  return options;
+}
+
+}  // namespace gcw
+
+#endif  // TRANSPORT_CALL_ERROR_H_
--- a/transport/http_client.h
+++ b/transport/http_client.h
@@ -30,6 +30,8 @@
 // calls that run when the client is destroyed go on to their end.
 class HttpClient {
  public:
+  // The context must outlive the client. Where one thread runs it, all handlers
+  // run on that thread.
   explicit HttpClient(boost::asio::io_context& context);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -22,7 +22,8 @@
 // requests get a typed JSON error or a close, and never reach the handler.
 class HttpServer {
  public:
-  // Port 0 lets the kernel choose. The handler runs on `context`'s threads.
+  // Port 0 lets the kernel choose. The handler runs on `context`'s threads. The
+  // context must outlive the server.
   static Result<std::unique_ptr<HttpServer>, ListenError> Listen(
       boost::asio::io_context& context,
       const std::string& ip,
--- /dev/null
+++ b/transport/key_digest.cc
@@ -0,0 +1,36 @@
+#include "transport/key_digest.h"
+
+#include <array>
+#include <string>
+
+#include <glog/logging.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+
+namespace gcw {
+
+KeyDigest DigestOfKey(std::string_view key) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest;
+  unsigned int size = 0;
+  const int done = EVP_Digest(key.data(), key.size(), digest.data(), &size,
+                              EVP_sha256(), nullptr);
+  // Fails only where memory or the algorithm is missing. An empty digest would
+  // match other keys' empty digests, so there is no going on.
+  CHECK_EQ(done, 1) << "SHA-256 is not available";
+  constexpr std::string_view digits = "0123456789abcdef";
+  std::string text;
+  text.reserve(2UL * size);
+  for (unsigned int i = 0; i < size; ++i) {
+    text += digits[digest[i] >> 4U];
+    text += digits[digest[i] & 0xfU];
+  }
+  return KeyDigest(std::move(text));
+}
+
+bool EqualInConstantTime(const KeyDigest& a, const KeyDigest& b) {
+  return a.value().size() == b.value().size() &&
+         CRYPTO_memcmp(a.value().data(), b.value().data(), a.value().size()) ==
+             0;
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/transport/store_client.h
@@ -0,0 +1,40 @@
+#ifndef TRANSPORT_STORE_CLIENT_H_
+#define TRANSPORT_STORE_CLIENT_H_
+
+#include <functional>
+
+#include <boost/asio/io_context.hpp>
+
+#include "state/state.h"
+#include "transport/http_client.h"
+
+namespace gcw {
+
+struct StoreClientSettings {
+  Address address;
+  // From sending a call to giving up on its answer. A watch may take as long as
+  // it waits in addition.
+  Duration call_timeout = Duration::Seconds(2);
+};
+
+// Executes calls to the key-value service. Whatever is not a clear answer is
+// `StoreNoAnswer`, after which a write may have taken effect. Watches, which
+// wait for long, have connections of their own.
+class StoreClient {
+ public:
+  // Runs on a thread of `context`, once for each call, never within `Call`.
+  using Done = std::function<void(StoreReply)>;
+
+  StoreClient(boost::asio::io_context& context, StoreClientSettings settings);
+
+  void Call(const StoreCall& call, Done done);
+
+ private:
+  const StoreClientSettings settings_;
+  HttpClient calls_;
+  HttpClient watches_;
+};
+
+}  // namespace gcw
+
+#endif  // TRANSPORT_STORE_CLIENT_H_
--- a/transport/transport.h
+++ b/transport/transport.h
@@ -4,12 +4,19 @@
 // Public header of the transport library: everything that meets the network,
 // files and system clocks.
 
+#include "transport/address.h"
+#include "transport/call_error.h"
+#include "transport/engine_client.h"
 #include "transport/http_client.h"
+#include "transport/http_error.h"
 #include "transport/http_server.h"
 #include "transport/http_types.h"
 #include "transport/json_log.h"
+#include "transport/key_digest.h"
 #include "transport/metrics.h"
 #include "transport/secret.h"
 #include "transport/settings_reader.h"
+#include "transport/store_client.h"
+#include "transport/vm_list_client.h"
 
 #endif  // TRANSPORT_TRANSPORT_H_
