settings: split the document and the errors from the reader

settings_reader.cc had grown to 560 lines with parsing, checking and printing in one place; behaviour is unchanged and the same tests pass.

--- a/transport/settings_reader.cc
+++ b/transport/settings_reader.cc
@@ -1,16 +1,12 @@
 #include "transport/settings_reader.h"
 
 #include <algorithm>
-#include <cctype>
 #include <filesystem>
 #include <fstream>
-#include <map>
 #include <numeric>
 #include <optional>
 #include <sstream>
 
-#include <toml++/toml.h>
-
 namespace gcw {
 namespace {
 
@@ -104,142 +100,14 @@
   return text.starts_with('/') || text.starts_with('.');
 }
 
-// The key as it stands in a path; a quoted key cannot pass for a nested one.
-std::string KeyText(std::string_view key) {
-  const bool is_bare = std::all_of(key.begin(), key.end(), [](char letter) {
-    return std::isalnum(static_cast<unsigned char>(letter)) != 0 ||
-           letter == '_' || letter == '-';
-  });
-  return is_bare ? std::string(key) : Quoted(std::string(key));
-}
-
 }  // namespace
 
-// What a settings file holds: its keys by path.
-struct SettingsReader::Document {
-  struct Entry {
-    int line;
-    // As in the file.
-    std::string written;
-    // Nothing for types that no setting has.
-    std::optional<Value> value;
-  };
-
-  std::string file;
-  std::map<std::string, Entry> entries;
-
-  // Takes in the keys of a table. A table that no declared key lies in is one
-  // entry, so that it is reported once and also when it is empty.
-  void Add(const toml::table& table,
-           const std::string& prefix,
-           const std::vector<std::string>& lines,
-           const SettingsReader& reader) {
-    for (const auto& [key, node] : table) {
-      const std::string path = prefix + KeyText(key.str());
-      const toml::table* nested = node.as_table();
-      if (nested != nullptr && reader.HasKeysBelow(path)) {
-        Add(*nested, path + '.', lines, reader);
-        continue;
-      }
-      entries.emplace(path,
-                      Entry{static_cast<int>(key.source().begin.line),
-                            Written(node.source(), lines), ToValue(node)});
-    }
-  }
-
- private:
-  static std::optional<Value> ToValue(const toml::node& node) {
-    if (const auto* integer = node.as_integer()) {
-      return integer->get();
-    }
-    if (const auto* number = node.as_floating_point()) {
-      return number->get();
-    }
-    if (const auto* flag = node.as_boolean()) {
-      return flag->get();
-    }
-    if (const auto* text = node.as_string()) {
-      return text->get();
-    }
-    const toml::array* array = node.as_array();
-    if (array == nullptr) {
-      return std::nullopt;
-    }
-    std::vector<std::string> items;
-    for (const toml::node& item : *array) {
-      if (!item.is_string()) {
-        return std::nullopt;
-      }
-      items.push_back(item.as_string()->get());
-    }
-    return items;
-  }
-
-  // The first line of the value. Columns count from 1.
-  static std::string Written(const toml::source_region& region,
-                             const std::vector<std::string>& lines) {
-    if (region.begin.line == 0 || region.begin.line > lines.size()) {
-      return {};
-    }
-    const std::string& line = lines[region.begin.line - 1];
-    const std::size_t start = region.begin.column - 1;
-    if (start >= line.size()) {
-      return {};
-    }
-    const bool ends_here = region.end.line == region.begin.line &&
-                           region.end.column > region.begin.column;
-    const std::size_t length =
-        ends_here ? region.end.column - region.begin.column : std::string::npos;
-    return line.substr(start, length);
-  }
-};
-
-std::string_view SettingErrorKindName(SettingErrorKind kind) {
-  switch (kind) {
-    case SettingErrorKind::kFileUnreadable:
-      return "file cannot be read";
-    case SettingErrorKind::kSyntax:
-      return "not TOML";
-    case SettingErrorKind::kUnknownKey:
-      return "unknown key";
-    case SettingErrorKind::kMissing:
-      return "missing";
-    case SettingErrorKind::kWrongType:
-      return "wrong type";
-    case SettingErrorKind::kOutOfRange:
-      return "out of range";
-    case SettingErrorKind::kSecretUnreadable:
-      return "secret cannot be read";
-    case SettingErrorKind::kBadDeclaration:
-      return "wrongly declared by the program";
-  }
-  return "unknown";
-}
-
-std::ostream& operator<<(std::ostream& out, const SettingError& error) {
-  out << error.file;
-  if (error.line > 0) {
-    out << ':' << error.line;
-  }
-  if (!error.key.empty()) {
-    out << ": " << error.key;
-  }
-  if (!error.value.empty()) {
-    out << " = " << error.value;
-  }
-  out << ": " << SettingErrorKindName(error.kind);
-  if (!error.allowed.empty()) {
-    out << "; " << error.allowed;
-  }
-  return out;
-}
-
 void SettingsReader::Add(std::string_view key,
                          std::int64_t* target,
                          IntegerRange range,
                          std::string_view doc,
-                         SettingNeed presence) {
-  AddInteger(key, *target, range, doc, presence,
+                         SettingNeed need) {
+  AddInteger(key, *target, range, doc, need,
              [target](std::int64_t number) { *target = number; });
 }
 
@@ -247,11 +115,11 @@
                          int* target,
                          IntegerRange range,
                          std::string_view doc,
-                         SettingNeed presence) {
+                         SettingNeed need) {
   using Limits = std::numeric_limits<int>;
   range.min = std::max<std::int64_t>(range.min, Limits::min());
   range.max = std::min<std::int64_t>(range.max, Limits::max());
-  AddInteger(key, *target, range, doc, presence, [target](std::int64_t number) {
+  AddInteger(key, *target, range, doc, need, [target](std::int64_t number) {
     *target = static_cast<int>(number);
   });
 }
@@ -260,12 +128,12 @@
                          double* target,
                          NumberRange range,
                          std::string_view doc,
-                         SettingNeed presence) {
+                         SettingNeed need) {
   std::ostringstream default_value;
   default_value << *target;
   Declare({std::string(key), "number", RangeText(range.min, range.max),
-           default_value.str(), std::string(doc), presence, false,
-           [target, range](const Value& value,
+           default_value.str(), std::string(doc), need, false,
+           [target, range](const SettingValue& value,
                            const std::string&) -> Result<Apply, Refusal> {
              const auto* integer = std::get_if<std::int64_t>(&value);
              const auto* floating = std::get_if<double>(&value);
@@ -287,10 +155,10 @@
 void SettingsReader::Add(std::string_view key,
                          bool* target,
                          std::string_view doc,
-                         SettingNeed presence) {
+                         SettingNeed need) {
   Declare({std::string(key), "boolean", "true or false",
-           *target ? "true" : "false", std::string(doc), presence, false,
-           [target](const Value& value,
+           *target ? "true" : "false", std::string(doc), need, false,
+           [target](const SettingValue& value,
                     const std::string&) -> Result<Apply, Refusal> {
              const auto* flag = std::get_if<bool>(&value);
              if (flag == nullptr) {
@@ -304,8 +172,8 @@
                          std::string* target,
                          TextRange range,
                          std::string_view doc,
-                         SettingNeed presence) {
-  AddText(key, *target, range, doc, presence,
+                         SettingNeed need) {
+  AddText(key, *target, range, doc, need,
           [target](std::string text) { *target = std::move(text); });
 }
 
@@ -313,12 +181,12 @@
                          Duration* target,
                          DurationRange range,
                          std::string_view doc,
-                         SettingNeed presence) {
+                         SettingNeed need) {
   if (!key.ends_with(kDurationSuffix)) {
     RefuseDeclaration(key, "a span of time whose key ends in _ms");
   }
   AddInteger(key, target->millis(), {range.min.millis(), range.max.millis()},
-             doc, presence, [target](std::int64_t number) {
+             doc, need, [target](std::int64_t number) {
                *target = Duration::Millis(number);
              });
 }
@@ -327,14 +195,14 @@
                          std::vector<std::string>* target,
                          ListRange range,
                          std::string_view doc,
-                         SettingNeed presence) {
+                         SettingNeed need) {
   std::vector<std::string> defaults;
   std::transform(target->begin(), target->end(), std::back_inserter(defaults),
                  Quoted);
   Declare({std::string(key), "list of texts",
            RangeText(range.min, range.max, " items"),
-           '[' + Joined(defaults) + ']', std::string(doc), presence, false,
-           [target, range](const Value& value,
+           '[' + Joined(defaults) + ']', std::string(doc), need, false,
+           [target, range](const SettingValue& value,
                            const std::string&) -> Result<Apply, Refusal> {
              const auto* items = std::get_if<std::vector<std::string>>(&value);
              if (items == nullptr) {
@@ -351,15 +219,15 @@
                                Secret* target,
                                TextRange range,
                                std::string_view doc,
-                               SettingNeed presence) {
+                               SettingNeed need) {
   if (!key.ends_with(kSecretSuffix)) {
     RefuseDeclaration(key, "a secret whose key ends in _file");
   }
   Declare({std::string(key), "path of a file",
            "a file whose first line has " +
                RangeText(range.min, range.max, " bytes"),
-           "none", std::string(doc), presence, true,
-           [target, range](const Value& value,
+           "none", std::string(doc), need, true,
+           [target, range](const SettingValue& value,
                            const std::string& file) -> Result<Apply, Refusal> {
              const auto* name = std::get_if<std::string>(&value);
              if (name == nullptr) {
@@ -387,69 +255,69 @@
                                 std::int64_t default_value,
                                 IntegerRange range,
                                 std::string_view doc,
-                                SettingNeed presence,
+                                SettingNeed need,
                                 std::function<void(std::int64_t)> apply) {
-  Declare(
-      {std::string(key), "integer", RangeText(range.min, range.max),
-       std::to_string(default_value), std::string(doc), presence, false,
-       [apply = std::move(apply), range](
-           const Value& value, const std::string&) -> Result<Apply, Refusal> {
-         const auto* number = std::get_if<std::int64_t>(&value);
-         if (number == nullptr) {
-           return Refusal{SettingErrorKind::kWrongType};
-         }
-         if (*number < range.min || *number > range.max) {
-           return Refusal{SettingErrorKind::kOutOfRange};
-         }
-         return Apply([apply, number = *number] { apply(number); });
-       }});
+  Declare({std::string(key), "integer", RangeText(range.min, range.max),
+           std::to_string(default_value), std::string(doc), need, false,
+           [apply = std::move(apply), range](
+               const SettingValue& value,
+               const std::string&) -> Result<Apply, Refusal> {
+             const auto* number = std::get_if<std::int64_t>(&value);
+             if (number == nullptr) {
+               return Refusal{SettingErrorKind::kWrongType};
+             }
+             if (*number < range.min || *number > range.max) {
+               return Refusal{SettingErrorKind::kOutOfRange};
+             }
+             return Apply([apply, number = *number] { apply(number); });
+           }});
 }
 
 void SettingsReader::AddText(std::string_view key,
                              const std::string& default_value,
                              TextRange range,
                              std::string_view doc,
-                             SettingNeed presence,
+                             SettingNeed need,
                              std::function<void(std::string)> apply) {
-  Declare(
-      {std::string(key), "text", RangeText(range.min, range.max, " bytes"),
-       Quoted(default_value), std::string(doc), presence, false,
-       [apply = std::move(apply), range](
-           const Value& value, const std::string&) -> Result<Apply, Refusal> {
-         const auto* text = std::get_if<std::string>(&value);
-         if (text == nullptr) {
-           return Refusal{SettingErrorKind::kWrongType};
-         }
-         if (text->size() < range.min || text->size() > range.max) {
-           return Refusal{SettingErrorKind::kOutOfRange};
-         }
-         return Apply([apply, text = *text] { apply(text); });
-       }});
+  Declare({std::string(key), "text", RangeText(range.min, range.max, " bytes"),
+           Quoted(default_value), std::string(doc), need, false,
+           [apply = std::move(apply), range](
+               const SettingValue& value,
+               const std::string&) -> Result<Apply, Refusal> {
+             const auto* text = std::get_if<std::string>(&value);
+             if (text == nullptr) {
+               return Refusal{SettingErrorKind::kWrongType};
+             }
+             if (text->size() < range.min || text->size() > range.max) {
+               return Refusal{SettingErrorKind::kOutOfRange};
+             }
+             return Apply([apply, text = *text] { apply(text); });
+           }});
 }
 
 void SettingsReader::AddNamedChoice(std::string_view key,
                                     const std::string& default_name,
                                     std::vector<std::string> names,
                                     std::string_view doc,
-                                    SettingNeed presence,
+                                    SettingNeed need,
                                     std::function<void(std::size_t)> apply) {
   const std::string allowed = Joined(names);
-  Declare(
-      {std::string(key), "choice", allowed, Quoted(default_name),
-       std::string(doc), presence, false,
-       [apply = std::move(apply), names = std::move(names)](
-           const Value& value, const std::string&) -> Result<Apply, Refusal> {
-         const auto* name = std::get_if<std::string>(&value);
-         if (name == nullptr) {
-           return Refusal{SettingErrorKind::kWrongType};
-         }
-         const auto found = std::find(names.begin(), names.end(), *name);
-         if (found == names.end()) {
-           return Refusal{SettingErrorKind::kOutOfRange};
-         }
-         const auto index = static_cast<std::size_t>(found - names.begin());
-         return Apply([apply, index] { apply(index); });
-       }});
+  Declare({std::string(key), "choice", allowed, Quoted(default_name),
+           std::string(doc), need, false,
+           [apply = std::move(apply), names = std::move(names)](
+               const SettingValue& value,
+               const std::string&) -> Result<Apply, Refusal> {
+             const auto* name = std::get_if<std::string>(&value);
+             if (name == nullptr) {
+               return Refusal{SettingErrorKind::kWrongType};
+             }
+             const auto found = std::find(names.begin(), names.end(), *name);
+             if (found == names.end()) {
+               return Refusal{SettingErrorKind::kOutOfRange};
+             }
+             const auto index = static_cast<std::size_t>(found - names.begin());
+             return Apply([apply, index] { apply(index); });
+           }});
 }
 
 void SettingsReader::Declare(Declaration declaration) {
@@ -516,70 +384,28 @@
 
 std::vector<SettingError> SettingsReader::ReadText(std::string_view text,
                                                    const std::string& file) {
-  std::vector<std::string> lines;
-  std::istringstream stream{std::string(text)};
-  for (std::string line; std::getline(stream, line);) {
-    lines.push_back(line);
+  const auto parsed = SettingsDocument::Parse(
+      text, file,
+      [this](std::string_view table) { return HasKeysBelow(table); });
+  if (!IsOk(parsed)) {
+    return {ErrorOf(parsed)};
   }
-  Document document;
-  document.file = file;
-  try {
-    document.Add(toml::parse(text, file), "", lines, *this);
-  } catch (const toml::parse_error& fault) {
-    SettingError error;
-    error.kind = SettingErrorKind::kSyntax;
-    error.file = file;
-    error.line = static_cast<int>(fault.source().begin.line);
-    error.allowed = std::string(fault.description());
-    return {std::move(error)};
-  }
-  return Evaluate(document);
+  return Evaluate(ValueOf(parsed));
 }
 
-std::vector<SettingError> SettingsReader::Evaluate(const Document& document) {
+std::vector<SettingError> SettingsReader::Evaluate(
+    const SettingsDocument& document) {
   std::vector<SettingError> errors = declaration_errors_;
   std::vector<Apply> applies;
-  for (const auto& [key, entry] : document.entries) {
-    SettingError error{SettingErrorKind::kUnknownKey,
-                       document.file,
-                       entry.line,
-                       key,
-                       entry.written,
-                       ""};
-    const Declaration* declaration = Find(key);
-    if (declaration == nullptr) {
-      const bool may_hold_secret =
-          MayHoldSecret(key) || MayHoldSecret(entry.written);
-      error.value = may_hold_secret ? kWithheld : entry.written;
-      error.allowed = SuggestionFor(key);
-      errors.push_back(std::move(error));
-      continue;
-    }
-    auto checked =
-        entry.value
-            ? declaration->check(*entry.value, document.file)
-            : Result<Apply, Refusal>(Refusal{SettingErrorKind::kWrongType});
+  for (const auto& [key, entry] : document.entries()) {
+    auto checked = CheckEntry(document.file(), key, entry);
     if (IsOk(checked)) {
       applies.push_back(std::move(ValueOf(checked)));
-      continue;
-    }
-    error.kind = ErrorOf(checked).kind;
-    error.allowed = declaration->type + ", " + declaration->allowed;
-    const auto* text =
-        entry.value ? std::get_if<std::string>(&*entry.value) : nullptr;
-    if (declaration->is_secret && (text == nullptr || !LooksLikePath(*text))) {
-      error.value = kWithheld;
-    }
-    errors.push_back(std::move(error));
-  }
-  for (const Declaration& declaration : declarations_) {
-    if (declaration.presence == SettingNeed::kRequired &&
-        !document.entries.contains(declaration.key)) {
-      errors.push_back({SettingErrorKind::kMissing, document.file, 0,
-                        declaration.key, "",
-                        declaration.type + ", " + declaration.allowed});
+    } else {
+      errors.push_back(std::move(std::get<SettingError>(checked)));
     }
   }
+  AddMissing(document, errors);
   if (errors.empty()) {
     for (const Apply& apply : applies) {
       apply();
@@ -592,11 +418,54 @@
   return errors;
 }
 
+Result<SettingsReader::Apply, SettingError> SettingsReader::CheckEntry(
+    const std::string& file,
+    const std::string& key,
+    const SettingsDocument::Entry& entry) const {
+  SettingError error{
+      SettingErrorKind::kUnknownKey, file, entry.line, key, entry.written, ""};
+  const Declaration* declaration = Find(key);
+  if (declaration == nullptr) {
+    if (MayHoldSecret(key) || MayHoldSecret(entry.written)) {
+      error.value = kWithheld;
+    }
+    error.allowed = SuggestionFor(key);
+    return error;
+  }
+  auto checked =
+      entry.value
+          ? declaration->check(*entry.value, file)
+          : Result<Apply, Refusal>(Refusal{SettingErrorKind::kWrongType});
+  if (IsOk(checked)) {
+    return std::move(ValueOf(checked));
+  }
+  error.kind = ErrorOf(checked).kind;
+  error.allowed = declaration->type + ", " + declaration->allowed;
+  const auto* text =
+      entry.value ? std::get_if<std::string>(&*entry.value) : nullptr;
+  if (declaration->is_secret && (text == nullptr || !LooksLikePath(*text))) {
+    error.value = kWithheld;
+  }
+  return error;
+}
+
+void SettingsReader::AddMissing(const SettingsDocument& document,
+                                std::vector<SettingError>& errors) const {
+  for (const Declaration& declaration : declarations_) {
+    if (declaration.need == SettingNeed::kRequired &&
+        !document.entries().contains(declaration.key)) {
+      errors.push_back({SettingErrorKind::kMissing, document.file(), 0,
+                        declaration.key, "",
+                        declaration.type + ", " + declaration.allowed});
+    }
+  }
+}
+
 void SettingsReader::WriteReference(std::ostream& out) const {
   out << "| key | type | allowed | default | meaning |\n"
       << "|---|---|---|---|---|\n";
   for (const Declaration& each : declarations_) {
-    const bool is_required = each.presence == SettingNeed::kRequired;
+    const bool is_required = each.need == SettingNeed::kRequired;
     out << "| `" << each.key << "` | " << each.type << " | " << each.allowed
         << " | " << (is_required ? "required" : '`' + each.default_value + '`')
         << " | " << each.doc << " |\n";
--- a/transport/settings_reader.h
+++ b/transport/settings_reader.h
@@ -9,46 +9,15 @@
 #include <string>
 #include <string_view>
 #include <utility>
-#include <variant>
 #include <vector>
 
 #include "core/core.h"
 #include "transport/secret.h"
+#include "transport/setting_error.h"
+#include "transport/settings_document.h"
 
 namespace gcw {
 
-enum class SettingErrorKind {
-  kFileUnreadable,
-  kSyntax,
-  kUnknownKey,
-  kMissing,
-  kWrongType,
-  kOutOfRange,
-  // The file that a `*_file` key names cannot be read, or its content is too
-  // short or too long.
-  kSecretUnreadable,
-  // The program declared the key wrongly: twice, or without its unit.
-  kBadDeclaration,
-};
-
-std::string_view SettingErrorKindName(SettingErrorKind kind);
-
-struct SettingError {
-  SettingErrorKind kind;
-  std::string file;
-  // Starts at 1; 0 where no line is to blame, as for a missing key.
-  int line = 0;
-  // The path of the key, such as "limits.queue_wait_ms".
-  std::string key;
-  // As written in the file; withheld where it may be a secret.
-  std::string value;
-  // What would have been accepted, or what the parser said.
-  std::string allowed;
-};
-
-// One line for people: `file:line: key = value: kind, allowed ...`.
-std::ostream& operator<<(std::ostream& out, const SettingError& error);
-
 enum class SettingNeed { kOptional, kRequired };
 
 // Both ends are allowed.
@@ -89,57 +58,56 @@
            std::int64_t* target,
            IntegerRange range,
            std::string_view doc,
-           SettingNeed presence = SettingNeed::kOptional);
+           SettingNeed need = SettingNeed::kOptional);
   void Add(std::string_view key,
            int* target,
            IntegerRange range,
            std::string_view doc,
-           SettingNeed presence = SettingNeed::kOptional);
+           SettingNeed need = SettingNeed::kOptional);
   void Add(std::string_view key,
            double* target,
            NumberRange range,
            std::string_view doc,
-           SettingNeed presence = SettingNeed::kOptional);
+           SettingNeed need = SettingNeed::kOptional);
   void Add(std::string_view key,
            bool* target,
            std::string_view doc,
-           SettingNeed presence = SettingNeed::kOptional);
+           SettingNeed need = SettingNeed::kOptional);
   void Add(std::string_view key,
            std::string* target,
            TextRange range,
            std::string_view doc,
-           SettingNeed presence = SettingNeed::kOptional);
+           SettingNeed need = SettingNeed::kOptional);
   // The key must end in `_ms`.
   void Add(std::string_view key,
            Duration* target,
            DurationRange range,
            std::string_view doc,
-           SettingNeed presence = SettingNeed::kOptional);
+           SettingNeed need = SettingNeed::kOptional);
   // A list of texts.
   void Add(std::string_view key,
            std::vector<std::string>* target,
            ListRange range,
            std::string_view doc,
-           SettingNeed presence = SettingNeed::kOptional);
+           SettingNeed need = SettingNeed::kOptional);
   template <typename Tag>
   void Add(std::string_view key,
            StrongId<Tag>* target,
            TextRange range,
            std::string_view doc,
-           SettingNeed presence = SettingNeed::kOptional) {
-    AddText(key, target->value(), range, doc, presence,
-            [target](std::string text) {
-              *target = StrongId<Tag>(std::move(text));
-            });
+           SettingNeed need = SettingNeed::kOptional) {
+    AddText(key, target->value(), range, doc, need, [target](std::string text) {
+      *target = StrongId<Tag>(std::move(text));
+    });
   }
   template <typename Tag>
   void Add(std::string_view key,
            StrongNumber<Tag>* target,
            IntegerRange range,
            std::string_view doc,
-           SettingNeed presence = SettingNeed::kOptional) {
+           SettingNeed need = SettingNeed::kOptional) {
     AddInteger(
-        key, target->value(), range, doc, presence,
+        key, target->value(), range, doc, need,
         [target](std::int64_t number) { *target = StrongNumber<Tag>(number); });
   }
   // One of the named choices.
@@ -148,7 +116,7 @@
                  Choice* target,
                  std::vector<std::pair<std::string, Choice>> choices,
                  std::string_view doc,
-                 SettingNeed presence = SettingNeed::kOptional) {
+                 SettingNeed need = SettingNeed::kOptional) {
     std::vector<std::string> names;
     std::string default_name;
     for (const auto& [name, choice] : choices) {
@@ -157,7 +125,7 @@
         default_name = name;
       }
     }
-    AddNamedChoice(key, default_name, std::move(names), doc, presence,
+    AddNamedChoice(key, default_name, std::move(names), doc, need,
                    [target, choices = std::move(choices)](std::size_t index) {
                      *target = choices[index].second;
                    });
@@ -169,7 +137,7 @@
                  Secret* target,
                  TextRange range,
                  std::string_view doc,
-                 SettingNeed presence = SettingNeed::kOptional);
+                 SettingNeed need = SettingNeed::kOptional);
 
   // Empty when all is well; else no variable has changed.
   std::vector<SettingError> ReadFile(const std::string& path);
@@ -182,56 +150,55 @@
   void WriteReference(std::ostream& out) const;
 
  private:
-  // A value as the file has it, of the types that settings use.
-  using Value = std::variant<std::int64_t,
-                             double,
-                             bool,
-                             std::string,
-                             std::vector<std::string>>;
   // Fills a variable once all keys are known to be sound.
   using Apply = std::function<void()>;
   struct Refusal {
     SettingErrorKind kind;
   };
   // Checks a value and gives back how to apply it.
-  using Check =
-      std::function<Result<Apply, Refusal>(const Value&, const std::string&)>;
+  using Check = std::function<Result<Apply, Refusal>(const SettingValue&,
+                                                     const std::string&)>;
   struct Declaration {
     std::string key;
     std::string type;
     std::string allowed;
     std::string default_value;
     std::string doc;
-    SettingNeed presence;
+    SettingNeed need;
     bool is_secret = false;
     Check check;
   };
-  struct Document;
 
   void AddInteger(std::string_view key,
                   std::int64_t default_value,
                   IntegerRange range,
                   std::string_view doc,
-                  SettingNeed presence,
+                  SettingNeed need,
                   std::function<void(std::int64_t)> apply);
   void AddText(std::string_view key,
                const std::string& default_value,
                TextRange range,
                std::string_view doc,
-               SettingNeed presence,
+               SettingNeed need,
                std::function<void(std::string)> apply);
   void AddNamedChoice(std::string_view key,
                       const std::string& default_name,
                       std::vector<std::string> names,
                       std::string_view doc,
-                      SettingNeed presence,
+                      SettingNeed need,
                       std::function<void(std::size_t)> apply);
   void Declare(Declaration declaration);
   void RefuseDeclaration(std::string_view key, std::string allowed);
   const Declaration* Find(std::string_view key) const;
   bool HasKeysBelow(std::string_view table) const;
   std::string SuggestionFor(std::string_view key) const;
-  std::vector<SettingError> Evaluate(const Document& document);
+  std::vector<SettingError> Evaluate(const SettingsDocument& document);
+  Result<Apply, SettingError> CheckEntry(
+      const std::string& file,
+      const std::string& key,
+      const SettingsDocument::Entry& entry) const;
+  void AddMissing(const SettingsDocument& document,
+                  std::vector<SettingError>& errors) const;
 
   std::vector<Declaration> declarations_;
   std::vector<SettingError> declaration_errors_;
--- a/transport/transport.h
+++ b/transport/transport.h
@@ -10,6 +10,7 @@
 #include "transport/json_log.h"
 #include "transport/metrics.h"
 #include "transport/secret.h"
+#include "transport/setting_error.h"
 #include "transport/settings_reader.h"
 
 #endif  // TRANSPORT_TRANSPORT_H_
