--- a/transport/transport.h
+++ b/transport/transport.h
@@ -15,6 +15,7 @@
 #include "transport/key_digest.h"
 #include "transport/metrics.h"
 #include "transport/secret.h"
+#include "transport/setting_error.h"
 #include "transport/settings_reader.h"
 #include "transport/store_client.h"
 #include "transport/vm_list_client.h"
