--- /dev/null
+++ b/tests/support/fake_engines.h
@@ -0,0 +1,181 @@
+#ifndef TESTS_SUPPORT_FAKE_ENGINES_H_
+#define TESTS_SUPPORT_FAKE_ENGINES_H_
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "coordination/coordination.h"
+
+namespace gcw {
+
+// One VM's model engine.
+struct FakeEngine {
+  VmEntry entry;
+  Incarnation incarnation{1};
+  bool is_up = true;
+  bool is_paused = false;
+  // Whether it refuses orders with an old fencing number.
+  bool checks_fences = true;
+  EngineOrder order;
+  EngineState state = EngineState::kIdle;
+  Time ready_at;
+  // When it last stopped or left a group.
+  Time lost_at;
+  FencingToken seen;
+  std::int64_t active = 0;
+  // Orders that its kernel took while it was paused.
+  std::vector<EngineOrder> unread;
+
+  const GroupId& group() const { return order.group; }
+};
+
+// The model engines of a fleet, obeying docs/PLATFORM.md.
+class FakeEngines {
+ public:
+  explicit FakeEngines(Duration load_time) : load_time_(load_time) {}
+
+  void Add(VmEntry entry, bool checks_fences) {
+    FakeEngine engine;
+    engine.checks_fences = checks_fences;
+    engine.entry = std::move(entry);
+    engines_[engine.entry.id] = std::move(engine);
+  }
+
+  FakeEngine& at(const VmId& vm) { return engines_.at(vm); }
+  std::map<VmId, FakeEngine>& all() { return engines_; }
+
+  void Tick(Time now) {
+    for (auto& [vm, engine] : engines_) {
+      if (engine.state == EngineState::kLoading && engine.is_up &&
+          !engine.is_paused && now >= engine.ready_at) {
+        engine.state = EngineState::kReady;
+      }
+    }
+  }
+
+  void Kill(Time now, const VmId& vm) {
+    FakeEngine& engine = at(vm);
+    Forget(now, engine);
+    engine.is_up = false;
+    engine.unread.clear();
+  }
+
+  void Restart(Time now, const VmId& vm) {
+    Kill(now, vm);
+    ++at(vm).incarnation;
+    at(vm).is_up = true;
+    at(vm).is_paused = false;
+  }
+
+  void Pause(Time now, const VmId& vm) {
+    at(vm).is_paused = true;
+    at(vm).lost_at = now;
+  }
+
+  // A paused engine executes on waking what its kernel took meanwhile.
+  void Resume(Time now, const VmId& vm) {
+    FakeEngine& engine = at(vm);
+    engine.is_paused = false;
+    for (const EngineOrder& order : std::exchange(engine.unread, {})) {
+      Execute(now, vm, order);
+    }
+  }
+
+  // Nothing where the engine is down or paused.
+  std::optional<OrderReply> Execute(Time now,
+                                    const VmId& vm,
+                                    const EngineOrder& order) {
+    FakeEngine& engine = at(vm);
+    if (engine.is_up && engine.is_paused) {
+      engine.unread.push_back(order);
+    }
+    if (!engine.is_up || engine.is_paused) {
+      return std::nullopt;
+    }
+    if (engine.checks_fences && order.fence < engine.seen) {
+      return EngineOrderStale{engine.seen};
+    }
+    engine.seen = std::max(engine.seen, order.fence);
+    const bool is_elsewhere =
+        !engine.group().empty() && engine.group() != order.group;
+    if (order.kind == EngineOrderKind::kLoad) {
+      if (is_elsewhere) {
+        return EngineOrderBusy{engine.group()};
+      }
+      engine.order = order;
+      engine.state = EngineState::kLoading;
+      engine.ready_at = now + load_time_;
+    } else if (!is_elsewhere && order.kind == EngineOrderKind::kLeave) {
+      Forget(now, engine);
+    } else if (!is_elsewhere && engine.state == EngineState::kReady) {
+      engine.state = EngineState::kDraining;
+    }
+    return EngineOrderAccepted{};
+  }
+
+  // Nothing where the engine is down or paused.
+  std::optional<EngineStatus> Status(Time now, const VmId& vm) {
+    const FakeEngine& engine = at(vm);
+    if (!engine.is_up || engine.is_paused) {
+      return std::nullopt;
+    }
+    EngineStatus status;
+    status.vm = vm;
+    status.incarnation = engine.incarnation;
+    status.group = engine.order.group;
+    status.model = engine.order.model;
+    status.generation = engine.order.generation;
+    status.state = engine.state;
+    status.fence = engine.seen;
+    status.active = engine.active;
+    if (IsFirst(engine)) {
+      for (const GroupMember& member : engine.order.members) {
+        if (Sees(now, engine, member.vm)) {
+          status.members_seen.push_back(member.vm);
+        }
+      }
+    } else {
+      status.rank = 1;
+    }
+    return status;
+  }
+
+  // Whether the VM's engine is at work in this generation.
+  bool IsPresent(const VmId& vm, const GroupId& group, Generation generation) {
+    const FakeEngine& engine = at(vm);
+    return engine.is_up && !engine.is_paused && engine.group() == group &&
+           engine.order.generation == generation &&
+           engine.state == EngineState::kReady;
+  }
+
+ private:
+  static bool IsFirst(const FakeEngine& engine) {
+    return !engine.order.members.empty() &&
+           engine.order.members.front().vm == engine.entry.id;
+  }
+
+  // The first VM notices a lost member only after a while.
+  bool Sees(Time now, const FakeEngine& first, const VmId& vm) {
+    const Duration lag = Duration::Millis(400);
+    const FakeEngine& engine = at(vm);
+    return IsPresent(vm, first.group(), first.order.generation) ||
+           (engine.lost_at != Time() && now - engine.lost_at < lag);
+  }
+
+  static void Forget(Time now, FakeEngine& engine) {
+    engine.order = EngineOrder();
+    engine.state = EngineState::kIdle;
+    engine.lost_at = now;
+    engine.active = 0;
+  }
+
+  Duration load_time_;
+  std::map<VmId, FakeEngine> engines_;
+};
+
+}  // namespace gcw
+
+#endif  // TESTS_SUPPORT_FAKE_ENGINES_H_
--- /dev/null
+++ b/tests/support/groups_world.h
@@ -0,0 +1,402 @@
+#ifndef TESTS_SUPPORT_GROUPS_WORLD_H_
+#define TESTS_SUPPORT_GROUPS_WORLD_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+#include "tests/support/fake_engines.h"
+#include "tests/support/fake_network.h"
+#include "tests/support/fake_store_link.h"
+
+namespace gcw {
+
+// What may go wrong beside the faults of the fakes.
+struct GroupsFaults {
+  // How far the VM list is behind.
+  Duration list_lag = Duration::Seconds(5);
+  // A paused sender had looked at the clock just before the pause and writes
+  // its order when it wakes.
+  bool writes_late = false;
+};
+
+// A zone of two fabric domains with six VMs each, and nodes that keep and
+// watch their groups, in virtual time.
+class GroupsWorld {
+ public:
+  static constexpr Duration kStep = Duration::Millis(50);
+  static constexpr Duration kLease = Duration::Seconds(6);
+  static constexpr Duration kLeaseMargin = Duration::Seconds(1);
+
+  struct Node {
+    NodeId id;
+    ZoneId zone;
+    GroupKeeper keeper;
+    ServingGate gate;
+    bool is_paused = false;
+    bool is_cut = false;
+    LeaseId lease;
+    Time valid_until;
+    std::map<FabricDomainId, FencingToken> roles;
+    Time next_renewal;
+    Time next_list;
+  };
+
+  GroupsWorld(std::uint64_t seed, bool checks_fences)
+      : random_(SeededRandom(seed)),
+        engines_(Duration::Seconds(3)),
+        link_(SeededRandom(seed + 1)),
+        network_(SeededRandom(seed + 2)) {
+    network_.SetConnected([this](const NodeId& a, const NodeId& b) {
+      return !nodes_.at(a).is_cut && !nodes_.at(b).is_cut;
+    });
+    link_.SetReaches([this](const std::string& caller) {
+      return !nodes_.at(NodeId(caller)).is_cut;
+    });
+    for (const char* domain : {"d1", "d2"}) {
+      for (int i = 0; i < 6; ++i) {
+        AddVm(domain, i, checks_fences);
+      }
+    }
+    for (const char* id : {"n1", "n2", "n3"}) {
+      AddNode(id, "z1");
+    }
+    AddNode("n4", "z2");
+    for (auto& [id, node] : nodes_) {
+      node.gate.OnPeers(now_, Peers());
+    }
+  }
+
+  // Small times, so that many cases fit; their order is that of the defaults.
+  static KeeperSettings Settings() {
+    KeeperSettings settings;
+    settings.order.timeout = Duration::Millis(500);
+    settings.order.margin = Duration::Millis(500);
+    settings.order.takeover_wait = kLease;
+    settings.tracker.list_lag = Duration::Seconds(10);
+    settings.tracker.idle_interval = Duration::Seconds(3);
+    settings.writer.call_timeout = Duration::Millis(500);
+    settings.writer.retry_interval = Duration::Millis(500);
+    settings.flap.first_hold = Duration::Seconds(5);
+    settings.flap.longest_hold = Duration::Seconds(20);
+    settings.planner.dark_hold = Duration::Seconds(10);
+    settings.drain_hold = Duration::Seconds(6);
+    settings.drain_limit = Duration::Seconds(40);
+    return settings;
+  }
+
+  void Run(Duration time) {
+    for (const Time end = now_ + time; now_ < end;) {
+      Step();
+    }
+  }
+
+  void Step() {
+    now_ = now_ + kStep;
+    engines_.Tick(now_);
+    RunFlights();
+    AnswerProbes();
+    for (auto& delivery : link_.Deliver(now_)) {
+      Node& node = nodes_.at(NodeId(delivery.caller));
+      if (!node.is_paused) {
+        Carry(node,
+              node.keeper.OnStoreReply(now_, delivery.id, delivery.reply));
+      }
+    }
+    for (auto& delivery : network_.Deliver(now_)) {
+      Node& node = nodes_.at(delivery.to);
+      if (!node.is_paused) {
+        Carry(node, node.gate.OnPresenceReport(now_, delivery.from,
+                                               delivery.message));
+      }
+    }
+    for (auto& [id, node] : nodes_) {
+      if (!node.is_paused) {
+        StepNode(node);
+      }
+    }
+  }
+
+  Time now() const { return now_; }
+  const Random& random() const { return random_; }
+  FakeEngines& engines() { return engines_; }
+  FakeStoreLink& link() { return link_; }
+  FakeNetwork<PresenceReport>& network() { return network_; }
+  GroupsFaults& faults() { return faults_; }
+  std::map<NodeId, Node>& nodes() { return nodes_; }
+  Node& node(const char* id) { return nodes_.at(NodeId(id)); }
+  std::set<VmId>& unlisted() { return unlisted_; }
+
+  // The committed records, as the service holds them.
+  std::vector<DomainRecord> Records() {
+    std::vector<DomainRecord> records;
+    for (const auto& [key, entry] : link_.store().entries()) {
+      if (key.starts_with("domain/")) {
+        records.push_back(Decode(entry.value));
+      }
+    }
+    return records;
+  }
+
+  // Holds records by number, which stands for their text.
+  std::string Encode(const DomainRecord& record) {
+    texts_.push_back(record);
+    return std::to_string(texts_.size() - 1);
+  }
+  DomainRecord Decode(std::string_view text) const {
+    return texts_.at(std::stoul(std::string(text)));
+  }
+
+  // The holder of a domain's keeper role, by the service.
+  Node* KeeperOf(const char* domain) {
+    const auto it =
+        link_.store().entries().find("role/keeper/" + std::string(domain));
+    return it == link_.store().entries().end()
+               ? nullptr
+               : &nodes_.at(NodeId(it->second.value));
+  }
+
+  std::int64_t orders_sent() const { return orders_sent_; }
+
+ private:
+  // An order between a node and an engine.
+  struct Flight {
+    NodeId from;
+    SendOrder send;
+    Time at;
+    bool is_written = false;
+  };
+
+  void AddVm(const char* domain, int number, bool checks_fences) {
+    VmEntry entry;
+    entry.id = VmId(std::string(domain) + "-v" + std::to_string(number));
+    entry.domain = FabricDomainId(domain);
+    entry.zone = ZoneId("z1");
+    entry.address = Address(entry.id.value());
+    entry.accelerators = 1;
+    engines_.Add(std::move(entry), checks_fences);
+  }
+
+  void AddNode(const char* id, const char* zone) {
+    const DomainRecordCodec codec{
+        [this](const DomainRecord& record) { return Encode(record); },
+        [this](std::string_view text) { return Decode(text); }};
+    Node node{.id = NodeId(id),
+              .zone = ZoneId(zone),
+              .keeper = GroupKeeper::Builder()
+                            .SetZone(ZoneId("z1"))
+                            .SetSettings(Settings())
+                            .SetCodec(codec)
+                            .Build(),
+              .gate = ServingGate::Builder()
+                          .SetSelf(NodeId(id), Incarnation(1), ZoneId(zone))
+                          .Build(),
+              .lease = {},
+              .valid_until = {},
+              .roles = {},
+              .next_renewal = {},
+              .next_list = {}};
+    WantedModel model{ModelId("m"), 3, Rank(1), {}};
+    model.targets[ZoneId("z1")] = GroupTarget{3, 3};
+    node.keeper.OnWantedModels({model});
+    nodes_.emplace(NodeId(id), std::move(node));
+  }
+
+  std::vector<GatePeer> Peers() const {
+    std::vector<GatePeer> peers;
+    for (const auto& [id, node] : nodes_) {
+      peers.push_back(GatePeer{id, node.zone});
+    }
+    return peers;
+  }
+
+  void StepNode(Node& node) {
+    if (now_ >= node.next_renewal) {
+      node.next_renewal = now_ + kLease / 3;
+      Renew(node);
+    }
+    if (now_ >= node.next_list && !node.is_cut) {
+      node.next_list = now_ + Duration::Seconds(2);
+      ReadList(node);
+    }
+    // The watch, which is not what is tested here.
+    if (!node.is_cut && !link_.faults().outage) {
+      for (const auto& [key, entry] : link_.store().entries()) {
+        if (key.starts_with("domain/")) {
+          const DomainRecord record = Decode(entry.value);
+          node.keeper.OnDomainRecord(record, entry.revision);
+          Carry(node, node.gate.OnDomainRecord(now_, record, entry.revision));
+        }
+      }
+    }
+    if (now_ >= node.valid_until) {
+      DropRoles(node);
+    }
+    Carry(node, node.keeper.Tick(now_));
+    Carry(node, node.gate.Tick(now_));
+  }
+
+  // Renews the node's lease and takes free roles, without the delays that the
+  // tests of leases cover.
+  void Renew(Node& node) {
+    if (node.is_cut || link_.faults().outage || node.zone != ZoneId("z1")) {
+      return;
+    }
+    FakeStore& store = link_.store();
+    store.DropLapsed(now_);
+    if (!store.HasLease(node.lease)) {
+      DropRoles(node);
+      const auto reply = store.Execute(now_, StoreLeaseGrant{kLease});
+      node.lease = std::get<StoreLeaseReply>(*reply).lease;
+    }
+    store.Execute(now_, StoreLeaseKeepAlive{node.lease});
+    node.valid_until = now_ + kLease - kLeaseMargin;
+    for (const char* domain : {"d1", "d2"}) {
+      const std::string key = "role/keeper/" + std::string(domain);
+      const auto reply =
+          store.Execute(now_, StorePut{key, node.id.value(), {}, node.lease});
+      if (const auto* written = std::get_if<StoreWritten>(&*reply)) {
+        node.roles[FabricDomainId(domain)] =
+            FencingToken(written->revision.value());
+      }
+    }
+    for (const auto& [domain, fence] : node.roles) {
+      node.keeper.OnRoleHeld(now_, domain, fence, node.valid_until);
+    }
+  }
+
+  void DropRoles(Node& node) {
+    for (const auto& [domain, fence] : node.roles) {
+      node.keeper.OnRoleLost(domain);
+    }
+    node.roles.clear();
+  }
+
+  void ReadList(Node& node) {
+    VmListSnapshot& snapshot = lists_[now_];
+    snapshot.as_of = now_;
+    for (const auto& [vm, engine] : engines_.all()) {
+      if (!unlisted_.contains(vm)) {
+        snapshot.vms.push_back(engine.entry);
+      }
+    }
+    auto old = lists_.upper_bound(now_ - faults_.list_lag);
+    if (old != lists_.begin()) {
+      --old;
+    }
+    node.keeper.OnVmList(now_, old->second);
+    Carry(node, node.gate.OnVmList(now_, old->second));
+  }
+
+  template <typename Action>
+  void Carry(Node& node, std::vector<Action> actions) {
+    for (Action& action : actions) {
+      if (const auto* probe = std::get_if<ProbeVm>(&action)) {
+        Probe(node, *probe, std::is_same_v<Action, ServingGateAction>);
+        continue;
+      }
+      std::visit([&](auto& typed) { CarryOne(node, typed); }, action);
+    }
+  }
+
+  // Probes that fail get no answer, as after a silent connection.
+  void Probe(const Node& node, const ProbeVm& probe, bool is_gate) {
+    const auto status = engines_.Status(now_, probe.vm);
+    if (!node.is_cut && status) {
+      probed_.push_back(Probed{node.id, is_gate, probe.id, *status});
+    }
+  }
+
+  void AnswerProbes() {
+    for (const Probed& probed : std::exchange(probed_, {})) {
+      Node& node = nodes_.at(probed.node);
+      if (node.is_paused || node.is_cut) {
+        continue;
+      }
+      if (probed.is_gate) {
+        Carry(node, node.gate.OnProbeReply(now_, probed.id, probed.status));
+      } else {
+        node.keeper.OnProbeReply(now_, probed.id, probed.status);
+      }
+    }
+  }
+
+  void CarryOne(Node& node, StoreRequest& request) {
+    link_.Send(now_, node.id.value(), request.id, std::move(request.call));
+  }
+  void CarryOne(Node& node, PeerSend<PresenceReport>& send) {
+    network_.Send(now_, node.id, send.to, std::move(send.message));
+  }
+  void CarryOne(Node& node, SendOrder& send) {
+    ++orders_sent_;
+    flights_.push_back(Flight{node.id, std::move(send),
+                              now_ + Delay(Duration::Millis(150))});
+  }
+  void CarryOne(Node&, ProbeVm&) {}
+  void CarryOne(Node&, RecordCommitted&) {}
+  void CarryOne(Node&, EndpointOpened&) {}
+  void CarryOne(Node&, EndpointClosed&) {}
+  void CarryOne(Node&, EndpointDrained&) {}
+
+  Duration Delay(Duration most) {
+    return Duration::Millis(static_cast<std::int64_t>(
+        DrawBelow(random_, static_cast<std::uint64_t>(most.millis()))));
+  }
+
+  // Writes orders, looking at the clock right before, and lets them arrive.
+  void RunFlights() {
+    std::vector<Flight> flights = std::exchange(flights_, {});
+    for (Flight& flight : flights) {
+      Node& node = nodes_.at(flight.from);
+      if (now_ < flight.at || (!flight.is_written && node.is_paused)) {
+        flights_.push_back(std::move(flight));
+        continue;
+      }
+      if (flight.is_written) {
+        Arrive(node, flight);
+      } else if (now_ >= flight.send.send_before && !faults_.writes_late) {
+        node.keeper.OnOrderReply(now_, flight.send.id, OrderWithheld{});
+      } else if (!node.is_cut) {
+        flight.is_written = true;
+        flight.at = now_ + Delay(flight.send.timeout);
+        flights_.push_back(std::move(flight));
+      }
+    }
+  }
+
+  void Arrive(Node& node, const Flight& flight) {
+    const auto reply =
+        engines_.Execute(now_, flight.send.vm, flight.send.order);
+    if (reply && !node.is_paused && !node.is_cut) {
+      node.keeper.OnOrderReply(now_, flight.send.id, *reply);
+    }
+  }
+
+  struct Probed {
+    NodeId node;
+    bool is_gate;
+    ProbeId id;
+    EngineStatus status;
+  };
+
+  Time now_ = Time::FromMillis(1000000);
+  Random random_;
+  FakeEngines engines_;
+  FakeStoreLink link_;
+  FakeNetwork<PresenceReport> network_;
+  GroupsFaults faults_;
+  std::map<NodeId, Node> nodes_;
+  std::map<Time, VmListSnapshot> lists_;
+  std::set<VmId> unlisted_;
+  std::vector<Flight> flights_;
+  std::vector<Probed> probed_;
+  std::vector<DomainRecord> texts_;
+  std::int64_t orders_sent_ = 0;
+};
+
+}  // namespace gcw
+
+#endif  // TESTS_SUPPORT_GROUPS_WORLD_H_
