--- a/coordination/group_keeper.cc
+++ b/coordination/group_keeper.cc
@@ -50,11 +50,10 @@
   auto it = kept_.find(domain);
   if (it == kept_.end()) {
     it = kept_
-             .emplace(domain,
-                      KeptDomain(domain, settings_,
-                                 DomainWriter(domain, settings_.writer, codec_,
-                                              events_),
-                                 events_))
+             .emplace(domain, KeptDomain(domain, settings_,
+                                         DomainWriter(domain, settings_.writer,
+                                                      codec_, events_),
+                                         events_))
              .first;
   }
   it->second.OnRoleHeld(now, fence, valid_until);
@@ -92,17 +91,14 @@
   tracker_.OnProbeReply(now, id, reply);
 }
 
-std::vector<GroupKeeperAction> GroupKeeper::OnStoreReply(
-    Time now,
-    StoreCallId id,
-    const StoreReply& reply) {
+std::vector<GroupKeeperAction>
+GroupKeeper::OnStoreReply(Time now, StoreCallId id, const StoreReply& reply) {
   std::vector<GroupKeeperAction> actions;
   for (auto& [domain, kept] : kept_) {
     if (kept.OnStoreReply(now, id, reply)) {
       const DomainWriter& writer = kept.writer();
       OnDomainRecord(writer.record(), writer.revision());
-      actions.emplace_back(
-          RecordCommitted{writer.record(), writer.revision()});
+      actions.emplace_back(RecordCommitted{writer.record(), writer.revision()});
     }
   }
   return actions;
@@ -228,10 +224,8 @@
     return described;
   }
   // Of VMs that another keeper probes, only the list and the record are known.
-  const bool is_live =
-      facts.listed && facts.entry.state == VmState::kLive;
-  described.condition =
-      is_live ? VmCondition::kHealthy : VmCondition::kLeaving;
+  const bool is_live = facts.listed && facts.entry.state == VmState::kLive;
+  described.condition = is_live ? VmCondition::kHealthy : VmCondition::kLeaving;
   const auto foreign = foreign_.find(facts.entry.domain);
   described.assignable = is_live && foreign != foreign_.end() &&
                          !IsRecorded(foreign->second.record, vm);
--- a/coordination/kept_domain.cc
+++ b/coordination/kept_domain.cc
@@ -109,14 +109,13 @@
   for (GroupRecord& group : next.groups) {
     const bool is_ready =
         group.state == GroupState::kLoading &&
-        std::all_of(group.members.begin(), group.members.end(),
-                    [&](const VmId& vm) {
-                      const VmFacts* facts = tracker.Find(vm);
-                      return facts != nullptr && facts->status &&
-                             !facts->failing_since &&
-                             IsAt(*facts->status, group) &&
-                             facts->status->state == EngineState::kReady;
-                    });
+        std::all_of(
+            group.members.begin(), group.members.end(), [&](const VmId& vm) {
+              const VmFacts* facts = tracker.Find(vm);
+              return facts != nullptr && facts->status &&
+                     !facts->failing_since && IsAt(*facts->status, group) &&
+                     facts->status->state == EngineState::kReady;
+            });
     if (is_ready) {
       group.state = GroupState::kServing;
       changed = true;
@@ -144,8 +143,8 @@
           facts.status->group == group.id &&
           !(FindGroup(writer_.record(), group.id) != nullptr &&
             *FindGroup(writer_.record(), group.id) == group)) {
-        group.generation = std::max(
-            group.generation, facts.status->generation + Generation(1));
+        group.generation = std::max(group.generation,
+                                    facts.status->generation + Generation(1));
       }
     }
   }
--- a/coordination/kept_domain_orders.cc
+++ b/coordination/kept_domain_orders.cc
@@ -29,8 +29,8 @@
              EventId(),
              {{"group", order->group.value()},
               {"generation", order->generation.value()}}});
-    orders.push_back(sender_.Send(last_order, vm, facts.entry.address,
-                                  *std::move(order)));
+    orders.push_back(
+        sender_.Send(last_order, vm, facts.entry.address, *std::move(order)));
   }
   return orders;
 }
@@ -84,8 +84,8 @@
       status.group == group.id && status.generation > group.generation;
   const bool is_at =
       status.group == group.id && status.generation == group.generation;
-  const bool has_failed = status.state == EngineState::kFailed &&
-                          !status.group.empty();
+  const bool has_failed =
+      status.state == EngineState::kFailed && !status.group.empty();
   if (is_elsewhere || is_ahead || has_failed) {
     return LeaveOrder(status);
   }
@@ -111,8 +111,8 @@
   order.change = writer_.record().change;
   for (const VmId& vm : group.members) {
     const VmFacts* facts = tracker.Find(vm);
-    order.members.push_back(GroupMember{
-        vm, facts == nullptr ? Address() : facts->entry.address});
+    order.members.push_back(
+        GroupMember{vm, facts == nullptr ? Address() : facts->entry.address});
   }
   return order;
 }
@@ -157,8 +157,8 @@
     }
     const auto it = watches.find(vm);
     Watch watch = it == watches.end() ? Watch::kIdle : it->second;
-    const bool is_unrecorded_member = it == watches.end() && facts.status &&
-                                      !facts.status->group.empty();
+    const bool is_unrecorded_member =
+        it == watches.end() && facts.status && !facts.status->group.empty();
     if (is_unrecorded_member || (it != watches.end() && facts.failing_since) ||
         IsRecorded(writer_.record(), vm) != (it != watches.end())) {
       watch = Watch::kClose;
--- a/coordination/order_sender.cc
+++ b/coordination/order_sender.cc
@@ -46,15 +46,20 @@
   // It leaves before `send_before` and is over a timeout later.
   const Time send_before = valid_until_ - settings_.timeout - settings_.margin;
   pending_[vm] = Pending{id, send_before + settings_.timeout};
-  return SendOrder{id,         vm,          std::move(address),
-                   std::move(order), send_before, settings_.timeout};
+  return SendOrder{id,
+                   vm,
+                   std::move(address),
+                   std::move(order),
+                   send_before,
+                   settings_.timeout};
 }
 
 std::optional<VmId> OrderSender::OnReply(Time now,
                                          OrderId id,
                                          const OrderReply& reply) {
-  const auto it = std::find_if(pending_.begin(), pending_.end(),
-                               [&](auto& item) { return item.second.id == id; });
+  const auto it =
+      std::find_if(pending_.begin(), pending_.end(),
+                   [&](auto& item) { return item.second.id == id; });
   if (it == pending_.end()) {
     return std::nullopt;
   }
--- a/coordination/order_sender.h
+++ b/coordination/order_sender.h
@@ -70,7 +70,10 @@
   Time SettledAt(const VmId& vm) const;
 
   // Where `MaySend` and not `IsPending`; `id` must be new.
-  SendOrder Send(OrderId id, const VmId& vm, Address address, EngineOrder order);
+  SendOrder Send(OrderId id,
+                 const VmId& vm,
+                 Address address,
+                 EngineOrder order);
 
   // Returns the VM; nothing for orders unknown or given up.
   std::optional<VmId> OnReply(Time now, OrderId id, const OrderReply& reply);
--- a/coordination/presence_prober.cc
+++ b/coordination/presence_prober.cc
@@ -69,8 +69,8 @@
     view.next_probe = now + view.interval;
     ++last_id_;
     sent_[last_id_] = Sent{vm, now};
-    probes.push_back(ProbeVm{last_id_, vm, view.purpose, view.address,
-                             settings_.timeout});
+    probes.push_back(
+        ProbeVm{last_id_, vm, view.purpose, view.address, settings_.timeout});
   }
   return probes;
 }
--- a/coordination/record_changes.cc
+++ b/coordination/record_changes.cc
@@ -80,8 +80,7 @@
 
 }  // namespace
 
-const GroupRecord* FindGroup(const DomainRecord& record,
-                             const GroupId& group) {
+const GroupRecord* FindGroup(const DomainRecord& record, const GroupId& group) {
   for (const GroupRecord& candidate : record.groups) {
     if (candidate.id == group) {
       return &candidate;
--- a/coordination/repair_plan.cc
+++ b/coordination/repair_plan.cc
@@ -18,6 +18,7 @@
   RepairBroken();
   FillWanted();
   FillSurplus();
+  TrimExcess();
   return std::move(moves_);
 }
 
@@ -52,9 +53,9 @@
         is_known ? it->second.condition : VmCondition::kLost;
     const bool is_held_off = is_known && it->second.held_off;
     // A VM that restarted may keep its place, unless it does so all the time.
-    const bool may_stay = condition == VmCondition::kHealthy ||
-                          (condition == VmCondition::kRestarted &&
-                           !is_held_off);
+    const bool may_stay =
+        condition == VmCondition::kHealthy ||
+        (condition == VmCondition::kRestarted && !is_held_off);
     if (!may_stay) {
       seat.lost.push_back(id);
     }
@@ -93,8 +94,8 @@
       continue;
     }
     seat.is_taken = true;
-    moves_.emplace_back(DissolveGroup{seat.domain, seat.group->id,
-                                      RepairReason::kPlannedStop});
+    moves_.emplace_back(
+        DissolveGroup{seat.domain, seat.group->id, RepairReason::kPlannedStop});
   }
 }
 
@@ -104,7 +105,26 @@
                          seat.model == nullptr ||
                          (seat.is_leaving && !seat.is_broken);
     if (is_over && seat.group->state == GroupState::kServing) {
-      moves_.emplace_back(DrainGroup{seat.domain, seat.group->id,
+      moves_.emplace_back(
+          DrainGroup{seat.domain, seat.group->id, RepairReason::kPlannedStop});
+    }
+  }
+}
+
+// Two keepers that knew different records may have filled the same gap.
+void RepairPlan::TrimExcess() {
+  for (const WantedModel& model : view_.wanted) {
+    if (CountServing(model.model) <= TargetOf(model).most) {
+      continue;
+    }
+    const auto last =
+        std::find_if(seats_.rbegin(), seats_.rend(), [&](const Seat& seat) {
+          return seat.model == &model && !seat.is_taken &&
+                 seat.group->state == GroupState::kServing;
+        });
+    if (last != seats_.rend()) {
+      last->is_taken = true;
+      moves_.emplace_back(DrainGroup{last->domain, last->group->id,
                                      RepairReason::kPlannedStop});
     }
   }
@@ -200,8 +220,8 @@
   --context_.borrows;
   ++borrowed_;
   victim->is_taken = true;
-  moves_.emplace_back(DrainGroup{victim->domain, victim->group->id,
-                                 RepairReason::kBorrow});
+  moves_.emplace_back(
+      DrainGroup{victim->domain, victim->group->id, RepairReason::kBorrow});
   return true;
 }
 
--- a/coordination/repair_plan.h
+++ b/coordination/repair_plan.h
@@ -59,6 +59,7 @@
 
   void FinishDrained();
   void StartPlannedStops();
+  void TrimExcess();
   void RepairBroken();
   void Repair(Seat& seat);
   bool RepairInPlace(Seat& seat);
--- a/coordination/repair_planner.cc
+++ b/coordination/repair_planner.cc
@@ -38,9 +38,8 @@
 std::vector<RepairMove> RepairPlanner::Plan(Time now, const PlannerView& view) {
   UpdateDark(now, view);
   UpdateBroken(now, view);
-  std::erase_if(borrows_, [&](Time at) {
-    return now - at >= settings_.borrow_window;
-  });
+  std::erase_if(borrows_,
+                [&](Time at) { return now - at >= settings_.borrow_window; });
   PlanContext context;
   context.now = now;
   context.dark_since = dark_since_;
@@ -69,10 +68,10 @@
   for (const auto& [domain, count] : counts) {
     // One VM that is lost out of two is a lost VM, not a dark domain.
     constexpr std::int64_t kFewestLost = 3;
-    const bool is_dark = count.lost >= kFewestLost &&
-                         static_cast<double>(count.lost) >=
-                             settings_.dark_share *
-                                 static_cast<double>(count.all);
+    const bool is_dark =
+        count.lost >= kFewestLost &&
+        static_cast<double>(count.lost) >=
+            settings_.dark_share * static_cast<double>(count.all);
     if (is_dark) {
       dark_since_.try_emplace(domain, now);
     } else {
--- a/coordination/serving_gate.cc
+++ b/coordination/serving_gate.cc
@@ -123,10 +123,8 @@
   return Review(now);
 }
 
-std::vector<ServingGateAction> ServingGate::OnProbeReply(
-    Time now,
-    ProbeId id,
-    const ProbeReply& reply) {
+std::vector<ServingGateAction>
+ServingGate::OnProbeReply(Time now, ProbeId id, const ProbeReply& reply) {
   prober_.OnReply(now, id, reply);
   return Review(now);
 }
--- a/coordination/serving_gate_reports.cc
+++ b/coordination/serving_gate_reports.cc
@@ -57,8 +57,8 @@
       continue;
     }
     if (peer.zone == zone_) {
-      actions.emplace_back(PeerSend<PresenceReport>{
-          id, MakeReport(now, own_log_, own_age, id)});
+      actions.emplace_back(
+          PeerSend<PresenceReport>{id, MakeReport(now, own_log_, own_age, id)});
     } else if (HearsFromHere(now, peer)) {
       actions.emplace_back(PeerSend<PresenceReport>{
           id, MakeReport(now, zone_log_, zone_age, id)});
--- a/coordination/vm_tracker.cc
+++ b/coordination/vm_tracker.cc
@@ -60,8 +60,8 @@
     ++last_id_;
     schedule.pending = last_id_;
     sent_[last_id_] = Sent{vm, now};
-    probes.push_back(ProbeVm{last_id_, vm, entry.purpose, entry.address,
-                             settings_.timeout});
+    probes.push_back(
+        ProbeVm{last_id_, vm, entry.purpose, entry.address, settings_.timeout});
   }
   return probes;
 }
