--- a/coordination/admission_settings.h
+++ b/coordination/admission_settings.h
@@ -21,8 +21,10 @@
   // Tokens that one turn of the round robin is worth to a contract of average
   // token rate.
   std::int64_t quantum_tokens = 512;
-  // Paid requests that may wait in an endpoint's own queue, per endpoint.
-  std::int64_t engine_backlog = 2;
+  // Paid requests that may wait in an endpoint's own queue, per endpoint. What
+  // waits there is served in order of arrival, so that a contract that floods
+  // delays the others.
+  std::int64_t engine_backlog = 0;
   // Nodes take this multiple of their even part of the free room, since not
   // all of them have callers for it at the same time.
   double overcommit = 2;
@@ -33,11 +35,11 @@
   // Reports of room older than this count as no room for trial work.
   Duration headroom_max_age = Duration::Millis(5000);
   // Share of a batch that paid work fills before it gets another endpoint.
-  double paid_target = 0.5;
+  double paid_target = 0.7;
   // Endpoints kept free of trial work for paid arrivals, as a share of those
   // in use by paid work; one at least.
   double paid_reserve = 0.15;
-  // An endpoint goes back to trial work when paid work did without it for
+  // An endpoint goes back to trial work when paid work has done without it for
   // this long.
   Duration shrink_after = Duration::Seconds(5);
   // KV cache above which an endpoint gets no trial work.
--- a/coordination/tier_pools.cc
+++ b/coordination/tier_pools.cc
@@ -10,10 +10,6 @@
 namespace gcw {
 namespace {
 
-// One endpoint less must do with this share of its target, or the division
-// would swing to and fro.
-constexpr double kShrinkTarget = 0.85;
-
 std::int64_t PaidAt(const EndpointHeadroom& endpoint) {
   return endpoint.paid.value_or(endpoint.running + endpoint.queued);
 }
@@ -57,21 +53,21 @@
   for (const EndpointHeadroom& endpoint : endpoints_) {
     paid += static_cast<double>(PaidAt(endpoint));
   }
-  paid_count_ = std::min(paid_count_, endpoints_.size());
-  const std::size_t needed = NeededFor(paid);
-  const bool was_too_many = is_too_many_;
-  is_too_many_ = NeededFor(paid / kShrinkTarget) < paid_count_;
-  if (needed >= paid_count_) {
-    paid_count_ = needed;
-    return;
-  }
-  if (is_too_many_ && !was_too_many) {
-    too_many_since_ = now;
+  paid_count_ =
+      std::min(HighestNeeded(now, NeededFor(paid)), endpoints_.size());
+}
+
+// The most that was needed within the last `shrink_after`, so that the division
+// follows a rise at once and does not swing with every dip.
+std::size_t TierPools::HighestNeeded(Time now, std::size_t needed) {
+  while (!needed_.empty() && needed_.back().count <= needed) {
+    needed_.pop_back();
   }
-  if (is_too_many_ && now >= too_many_since_ + settings_->shrink_after) {
-    --paid_count_;
-    too_many_since_ = now;
+  needed_.push_back({now, needed});
+  while (needed_.front().when + settings_->shrink_after < now) {
+    needed_.pop_front();
   }
+  return needed_.front().count;
 }
 
 std::size_t TierPools::trial_begin() const {
--- a/coordination/tier_pools.h
+++ b/coordination/tier_pools.h
@@ -2,6 +2,7 @@
 #define COORDINATION_TIER_POOLS_H_
 
 #include <cstdint>
+#include <deque>
 #include <vector>
 
 #include "coordination/admission_settings.h"
@@ -39,13 +40,17 @@
  private:
   static void SortAlikeEverywhere(std::vector<EndpointHeadroom>& endpoints);
   std::size_t NeededFor(double paid) const;
+  std::size_t HighestNeeded(Time now, std::size_t needed);
 
   const AdmissionSettings* settings_;
   std::vector<EndpointHeadroom> endpoints_;
   std::size_t paid_count_ = 0;
-  // Since when fewer would do.
-  Time too_many_since_;
-  bool is_too_many_ = false;
+  struct Needed {
+    Time when;
+    std::size_t count = 0;
+  };
+  // Falling counts; each was the highest from then on.
+  std::deque<Needed> needed_;
 };
 
 }  // namespace gcw
