--- a/bench/tiers_bench.cc
+++ b/bench/tiers_bench.cc
@@ -31,7 +31,7 @@
   // Trial requests offered, as a multiple of the room.
   double trial_load = 0;
   // Absent where nobody floods on purpose.
-  std::optional<double> flood_per_second;
+  std::optional<double> flood_per_second = std::nullopt;
 };
 
 TierWorldSettings SettingsFor(const Scenario& scenario) {
--- a/coordination/limit_settings.h
+++ b/coordination/limit_settings.h
@@ -13,7 +13,7 @@
   std::int64_t shards = 16;
   // Between two reports: this much for each node, within the two bounds.
   Duration period_per_node = Duration::Millis(3);
-  Duration period_min = Duration::Millis(200);
+  Duration period_min = Duration::Millis(250);
   Duration period_max = Duration::Millis(1500);
   // Between two reports to the same receiver when a contract without a share
   // has a request waiting.
--- /dev/null
+++ b/tests/coordination/admission_test.cc
@@ -0,0 +1,287 @@
+#include "coordination/admission.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace gcw {
+namespace {
+
+const ModelId kModel("notes");
+
+class AdmissionTest : public testing::Test {
+ protected:
+  AdmissionTest() {
+    LimitSettings limit_settings;
+    limit_settings.floor_nodes = 1;
+    // Long after its start and without an owner a lone node's floor is the
+    // whole limit.
+    limits_ = std::make_unique<Limits>(
+        Limits::Builder()
+            .SetSelf(NodeId("n"), ZoneId("z"), Incarnation(1))
+            .SetSettings(limit_settings)
+            .Build(now_ - Duration::Seconds(3600)));
+    admission_ = std::make_unique<Admission>(
+        Admission::Builder().SetLimits(limits_.get()).Build());
+    admission_->OnContract(now_, MakeContract("paid", Tier::kPaid));
+    admission_->OnContract(now_, MakeContract("trial", Tier::kTrial));
+  }
+
+  static Contract MakeContract(const std::string& id, Tier tier) {
+    Contract contract;
+    contract.id = ContractId(id);
+    contract.tier = tier;
+    contract.rank = Rank(2);
+    contract.models = {kModel};
+    contract.requests_per_second = 100;
+    contract.tokens_per_second = 100000;
+    contract.concurrency = 50;
+    contract.keys = {KeyDigest(id + "-key")};
+    return contract;
+  }
+
+  RequestProfile MakeProfile(const std::string& contract) {
+    RequestProfile profile;
+    profile.id = RequestId("r" + std::to_string(next_request_++));
+    profile.contract = ContractId(contract);
+    profile.target = ModelTarget{kModel, {}};
+    profile.prompt_tokens = TokenCount(100);
+    profile.max_generated_tokens = TokenCount(100);
+    profile.arrived = now_;
+    profile.deadline = now_ + Duration::Seconds(10);
+    return profile;
+  }
+  std::vector<AdmissionAction> Offer(const std::string& contract) {
+    return admission_->Offer(now_, MakeProfile(contract));
+  }
+  // One endpoint is enough for paid work at the target, one is the reserve.
+  std::vector<AdmissionAction> Report(std::int64_t paid,
+                                      int endpoints = 4,
+                                      std::int64_t batch = 4) {
+    Headroom headroom;
+    headroom.taken_at = now_;
+    for (int i = 0; i < endpoints; ++i) {
+      const std::int64_t here = std::min(paid, batch);
+      paid -= here;
+      headroom.endpoints.push_back(
+          {.endpoint = EndpointId("e" + std::to_string(i)),
+           .batch_limit = batch,
+           .running = here,
+           .queued = 0,
+           .paid = here,
+           .cache_share = 0});
+    }
+    return admission_->OnCapacity(now_, kModel, headroom);
+  }
+  static RefusalKind KindOf(const std::vector<AdmissionAction>& actions) {
+    return std::get<Refuse>(actions.at(0)).refusal.kind;
+  }
+  template <typename Action>
+  static int Count(const std::vector<AdmissionAction>& actions) {
+    return static_cast<int>(
+        std::count_if(actions.begin(), actions.end(), [](const auto& action) {
+          return std::holds_alternative<Action>(action);
+        }));
+  }
+
+  Time now_ = Time::FromMillis(10000000);
+  std::unique_ptr<Limits> limits_;
+  std::unique_ptr<Admission> admission_;
+  int next_request_ = 1;
+};
+
+TEST_F(AdmissionTest, FindsContractsByKey) {
+  EXPECT_EQ(admission_->FindContract(KeyDigest("paid-key"))->id,
+            ContractId("paid"));
+  EXPECT_EQ(admission_->FindContract(KeyDigest("other")), nullptr);
+  Contract changed = MakeContract("paid", Tier::kPaid);
+  changed.keys = {KeyDigest("new-key")};
+  admission_->OnContract(now_, changed);
+  EXPECT_EQ(admission_->FindContract(KeyDigest("paid-key")), nullptr);
+  EXPECT_NE(admission_->FindContract(KeyDigest("new-key")), nullptr);
+}
+
+TEST_F(AdmissionTest, RefusesWhatTheContractDoesNotAllow) {
+  EXPECT_EQ(KindOf(Offer("nobody")), RefusalKind::kUnknownKey);
+  RequestProfile profile = MakeProfile("paid");
+  profile.target = ModelTarget{ModelId("other"), {}};
+  EXPECT_EQ(KindOf(admission_->Offer(now_, profile)),
+            RefusalKind::kModelNotAllowed);
+  profile.target = ServiceTarget{ServiceId("shelf")};
+  EXPECT_EQ(KindOf(admission_->Offer(now_, profile)),
+            RefusalKind::kServiceNotAllowed);
+  Contract ended = MakeContract("paid", Tier::kPaid);
+  ended.valid_until = now_;
+  admission_->OnContract(now_, ended);
+  EXPECT_EQ(KindOf(Offer("paid")), RefusalKind::kContractNotValid);
+}
+
+TEST_F(AdmissionTest, AdmitsPaidBeforeTrialAtTheEngines) {
+  Report(0);
+  const auto paid = Offer("paid");
+  const auto trial = Offer("trial");
+  EXPECT_LT(std::get<Admit>(paid.at(0)).priority,
+            std::get<Admit>(trial.at(0)).priority);
+  for (const EndpointId& endpoint : *std::get<Admit>(trial.at(0)).endpoints) {
+    const auto& paid_endpoints = *std::get<Admit>(paid.at(0)).endpoints;
+    EXPECT_EQ(
+        std::count(paid_endpoints.begin(), paid_endpoints.end(), endpoint), 0);
+  }
+}
+
+TEST_F(AdmissionTest, ConcurrencyIsRefusedAndComesBack) {
+  Contract narrow = MakeContract("paid", Tier::kPaid);
+  narrow.concurrency = 1;
+  admission_->OnContract(now_, narrow);
+  const auto first = std::get<Admit>(Offer("paid").at(0)).request;
+  EXPECT_EQ(KindOf(Offer("paid")), RefusalKind::kConcurrency);
+  admission_->OnFinished(now_, first, TokenCount(10));
+  EXPECT_EQ(Count<Admit>(Offer("paid")), 1);
+}
+
+TEST_F(AdmissionTest, TrialWithoutMeasuredRoomWaitsAndIsRefused) {
+  EXPECT_EQ(Count<Queued>(Offer("trial")), 1);
+  now_ = now_ + Duration::Millis(2000);
+  const auto actions = admission_->Tick(now_);
+  EXPECT_EQ(KindOf(actions), RefusalKind::kTrialNoHeadroom);
+  EXPECT_GE(std::get<Refuse>(actions.at(0)).refusal.retry_after,
+            Duration::Millis(1000));
+}
+
+// Symptom: trial work goes on after nodes lost sight of the endpoints.
+// Sequence: load reports stop; trial requests keep coming.
+// Cause: old room taken for room.
+TEST_F(AdmissionTest, OldReportsAreNoRoomForTrialWork) {
+  Report(0);
+  now_ = now_ + Duration::Seconds(6);
+  EXPECT_EQ(Count<Queued>(Offer("trial")), 1);
+  EXPECT_EQ(Count<Admit>(Offer("paid")), 1);
+}
+
+// Symptom: paid streams slow down when paid load rises.
+// Sequence: trial streams run on an endpoint that paid work is about to use.
+// Cause: trial streams that stay until they end, tens of seconds later.
+TEST_F(AdmissionTest, TrialIsPreemptedWherePaidWorkNeedsRoom) {
+  Report(0);
+  const auto admitted = std::get<Admit>(Offer("trial").at(0));
+  admission_->OnDispatched(admitted.request, admitted.endpoints->front());
+  const auto actions = Report(16);
+  EXPECT_EQ(std::get<PreemptTrial>(actions.at(0)).request, admitted.request);
+  // Once is enough.
+  EXPECT_EQ(Count<PreemptTrial>(Report(16)), 0);
+}
+
+// Symptom: a trial request is admitted while paid ones wait.
+// Sequence: everything is full; a place gets free.
+// Cause: queues served in order of arrival over both tiers.
+TEST_F(AdmissionTest, WaitingPaidGoesBeforeWaitingTrial) {
+  Report(16);
+  const auto trial = std::get<Queued>(Offer("trial").at(0)).request;
+  const auto paid = std::get<Queued>(Offer("paid").at(0)).request;
+  const auto actions = Report(15);
+  ASSERT_EQ(Count<Admit>(actions), 1);
+  EXPECT_EQ(std::get<Admit>(actions.at(0)).request, paid);
+  EXPECT_EQ(admission_->queued(Tier::kTrial), 1);
+}
+
+// Symptom: callers wait until their deadline for a refusal.
+// Sequence: the queue holds more than can run before the deadline.
+// Cause: a queue that does not look at how fast it drains.
+TEST_F(AdmissionTest, HopelessDeadlineIsRefusedAtOnce) {
+  Report(0, 1, 4);
+  for (int i = 0; i < 4; ++i) {
+    now_ = now_ + Duration::Millis(500);
+    EXPECT_EQ(Count<Admit>(Offer("paid")), 1);
+    admission_->Tick(now_);
+  }
+  for (int i = 0; i < 40 && admission_->queued(Tier::kPaid) < 30; ++i) {
+    Offer("paid");
+  }
+  RequestProfile hurried = MakeProfile("paid");
+  hurried.deadline = now_ + Duration::Millis(300);
+  const auto actions = admission_->Offer(now_, hurried);
+  EXPECT_EQ(KindOf(actions), RefusalKind::kDeadline);
+  EXPECT_GT(std::get<Refuse>(actions.at(0)).refusal.retry_after,
+            Duration::Millis(1000));
+}
+
+// Symptom: refused callers come back all at once and are refused again.
+// Sequence: many callers are refused in the same moment.
+// Cause: the same time to come back for all.
+TEST_F(AdmissionTest, TimesToComeBackAreSpread) {
+  Contract narrow = MakeContract("paid", Tier::kPaid);
+  narrow.concurrency = 1;
+  admission_->OnContract(now_, narrow);
+  Offer("paid");
+  std::set<Duration> times;
+  for (int i = 0; i < 20; ++i) {
+    times.insert(std::get<Refuse>(Offer("paid").at(0)).refusal.retry_after);
+  }
+  EXPECT_GT(times.size(), 15U);
+}
+
+// Symptom: a withdrawn customer's requests still start, or running ones stop.
+// Sequence: a contract is withdrawn while requests of it run and wait.
+// Cause: a contract that is looked at only on arrival.
+TEST_F(AdmissionTest, WithdrawnContractEndsWaitingAndSparesRunning) {
+  Report(15);
+  const auto running = std::get<Admit>(Offer("paid").at(0)).request;
+  const auto waiting = std::get<Queued>(Offer("paid").at(0)).request;
+  const auto actions =
+      admission_->OnContractWithdrawn(now_, ContractId("paid"));
+  ASSERT_EQ(actions.size(), 1U);
+  EXPECT_EQ(std::get<Refuse>(actions.at(0)).request, waiting);
+  EXPECT_EQ(KindOf(actions), RefusalKind::kContractNotValid);
+  EXPECT_EQ(admission_->running(Tier::kPaid), 1);
+  admission_->OnFinished(now_, running, TokenCount(5));
+  EXPECT_EQ(admission_->running(Tier::kPaid), 0);
+  EXPECT_EQ(KindOf(Offer("paid")), RefusalKind::kUnknownKey);
+}
+
+TEST_F(AdmissionTest, ChangedContractAppliesToWaitingRequests) {
+  Report(16);
+  Offer("paid");
+  Contract changed = MakeContract("paid", Tier::kPaid);
+  changed.models = {ModelId("other")};
+  EXPECT_EQ(KindOf(admission_->OnContract(now_, changed)),
+            RefusalKind::kModelNotAllowed);
+}
+
+// Symptom: a contract's concurrency leaks away.
+// Sequence: requests that hold a share are refused or abandoned in the queue.
+// Cause: a final answer that does not give the share back.
+TEST_F(AdmissionTest, SharesOfRequestsThatNeverRanComeBack) {
+  Contract narrow = MakeContract("paid", Tier::kPaid);
+  narrow.concurrency = 1;
+  admission_->OnContract(now_, narrow);
+  Report(16);
+  for (int i = 0; i < 3; ++i) {
+    const auto waiting = std::get<Queued>(Offer("paid").at(0)).request;
+    EXPECT_EQ(KindOf(Offer("paid")), RefusalKind::kConcurrency);
+    if (i % 2 == 0) {
+      admission_->OnAbandoned(waiting);
+    } else {
+      now_ = now_ + Duration::Seconds(10);
+      EXPECT_EQ(KindOf(admission_->Tick(now_)), RefusalKind::kDeadline);
+    }
+  }
+  EXPECT_EQ(admission_->queued(Tier::kPaid), 0);
+}
+
+TEST_F(AdmissionTest, EstimateLearnsWhatIsGenerated) {
+  RequestProfile profile = MakeProfile("paid");
+  profile.max_generated_tokens = TokenCount(4000);
+  TokenEstimator estimator;
+  EXPECT_EQ(estimator.Estimate(profile), TokenCount(4100));
+  for (int i = 0; i < 100; ++i) {
+    estimator.Learn(ContractId("paid"), TokenCount(50));
+  }
+  EXPECT_EQ(estimator.Estimate(profile), TokenCount(150));
+}
+
+}  // namespace
+}  // namespace gcw
--- /dev/null
+++ b/tests/coordination/tier_pools_test.cc
@@ -0,0 +1,96 @@
+#include "coordination/tier_pools.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace gcw {
+namespace {
+
+constexpr std::int64_t kBatch = 10;
+
+std::vector<EndpointHeadroom> EndpointsWith(std::int64_t paid, int count = 8) {
+  std::vector<EndpointHeadroom> endpoints;
+  for (int i = 0; i < count; ++i) {
+    const std::int64_t here = paid / count + (i < paid % count ? 1 : 0);
+    endpoints.push_back({.endpoint = EndpointId("e" + std::to_string(i)),
+                         .batch_limit = kBatch,
+                         .running = here,
+                         .queued = 0,
+                         .paid = here,
+                         .cache_share = 0});
+  }
+  return endpoints;
+}
+
+class TierPoolsTest : public testing::Test {
+ protected:
+  void Update(std::int64_t paid, std::int64_t unreported = 0) {
+    pools_.Update(now_, EndpointsWith(paid), unreported);
+  }
+
+  AdmissionSettings settings_;
+  TierPools pools_{settings_};
+  Time now_ = Time::FromMillis(1000000);
+};
+
+TEST_F(TierPoolsTest, PaidWorkGetsEndpointsAtOnce) {
+  Update(7);
+  EXPECT_EQ(pools_.paid_count(), 1U);
+  Update(8);
+  EXPECT_EQ(pools_.paid_count(), 2U);
+  Update(8, 30);
+  EXPECT_EQ(pools_.paid_count(), 6U);
+}
+
+TEST_F(TierPoolsTest, TrialWorkLeavesAReserve) {
+  Update(0);
+  EXPECT_EQ(pools_.trial_begin(), 1U);
+  Update(20);
+  EXPECT_EQ(pools_.paid_count(), 3U);
+  EXPECT_EQ(pools_.trial_begin(), 4U);
+  Update(1000);
+  EXPECT_EQ(pools_.trial_begin(), 8U);
+}
+
+// Symptom: trial streams are cancelled again and again under steady load.
+// Sequence: paid load dips for a moment; an endpoint goes to trial work; the
+// load is back and its trial streams are cancelled.
+// Cause: a division that follows every dip.
+TEST_F(TierPoolsTest, ADipDoesNotHandEndpointsToTrialWork) {
+  Update(35);
+  now_ = now_ + settings_.shrink_after;
+  Update(7);
+  EXPECT_EQ(pools_.paid_count(), 5U);
+  now_ = now_ + Duration::Millis(1);
+  Update(7);
+  EXPECT_EQ(pools_.paid_count(), 1U);
+}
+
+// Symptom: paid work lands among trial streams.
+// Sequence: engines do not tell paid from trial work in their reports.
+// Cause: counting unknown work as trial work.
+TEST_F(TierPoolsTest, UnknownWorkCountsAsPaid) {
+  auto endpoints = EndpointsWith(35);
+  for (EndpointHeadroom& endpoint : endpoints) {
+    endpoint.paid.reset();
+  }
+  pools_.Update(now_, endpoints, 0);
+  EXPECT_EQ(pools_.paid_count(), 5U);
+}
+
+TEST_F(TierPoolsTest, AllNodesOrderEndpointsAlike) {
+  TierPools other(settings_);
+  auto reversed = EndpointsWith(0);
+  std::reverse(reversed.begin(), reversed.end());
+  other.Update(now_, reversed, 0);
+  Update(0);
+  for (std::size_t i = 0; i < 8; ++i) {
+    EXPECT_EQ(pools_.endpoints()[i].endpoint, other.endpoints()[i].endpoint);
+  }
+}
+
+}  // namespace
+}  // namespace gcw
