node: domain records are spread like configuration

Symptom: two groups loaded and reported ready, yet nodes other than the keeper never opened them, and Domains() was empty (NodeCoreTest, 3 of 5 failing). Cause: the prefix domain/ was not among those that configuration is spread by.

--- a/coordination/node_core.cc
+++ b/coordination/node_core.cc
@@ -7,6 +7,14 @@
 
 constexpr std::string_view kKeeperRole = "keeper/";
 
+// Domain records are spread like configuration, by the same watches and the same
+// exchange between nodes: a node without them could open no group while the
+// key-value service is down.
+ConfigSyncSettings SpreadDomains(ConfigSyncSettings settings) {
+  settings.prefixes.emplace_back(kDomainPrefix);
+  return settings;
+}
+
 // Makes attempt ids unique over nodes and their runs.
 std::string AttemptPrefix(const NodeCoreSettings& settings) {
   return settings.self.id.value() + "." +
@@ -48,7 +56,7 @@
                       .SetEventSink(events_)
                       .Build()),
       configuration_(ConfigSync::Builder()
-                         .SetSettings(settings_.configuration)
+                         .SetSettings(SpreadDomains(settings_.configuration))
                          .SetSelf(settings_.self.id, settings_.self.zone)
                          .SetCodec(codecs_.config_record)
                          .SetRandom(random)
--- a/protocol/protocol.h
+++ b/protocol/protocol.h
@@ -27,15 +27,12 @@
 #include "protocol/reference_answer.h"
 #include "protocol/sse_parser.h"
 #include "protocol/store_json.h"
-#include "protocol/vm_list_json.h"
-#include "protocol/wanted_model_json.h"
-#include "protocol/weight_store_json.h"
-#include "protocol/event_field_json.h"
 #include "protocol/timeline_json.h"
 #include "protocol/timeline_merge.h"
 #include "protocol/trace_file.h"
 #include "protocol/utf8.h"
 #include "protocol/vm_list_json.h"
+#include "protocol/wanted_model_json.h"
 #include "protocol/weight_store_json.h"
 
 #endif  // PROTOCOL_PROTOCOL_H_
