--- /dev/null
+++ b/programs/gcwctl/command_line.cc
@@ -0,0 +1,170 @@
+#include "programs/gcwctl/command_line.h"
+
+#include <cstdlib>
+#include <map>
+#include <sstream>
+#include <utility>
+
+#include <boost/program_options.hpp>
+
+namespace gcw {
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr std::string_view kUsage =
+    "gcwctl [OPTIONS] VERB ...\n\n"
+    "Options:\n"
+    "  --node ADDRESS[,ADDRESS]  operators' address of a node (GCW_NODE);\n"
+    "                            the next is tried where one does not answer\n"
+    "  --credential-file FILE    operators' credential (GCW_CREDENTIAL_FILE)\n"
+    "  --json                    print JSON instead of a table\n"
+    "  --timeout-ms N            longest wait for an answer, 15000\n"
+    "  --help                    with a verb: its help\n\n"
+    "Verbs:\n"
+    "  contract create|show|list|change|withdraw\n"
+    "  model    create|show|list|change|withdraw\n"
+    "  status   node list|drain   group list|show|drain   limits\n"
+    "  change show REVISION   timeline   why SUBJECT\n\n"
+    "Exit codes: 0 done, 2 wrong command line or file, 3 no node answered,\n"
+    "4 conflict: look at the current value and change from there, 5 refused "
+    "by\n"
+    "the node, 6 outcome unknown: repeat with the --change-id that was "
+    "printed.\n";
+
+const std::map<std::string, std::string>& VerbHelp() {
+  static const auto& help = *new std::map<std::string, std::string>{
+      {"contract",
+       "gcwctl contract create FILE\n"
+       "gcwctl contract show ID | list\n"
+       "gcwctl contract change FILE --expected REVISION\n"
+       "gcwctl contract withdraw ID --expected REVISION\n\n"
+       "FILE is TOML; see docs/CONTRACTS.md. The revision is the one that\n"
+       "`show` prints; a change that another operator made since is a "
+       "conflict.\n"
+       "\nExamples:\n"
+       "  gcwctl contract create branch-notes.toml\n"
+       "  gcwctl contract change branch-notes.toml --expected 117\n"},
+      {"model",
+       "gcwctl model create FILE\n"
+       "gcwctl model show ID | list\n"
+       "gcwctl model change FILE --expected REVISION\n"
+       "gcwctl model withdraw ID --expected REVISION\n\n"
+       "Which models are served, by how many replica groups of how many VMs "
+       "in\n"
+       "each data centre. Groups come to be and are repaired by themselves.\n\n"
+       "Example:\n"
+       "  gcwctl model create notes.toml\n"},
+      {"status",
+       "gcwctl status\n\nReadiness, store, configuration, queues and roles of "
+       "one node.\n\nExample:\n  gcwctl --node 127.0.0.1:8082 status\n"},
+      {"node",
+       "gcwctl node list\ngcwctl node drain ID\n\n"
+       "A drained node leaves the answers to callers at once, serves until "
+       "they\n"
+       "have moved on and its requests have ended, and stops.\n\n"
+       "Example:\n  gcwctl node drain lj-1-a\n"},
+      {"group",
+       "gcwctl group list\ngcwctl group show ID\n"
+       "gcwctl group drain ID --domain DOMAIN\n\n"
+       "Example:\n  gcwctl group drain lj-1-f1-12-3 --domain lj-1-f1\n"},
+      {"limits",
+       "gcwctl limits\n\nThis node's share of each active contract; `floor` "
+       "where no owner\ngranted one lately.\n\nExample:\n  gcwctl limits\n"},
+      {"change",
+       "gcwctl change show REVISION\n\nOn which nodes the revision is in "
+       "force.\n\nExample:\n  gcwctl change show 117\n"},
+      {"timeline",
+       "gcwctl timeline [--limit N] [--trace FILE]\n\n"
+       "The newest events of all nodes as one ordered list; --trace writes a\n"
+       "trace-event file that common viewers open.\n\n"
+       "Example:\n  gcwctl timeline --trace repair.json\n"},
+      {"why",
+       "gcwctl why SUBJECT\n\nWhat led to the events about a request, group,\n"
+       "contract, VM or node, and what followed, over all nodes.\n\n"
+       "Example:\n  gcwctl why lj-1-f1-12-3\n"}};
+  return help;
+}
+
+std::string FromEnvironment(const char* name) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? "" : value;
+}
+
+std::vector<Address> SplitAddresses(const std::string& text) {
+  std::vector<Address> addresses;
+  std::istringstream in(text);
+  for (std::string item; std::getline(in, item, ',');) {
+    if (!item.empty()) {
+      addresses.emplace_back(item);
+    }
+  }
+  return addresses;
+}
+
+options::options_description MakeOptions() {
+  options::options_description description;
+  description.add_options()("node", options::value<std::string>())(
+      "credential-file", options::value<std::string>())("json")("help,h")(
+      "timeout-ms", options::value<std::int64_t>())(
+      "expected", options::value<std::int64_t>())(
+      "change-id", options::value<std::string>())(
+      "trace", options::value<std::string>())(
+      "domain", options::value<std::string>())("limit",
+                                               options::value<std::int64_t>())(
+      "words", options::value<std::vector<std::string>>());
+  return description;
+}
+
+template <typename Value>
+Value Get(const options::variables_map& values,
+          const char* name,
+          Value default_value) {
+  return values.count(name) > 0 ? values[name].as<Value>()
+                                : std::move(default_value);
+}
+
+CommandLine Take(const options::variables_map& values) {
+  CommandLine line;
+  line.nodes = SplitAddresses(Get(values, "node", FromEnvironment("GCW_NODE")));
+  line.credential_file =
+      Get(values, "credential-file", FromEnvironment("GCW_CREDENTIAL_FILE"));
+  line.json = values.count("json") > 0;
+  line.help = values.count("help") > 0;
+  line.timeout =
+      Duration::Millis(Get(values, "timeout-ms", line.timeout.millis()));
+  if (values.count("expected") > 0) {
+    line.expected = values["expected"].as<std::int64_t>();
+  }
+  line.change = Get(values, "change-id", std::string());
+  line.trace_file = Get(values, "trace", std::string());
+  line.domain = Get(values, "domain", std::string());
+  line.limit = Get(values, "limit", line.limit);
+  line.words = Get(values, "words", std::vector<std::string>());
+  return line;
+}
+
+}  // namespace
+
+Result<CommandLine, UsageError> ParseCommandLine(int argc, char** argv) {
+  options::positional_options_description positional;
+  positional.add("words", -1);
+  options::variables_map values;
+  try {
+    options::store(options::command_line_parser(argc, argv)
+                       .options(MakeOptions())
+                       .positional(positional)
+                       .run(),
+                   values);
+  } catch (const options::error& error) {
+    return UsageError{error.what()};
+  }
+  return Take(values);
+}
+
+std::string HelpFor(const std::string& verb) {
+  const auto found = VerbHelp().find(verb);
+  return found == VerbHelp().end() ? std::string(kUsage) : found->second;
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/programs/gcwctl/commands.cc
@@ -0,0 +1,548 @@
+#include "programs/gcwctl/commands.h"
+
+#include <unistd.h>
+
+#include <fstream>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "programs/gcwctl/setting_files.h"
+#include "programs/gcwctl/table.h"
+
+namespace gcw {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusAccepted = 202;
+constexpr int kStatusConflict = 409;
+
+// A change id of this run, unlikely to be that of another.
+std::string NewChangeId() {
+  return "gcwctl-" + std::to_string(SystemClock()().millis()) + "-" +
+         std::to_string(getpid());
+}
+
+std::string FieldText(const json::object& object, std::string_view name) {
+  const json::value* value = object.if_contains(name);
+  return value == nullptr ? "" : PlainText(*value);
+}
+
+json::array FieldList(const json::object& object, std::string_view name) {
+  const json::value* value = object.if_contains(name);
+  return value != nullptr && value->is_array() ? value->get_array()
+                                               : json::array();
+}
+
+std::string_view Explain(OperatorCallErrorKind kind) {
+  switch (kind) {
+    case OperatorCallErrorKind::kAddressMalformed:
+      return "the address is not IP:PORT";
+    case OperatorCallErrorKind::kUnreachable:
+      return "it cannot be reached; nothing was sent";
+    case OperatorCallErrorKind::kNoAnswer:
+      return "it did not answer; the command may have taken effect";
+    case OperatorCallErrorKind::kAnswerMalformed:
+      return "its answer cannot be read; is this the operators' port?";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+Commands::Commands(CommandLine line,
+                   Secret credential,
+                   std::ostream& out,
+                   std::ostream& err)
+    : line_(std::move(line)),
+      credential_(std::move(credential)),
+      out_(out),
+      err_(err) {}
+
+ExitCode Commands::Run() {
+  const std::string verb = Word(0);
+  if (verb == "contract") {
+    return RunFamily({"contract", "contracts"});
+  }
+  if (verb == "model") {
+    return RunFamily({"model", "models"});
+  }
+  if (verb == "status") {
+    return ShowPage("/v1/status");
+  }
+  if (verb == "node") {
+    return RunNode();
+  }
+  if (verb == "group") {
+    return RunGroup();
+  }
+  if (verb == "limits") {
+    return ShowLimits();
+  }
+  if (verb == "change") {
+    return ShowChange();
+  }
+  if (verb == "timeline") {
+    return ShowTimeline();
+  }
+  if (verb == "why") {
+    return ShowWhy();
+  }
+  return Usage();
+}
+
+ExitCode Commands::RunFamily(const Family& family) {
+  const std::string action = Word(1);
+  if (action == "list") {
+    return ListSettings(family);
+  }
+  if (Word(2).empty()) {
+    return Usage();
+  }
+  if (action == "show") {
+    return ShowPage("/v1/" + family.list + "/" + Word(2));
+  }
+  if (action == "create" || action == "change") {
+    return WriteSetting(family, action == "create");
+  }
+  if (action == "withdraw") {
+    return Withdraw(family);
+  }
+  return Usage();
+}
+
+ExitCode Commands::WriteSetting(const Family& family, bool create) {
+  if (!create && !line_.expected) {
+    err_ << "--expected REVISION is missing; `gcwctl " << family.name
+         << " show ID` prints the current one\n";
+    return ExitCode::kUsage;
+  }
+  const ReadDocument read = family.name == "contract"
+                                ? ReadContractFile(Word(2))
+                                : ReadModelFile(Word(2));
+  if (const auto* errors = std::get_if<std::vector<SettingError>>(&read)) {
+    for (const SettingError& error : *errors) {
+      err_ << error << '\n';
+    }
+    return ExitCode::kUsage;
+  }
+  const auto& document = std::get<SettingDocument>(read);
+  return SendChange("PUT", "/v1/" + family.list + "/" + document.id,
+                    line_.expected.value_or(0), document.text);
+}
+
+ExitCode Commands::Withdraw(const Family& family) {
+  if (!line_.expected) {
+    err_ << "--expected REVISION is missing; `gcwctl " << family.name
+         << " show ID` prints the current one\n";
+    return ExitCode::kUsage;
+  }
+  return SendChange("DELETE", "/v1/" + family.list + "/" + Word(2),
+                    *line_.expected, "");
+}
+
+ExitCode Commands::SendChange(const std::string& method,
+                              const std::string& path,
+                              std::int64_t expected,
+                              const std::string& body) {
+  const std::string change =
+      line_.change.empty() ? NewChangeId() : line_.change;
+  OperatorAnswer answer;
+  ExitCode failure = ExitCode::kUnreachable;
+  const bool answered = Call(method,
+                             path + "?expected=" + std::to_string(expected) +
+                                 "&change=" + EscapeQuery(change),
+                             body, answer, failure);
+  if (!answered) {
+    if (failure == ExitCode::kOutcomeUnknown) {
+      err_ << "repeat with --change-id " << change << " to learn the outcome\n";
+    }
+    return failure;
+  }
+  if (answer.status != kStatusOk) {
+    const ExitCode refused = ReportRefusal(answer);
+    if (refused == ExitCode::kOutcomeUnknown) {
+      err_ << "repeat with --change-id " << change << " to learn the outcome\n";
+    }
+    return refused;
+  }
+  if (line_.json) {
+    out_ << json::serialize(answer.body) << '\n';
+  } else {
+    out_ << "accepted at revision " << FieldText(answer.body, "revision")
+         << '\n';
+  }
+  return ExitCode::kDone;
+}
+
+ExitCode Commands::ListSettings(const Family& family) {
+  OperatorAnswer answer;
+  ExitCode failure = ExitCode::kUnreachable;
+  if (!Get("/v1/" + family.list, answer, failure)) {
+    return failure;
+  }
+  if (line_.json) {
+    out_ << json::serialize(answer.body) << '\n';
+    return ExitCode::kDone;
+  }
+  json::array rows;
+  for (const json::value& item : FieldList(answer.body, family.list)) {
+    json::object row = item.get_object();
+    if (row["value"].is_object()) {
+      for (const auto& field : json::object(row["value"].get_object())) {
+        row[field.key()] = field.value();
+      }
+    }
+    rows.emplace_back(std::move(row));
+  }
+  const std::vector<std::string> columns =
+      family.name == "contract"
+          ? std::vector<std::string>{"id",
+                                     "tier",
+                                     "rank",
+                                     "models",
+                                     "services",
+                                     "requests_per_second",
+                                     "tokens_per_second",
+                                     "concurrency",
+                                     "revision"}
+          : std::vector<std::string>{"model", "vms_per_group", "rank",
+                                     "targets", "revision"};
+  PrintTable(rows, columns, out_);
+  return ExitCode::kDone;
+}
+
+ExitCode Commands::ShowPage(const std::string& target) {
+  OperatorAnswer answer;
+  ExitCode failure = ExitCode::kUnreachable;
+  if (!Get(target, answer, failure)) {
+    return failure;
+  }
+  if (line_.json) {
+    out_ << json::serialize(answer.body) << '\n';
+    return ExitCode::kDone;
+  }
+  for (const auto& field : answer.body) {
+    out_ << std::string_view(field.key()) << ": " << PlainText(field.value())
+         << '\n';
+  }
+  return ExitCode::kDone;
+}
+
+ExitCode Commands::RunNode() {
+  if (Word(1) == "drain" && !Word(2).empty()) {
+    return DrainNode(Word(2));
+  }
+  if (Word(1) != "list") {
+    return Usage();
+  }
+  OperatorAnswer answer;
+  ExitCode failure = ExitCode::kUnreachable;
+  if (!Get("/v1/nodes", answer, failure)) {
+    return failure;
+  }
+  if (line_.json) {
+    out_ << json::serialize(answer.body) << '\n';
+    return ExitCode::kDone;
+  }
+  PrintTable(FieldList(answer.body, "nodes"),
+             {"node", "state", "leaving", "zone", "region", "caller_address",
+              "operator_address"},
+             out_);
+  return ExitCode::kDone;
+}
+
+ExitCode Commands::DrainNode(const std::string& id) {
+  std::vector<json::object> nodes;
+  ExitCode failure = ExitCode::kUnreachable;
+  if (!FindNodes(nodes, failure)) {
+    return failure;
+  }
+  for (const json::object& node : nodes) {
+    if (FieldText(node, "node") != id) {
+      continue;
+    }
+    OperatorClient client =
+        ClientFor(Address(FieldText(node, "operator_address")));
+    const Result<OperatorAnswer, OperatorCallError> answer =
+        client.Call("POST", "/v1/drain");
+    if (!IsOk(answer)) {
+      err_ << id << ": " << Explain(ErrorOf(answer).kind) << '\n';
+      return ExitCode::kUnreachable;
+    }
+    if (ValueOf(answer).status != kStatusAccepted) {
+      return ReportRefusal(ValueOf(answer));
+    }
+    out_ << id << " is draining\n";
+    return ExitCode::kDone;
+  }
+  err_ << "no node is called " << id << "; see `gcwctl node list`\n";
+  return ExitCode::kRefused;
+}
+
+ExitCode Commands::RunGroup() {
+  const std::string action = Word(1);
+  if (action == "list") {
+    return ShowGroups("");
+  }
+  if (action == "show" && !Word(2).empty()) {
+    return ShowGroups(Word(2));
+  }
+  if (action != "drain" || Word(2).empty() || line_.domain.empty()) {
+    return Usage();
+  }
+  // The node that keeps the domain is found by asking each.
+  std::vector<json::object> nodes;
+  ExitCode failure = ExitCode::kUnreachable;
+  if (!FindNodes(nodes, failure)) {
+    return failure;
+  }
+  for (const json::object& node : nodes) {
+    OperatorClient client =
+        ClientFor(Address(FieldText(node, "operator_address")));
+    const Result<OperatorAnswer, OperatorCallError> answer = client.Call(
+        "POST", "/v1/groups/drain?domain=" + EscapeQuery(line_.domain) +
+                    "&group=" + EscapeQuery(Word(2)));
+    if (IsOk(answer) && ValueOf(answer).status == kStatusAccepted) {
+      out_ << Word(2) << " is draining\n";
+      return ExitCode::kDone;
+    }
+  }
+  err_ << "no node that keeps " << line_.domain << " answered\n";
+  return ExitCode::kRefused;
+}
+
+ExitCode Commands::ShowGroups(const std::string& id) {
+  OperatorAnswer answer;
+  ExitCode failure = ExitCode::kUnreachable;
+  if (!Get("/v1/groups", answer, failure)) {
+    return failure;
+  }
+  if (line_.json) {
+    out_ << json::serialize(answer.body) << '\n';
+    return ExitCode::kDone;
+  }
+  json::array rows;
+  for (const json::value& group : FieldList(answer.body, "groups")) {
+    if (id.empty() || FieldText(group.get_object(), "group") == id) {
+      rows.push_back(group);
+    }
+  }
+  if (!id.empty() && rows.empty()) {
+    err_ << "no group is called " << id << "; see `gcwctl group list`\n";
+    return ExitCode::kRefused;
+  }
+  PrintTable(rows,
+             {"group", "domain", "model", "generation", "state", "members"},
+             out_);
+  if (id.empty()) {
+    out_ << '\n';
+    PrintTable(FieldList(answer.body, "open_endpoints"),
+               {"endpoint", "zone", "generation", "own_in_flight",
+                "expected_wait_ms", "report_age_ms", "is_ejected"},
+               out_);
+  }
+  return ExitCode::kDone;
+}
+
+ExitCode Commands::ShowLimits() {
+  OperatorAnswer answer;
+  ExitCode failure = ExitCode::kUnreachable;
+  if (!Get("/v1/limits", answer, failure)) {
+    return failure;
+  }
+  if (line_.json) {
+    out_ << json::serialize(answer.body) << '\n';
+    return ExitCode::kDone;
+  }
+  PrintTable(FieldList(answer.body, "limits"),
+             {"contract", "limit", "share", "is_floor", "running"}, out_);
+  return ExitCode::kDone;
+}
+
+ExitCode Commands::ShowChange() {
+  if (Word(1) != "show" || Word(2).empty()) {
+    return Usage();
+  }
+  return ShowPage("/v1/changes/" + Word(2));
+}
+
+ExitCode Commands::ShowTimeline() {
+  TimelineDecoder decoder;
+  std::vector<TimelineEvent> events;
+  ExitCode failure = ExitCode::kUnreachable;
+  if (!CollectEvents(events, decoder, failure)) {
+    return failure;
+  }
+  if (!line_.trace_file.empty()) {
+    std::ofstream trace(line_.trace_file);
+    trace << ExportTrace(events);
+    if (!trace.flush()) {
+      err_ << line_.trace_file << " cannot be written\n";
+      return ExitCode::kRefused;
+    }
+  }
+  if (line_.json) {
+    out_ << EncodeEvents(events) << '\n';
+    return ExitCode::kDone;
+  }
+  json::array rows;
+  for (const TimelineEvent& event : events) {
+    rows.emplace_back(EventToJson(event));
+  }
+  PrintTable(rows, {"time_ms", "node", "event", "subject", "fields", "cause"},
+             out_);
+  return ExitCode::kDone;
+}
+
+ExitCode Commands::ShowWhy() {
+  if (Word(1).empty()) {
+    return Usage();
+  }
+  TimelineDecoder decoder;
+  std::vector<TimelineEvent> events;
+  ExitCode failure = ExitCode::kUnreachable;
+  if (!CollectEvents(events, decoder, failure)) {
+    return failure;
+  }
+  const Explanation explanation = ExplainSubject(events, Word(1));
+  if (explanation.events.empty()) {
+    err_ << "no event is about " << Word(1)
+         << "; it may be too old, see docs/OPERATORS.md\n";
+    return ExitCode::kRefused;
+  }
+  json::array rows;
+  for (const ExplainedEvent& explained : explanation.events) {
+    json::object row = EventToJson(explained.event);
+    row["relation"] = EventRelationName(explained.relation);
+    rows.emplace_back(std::move(row));
+  }
+  if (line_.json) {
+    out_ << json::serialize(json::object{{"events", rows}}) << '\n';
+    return ExitCode::kDone;
+  }
+  PrintTable(rows,
+             {"relation", "time_ms", "node", "event", "subject", "fields"},
+             out_);
+  return ExitCode::kDone;
+}
+
+bool Commands::Call(const std::string& method,
+                    const std::string& target,
+                    const std::string& body,
+                    OperatorAnswer& answer,
+                    ExitCode& failure) {
+  for (const Address& node : line_.nodes) {
+    Result<OperatorAnswer, OperatorCallError> called =
+        ClientFor(node).Call(method, target, body);
+    if (IsOk(called)) {
+      answer = std::move(ValueOf(called));
+      return true;
+    }
+    const OperatorCallErrorKind kind = ErrorOf(called).kind;
+    err_ << node << ": " << Explain(kind) << '\n';
+    if (kind == OperatorCallErrorKind::kNoAnswer) {
+      failure = ExitCode::kOutcomeUnknown;
+    }
+  }
+  if (line_.nodes.empty()) {
+    err_ << "--node ADDRESS is missing, or set GCW_NODE\n";
+    failure = ExitCode::kUsage;
+  }
+  return false;
+}
+
+bool Commands::Get(const std::string& target,
+                   OperatorAnswer& answer,
+                   ExitCode& failure) {
+  if (!Call("GET", target, "", answer, failure)) {
+    if (failure == ExitCode::kOutcomeUnknown) {
+      failure = ExitCode::kUnreachable;
+    }
+    return false;
+  }
+  if (answer.status != kStatusOk) {
+    failure = ReportRefusal(answer);
+    return false;
+  }
+  return true;
+}
+
+ExitCode Commands::ReportRefusal(const OperatorAnswer& answer) {
+  const json::value* error = answer.body.if_contains("error");
+  const json::object fields = error != nullptr && error->is_object()
+                                  ? error->get_object()
+                                  : json::object();
+  const std::string type = FieldText(fields, "type");
+  err_ << type << ": " << FieldText(fields, "message") << '\n';
+  if (answer.status == kStatusConflict) {
+    if (const json::value* current = answer.body.if_contains("current")) {
+      err_ << "current: " << PlainText(*current) << '\n';
+    }
+    return ExitCode::kConflict;
+  }
+  return type == ChangeUnavailableKindName(
+                     ChangeUnavailableKind::kOutcomeUnknown)
+             ? ExitCode::kOutcomeUnknown
+             : ExitCode::kRefused;
+}
+
+bool Commands::FindNodes(std::vector<json::object>& nodes, ExitCode& failure) {
+  OperatorAnswer answer;
+  if (!Get("/v1/nodes", answer, failure)) {
+    return false;
+  }
+  for (const json::value& node : FieldList(answer.body, "nodes")) {
+    if (node.is_object()) {
+      nodes.push_back(node.get_object());
+    }
+  }
+  return true;
+}
+
+bool Commands::CollectEvents(std::vector<TimelineEvent>& events,
+                             TimelineDecoder& decoder,
+                             ExitCode& failure) {
+  std::vector<json::object> nodes;
+  if (!FindNodes(nodes, failure)) {
+    return false;
+  }
+  std::vector<std::vector<TimelineEvent>> timelines;
+  for (const json::object& node : nodes) {
+    const std::string id = FieldText(node, "node");
+    const Address address(FieldText(node, "operator_address"));
+    const Result<OperatorAnswer, OperatorCallError> answer =
+        ClientFor(address).Call(
+            "GET", "/v1/timeline?limit=" + std::to_string(line_.limit));
+    if (!IsOk(answer) || ValueOf(answer).status != kStatusOk) {
+      err_ << id << " gave no events; the list is without its part\n";
+      continue;
+    }
+    Result<EventPage, TimelineError> page =
+        decoder.DecodePage(json::serialize(ValueOf(answer).body));
+    if (!IsOk(page)) {
+      err_ << id << " gave events that cannot be read\n";
+      continue;
+    }
+    timelines.push_back(std::move(ValueOf(page).events));
+  }
+  events = MergeTimelines(std::move(timelines));
+  return true;
+}
+
+ExitCode Commands::Usage() {
+  err_ << HelpFor(Word(0));
+  return ExitCode::kUsage;
+}
+
+std::string Commands::Word(std::size_t index) const {
+  return index < line_.words.size() ? line_.words[index] : "";
+}
+
+OperatorClient Commands::ClientFor(const Address& node) const {
+  return OperatorClient(node, credential_, line_.timeout);
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/programs/gcwctl/commands.h
@@ -0,0 +1,87 @@
+#ifndef PROGRAMS_GCWCTL_COMMANDS_H_
+#define PROGRAMS_GCWCTL_COMMANDS_H_
+
+#include <functional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "programs/gcwctl/command_line.h"
+#include "programs/gcwctl/operator_client.h"
+
+namespace gcw {
+
+enum class ExitCode {
+  kDone = 0,
+  kUsage = 2,
+  kUnreachable = 3,
+  kConflict = 4,
+  kRefused = 5,
+  kOutcomeUnknown = 6,
+};
+
+// Carries out one command and prints its result to `out`, or what to do about
+// its failure to `err`.
+class Commands {
+ public:
+  Commands(CommandLine line,
+           Secret credential,
+           std::ostream& out,
+           std::ostream& err);
+
+  ExitCode Run();
+
+ private:
+  // A family of settings that operators write.
+  struct Family {
+    std::string name;
+    std::string list;
+  };
+
+  ExitCode RunFamily(const Family& family);
+  ExitCode WriteSetting(const Family& family, bool create);
+  ExitCode Withdraw(const Family& family);
+  ExitCode SendChange(const std::string& method,
+                      const std::string& path,
+                      std::int64_t expected,
+                      const std::string& body);
+  ExitCode ListSettings(const Family& family);
+  ExitCode ShowPage(const std::string& target);
+  ExitCode RunNode();
+  ExitCode DrainNode(const std::string& id);
+  ExitCode RunGroup();
+  ExitCode ShowGroups(const std::string& id);
+  ExitCode ShowLimits();
+  ExitCode ShowChange();
+  ExitCode ShowTimeline();
+  ExitCode ShowWhy();
+
+  // The answer of the first node that gives one; reports failures.
+  bool Call(const std::string& method,
+            const std::string& target,
+            const std::string& body,
+            OperatorAnswer& answer,
+            ExitCode& failure);
+  // A page; reports failures.
+  bool Get(const std::string& target,
+           OperatorAnswer& answer,
+           ExitCode& failure);
+  ExitCode ReportRefusal(const OperatorAnswer& answer);
+  // Operators' addresses of all nodes that the first one knows.
+  bool FindNodes(std::vector<boost::json::object>& nodes, ExitCode& failure);
+  bool CollectEvents(std::vector<TimelineEvent>& events,
+                     TimelineDecoder& decoder,
+                     ExitCode& failure);
+  ExitCode Usage();
+  std::string Word(std::size_t index) const;
+  OperatorClient ClientFor(const Address& node) const;
+
+  CommandLine line_;
+  Secret credential_;
+  std::ostream& out_;
+  std::ostream& err_;
+};
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCWCTL_COMMANDS_H_
