--- a/programs/gcw_node/node_process.cc
+++ b/programs/gcw_node/node_process.cc
@@ -1,12 +1,19 @@
 #include "programs/gcw_node/node_process.h"
 
+#include <unistd.h>
+
 #include <atomic>
+#include <iostream>
+#include <optional>
+#include <random>
+#include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
 
 namespace gcw {
 namespace {
@@ -57,6 +64,10 @@
   return builder.Build();
 }
 
+Address AddressOf(const ListenSettings& where, std::uint16_t port) {
+  return Address(where.ip + ":" + std::to_string(port));
+}
+
 }  // namespace
 
 // In the order in which they are built; destroyed the other way about.
@@ -64,17 +75,35 @@
   explicit Parts(NodeSettings with_settings)
       : settings(std::move(with_settings)),
         clock(SystemClock()),
+        json_log(
+            {settings.core.self.id, "gcw-node", settings.log_severity, {}}),
         log(MakeEventLog(settings, clock)),
+        node_metrics(metrics),
         endpoints(traffic),
         store(traffic, {settings.store, settings.store_timeout}),
         vm_list(traffic, settings.vm_list, settings.store_timeout),
-        engines(traffic),
-        node_metrics(metrics) {}
+        engines(traffic) {}
+
+  // Each listens; false with the error where one cannot.
+  bool ListenForAll(NodeStartError& error);
+  bool Listen(const ListenSettings& where,
+              std::size_t most_connections,
+              HttpHandler handler,
+              std::unique_ptr<HttpServer>& server,
+              ListenErrorKind& error);
+  void BuildCore();
+  void BuildServices();
+  void StartThreads();
+  // Tells on standard output where the node listens.
+  void Announce() const;
 
   NodeSettings settings;
   Clock clock;
+  JsonLog json_log;
   EventLog log;
   Metrics metrics;
+  NodeMetrics node_metrics;
+  boost::asio::io_context control{1};
   boost::asio::io_context traffic;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       traffic_work = boost::asio::make_work_guard(traffic);
@@ -82,27 +111,165 @@
   StoreClient store;
   VmListClient vm_list;
   EngineClient engines;
-  NodeMetrics node_metrics;
   std::unique_ptr<NodeCore> core;
   std::unique_ptr<PeerClient> peer_client;
   std::unique_ptr<ActionExecutor> executor;
   std::unique_ptr<NodeRuntime> runtime;
   std::unique_ptr<CallerService> callers;
   std::unique_ptr<OperatorService> operators;
+  std::unique_ptr<PeerServer> peer_server;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> operator_server;
-  std::unique_ptr<PeerServer> peer_server;
   std::vector<std::thread> threads;
   std::atomic<bool> stopped = false;
 };
 
+// The servers come first, since the core tells their ports to others. No
+// handler runs before the threads start, and by then all parts are built.
+bool NodeProcess::Parts::ListenForAll(NodeStartError& error) {
+  error.listener = NodeListener::kCallers;
+  if (!Listen(
+          settings.caller_listen, kMostCallerConnections,
+          [this](HttpRequest request,
+                 std::shared_ptr<HttpResponder> responder) {
+            callers->Handle(std::move(request), std::move(responder));
+          },
+          caller_server, error.kind)) {
+    return false;
+  }
+  error.listener = NodeListener::kOperators;
+  if (!Listen(
+          settings.operator_listen, kMostOperatorConnections,
+          [this](HttpRequest request,
+                 std::shared_ptr<HttpResponder> responder) {
+            operators->Handle(std::move(request), std::move(responder));
+          },
+          operator_server, error.kind)) {
+    return false;
+  }
+  error.listener = NodeListener::kPeers;
+  PeerServerSettings peers;
+  peers.self = settings.core.self.id;
+  peers.ip = settings.peer_listen.ip;
+  peers.port = static_cast<std::uint16_t>(settings.peer_listen.port);
+  peers.secret = settings.peer_secret;
+  auto listening =
+      PeerServer::Listen(control, peers, [this](PeerEnvelope envelope) {
+        log.Observe(envelope.time);
+        for (PeerMessage& message : envelope.messages) {
+          runtime->Handle(PeerReceived{envelope.sender, std::move(message)});
+        }
+      });
+  if (!IsOk(listening)) {
+    error.kind = ListenErrorKind::kRefused;
+    return false;
+  }
+  peer_server = std::move(ValueOf(listening));
+  return true;
+}
+
+bool NodeProcess::Parts::Listen(const ListenSettings& where,
+                                std::size_t most_connections,
+                                HttpHandler handler,
+                                std::unique_ptr<HttpServer>& server,
+                                ListenErrorKind& error) {
+  HttpServerLimits limits;
+  limits.max_connections = most_connections;
+  auto listening = HttpServer::Listen(traffic, where.ip,
+                                      static_cast<std::uint16_t>(where.port),
+                                      limits, std::move(handler));
+  if (!IsOk(listening)) {
+    error = ErrorOf(listening).kind;
+    return false;
+  }
+  server = std::move(ValueOf(listening));
+  return true;
+}
+
+void NodeProcess::Parts::BuildCore() {
+  NodeRecord& self = settings.core.self;
+  self.caller_address =
+      AddressOf(settings.caller_listen, caller_server->port());
+  self.operator_address =
+      AddressOf(settings.operator_listen, operator_server->port());
+  self.peer_address = AddressOf(settings.peer_listen, peer_server->port());
+  core = NodeCore::Builder()
+             .SetSettings(settings.core)
+             .SetCodecs(JsonCodecs())
+             .SetRandom(SeededRandom(std::random_device()()))
+             .SetEventSink(log.Sink())
+             .Build(clock());
+}
+
+void NodeProcess::Parts::BuildServices() {
+  PeerClientSettings peer_settings;
+  peer_settings.self = settings.core.self.id;
+  peer_settings.incarnation = settings.core.incarnation;
+  peer_settings.secret = settings.peer_secret;
+  peer_client = std::make_unique<PeerClient>(control, peer_settings,
+                                             [this] { return log.Tick(); });
+  ActionExecutor::Clients clients;
+  clients.store = &store;
+  clients.vm_list = &vm_list;
+  clients.engines = &engines;
+  clients.endpoints = &endpoints;
+  clients.send_to_peer = [this](const SendToPeer& send) {
+    peer_client->SetAddress(send.to, send.address);
+    peer_client->Send(send.to, send.message);
+  };
+  executor = std::make_unique<ActionExecutor>(traffic, std::move(clients),
+                                              settings.weights, clock);
+  runtime = std::make_unique<NodeRuntime>(
+      control, *core, log, *executor, node_metrics,
+      NodeRuntime::Hooks{clock, [this] { stopped = true; }});
+  CallerServiceSettings caller_settings = settings.callers;
+  caller_settings.id_prefix =
+      settings.core.self.id.value() + "-" +
+      std::to_string(settings.core.incarnation.value()) + "-";
+  callers = std::make_unique<CallerService>(caller_settings, traffic, endpoints,
+                                            *runtime, node_metrics, clock);
+  operators = std::make_unique<OperatorService>(settings.operator_credential,
+                                                *runtime, metrics);
+}
+
+void NodeProcess::Parts::StartThreads() {
+  runtime->Start();
+  for (int thread = 0; thread < settings.traffic_threads; ++thread) {
+    threads.emplace_back([this] { traffic.run(); });
+  }
+}
+
+void NodeProcess::Parts::Announce() const {
+  const NodeRecord& self = settings.core.self;
+  std::cout << boost::json::serialize(boost::json::object{
+                   {"node", self.id.value()},
+                   {"callers", self.caller_address.value()},
+                   {"peers", self.peer_address.value()},
+                   {"operators", self.operator_address.value()},
+                   {"pid", getpid()}})
+            << std::endl;
+}
+
+std::variant<std::unique_ptr<NodeProcess>, NodeStartError> NodeProcess::Start(
+    NodeSettings settings) {
+  settings.core.incarnation = Incarnation(SystemClock()().millis());
+  auto parts = std::make_unique<Parts>(std::move(settings));
+  NodeStartError error{};
+  if (!parts->ListenForAll(error)) {
+    return error;
+  }
+  parts->BuildCore();
+  parts->BuildServices();
+  parts->StartThreads();
+  parts->Announce();
+  return std::unique_ptr<NodeProcess>(new NodeProcess(std::move(parts)));
+}
+
 NodeProcess::NodeProcess(std::unique_ptr<Parts> parts)
     : parts_(std::move(parts)) {}
 
 NodeProcess::~NodeProcess() {
-  if (parts_->runtime != nullptr) {
-    parts_->runtime->Stop();
-  }
+  parts_->runtime->Stop();
   parts_->traffic.stop();
   for (std::thread& thread : parts_->threads) {
     thread.join();
--- a/transport/node_runtime.cc
+++ b/transport/node_runtime.cc
@@ -22,12 +22,14 @@
 
 }  // namespace
 
-NodeRuntime::NodeRuntime(NodeCore& core,
+NodeRuntime::NodeRuntime(boost::asio::io_context& control,
+                         NodeCore& core,
                          EventLog& log,
                          ActionExecutor& executor,
                          NodeMetrics& metrics,
                          Hooks hooks)
-    : core_(core),
+    : control_(control),
+      core_(core),
       log_(log),
       executor_(executor),
       metrics_(metrics),
--- a/transport/node_runtime.h
+++ b/transport/node_runtime.h
@@ -26,9 +26,11 @@
     std::function<void()> on_stopped;
   };
 
-  // `core` and `log` are used on the control thread only, from `Start` on. All
-  // arguments outlive the runtime.
-  NodeRuntime(NodeCore& core,
+  // `control` is run by the runtime's one thread and nobody else. `core` and
+  // `log` are used on that thread only, from `Start` on. All arguments outlive
+  // the runtime.
+  NodeRuntime(boost::asio::io_context& control,
+              NodeCore& core,
               EventLog& log,
               ActionExecutor& executor,
               NodeMetrics& metrics,
@@ -43,6 +45,8 @@
 
   // Callable from any thread.
   void Post(NodeEvent event);
+  // On the control thread only.
+  void Handle(const NodeEvent& event);
   // Runs `task` on the control thread.
   void Run(std::function<void(NodeCore&, EventLog&, Time)> task);
   // A request that has arrived; its exchange carries out what the core decides.
@@ -56,18 +60,17 @@
   static constexpr Duration kTickInterval = Duration::Millis(50);
 
   void ScheduleTick();
-  void Handle(const NodeEvent& event);
   void Execute(NodeAction action);
   // Gives a request's final answer to its exchange and forgets it.
   template <typename Told>
   void Tell(const Told& told);
 
+  boost::asio::io_context& control_;
   NodeCore& core_;
   EventLog& log_;
   ActionExecutor& executor_;
   NodeMetrics& metrics_;
   Hooks hooks_;
-  boost::asio::io_context control_{1};
   boost::asio::steady_timer timer_;
   std::thread thread_;
   std::unordered_map<RequestId, std::shared_ptr<CallerExchange>> exchanges_;
--- a/transport/transport.h
+++ b/transport/transport.h
@@ -4,8 +4,10 @@
 // Public header of the transport library: everything that meets the network,
 // files and system clocks.
 
+#include "transport/action_executor.h"
 #include "transport/address.h"
 #include "transport/call_error.h"
+#include "transport/caller_service.h"
 #include "transport/engine_client.h"
 #include "transport/http_client.h"
 #include "transport/http_error.h"
@@ -14,6 +16,11 @@
 #include "transport/json_log.h"
 #include "transport/key_digest.h"
 #include "transport/metrics.h"
+#include "transport/node_metrics.h"
+#include "transport/node_runtime.h"
+#include "transport/operator_service.h"
+#include "transport/query_string.h"
+#include "transport/refusal_http.h"
 #include "transport/secret.h"
 #include "transport/setting_error.h"
 #include "transport/settings_reader.h"
