configuration: random runs of operators and faults, and what they found

Found: (1) a change that expected absence could be told of a conflict by one node and take effect through another after a withdrawal; the expectation is now one exact version.

--- a/coordination/config_proposer.cc
+++ b/coordination/config_proposer.cc
@@ -1,23 +1,15 @@
 #include "coordination/config_proposer.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace gcw {
 namespace {
 
-// Higher than any revision of a key.
-constexpr Revision kNoRevision(std::numeric_limits<std::int64_t>::max());
-
-bool IsAbsent(const std::optional<ConfigEntry>& entry) {
-  return !entry || !entry->record.value;
-}
-
 // Whether the operator's expectation holds for `current`.
 bool Meets(const std::optional<ConfigEntry>& current, Revision expected) {
   if (expected == Revision()) {
-    return IsAbsent(current);
+    return !current;
   }
   return current && current->revision == expected;
 }
--- a/coordination/config_proposer.h
+++ b/coordination/config_proposer.h
@@ -20,8 +20,8 @@
   std::string key;
   // Absent to withdraw the key.
   std::optional<std::string> value;
-  // The revision that the operator saw; zero where the key must be absent or
-  // withdrawn.
+  // The revision that the operator saw, of a tombstone too; zero where the key
+  // was never written. The change can take effect on this version only.
   Revision expected;
   // Chosen by the operator's client. The same change may be proposed again
   // under the same id, through any node, to learn its outcome.
--- a/coordination/config_sync.cc
+++ b/coordination/config_sync.cc
@@ -156,6 +156,9 @@
     proposer_calls_.erase(call);
     OnProposerActions(now, proposer_.OnStoreReply(now, inner, reply), actions);
   }
+  if (rewind_check_ == id) {
+    OnRewindCheck(reply);
+  }
   for (ConfigWatch& watch : watches_) {
     if (!watch.Awaits(id)) {
       continue;
@@ -209,6 +212,11 @@
     if (finished.entry && Merge(now, *finished.entry)) {
       accepted_.push_back(*finished.entry);
     }
+    const auto* unavailable = std::get_if<ChangeUnavailable>(&finished.outcome);
+    if (unavailable != nullptr &&
+        unavailable->kind == ChangeUnavailableKind::kStoreRewound) {
+      MarkRewound(Revision());
+    }
     to.emplace_back(std::move(finished));
   }
   // Calls that the proposer gave up on get no use of a late reply.
@@ -245,6 +253,10 @@
     std::vector<ConfigSyncAction> actions) {
   PushFresh(actions);
   PushFloor(actions);
+  for (StoreRequest& request : requests_) {
+    actions.emplace_back(std::move(request));
+  }
+  requests_.clear();
   for (ConfigEntry& entry : applied_) {
     actions.emplace_back(ConfigApplied{std::move(entry)});
   }
--- a/coordination/config_sync.h
+++ b/coordination/config_sync.h
@@ -30,11 +30,8 @@
   // of the fleet, so that the fleet's reads do not grow with its size.
   Duration read_interval_per_node = Duration::Seconds(2);
   Duration min_read_interval = Duration::Seconds(30);
-  // Revisions below the known ones for this long, over at least
-  // `rewind_replies` replies, mean that the service was set back; before that
-  // they may be stale reads.
+  // Replies below the known revisions for this long are looked into.
   Duration rewind_grace = Duration::Seconds(5);
-  int rewind_replies = 3;
   ConfigWatchSettings watch;
   ConfigGossipSettings gossip;
   ConfigProposerSettings proposer;
@@ -129,7 +126,9 @@
                     const ConfigBatch& batch,
                     const std::vector<ConfigEntry>& entries) const;
   bool IsBehind(Time now, const ConfigBatch& batch);
-  void MarkRewound(Time now, const ConfigBatch& batch);
+  void CheckForRewind(Time now);
+  void OnRewindCheck(const StoreReply& reply);
+  void MarkRewound(Revision shown);
   void OnGoodRead(const ConfigWatch& watch, const ConfigBatch& batch);
   void RaiseFloor(Revision revision);
   void PokeLagging();
@@ -180,9 +179,14 @@
   // Accepted by this node since the last flush.
   std::vector<ConfigEntry> accepted_;
   Revision pushed_floor_;
-  // Since when and how often replies have been behind known revisions.
+  // Since when replies have been behind known revisions.
   std::optional<Time> behind_since_;
-  int behind_replies_ = 0;
+  std::optional<StoreCallId> rewind_check_;
+  Time rewind_check_sent_;
+  // The version that the check asks for.
+  ConfigKeyRevision checked_;
+  // Calls that wait for the next flush.
+  std::vector<StoreRequest> requests_;
 };
 
 class ConfigSync::Builder {
--- a/coordination/config_sync_store.cc
+++ b/coordination/config_sync_store.cc
@@ -36,7 +36,7 @@
                          const ConfigBatch& batch) {
   const std::vector<ConfigEntry> entries = Decode(batch);
   if (ProvesRewind(watch.prefix(), batch, entries)) {
-    MarkRewound(now, batch);
+    MarkRewound(batch.revision);
     watch.RequestRead(now + kBehindInterval);
     return;
   }
@@ -97,25 +97,57 @@
 }
 
 // Whether the service speaks of a revision below one that was known when it was
-// asked. That may be a stale read; if it lasts, the service was set back.
+// asked.
 bool ConfigSync::IsBehind(Time now, const ConfigBatch& batch) {
   if (batch.revision >= batch.known) {
     behind_since_.reset();
-    behind_replies_ = 0;
     return false;
   }
   if (!behind_since_) {
     behind_since_ = now;
   }
-  ++behind_replies_;
-  if (behind_replies_ >= settings_.rewind_replies &&
-      now - *behind_since_ >= settings_.rewind_grace) {
-    MarkRewound(now, batch);
+  if (now - *behind_since_ >= settings_.rewind_grace) {
+    CheckForRewind(now);
   }
   return true;
 }
 
-void ConfigSync::MarkRewound(Time, const ConfigBatch& batch) {
+// Reads from an old state look like a service that was set back, however often
+// they come. A compare-and-swap is always answered from the present state, so
+// one that cannot match tells which it is.
+void ConfigSync::CheckForRewind(Time now) {
+  const bool waits =
+      rewind_check_ && now - rewind_check_sent_ < settings_.watch.call_timeout;
+  if (waits || store_.entries().empty()) {
+    return;
+  }
+  const auto newest =
+      std::max_element(store_.entries().begin(), store_.entries().end(),
+                       [](const auto& a, const auto& b) {
+                         return a.second.revision < b.second.revision;
+                       });
+  checked_ = {newest->first, newest->second.revision};
+  rewind_check_ = ++last_id_;
+  rewind_check_sent_ = now;
+  requests_.push_back({last_id_, StoreDelete{checked_.key, kNoRevision}});
+}
+
+void ConfigSync::OnRewindCheck(const StoreReply& reply) {
+  rewind_check_.reset();
+  const auto* conflict = std::get_if<StoreConflict>(&reply);
+  if (conflict == nullptr) {
+    return;
+  }
+  const Revision shown =
+      conflict->current ? conflict->current->revision : Revision();
+  if (shown < checked_.revision) {
+    MarkRewound(shown);
+  } else {
+    behind_since_.reset();
+  }
+}
+
+void ConfigSync::MarkRewound(Revision shown) {
   read_well_.clear();
   if (rewound_) {
     return;
@@ -124,7 +156,7 @@
   sink_({.kind = EventKind::kStoreRewound,
          .subject = self_.value(),
          .cause = {},
-         .fields = {{"revision", batch.revision.value()},
+         .fields = {{"shown", shown.value()},
                     {"known", highest_revision().value()}}});
 }
 
--- a/coordination/membership_peers.cc
+++ b/coordination/membership_peers.cc
@@ -88,8 +88,8 @@
 
 void Membership::SendPing(const NodeId& to) {
   ++last_probe_;
-  Send(to,
-       Ping{last_probe_, self().version, RumorsFor(to, MemberVersion::Highest())});
+  Send(to, Ping{last_probe_, self().version,
+                RumorsFor(to, MemberVersion::Highest())});
 }
 
 void Membership::SendUrgent(const Rumor& rumor) {
--- a/state/store_types.h
+++ b/state/store_types.h
@@ -1,6 +1,7 @@
 #ifndef STATE_STORE_TYPES_H_
 #define STATE_STORE_TYPES_H_
 
+#include <limits>
 #include <optional>
 #include <string>
 #include <variant>
@@ -13,6 +14,11 @@
 // Names a call to the key-value service until its reply arrives.
 using StoreCallId = StrongNumber<struct StoreCallIdTag>;
 
+// Higher than any revision of a key. A compare-and-swap that expects it changes
+// nothing, and its conflict shows the key's present state, which a plain read
+// need not.
+inline constexpr Revision kNoRevision(std::numeric_limits<std::int64_t>::max());
+
 struct StoreEntry {
   std::string key;
   std::string value;
--- a/tests/support/config_cluster.h
+++ b/tests/support/config_cluster.h
@@ -151,6 +151,8 @@
   const std::map<ChangeId, ChangeOutcome>& outcomes() const {
     return outcomes_;
   }
+  // Whether a final answer was followed by another one.
+  bool contradicted() const { return contradicted_; }
   std::int64_t events(EventKind kind) { return events_[kind]; }
   std::int64_t sent_bytes() const { return sent_bytes_; }
 
@@ -191,14 +193,31 @@
                 nodes_[index].reverted |= applied.entry.revision <= last;
                 last = applied.entry.revision;
               },
-              [&](const ProposalFinished& finished) {
-                outcomes_[finished.change.change] = finished.outcome;
-              },
+              [&](const ProposalFinished& finished) { Record(finished); },
           },
           action);
     }
   }
 
+  void Record(const ProposalFinished& finished) {
+    const auto [it, first] =
+        outcomes_.emplace(finished.change.change, finished.outcome);
+    if (first) {
+      return;
+    }
+    // A node that gives up says nothing against what another one told.
+    const auto final_now =
+        !std::holds_alternative<ChangeUnavailable>(finished.outcome);
+    const bool was_final =
+        !std::holds_alternative<ChangeUnavailable>(it->second);
+    if (was_final && !final_now) {
+      return;
+    }
+    contradicted_ |=
+        was_final && it->second.index() != finished.outcome.index();
+    it->second = finished.outcome;
+  }
+
   ConfigSyncSettings settings_;
   Random random_;
   FakeStoreLink link_;
@@ -211,6 +230,7 @@
   std::map<ChangeId, ChangeOutcome> outcomes_;
   std::map<EventKind, std::int64_t> events_;
   std::int64_t sent_bytes_ = 0;
+  bool contradicted_ = false;
 };
 
 }  // namespace gcw
