--- /dev/null
+++ b/coordination/admission.h
@@ -0,0 +1,215 @@
+#ifndef COORDINATION_ADMISSION_H_
+#define COORDINATION_ADMISSION_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "coordination/admission_queue.h"
+#include "coordination/admission_settings.h"
+#include "coordination/contract_directory.h"
+#include "coordination/demand_meter.h"
+#include "coordination/headroom.h"
+#include "coordination/limits.h"
+#include "coordination/request.h"
+#include "coordination/tier_room.h"
+#include "coordination/token_estimator.h"
+#include "core/core.h"
+
+namespace gcw {
+
+// Order in which engines serve; 0 first.
+using EnginePriority = StrongNumber<struct EnginePriorityTag>;
+
+// Dispatch the request now, to one of `endpoints` only; where there are none
+// given the router chooses among all.
+struct Admit {
+  RequestId request;
+  EnginePriority priority;
+  EndpointList endpoints;
+};
+
+// Waits at this node; an `Admit` or `Refuse` follows by its deadline.
+struct Queued {
+  RequestId request;
+};
+
+// The request's final answer: it was not run.
+struct Refuse {
+  RequestId request;
+  Refusal refusal;
+};
+
+// Cancel this running trial request at its endpoint and end it towards its
+// caller. `OnFinished` is to follow.
+struct PreemptTrial {
+  RequestId request;
+};
+
+using AdmissionAction = std::variant<Admit, Queued, Refuse, PreemptTrial>;
+
+// Decides for each request of a caller whether, when and how this node runs
+// it. Contracts are found by the digest of the caller's key.
+class Admission {
+ public:
+  class Builder;
+
+  // The contract set. A change takes effect at once for new requests and for
+  // waiting ones; running ones finish.
+  std::vector<AdmissionAction> OnContract(Time now, const Contract& contract);
+  std::vector<AdmissionAction> OnContractWithdrawn(Time now,
+                                                   const ContractId& contract);
+  // The contract that a caller's key belongs to; none where it is unknown.
+  const Contract* FindContract(const KeyDigest& digest) const {
+    return contracts_.FindByKey(digest);
+  }
+  const Contract* FindContract(const ContractId& id) const {
+    return contracts_.Find(id);
+  }
+
+  // `profile.contract` is as found by `FindContract`; tier, rank and limits
+  // are taken from the contract.
+  std::vector<AdmissionAction> Offer(Time now, const RequestProfile& profile);
+  std::vector<AdmissionAction> OnCapacity(Time now,
+                                          const ModelId& model,
+                                          Headroom headroom);
+  std::vector<AdmissionAction> OnCapacity(Time now,
+                                          const ServiceId& service,
+                                          Headroom headroom);
+  // An admitted request was sent to this endpoint.
+  void OnDispatched(const RequestId& request, const EndpointId& endpoint);
+  // An admitted request ended, was cancelled or not run.
+  std::vector<AdmissionAction> OnFinished(Time now,
+                                          const RequestId& request,
+                                          TokenCount generated);
+  // The caller of a waiting request has gone.
+  void OnAbandoned(const RequestId& request);
+  std::vector<AdmissionAction> Tick(Time now);
+
+  std::int64_t queued(Tier tier) const;
+  std::int64_t running(Tier tier) const;
+
+ private:
+  using Actions = std::vector<AdmissionAction>;
+
+  // A model or plain service.
+  struct Target {
+    Target(const AdmissionSettings& settings, const Random& random);
+
+    AdmissionQueue& queue(Tier tier) {
+      return tier == Tier::kPaid ? paid : trial;
+    }
+    const AdmissionQueue& queue(Tier tier) const {
+      return tier == Tier::kPaid ? paid : trial;
+    }
+
+    TierRoom room;
+    AdmissionQueue paid;
+    AdmissionQueue trial;
+    // Estimated tokens admitted per second, by tier.
+    std::array<DemandMeter, 2> drain;
+  };
+  enum class Phase { kAwaitingShare, kAwaitingRoom, kRunning };
+  struct Request {
+    ContractId contract;
+    RequestTarget requested;
+    Tier tier = Tier::kTrial;
+    Rank rank;
+    // Of the contract within its rank.
+    double weight = 1;
+    TokenCount prompt_tokens;
+    TokenCount estimate;
+    Phase phase = Phase::kAwaitingShare;
+    Time deadline;
+    Time give_up_at;
+    Target* target = nullptr;
+    // Empty before it is dispatched.
+    EndpointId endpoint;
+    bool is_preempted = false;
+  };
+  using RequestMap = std::unordered_map<RequestId, Request>;
+
+  Admission(const AdmissionSettings& settings,
+            Random random,
+            EventSink sink,
+            Limits* limits);
+
+  Target& TargetOf(const RequestTarget& target);
+  Request MakeRequest(const Contract& contract, const RequestProfile& profile);
+  void AwaitShare(Time now,
+                  const RequestId& id,
+                  Request& request,
+                  Actions& actions);
+  void AwaitRoom(Time now,
+                 const RequestId& id,
+                 Request& request,
+                 Actions& actions);
+  void Start(Time now, const RequestId& id, Request& request, Actions& actions);
+  // Starts what has room now, else waits for it.
+  void Place(Time now, const RequestId& id, Request& request, Actions& actions);
+  void StartWaiting(Time now, Target& target, Tier tier, Actions& actions);
+  void StartAllWaiting(Time now, Target& target, Actions& actions);
+  void RetryShares(Time now, Actions& actions);
+  void RetryShare(Time now,
+                  const RequestId& id,
+                  Request& request,
+                  Actions& actions);
+  void TickTarget(Time now, Target& target, Actions& actions);
+  void PreemptOutside(const Target& target, Actions& actions);
+  void UpdateRoom(Time now,
+                  Target& target,
+                  Headroom headroom,
+                  Actions& actions);
+  static bool HasRoom(Time now, const Request& request);
+  static Duration ExpectedWait(const Target& target,
+                               Tier tier,
+                               const WaitingRequest& request);
+  // The final answer of a request that holds a share; gives the share back.
+  void Drop(const RequestId& id,
+            RefusalKind kind,
+            Duration wait,
+            Actions& actions);
+  void Answer(const RequestId& id,
+              RefusalKind kind,
+              Duration wait,
+              Actions& actions);
+  Duration RetryAfter(RefusalKind kind, Duration wait) const;
+  void Report(EventKind kind, const RequestId& id);
+
+  std::unique_ptr<AdmissionSettings> settings_;
+  Random random_;
+  EventSink sink_;
+  Limits* limits_;
+  ContractDirectory contracts_;
+  TokenEstimator estimator_;
+  std::map<ModelId, Target> models_;
+  std::map<ServiceId, Target> services_;
+  RequestMap requests_;
+  // In order of arrival; may name requests that are gone.
+  std::deque<RequestId> awaiting_share_;
+};
+
+class Admission::Builder {
+ public:
+  Builder& SetSettings(AdmissionSettings settings);
+  Builder& SetRandom(Random random);
+  Builder& SetEventSink(EventSink sink);
+  // This node's shares; must outlive the admission.
+  Builder& SetLimits(Limits* limits);
+  Admission Build() const;
+
+ private:
+  AdmissionSettings settings_;
+  Random random_ = SeededRandom(1);
+  EventSink sink_ = DiscardEvents();
+  Limits* limits_ = nullptr;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_ADMISSION_H_
--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -5,9 +5,15 @@
 // of it does input or output, reads a clock or starts a thread.
 
 #include "coordination/actions.h"
+#include "coordination/admission.h"
 #include "coordination/config_messages.h"
 #include "coordination/config_sync.h"
 #include "coordination/entry_directory.h"
+#include "coordination/headroom.h"
+#include "coordination/limit_messages.h"
+#include "coordination/limit_settings.h"
+#include "coordination/limit_vector.h"
+#include "coordination/limits.h"
 #include "coordination/member.h"
 #include "coordination/membership.h"
 #include "coordination/membership_messages.h"
--- /dev/null
+++ b/coordination/tier_pools.cc
@@ -0,0 +1,80 @@
+#include "coordination/tier_pools.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+#include "coordination/stable_hash.h"
+
+namespace gcw {
+namespace {
+
+std::int64_t PaidAt(const EndpointHeadroom& endpoint) {
+  return endpoint.paid.value_or(endpoint.running + endpoint.queued);
+}
+
+}  // namespace
+
+TierPools::TierPools(const AdmissionSettings& settings)
+    : settings_(&settings) {}
+
+// By hash, so that the first endpoints are spread over the data centres.
+void TierPools::SortAlikeEverywhere(std::vector<EndpointHeadroom>& endpoints) {
+  const auto key = [](const EndpointHeadroom& e) {
+    return std::pair(StableHash(e.endpoint.value()), &e.endpoint.value());
+  };
+  std::sort(endpoints.begin(), endpoints.end(),
+            [&key](const auto& a, const auto& b) {
+              const auto [hash_a, id_a] = key(a);
+              const auto [hash_b, id_b] = key(b);
+              return std::tie(hash_a, *id_a) < std::tie(hash_b, *id_b);
+            });
+}
+
+// How many endpoints hold `paid` requests at the target.
+std::size_t TierPools::NeededFor(double paid) const {
+  double held = 0;
+  std::size_t needed = 0;
+  while (needed < endpoints_.size() && held < paid) {
+    held += settings_->paid_target *
+            static_cast<double>(endpoints_[needed].batch_limit);
+    ++needed;
+  }
+  return needed;
+}
+
+void TierPools::Update(Time now,
+                       std::vector<EndpointHeadroom> endpoints,
+                       std::int64_t unreported_paid) {
+  endpoints_ = std::move(endpoints);
+  SortAlikeEverywhere(endpoints_);
+  auto paid = static_cast<double>(unreported_paid);
+  for (const EndpointHeadroom& endpoint : endpoints_) {
+    paid += static_cast<double>(PaidAt(endpoint));
+  }
+  paid_count_ =
+      std::min(HighestNeeded(now, NeededFor(paid)), endpoints_.size());
+}
+
+// The most that was needed within the last `shrink_after`, so that the division
+// follows a rise at once and does not swing with every dip.
+std::size_t TierPools::HighestNeeded(Time now, std::size_t needed) {
+  while (!needed_.empty() && needed_.back().count <= needed) {
+    needed_.pop_back();
+  }
+  needed_.push_back({now, needed});
+  while (needed_.front().when + settings_->shrink_after < now) {
+    needed_.pop_front();
+  }
+  return needed_.front().count;
+}
+
+std::size_t TierPools::trial_begin() const {
+  const auto reserve = static_cast<std::size_t>(std::max(
+      1.0,
+      std::ceil(settings_->paid_reserve * static_cast<double>(paid_count_))));
+  return std::min(paid_count_ + reserve, endpoints_.size());
+}
+
+}  // namespace gcw
