--- a/state/state.h
+++ b/state/state.h
@@ -16,5 +16,6 @@
 #include "state/store_types.h"
 #include "state/vm_list.h"
 #include "state/weight_store_status.h"
+#include "state/wanted_model.h"
 
 #endif  // STATE_STATE_H_
