--- /dev/null
+++ b/protocol/membership_wire.cc
@@ -0,0 +1,260 @@
+#include "protocol/membership_wire.h"
+
+#include <utility>
+
+namespace gcw {
+
+namespace {
+
+void Put(const MemberVersion& version, wire::MemberVersion* out) {
+  out->set_incarnation(version.incarnation.value());
+  out->set_refutation(version.refutation);
+}
+
+MemberVersion Get(const wire::MemberVersion& in, WireFaults& faults) {
+  return {faults.CountOf<Incarnation>(in.incarnation(), "version.incarnation"),
+          faults.Count(in.refutation(), "version.refutation")};
+}
+
+void Put(const NodeRecord& record, wire::NodeRecord* out) {
+  out->set_id(record.id.value());
+  out->set_zone(record.zone.value());
+  out->set_region(record.region.value());
+  out->set_peer_address(record.peer_address.value());
+  out->set_caller_address(record.caller_address.value());
+  out->set_operator_address(record.operator_address.value());
+  out->set_weight(record.weight);
+  out->set_leaving(record.leaving);
+}
+
+NodeRecord Get(const wire::NodeRecord& in, WireFaults& faults) {
+  NodeRecord record;
+  record.id = faults.RequiredId<NodeId>(in.id(), "record.id");
+  record.zone = ZoneId(in.zone());
+  record.region = RegionId(in.region());
+  record.peer_address = Address(in.peer_address());
+  record.caller_address = Address(in.caller_address());
+  record.operator_address = Address(in.operator_address());
+  record.weight = faults.Count(in.weight(), "record.weight");
+  record.leaving = in.leaving();
+  return record;
+}
+
+wire::MemberState ToWireState(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+    case MemberState::kLeaving:
+      return wire::MEMBER_STATE_ALIVE;
+    case MemberState::kSuspect:
+      return wire::MEMBER_STATE_SUSPECT;
+    case MemberState::kDead:
+      return wire::MEMBER_STATE_DEAD;
+  }
+  return wire::MEMBER_STATE_UNSPECIFIED;
+}
+
+MemberState FromWireState(wire::MemberState state, WireFaults& faults) {
+  switch (state) {
+    case wire::MEMBER_STATE_ALIVE:
+      return MemberState::kAlive;
+    case wire::MEMBER_STATE_SUSPECT:
+      return MemberState::kSuspect;
+    case wire::MEMBER_STATE_DEAD:
+      return MemberState::kDead;
+    default:
+      faults.Fail(PeerCodecErrorKind::kUnknownName, "rumor.state");
+      return MemberState::kAlive;
+  }
+}
+
+void Put(const MemberRumor& rumor, wire::MemberRumor* out) {
+  out->set_node(rumor.node.value());
+  Put(rumor.version, out->mutable_version());
+  out->set_state(ToWireState(rumor.state));
+  if (rumor.record) {
+    Put(*rumor.record, out->mutable_record());
+  }
+}
+
+MemberRumor Get(const wire::MemberRumor& in, WireFaults& faults) {
+  MemberRumor rumor;
+  rumor.node = faults.RequiredId<NodeId>(in.node(), "rumor.node");
+  rumor.version = Get(in.version(), faults);
+  rumor.state = FromWireState(in.state(), faults);
+  if (in.has_record()) {
+    rumor.record = Get(in.record(), faults);
+  }
+  if (rumor.state == MemberState::kAlive && !rumor.record) {
+    faults.Fail(PeerCodecErrorKind::kMissing, "rumor.record");
+  }
+  return rumor;
+}
+
+void Put(const FingerprintDelta& delta, wire::DeltaRumor* out) {
+  wire::FingerprintDelta* const fingerprint = out->mutable_fingerprint();
+  fingerprint->set_fingerprint(
+      static_cast<std::uint64_t>(delta.fingerprint.value()));
+  fingerprint->set_blocked(delta.blocked);
+  fingerprint->set_losses(delta.losses);
+  fingerprint->set_time_to_live_ms(delta.time_to_live.millis());
+}
+
+void Put(const GroupEvidenceDelta& delta, wire::DeltaRumor* out) {
+  wire::GroupEvidenceDelta* const evidence = out->mutable_group_evidence();
+  evidence->set_group(delta.group.value());
+  evidence->set_generation(delta.generation.value());
+  evidence->set_vm(delta.vm.value());
+  evidence->set_present(delta.present);
+  evidence->set_age_ms(delta.age.millis());
+}
+
+Delta GetDelta(const wire::DeltaRumor& in, WireFaults& faults) {
+  if (in.has_fingerprint()) {
+    const wire::FingerprintDelta& delta = in.fingerprint();
+    return FingerprintDelta{
+        Fingerprint(static_cast<std::int64_t>(delta.fingerprint())),
+        delta.blocked(), faults.Count(delta.losses(), "delta.losses"),
+        faults.Span(delta.time_to_live_ms(), "delta.time_to_live_ms")};
+  }
+  if (in.has_group_evidence()) {
+    const wire::GroupEvidenceDelta& delta = in.group_evidence();
+    return GroupEvidenceDelta{
+        faults.RequiredId<GroupId>(delta.group(), "delta.group"),
+        faults.CountOf<Generation>(delta.generation(), "delta.generation"),
+        faults.RequiredId<VmId>(delta.vm(), "delta.vm"), delta.present(),
+        faults.Span(delta.age_ms(), "delta.age_ms")};
+  }
+  faults.Fail(PeerCodecErrorKind::kMissing, "delta");
+  return FingerprintDelta{};
+}
+
+void Put(const DeltaRumor& rumor, wire::DeltaRumor* out) {
+  out->set_origin(rumor.origin.value());
+  Put(rumor.origin_version, out->mutable_origin_version());
+  out->set_sequence(rumor.sequence);
+  std::visit([out](const auto& delta) { Put(delta, out); }, rumor.delta);
+}
+
+DeltaRumor Get(const wire::DeltaRumor& in, WireFaults& faults) {
+  return {faults.RequiredId<NodeId>(in.origin(), "delta.origin"),
+          Get(in.origin_version(), faults),
+          faults.Count(in.sequence(), "delta.sequence"), GetDelta(in, faults)};
+}
+
+using WireRumors = google::protobuf::RepeatedPtrField<wire::Rumor>;
+
+void Put(const std::vector<Rumor>& rumors, WireRumors* out) {
+  for (const Rumor& rumor : rumors) {
+    wire::Rumor* const added = out->Add();
+    if (const auto* member = std::get_if<MemberRumor>(&rumor)) {
+      Put(*member, added->mutable_member());
+    } else {
+      Put(std::get<DeltaRumor>(rumor), added->mutable_delta());
+    }
+  }
+}
+
+std::vector<Rumor> Get(const WireRumors& in, WireFaults& faults) {
+  std::vector<Rumor> rumors;
+  rumors.reserve(static_cast<std::size_t>(in.size()));
+  for (const wire::Rumor& rumor : in) {
+    if (rumor.has_member()) {
+      rumors.emplace_back(Get(rumor.member(), faults));
+    } else if (rumor.has_delta()) {
+      rumors.emplace_back(Get(rumor.delta(), faults));
+    }
+  }
+  return rumors;
+}
+
+void PutBody(const Ping& message, wire::PeerBody& body) {
+  wire::Ping* const out = body.mutable_ping();
+  out->set_probe(message.probe.value());
+  Put(message.version, out->mutable_version());
+  Put(message.rumors, out->mutable_rumors());
+}
+
+void PutBody(const PingRequest& message, wire::PeerBody& body) {
+  wire::PingRequest* const out = body.mutable_ping_request();
+  out->set_probe(message.probe.value());
+  out->set_target(message.target.value());
+  Put(message.version, out->mutable_version());
+  Put(message.rumors, out->mutable_rumors());
+}
+
+void PutBody(const PingAck& message, wire::PeerBody& body) {
+  wire::PingAck* const out = body.mutable_ping_ack();
+  out->set_probe(message.probe.value());
+  out->set_target(message.target.value());
+  Put(message.version, out->mutable_version());
+  Put(message.rumors, out->mutable_rumors());
+}
+
+void PutBody(const UrgentRumors& message, wire::PeerBody& body) {
+  wire::UrgentRumors* const out = body.mutable_urgent_rumors();
+  Put(message.version, out->mutable_version());
+  Put(message.rumors, out->mutable_rumors());
+}
+
+void PutBody(const MemberListRequest& message, wire::PeerBody& body) {
+  Put(message.version, body.mutable_member_list_request()->mutable_version());
+}
+
+void PutBody(const MemberList& message, wire::PeerBody& body) {
+  wire::MemberList* const out = body.mutable_member_list();
+  Put(message.version, out->mutable_version());
+  for (const MemberRumor& member : message.members) {
+    Put(member, out->add_members());
+  }
+}
+
+MemberList Get(const wire::MemberList& in, WireFaults& faults) {
+  MemberList list{Get(in.version(), faults), {}};
+  for (const wire::MemberRumor& member : in.members()) {
+    list.members.push_back(Get(member, faults));
+  }
+  return list;
+}
+
+}  // namespace
+
+wire::PeerBody ToWire(const MembershipMessage& message) {
+  wire::PeerBody body;
+  std::visit([&body](const auto& kind) { PutBody(kind, body); }, message);
+  return body;
+}
+
+std::optional<MembershipMessage> MembershipFromWire(const wire::PeerBody& body,
+                                                    WireFaults& faults) {
+  switch (body.body_case()) {
+    case wire::PeerBody::kPing: {
+      const wire::Ping& in = body.ping();
+      return Ping{ProbeId(in.probe()), Get(in.version(), faults),
+                  Get(in.rumors(), faults)};
+    }
+    case wire::PeerBody::kPingRequest: {
+      const wire::PingRequest& in = body.ping_request();
+      return PingRequest{ProbeId(in.probe()),
+                         faults.RequiredId<NodeId>(in.target(), "target"),
+                         Get(in.version(), faults), Get(in.rumors(), faults)};
+    }
+    case wire::PeerBody::kPingAck: {
+      const wire::PingAck& in = body.ping_ack();
+      return PingAck{ProbeId(in.probe()),
+                     faults.RequiredId<NodeId>(in.target(), "target"),
+                     Get(in.version(), faults), Get(in.rumors(), faults)};
+    }
+    case wire::PeerBody::kUrgentRumors:
+      return UrgentRumors{Get(body.urgent_rumors().version(), faults),
+                          Get(body.urgent_rumors().rumors(), faults)};
+    case wire::PeerBody::kMemberListRequest:
+      return MemberListRequest{
+          Get(body.member_list_request().version(), faults)};
+    case wire::PeerBody::kMemberList:
+      return Get(body.member_list(), faults);
+    default:
+      return std::nullopt;
+  }
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/protocol/peer_codec.cc
@@ -0,0 +1,111 @@
+#include "protocol/peer_codec.h"
+
+#include <utility>
+
+#include "protocol/config_wire.h"
+#include "protocol/guard_wire.h"
+#include "protocol/limit_wire.h"
+#include "protocol/membership_wire.h"
+#include "protocol/once_wire.h"
+#include "protocol/peer.pb.h"
+#include "protocol/presence_wire.h"
+#include "protocol/wire_faults.h"
+
+namespace gcw {
+
+namespace {
+
+// The body as whichever kind of message it holds.
+std::optional<PeerMessage> FromWire(const wire::PeerBody& body,
+                                    WireFaults& faults) {
+  std::optional<PeerMessage> message;
+  const auto try_kind = [&](auto from_wire) {
+    if (message) {
+      return;
+    }
+    if (auto found = from_wire(body, faults)) {
+      message = PeerMessage(*std::move(found));
+    }
+  };
+  try_kind(MembershipFromWire);
+  try_kind(ConfigFromWire);
+  try_kind(GuardFromWire);
+  try_kind(OnceFromWire);
+  try_kind(LimitFromWire);
+  try_kind(PresenceFromWire);
+  return message;
+}
+
+}  // namespace
+
+std::string_view PeerCodecErrorKindName(PeerCodecErrorKind kind) {
+  switch (kind) {
+    case PeerCodecErrorKind::kSyntax:
+      return "syntax";
+    case PeerCodecErrorKind::kMissing:
+      return "missing";
+    case PeerCodecErrorKind::kOutOfRange:
+      return "out_of_range";
+    case PeerCodecErrorKind::kUnknownName:
+      return "unknown_name";
+    case PeerCodecErrorKind::kTooLarge:
+      return "too_large";
+  }
+  return "unknown";
+}
+
+wire::PeerBody EncodePeerBody(const PeerMessage& message) {
+  return std::visit([](const auto& kind) { return ToWire(kind); }, message);
+}
+
+wire::PeerFrame EncodePeerFrame(const PeerEnvelope& envelope) {
+  wire::PeerFrame frame;
+  frame.set_sender(envelope.sender.value());
+  frame.set_incarnation(envelope.incarnation.value());
+  frame.set_receiver(envelope.receiver.value());
+  frame.mutable_time()->set_physical(envelope.time.physical.millis());
+  frame.mutable_time()->set_logical(envelope.time.logical);
+  for (const PeerMessage& message : envelope.messages) {
+    *frame.add_bodies() = EncodePeerBody(message);
+  }
+  return frame;
+}
+
+Result<PeerEnvelope, PeerCodecError> DecodePeerFrame(
+    const wire::PeerFrame& frame) {
+  if (frame.ByteSizeLong() > kMaxPeerFrameBytes) {
+    return PeerCodecError{PeerCodecErrorKind::kTooLarge, {}};
+  }
+  WireFaults faults;
+  PeerEnvelope envelope;
+  envelope.sender = faults.RequiredId<NodeId>(frame.sender(), "sender");
+  envelope.incarnation =
+      faults.CountOf<Incarnation>(frame.incarnation(), "incarnation");
+  envelope.receiver = faults.RequiredId<NodeId>(frame.receiver(), "receiver");
+  envelope.time = {faults.Moment(frame.time().physical(), "time.physical"),
+                   faults.Count(frame.time().logical(), "time.logical")};
+  for (const wire::PeerBody& body : frame.bodies()) {
+    if (auto message = FromWire(body, faults)) {
+      envelope.messages.push_back(*std::move(message));
+    } else {
+      ++envelope.unknown_messages;
+    }
+  }
+  if (faults.first()) {
+    return *faults.first();
+  }
+  return envelope;
+}
+
+Result<PeerEnvelope, PeerCodecError> ParsePeerFrame(std::string_view bytes) {
+  if (bytes.size() > kMaxPeerFrameBytes) {
+    return PeerCodecError{PeerCodecErrorKind::kTooLarge, {}};
+  }
+  wire::PeerFrame frame;
+  if (!frame.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return PeerCodecError{PeerCodecErrorKind::kSyntax, {}};
+  }
+  return DecodePeerFrame(frame);
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/protocol/presence_wire.h
@@ -0,0 +1,19 @@
+#ifndef PROTOCOL_PRESENCE_WIRE_H_
+#define PROTOCOL_PRESENCE_WIRE_H_
+
+#include <optional>
+
+#include "protocol/peer.pb.h"
+#include "protocol/peer_message.h"
+#include "protocol/wire_faults.h"
+
+namespace gcw {
+
+wire::PeerBody ToWire(const PresenceReport& message);
+// Absent where the body holds no message of this kind.
+std::optional<PresenceReport> PresenceFromWire(const wire::PeerBody& body,
+                                               WireFaults& faults);
+
+}  // namespace gcw
+
+#endif  // PROTOCOL_PRESENCE_WIRE_H_
--- a/protocol/protocol.h
+++ b/protocol/protocol.h
@@ -20,6 +20,8 @@
 #include "protocol/json_writer.h"
 #include "protocol/load_report_json.h"
 #include "protocol/node_record_json.h"
+#include "protocol/peer_codec.h"
+#include "protocol/peer_message.h"
 #include "protocol/prefix_blocks.h"
 #include "protocol/reference_answer.h"
 #include "protocol/store_json.h"
--- /dev/null
+++ b/protocol/wire_faults.h
@@ -0,0 +1,73 @@
+#ifndef PROTOCOL_WIRE_FAULTS_H_
+#define PROTOCOL_WIRE_FAULTS_H_
+
+#include <cmath>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/core.h"
+#include "protocol/peer_message.h"
+
+namespace gcw {
+
+// Checks the fields of messages from other nodes and keeps the first fault, so
+// that the decoders read as plain lists of fields.
+class WireFaults {
+ public:
+  const std::optional<PeerCodecError>& first() const { return first_; }
+
+  void Fail(PeerCodecErrorKind kind, std::string_view field) {
+    if (!first_) {
+      first_ = PeerCodecError{kind, field};
+    }
+  }
+
+  // A text that must not be empty.
+  template <typename Id>
+  Id RequiredId(const std::string& text, std::string_view field) {
+    if (text.empty()) {
+      Fail(PeerCodecErrorKind::kMissing, field);
+    }
+    return Id(text);
+  }
+
+  // A number that is never negative.
+  std::int64_t Count(std::int64_t value, std::string_view field) {
+    if (value < 0) {
+      Fail(PeerCodecErrorKind::kOutOfRange, field);
+      return 0;
+    }
+    return value;
+  }
+
+  template <typename Strong>
+  Strong CountOf(std::int64_t value, std::string_view field) {
+    return Strong(Count(value, field));
+  }
+
+  Duration Span(std::int64_t millis, std::string_view field) {
+    return Duration::Millis(Count(millis, field));
+  }
+
+  Time Moment(std::int64_t millis, std::string_view field) {
+    return Time::FromMillis(Count(millis, field));
+  }
+
+  // A finite amount that is not negative.
+  double Amount(double value, std::string_view field) {
+    if (!std::isfinite(value) || value < 0) {
+      Fail(PeerCodecErrorKind::kOutOfRange, field);
+      return 0;
+    }
+    return value;
+  }
+
+ private:
+  std::optional<PeerCodecError> first_;
+};
+
+}  // namespace gcw
+
+#endif  // PROTOCOL_WIRE_FAULTS_H_
