--- a/bench/endpoint_model.cc
+++ b/bench/endpoint_model.cc
@@ -123,8 +123,12 @@
 }
 
 void EndpointModel::ComeBack() {
-  is_down_ = false;
   ++settings_.generation;
+  Restart();
+}
+
+void EndpointModel::Restart() {
+  is_down_ = false;
   next_cache_sequence_ = 1;
 }
 
--- a/bench/endpoint_model.h
+++ b/bench/endpoint_model.h
@@ -77,6 +77,8 @@
   void GoDown();
   // Comes back empty as the next generation.
   void ComeBack();
+  // Comes back empty as the same generation.
+  void Restart();
 
   bool is_down() const { return is_down_; }
   const EngineSettings& settings() const { return settings_; }
--- /dev/null
+++ b/bench/retry_bench.cc
@@ -0,0 +1,95 @@
+// A third of the endpoints fails and comes back: goodput, extra work by
+// retries, and time to return to normal.
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "bench/bench_report.h"
+#include "bench/parallel_runs.h"
+#include "bench/retry_world.h"
+
+namespace gcw::bench {
+namespace {
+
+const std::vector<RetryScenario> kScenarios = {
+    {.name = "fast_failures", .load = 0.9, .fail_after_millis = 10},
+    {.name = "slow_failures", .load = 0.9, .fail_after_millis = 3000},
+    {.name = "within_capacity", .load = 0.6, .fail_after_millis = 10}};
+
+const std::vector<RetryWay> kWays = {
+    {.name = "no_retries", .max_attempts = 1},
+    {.name = "unbounded", .max_attempts = 10},
+    {.name = "deadlines_only", .max_attempts = 10, .passes_deadlines = true},
+    {.name = "goldcrestweir",
+     .max_attempts = 3,
+     .has_budget = true,
+     .passes_deadlines = true,
+     .plans_returns = true}};
+
+Spread Over(const std::vector<RetryFigures>& runs,
+            double RetryFigures::*figure,
+            double scale) {
+  std::vector<double> values;
+  for (const RetryFigures& run : runs) {
+    values.push_back(run.*figure * scale);
+  }
+  return SpreadOf(values);
+}
+
+void Add(BenchReport& report,
+         const std::string& scenario,
+         const std::string& way,
+         const std::vector<RetryFigures>& runs) {
+  const Spread before = Over(runs, &RetryFigures::goodput_before, 100);
+  const Spread during = Over(runs, &RetryFigures::goodput_during, 100);
+  const Spread after = Over(runs, &RetryFigures::goodput_after, 100);
+  const Spread answered = Over(runs, &RetryFigures::answered_in_the_end, 100);
+  const Spread attempts = Over(runs, &RetryFigures::attempts_per_call, 1);
+  const Spread wasted = Over(runs, &RetryFigures::wasted_share, 100);
+  const Spread normal = Over(runs, &RetryFigures::seconds_to_normal, 1);
+  report.AddRow({scenario, way, FormatSpread(before, 1),
+                 FormatSpread(during, 1), FormatSpread(after, 1),
+                 FormatSpread(answered, 1), FormatSpread(attempts, 2),
+                 FormatSpread(wasted, 1), FormatSpread(normal, 1)});
+  const std::string prefix = scenario + "_" + way;
+  report.SetFigure(prefix + "_goodput_during_percent", during.mean);
+  report.SetFigure(prefix + "_goodput_after_percent", after.mean);
+  report.SetFigure(prefix + "_attempts_per_call", attempts.mean);
+  report.SetFigure(prefix + "_seconds_to_normal", normal.mean);
+}
+
+int Run(int argc, char** argv) {
+  const BenchOptions options = ParseBenchOptions(argc, argv);
+  std::vector<std::function<RetryFigures()>> jobs;
+  for (const RetryScenario& scenario : kScenarios) {
+    for (const RetryWay& way : kWays) {
+      for (const std::uint64_t seed : options.seeds) {
+        jobs.emplace_back([&scenario, &way, seed] {
+          return RetryWorld(scenario, way, seed).Run();
+        });
+      }
+    }
+  }
+  const std::vector<RetryFigures> results = RunAll(jobs);
+  BenchReport report(
+      "retry", {"scenario", "way", "goodput before %", "during %", "after %",
+                "answered in the end %", "attempts/call", "wasted tokens %",
+                "s to normal"});
+  auto next = results.begin();
+  const auto seeds = static_cast<std::ptrdiff_t>(options.seeds.size());
+  for (const RetryScenario& scenario : kScenarios) {
+    for (const RetryWay& way : kWays) {
+      Add(report, scenario.name, way.name, {next, next + seeds});
+      next += seeds;
+    }
+  }
+  return report.Finish(options);
+}
+
+}  // namespace
+}  // namespace gcw::bench
+
+int main(int argc, char** argv) {
+  return gcw::bench::Run(argc, argv);
+}
--- /dev/null
+++ b/bench/retry_world.cc
@@ -0,0 +1,338 @@
+#include "bench/retry_world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+#include <utility>
+
+namespace gcw::bench {
+namespace {
+
+constexpr std::size_t kReplicas = 65;
+constexpr std::size_t kNodes = 8;
+constexpr Micros kSecond = 1000000;
+constexpr Micros kWay = kSecond / 1000;
+constexpr Micros kWarmUp = 12 * kSecond;
+constexpr Micros kFaultAt = 25 * kSecond;
+constexpr Micros kFaultEnd = 45 * kSecond;
+constexpr Micros kEnd = 116 * kSecond;
+// Long enough for those who were refused to come back.
+constexpr Micros kLastCall = 110 * kSecond;
+constexpr Micros kReportPeriod = 9 * kSecond / 5;
+constexpr Micros kReportLag = kSecond / 5;
+constexpr Micros kTick = kSecond / 20;
+constexpr Duration kPatience = Duration::Seconds(6);
+constexpr std::int64_t kMaxSends = 4;
+constexpr std::int64_t kPromptTokens = 600;
+// Of the log-normal answer length; its mean is 128 tokens.
+constexpr double kAnswerLogMedian = 4.6;
+constexpr double kAnswerLogDeviation = 0.7;
+constexpr double kMeanAnswerTokens = 128;
+constexpr Micros kWindow = 5 * kSecond;
+
+double CapacityPerReplica(const EngineSettings& engine) {
+  const double step_share =
+      engine.decode_base_millis / static_cast<double>(engine.batch_limit) +
+      engine.decode_per_request_millis;
+  const double prefill_millis =
+      kPromptTokens * 1000.0 / engine.prefill_tokens_per_second;
+  return 1000 / (kMeanAnswerTokens * step_share + prefill_millis);
+}
+
+}  // namespace
+
+RetryWorld::RetryWorld(const RetryScenario& scenario,
+                       const RetryWay& way,
+                       std::uint64_t seed)
+    : scenario_(scenario), way_(way), random_(SeededRandom(seed)) {
+  MakeFleet();
+  calls_per_second_ =
+      scenario_.load * CapacityPerReplica(EngineSettings()) * kReplicas;
+}
+
+void RetryWorld::MakeFleet() {
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    nodes_.push_back(
+        {.router = RouterBuilder().SetRandom(SeededRandom(random_())).Build(),
+         .budget = std::make_unique<RetryBudget>(RetryBudgetSettings()),
+         .planner = std::make_unique<RetryAfterPlanner>(
+             RetryAfterSettings(), SeededRandom(random_()))});
+    nodes_.back().router->SetNodeCount(kNodes);
+  }
+  is_failing_.resize(kReplicas);
+  for (std::size_t i = 0; i < kReplicas; ++i) {
+    EngineSettings settings;
+    settings.id = EndpointId("replica-" + std::to_string(i));
+    engines_.push_back(std::make_unique<EndpointModel>(events_, settings));
+    for (Node& node : nodes_) {
+      node.router->OnEndpointUp(events_.time(),
+                                {.id = settings.id,
+                                 .group = GroupId(settings.id.value()),
+                                 .generation = settings.generation,
+                                 .model = ModelId("notes"),
+                                 .service = {},
+                                 .zone = ZoneId("zone"),
+                                 .address = {}});
+    }
+  }
+}
+
+RetryFigures RetryWorld::Run() {
+  PublishLoads();
+  TickNodes();
+  MakeCalls();
+  events_.At(kFaultAt, [this] {
+    for (std::size_t i = 0; i < kReplicas; i += 3) {
+      is_failing_[i] = true;
+      engines_[i]->GoDown();
+    }
+  });
+  events_.At(kFaultEnd, [this] {
+    for (std::size_t i = 0; i < kReplicas; i += 3) {
+      is_failing_[i] = false;
+      engines_[i]->Restart();
+    }
+  });
+  events_.RunUntil(kEnd);
+  std::int64_t generated = 0;
+  for (const auto& engine : engines_) {
+    generated += engine->generated_tokens();
+  }
+  constexpr Micros kLastSpan = kLastCall - 4 * kWindow;
+  return {.goodput_before = Goodput(kWarmUp, kFaultAt),
+          .goodput_during = Goodput(kFaultAt + kWindow, kFaultEnd),
+          .goodput_after = Goodput(kLastSpan, kLastCall),
+          .answered_in_the_end = AnsweredInTheEnd(kFaultAt, kFaultEnd),
+          .attempts_per_call = static_cast<double>(attempts_in_fault_) /
+                               static_cast<double>(calls_in_fault_),
+          .wasted_share = 1 - static_cast<double>(useful_tokens_) /
+                                  static_cast<double>(generated),
+          .seconds_to_normal = SecondsToNormal()};
+}
+
+void RetryWorld::PublishLoads() {
+  for (const auto& engine : engines_) {
+    const auto first = static_cast<Micros>(DrawBelow(random_, kReportPeriod));
+    engine->PublishLoad(first, kReportPeriod, kReportLag,
+                        [this](const LoadReport& report) {
+                          for (Node& node : nodes_) {
+                            node.router->OnLoadReport(events_.time(), report);
+                          }
+                        });
+  }
+}
+
+void RetryWorld::TickNodes() {
+  const ModelTarget target{ModelId("notes"), {}};
+  for (Node& node : nodes_) {
+    node.router->Tick(events_.time());
+    node.planner->SetReturnRate(
+        node.router->SpareRequestsPerSecond(events_.time(), target));
+  }
+  events_.After(kTick, [this] { TickNodes(); });
+}
+
+void RetryWorld::MakeCalls() {
+  const double wait_millis =
+      -std::log(1 - DrawUnit(random_)) * 1000 / calls_per_second_;
+  events_.After(MicrosOf(wait_millis), [this] {
+    if (events_.now() >= kLastCall) {
+      return;
+    }
+    calls_.push_back(std::make_shared<Call>());
+    calls_.back()->made = events_.now();
+    if (events_.now() >= kFaultAt && events_.now() < kFaultEnd) {
+      ++calls_in_fault_;
+    }
+    SendCall(calls_.back());
+    MakeCalls();
+  });
+}
+
+void RetryWorld::SendCall(const std::shared_ptr<Call>& call) {
+  ++call->sends;
+  auto send = std::make_shared<Send>();
+  send->call = call;
+  send->node = DrawBelow(random_, kNodes);
+  send->answer_tokens = AnswerTokens();
+  send->profile.contract =
+      ContractId("team-" + std::to_string(DrawBelow(random_, 10)));
+  send->profile.target = ModelTarget{ModelId("notes"), {}};
+  send->profile.prompt_tokens = TokenCount(kPromptTokens);
+  send->profile.arrived = events_.time();
+  // A way that passes no deadlines does not know the caller's patience.
+  send->profile.deadline =
+      events_.time() +
+      (way_.passes_deadlines ? kPatience : Duration::Seconds(3600));
+  nodes_[send->node].budget->OnFirstAttempt(events_.time(),
+                                            send->profile.contract);
+  events_.After(kPatience.millis() * 1000, [this, send] { OnDeadline(send); });
+  Dispatch(send);
+}
+
+std::int64_t RetryWorld::AnswerTokens() {
+  const double radius = std::sqrt(-2 * std::log(1 - DrawUnit(random_)));
+  const double angle = 2 * std::numbers::pi * DrawUnit(random_);
+  const double tokens = std::exp(
+      kAnswerLogMedian + kAnswerLogDeviation * radius * std::cos(angle));
+  return std::max<std::int64_t>(1, static_cast<std::int64_t>(tokens));
+}
+
+void RetryWorld::Dispatch(const SendPointer& send) {
+  Router& router = *nodes_[send->node].router;
+  const auto result =
+      router.Choose(events_.time(), send->profile, send->excluded);
+  if (!IsOk(result)) {
+    Refuse(send, ErrorOf(result));
+    return;
+  }
+  ++send->attempts;
+  if (events_.now() >= kFaultAt && events_.now() < kFaultEnd) {
+    ++attempts_in_fault_;
+  }
+  const Route& route = ValueOf(result);
+  send->ticket = router.OnDispatched(events_.time(), route, send->profile);
+  send->attempt = next_attempt_++;
+  send->replica = static_cast<std::size_t>(route.slot.value());
+  events_.After(kWay, [this, send] { RunAtEngine(send); });
+}
+
+void RetryWorld::RunAtEngine(const SendPointer& send) {
+  const DispatchTicket ticket = send->ticket;
+  if (is_failing_[send->replica]) {
+    events_.After(MicrosOf(scenario_.fail_after_millis) + kWay,
+                  [this, send, ticket] { OnFailed(send, ticket); });
+    return;
+  }
+  EngineRequest request;
+  request.id = send->attempt;
+  request.prompt_tokens = kPromptTokens;
+  request.generated_tokens = send->answer_tokens;
+  request.on_first_token = [this, send](std::int64_t /*cached*/) {
+    events_.After(kWay, [this, send] { OnFirstToken(send); });
+  };
+  request.on_finished = [this, send, ticket] {
+    events_.After(kWay, [this, send, ticket] { OnFinished(send, ticket); });
+  };
+  request.on_failed = [this, send, ticket] {
+    events_.After(kWay, [this, send, ticket] { OnFailed(send, ticket); });
+  };
+  engines_[send->replica]->Submit(std::move(request));
+}
+
+void RetryWorld::OnFirstToken(const SendPointer& send) {
+  nodes_[send->node].router->OnFirstByte(events_.time(), send->ticket);
+  send->has_first_byte = !send->is_over;
+}
+
+void RetryWorld::OnFinished(const SendPointer& send, DispatchTicket ticket) {
+  nodes_[send->node].router->OnFinished(events_.time(), ticket,
+                                        TokenCount(send->answer_tokens));
+  if (send->is_over) {
+    return;
+  }
+  send->is_over = true;
+  useful_tokens_ += send->answer_tokens;
+  send->call->answered = events_.now();
+}
+
+void RetryWorld::OnFailed(const SendPointer& send, DispatchTicket ticket) {
+  nodes_[send->node].router->OnFailed(events_.time(), ticket);
+  if (send->is_over) {
+    return;
+  }
+  // A cut stream is the caller's to send again.
+  if (!send->has_first_byte && MayRetry(send)) {
+    send->excluded.push_back(engines_[send->replica]->settings().id);
+    Dispatch(send);
+    return;
+  }
+  Refuse(send, RefusalKind::kRetryBudget);
+}
+
+bool RetryWorld::MayRetry(const SendPointer& send) {
+  if (!way_.has_budget) {
+    return send->attempts < way_.max_attempts;
+  }
+  const FailedAttempt failed{.attempts = send->attempts,
+                             .was_not_run = false,
+                             .expected_first_byte = Duration::Millis(100)};
+  return nodes_[send->node].budget->Spend(events_.time(), send->profile,
+                                          failed) == RetryVerdict::kAllowed;
+}
+
+void RetryWorld::OnDeadline(const SendPointer& send) {
+  if (send->is_over || send->has_first_byte) {
+    return;
+  }
+  if (way_.passes_deadlines) {
+    nodes_[send->node].router->OnCancelled(events_.time(), send->ticket);
+    engines_[send->replica]->Cancel(send->attempt);
+  }
+  Refuse(send, RefusalKind::kDeadline);
+}
+
+void RetryWorld::Refuse(const SendPointer& send, RefusalKind kind) {
+  send->is_over = true;
+  const Duration after = way_.plans_returns ? nodes_[send->node].planner->Plan(
+                                                  events_.time(), kind)
+                                            : Duration();
+  CallAgain(send->call, after);
+}
+
+void RetryWorld::CallAgain(const std::shared_ptr<Call>& call, Duration after) {
+  if (call->sends < kMaxSends) {
+    events_.After(after.millis() * 1000 + 2 * kWay,
+                  [this, call] { SendCall(call); });
+  }
+}
+
+double RetryWorld::Goodput(Micros from, Micros to) const {
+  const auto answered =
+      std::ranges::count_if(calls_, [from, to](const auto& call) {
+        return call->answered >= from && call->answered < to;
+      });
+  const double seconds = static_cast<double>(to - from) / kSecond;
+  return static_cast<double>(answered) / (calls_per_second_ * seconds);
+}
+
+double RetryWorld::AnsweredAtOnce(Micros from, Micros to) const {
+  std::int64_t made = 0;
+  std::int64_t answered = 0;
+  for (const auto& call : calls_) {
+    if (call->made >= from && call->made < to) {
+      ++made;
+      answered += call->answered > 0 && call->sends == 1 ? 1 : 0;
+    }
+  }
+  return static_cast<double>(answered) /
+         static_cast<double>(std::max<std::int64_t>(1, made));
+}
+
+double RetryWorld::AnsweredInTheEnd(Micros from, Micros to) const {
+  std::int64_t made = 0;
+  std::int64_t answered = 0;
+  for (const auto& call : calls_) {
+    if (call->made >= from && call->made < to) {
+      ++made;
+      answered += call->answered > 0 ? 1 : 0;
+    }
+  }
+  return static_cast<double>(answered) /
+         static_cast<double>(std::max<std::int64_t>(1, made));
+}
+
+double RetryWorld::SecondsToNormal() const {
+  constexpr double kNormal = 0.98;
+  constexpr Micros kStep = kSecond / 2;
+  // Answers to the last calls are still under way at the end.
+  constexpr Micros kLast = kLastCall - kWindow;
+  Micros from = kFaultEnd;
+  while (from + kWindow <= kLast &&
+         AnsweredAtOnce(from, from + kWindow) < kNormal) {
+    from += kStep;
+  }
+  return static_cast<double>(from - kFaultEnd) / kSecond;
+}
+
+}  // namespace gcw::bench
--- /dev/null
+++ b/bench/retry_world.h
@@ -0,0 +1,129 @@
+#ifndef BENCH_RETRY_WORLD_H_
+#define BENCH_RETRY_WORLD_H_
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "bench/endpoint_model.h"
+#include "coordination/coordination.h"
+
+namespace gcw::bench {
+
+// How nodes and callers act when something fails.
+struct RetryWay {
+  std::string name;
+  // The node's attempts for one send of a caller.
+  std::int64_t max_attempts = 3;
+  bool has_budget = false;
+  // Refuse what cannot be answered in time, and cancel it at the engine once
+  // its caller has given up.
+  bool passes_deadlines = false;
+  // Refused callers are told when to come back; else they return at once.
+  bool plans_returns = false;
+};
+
+struct RetryScenario {
+  std::string name;
+  // Of the engines' capacity, before the fault.
+  double load = 0.9;
+  // From request to failure at a failing endpoint.
+  double fail_after_millis = 10;
+};
+
+struct RetryFigures {
+  // Calls answered in a span against those newly made in it. Above 1 while
+  // those who were refused come back.
+  double goodput_before = 0;
+  double goodput_during = 0;
+  double goodput_after = 0;
+  // Of the calls made during the fault.
+  double answered_in_the_end = 0;
+  // Attempts at endpoints for each new call, during the fault.
+  double attempts_per_call = 0;
+  // Tokens generated for callers who had given up, of all tokens.
+  double wasted_share = 0;
+  // From the end of the fault until new calls are answered at their first
+  // send; the whole span where that does not return.
+  double seconds_to_normal = 0;
+};
+
+// A third of 65 endpoints fails each request for a while, then is well again.
+// Callers send again what was refused or came too late, at most three times.
+class RetryWorld {
+ public:
+  RetryWorld(const RetryScenario& scenario,
+             const RetryWay& way,
+             std::uint64_t seed);
+  RetryFigures Run();
+
+ private:
+  struct Node {
+    std::unique_ptr<Router> router;
+    std::unique_ptr<RetryBudget> budget;
+    std::unique_ptr<RetryAfterPlanner> planner;
+  };
+  // One thing that a caller wants.
+  struct Call {
+    Micros made = 0;
+    std::int64_t sends = 0;
+    // 0 while it is not.
+    Micros answered = 0;
+  };
+  // One send of it.
+  struct Send {
+    std::shared_ptr<Call> call;
+    std::size_t node = 0;
+    RequestProfile profile;
+    std::int64_t answer_tokens = 0;
+    std::int64_t attempts = 0;
+    std::vector<EndpointId> excluded;
+    // The attempt under way.
+    std::size_t replica = 0;
+    std::uint64_t attempt = 0;
+    DispatchTicket ticket;
+    bool has_first_byte = false;
+    bool is_over = false;
+  };
+  using SendPointer = std::shared_ptr<Send>;
+
+  void MakeFleet();
+  void PublishLoads();
+  void TickNodes();
+  void MakeCalls();
+  void SendCall(const std::shared_ptr<Call>& call);
+  void Dispatch(const SendPointer& send);
+  void RunAtEngine(const SendPointer& send);
+  void OnFirstToken(const SendPointer& send);
+  void OnFinished(const SendPointer& send, DispatchTicket ticket);
+  void OnFailed(const SendPointer& send, DispatchTicket ticket);
+  bool MayRetry(const SendPointer& send);
+  void OnDeadline(const SendPointer& send);
+  void Refuse(const SendPointer& send, RefusalKind kind);
+  void CallAgain(const std::shared_ptr<Call>& call, Duration after);
+  std::int64_t AnswerTokens();
+  double Goodput(Micros from, Micros to) const;
+  // Shares of the calls made in a span.
+  double AnsweredAtOnce(Micros from, Micros to) const;
+  double AnsweredInTheEnd(Micros from, Micros to) const;
+  double SecondsToNormal() const;
+
+  RetryScenario scenario_;
+  RetryWay way_;
+  EventQueue events_;
+  Random random_;
+  std::vector<std::unique_ptr<EndpointModel>> engines_;
+  std::vector<bool> is_failing_;
+  std::vector<Node> nodes_;
+  double calls_per_second_ = 0;
+  std::uint64_t next_attempt_ = 1;
+  std::vector<std::shared_ptr<Call>> calls_;
+  std::int64_t calls_in_fault_ = 0;
+  std::int64_t attempts_in_fault_ = 0;
+  std::int64_t useful_tokens_ = 0;
+};
+
+}  // namespace gcw::bench
+
+#endif  // BENCH_RETRY_WORLD_H_
--- a/coordination/endpoint_pool.cc
+++ b/coordination/endpoint_pool.cc
@@ -70,8 +70,7 @@
   candidates_.clear();
   const PeerAssumption peers = Peers(input.now, input.nodes);
   for (const EndpointSlot slot : slots_) {
-    const EndpointId& id = StateOf(slot).endpoint->id;
-    if (std::ranges::find(input.excluded, id) != input.excluded.end()) {
+    if (IsExcluded(input, slot)) {
       continue;
     }
     if (scope == Scope::kAny || IsHealthy(input.now, slot)) {
@@ -80,6 +79,15 @@
   }
 }
 
+bool EndpointPool::IsExcluded(const ChooseInput& input,
+                              EndpointSlot slot) const {
+  if (input.excluded.empty()) {
+    return false;
+  }
+  const EndpointId& id = StateOf(slot).endpoint->id;
+  return std::ranges::find(input.excluded, id) != input.excluded.end();
+}
+
 bool EndpointPool::IsHealthy(Time now, EndpointSlot slot) const {
   return !stragglers_.IsEjected(slot) && StateOf(slot).backoff.IsOpen(now);
 }
@@ -116,8 +124,8 @@
   if (load.batch_limit <= 0) {
     return load.requests * settings_.step_millis;
   }
-  return settings_.occupancy_millis *
-         std::pow(load.requests / load.batch_limit, settings_.occupancy_power);
+  const double occupancy = load.requests / load.batch_limit;
+  return settings_.occupancy_millis * occupancy * occupancy;
 }
 
 double EndpointPool::WaitMillis(Time now,
@@ -129,6 +137,19 @@
          state.overdue_millis;
 }
 
+double EndpointPool::SpareRequestsPerSecond(Time now,
+                                            std::int64_t nodes) const {
+  const PeerAssumption peers = Peers(now, nodes);
+  double places = 0;
+  for (const EndpointSlot slot : slots_) {
+    if (IsHealthy(now, slot)) {
+      const LoadEstimate load = StateOf(slot).load.Estimate(now, peers);
+      places += std::max(0.0, load.batch_limit - load.requests);
+    }
+  }
+  return places * 1000 / service_millis_ / static_cast<double>(nodes);
+}
+
 // Nodes with the same old reports agree on the best endpoint; if all took it,
 // it would be the worst. So two are drawn from all that are nearly as good, and
 // the better one of these is taken.
--- a/coordination/endpoint_pool.h
+++ b/coordination/endpoint_pool.h
@@ -46,6 +46,8 @@
   double WaitMillis(Time now,
                     const EndpointState& state,
                     std::int64_t nodes) const;
+  // What this node's share of the free places would carry.
+  double SpareRequestsPerSecond(Time now, std::int64_t nodes) const;
   const StragglerDetector& stragglers() const { return stragglers_; }
 
  private:
@@ -59,6 +61,7 @@
   enum class Scope { kHealthy, kAny };
 
   PeerAssumption Peers(Time now, std::int64_t nodes) const;
+  bool IsExcluded(const ChooseInput& input, EndpointSlot slot) const;
   bool IsHealthy(Time now, EndpointSlot slot) const;
   void Collect(const ChooseInput& input, Scope scope);
   Candidate CandidateFor(const ChooseInput& input,
--- a/coordination/router.cc
+++ b/coordination/router.cc
@@ -248,6 +248,12 @@
            .fields = {}});
 }
 
+double Router::SpareRequestsPerSecond(Time now,
+                                      const RequestTarget& target) const {
+  const EndpointPool* pool = FindPool(target);
+  return pool == nullptr ? 0 : pool->SpareRequestsPerSecond(now, nodes_);
+}
+
 std::vector<EndpointView> Router::Endpoints(Time now) const {
   std::vector<EndpointView> views;
   for (const auto& [id, slot] : slots_) {
--- a/coordination/router.h
+++ b/coordination/router.h
@@ -65,6 +65,8 @@
 
   void Tick(Time now);
 
+  // What this node's share of the free places would carry.
+  double SpareRequestsPerSecond(Time now, const RequestTarget& target) const;
   // For the status page.
   std::vector<EndpointView> Endpoints(Time now) const;
 
--- a/coordination/router_settings.h
+++ b/coordination/router_settings.h
@@ -31,10 +31,9 @@
   // Time a request is served, until finished ones show it.
   double initial_service_millis = 8000;
 
-  // What a full batch adds to an endpoint's cost; the part grows with
-  // `occupancy_power`. It keeps load even while no endpoint has a queue yet.
+  // What a full batch adds to an endpoint's cost; it grows with the square of
+  // occupancy and keeps load even while no endpoint has a queue yet.
   double occupancy_millis = 100;
-  double occupancy_power = 2;
   // An endpoint is drawn when its cost is at most this far above the least:
   // an absolute part plus a share of the least.
   double near_best_millis = 5;
