--- a/bench/parallel_runs.h
+++ b/bench/parallel_runs.h
@@ -10,11 +10,13 @@
 
 namespace gcw::bench {
 
+// Threads that one benchmark takes at most.
+inline constexpr std::size_t kMaxThreads = 4;
+
 // Carries out independent runs on a few threads. Each run has its own virtual
 // time and seed, so the results do not depend on the number of threads.
 template <typename Figures>
 std::vector<Figures> RunAll(const std::vector<std::function<Figures()>>& runs) {
-  constexpr std::size_t kMaxThreads = 4;
   std::vector<Figures> results(runs.size());
   std::atomic<std::size_t> next = 0;
   const auto work = [&] {
--- a/bench/retry_bench.cc
+++ b/bench/retry_bench.cc
@@ -31,6 +31,7 @@
             double RetryFigures::*figure,
             double scale) {
   std::vector<double> values;
+  values.reserve(runs.size());
   for (const RetryFigures& run : runs) {
     values.push_back(run.*figure * scale);
   }
--- a/bench/retry_world.cc
+++ b/bench/retry_world.cc
@@ -29,6 +29,12 @@
 constexpr double kAnswerLogDeviation = 0.7;
 constexpr double kMeanAnswerTokens = 128;
 constexpr Micros kWindow = 5 * kSecond;
+constexpr Micros kLastSpan = kLastCall - 4 * kWindow;
+// A window is normal where this share of new calls is answered at once.
+constexpr double kNormal = 0.98;
+constexpr Micros kNormalStep = kSecond / 2;
+// Answers to the last calls are still under way at the end.
+constexpr Micros kLastWindow = kLastCall - 2 * kWindow;
 
 double CapacityPerReplica(const EngineSettings& engine) {
   const double step_share =
@@ -98,7 +104,6 @@
   for (const auto& engine : engines_) {
     generated += engine->generated_tokens();
   }
-  constexpr Micros kLastSpan = kLastCall - 4 * kWindow;
   return {.goodput_before = Goodput(kWarmUp, kFaultAt),
           .goodput_during = Goodput(kFaultAt + kWindow, kFaultEnd),
           .goodput_after = Goodput(kLastSpan, kLastCall),
@@ -323,14 +328,10 @@
 }
 
 double RetryWorld::SecondsToNormal() const {
-  constexpr double kNormal = 0.98;
-  constexpr Micros kStep = kSecond / 2;
-  // Answers to the last calls are still under way at the end.
-  constexpr Micros kLast = kLastCall - kWindow;
   Micros from = kFaultEnd;
-  while (from + kWindow <= kLast &&
+  while (from <= kLastWindow &&
          AnsweredAtOnce(from, from + kWindow) < kNormal) {
-    from += kStep;
+    from += kNormalStep;
   }
   return static_cast<double>(from - kFaultEnd) / kSecond;
 }
--- a/coordination/endpoint_pool.cc
+++ b/coordination/endpoint_pool.cc
@@ -145,7 +145,8 @@
       2 * state.distance_millis + settings_.step_millis + QueueMillis(load) +
       (load.tokens + uncached) / peers.tokens_per_milli + state.overdue_millis;
   return {.slot = slot,
-          .cost = millis + OccupancyMillis(load),
+          .cost = millis + OccupancyMillis(load) +
+                  settings_.lean_millis * state.lean,
           .first_byte_millis = millis,
           .uncached_tokens = uncached};
 }
--- a/coordination/router.cc
+++ b/coordination/router.cc
@@ -76,6 +76,7 @@
                    .pool = &pool,
                    .use = next_use_++,
                    .distance_millis = DistanceMillis(endpoint.zone),
+                   .lean = DrawUnit(random_),
                    .load = {},
                    .backoff = FailureBackoff(settings_.backoff)};
   pool.Add(slot);
--- a/coordination/router_settings.h
+++ b/coordination/router_settings.h
@@ -38,6 +38,8 @@
   // an absolute part plus a share of the least.
   double near_best_millis = 5;
   double near_best_share = 0.1;
+  // Most that a node's fixed liking adds to an endpoint's cost.
+  double lean_millis = 0;
   // How far other nodes are taken to do what this node did since a report: 1
   // the same, 0 they spread their requests evenly.
   double peer_likeness = 0.3;
