routing: take the cache events of the state layer, prefer the own zone

Cause of the loss of prefixes when a zone is lost: a draw among nearly equal endpoints spread each node's sessions over all zones, since 1.5 ms is little beside a prefill. A cost for crossing zones keeps the draw and the sessions at home.

--- a/bench/baseline_policies.cc
+++ b/bench/baseline_policies.cc
@@ -124,8 +124,10 @@
       index_.Forget(found->second);
     }
   }
-  void OnCacheEvents(Time now, const CacheEventBatch& batch) override {
-    index_.OnCacheEvents(now, slots_.at(batch.endpoint), batch);
+  void OnCacheEvents(Time now,
+                     const Endpoint& endpoint,
+                     const CacheEventBatch& batch) override {
+    index_.OnCacheEvents(now, slots_.at(endpoint.id), batch);
   }
   bool uses_cache_events() const override { return true; }
   void Tick(Time now) override { index_.Tick(now); }
--- a/bench/router_policy.cc
+++ b/bench/router_policy.cc
@@ -26,8 +26,10 @@
   void OnLoadReport(Time now, const LoadReport& report) override {
     router_->OnLoadReport(now, report);
   }
-  void OnCacheEvents(Time now, const CacheEventBatch& batch) override {
-    router_->OnCacheEvents(now, batch);
+  void OnCacheEvents(Time now,
+                     const Endpoint& endpoint,
+                     const CacheEventBatch& batch) override {
+    router_->OnCacheEvents(now, endpoint.id, endpoint.generation, batch);
   }
   bool uses_cache_events() const override { return true; }
   std::optional<EndpointId> Dispatch(
--- a/bench/routing_policy.h
+++ b/bench/routing_policy.h
@@ -20,7 +20,9 @@
   virtual void OnEndpointUp(Time now, const Endpoint& endpoint) = 0;
   virtual void OnEndpointDown(Time now, const EndpointId& endpoint) = 0;
   virtual void OnLoadReport(Time /*now*/, const LoadReport& /*report*/) {}
-  virtual void OnCacheEvents(Time /*now*/, const CacheEventBatch& /*batch*/) {}
+  virtual void OnCacheEvents(Time /*now*/,
+                             const Endpoint& /*endpoint*/,
+                             const CacheEventBatch& /*batch*/) {}
   // Whether the world has to carry cache events to this policy.
   virtual bool uses_cache_events() const { return false; }
   // Chooses and notes the dispatch; no value where nothing is left.
--- a/bench/routing_world.cc
+++ b/bench/routing_world.cc
@@ -176,8 +176,6 @@
   }
   std::int64_t& last = nodes_[node].last_event[replica];
   auto batch = std::make_shared<CacheEventBatch>();
-  batch->endpoint = source.endpoint.id;
-  batch->generation = source.engine->settings().generation;
   batch->first = source.events.front().sequence;
   batch->next = source.next_event;
   const bool is_lost = scenario_.fault == RoutingFault::kEventGaps &&
@@ -193,8 +191,8 @@
   batch->first =
       batch->events.empty() ? last + 1 : batch->events.front().sequence;
   last = source.next_event - 1;
-  events_.After(kEventLag, [this, node, batch] {
-    nodes_[node].policy->OnCacheEvents(events_.time(), *batch);
+  events_.After(kEventLag, [this, node, batch, endpoint = source.endpoint] {
+    nodes_[node].policy->OnCacheEvents(events_.time(), endpoint, *batch);
   });
 }
 
--- a/coordination/endpoint_pool.cc
+++ b/coordination/endpoint_pool.cc
@@ -141,12 +141,13 @@
       static_cast<double>(settings_.tokens_per_block);
   const auto prompt = static_cast<double>(input.profile.prompt_tokens.value());
   const double uncached = std::max(0.0, prompt - cached);
+  const double crossing =
+      state.distance_millis > 0 ? settings_.other_zone_millis : 0;
   const double millis =
       2 * state.distance_millis + settings_.step_millis + QueueMillis(load) +
       (load.tokens + uncached) / peers.tokens_per_milli + state.overdue_millis;
   return {.slot = slot,
-          .cost = millis + OccupancyMillis(load) +
-                  settings_.lean_millis * state.lean,
+          .cost = millis + OccupancyMillis(load) + crossing,
           .first_byte_millis = millis,
           .uncached_tokens = uncached};
 }
--- a/coordination/endpoint_state.h
+++ b/coordination/endpoint_state.h
@@ -21,8 +21,6 @@
   std::int64_t use = 0;
   // One way.
   double distance_millis = 0;
-  // This node's liking, drawn once from [0, 1).
-  double lean = 0;
   EndpointLoad load;
   FailureBackoff backoff{FailureBackoffSettings()};
   // As of the last tick.
--- a/coordination/router.cc
+++ b/coordination/router.cc
@@ -76,7 +76,6 @@
                    .pool = &pool,
                    .use = next_use_++,
                    .distance_millis = DistanceMillis(endpoint.zone),
-                   .lean = DrawUnit(random_),
                    .load = {},
                    .backoff = FailureBackoff(settings_.backoff)};
   pool.Add(slot);
@@ -104,13 +103,15 @@
   }
 }
 
-void Router::OnCacheEvents(Time now, const CacheEventBatch& batch) {
-  const auto found = slots_.find(batch.endpoint);
+void Router::OnCacheEvents(Time now,
+                           const EndpointId& endpoint,
+                           Generation generation,
+                           const CacheEventBatch& batch) {
+  const auto found = slots_.find(endpoint);
   if (found == slots_.end()) {
     return;
   }
-  const EndpointState& state = *FindState(batch.endpoint);
-  if (state.endpoint->generation == batch.generation) {
+  if (StateAt(found->second).endpoint->generation == generation) {
     prefixes_.OnCacheEvents(now, found->second, batch);
   }
 }
--- a/coordination/router.h
+++ b/coordination/router.h
@@ -41,7 +41,10 @@
   void OnEndpointDown(Time now, const EndpointId& endpoint);
   // Ignored for other generations and for reports older than the last.
   void OnLoadReport(Time now, const LoadReport& report);
-  void OnCacheEvents(Time now, const CacheEventBatch& batch);
+  void OnCacheEvents(Time now,
+                     const EndpointId& endpoint,
+                     Generation generation,
+                     const CacheEventBatch& batch);
   // How many nodes route to the same endpoints, with this one.
   void SetNodeCount(std::int64_t nodes);
 
--- a/coordination/router_settings.h
+++ b/coordination/router_settings.h
@@ -33,18 +33,19 @@
 
   // What a full batch adds to an endpoint's cost; it grows with the square of
   // occupancy and keeps load even while no endpoint has a queue yet.
-  double occupancy_millis = 100;
+  double occupancy_millis = 10;
   // An endpoint is drawn when its cost is at most this far above the least:
   // an absolute part plus a share of the least.
-  double near_best_millis = 5;
-  double near_best_share = 0.1;
-  // Most that a node's fixed liking adds to an endpoint's cost.
-  double lean_millis = 0;
+  double near_best_millis = 2.5;
+  double near_best_share = 0.05;
+  // What an endpoint of another zone costs beside the way there. Requests that
+  // stay in their zone lose no cached prefixes when another zone is lost.
+  double other_zone_millis = 10;
   // How far other nodes are taken to do what this node did since a report: 1
   // the same, 0 they spread their requests evenly.
-  double peer_likeness = 0.3;
+  double peer_likeness = 1;
   // Share of a doubtful prefix that is believed.
-  double doubtful_weight = 0.5;
+  double doubtful_weight = 1;
   // Reports older than this count as none.
   Duration report_timeout = Duration::Seconds(10);
 
--- a/state/prefix_index.h
+++ b/state/prefix_index.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/core.h"
-#include "state/cache_events.h"
+#include "state/cache_event.h"
 #include "state/prefix_block.h"
 
 namespace gcw {
@@ -31,7 +31,7 @@
   // 12 + max_endpoints / 4 bytes.
   std::int64_t max_blocks = 262144;
   // How long an entry that became doubtful is kept unless confirmed.
-  Duration doubt_span = Duration::Seconds(20);
+  Duration doubt_span = Duration::Seconds(60);
 };
 
 // Which endpoint holds which blocks of prompts, from this node's dispatches and
--- a/state/state.h
+++ b/state/state.h
@@ -3,7 +3,6 @@
 
 // Public header of the state library: what nodes know and agree on.
 
-#include "state/cache_events.h"
 #include "state/cache_event.h"
 #include "state/contract.h"
 #include "state/contract_entry.h"
@@ -12,9 +11,9 @@
 #include "state/engine_order.h"
 #include "state/engine_status.h"
 #include "state/load_report.h"
+#include "state/node_record.h"
 #include "state/prefix_block.h"
 #include "state/prefix_index.h"
-#include "state/node_record.h"
 #include "state/store_types.h"
 #include "state/vm_list.h"
 #include "state/weight_store_status.h"
--- a/tests/state/prefix_index_test.cc
+++ b/tests/state/prefix_index_test.cc
@@ -36,11 +36,7 @@
 CacheEventBatch Batch(std::int64_t first,
                       const std::vector<CacheEvent>& events) {
   const std::int64_t next = events.empty() ? first : events.back().sequence + 1;
-  return {.endpoint = {},
-          .generation = Generation(1),
-          .first = first,
-          .next = next,
-          .events = events};
+  return {.first = first, .next = next, .events = events};
 }
 
 TEST(PrefixIndexTest, FindsTheLongestPrefixOfEachEndpoint) {
