--- a/coordination/endpoint_pool.cc
+++ b/coordination/endpoint_pool.cc
@@ -9,6 +9,9 @@
 // How fast the record of what this node sent fades.
 constexpr double kRateSpanMillis = 10000;
 constexpr double kServiceWeight = 0.02;
+// Endpoints of a large pool that one decision looks at, besides holders.
+constexpr std::size_t kSampleSize = 96;
+constexpr std::size_t kMaxHolders = 16;
 
 Duration RoundedMillis(double millis) {
   return Duration::Millis(static_cast<std::int64_t>(std::llround(millis)));
@@ -39,9 +42,12 @@
   if (TakeProbe(input, probe)) {
     return RouteTo(probe, true);
   }
-  Collect(input, Scope::kHealthy);
-  if (candidates_.empty()) {
-    Collect(input, Scope::kAny);
+  for (const Scope scope :
+       {Scope::kHealthySample, Scope::kHealthy, Scope::kAny}) {
+    Collect(input, scope, random);
+    if (!candidates_.empty()) {
+      break;
+    }
   }
   if (candidates_.empty()) {
     return RefusalKind::kNoEndpoint;
@@ -67,22 +73,64 @@
   return true;
 }
 
-void EndpointPool::Collect(const ChooseInput& input, Scope scope) {
+void EndpointPool::Collect(const ChooseInput& input,
+                           Scope scope,
+                           const Random& random) {
   candidates_.clear();
   const PeerAssumption peers = Peers(input.now, input.nodes);
+  if (scope == Scope::kHealthySample && slots_.size() > kSampleSize &&
+      input.allowed.empty()) {
+    CollectSample(input, peers, random);
+    return;
+  }
   for (const EndpointSlot slot : slots_) {
-    const EndpointId& id = StateOf(slot).endpoint->id;
-    if (std::ranges::find(input.excluded, id) != input.excluded.end()) {
-      continue;
-    }
-    if (!input.allowed.empty() &&
-        std::ranges::find(input.allowed, id) == input.allowed.end()) {
-      continue;
-    }
-    if (scope == Scope::kAny || IsHealthy(input.now, slot)) {
-      candidates_.push_back(CandidateFor(input, peers, slot));
+    Consider(input, peers, scope, slot);
+  }
+}
+
+// Bounds the cost of a decision in a large pool: the endpoints that hold most
+// of the prompt, and others at even distances from a random one.
+void EndpointPool::CollectSample(const ChooseInput& input,
+                                 const PeerAssumption& peers,
+                                 const Random& random) {
+  const std::size_t holders = std::min(input.holders.size(), kMaxHolders);
+  for (const PrefixMatch& holder : input.holders.first(holders)) {
+    const bool is_own = StateOf(holder.slot).pool == this;
+    if (is_own) {
+      Consider(input, peers, Scope::kHealthySample, holder.slot);
     }
   }
+  const std::size_t start = DrawBelow(random, slots_.size());
+  for (std::size_t i = 0; i < kSampleSize; ++i) {
+    const std::size_t index =
+        (start + i * slots_.size() / kSampleSize) % slots_.size();
+    Consider(input, peers, Scope::kHealthySample, slots_[index]);
+  }
+}
+
+void EndpointPool::Consider(const ChooseInput& input,
+                            const PeerAssumption& peers,
+                            Scope scope,
+                            EndpointSlot slot) {
+  if (IsExcluded(input, slot)) {
+    return;
+  }
+  if (scope == Scope::kAny || IsHealthy(input.now, slot)) {
+    candidates_.push_back(CandidateFor(input, peers, slot));
+  }
+}
+
+bool EndpointPool::IsExcluded(const ChooseInput& input,
+                              EndpointSlot slot) const {
+  if (input.excluded.empty() && input.allowed.empty()) {
+    return false;
+  }
+  const EndpointId& id = StateOf(slot).endpoint->id;
+  const bool is_allowed =
+      input.allowed.empty() ||
+      std::ranges::find(input.allowed, id) != input.allowed.end();
+  return !is_allowed ||
+         std::ranges::find(input.excluded, id) != input.excluded.end();
 }
 
 bool EndpointPool::IsHealthy(Time now, EndpointSlot slot) const {
@@ -99,11 +147,13 @@
       static_cast<double>(settings_.tokens_per_block);
   const auto prompt = static_cast<double>(input.profile.prompt_tokens.value());
   const double uncached = std::max(0.0, prompt - cached);
+  const double crossing =
+      state.distance_millis > 0 ? settings_.other_zone_millis : 0;
   const double millis =
       2 * state.distance_millis + settings_.step_millis + QueueMillis(load) +
       (load.tokens + uncached) / peers.tokens_per_milli + state.overdue_millis;
   return {.slot = slot,
-          .cost = millis + OccupancyMillis(load),
+          .cost = millis + OccupancyMillis(load) + crossing,
           .first_byte_millis = millis,
           .uncached_tokens = uncached};
 }
@@ -121,8 +171,8 @@
   if (load.batch_limit <= 0) {
     return load.requests * settings_.step_millis;
   }
-  return settings_.occupancy_millis *
-         std::pow(load.requests / load.batch_limit, settings_.occupancy_power);
+  const double occupancy = load.requests / load.batch_limit;
+  return settings_.occupancy_millis * occupancy * occupancy;
 }
 
 double EndpointPool::WaitMillis(Time now,
@@ -134,6 +184,19 @@
          state.overdue_millis;
 }
 
+double EndpointPool::SpareRequestsPerSecond(Time now,
+                                            std::int64_t nodes) const {
+  const PeerAssumption peers = Peers(now, nodes);
+  double places = 0;
+  for (const EndpointSlot slot : slots_) {
+    if (IsHealthy(now, slot)) {
+      const LoadEstimate load = StateOf(slot).load.Estimate(now, peers);
+      places += std::max(0.0, load.batch_limit - load.requests);
+    }
+  }
+  return places * 1000 / service_millis_ / static_cast<double>(nodes);
+}
+
 // Nodes with the same old reports agree on the best endpoint; if all took it,
 // it would be the worst. So two are drawn from all that are nearly as good, and
 // the better one of these is taken.
--- a/coordination/endpoint_pool.h
+++ b/coordination/endpoint_pool.h
@@ -18,6 +18,8 @@
   std::span<const EndpointId> excluded;
   // Only these may be chosen; all where empty.
   std::span<const EndpointId> allowed;
+  // Endpoints believed to hold part of the prompt, the longest first.
+  std::span<const PrefixMatch> holders;
   // By slot: blocks of the prompt believed to be held.
   std::span<const double> cached_blocks;
   // Nodes that route to the same endpoints, with this one.
@@ -48,6 +50,8 @@
   double WaitMillis(Time now,
                     const EndpointState& state,
                     std::int64_t nodes) const;
+  // What this node's share of the free places would carry.
+  double SpareRequestsPerSecond(Time now, std::int64_t nodes) const;
   const StragglerDetector& stragglers() const { return stragglers_; }
 
  private:
@@ -57,12 +61,20 @@
     double first_byte_millis = 0;
     double uncached_tokens = 0;
   };
-  // Which endpoints may be chosen: those in good state, or all.
-  enum class Scope { kHealthy, kAny };
+  // Which endpoints may be chosen.
+  enum class Scope { kHealthySample, kHealthy, kAny };
 
   PeerAssumption Peers(Time now, std::int64_t nodes) const;
+  bool IsExcluded(const ChooseInput& input, EndpointSlot slot) const;
   bool IsHealthy(Time now, EndpointSlot slot) const;
-  void Collect(const ChooseInput& input, Scope scope);
+  void Collect(const ChooseInput& input, Scope scope, const Random& random);
+  void CollectSample(const ChooseInput& input,
+                     const PeerAssumption& peers,
+                     const Random& random);
+  void Consider(const ChooseInput& input,
+                const PeerAssumption& peers,
+                Scope scope,
+                EndpointSlot slot);
   Candidate CandidateFor(const ChooseInput& input,
                          const PeerAssumption& peers,
                          EndpointSlot slot) const;
--- a/coordination/router.cc
+++ b/coordination/router.cc
@@ -103,13 +103,15 @@
   }
 }
 
-void Router::OnCacheEvents(Time now, const CacheEventBatch& batch) {
-  const auto found = slots_.find(batch.endpoint);
+void Router::OnCacheEvents(Time now,
+                           const EndpointId& endpoint,
+                           Generation generation,
+                           const CacheEventBatch& batch) {
+  const auto found = slots_.find(endpoint);
   if (found == slots_.end()) {
     return;
   }
-  const EndpointState& state = *FindState(batch.endpoint);
-  if (state.endpoint->generation == batch.generation) {
+  if (StateAt(found->second).endpoint->generation == generation) {
     prefixes_.OnCacheEvents(now, found->second, batch);
   }
 }
@@ -146,6 +148,7 @@
                               .profile = profile,
                               .excluded = excluded,
                               .allowed = allowed,
+                              .holders = matches_,
                               .cached_blocks = cached_blocks_,
                               .nodes = nodes_},
                              random_);
@@ -257,6 +260,12 @@
            .fields = {}});
 }
 
+double Router::SpareRequestsPerSecond(Time now,
+                                      const RequestTarget& target) const {
+  const EndpointPool* pool = FindPool(target);
+  return pool == nullptr ? 0 : pool->SpareRequestsPerSecond(now, nodes_);
+}
+
 std::vector<EndpointView> Router::Endpoints(Time now) const {
   std::vector<EndpointView> views;
   for (const auto& [id, slot] : slots_) {
