transport: frames between nodes over gRPC

A channel on which three frames in a row were lost is replaced, with a subchannel pool of its own: otherwise gRPC hands the silent connection to the new channel too. The client waits for its calls' ends, since they are posted to a context that may go next.

--- /dev/null
+++ b/tests/protocol/peer_codec_test.cc
@@ -0,0 +1,236 @@
+#include "protocol/peer_codec.h"
+
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "protocol/peer.pb.h"
+
+namespace gcw {
+namespace {
+
+MemberRumor AliveRumor() {
+  NodeRecord record;
+  record.id = NodeId("n");
+  record.zone = ZoneId("z");
+  record.weight = 2;
+  record.leaving = true;
+  return {NodeId("n"), {Incarnation(4), 5}, MemberState::kAlive, record};
+}
+
+std::vector<Rumor> SomeRumors() {
+  return {AliveRumor(), MemberRumor{NodeId("m"), {}, MemberState::kDead, {}},
+          DeltaRumor{
+              NodeId("n"),
+              {},
+              6,
+              FingerprintDelta{Fingerprint(-7), false, 8, Duration::Millis(9)}},
+          DeltaRumor{NodeId("n"),
+                     {},
+                     10,
+                     GroupEvidenceDelta{GroupId("g"), Generation(11), VmId("v"),
+                                        true, Duration::Millis(12)}}};
+}
+
+ConfigEntry SomeEntry() {
+  return {"contract/a",
+          Revision(13),
+          {std::string("\xff\0x", 3),
+           ChangeId("c"),
+           {{ChangeId("b"), Revision(12)}}}};
+}
+
+OnceAnswer SomeAnswer() {
+  return {201, {{"X-A", "\xff"}}, std::string("a\0b", 3)};
+}
+
+LimitBatch SomeLimits() {
+  LimitReport report;
+  report.sender = {NodeId("n"), Incarnation(1)};
+  report.kind = LimitReporter::kRelay;
+  report.echo = LimitEcho{Incarnation(2), Time::FromMillis(3)};
+  report.ceding = {NodeId("m")};
+  report.demands = {{ContractId("c"), {0.1, 0.2, 0.3}, 0.4}};
+  LimitGrants grants;
+  grants.fence = FencingToken(5);
+  grants.lifetime = Duration::Millis(6);
+  grants.grants = {{ContractId("c"), {1.0 / 3, 0, 1}}};
+  return {{report}, {grants}};
+}
+
+// One of each kind of message, with each choice in them.
+std::vector<PeerMessage> SomeMessages() {
+  ConfigBuckets buckets;
+  buckets.buckets[63] = ~0ULL;
+  PresenceReport presence;
+  presence.stamp = Time::FromMillis(14);
+  presence.entries = {
+      {EndpointId("e"), Generation(1), Presence::kComplete, false},
+      {EndpointId("f"), Generation(), Presence::kLeaving, true}};
+  std::vector<PeerMessage> messages = {
+      MembershipMessage(Ping{ProbeId(1), {Incarnation(2), 3}, SomeRumors()}),
+      MembershipMessage(PingRequest{ProbeId(1), NodeId("t"), {}, {}}),
+      MembershipMessage(PingAck{ProbeId(1), NodeId("t"), {}, SomeRumors()}),
+      MembershipMessage(UrgentRumors{{}, SomeRumors()}),
+      MembershipMessage(MemberListRequest{MemberVersion::Highest()}),
+      MembershipMessage(MemberList{{}, {AliveRumor()}}),
+      ConfigMessage(ConfigDigest{~0ULL, Revision(1), true, true}),
+      ConfigMessage(buckets),
+      ConfigMessage(ConfigPull{{0, 63}, {{"k", Revision(2)}}}),
+      ConfigMessage(ConfigEntries{
+          {}, {SomeEntry(), {"gone", Revision(3), {}}}, {"w"}, true, true}),
+      ConfigMessage(ConfigPush{Revision(1), Revision(2), {SomeEntry()}}),
+      GuardMessage(PermitRequest{
+          AttemptId("a"), Fingerprint(-1), {EndpointId("e")}, EndpointId("f")}),
+      GuardMessage(PermitDone{AttemptId("a")}),
+      OnceMessage(OnceClaimRequest{OnceClaimId("c"), IdempotencyKey("k"),
+                                   Fingerprint(-2), Duration::Millis(3),
+                                   Revision(4)}),
+      OnceMessage(OnceFinishAck{OnceClaimId("c")}),
+      SomeLimits(),
+      presence,
+  };
+  for (const PermitVerdict& verdict : std::vector<PermitVerdict>{
+           PermitGranted{EndpointId("e")}, PermitWait{}, PermitBlocked{}}) {
+    messages.emplace_back(GuardMessage(PermitReply{AttemptId("a"), verdict}));
+  }
+  for (const OnceVerdict& verdict : std::vector<OnceVerdict>{
+           OnceGranted{}, OnceReplayed{SomeAnswer()}, OnceAnswerGone{},
+           OnceEarlierUnknown{}, OnceStillRunning{}, OnceMismatch{},
+           OnceUndecided{}, OnceElsewhere{NodeId("o")}}) {
+    messages.emplace_back(
+        OnceMessage(OnceClaimReply{OnceClaimId("c"), verdict, Revision(1)}));
+  }
+  for (const OnceOutcome& outcome :
+       std::vector<OnceOutcome>{OnceNotRun{}, OnceAnswered{SomeAnswer()},
+                                OnceAnsweredTooLarge{}, OnceMayHaveRun{}}) {
+    messages.emplace_back(OnceMessage(
+        OnceFinish{OnceClaimId("c"), IdempotencyKey("k"), outcome}));
+  }
+  return messages;
+}
+
+PeerEnvelope EnvelopeWith(std::vector<PeerMessage> messages) {
+  return {NodeId("s"),
+          Incarnation(1),
+          NodeId("r"),
+          {Time::FromMillis(2), 3},
+          std::move(messages)};
+}
+
+// What the second encoding says is what the decoder took from the first, so
+// that a field that is lost on the way shows; kinds are compared beside it.
+TEST(PeerCodecTest, MessagesComeBackWhole) {
+  const PeerEnvelope sent = EnvelopeWith(SomeMessages());
+  const std::string bytes = EncodePeerFrame(sent).SerializeAsString();
+  const auto received = ParsePeerFrame(bytes);
+  ASSERT_TRUE(IsOk(received)) << ErrorOf(received).field;
+  EXPECT_EQ(ValueOf(received).sender, sent.sender);
+  EXPECT_EQ(ValueOf(received).time, sent.time);
+  ASSERT_EQ(ValueOf(received).messages.size(), sent.messages.size());
+  for (std::size_t i = 0; i < sent.messages.size(); ++i) {
+    EXPECT_EQ(ValueOf(received).messages[i].index(), sent.messages[i].index());
+  }
+  EXPECT_EQ(EncodePeerFrame(ValueOf(received)).SerializeAsString(), bytes);
+}
+
+// Against a field that neither side of the codec knows.
+TEST(PeerCodecTest, FieldsComeBackWhole) {
+  const auto received = ParsePeerFrame(
+      EncodePeerFrame(
+          EnvelopeWith(
+              {MembershipMessage(UrgentRumors{{}, SomeRumors()}),
+               ConfigMessage(ConfigPush{{}, {}, {SomeEntry()}}), SomeLimits(),
+               OnceMessage(OnceClaimReply{
+                   OnceClaimId("c"), OnceReplayed{SomeAnswer()}, {}})}))
+          .SerializeAsString());
+  ASSERT_TRUE(IsOk(received));
+  const auto& messages = ValueOf(received).messages;
+  const auto& rumors =
+      std::get<UrgentRumors>(std::get<MembershipMessage>(messages[0])).rumors;
+  EXPECT_EQ(std::get<MemberRumor>(rumors[0]).record, AliveRumor().record);
+  for (const int i : {2, 3}) {
+    EXPECT_EQ(std::get<DeltaRumor>(rumors[i]).delta,
+              std::get<DeltaRumor>(SomeRumors()[i]).delta);
+  }
+  EXPECT_EQ(
+      std::get<ConfigPush>(std::get<ConfigMessage>(messages[1])).entries[0],
+      SomeEntry());
+  const auto& limits = std::get<LimitBatch>(messages[2]);
+  EXPECT_EQ(limits.reports[0].echo, SomeLimits().reports[0].echo);
+  EXPECT_EQ(limits.reports[0].demands[0].demand,
+            SomeLimits().reports[0].demands[0].demand);
+  // A third stays exactly a third: rounded up, grants would exceed the limit.
+  EXPECT_EQ(limits.grants[0].grants[0].amount,
+            SomeLimits().grants[0].grants[0].amount);
+  const auto& reply =
+      std::get<OnceClaimReply>(std::get<OnceMessage>(messages[3]));
+  EXPECT_EQ(std::get<OnceReplayed>(reply.verdict).answer, SomeAnswer());
+}
+
+PeerCodecErrorKind FaultAfter(void (*change)(wire::PeerFrame&)) {
+  wire::PeerFrame frame = EncodePeerFrame(EnvelopeWith({}));
+  change(frame);
+  const auto decoded = DecodePeerFrame(frame);
+  EXPECT_FALSE(IsOk(decoded));
+  return IsOk(decoded) ? PeerCodecErrorKind::kSyntax : ErrorOf(decoded).kind;
+}
+
+TEST(PeerCodecTest, FaultsAreTyped) {
+  using Frame = wire::PeerFrame;
+  EXPECT_EQ(FaultAfter([](Frame& f) { f.clear_sender(); }),
+            PeerCodecErrorKind::kMissing);
+  EXPECT_EQ(FaultAfter([](Frame& f) { f.set_incarnation(-1); }),
+            PeerCodecErrorKind::kOutOfRange);
+  EXPECT_EQ(FaultAfter([](Frame& f) {
+              f.add_bodies()->mutable_once_claim_reply()->set_claim("c");
+            }),
+            PeerCodecErrorKind::kMissing);
+  EXPECT_EQ(FaultAfter([](Frame& f) {
+              f.add_bodies()->mutable_config_pull()->set_buckets("\x40");
+            }),
+            PeerCodecErrorKind::kOutOfRange);
+  EXPECT_EQ(FaultAfter([](Frame& f) {
+              f.add_bodies()->mutable_limit_batch()->add_reports();
+            }),
+            PeerCodecErrorKind::kMissing);
+  EXPECT_EQ(FaultAfter([](Frame& f) {
+              auto* entry =
+                  f.add_bodies()->mutable_presence_report()->add_entries();
+              entry->set_endpoint("e");
+            }),
+            PeerCodecErrorKind::kUnknownName);
+  EXPECT_EQ(FaultAfter([](Frame& f) {
+              f.set_sender(std::string(kMaxPeerFrameBytes, 's'));
+            }),
+            PeerCodecErrorKind::kTooLarge);
+  EXPECT_EQ(ErrorOf(ParsePeerFrame("\xff")).kind, PeerCodecErrorKind::kSyntax);
+}
+
+TEST(PeerCodecTest, ABodyOfAnotherVersionIsPassedOver) {
+  wire::PeerFrame frame = EncodePeerFrame(EnvelopeWith({SomeLimits()}));
+  frame.add_bodies();
+  const auto decoded = DecodePeerFrame(frame);
+  ASSERT_TRUE(IsOk(decoded));
+  EXPECT_EQ(ValueOf(decoded).messages.size(), 1U);
+  EXPECT_EQ(ValueOf(decoded).unknown_messages, 1U);
+}
+
+// Bytes that were cut or changed on the way give a result or a typed error.
+RC_GTEST_PROP(PeerCodecTest, SpoiltBytesNeverBreakTheDecoder, ()) {
+  std::string bytes =
+      EncodePeerFrame(EnvelopeWith(SomeMessages())).SerializeAsString();
+  const auto position = *rc::gen::inRange<std::size_t>(0, bytes.size());
+  bytes[position] = *rc::gen::arbitrary<char>();
+  bytes.resize(*rc::gen::inRange<std::size_t>(position, bytes.size()) + 1);
+  const auto decoded = ParsePeerFrame(bytes);
+  // RC_ASSERT evaluates both sides of `||`.
+  const bool typed = IsOk(decoded) ||
+                     PeerCodecErrorKindName(ErrorOf(decoded).kind) != "unknown";
+  RC_ASSERT(typed);
+}
+
+}  // namespace
+}  // namespace gcw
--- /dev/null
+++ b/transport/peer_channel.h
@@ -0,0 +1,80 @@
+#ifndef TRANSPORT_PEER_CHANNEL_H_
+#define TRANSPORT_PEER_CHANNEL_H_
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <utility>
+
+#include <grpcpp/grpcpp.h>
+#include <boost/asio/io_context.hpp>
+
+#include "protocol/peer.grpc.pb.h"
+#include "transport/peer_client.h"
+
+namespace gcw {
+
+// What the channels of one client share.
+struct PeerChannelContext {
+  PeerChannelContext(boost::asio::io_context& control,
+                     PeerClientSettings settings,
+                     PeerClient::Stamp stamp)
+      : control(control),
+        settings(std::move(settings)),
+        stamp(std::move(stamp)) {}
+
+  boost::asio::io_context& control;
+  const PeerClientSettings settings;
+  const PeerClient::Stamp stamp;
+  PeerClientStats stats;
+
+  // Calls whose end gRPC has not reported yet. The client waits for them before
+  // it goes: their ends are posted to `control`, which may go next.
+  std::mutex mutex;
+  std::condition_variable all_ended;
+  int open_calls = 0;
+};
+
+// The connection to one node with what waits for it. Used on the control
+// thread; only the end of a call comes on a thread of gRPC's.
+class PeerChannel : public std::enable_shared_from_this<PeerChannel> {
+ public:
+  PeerChannel(std::shared_ptr<PeerChannelContext> context,
+              NodeId node,
+              Address address);
+
+  const Address& address() const { return address_; }
+  void Add(wire::PeerBody body);
+  // Sends a frame if there is something to send and a call to spare. Returns
+  // whether something is left.
+  bool Flush();
+  // Gives up what waits and what is under way.
+  void Close();
+
+ private:
+  struct Call;
+
+  void Connect();
+  wire::PeerFrame TakeFrame();
+  void Start(std::shared_ptr<Call> call);
+  void OnEnded(const std::shared_ptr<Call>& call, const grpc::Status& status);
+
+  const std::shared_ptr<PeerChannelContext> context_;
+  const NodeId node_;
+  const Address address_;
+  std::shared_ptr<wire::Peers::Stub> stub_;
+  std::deque<wire::PeerBody> waiting_;
+  std::size_t waiting_bytes_ = 0;
+  std::set<std::shared_ptr<Call>> calls_;
+  int losses_ = 0;
+  // Grows with each connection: losses on an earlier one do not count.
+  int connection_ = 0;
+  bool closed_ = false;
+};
+
+}  // namespace gcw
+
+#endif  // TRANSPORT_PEER_CHANNEL_H_
--- a/transport/transport.h
+++ b/transport/transport.h
@@ -14,6 +14,8 @@
 #include "transport/json_log.h"
 #include "transport/key_digest.h"
 #include "transport/metrics.h"
+#include "transport/peer_client.h"
+#include "transport/peer_server.h"
 #include "transport/secret.h"
 #include "transport/setting_error.h"
 #include "transport/settings_reader.h"
