--- a/transport/transport.h
+++ b/transport/transport.h
@@ -21,6 +21,8 @@
 #include "transport/operator_service.h"
 #include "transport/query_string.h"
 #include "transport/refusal_http.h"
+#include "transport/peer_client.h"
+#include "transport/peer_server.h"
 #include "transport/secret.h"
 #include "transport/setting_error.h"
 #include "transport/settings_reader.h"
