--- a/coordination/endpoint_desk.cc
+++ b/coordination/endpoint_desk.cc
@@ -110,7 +110,8 @@
   const auto reading = cache_readings_.find(endpoint);
   if (reading != cache_readings_.end()) {
     reading->second.after = batch.next - 1;
-    modules_.router->OnCacheEvents(now, batch);
+    modules_.router->OnCacheEvents(now, endpoint, used_.at(endpoint).generation,
+                                   batch);
   }
   return TakeActions();
 }
--- a/programs/gcwctl/setting_files.cc
+++ b/programs/gcwctl/setting_files.cc
@@ -32,7 +32,7 @@
   if (!std::getline(in, key) || key.size() < kMinKeyLength) {
     return std::nullopt;
   }
-  return DigestKey(key);
+  return DigestOfKey(key);
 }
 
 // What a contract's file says beside the contract's own fields.
--- a/state/cache_event.h
+++ b/state/cache_event.h
@@ -25,9 +25,6 @@
 // The events after the sequence number that was asked for. Where `first` is not
 // the number after it, the events between are lost.
 struct CacheEventBatch {
-  // Set by whoever asked; the engine's answer does not name them.
-  EndpointId endpoint;
-  Generation generation;
   std::int64_t first = 1;
   // The number of the first event that is not in the batch. Not above the asked
   // number where the engine has started anew since.
--- a/transport/action_executor.cc
+++ b/transport/action_executor.cc
@@ -155,17 +155,14 @@
 }
 
 void ActionExecutor::Execute(ReadCacheEvents action) {
-  const Endpoint endpoint = std::move(action.endpoint);
+  const Endpoint& endpoint = action.endpoint;
   clients_.engines->ReadCacheEvents(
       endpoint.address, action.after, kReadTimeout,
-      [this, endpoint](Result<CacheEventBatch, CallError> batch) {
+      [this, id = endpoint.id](Result<CacheEventBatch, CallError> batch) {
         if (!IsOk(batch)) {
           return;
         }
-        CacheEventBatch& events = ValueOf(batch);
-        events.endpoint = endpoint.id;
-        events.generation = endpoint.generation;
-        post_(CacheEventsRead{endpoint.id, std::move(events)});
+        post_(CacheEventsRead{id, std::move(ValueOf(batch))});
       });
 }
 
--- a/transport/caller_service.cc
+++ b/transport/caller_service.cc
@@ -46,7 +46,7 @@
   if (!authorization.starts_with(kBearer)) {
     return KeyDigest();
   }
-  return DigestKey(std::string_view(authorization).substr(kBearer.size()));
+  return DigestOfKey(std::string_view(authorization).substr(kBearer.size()));
 }
 
 // Absent where the header is no positive number.
