--- a/coordination/once_client.cc
+++ b/coordination/once_client.cc
@@ -159,13 +159,15 @@
 
 void OnceClient::Run(Time now, Send& send, OnceClientActions& actions) {
   // This node may have been suspended since it asked.
+  // A copy, since giving back drops the send.
+  const RequestId request = send.send.request;
   if (!GrantHolds(now, send)) {
-    GiveBack(now, send.send.request, RefusalKind::kOnceUnavailable, actions);
+    GiveBack(now, request, RefusalKind::kOnceUnavailable, actions);
     return;
   }
   send.granted = true;
-  actions.emplace_back(OnceRun{send.send.request});
-  Report(EventKind::kOnceClaimed, send.send.request, "granted");
+  actions.emplace_back(OnceRun{request});
+  Report(EventKind::kOnceClaimed, request, "granted");
 }
 
 bool OnceClient::GrantHolds(Time now, const Send& send) const {
--- a/coordination/once_journal.h
+++ b/coordination/once_journal.h
@@ -19,7 +19,8 @@
   // Settles whether a write whose answer was lost took effect.
   ChangeId change;
   // For how long after its last write the owner may grant claims that stand in
-  // no journal. A new owner waits this out and then distrusts the journal.
+  // no journal. A new owner distrusts the journal, and counts the window from
+  // then.
   Duration outage_lease;
   // Claims may have been granted that stand in no journal: keys without an
   // entry are refused for a window.
--- a/coordination/once_shard.cc
+++ b/coordination/once_shard.cc
@@ -1,5 +1,6 @@
 #include "coordination/once_shard.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "coordination/once_journal.h"
@@ -12,6 +13,10 @@
 // unknown: its sender reports to the new owner within this time, if ever.
 constexpr Duration kTakenOverRunsAtMost = Duration::Seconds(10);
 
+// Claims that are remembered as given back. Their late messages come within
+// seconds.
+constexpr std::size_t kMostReturned = 256;
+
 std::size_t AnswerBytes(const OnceAnswer& answer) {
   std::size_t bytes = sizeof(OnceAnswer) + answer.body.size();
   for (const OnceHeader& header : answer.headers) {
@@ -25,6 +30,12 @@
 OnceShard::OnceShard(OnceShardSettings settings) : settings_(settings) {}
 
 OnceShardDecision OnceShard::Claim(Time now, const OnceClaimRequest& request) {
+  // A message that its own report overtook. Its node would not use a grant, so
+  // that holding the key for it would block the caller's next send.
+  if (std::find(returned_.begin(), returned_.end(), request.claim) !=
+      returned_.end()) {
+    return OnceVerdict(OnceUndecided{});
+  }
   const auto found = claims_.find(request.key);
   if (found == claims_.end()) {
     return ClaimNew(now, request);
@@ -65,9 +76,6 @@
       }
       return OnceVerdict(OnceEarlierUnknown{});
     case OnceClaimState::kNotRun:
-      // A claim that was given back and then asked for again is a late
-      // duplicate of its first message. Its node would not use a grant, so
-      // holding the key for it would block the caller's next send.
       if (holder) {
         return OnceVerdict(OnceUndecided{});
       }
@@ -98,6 +106,9 @@
 }
 
 void OnceShard::Finish(Time now, const OnceFinish& finish) {
+  if (std::holds_alternative<OnceNotRun>(finish.outcome)) {
+    RememberReturned(finish.claim);
+  }
   const auto found = claims_.find(finish.key);
   if (found == claims_.end() || found->second.holder != finish.claim) {
     return;
@@ -137,6 +148,13 @@
   Tick(now);
 }
 
+void OnceShard::RememberReturned(const OnceClaimId& claim) {
+  returned_.push_back(claim);
+  if (returned_.size() > kMostReturned) {
+    returned_.pop_front();
+  }
+}
+
 void OnceShard::KeepAnswer(const IdempotencyKey& key,
                            Claimed& claimed,
                            const OnceAnswer& answer) {
@@ -205,8 +223,13 @@
   }
 }
 
-void OnceShard::RefuseUnknownKeys(Time now) {
-  refuse_unknown_until_ = now + settings_.window;
+void OnceShard::RefuseUnknownKeys(Time last_grant) {
+  refuse_unknown_until_ = last_grant + settings_.window;
+  for (auto& [key, claimed] : claims_) {
+    if (claimed.state == OnceClaimState::kNotRun) {
+      claimed.state = OnceClaimState::kMayHaveRun;
+    }
+  }
 }
 
 bool OnceShard::refuses_unknown_keys(Time now) const {
--- a/coordination/once_shard.h
+++ b/coordination/once_shard.h
@@ -70,9 +70,11 @@
   // Takes over the entries of a journal. Their ages start anew, since the
   // clock that dated them is not this node's.
   void Load(Time now, const std::vector<OnceEntry>& entries);
-  // Refuses keys without an entry until the window has passed: claims may have
-  // been granted that no journal knows.
-  void RefuseUnknownKeys(Time now);
+  // Claims may have been granted until `last_grant` that the loaded journal
+  // does not know. Refuses keys without an entry until the window has passed
+  // since, and keys that it says were given back: they may have been claimed
+  // again.
+  void RefuseUnknownKeys(Time last_grant);
   bool refuses_unknown_keys(Time now) const;
 
   std::vector<OnceEntry> Entries() const;
@@ -108,6 +110,7 @@
   void KeepAnswer(const IdempotencyKey& key,
                   Claimed& claimed,
                   const OnceAnswer& answer);
+  void RememberReturned(const OnceClaimId& claim);
   void DropOldestAnswer();
   void SkipForgottenAnswers();
 
@@ -115,6 +118,8 @@
   std::unordered_map<IdempotencyKey, Claimed> claims_;
   std::deque<Expiry> expiries_;
   std::deque<IdempotencyKey> answered_;
+  // Claims given back last.
+  std::deque<OnceClaimId> returned_;
   std::size_t journal_bytes_ = 0;
   std::size_t answer_bytes_ = 0;
   std::int64_t version_ = 0;
--- a/coordination/once_shard_owner.cc
+++ b/coordination/once_shard_owner.cc
@@ -28,10 +28,6 @@
     hooks_.reply(claim, OnceElsewhere{known_owner_.node});
     return;
   }
-  if (state_ == State::kWaiting) {
-    hooks_.reply(claim, OnceUndecided{});
-    return;
-  }
   // The sender asks again while it waits; one answer is enough.
   std::erase_if(arriving_, [&](const OncePendingClaim& other) {
     return other.request.claim == claim.request.claim;
@@ -182,43 +178,23 @@
                        : OnceVerdict(OnceElsewhere{preferred.node}));
     return;
   }
-  const bool released = journal.owner.node.empty();
-  if (!released && journal.outage_lease > Duration()) {
-    WaitOut(now, revision, journal);
-    return;
-  }
   Take(now, revision, journal);
 }
 
-// The last owner may grant claims that no journal holds until its outage lease
-// ends. Its lease began before this node first read the record, so that a wait
-// by this node's own clock is long enough however the two clocks are set.
-void OnceShardOwner::WaitOut(Time now,
-                             Revision revision,
-                             const OnceJournal& journal) {
-  if (observed_ != revision) {
-    observed_ = revision;
-    observed_at_ = now;
-  }
-  wait_until_ = observed_at_ + journal.outage_lease + settings_.margin;
-  if (now < wait_until_) {
-    state_ = State::kWaiting;
-    AnswerArriving(OnceUndecided{});
-    return;
-  }
-  OnceJournal distrusted = journal;
-  distrusted.may_miss_claims = true;
-  Take(now, revision, distrusted);
-}
-
 void OnceShardOwner::Take(Time now,
                           Revision revision,
                           const OnceJournal& journal) {
   base_ = revision;
   shard_ = OnceShard(settings_.shard);
   shard_.Load(now, journal.entries);
-  if (journal.may_miss_claims || distrusts_record_) {
-    shard_.RefuseUnknownKeys(now);
+  // The last owner may have granted claims that no journal holds, and may still
+  // do so until its outage lease ends. Its lease began before this node read
+  // the record, so that a wait by this node's own clock is long enough however
+  // the two clocks are set.
+  const bool released = journal.owner.node.empty();
+  const bool outage_lease = !released && journal.outage_lease > Duration();
+  if (outage_lease || journal.may_miss_claims || distrusts_record_) {
+    shard_.RefuseUnknownKeys(now + journal.outage_lease + settings_.margin);
   }
   durable_version_ = 0;
   dirty_since_.reset();
@@ -247,9 +223,6 @@
 
 void OnceShardOwner::Release(Time now) {
   release_wanted_ = true;
-  if (state_ == State::kWaiting) {
-    state_ = State::kNone;
-  }
   AnswerArriving(OnceUndecided{});
   WriteIfDue(now);
 }
@@ -424,10 +397,6 @@
     OnNoAnswer(now, call, settings_.store_retry);
   }
   shard_.Tick(now);
-  if (state_ == State::kWaiting && now >= wait_until_) {
-    state_ = State::kNone;
-    LookAfter(now);
-  }
   const bool unfinished =
       state_ == State::kTaking || state_ == State::kReleasing;
   if (unfinished && !call_ && now >= next_call_) {
--- a/coordination/once_shard_owner.h
+++ b/coordination/once_shard_owner.h
@@ -38,7 +38,7 @@
   Duration outage_after = Duration::Millis(500);
   // How long a node believes who owns a shard without reading it again.
   Duration owner_known_for = Duration::Seconds(1);
-  // Largest drift of two nodes' clocks over an outage lease.
+  // Largest drift of two nodes' clocks over a window and an outage lease.
   Duration margin = Duration::Seconds(1);
   OnceShardSettings shard;
 };
@@ -102,8 +102,6 @@
     kNone,
     // Reads the record to find out who owns the shard.
     kReading,
-    // Waits until the last owner can grant no more.
-    kWaiting,
     // Writes itself down as the owner.
     kTaking,
     kOwned,
@@ -134,7 +132,6 @@
 
   void OnRecord(Time now, const Call& call, const StoreRangeReply& reply);
   void Consider(Time now, Revision revision, const OnceJournal& journal);
-  void WaitOut(Time now, Revision revision, const OnceJournal& journal);
   void Take(Time now, Revision revision, const OnceJournal& journal);
   void OnWritten(Time now, const Call& call, Revision revision);
   void OnConflict(Time now, const StoreConflict& conflict);
@@ -181,10 +178,6 @@
   // believed without reading again.
   OnceMember known_owner_;
   Time known_until_;
-  // The record of an owner that is gone, and when this node first saw it.
-  Revision observed_;
-  Time observed_at_;
-  Time wait_until_;
 
   // Claims that wait for the takeover.
   std::vector<OncePendingClaim> arriving_;
--- a/tests/coordination/once_failure_test.cc
+++ b/tests/coordination/once_failure_test.cc
@@ -149,6 +149,52 @@
   EXPECT_EQ(world.violation(), "");
 }
 
+// Symptom: a reservation is confirmed twice after an outage.
+// Sequence of events: owners may grant on an outage lease; an outage begins; a
+// key that was given back before and a new one run; their owner dies; the
+// service returns; another node takes the shards and is replaced in its turn;
+// the caller sends again.
+// Cause: the journal holds no claim of the outage, and neither owner after it
+// knows that.
+TEST(OnceFailureTest, ClaimsOfAnOutageAreNotForgotten) {
+  OnceWorldSettings settings = Quiet();
+  settings.owner.outage_lease = Duration::Seconds(60);
+  OnceWorld world(settings);
+  world.Run(Duration::Seconds(1));
+  const std::int64_t owner = OwnerOf("new");
+  std::string returned = "returned";
+  while (OwnerOf(returned) != owner) {
+    returned += "1";
+  }
+  world.settings().endpoint_refuses = 1;
+  world.SendKey(0, returned);
+  world.Run(Duration::Seconds(10));
+  world.settings().endpoint_refuses = 0;
+  world.Outage(Duration::Seconds(20));
+  const RequestId first = world.SendKey(0, "new");
+  const RequestId second = world.SendKey(0, returned);
+  world.Run(Duration::Seconds(8));
+  EXPECT_TRUE(Find(world, first).run_at);
+  EXPECT_TRUE(Find(world, second).run_at);
+  world.Kill(owner, Duration::Seconds(600));
+  world.Run(Duration::Seconds(30));
+  for (std::int64_t node = 0; node < 3; ++node) {
+    world.SendKey(node, "new");
+    world.SendKey(node, returned);
+  }
+  world.Run(Duration::Seconds(10));
+  world.Stop((owner + 1) % 3, Duration::Seconds(5));
+  world.Run(Duration::Seconds(20));
+  world.Stop((owner + 2) % 3, Duration::Seconds(5));
+  world.Run(Duration::Seconds(20));
+  world.SendKey((owner + 1) % 3, "new");
+  world.SendKey((owner + 1) % 3, returned);
+  world.Run(Duration::Seconds(10));
+  EXPECT_EQ(world.Executions("new"), 1);
+  EXPECT_EQ(world.Executions(returned), 1);
+  EXPECT_EQ(world.violation(), "");
+}
+
 // Symptom: a key that the system issued runs again after its node restarted.
 // Sequence of events: issue, run, kill, restart, send again.
 // Cause: the new process knows nothing of the old one's keys.
--- a/tests/coordination/once_random_test.cc
+++ b/tests/coordination/once_random_test.cc
@@ -77,6 +77,9 @@
   OnceWorldSettings settings;
   settings.nodes = kNodes;
   settings.seed = *rc::gen::arbitrary<std::uint64_t>();
+  // Few, so that keys are sent again soon, or many, so that they are sent again
+  // long after the faults.
+  settings.remembered_keys = *rc::gen::element<std::size_t>(10, 50, 500);
   settings.owner.shard_count = 8;
   settings.client.shard_count = 8;
   settings.owner.outage_lease = outage_lease;
--- a/tests/support/once_world.h
+++ b/tests/support/once_world.h
@@ -26,6 +26,8 @@
   // Sends of callers each second, and the share that repeats an earlier key.
   double sends_per_second = 20;
   double repeated = 0.5;
+  // Most recent keys that are sent again.
+  std::size_t remembered_keys = 50;
   // Share of keys that the system issued.
   double issued_keys = 0.25;
   // Shares of attempts that end so.
@@ -167,15 +169,14 @@
 
   void StopSending() { sending_ = false; }
   Time now() const { return now_; }
+  OnceWorldSettings& settings() { return settings_; }
   FakeStoreLink& store() { return store_; }
   FakeNetwork<OnceMessage>& network() { return network_; }
   const std::map<RequestId, Send>& sends() const { return sends_; }
   OnceOwner* owner(std::int64_t index) { return NodeAt(index).owner.get(); }
 
   // A send of a caller through the node; empty where the node is down.
-  RequestId SendKey(std::int64_t index,
-                    const std::string& key,
-                    Duration patience = Duration::Seconds(15)) {
+  RequestId SendKey(std::int64_t index, const std::string& key) {
     Node& node = NodeAt(index);
     if (!node.client) {
       return RequestId();
@@ -185,9 +186,10 @@
     send.key = key;
     send.first = keys_.insert(key).second;
     send.at = now_;
-    Enqueue(node, [this, &node, request, key, patience] {
+    Enqueue(node, [this, &node, request, key] {
       const OnceSend typed{request, ContractId("c"), IdempotencyKey(key),
-                           Fingerprint(7), LocalTime(node) + patience};
+                           Fingerprint(7),
+                           LocalTime(node) + Duration::Seconds(15)};
       Carry(node, node.client->Start(LocalTime(node), typed));
     });
     return request;
@@ -431,7 +433,7 @@
     }
     SendKey(index, key);
     recent_.push_back(key);
-    if (recent_.size() > 50) {
+    if (recent_.size() > settings_.remembered_keys) {
       recent_.erase(recent_.begin());
     }
   }
