--- a/coordination/attempt_log.h
+++ b/coordination/attempt_log.h
@@ -101,7 +101,7 @@
                            const AttemptId& attempt,
                            const AttemptFailure& failure);
   // The caller's deadline passed, or no endpoint can be had.
-  AttemptDecision GiveUp(Time now, RefusalKind reason);
+  AttemptDecision GiveUp(RefusalKind reason);
 
   // What the caller was told, once that is decided.
   std::optional<RequestOutcome> outcome() const { return outcome_; }
@@ -112,7 +112,7 @@
  private:
   enum class AttemptState { kStarted, kWritten, kNotRun, kFailed, kAnswered };
 
-  bool Ended(AttemptState state) const;
+  static bool Ended(AttemptState state);
   bool AnyRunning() const;
   AttemptDecision Conclude(RefusalKind reason);
   bool MayTryAgain(Time now) const;
@@ -122,7 +122,6 @@
   // The attempt whose pieces reach the caller.
   std::optional<AttemptId> chosen_;
   TokenCount delivered_;
-  bool last_was_refusal_ = false;
   std::optional<RequestOutcome> outcome_;
 };
 
