membership: tests under faults, and what they found

Found by the random run: (1) a refutation that was lost once left two nodes of different opinion for good; a node now answers also old claims, and peers tell a sender whose version differs from what they know. (2) messages that waited through a pause were handled before the pause was noticed, so that suspicions begun by them lasted as long as the pause. (3) dead members drawn at random could be missed for long; they are now tried in rounds.

--- a/coordination/membership.cc
+++ b/coordination/membership.cc
@@ -78,6 +78,7 @@
     return;
   }
   const Duration gap = now - *last_tick_;
+  last_tick_ = now;
   probe_.reset();
   relays_.clear();
   for (auto& [node, deadline] : suspects_) {
@@ -95,15 +96,28 @@
                         .version = target->version,
                         .state = MemberState::kSuspect,
                         .record = {}});
+      accused_.insert(probe_->target);
     }
     probe_.reset();
   }
+  PingAccused();
   UpdateScale();
   ForgetDead(now);
   ExpireRelays(now);
   StartProbe(now);
 }
 
+// Tells a member that this node suspects it, until it answers: it can refute
+// only what it hears, and by chance alone it may hear too late.
+void Membership::PingAccused() {
+  std::erase_if(accused_, [&](const NodeId& node) {
+    return !view_.IsIn(node, MemberState::kSuspect);
+  });
+  for (const NodeId& node : accused_) {
+    SendPing(node);
+  }
+}
+
 void Membership::StartProbe(Time now) {
   const std::optional<NodeId> target = NextTarget();
   if (!target) {
@@ -127,13 +141,17 @@
     }
     round_ = view_.Reachable();
     std::erase(round_, self_);
-    for (std::size_t i = round_.size(); i > 1; --i) {
-      std::swap(round_[i - 1], round_[DrawBelow(random_, i)]);
-    }
+    Shuffle(round_);
   }
   return std::nullopt;
 }
 
+void Membership::Shuffle(std::vector<NodeId>& nodes) {
+  for (std::size_t i = nodes.size(); i > 1; --i) {
+    std::swap(nodes[i - 1], nodes[DrawBelow(random_, i)]);
+  }
+}
+
 void Membership::CheckProbe(Time now) {
   if (!probe_ || probe_->indirect ||
       now - probe_->sent < settings_.probe_timeout) {
@@ -180,14 +198,23 @@
     return;
   }
   next_reconnect_ = now + settings_.reconnect_interval;
-  std::vector<NodeId> dead;
-  for (const auto& [node, member] : view_.members()) {
-    if (member.state == MemberState::kDead) {
-      dead.push_back(node);
+  // In rounds, so that each is tried within a bounded time.
+  while (!reconnect_round_.empty() &&
+         !view_.IsIn(reconnect_round_.back(), MemberState::kDead)) {
+    reconnect_round_.pop_back();
+  }
+  if (reconnect_round_.empty()) {
+    for (const auto& [node, member] : view_.members()) {
+      if (member.state == MemberState::kDead) {
+        reconnect_round_.push_back(node);
+      }
     }
+    Shuffle(reconnect_round_);
   }
-  if (!dead.empty()) {
-    SendPing(dead[DrawBelow(random_, dead.size())]);
+  if (!reconnect_round_.empty()) {
+    const NodeId target = reconnect_round_.back();
+    reconnect_round_.pop_back();
+    SendPing(target);
   }
   if (!listed_) {
     for (const NodeId& peer : RandomPeers(1, self_)) {
--- a/coordination/membership.h
+++ b/coordination/membership.h
@@ -28,7 +28,7 @@
   std::size_t indirect_probes = 3;
   // A suspect has max(min_suspicion, suspicion_factor * log2(nodes) * period)
   // to refute.
-  Duration min_suspicion = Duration::Seconds(3);
+  Duration min_suspicion = Duration::Seconds(5);
   double suspicion_factor = 1.0;
   // Each rumor is sent transmission_factor * log2(nodes) times by each node.
   double transmission_factor = 2.0;
@@ -127,8 +127,10 @@
   void NoticePause(Time now);
   void BeginPeriod(Time now);
   void CheckProbe(Time now);
+  void PingAccused();
   void StartProbe(Time now);
   std::optional<NodeId> NextTarget();
+  void Shuffle(std::vector<NodeId>& nodes);
   void ExpireSuspects(Time now);
   void ExpireRelays(Time now);
   void Reconnect(Time now);
@@ -188,8 +190,13 @@
   std::vector<NodeId> round_;
   ProbeId last_probe_;
   std::map<ProbeId, Relay> relays_;
+  // Until when each suspect may refute.
   std::map<NodeId, Time> suspects_;
+  // Suspects by this node's own probe.
+  std::set<NodeId> accused_;
   Time next_reconnect_;
+  // The dead members still to be tried in this round.
+  std::vector<NodeId> reconnect_round_;
   // Members that are not dead, as of the last period.
   std::size_t live_ = 1;
   std::size_t urgent_left_ = 0;
--- a/coordination/membership_peers.cc
+++ b/coordination/membership_peers.cc
@@ -11,6 +11,8 @@
     Time now,
     const NodeId& from,
     const MembershipMessage& message) {
+  // Messages that waited through a pause come before the next tick.
+  NoticePause(now);
   std::visit([&](const auto& typed) { OnMessage(now, from, typed); }, message);
   return TakeActions();
 }
@@ -103,16 +105,19 @@
 }
 
 // What the receiver must hear of itself, then what is due to ride along. A
-// member that is wrongly believed failed, or that started anew without knowing
-// its incarnation, can only answer what it hears.
+// member that is wrongly believed failed, that started anew without knowing its
+// incarnation, or whose last announcement did not arrive here, can only answer
+// what it hears.
 std::vector<Rumor> Membership::RumorsFor(const NodeId& to,
                                          const MemberVersion& version) {
   std::vector<Rumor> rumors;
   std::size_t bytes = settings_.rumor_bytes;
   const Member* member = view_.Find(to);
-  if (member != nullptr &&
-      (member->state == MemberState::kSuspect ||
-       member->state == MemberState::kDead || member->version > version)) {
+  const bool differs = member != nullptr &&
+                       version != MemberVersion::Highest() &&
+                       version != member->version;
+  if (member != nullptr && (differs || member->state == MemberState::kSuspect ||
+                            member->state == MemberState::kDead)) {
     rumors.emplace_back(RumorOn(*member));
     bytes -= std::min(bytes, EstimatedSize(rumors.back()));
   }
--- a/coordination/membership_rumors.cc
+++ b/coordination/membership_rumors.cc
@@ -62,14 +62,17 @@
   const bool same = rumor.version == own.version &&
                     rumor.state == MemberState::kAlive &&
                     rumor.record == own.record;
-  if (rumor.version < own.version || same) {
+  if (same) {
     return;
   }
-  own.version = rumor.version;
-  ++own.version.refutation;
-  AnnounceSelf();
-  // Whoever believes it hears the answer at once and spreads it on its side,
-  // which may be a part of the fleet that this node is not probed from.
+  if (rumor.version >= own.version) {
+    own.version = rumor.version;
+    ++own.version.refutation;
+    AnnounceSelf();
+  }
+  // Whoever believes it hears the answer at once, also where it was given
+  // before, and spreads it on its side, which may be a part of the fleet that
+  // this node is not probed from.
   if (urgent_left_ > 0) {
     --urgent_left_;
     Send(from, UrgentRumors{own.version, {RumorOn(own)}});
--- /dev/null
+++ b/tests/support/member_cluster.h
@@ -0,0 +1,215 @@
+#ifndef TESTS_SUPPORT_MEMBER_CLUSTER_H_
+#define TESTS_SUPPORT_MEMBER_CLUSTER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/coordination.h"
+#include "tests/support/fake_network.h"
+#include "tests/support/fake_store_link.h"
+#include "tests/support/text_codecs.h"
+
+namespace gcw {
+
+// Nodes that watch over each other, with one fake key-value service and
+// network. Each node's key stands in the service from its start.
+class MemberCluster {
+ public:
+  static constexpr Duration kStep = Duration::Millis(50);
+
+  struct Node {
+    NodeRecord record;
+    bool up = true;
+    bool paused = false;
+    std::int64_t process = 0;
+    std::unique_ptr<Membership> members;
+    std::vector<Delta> heard;
+    std::vector<FakeStoreLink::Delivery> store_inbox;
+    std::vector<FakeNetwork<MembershipMessage>::Delivery> peer_inbox;
+  };
+
+  MemberCluster(std::size_t count, std::uint64_t seed, std::size_t zones = 2)
+      : random_(SeededRandom(seed)),
+        link_(SeededRandom(seed + 1)),
+        network_(SeededRandom(seed + 2)) {
+    nodes_.resize(count);
+    for (std::size_t i = 0; i < count; ++i) {
+      NodeRecord& record = nodes_[i].record;
+      record.id = NodeId("n" + std::to_string(i));
+      record.zone = ZoneId("z" + std::to_string(i % zones));
+      record.region = RegionId("r0");
+      record.peer_address = Address("10.0.0.1:7000");
+      record.caller_address = Address("10.0.0.1:8" + std::to_string(i));
+      record.operator_address = Address("10.0.0.1:9000");
+      index_[record.id] = i;
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+      Restart(i);
+    }
+  }
+
+  // A new process; its lease is granted where the service can be reached.
+  void Restart(std::size_t index, std::vector<NodeRecord> seeds = {}) {
+    Node& node = nodes_[index];
+    ++node.process;
+    node.up = true;
+    node.paused = false;
+    node.store_inbox.clear();
+    node.peer_inbox.clear();
+    node.members =
+        std::make_unique<Membership>(Membership::Builder()
+                                         .SetSelf(node.record)
+                                         .SetSeeds(std::move(seeds))
+                                         .SetDecode(TextNodeCodec().decode)
+                                         .SetRandom(SeededRandom(random_()))
+                                         .Build());
+    if (!link_.faults().outage) {
+      Register(index);
+    }
+  }
+
+  // Writes `node/<id>` and tells the node its incarnation.
+  void Register(std::size_t index) {
+    Node& node = nodes_[index];
+    const std::string key = "node/" + node.record.id.value();
+    const auto& entries = link_.store().entries();
+    const auto it = entries.find(key);
+    const Revision expected =
+        it == entries.end() ? Revision() : it->second.revision;
+    const auto reply = link_.store().Execute(
+        now_, StorePut{key, TextNodeCodec().encode(node.record), expected,
+                       LeaseId()});
+    const Revision revision = std::get<StoreWritten>(*reply).revision;
+    node.members->SetIncarnation(now_, Incarnation(revision.value()));
+  }
+
+  void Leave(std::size_t index) {
+    Act(index, nodes_[index].members->Leave(now_));
+  }
+
+  void Step() {
+    now_ = now_ + kStep;
+    for (FakeStoreLink::Delivery& delivery : link_.Deliver(now_)) {
+      nodes_[std::stoul(delivery.caller)].store_inbox.push_back(
+          std::move(delivery));
+    }
+    for (auto& delivery : network_.Deliver(now_)) {
+      Node& to = nodes_[index_.at(delivery.to)];
+      if (to.up) {
+        to.peer_inbox.push_back(std::move(delivery));
+      }
+    }
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i].up && !nodes_[i].paused) {
+        RunNode(i);
+      }
+    }
+  }
+
+  void Run(Duration span) {
+    for (const Time end = now_ + span; now_ < end;) {
+      Step();
+    }
+  }
+
+  // How many running nodes other than `index` see it in `state`.
+  std::size_t Seeing(std::size_t index, MemberState state) const {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      count += i != index && nodes_[i].up &&
+               nodes_[i].members->view().IsIn(nodes_[index].record.id, state);
+    }
+    return count;
+  }
+
+  // Whether every running node sees exactly the running nodes as not dead.
+  bool Agrees() const {
+    std::size_t running = 0;
+    for (const Node& node : nodes_) {
+      running += node.up ? 1 : 0;
+    }
+    for (const Node& node : nodes_) {
+      if (!node.up) {
+        continue;
+      }
+      const std::vector<NodeId> owners = node.members->view().Owners();
+      if (owners.size() != running) {
+        return false;
+      }
+      for (const NodeId& owner : owners) {
+        if (!nodes_[index_.at(owner)].up) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  Time now() const { return now_; }
+  std::vector<Node>& nodes() { return nodes_; }
+  FakeStoreLink& link() { return link_; }
+  FakeNetwork<MembershipMessage>& network() { return network_; }
+  const Random& random() const { return random_; }
+  // By all nodes so far.
+  std::int64_t sent_bytes() const { return sent_bytes_; }
+  // Changes of state that nodes saw so far.
+  std::int64_t changes(MemberState state) { return changes_[state]; }
+
+ private:
+  void RunNode(std::size_t index) {
+    Node& node = nodes_[index];
+    for (const auto& delivery : std::exchange(node.store_inbox, {})) {
+      if (delivery.caller == CallerOf(index)) {
+        Act(index,
+            node.members->OnStoreReply(now_, delivery.id, delivery.reply));
+      }
+    }
+    for (const auto& delivery : std::exchange(node.peer_inbox, {})) {
+      Act(index, node.members->OnPeer(now_, delivery.from, delivery.message));
+    }
+    Act(index, node.members->Tick(now_));
+  }
+
+  std::string CallerOf(std::size_t index) const {
+    return std::to_string(index) + "/" + std::to_string(nodes_[index].process);
+  }
+
+  void Act(std::size_t index, std::vector<MembershipAction> actions) {
+    for (MembershipAction& action : actions) {
+      std::visit(
+          Overloaded{
+              [&](StoreRequest& request) {
+                link_.Send(now_, CallerOf(index), request.id,
+                           std::move(request.call));
+              },
+              [&](PeerSend<MembershipMessage>& send) {
+                sent_bytes_ +=
+                    static_cast<std::int64_t>(EstimatedSize(send.message));
+                network_.Send(now_, nodes_[index].record.id, send.to,
+                              std::move(send.message));
+              },
+              [&](const MemberChanged& changed) { ++changes_[changed.state]; },
+              [&](const DeltaHeard& heard) {
+                nodes_[index].heard.push_back(heard.delta);
+              },
+          },
+          action);
+    }
+  }
+
+  Random random_;
+  FakeStoreLink link_;
+  FakeNetwork<MembershipMessage> network_;
+  std::vector<Node> nodes_;
+  std::map<NodeId, std::size_t> index_;
+  Time now_ = Time::FromMillis(1000000);
+  std::int64_t sent_bytes_ = 0;
+  std::map<MemberState, std::int64_t> changes_;
+};
+
+}  // namespace gcw
+
+#endif  // TESTS_SUPPORT_MEMBER_CLUSTER_H_
