--- a/tests/support/fake_store_link.h
+++ b/tests/support/fake_store_link.h
@@ -21,7 +21,7 @@
   double request_lost = 0;
   double reply_lost = 0;
   double busy = 0;
-  // Reads are answered from the service's state `stale_by` earlier.
+  // Reads are answered from the last snapshot.
   double stale_read = 0;
 };
 
@@ -38,6 +38,7 @@
   explicit FakeStoreLink(Random random) : random_(std::move(random)) {}
 
   FakeStore& store() { return store_; }
+  const FakeStore& store() const { return store_; }
   FakeStoreFaults& faults() { return faults_; }
   // Callers for which this holds reach the service; all do at first.
   void SetReaches(std::function<bool(const std::string& caller)> reaches) {
@@ -143,9 +144,9 @@
     if (Draws(faults_.busy)) {
       return StoreBusy{Duration::Millis(200)};
     }
-    if (std::holds_alternative<StoreRange>(waiting.call) &&
-        Draws(faults_.stale_read)) {
-      return snapshot_.Execute(now, waiting.call);
+    if (const auto* range = std::get_if<StoreRange>(&waiting.call);
+        range != nullptr && Draws(faults_.stale_read)) {
+      return snapshot_.Read(*range);
     }
     auto reply = store_.Execute(now, waiting.call);
     if (!reply && waiting.watch_ends <= now) {
