--- a/coordination/fingerprint_guard.h
+++ b/coordination/fingerprint_guard.h
@@ -1,6 +1,8 @@
 #ifndef COORDINATION_FINGERPRINT_GUARD_H_
 #define COORDINATION_FINGERPRINT_GUARD_H_
 
+#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -9,6 +11,7 @@
 #include <vector>
 
 #include "coordination/guard_messages.h"
+#include "coordination/membership_messages.h"
 #include "coordination/permit_desk.h"
 #include "coordination/request.h"
 #include "coordination/suspect_table.h"
@@ -21,7 +24,7 @@
   // A fingerprint that ended well is not suspected at its next loss, for so
   // long.
   Duration proven_for = Duration::Seconds(1800);
-  std::size_t most_proven = 50000;
+  std::size_t most_proven = 20000;
   Duration permit_retry = Duration::Millis(200);
   // Sign of life of a running permit.
   Duration permit_renewal = Duration::Seconds(2);
@@ -55,9 +58,9 @@
   AttemptId attempt;
   Refusal refusal;
 };
-// Spread to every node.
+// Spread to every node, by membership.
 struct GuardSpread {
-  SuspectRumor rumor;
+  FingerprintDelta delta;
 };
 
 using GuardAction =
@@ -71,7 +74,7 @@
   class Builder;
 
   // Nodes among which the permit desk is chosen.
-  GuardActions OnMembers(Time now, std::vector<NodeId> members);
+  void OnMembers(Time now, const std::vector<NodeId>& members);
 
   GuardVerdict Judge(Time now, Fingerprint fingerprint) const;
   // Asks for a permit; `GuardPermit` or `GuardRefuse` follows.
@@ -79,6 +82,7 @@
                          const AttemptId& attempt,
                          Fingerprint fingerprint,
                          std::vector<EndpointId> candidates);
+  // The attempt's request is about to be written to the endpoint.
   void OnStarted(Time now,
                  const AttemptId& attempt,
                  Fingerprint fingerprint,
@@ -88,14 +92,12 @@
   // The endpoint was lost while requests may have run there. Losses with a
   // known cause (a planned stop, a dark fabric domain) are not reported here.
   // Call it before `OnFinished` of the attempts that broke with it.
-  GuardActions OnEndpointLost(Time now, const EndpointRun& endpoint);
+  GuardActions OnEndpointLost(Time now, const EndpointId& endpoint);
 
   GuardActions OnMessage(Time now,
                          const NodeId& from,
                          const GuardMessage& message);
-  GuardActions OnRumor(Time now, const SuspectRumor& rumor);
-  // All that this node knows, for a node that has just started.
-  std::vector<SuspectRumor> Rumors(Time now) const;
+  void OnDelta(Time now, const FingerprintDelta& delta);
   // The operators' override, from `setting/...`.
   void SetAllowed(std::set<Fingerprint> allowed);
   GuardActions Tick(Time now);
@@ -113,6 +115,15 @@
     bool permitted = false;
     Time next_renewal;
   };
+  // Running attempts of one fingerprint, and where the last one went.
+  struct Copies {
+    EndpointId endpoint;
+    std::int64_t count = 0;
+  };
+  struct Proof {
+    Fingerprint fingerprint;
+    Time expires;
+  };
   struct Asking {
     PermitRequest request;
     Time since;
@@ -120,11 +131,18 @@
   };
 
   void Spread(Time now, Fingerprint fingerprint, GuardActions& actions);
+  void AddLoss(Time now, const Running& running, GuardActions& actions);
   void Ask(Time now, Asking& asking, GuardActions& actions);
-  void SendToDesk(GuardMessage message, GuardActions& actions);
-  void OnPermitReply(Time now, const PermitReply& reply, GuardActions& actions);
+  void SendToDesk(GuardMessage message, GuardActions& actions) const;
+  PermitReply Answer(Time now, const PermitRequest& request);
+  void OnReply(const PermitReply& reply, GuardActions& actions);
+  void OnDone(Time now, const PermitDone& done);
+  void Refuse(const AttemptId& attempt, GuardActions& actions);
+  void RenewPermits(Time now, GuardActions& actions);
+  void Forget(const AttemptId& attempt);
   bool Proven(Time now, Fingerprint fingerprint) const;
-  void ReportLevel(Fingerprint fingerprint, SuspectLevel before, Time now);
+  void Prove(Time now, Fingerprint fingerprint);
+  void DropOldestProof();
 
   NodeId self_;
   FingerprintGuardSettings settings_;
@@ -134,9 +152,11 @@
   std::optional<NodeId> desk_node_;
   std::map<AttemptId, Running> running_;
   std::map<AttemptId, Asking> asking_;
-  // Attempts with a permit that were not started yet, by endpoint.
+  // Endpoints of the attempts that have a permit.
   std::map<AttemptId, EndpointId> permitted_;
+  std::unordered_map<Fingerprint, Copies> copies_;
   std::unordered_map<Fingerprint, Time> proven_;
+  std::deque<Proof> proofs_;
 };
 
 class FingerprintGuard::Builder {
