--- a/coordination/attempt_log.cc
+++ b/coordination/attempt_log.cc
@@ -1,51 +1,27 @@
 #include "coordination/attempt_log.h"
 
-#include <utility>
+#include <algorithm>
 
 namespace gcw {
 
 AttemptLog::AttemptLog(AttemptPolicy policy) : policy_(policy) {}
 
-bool AttemptLog::Ended(AttemptState state) const {
-  return state != AttemptState::kStarted && state != AttemptState::kWritten;
-}
-
-bool AttemptLog::AnyRunning() const {
-  for (const auto& [id, state] : attempts_) {
-    if (!Ended(state)) {
-      return true;
-    }
-  }
-  return false;
-}
-
-bool AttemptLog::may_have_run() const {
-  for (const auto& [id, state] : attempts_) {
-    if (state != AttemptState::kStarted && state != AttemptState::kNotRun) {
-      return true;
-    }
-  }
-  return false;
-}
-
 bool AttemptLog::Start(Time now, const AttemptId& attempt) {
-  const bool tried_enough =
-      static_cast<int>(attempts_.size()) >= policy_.most_attempts;
-  if (outcome_ || tried_enough || now >= policy_.deadline ||
-      attempts_.contains(attempt)) {
+  if (outcome_ || now >= policy_.deadline || attempts_.contains(attempt) ||
+      attempts_.size() >= static_cast<std::size_t>(policy_.most_attempts)) {
     return false;
   }
-  if (!policy_.repeatable && (may_have_run() || AnyRunning())) {
+  if (!policy_.repeatable && (AnyRunning() || may_have_run())) {
     return false;
   }
-  attempts_.emplace(attempt, AttemptState::kStarted);
+  attempts_[attempt] = AttemptState::kStarted;
   return true;
 }
 
 bool AttemptLog::MayWrite(Time now, const AttemptId& attempt) {
   const auto found = attempts_.find(attempt);
-  if (found == attempts_.end() || found->second != AttemptState::kStarted ||
-      outcome_ || now >= policy_.deadline) {
+  if (outcome_ || now >= policy_.deadline || found == attempts_.end() ||
+      found->second != AttemptState::kStarted) {
     return false;
   }
   found->second = AttemptState::kWritten;
@@ -56,30 +32,33 @@
                                   TokenCount index,
                                   TokenCount count) {
   const auto found = attempts_.find(attempt);
-  if (found == attempts_.end() || Ended(found->second) || outcome_ ||
-      (chosen_ && *chosen_ != attempt)) {
+  if (outcome_ || found == attempts_.end() ||
+      found->second != AttemptState::kWritten) {
     return PieceDecision::kIgnore;
   }
-  if (index > delivered_) {
-    return PieceDecision::kGap;
+  // Pieces of two attempts are never mixed: two runs of a model differ.
+  if (chosen_ && *chosen_ != attempt) {
+    return PieceDecision::kIgnore;
   }
   if (index + count <= delivered_) {
     return PieceDecision::kSkip;
   }
+  if (index != delivered_) {
+    return PieceDecision::kGap;
+  }
   chosen_ = attempt;
-  delivered_ = index + count;
+  delivered_ += count;
   return PieceDecision::kDeliver;
 }
 
 bool AttemptLog::OnAnswered(const AttemptId& attempt) {
   const auto found = attempts_.find(attempt);
-  if (found == attempts_.end() || Ended(found->second)) {
+  if (outcome_ || found == attempts_.end() ||
+      found->second != AttemptState::kWritten ||
+      (chosen_ && *chosen_ != attempt)) {
     return false;
   }
   found->second = AttemptState::kAnswered;
-  if (outcome_ || (chosen_ && *chosen_ != attempt)) {
-    return false;
-  }
   outcome_ = RequestOutcome::kAnsweredWhole;
   return true;
 }
@@ -88,18 +67,22 @@
                                      const AttemptId& attempt,
                                      const AttemptFailure& failure) {
   const auto found = attempts_.find(attempt);
-  if (found == attempts_.end() || Ended(found->second)) {
+  if (outcome_ || found == attempts_.end() || Ended(found->second)) {
     return AttemptIgnored{};
   }
   const bool not_run = failure.refused_without_running ||
                        failure.progress == AttemptProgress::kNothingSent;
-  found->second = not_run ? AttemptState::kNotRun : AttemptState::kFailed;
-  last_was_refusal_ = failure.refused_without_running;
-  if (outcome_) {
-    return AttemptIgnored{};
-  }
-  if (chosen_ == attempt) {
+  // An attempt whose answer has begun ran, whatever it says afterwards.
+  const bool delivered = chosen_ == attempt;
+  found->second =
+      not_run && !delivered ? AttemptState::kNotRun : AttemptState::kFailed;
+  if (delivered) {
+    // A resumed stream continues from another attempt.
     chosen_.reset();
+    if (!policy_.resumable) {
+      outcome_ = RequestOutcome::kBroken;
+      return TellBroken{};
+    }
   }
   if (AnyRunning()) {
     return AttemptPending{};
@@ -107,26 +90,22 @@
   if (MayTryAgain(now)) {
     return AttemptAgain{delivered_};
   }
-  return Conclude(last_was_refusal_ ? RefusalKind::kEndpointRefused
-                                    : RefusalKind::kNoEndpoint);
+  return Conclude(failure.refused_without_running
+                      ? RefusalKind::kEndpointRefused
+                      : RefusalKind::kNoEndpoint);
 }
 
-AttemptDecision AttemptLog::GiveUp(Time /*now*/, RefusalKind reason) {
+AttemptDecision AttemptLog::GiveUp(RefusalKind reason) {
   if (outcome_) {
     return AttemptIgnored{};
   }
-  return Conclude(reason);
-}
-
-bool AttemptLog::MayTryAgain(Time now) const {
-  if (static_cast<int>(attempts_.size()) >= policy_.most_attempts ||
-      now >= policy_.deadline) {
-    return false;
-  }
-  if (!policy_.repeatable && may_have_run()) {
-    return false;
+  for (auto& [attempt, state] : attempts_) {
+    if (state == AttemptState::kStarted) {
+      // `MayWrite` is false from here on.
+      state = AttemptState::kNotRun;
+    }
   }
-  return delivered_ == TokenCount() || policy_.resumable;
+  return Conclude(reason);
 }
 
 AttemptDecision AttemptLog::Conclude(RefusalKind reason) {
@@ -142,4 +121,27 @@
   return TellNotRun{reason};
 }
 
+bool AttemptLog::may_have_run() const {
+  return std::any_of(attempts_.begin(), attempts_.end(), [](const auto& each) {
+    return each.second == AttemptState::kWritten ||
+           each.second == AttemptState::kFailed ||
+           each.second == AttemptState::kAnswered;
+  });
+}
+
+bool AttemptLog::Ended(AttemptState state) {
+  return state != AttemptState::kStarted && state != AttemptState::kWritten;
+}
+
+bool AttemptLog::AnyRunning() const {
+  return std::any_of(attempts_.begin(), attempts_.end(),
+                     [](const auto& each) { return !Ended(each.second); });
+}
+
+bool AttemptLog::MayTryAgain(Time now) const {
+  return now < policy_.deadline &&
+         attempts_.size() < static_cast<std::size_t>(policy_.most_attempts) &&
+         (policy_.repeatable || !may_have_run());
+}
+
 }  // namespace gcw
