--- /dev/null
+++ b/bench/limits_bench.cc
@@ -0,0 +1,178 @@
+// Three ways to keep a contract's limits over all nodes, under skew and faults,
+// and what they cost. In virtual time; exact for a seed but for the CPU time,
+// which is printed only.
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bench/bench_report.h"
+#include "bench/limits_world.h"
+
+namespace gcw::bench {
+namespace {
+
+struct Scenario {
+  std::string name;
+  LimitFault fault = LimitFault::kNone;
+  // Callers come to one node in this many.
+  std::size_t nodes_per_caller = 1;
+  // Of the limit.
+  double offered = 1.5;
+};
+
+struct Fleet {
+  std::size_t nodes = 8;
+  std::size_t zones = 3;
+  std::size_t other_contracts = 20;
+  double other_rate = 5;
+};
+
+struct Policy {
+  std::string name;
+  LimitPolicy policy = LimitPolicy::kShares;
+  bool relays = true;
+};
+
+constexpr double kLimitPerNode = 50;
+constexpr std::size_t kSmallFleet = 32;
+constexpr Micros kLargeFleetEnd = MicrosOf(45000);
+// Of the seeds given.
+constexpr std::size_t kLargeFleetSeeds = 2;
+
+const std::vector<Scenario>& Scenarios() {
+  static const std::vector<Scenario> scenarios{
+      {"even"},
+      {"skew", LimitFault::kNone, 8, 0.9},
+      {"node lost", LimitFault::kNodeLost, 2, 0.9},
+      {"owner lost", LimitFault::kOwnerLost, 1, 1.5},
+      {"owner and store lost", LimitFault::kOwnerLostForLong, 1, 1.5},
+      {"partition", LimitFault::kPartition, 1, 1.5},
+      {"limit halved", LimitFault::kContractChanged, 1, 1.5}};
+  return scenarios;
+}
+
+// Runs of the large fleet take long.
+const std::vector<Scenario>& LargeScenarios() {
+  static const std::vector<Scenario> scenarios{
+      {"even"},
+      {"skew", LimitFault::kNone, 8, 0.9},
+      {"owner lost", LimitFault::kOwnerLost, 1, 1.5}};
+  return scenarios;
+}
+
+LimitsWorldSettings SettingsFor(const Fleet& fleet,
+                                const Policy& policy,
+                                const Scenario& scenario) {
+  LimitsWorldSettings settings;
+  settings.policy = policy.policy;
+  settings.relays = policy.relays;
+  settings.fault = scenario.fault;
+  settings.nodes = fleet.nodes;
+  settings.zones = fleet.zones;
+  settings.caller_nodes =
+      std::max<std::size_t>(1, fleet.nodes / scenario.nodes_per_caller);
+  settings.limit = kLimitPerNode * 8;
+  settings.offered = scenario.offered * settings.limit;
+  settings.other_contracts = fleet.other_contracts;
+  settings.other_rate = fleet.other_rate;
+  if (fleet.nodes > kSmallFleet) {
+    settings.end = kLargeFleetEnd;
+  }
+  return settings;
+}
+
+class LimitsBench {
+ public:
+  explicit LimitsBench(BenchOptions options) : options_(std::move(options)) {}
+
+  int Run() {
+    const Fleet small;
+    for (const Scenario& scenario : Scenarios()) {
+      RunScenario(small, {"central", LimitPolicy::kCentral}, scenario);
+      RunScenario(small, {"static", LimitPolicy::kStatic}, scenario);
+      RunScenario(small, {"shares", LimitPolicy::kShares}, scenario);
+    }
+    // 4,000 requests a second over 100 contracts besides the measured ones.
+    const Fleet large{420, 5, 100, 40};
+    for (const Scenario& scenario : LargeScenarios()) {
+      RunScenario(large, {"shares", LimitPolicy::kShares}, scenario);
+    }
+    RunScenario(large, {"shares, no relays", LimitPolicy::kShares, false},
+                Scenarios().front());
+    RunScenario(large, {"central", LimitPolicy::kCentral}, Scenarios().front());
+    return report_.Finish(options_);
+  }
+
+ private:
+  using Field = double LimitsFigures::*;
+
+  std::vector<std::uint64_t> SeedsFor(const Fleet& fleet) const {
+    std::vector<std::uint64_t> seeds = options_.seeds;
+    if (fleet.nodes > kSmallFleet && seeds.size() > kLargeFleetSeeds) {
+      seeds.resize(kLargeFleetSeeds);
+    }
+    return seeds;
+  }
+
+  void RunScenario(const Fleet& fleet,
+                   const Policy& policy,
+                   const Scenario& scenario) {
+    std::vector<LimitsFigures> results;
+    for (const std::uint64_t seed : SeedsFor(fleet)) {
+      LimitsWorld world(SettingsFor(fleet, policy, scenario), seed);
+      results.push_back(world.Run());
+    }
+    const auto spread = [&results](Field field) {
+      std::vector<double> values;
+      for (const LimitsFigures& figures : results) {
+        values.push_back(figures.*field);
+      }
+      return SpreadOf(values);
+    };
+    const auto percent = [&spread](Field field) {
+      const Spread s = spread(field);
+      return FormatSpread({s.mean * 100, s.lowest * 100, s.highest * 100}, 1);
+    };
+    report_.AddRow(
+        {std::to_string(fleet.nodes), policy.name, scenario.name,
+         percent(&LimitsFigures::over_worst),
+         percent(&LimitsFigures::over_mean),
+         percent(&LimitsFigures::concurrency_over_worst),
+         percent(&LimitsFigures::under_use), percent(&LimitsFigures::pending),
+         FormatNumber(spread(&LimitsFigures::messages).mean, 1),
+         FormatNumber(spread(&LimitsFigures::bytes).mean, 0),
+         FormatNumber(spread(&LimitsFigures::bytes_worst_node).mean, 0),
+         FormatNumber(spread(&LimitsFigures::cpu_worst_node).mean * 100, 2)});
+    if (policy.policy == LimitPolicy::kShares && policy.relays) {
+      SetFigures(std::to_string(fleet.nodes) + "_" + scenario.name, spread);
+    }
+  }
+
+  template <typename SpreadHook>
+  void SetFigures(std::string name, const SpreadHook& spread) {
+    std::replace(name.begin(), name.end(), ' ', '_');
+    report_.SetFigure(name + "_over_worst",
+                      spread(&LimitsFigures::over_worst).highest);
+    report_.SetFigure(name + "_under_use",
+                      spread(&LimitsFigures::under_use).mean);
+    report_.SetFigure(name + "_bytes_worst_node",
+                      spread(&LimitsFigures::bytes_worst_node).highest);
+  }
+
+  BenchOptions options_;
+  BenchReport report_{
+      "limits",
+      {"nodes", "policy", "scenario", "over worst %", "over mean %",
+       "concurrency over %", "under-use %", "waited %", "messages/node/s",
+       "bytes/node/s", "busiest node B/s", "busiest node CPU %"}};
+};
+
+}  // namespace
+}  // namespace gcw::bench
+
+int main(int argc, char** argv) {
+  gcw::bench::LimitsBench bench(gcw::bench::ParseBenchOptions(argc, argv));
+  return bench.Run();
+}
--- /dev/null
+++ b/bench/limits_world.cc
@@ -0,0 +1,450 @@
+#include "bench/limits_world.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include "bench/limit_wire_size.h"
+
+namespace gcw::bench {
+namespace {
+
+const ContractId kMeasured("measured");
+const ContractId kConcurrent("concurrent");
+constexpr Micros kTickPeriod = 50000;
+constexpr Micros kNetworkDelay = 1500;
+constexpr double kMicrosPerSecond = 1e6;
+constexpr Micros kBucket = 100000;
+// Five seconds.
+constexpr std::size_t kWindow = 50;
+// A lease of fifteen seconds less what had passed of it.
+constexpr Micros kTakeOver = MicrosOf(12000);
+constexpr Duration kRoleLife = Duration::Seconds(13);
+constexpr Micros kCallersMove = MicrosOf(1000);
+constexpr double kRunMillis = 2000;
+// One question to a counting node and its answer.
+constexpr double kQuestionBytes = 150;
+// How often a request without a share is tried again.
+constexpr int kAttempts = 30;
+constexpr std::size_t kKindMeasured = 0;
+constexpr std::size_t kKindConcurrent = 1;
+constexpr std::size_t kKindOther = 2;
+
+Contract MakeContract(const ContractId& id,
+                      double requests,
+                      std::int64_t concurrency) {
+  Contract contract;
+  contract.id = id;
+  contract.tier = Tier::kPaid;
+  contract.requests_per_second = requests;
+  contract.tokens_per_second = 1e7;
+  contract.concurrency = concurrency;
+  return contract;
+}
+
+ContractId OtherContract(std::size_t i) {
+  return ContractId("other-" + std::to_string(i));
+}
+
+}  // namespace
+
+LimitsWorld::LimitsWorld(const LimitsWorldSettings& settings,
+                         std::uint64_t seed)
+    : settings_(settings), random_(SeededRandom(seed)) {
+  const auto buckets = static_cast<std::size_t>(settings_.end / kBucket) + 1;
+  admitted_.resize(buckets);
+  offered_.resize(buckets);
+  if (!settings_.relays) {
+    limit_settings_.relay_above_nodes = 100000;
+  }
+  MakeNodes();
+  GiveRoles(0);
+}
+
+void LimitsWorld::MakeNodes() {
+  std::vector<LimitPeer> peers;
+  for (std::size_t i = 0; i < settings_.nodes; ++i) {
+    peers.push_back({NodeId("n" + std::to_string(i)),
+                     ZoneId("z" + std::to_string(i % settings_.zones))});
+  }
+  for (std::size_t i = 0; i < settings_.nodes; ++i) {
+    Node node;
+    node.id = peers[i].node;
+    node.limits = std::make_unique<Limits>(
+        Limits::Builder()
+            .SetSelf(node.id, peers[i].zone, Incarnation(1))
+            .SetSettings(limit_settings_)
+            .Build(Time() - Duration::Seconds(3600)));
+    node.limits->OnView(Time(), peers);
+    nodes_.push_back(std::move(node));
+    SetContracts(i, settings_.limit);
+  }
+  // Callers come to the last nodes; the first ones own most shards.
+  for (std::size_t i = 0; i < settings_.caller_nodes; ++i) {
+    callers_.push_back(settings_.nodes - 1 - i);
+  }
+  central_.SetRate(Time(), settings_.limit, settings_.limit);
+}
+
+void LimitsWorld::SetContracts(std::size_t i, double limit) {
+  Node& node = nodes_[i];
+  const Time now = events_.time();
+  const double part = limit / static_cast<double>(settings_.nodes);
+  node.fixed_part.SetRate(now, part, std::max(1.0, part));
+  node.limits->OnContract(now, MakeContract(kMeasured, limit, 100000));
+  node.limits->OnContract(
+      now, MakeContract(kConcurrent, 1e5, settings_.concurrency_limit));
+  for (std::size_t other = 0; other < settings_.other_contracts; ++other) {
+    node.limits->OnContract(now, MakeContract(OtherContract(other), 100, 1000));
+  }
+}
+
+// One owner for each shard; the measured contracts' owners stand first.
+void LimitsWorld::GiveRoles(std::size_t offset) {
+  ++fence_;
+  owners_.clear();
+  for (std::int64_t i = 0; i < limit_settings_.shards; ++i) {
+    const std::size_t owner =
+        (static_cast<std::size_t>(i) + offset) % settings_.nodes;
+    owners_.push_back(owner);
+    for (Node& node : nodes_) {
+      node.limits->OnOwner(LimitShard(i), nodes_[owner].id, fence_);
+    }
+  }
+}
+
+LimitShard LimitsWorld::ShardOfMeasured() const {
+  return ShardOf(kMeasured, limit_settings_.shards);
+}
+
+void LimitsWorld::Count(Node& node, double bytes) {
+  if (events_.now() >= settings_.warm_up) {
+    ++node.messages;
+    node.bytes += bytes;
+  }
+}
+
+bool LimitsWorld::IsConnected(std::size_t a, std::size_t b) const {
+  const bool both_up = nodes_[a].is_up && nodes_[b].is_up;
+  return both_up && (!is_partitioned_ || a % 2 == b % 2);
+}
+
+void LimitsWorld::Send(std::size_t from, std::vector<LimitsAction> actions) {
+  for (LimitsAction& action : actions) {
+    auto& send = std::get<PeerSend<LimitBatch>>(action);
+    const auto to =
+        static_cast<std::size_t>(std::stoul(send.to.value().substr(1)));
+    const double bytes = WireBytes(send.message);
+    Count(nodes_[from], bytes);
+    if (!IsConnected(from, to)) {
+      continue;
+    }
+    Count(nodes_[to], bytes);
+    events_.After(kNetworkDelay,
+                  [this, from, to, batch = std::move(send.message)] {
+                    if (!nodes_[to].is_up) {
+                      return;
+                    }
+                    const auto start = std::chrono::steady_clock::now();
+                    auto answers = nodes_[to].limits->OnBatch(
+                        events_.time(), nodes_[from].id, batch);
+                    const std::chrono::duration<double> spent =
+                        std::chrono::steady_clock::now() - start;
+                    nodes_[to].cpu_seconds += spent.count();
+                    Send(to, std::move(answers));
+                  });
+  }
+}
+
+void LimitsWorld::TickNodes() {
+  const Time now = events_.time();
+  for (std::size_t shard = 0; shard < owners_.size(); ++shard) {
+    Node& owner = nodes_[owners_[shard]];
+    if (owner.is_up) {
+      owner.limits->OnRoleHeld(LimitShard(static_cast<std::int64_t>(shard)),
+                               fence_, now + kRoleLife);
+    }
+  }
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!nodes_[i].is_up) {
+      continue;
+    }
+    const auto start = std::chrono::steady_clock::now();
+    auto actions = nodes_[i].limits->Tick(now);
+    const std::chrono::duration<double> spent =
+        std::chrono::steady_clock::now() - start;
+    nodes_[i].cpu_seconds += spent.count();
+    Send(i, std::move(actions));
+  }
+  events_.After(kTickPeriod, [this] { TickNodes(); });
+}
+
+std::size_t LimitsWorld::CallerNode() {
+  return callers_[DrawBelow(random_, callers_.size())];
+}
+
+void LimitsWorld::ScheduleCaller(double rate, std::size_t kind) {
+  const double wait = -std::log(1 - DrawUnit(random_)) / rate;
+  events_.After(static_cast<Micros>(wait * kMicrosPerSecond),
+                [this, rate, kind] {
+                  Arrive(kind);
+                  ScheduleCaller(rate, kind);
+                });
+}
+
+void LimitsWorld::Arrive(std::size_t kind) {
+  if (kind == kKindOther) {
+    ArriveOther(DrawBelow(random_, nodes_.size()));
+    return;
+  }
+  const std::size_t node = CallerNode();
+  if (!nodes_[node].is_up) {
+    return;
+  }
+  if (kind == kKindMeasured) {
+    ArriveMeasured(node);
+  } else {
+    ArriveConcurrent(node);
+  }
+}
+
+void LimitsWorld::ArriveOther(std::size_t node) {
+  if (settings_.policy != LimitPolicy::kShares || !nodes_[node].is_up) {
+    return;
+  }
+  const ContractId contract =
+      OtherContract(DrawBelow(random_, settings_.other_contracts));
+  nodes_[node].limits->TryAcquire(events_.time(), contract, TokenCount(200));
+  nodes_[node].limits->Release(contract, TokenCount(200), TokenCount(200));
+}
+
+void LimitsWorld::ArriveMeasured(std::size_t node) {
+  ++offered_[static_cast<std::size_t>(events_.now() / kBucket)];
+  switch (settings_.policy) {
+    case LimitPolicy::kCentral:
+      AskCentral(node);
+      return;
+    case LimitPolicy::kStatic:
+      if (nodes_[node].fixed_part.Has(events_.time(), 1)) {
+        nodes_[node].fixed_part.Take(1);
+        Admitted();
+      }
+      return;
+    case LimitPolicy::kShares:
+      ++asked_;
+      TryShares(node, 0);
+      return;
+  }
+}
+
+void LimitsWorld::Admitted() {
+  ++admitted_[static_cast<std::size_t>(events_.now() / kBucket)];
+}
+
+// Refused where the counting node does not answer.
+void LimitsWorld::AskCentral(std::size_t node) {
+  Count(nodes_[node], kQuestionBytes);
+  if (!IsConnected(node, counter_)) {
+    return;
+  }
+  Count(nodes_[node], kQuestionBytes);
+  Count(nodes_[counter_], kQuestionBytes);
+  Count(nodes_[counter_], kQuestionBytes);
+  events_.After(2 * kNetworkDelay, [this] {
+    if (central_.Has(events_.time(), 1)) {
+      central_.Take(1);
+      Admitted();
+    }
+  });
+}
+
+void LimitsWorld::TryShares(std::size_t node, int attempts) {
+  if (!nodes_[node].is_up) {
+    return;
+  }
+  const auto attempt =
+      attempts == 0 ? AcquireAttempt::kFirst : AcquireAttempt::kRepeated;
+  const ShareDecision decision = nodes_[node].limits->TryAcquire(
+      events_.time(), kMeasured, TokenCount(200), attempt);
+  if (decision.outcome == ShareOutcome::kGranted) {
+    Admitted();
+    nodes_[node].limits->Release(kMeasured, TokenCount(200), TokenCount(200));
+    return;
+  }
+  if (decision.outcome != ShareOutcome::kPending) {
+    return;
+  }
+  waited_ += attempts == 0 ? 1 : 0;
+  if (attempts < kAttempts) {
+    events_.After(kTickPeriod,
+                  [this, node, attempts] { TryShares(node, attempts + 1); });
+  }
+}
+
+void LimitsWorld::ArriveConcurrent(std::size_t node) {
+  if (settings_.policy != LimitPolicy::kShares) {
+    return;
+  }
+  const ShareDecision decision = nodes_[node].limits->TryAcquire(
+      events_.time(), kConcurrent, TokenCount(200));
+  if (decision.outcome != ShareOutcome::kGranted) {
+    return;
+  }
+  ++running_;
+  running_most_ = std::max(running_most_, running_);
+  const double millis = kRunMillis * (0.5 + DrawUnit(random_));
+  events_.After(MicrosOf(millis), [this, node] {
+    --running_;
+    nodes_[node].limits->Release(kConcurrent, TokenCount(200), TokenCount(200));
+  });
+}
+
+void LimitsWorld::StartFault() {
+  const auto shard = static_cast<std::size_t>(ShardOfMeasured().value());
+  switch (settings_.fault) {
+    case LimitFault::kNone:
+      return;
+    case LimitFault::kNodeLost: {
+      std::size_t lost = callers_.back();
+      if (lost == owners_[shard]) {
+        std::swap(callers_.front(), callers_.back());
+        lost = callers_.back();
+      }
+      nodes_[lost].is_up = false;
+      events_.After(kTakeOver, [this] { TakeOver(); });
+      events_.After(kCallersMove,
+                    [this] { callers_.back() = callers_.front(); });
+      return;
+    }
+    case LimitFault::kOwnerLost:
+    case LimitFault::kOwnerLostForLong: {
+      const std::size_t lost = owners_[shard];
+      nodes_[lost].is_up = false;
+      counter_ = settings_.policy == LimitPolicy::kCentral ? lost : counter_;
+      std::erase(callers_, lost);
+      if (settings_.fault == LimitFault::kOwnerLost) {
+        events_.After(kTakeOver, [this] { TakeOver(); });
+      }
+      return;
+    }
+    case LimitFault::kPartition:
+      is_partitioned_ = true;
+      events_.At(settings_.fault_end, [this] { is_partitioned_ = false; });
+      return;
+    case LimitFault::kContractChanged:
+      for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        const auto delay =
+            static_cast<Micros>(DrawBelow(random_, MicrosOf(2000)));
+        events_.After(delay,
+                      [this, i] { SetContracts(i, settings_.limit / 2); });
+      }
+      central_.SetRate(events_.time(), settings_.limit / 2,
+                       settings_.limit / 2);
+      return;
+  }
+}
+
+// All shards move on by one node, so that none stays with the dead one.
+void LimitsWorld::TakeOver() {
+  for (std::size_t shard = 0; shard < owners_.size(); ++shard) {
+    Node& old = nodes_[owners_[shard]];
+    if (old.is_up) {
+      continue;
+    }
+    std::size_t next = owners_[shard];
+    while (!nodes_[next].is_up) {
+      next = (next + 1) % nodes_.size();
+    }
+    owners_[shard] = next;
+    ++fence_;
+    counter_ = next;
+    for (Node& node : nodes_) {
+      node.limits->OnOwner(LimitShard(static_cast<std::int64_t>(shard)),
+                           nodes_[next].id, fence_);
+    }
+  }
+}
+
+// What is accepted, so that nodes that do not know it yet over-admit.
+double LimitsWorld::LimitAt(Micros when) const {
+  const bool is_changed = settings_.fault == LimitFault::kContractChanged &&
+                          when >= settings_.fault_at;
+  return is_changed ? settings_.limit / 2 : settings_.limit;
+}
+
+LimitsFigures LimitsWorld::Run() {
+  counter_ = owners_[static_cast<std::size_t>(ShardOfMeasured().value())];
+  ScheduleCaller(settings_.offered, kKindMeasured);
+  ScheduleCaller(static_cast<double>(settings_.concurrency_limit),
+                 kKindConcurrent);
+  ScheduleCaller(
+      settings_.other_rate * static_cast<double>(settings_.other_contracts),
+      kKindOther);
+  if (settings_.policy == LimitPolicy::kShares) {
+    events_.At(0, [this] { TickNodes(); });
+  }
+  events_.At(settings_.fault_at, [this] { StartFault(); });
+  events_.RunUntil(settings_.end);
+  return Figures();
+}
+
+LimitsFigures LimitsWorld::Figures() const {
+  LimitsFigures figures;
+  const auto first = static_cast<std::size_t>(settings_.warm_up / kBucket);
+  const auto last = static_cast<std::size_t>(settings_.end / kBucket);
+  double possible = 0;
+  double admitted = 0;
+  std::int64_t windows = 0;
+  for (std::size_t i = first; i + kWindow <= last; ++i) {
+    double in_window = 0;
+    double allowed = 0;
+    for (std::size_t j = i; j < i + kWindow; ++j) {
+      in_window += static_cast<double>(admitted_[j]);
+      allowed += LimitAt(static_cast<Micros>(j) * kBucket) *
+                 static_cast<double>(kBucket) / kMicrosPerSecond;
+    }
+    const double over = std::max(0.0, in_window / allowed - 1);
+    figures.over_worst = std::max(figures.over_worst, over);
+    figures.over_mean += over;
+    ++windows;
+  }
+  figures.over_mean /= static_cast<double>(windows);
+  // By the second, so that what was refused in one is not made up in another.
+  constexpr std::size_t kSecond = 10;
+  for (std::size_t i = first; i + kSecond <= last; i += kSecond) {
+    double offered = 0;
+    double in_second = 0;
+    for (std::size_t j = i; j < i + kSecond; ++j) {
+      offered += static_cast<double>(offered_[j]);
+      in_second += static_cast<double>(admitted_[j]);
+    }
+    const double most =
+        std::min(offered, LimitAt(static_cast<Micros>(i) * kBucket));
+    possible += most;
+    admitted += std::min(in_second, most);
+  }
+  figures.under_use = 1 - admitted / possible;
+  figures.concurrency_over_worst =
+      std::max(0.0, static_cast<double>(running_most_) /
+                            static_cast<double>(settings_.concurrency_limit) -
+                        1);
+  figures.pending =
+      asked_ == 0 ? 0
+                  : static_cast<double>(waited_) / static_cast<double>(asked_);
+  const double seconds =
+      static_cast<double>(settings_.end - settings_.warm_up) / kMicrosPerSecond;
+  for (const Node& node : nodes_) {
+    figures.messages += static_cast<double>(node.messages) / seconds;
+    figures.bytes += node.bytes / seconds;
+    figures.bytes_worst_node =
+        std::max(figures.bytes_worst_node, node.bytes / seconds);
+    figures.cpu_worst_node = std::max(figures.cpu_worst_node,
+                                      node.cpu_seconds * kMicrosPerSecond /
+                                          static_cast<double>(settings_.end));
+  }
+  figures.messages /= static_cast<double>(nodes_.size());
+  figures.bytes /= static_cast<double>(nodes_.size());
+  return figures;
+}
+
+}  // namespace gcw::bench
--- a/coordination/admission_settings.h
+++ b/coordination/admission_settings.h
@@ -17,7 +17,7 @@
   Duration trial_wait = Duration::Millis(2000);
   // A request waits no longer than this for its contract's share. Longer than
   // the gap between a lost owner's grants and the floor in a small fleet.
-  Duration share_wait = Duration::Millis(1500);
+  Duration share_wait = Duration::Millis(3000);
   // Tokens that one turn of the round robin is worth to a contract of average
   // token rate.
   std::int64_t quantum_tokens = 512;
--- a/coordination/contract_share.cc
+++ b/coordination/contract_share.cc
@@ -7,6 +7,7 @@
 
 constexpr double kMillisPerSecond = 1000.0;
 constexpr double kRounding = 1e-6;
+constexpr double kLeastRequestRate = 0.02;
 
 double PartOf(double amount, double limit) {
   return limit > 0 ? amount / limit : 0;
@@ -95,9 +96,12 @@
 }
 
 LimitDemand ContractShare::Measure(Time now, const ContractId& contract) {
-  // A contract in use needs room for one more request, however rare they are.
-  const double requests = std::max(1.0, request_demand_.Measure(now));
-  const double tokens = std::max(last_estimate_, token_demand_.Measure(now));
+  // A contract in use keeps a little for its next request, however rare they
+  // are; as little as does not crowd out what others really ask for.
+  const double requests =
+      std::max(kLeastRequestRate, request_demand_.Measure(now));
+  const double tokens = std::max(kLeastRequestRate * last_estimate_,
+                                 token_demand_.Measure(now));
   // One more than runs, so that the next request finds room.
   const auto at_once = static_cast<double>(running_ + 1 + turned_away_);
   turned_away_ = 0;
--- a/coordination/limit_client.cc
+++ b/coordination/limit_client.cc
@@ -15,11 +15,13 @@
   echo_.reset();
   answered_at_.reset();
   reported_at_.reset();
+  unanswered_ = 0;
 }
 
 LimitReport LimitClient::StartReport(Time now) {
   reported_at_ = now;
   ++last_sequence_;
+  ++unanswered_;
   return {.sender = self_,
           .kind = kind_,
           .shard = shard_,
@@ -45,6 +47,7 @@
   fence_ = grants.fence;
   echo_ = grants.echo;
   answered_at_ = now;
+  unanswered_ = 0;
   granted_until_ = until;
   grants_.clear();
   for (const LimitGrant& grant : grants.grants) {
--- a/coordination/limit_client.h
+++ b/coordination/limit_client.h
@@ -34,6 +34,8 @@
   // When the newest grants arrived; absent before the first of this receiver.
   std::optional<Time> answered_at() const { return answered_at_; }
   std::optional<Time> reported_at() const { return reported_at_; }
+  // Reports since the newest grants arrived.
+  std::int64_t unanswered() const { return unanswered_; }
   LimitShard shard() const { return shard_; }
   LimitSequence applied() const { return applied_; }
   // Of the newest grants.
@@ -50,6 +52,7 @@
   std::optional<LimitEcho> echo_;
   std::optional<Time> answered_at_;
   std::optional<Time> reported_at_;
+  std::int64_t unanswered_ = 0;
   Time granted_until_;
   std::unordered_map<ContractId, LimitVector> grants_;
 };
--- a/coordination/limit_owner.cc
+++ b/coordination/limit_owner.cc
@@ -20,7 +20,7 @@
   }
   shards_.insert_or_assign(shard, OwnedShard{.fence = fence,
                                              .valid_until = valid_until,
-                                             .releasing = false,
+                                             .release_at = {},
                                              .granter = {shard, self_}});
 }
 
@@ -33,28 +33,34 @@
   if (found == shards_.end()) {
     return now;
   }
-  found->second.releasing = true;
-  return std::max(now, found->second.granter.last_expiry());
+  OwnedShard& owned = found->second;
+  if (!owned.release_at) {
+    owned.release_at =
+        now + topology_->settings().GrantLifetime(topology_->live_nodes());
+    // Grants of a time when the fleet was larger may live longer.
+    owned.release_at = std::max(*owned.release_at, owned.granter.last_expiry());
+  }
+  return *owned.release_at;
 }
 
-bool LimitOwner::Owns(Time now, LimitShard shard) const {
-  const auto found = shards_.find(shard);
-  return found != shards_.end() && !found->second.releasing &&
-         now < found->second.valid_until;
+Time LimitOwner::LastExpiry(const OwnedShard& owned) {
+  return std::min(owned.valid_until,
+                  owned.release_at.value_or(owned.valid_until));
 }
 
 std::optional<LimitGrants> LimitOwner::OnReport(Time now,
                                                 const LimitReport& report) {
-  if (!Owns(now, report.shard)) {
+  const auto found = shards_.find(report.shard);
+  if (found == shards_.end() || now >= LastExpiry(found->second)) {
     return std::nullopt;
   }
-  OwnedShard& owned = shards_.at(report.shard);
+  OwnedShard& owned = found->second;
   const Duration full =
       topology_->settings().GrantLifetime(topology_->live_nodes());
   if (!owned.granter.Observe(now, report, full)) {
     return std::nullopt;
   }
-  const Duration lifetime = std::min(full, owned.valid_until - now);
+  const Duration lifetime = std::min(full, LastExpiry(owned) - now);
   const std::int64_t reserved = ReservedFloors(owned, report, now + lifetime);
   return owned.granter.Answer(
       now, report,
--- a/coordination/limit_owner.h
+++ b/coordination/limit_owner.h
@@ -23,23 +23,25 @@
 
   void OnRoleHeld(LimitShard shard, FencingToken fence, Time valid_until);
   void OnRoleLost(LimitShard shard);
-  // Gives no more grants; tells when the last one has expired.
+  // Gives no grants that live longer than the returned time, by which the role
+  // may be released.
   Time PrepareRelease(Time now, LimitShard shard);
 
   // Absent where this node may not grant the shard now.
   std::optional<LimitGrants> OnReport(Time now, const LimitReport& report);
   LimitVector Held(Time now, const ContractId& contract) const;
-  bool Owns(Time now, LimitShard shard) const;
   void Expire(Time now);
 
  private:
   struct OwnedShard {
     FencingToken fence;
     Time valid_until;
-    bool releasing = false;
+    std::optional<Time> release_at;
     LimitGranter granter;
   };
 
+  // Every grant ends by then.
+  static Time LastExpiry(const OwnedShard& owned);
   LimitVector Total(const ContractId& contract, std::int64_t reserved) const;
   std::int64_t ReservedFloors(const OwnedShard& owned,
                               const LimitReport& report,
--- a/coordination/limit_relay.cc
+++ b/coordination/limit_relay.cc
@@ -57,13 +57,11 @@
   }
 }
 
-bool LimitRelay::IsDue(Time now, RelayedShard& relayed) const {
-  const LimitSettings& settings = topology_->settings();
+bool LimitRelay::IsUrgent(Time now, const RelayedShard& relayed) const {
   const auto reported = relayed.client.reported_at();
-  const Duration period = relayed.urgent
-                              ? settings.urgent_interval
-                              : settings.Period(topology_->live_nodes());
-  return !reported || now >= *reported + period;
+  const Duration interval = topology_->settings().UrgentInterval(
+      topology_->live_nodes(), relayed.client.unanswered());
+  return !reported || (relayed.urgent && now >= *reported + interval);
 }
 
 // A relay whose grant shrank has still given on more than it now has, until its
@@ -106,6 +104,8 @@
 std::vector<LimitReport> LimitRelay::Tick(Time now) {
   const Duration memory =
       topology_->settings().CessionLifetime(topology_->live_nodes());
+  const bool is_due = schedule_.TakeDue(
+      now, topology_->settings().Period(topology_->live_nodes()));
   std::vector<LimitReport> reports;
   for (auto& [shard, relayed] : shards_) {
     relayed.granter.Expire(now);
@@ -113,8 +113,9 @@
       return entry.second + memory < now;
     });
     relayed.client.SetUpstream(topology_->Owner(shard));
-    const bool has_owner = !relayed.client.upstream().empty();
-    if (has_owner && !relayed.reporters.empty() && IsDue(now, relayed)) {
+    const bool is_used =
+        !relayed.client.upstream().empty() && !relayed.reporters.empty();
+    if (is_used && (is_due || IsUrgent(now, relayed))) {
       reports.push_back(MakeReport(now, relayed));
     }
   }
--- a/coordination/limit_relay.h
+++ b/coordination/limit_relay.h
@@ -9,6 +9,7 @@
 #include "coordination/limit_client.h"
 #include "coordination/limit_granter.h"
 #include "coordination/limit_topology.h"
+#include "coordination/report_schedule.h"
 
 namespace gcw {
 
@@ -41,13 +42,14 @@
   };
 
   RelayedShard& ShardFor(LimitShard shard);
-  bool IsDue(Time now, RelayedShard& relayed) const;
+  bool IsUrgent(Time now, const RelayedShard& relayed) const;
   LimitReport MakeReport(Time now, RelayedShard& relayed) const;
   static void Acknowledge(Time now, RelayedShard& relayed);
 
   const LimitTopology* topology_;
   const ContractLimits* limits_;
   LimitParty self_;
+  ReportSchedule schedule_;
   std::map<LimitShard, RelayedShard> shards_;
 };
 
--- a/coordination/limit_shares.cc
+++ b/coordination/limit_shares.cc
@@ -183,13 +183,11 @@
   }
 }
 
-bool LimitShares::IsDue(Time now, const ShardState& shard) const {
-  const LimitSettings& settings = topology_->settings();
+bool LimitShares::IsUrgent(Time now, const ShardState& shard) const {
   const auto reported = shard.client.reported_at();
-  const Duration period = shard.urgent
-                              ? settings.urgent_interval
-                              : settings.Period(topology_->live_nodes());
-  return !reported || now >= *reported + period;
+  const Duration interval = topology_->settings().UrgentInterval(
+      topology_->live_nodes(), shard.client.unanswered());
+  return !reported || (shard.urgent && now >= *reported + interval);
 }
 
 bool LimitShares::MayCede(Time now, const ShardState& shard) const {
@@ -225,11 +223,14 @@
       Refresh(now, contract, state);
     }
   }
+  const bool is_due = schedule_.TakeDue(
+      now, topology_->settings().Period(topology_->live_nodes()));
   std::vector<LimitReport> reports;
   for (ShardState& shard : shards_) {
     const LimitShard number = shard.client.shard();
     shard.client.SetUpstream(topology_->Upstream(number));
-    if (shard.client.upstream().empty() || !IsDue(now, shard)) {
+    const bool is_known = !shard.client.upstream().empty();
+    if (!is_known || !(is_due || IsUrgent(now, shard))) {
       continue;
     }
     reports.push_back(MakeReport(now, shard));
--- a/coordination/limit_shares.h
+++ b/coordination/limit_shares.h
@@ -10,6 +10,7 @@
 #include "coordination/contract_share.h"
 #include "coordination/limit_client.h"
 #include "coordination/limit_topology.h"
+#include "coordination/report_schedule.h"
 #include "core/core.h"
 
 namespace gcw {
@@ -79,7 +80,7 @@
   void ReportFloor(const ContractId& contract, bool on_floor);
   void RefreshShard(Time now, LimitShard shard);
   void DropIdle(Time now);
-  bool IsDue(Time now, const ShardState& shard) const;
+  bool IsUrgent(Time now, const ShardState& shard) const;
   bool MayCede(Time now, const ShardState& shard) const;
   LimitReport MakeReport(Time now, ShardState& shard);
   ShardState& StateOf(LimitShard shard);
@@ -91,6 +92,7 @@
   EventSink sink_;
   bool is_leaving_ = false;
   std::int64_t seen_version_ = -1;
+  ReportSchedule schedule_;
   // By shard number.
   std::vector<ShardState> shards_;
   std::unordered_map<ContractId, ContractState> contracts_;
--- a/coordination/limit_topology.cc
+++ b/coordination/limit_topology.cc
@@ -1,12 +1,21 @@
 #include "coordination/limit_topology.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 
 #include "coordination/rendezvous.h"
+#include "coordination/role_assignment.h"
 
 namespace gcw {
+namespace {
+
+RoleName RelayRole(std::int64_t shard) {
+  return RoleName("limit_relay/" + std::to_string(shard));
+}
+
+}  // namespace
 
 LimitTopology::LimitTopology(NodeId self, ZoneId zone, LimitSettings settings)
     : self_(std::move(self)), zone_(std::move(zone)), settings_(settings) {
@@ -58,9 +67,14 @@
       members.push_back(zone_nodes[static_cast<std::size_t>(i)]);
     }
   }
+  // Each node relays few shards, however the hashes fall.
+  std::set<RoleName> roles;
+  for (std::int64_t shard = 0; shard < settings_.shards; ++shard) {
+    roles.insert(RelayRole(shard));
+  }
+  const std::map<RoleName, NodeId> assigned = AssignRoles(roles, members);
   for (std::int64_t shard = 0; shard < settings_.shards; ++shard) {
-    const std::string key = "limit_relay/" + std::to_string(shard);
-    relays_.push_back(RendezvousOwner(key, members).value_or(NodeId()));
+    relays_.push_back(assigned.at(RelayRole(shard)));
   }
 }
 
--- a/coordination/limits.h
+++ b/coordination/limits.h
@@ -38,8 +38,8 @@
   // To be repeated at each renewal of the node's lease.
   void OnRoleHeld(LimitShard shard, FencingToken fence, Time valid_until);
   void OnRoleLost(LimitShard shard);
-  // Before this node gives up the role by deleting its key: no more grants are
-  // given. The role may be released from the returned time on.
+  // Before this node gives up the role by deleting its key: no grant is given
+  // that outlives the returned time, from which on the role may be released.
   Time PrepareRelease(Time now, LimitShard shard);
   // Who holds the role now, as far as this node knows; empty for nobody.
   void OnOwner(LimitShard shard, const NodeId& owner, FencingToken fence);
