--- a/coordination/limit_relay.cc
+++ b/coordination/limit_relay.cc
@@ -108,7 +108,9 @@
       now, topology_->settings().Period(topology_->live_nodes()));
   std::vector<LimitReport> reports;
   for (auto& [shard, relayed] : shards_) {
-    relayed.granter.Expire(now);
+    if (is_due) {
+      relayed.granter.Expire(now);
+    }
     std::erase_if(relayed.reporters, [&](const auto& entry) {
       return entry.second + memory < now;
     });
--- a/coordination/limit_shares.cc
+++ b/coordination/limit_shares.cc
@@ -216,7 +216,6 @@
 }
 
 std::vector<LimitReport> LimitShares::Tick(Time now) {
-  DropIdle(now);
   if (topology_->version() != seen_version_) {
     seen_version_ = topology_->version();
     for (auto& [contract, state] : contracts_) {
@@ -225,6 +224,9 @@
   }
   const bool is_due = schedule_.TakeDue(
       now, topology_->settings().Period(topology_->live_nodes()));
+  if (is_due) {
+    DropIdle(now);
+  }
   std::vector<LimitReport> reports;
   for (ShardState& shard : shards_) {
     const LimitShard number = shard.client.shard();
--- a/coordination/limits.cc
+++ b/coordination/limits.cc
@@ -3,6 +3,12 @@
 #include <utility>
 
 namespace gcw {
+namespace {
+
+// What has expired counts no more; it is dropped now and then to save memory.
+constexpr Duration kExpiryInterval = Duration::Seconds(1);
+
+}  // namespace
 
 Limits::Limits(LimitParty self,
                ZoneId zone,
@@ -118,7 +124,9 @@
 
 std::vector<LimitsAction> Limits::Tick(Time now) {
   Outbox outbox;
-  owner_.Expire(now);
+  if (expiry_.TakeDue(now, kExpiryInterval)) {
+    owner_.Expire(now);
+  }
   for (LimitReport& report : relay_.Tick(now)) {
     const NodeId to = topology_->Owner(report.shard);
     Deliver(now, to, std::move(report), outbox);
--- a/coordination/limits.h
+++ b/coordination/limits.h
@@ -14,6 +14,7 @@
 #include "coordination/limit_settings.h"
 #include "coordination/limit_shares.h"
 #include "coordination/limit_topology.h"
+#include "coordination/report_schedule.h"
 #include "core/core.h"
 
 namespace gcw {
@@ -91,6 +92,7 @@
   LimitShares shares_;
   LimitOwner owner_;
   LimitRelay relay_;
+  ReportSchedule expiry_;
   NodeId self_;
 };
 
