--- a/coordination/admission.h
+++ b/coordination/admission.h
@@ -139,6 +139,9 @@
             EventSink sink,
             Limits* limits);
 
+  static std::size_t TierIndex(Tier tier) {
+    return tier == Tier::kPaid ? 0 : 1;
+  }
   Target& TargetOf(const RequestTarget& target);
   Request MakeRequest(const Contract& contract, const RequestProfile& profile);
   void AwaitShare(Time now,
--- /dev/null
+++ b/coordination/refusals.cc
@@ -0,0 +1,29 @@
+#include "coordination/refusals.h"
+
+namespace gcw {
+
+RefusalKind RefusalOfShare(ShareOutcome outcome) {
+  switch (outcome) {
+    case ShareOutcome::kRequestRate:
+      return RefusalKind::kRequestRate;
+    case ShareOutcome::kTokenRate:
+      return RefusalKind::kTokenRate;
+    case ShareOutcome::kConcurrency:
+      return RefusalKind::kConcurrency;
+    case ShareOutcome::kUnknownContract:
+      return RefusalKind::kContractNotValid;
+    case ShareOutcome::kGranted:
+    case ShareOutcome::kPending:
+      return RefusalKind::kNoCapacity;
+  }
+  return RefusalKind::kNoCapacity;
+}
+
+bool ComingBackHelps(RefusalKind kind) {
+  return kind != RefusalKind::kUnknownKey &&
+         kind != RefusalKind::kContractNotValid &&
+         kind != RefusalKind::kModelNotAllowed &&
+         kind != RefusalKind::kServiceNotAllowed;
+}
+
+}  // namespace gcw
