--- a/coordination/limits.h
+++ b/coordination/limits.h
@@ -14,6 +14,7 @@
 #include "coordination/limit_settings.h"
 #include "coordination/limit_shares.h"
 #include "coordination/limit_topology.h"
+#include "coordination/report_schedule.h"
 #include "core/core.h"
 
 namespace gcw {
@@ -38,8 +39,8 @@
   // To be repeated at each renewal of the node's lease.
   void OnRoleHeld(LimitShard shard, FencingToken fence, Time valid_until);
   void OnRoleLost(LimitShard shard);
-  // Before this node gives up the role by deleting its key: no more grants are
-  // given. The role may be released from the returned time on.
+  // Before this node gives up the role by deleting its key: no grant is given
+  // that outlives the returned time, from which on the role may be released.
   Time PrepareRelease(Time now, LimitShard shard);
   // Who holds the role now, as far as this node knows; empty for nobody.
   void OnOwner(LimitShard shard, const NodeId& owner, FencingToken fence);
@@ -91,6 +92,7 @@
   LimitShares shares_;
   LimitOwner owner_;
   LimitRelay relay_;
+  ReportSchedule expiry_;
   NodeId self_;
 };
 
