--- a/state/store_types.h
+++ b/state/store_types.h
@@ -1,7 +1,6 @@
 #ifndef STATE_STORE_TYPES_H_
 #define STATE_STORE_TYPES_H_
 
-#include <limits>
 #include <optional>
 #include <string>
 #include <variant>
@@ -14,10 +13,10 @@
 // Names a call to the key-value service until its reply arrives.
 using StoreCallId = StrongNumber<struct StoreCallIdTag>;
 
-// Higher than any revision of a key. A compare-and-swap that expects it changes
-// nothing, and its conflict shows the key's present state, which a plain read
-// need not.
-inline constexpr Revision kNoRevision(std::numeric_limits<std::int64_t>::max());
+// Higher than any revision of a key, and still whole as a JSON number. A
+// compare-and-swap that expects it changes nothing, and its conflict shows the
+// key's present state, which a plain read need not.
+inline constexpr Revision kNoRevision((std::int64_t{1} << 53) - 1);
 
 struct StoreEntry {
   std::string key;
