--- a/coordination/membership_messages.cc
+++ b/coordination/membership_messages.cc
@@ -21,12 +21,8 @@
          (rumor.record ? SizeOf(*rumor.record) : 0);
 }
 
-std::size_t SizeOf(const SuspectRumor& rumor) {
-  std::size_t size = 3 * kNumber;
-  for (const auto& [run, kind] : rumor.losses) {
-    size += kNumber + 2 + run.endpoint.value().size();
-  }
-  return size;
+std::size_t SizeOf(const FingerprintDelta&) {
+  return 3 * kNumber;
 }
 
 std::size_t SizeOf(const RoleHolderDelta& delta) {
@@ -77,8 +73,9 @@
 }  // namespace
 
 bool IsUrgent(const Delta& delta) {
-  // While a suspicion spreads, the request may crash more endpoints.
-  return std::holds_alternative<SuspectRumor>(delta);
+  // While a block spreads, the request may crash more endpoints.
+  const auto* fingerprint = std::get_if<FingerprintDelta>(&delta);
+  return fingerprint != nullptr && fingerprint->blocked;
 }
 
 std::size_t EstimatedSize(const Rumor& rumor) {
--- a/coordination/membership_messages.h
+++ b/coordination/membership_messages.h
@@ -7,7 +7,6 @@
 #include <variant>
 #include <vector>
 
-#include "coordination/guard_messages.h"
 #include "coordination/member.h"
 #include "coordination/role_assignment.h"
 #include "state/state.h"
@@ -24,6 +23,20 @@
   std::optional<NodeRecord> record;
 };
 
+// A request with this fingerprint is not to be dispatched, since it crashed
+// endpoints, or may be dispatched again.
+struct FingerprintDelta {
+  Fingerprint fingerprint;
+  bool blocked = true;
+  // Endpoints that it crashed so far.
+  std::int64_t losses = 0;
+  // From the receipt on; clocks of nodes may differ.
+  Duration time_to_live;
+
+  friend bool operator==(const FingerprintDelta&,
+                         const FingerprintDelta&) = default;
+};
+
 // The sender holds a control role.
 struct RoleHolderDelta {
   RoleName role;
@@ -35,7 +48,7 @@
 
 // Small soft state of other modules that rides along. Each delta replaces what
 // earlier ones of the same origin said of the same subject.
-using Delta = std::variant<SuspectRumor, RoleHolderDelta>;
+using Delta = std::variant<FingerprintDelta, RoleHolderDelta>;
 
 // Whether a delta is sent on at once instead of riding along on probes.
 bool IsUrgent(const Delta& delta);
--- a/coordination/node_core.cc
+++ b/coordination/node_core.cc
@@ -7,9 +7,9 @@
 
 constexpr std::string_view kKeeperRole = "keeper/";
 
-// Domain records are spread like configuration, by the same watches and the same
-// exchange between nodes: a node without them could open no group while the
-// key-value service is down.
+// Domain records are spread like configuration, by the same watches and the
+// same exchange between nodes: a node without them could open no group while
+// the key-value service is down.
 ConfigSyncSettings SpreadDomains(ConfigSyncSettings settings) {
   settings.prefixes.emplace_back(kDomainPrefix);
   return settings;
@@ -345,7 +345,7 @@
   Apply(now, once_owner_->OnMembers(now, once_members));
   Apply(now, requests_.OnOnce(
                  now, once_client_->OnMembers(now, std::move(once_members))));
-  Apply(now, requests_.OnGuard(now, guard_->OnMembers(now, view.Owners())));
+  guard_->OnMembers(now, view.Owners());
   Apply(now, endpoints_.OnView(now, view));
 }
 
--- a/coordination/node_core_actions.cc
+++ b/coordination/node_core_actions.cc
@@ -187,7 +187,7 @@
                      Send(send.to, std::move(send.message));
                    },
                    [this, now](GuardSpread& spread) {
-                     membership_.Spread(std::move(spread.rumor));
+                     membership_.Spread(spread.delta);
                    },
                    [this](GuardPeerSend& send) {
                      Send(send.to, std::move(send.message));
@@ -197,9 +197,8 @@
 }
 
 void NodeCore::OnDelta(Time now, const DeltaHeard& heard) {
-  std::visit(Overloaded{[&](const SuspectRumor& rumor) {
-                          Apply(now, requests_.OnGuard(
-                                         now, guard_->OnRumor(now, rumor)));
+  std::visit(Overloaded{[&](const FingerprintDelta& delta) {
+                          guard_->OnDelta(now, delta);
                         },
                         [&](const RoleHolderDelta& holder) {
                           if (const std::optional<LimitShard> shard =
--- a/coordination/request_desk.cc
+++ b/coordination/request_desk.cc
@@ -27,10 +27,6 @@
                                status->state == EngineState::kFailed);
 }
 
-EndpointRun RunOf(const Endpoint& endpoint) {
-  return EndpointRun{endpoint.id, Incarnation(endpoint.generation.value())};
-}
-
 AttemptPolicy PolicyFor(const RequestProfile& profile, int most_attempts) {
   AttemptPolicy policy;
   policy.repeatable = profile.repeatable;
@@ -422,7 +418,7 @@
     actions_.emplace_back(EndpointFoundLost{check.endpoint.id});
   }
   if (lost) {
-    Apply(now, modules_.guard->OnEndpointLost(now, RunOf(check.endpoint)));
+    Apply(now, modules_.guard->OnEndpointLost(now, check.endpoint.id));
   }
   for (const RequestId& waiting : check.waiting) {
     Request* request = Find(waiting);
@@ -479,7 +475,7 @@
 }
 
 void RequestDesk::GiveUp(Time now, Request& request, RefusalKind reason) {
-  Conclude(now, request, request.log.GiveUp(now, reason));
+  Conclude(now, request, request.log.GiveUp(reason));
 }
 
 void RequestDesk::Conclude(Time now,
--- a/coordination/rumor_queue.cc
+++ b/coordination/rumor_queue.cc
@@ -6,8 +6,8 @@
 namespace gcw {
 namespace {
 
-std::string SubjectOf(const SuspectRumor& rumor) {
-  return "f/" + std::to_string(rumor.fingerprint.value());
+std::string SubjectOf(const FingerprintDelta& delta) {
+  return "f/" + std::to_string(delta.fingerprint.value());
 }
 
 std::string SubjectOf(const RoleHolderDelta& delta) {
--- a/programs/gcwctl/command_line.cc
+++ b/programs/gcwctl/command_line.cc
@@ -104,15 +104,18 @@
 
 options::options_description MakeOptions() {
   options::options_description description;
-  description.add_options()("node", options::value<std::string>())(
-      "credential-file", options::value<std::string>())("json")("help,h")(
-      "timeout-ms", options::value<std::int64_t>())(
-      "expected", options::value<std::int64_t>())(
-      "change-id", options::value<std::string>())(
-      "trace", options::value<std::string>())(
-      "domain", options::value<std::string>())("limit",
-                                               options::value<std::int64_t>())(
-      "words", options::value<std::vector<std::string>>());
+  options::options_description_easy_init add = description.add_options();
+  add("node", options::value<std::string>(), "");
+  add("credential-file", options::value<std::string>(), "");
+  add("json", "");
+  add("help,h", "");
+  add("timeout-ms", options::value<std::int64_t>(), "");
+  add("expected", options::value<std::int64_t>(), "");
+  add("change-id", options::value<std::string>(), "");
+  add("trace", options::value<std::string>(), "");
+  add("domain", options::value<std::string>(), "");
+  add("limit", options::value<std::int64_t>(), "");
+  add("words", options::value<std::vector<std::string>>(), "");
   return description;
 }
 
--- /dev/null
+++ b/protocol/fingerprint_wire.h
@@ -0,0 +1,17 @@
+#ifndef PROTOCOL_FINGERPRINT_WIRE_H_
+#define PROTOCOL_FINGERPRINT_WIRE_H_
+
+#include "coordination/coordination.h"
+#include "protocol/peer.pb.h"
+#include "protocol/wire_faults.h"
+
+namespace gcw {
+
+// Part of the messages of membership and of the fingerprint guard.
+wire::FingerprintDelta ToWire(const FingerprintDelta& delta);
+FingerprintDelta FingerprintFromWire(const wire::FingerprintDelta& in,
+                                     WireFaults& faults);
+
+}  // namespace gcw
+
+#endif  // PROTOCOL_FINGERPRINT_WIRE_H_
--- a/protocol/guard_wire.cc
+++ b/protocol/guard_wire.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "protocol/fingerprint_wire.h"
+
 namespace gcw {
 
 namespace {
@@ -28,7 +30,11 @@
 }
 
 void PutBody(const PermitDone& message, wire::PeerBody& body) {
-  body.mutable_permit_done()->set_attempt(message.attempt.value());
+  wire::PermitDone* const out = body.mutable_permit_done();
+  out->set_attempt(message.attempt.value());
+  if (message.loss) {
+    *out->mutable_loss() = ToWire(*message.loss);
+  }
 }
 
 PermitRequest Get(const wire::PermitRequest& in, WireFaults& faults) {
@@ -44,6 +50,15 @@
   return message;
 }
 
+PermitDone Get(const wire::PermitDone& in, WireFaults& faults) {
+  PermitDone message;
+  message.attempt = faults.RequiredId<AttemptId>(in.attempt(), "attempt");
+  if (in.has_loss()) {
+    message.loss = FingerprintFromWire(in.loss(), faults);
+  }
+  return message;
+}
+
 PermitVerdict GetVerdict(const wire::PermitReply& in, WireFaults& faults) {
   switch (in.verdict_case()) {
     case wire::PermitReply::kGranted:
@@ -79,8 +94,7 @@
                          GetVerdict(in, faults)};
     }
     case wire::PeerBody::kPermitDone:
-      return PermitDone{faults.RequiredId<AttemptId>(
-          body.permit_done().attempt(), "attempt")};
+      return Get(body.permit_done(), faults);
     default:
       return std::nullopt;
   }
--- a/protocol/membership_wire.cc
+++ b/protocol/membership_wire.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "protocol/fingerprint_wire.h"
+
 namespace gcw {
 
 namespace {
@@ -90,19 +92,8 @@
   return rumor;
 }
 
-void Put(const SuspectRumor& rumor, wire::DeltaRumor* out) {
-  wire::SuspectRumor* const suspect = out->mutable_suspect();
-  suspect->set_fingerprint(
-      static_cast<std::uint64_t>(rumor.fingerprint.value()));
-  suspect->set_version(rumor.version);
-  for (const auto& [run, kind] : rumor.losses) {
-    wire::EndpointLoss* const loss = suspect->add_losses();
-    loss->set_endpoint(run.endpoint.value());
-    loss->set_incarnation(run.incarnation.value());
-    loss->set_kind(kind == LossKind::kAlone ? wire::LOSS_KIND_ALONE
-                                            : wire::LOSS_KIND_IN_COMPANY);
-  }
-  suspect->set_expires_in_ms(rumor.expires_in.millis());
+void Put(const FingerprintDelta& delta, wire::DeltaRumor* out) {
+  *out->mutable_fingerprint() = ToWire(delta);
 }
 
 void Put(const RoleHolderDelta& delta, wire::DeltaRumor* out) {
@@ -111,33 +102,9 @@
   holder->set_fence(delta.fence.value());
 }
 
-LossKind Get(wire::LossKind kind, WireFaults& faults) {
-  if (kind != wire::LOSS_KIND_ALONE && kind != wire::LOSS_KIND_IN_COMPANY) {
-    faults.Fail(PeerCodecErrorKind::kUnknownName, "suspect.loss.kind");
-  }
-  return kind == wire::LOSS_KIND_ALONE ? LossKind::kAlone
-                                       : LossKind::kInCompany;
-}
-
-SuspectRumor Get(const wire::SuspectRumor& in, WireFaults& faults) {
-  SuspectRumor rumor;
-  rumor.fingerprint = Fingerprint(static_cast<std::int64_t>(in.fingerprint()));
-  rumor.version = faults.Count(in.version(), "suspect.version");
-  for (const wire::EndpointLoss& loss : in.losses()) {
-    rumor.losses.emplace(
-        EndpointRun{faults.RequiredId<EndpointId>(loss.endpoint(),
-                                                  "suspect.loss.endpoint"),
-                    faults.CountOf<Incarnation>(loss.incarnation(),
-                                                "suspect.loss.incarnation")},
-        Get(loss.kind(), faults));
-  }
-  rumor.expires_in = faults.Span(in.expires_in_ms(), "suspect.expires_in_ms");
-  return rumor;
-}
-
 Delta GetDelta(const wire::DeltaRumor& in, WireFaults& faults) {
-  if (in.has_suspect()) {
-    return Get(in.suspect(), faults);
+  if (in.has_fingerprint()) {
+    return FingerprintFromWire(in.fingerprint(), faults);
   }
   if (in.has_role_holder()) {
     const wire::RoleHolderDelta& holder = in.role_holder();
--- a/state/state.h
+++ b/state/state.h
@@ -17,7 +17,7 @@
 #include "state/prefix_index.h"
 #include "state/store_types.h"
 #include "state/vm_list.h"
-#include "state/weight_store_status.h"
 #include "state/wanted_model.h"
+#include "state/weight_store_status.h"
 
 #endif  // STATE_STATE_H_
