load: load generator gcw-load

Cause: demos and measurements need callers that arrive whether or not answers come back (open loop), that use the addresses the system names, and that tell a whole answer from a cut or foreign one.

Ruled out: closed-loop workers, which slow down with the system and so hide its queues; latency from the send instead of the planned arrival, for the same reason; taking each cut stream for a violation, since one that ends with its connection or with an error event cannot be taken for whole: it counts as broken. Idempotency keys carry a random name of the run, since keys from the seed alone would be replays in the second run.

--- /dev/null
+++ b/programs/gcw_load/chat_exchange.h
@@ -0,0 +1,48 @@
+#ifndef PROGRAMS_GCW_LOAD_CHAT_EXCHANGE_H_
+#define PROGRAMS_GCW_LOAD_CHAT_EXCHANGE_H_
+
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "programs/gcw_load/request_sender.h"
+#include "programs/gcw_load/stream_checker.h"
+
+namespace gcw {
+
+// One model request, from its send to its recorded outcome. It holds itself
+// until then.
+class ChatExchange : public std::enable_shared_from_this<ChatExchange> {
+ public:
+  ChatExchange(LoadContext& context, PlannedRequest planned);
+
+  void Start(const std::string& prompt);
+
+ private:
+  ChatRequest MakeChat(const std::string& prompt) const;
+  HttpRequest MakeRequest(const ChatRequest& chat) const;
+  HttpCallHandlers MakeHandlers();
+  void OnBody(std::string_view chunk);
+  void OnTokens(int count);
+  void OnEnd();
+  void OnFailure(HttpFailure failure);
+  void RecordVerdict(const AnswerVerdict& verdict);
+  void RecordWhole();
+  void RecordType(TypeCounts KindTally::*counts, std::string_view type);
+  bool streams() const;
+
+  LoadContext& context_;
+  PlannedRequest planned_;
+  ExpectedAnswer expected_;
+  std::optional<StreamChecker> checker_;
+  // The head, and the body of what is no stream.
+  HttpResponse response_;
+  std::optional<std::chrono::microseconds> first_token_;
+  std::vector<std::chrono::microseconds> gaps_;
+  LoadClock::time_point last_token_;
+};
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_LOAD_CHAT_EXCHANGE_H_
--- /dev/null
+++ b/programs/gcw_load/entry_book.cc
@@ -0,0 +1,54 @@
+#include "programs/gcw_load/entry_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gcw {
+namespace {
+
+// So that an answer that may not be kept does not make a busy loop.
+constexpr Duration kShortestKeep = Duration::Millis(100);
+
+}  // namespace
+
+EntryBook::EntryBook(Random random) : random_(std::move(random)) {}
+
+void EntryBook::Replace(Time now, EntryList list) {
+  if (!list.entries.empty()) {
+    entries_ = std::move(list.entries);
+  }
+  renew_at_ = now + std::max(list.keep, kShortestKeep);
+}
+
+std::optional<Address> EntryBook::Choose(
+    const std::vector<Address>& tried) const {
+  std::vector<const WeightedEntry*> left;
+  double total = 0;
+  for (const WeightedEntry& entry : entries_) {
+    if (std::find(tried.begin(), tried.end(), entry.address) == tried.end()) {
+      left.push_back(&entry);
+      total += entry.weight;
+    }
+  }
+  if (left.empty()) {
+    return std::nullopt;
+  }
+  if (total <= 0) {
+    return left[DrawBelow(random_, left.size())]->address;
+  }
+  double drawn = DrawUnit(random_) * total;
+  const WeightedEntry* chosen = nullptr;
+  for (const WeightedEntry* entry : left) {
+    if (entry->weight <= 0) {
+      continue;
+    }
+    chosen = entry;
+    drawn -= entry->weight;
+    if (drawn < 0) {
+      break;
+    }
+  }
+  return chosen->address;
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/programs/gcw_load/load_command_line.cc
@@ -0,0 +1,268 @@
+#include "programs/gcw_load/load_command_line.h"
+
+#include <cmath>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <utility>
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/program_options.hpp>
+
+#include "protocol/protocol.h"
+#include "transport/address.h"
+
+namespace gcw {
+namespace {
+
+namespace options = boost::program_options;
+
+using Values = options::variables_map;
+
+constexpr int kMostThreads = 64;
+constexpr double kLongestSeconds = 7.0 * 24 * 3600;
+constexpr double kHighestRate = 1e6;
+constexpr std::size_t kMostPromptBytes = 3UL * 1024 * 1024;
+
+constexpr std::string_view kExamples =
+    "Examples:\n"
+    "  gcw-load --entries 127.0.0.1:8080,127.0.0.1:8081 --model notes \\\n"
+    "    --key-file paid=paid.key --key-file trial=trial.key \\\n"
+    "    --paid-per-s 50 --trial-per-s 200 --seconds 30\n"
+    "  gcw-load --entries 127.0.0.1:8080 --key-file paid=paid.key \\\n"
+    "    --service reservations --reservations-per-s 20 --keys-file keys.txt\n"
+    "  gcw-load --direct 127.0.0.1:9001 --generation 3 --model notes \\\n"
+    "    --paid-per-s 50 --json engine.json\n\n"
+    "A line of the keys file is an idempotency key and what is known of it:\n"
+    "answered or replayed (ran once), refused (did not run), unknown (ran at\n"
+    "most once), violation.\n\n"
+    "Broken answers began and ended with an error or with their connection, "
+    "so\n"
+    "that nobody takes them for whole. Violations look whole and are not, or\n"
+    "hold what is not their own.\n\n"
+    "SIGINT and SIGTERM end the arrivals; the open requests are waited for.\n\n"
+    "Exit codes: 0 done without a violation, 2 wrong command line, 3 no entry\n"
+    "answered, 4 a file could not be written, 5 at least one violation.\n";
+
+// A fault of the command line; its text is for people only.
+struct UsageError {
+  std::string message;
+};
+
+template <typename Value>
+auto Default(Value value) {
+  return options::value<Value>()->default_value(value);
+}
+
+options::options_description Description() {
+  options::options_description description("gcw-load");
+  const auto add = [&description](const char* name, const auto* value,
+                                  const char* text) {
+    description.add_options()(name, value, text);
+  };
+  description.add_options()("help,h", "show this help");
+  add("entries", options::value<std::string>(),
+      "ADDR[,ADDR]: asked for the addresses to use");
+  add("direct", options::value<std::string>(),
+      "ADDR: a node or an engine that takes all requests");
+  add("generation", options::value<std::int64_t>(),
+      "generation of the engine at --direct; sends an engine's headers");
+  add("key-file", options::value<std::vector<std::string>>()->composing(),
+      "NAME=FILE: key of the tier `paid` or `trial`; repeatable");
+  add("paid-per-s", Default(0.0), "paid model requests a second");
+  add("trial-per-s", Default(0.0), "trial model requests a second");
+  add("reservations-per-s", Default(0.0),
+      "service calls a second that may run at most once, with the paid key");
+  add("seconds", Default(10.0), "length of the arrivals");
+  add("seed", Default(std::uint64_t{1}), "of arrivals and choices");
+  add("model", Default(std::string()), "model to ask for");
+  add("service", Default(std::string("reservations")),
+      "plain service that takes reservations");
+  add("max-tokens", Default(std::int64_t{16}), "tokens of an answer");
+  add("prompt-bytes", Default(std::size_t{256}), "length of a prompt");
+  add("shared-prefix-bytes", Default(std::size_t{0}),
+      "first part of the prompt that is alike in all");
+  add("whole-share", Default(0.2),
+      "share of model requests asked for whole, not as a stream");
+  add("timeout-ms", Default(std::int64_t{30000}), "time-out of a send");
+  add("resends", Default(3), "further sends of a reservation, with its key");
+  add("most-open", Default(std::int64_t{5000}),
+      "requests open at once; more are skipped and counted");
+  description.add_options()("no-reference",
+                            "do not compare with the stand-ins' answers");
+  add("threads", Default(1), "threads that run the exchanges");
+  add("json", Default(std::string()), "file for the report as JSON");
+  add("keys-file", Default(std::string()),
+      "file for the reservations' keys and their outcomes");
+  return description;
+}
+
+template <typename Value>
+Value Get(const Values& values, const char* name) {
+  return values[name].as<Value>();
+}
+
+// Reads a number that must lie within bounds, both included.
+template <typename Value>
+Value GetWithin(const Values& values,
+                const char* name,
+                Value lowest,
+                Value highest) {
+  const Value value = Get<Value>(values, name);
+  // Written so that what is no number fails.
+  if (!(value >= lowest && value <= highest)) {
+    throw UsageError{"--" + std::string(name) + " must be from " +
+                     std::to_string(lowest) + " to " + std::to_string(highest)};
+  }
+  return value;
+}
+
+Address ReadAddress(const std::string& text) {
+  Address address(text);
+  if (!ParseAddress(address)) {
+    throw UsageError{"not an address as 127.0.0.1:8080: " + text};
+  }
+  return address;
+}
+
+Secret ReadKey(const std::string& path) {
+  std::ifstream file(path);
+  std::string key((std::istreambuf_iterator<char>(file)), {});
+  boost::algorithm::trim(key);
+  if (key.empty()) {
+    throw UsageError{"no key in the file " + path};
+  }
+  return Secret(std::move(key));
+}
+
+void ReadKeys(const Values& values, LoadSettings& settings) {
+  if (values.count("key-file") == 0) {
+    return;
+  }
+  for (const std::string& setting :
+       Get<std::vector<std::string>>(values, "key-file")) {
+    const std::size_t equals = setting.find('=');
+    const std::string name = setting.substr(0, equals);
+    if (equals == std::string::npos || (name != "paid" && name != "trial")) {
+      throw UsageError{"--key-file takes paid=FILE or trial=FILE"};
+    }
+    Secret& key = name == "paid" ? settings.paid_key : settings.trial_key;
+    key = ReadKey(setting.substr(equals + 1));
+  }
+}
+
+void ReadTargets(const Values& values, LoadSettings& settings) {
+  if (values.count("entries") + values.count("direct") != 1) {
+    throw UsageError{"either --entries or --direct is needed"};
+  }
+  if (values.count("direct") > 0) {
+    settings.direct = ReadAddress(Get<std::string>(values, "direct"));
+  } else {
+    std::vector<std::string> parts;
+    boost::algorithm::split(parts, Get<std::string>(values, "entries"),
+                            boost::algorithm::is_any_of(","));
+    for (const std::string& part : parts) {
+      settings.entries.push_back(ReadAddress(part));
+    }
+  }
+  if (values.count("generation") == 0) {
+    return;
+  }
+  if (!settings.direct) {
+    throw UsageError{"--generation goes with --direct"};
+  }
+  settings.generation = Generation(Get<std::int64_t>(values, "generation"));
+}
+
+void ReadArrivals(const Values& values, LoadSettings& settings) {
+  ArrivalPlan::Settings& arrivals = settings.arrivals;
+  arrivals.paid_rate = GetWithin(values, "paid-per-s", 0.0, kHighestRate);
+  arrivals.trial_rate = GetWithin(values, "trial-per-s", 0.0, kHighestRate);
+  arrivals.reservation_rate =
+      GetWithin(values, "reservations-per-s", 0.0, kHighestRate);
+  arrivals.whole_share = GetWithin(values, "whole-share", 0.0, 1.0);
+  const std::chrono::duration<double> length(
+      GetWithin(values, "seconds", 0.0, kLongestSeconds));
+  arrivals.length =
+      std::chrono::duration_cast<std::chrono::microseconds>(length);
+  settings.seed = Get<std::uint64_t>(values, "seed");
+}
+
+void ReadRequests(const Values& values, LoadSettings& settings) {
+  settings.model = ModelId(Get<std::string>(values, "model"));
+  settings.service = Get<std::string>(values, "service");
+  settings.max_tokens = TokenCount(GetWithin<std::int64_t>(
+      values, "max-tokens", 1, ChatRequest::kMaxMaxTokens));
+  settings.prompts.bytes =
+      GetWithin<std::size_t>(values, "prompt-bytes", 0, kMostPromptBytes);
+  settings.prompts.shared_prefix_bytes = GetWithin<std::size_t>(
+      values, "shared-prefix-bytes", 0, kMostPromptBytes);
+  settings.timeout = Duration::Millis(GetWithin<std::int64_t>(
+      values, "timeout-ms", 1, Duration::Seconds(24L * 3600).millis()));
+  settings.resends = GetWithin(values, "resends", 0, 1000);
+  settings.most_open =
+      GetWithin<std::int64_t>(values, "most-open", 1, 1'000'000);
+  settings.reference = values.count("no-reference") == 0;
+  settings.threads = GetWithin(values, "threads", 1, kMostThreads);
+  settings.json_file = Get<std::string>(values, "json");
+  settings.keys_file = Get<std::string>(values, "keys-file");
+}
+
+// What would only make each request fail.
+void CheckWhatIsNeeded(const LoadSettings& settings) {
+  const ArrivalPlan::Settings& arrivals = settings.arrivals;
+  if (arrivals.paid_rate + arrivals.trial_rate + arrivals.reservation_rate <=
+      0) {
+    throw UsageError{
+        "at least one of --paid-per-s, --trial-per-s and "
+        "--reservations-per-s must be positive"};
+  }
+  if (arrivals.paid_rate + arrivals.trial_rate > 0 && settings.model.empty()) {
+    throw UsageError{"--model is needed for model requests"};
+  }
+  if (settings.direct) {
+    return;
+  }
+  if (arrivals.paid_rate + arrivals.reservation_rate > 0 &&
+      settings.paid_key.empty()) {
+    throw UsageError{"--key-file paid=FILE is needed"};
+  }
+  if (arrivals.trial_rate > 0 && settings.trial_key.empty()) {
+    throw UsageError{"--key-file trial=FILE is needed"};
+  }
+}
+
+}  // namespace
+
+std::variant<LoadSettings, LoadExit> ReadLoadCommandLine(
+    const std::vector<std::string>& arguments) {
+  const options::options_description description = Description();
+  std::string fault;
+  try {
+    Values values;
+    options::store(
+        options::command_line_parser(arguments).options(description).run(),
+        values);
+    if (values.count("help") > 0) {
+      std::cout << description << '\n' << kExamples;
+      return LoadExit::kDone;
+    }
+    LoadSettings settings;
+    ReadTargets(values, settings);
+    ReadKeys(values, settings);
+    ReadArrivals(values, settings);
+    ReadRequests(values, settings);
+    CheckWhatIsNeeded(settings);
+    return settings;
+  } catch (const options::error& error) {
+    fault = error.what();
+  } catch (const UsageError& error) {
+    fault = error.message;
+  }
+  std::cerr << "gcw-load: " << fault << "; see gcw-load --help\n";
+  return LoadExit::kUsage;
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/programs/gcw_load/load_context.h
@@ -0,0 +1,43 @@
+#ifndef PROGRAMS_GCW_LOAD_LOAD_CONTEXT_H_
+#define PROGRAMS_GCW_LOAD_LOAD_CONTEXT_H_
+
+#include <chrono>
+#include <functional>
+
+#include <boost/asio/io_context.hpp>
+
+#include "programs/gcw_load/entry_source.h"
+#include "programs/gcw_load/load_recorder.h"
+#include "programs/gcw_load/load_settings.h"
+
+namespace gcw {
+
+using LoadClock = std::chrono::steady_clock;
+
+// What the exchanges of a run share; it outlives them.
+struct LoadContext {
+  boost::asio::io_context& io;
+  HttpClient& client;
+  EntrySource& entries;
+  LoadRecorder& recorder;
+  const LoadSettings& settings;
+};
+
+// One planned request.
+struct PlannedRequest {
+  RequestKind kind = RequestKind::kPaidStream;
+  LoadClock::time_point planned;
+  // Differs for each request of this run and of all others.
+  std::string name;
+  // Called once, when the outcome is recorded.
+  std::function<void()> on_over;
+};
+
+inline std::chrono::microseconds Since(LoadClock::time_point start) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+      LoadClock::now() - start);
+}
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_LOAD_LOAD_CONTEXT_H_
--- /dev/null
+++ b/programs/gcw_load/load_report.h
@@ -0,0 +1,22 @@
+#ifndef PROGRAMS_GCW_LOAD_LOAD_REPORT_H_
+#define PROGRAMS_GCW_LOAD_LOAD_REPORT_H_
+
+#include <ostream>
+#include <string>
+
+#include "programs/gcw_load/key_ledger.h"
+#include "programs/gcw_load/load_tally.h"
+
+namespace gcw {
+
+// The result of a run as a table for people; times are in milliseconds.
+void WriteLoadTable(const LoadTally& tally,
+                    const KeyLedger& keys,
+                    std::ostream& out);
+
+// The same as one JSON object.
+std::string EncodeLoadResult(const LoadTally& tally, const KeyLedger& keys);
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_LOAD_LOAD_REPORT_H_
--- /dev/null
+++ b/programs/gcw_load/load_run.cc
@@ -0,0 +1,162 @@
+#include "programs/gcw_load/load_run.h"
+
+#include <csignal>
+#include <memory>
+#include <random>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/post.hpp>
+
+#include "programs/gcw_load/chat_exchange.h"
+#include "programs/gcw_load/reservation_exchange.h"
+
+namespace gcw {
+namespace {
+
+// So that the choice of addresses does not repeat the arrivals' numbers.
+constexpr std::uint64_t kChoiceSeedOffset = 0x9e3779b97f4a7c15;
+
+std::string MakeRunName() {
+  std::random_device device;
+  const std::uint64_t high = device();
+  return HexOf(high << 32 | device());
+}
+
+PromptMaker::Settings WithRun(PromptMaker::Settings settings,
+                              const std::string& run) {
+  settings.run = run;
+  return settings;
+}
+
+}  // namespace
+
+LoadRun::LoadRun(LoadSettings settings)
+    : settings_(std::move(settings)),
+      io_(settings_.threads),
+      strand_(boost::asio::make_strand(io_)),
+      timer_(strand_),
+      signals_(strand_, SIGINT, SIGTERM),
+      client_(io_),
+      entries_(io_,
+               client_,
+               recorder_,
+               settings_.entries,
+               settings_.direct,
+               SeededRandom(settings_.seed + kChoiceSeedOffset)),
+      context_{io_, client_, entries_, recorder_, settings_},
+      plan_(settings_.arrivals, SeededRandom(settings_.seed)),
+      run_name_(MakeRunName()),
+      prompts_(WithRun(settings_.prompts, run_name_)) {}
+
+LoadExit LoadRun::Run() {
+  signals_.async_wait([this](const boost::system::error_code& error, int) {
+    if (!error) {
+      EndArrivals();
+    }
+  });
+  entries_.Start([this](bool found) {
+    boost::asio::post(strand_, [this, found] { OnFirstEntries(found); });
+  });
+  std::vector<std::jthread> others;
+  for (int i = 1; i < settings_.threads; ++i) {
+    others.emplace_back([this] { io_.run(); });
+  }
+  io_.run();
+  others.clear();
+  if (no_entry_) {
+    return LoadExit::kNoEntry;
+  }
+  return tally().violations() > 0 ? LoadExit::kViolation : LoadExit::kDone;
+}
+
+void LoadRun::OnFirstEntries(bool found) {
+  start_ = LoadClock::now();
+  no_entry_ = !found;
+  if (!found) {
+    EndArrivals();
+    return;
+  }
+  PlanNext();
+}
+
+void LoadRun::PlanNext() {
+  if (arrivals_ended_) {
+    return;
+  }
+  next_ = plan_.Next();
+  if (!next_) {
+    EndArrivals();
+    return;
+  }
+  timer_.expires_at(start_ + next_->at);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      OnDue();
+    }
+  });
+}
+
+void LoadRun::OnDue() {
+  if (arrivals_ended_) {
+    return;
+  }
+  Send(*next_);
+  PlanNext();
+}
+
+void LoadRun::Send(const Arrival& arrival) {
+  if (open_ > settings_.most_open) {
+    recorder_.Record([&](LoadTally& tally, KeyLedger&) {
+      ++tally.of(arrival.kind).skipped;
+    });
+    return;
+  }
+  ++open_;
+  const std::int64_t number = ++last_number_;
+  PlannedRequest planned;
+  planned.kind = arrival.kind;
+  planned.planned = start_ + arrival.at;
+  planned.name = run_name_ + '-' + std::to_string(number);
+  planned.on_over = [this] { Release(); };
+  recorder_.Record([&](LoadTally& tally, KeyLedger&) {
+    ++tally.of(arrival.kind).sent;
+    tally.lateness.Add(Since(planned.planned));
+  });
+  StartExchange(std::move(planned), number);
+}
+
+void LoadRun::StartExchange(PlannedRequest planned, std::int64_t number) {
+  if (planned.kind == RequestKind::kReservation) {
+    std::make_shared<ReservationExchange>(context_, std::move(planned))
+        ->Start();
+    return;
+  }
+  std::make_shared<ChatExchange>(context_, std::move(planned))
+      ->Start(prompts_.Make(number));
+}
+
+void LoadRun::EndArrivals() {
+  if (std::exchange(arrivals_ended_, true)) {
+    return;
+  }
+  timer_.cancel();
+  Release();
+}
+
+void LoadRun::Release() {
+  if (--open_ == 0) {
+    boost::asio::post(strand_, [this] { Finish(); });
+  }
+}
+
+void LoadRun::Finish() {
+  recorder_.Record(
+      [this](LoadTally& tally, KeyLedger&) { tally.ran_for = Since(start_); });
+  signals_.cancel();
+  entries_.Stop();
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/programs/gcw_load/load_run.h
@@ -0,0 +1,66 @@
+#ifndef PROGRAMS_GCW_LOAD_LOAD_RUN_H_
+#define PROGRAMS_GCW_LOAD_LOAD_RUN_H_
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include "programs/gcw_load/load_command_line.h"
+#include "programs/gcw_load/load_context.h"
+
+namespace gcw {
+
+// One run: asks for addresses, sends the planned requests at their times, and
+// waits for the open ones, each of which has a time-out.
+class LoadRun {
+ public:
+  explicit LoadRun(LoadSettings settings);
+
+  // Returns when all is over. Called once.
+  LoadExit Run();
+
+  const LoadTally& tally() const { return recorder_.tally(); }
+  const KeyLedger& keys() const { return recorder_.keys(); }
+
+ private:
+  void OnFirstEntries(bool found);
+  // Waits for the next arrival of the plan.
+  void PlanNext();
+  void OnDue();
+  void Send(const Arrival& arrival);
+  void StartExchange(PlannedRequest planned, std::int64_t number);
+  void EndArrivals();
+  void Release();
+  void Finish();
+
+  const LoadSettings settings_;
+  boost::asio::io_context io_;
+  // Arrivals and signals.
+  boost::asio::strand<boost::asio::io_context::executor_type> strand_;
+  boost::asio::steady_timer timer_;
+  boost::asio::signal_set signals_;
+  HttpClient client_;
+  LoadRecorder recorder_;
+  EntrySource entries_;
+  LoadContext context_;
+  ArrivalPlan plan_;
+  std::optional<Arrival> next_;
+  // Tells this run's names from those of all others, also with the same seed.
+  const std::string run_name_;
+  PromptMaker prompts_;
+  std::int64_t last_number_ = 0;
+  LoadClock::time_point start_;
+  bool arrivals_ended_ = false;
+  bool no_entry_ = false;
+  // The open requests, and one for the arrivals.
+  std::atomic<std::int64_t> open_ = 1;
+};
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_LOAD_LOAD_RUN_H_
--- /dev/null
+++ b/programs/gcw_load/main.cc
@@ -0,0 +1,54 @@
+// Load generator: open-loop arrivals by tier, with a check of each answer.
+
+#include <fstream>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "programs/gcw_load/load_command_line.h"
+#include "programs/gcw_load/load_report.h"
+#include "programs/gcw_load/load_run.h"
+
+namespace {
+
+// Writes by `write(std::ostream&)`; whether it came to be in the file.
+template <typename Write>
+bool WriteFile(const std::string& path, Write write) {
+  if (path.empty()) {
+    return true;
+  }
+  std::ofstream file(path);
+  write(file);
+  file.close();
+  if (!file) {
+    std::cerr << "gcw-load: cannot write " << path << '\n';
+  }
+  return bool(file);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  auto read = gcw::ReadLoadCommandLine({argv + 1, argv + argc});
+  if (const auto* ended = std::get_if<gcw::LoadExit>(&read)) {
+    return static_cast<int>(*ended);
+  }
+  const gcw::LoadSettings& settings = std::get<gcw::LoadSettings>(read);
+  gcw::LoadRun run(settings);
+  const gcw::LoadExit exit = run.Run();
+  if (exit == gcw::LoadExit::kNoEntry) {
+    std::cerr << "gcw-load: no address told which ones to use\n";
+    return static_cast<int>(exit);
+  }
+  gcw::WriteLoadTable(run.tally(), run.keys(), std::cout);
+  const bool json_written =
+      WriteFile(settings.json_file, [&](std::ostream& out) {
+        out << gcw::EncodeLoadResult(run.tally(), run.keys()) << '\n';
+      });
+  const bool keys_written = WriteFile(
+      settings.keys_file, [&](std::ostream& out) { run.keys().Write(out); });
+  if (exit == gcw::LoadExit::kDone && !(json_written && keys_written)) {
+    return static_cast<int>(gcw::LoadExit::kFile);
+  }
+  return static_cast<int>(exit);
+}
