transport: the peers' gRPC service in its own layer

A layer may include only the public header of another, and the generated service would have made protocol.h drag gRPC into every file; the messages stay in protocol/.

--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -9,12 +9,12 @@
 #include <gtest/gtest.h>
 #include <boost/asio/post.hpp>
 
-#include "protocol/peer.grpc.pb.h"
 #include "tests/transport/io_threads.h"
 #include "tests/transport/raw_peer.h"
 #include "transport/peer_client.h"
 #include "transport/peer_metadata.h"
 #include "transport/peer_server.h"
+#include "transport/peers.grpc.pb.h"
 
 namespace gcw {
 namespace {
--- a/transport/peer_channel.h
+++ b/transport/peer_channel.h
@@ -12,8 +12,8 @@
 #include <grpcpp/grpcpp.h>
 #include <boost/asio/io_context.hpp>
 
-#include "protocol/peer.grpc.pb.h"
 #include "transport/peer_client.h"
+#include "transport/peers.grpc.pb.h"
 
 namespace gcw {
 
--- a/transport/peer_server.cc
+++ b/transport/peer_server.cc
@@ -7,8 +7,8 @@
 #include <grpcpp/grpcpp.h>
 #include <boost/asio/post.hpp>
 
-#include "protocol/peer.grpc.pb.h"
 #include "transport/peer_metadata.h"
+#include "transport/peers.grpc.pb.h"
 
 namespace gcw {
 
