--- a/tests/transport/platform_clients_test.cc
+++ b/tests/transport/platform_clients_test.cc
@@ -29,7 +29,7 @@
   ~PlatformClientsTest() override { io_.Stop(); }
 
   // Starts a service that gives this answer to every request.
-  Address Serve(HttpResponse answer) {
+  Address Serve(const HttpResponse& answer) {
     return Serve([answer](const HttpRequest&,
                           const std::shared_ptr<HttpResponder>& responder) {
       responder->Respond(answer);
--- a/transport/call_error.h
+++ b/transport/call_error.h
@@ -28,12 +28,12 @@
 std::shared_ptr<HttpCall> FetchDecoded(
     HttpClient& client,
     const Address& address,
-    HttpRequest request,
+    const HttpRequest& request,
     const HttpCallOptions& options,
     Decoded<Value> (*decode)(std::string_view),
     CallDone<Value> done) {
   return client.Fetch(
-      address, std::move(request), options,
+      address, request, options,
       [decode, done = std::move(done)](
           const Result<HttpResponse, HttpFailure>& answer) {
         if (!IsOk(answer)) {
--- a/transport/engine_client.cc
+++ b/transport/engine_client.cc
@@ -51,7 +51,7 @@
     answer->body += chunk;
   };
   handlers.on_end = [answer, done] { done(ToOrderReply(*answer)); };
-  handlers.on_failure = [done](HttpFailure failure) {
+  handlers.on_failure = [done = std::move(done)](HttpFailure failure) {
     done(CallError(failure));
   };
   client_.Send(engine, Post("/orders", EncodeEngineOrder(order)), options,
