--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -38,6 +38,8 @@
     };
     add("load70", 0.7, RoutingFault::kNone);
     add("load90", 0.9, RoutingFault::kNone);
+    // More than the fleet can bear without prefix affinity.
+    add("load110", 1.1, RoutingFault::kNone);
     add("stragglers", 0.7, RoutingFault::kStragglers);
     add("event_gaps", 0.7, RoutingFault::kEventGaps);
     // The rest carries three halves of its load while a zone is away.
--- a/coordination/router_settings.h
+++ b/coordination/router_settings.h
@@ -33,7 +33,7 @@
 
   // What a full batch adds to an endpoint's cost; it grows with the square of
   // occupancy and keeps load even while no endpoint has a queue yet.
-  double occupancy_millis = 10;
+  double occupancy_millis = 25;
   // An endpoint is drawn when its cost is at most this far above the least:
   // an absolute part plus a share of the least.
   double near_best_millis = 2.5;
--- a/tests/coordination/router_test.cc
+++ b/tests/coordination/router_test.cc
@@ -77,23 +77,35 @@
 // Cause: a report that replaces the estimate as a whole forgets what was sent
 // after it was taken.
 TEST(RouterTest, AReportOlderThanDispatchesKeepsThem) {
-  const auto router = NewRouter();
-  for (const char* id : {"a", "b"}) {
-    router->OnEndpointUp(Millis(0), ModelEndpoint(id));
-    router->OnLoadReport(Millis(0), Report(id, 0, 2));
-  }
-  for (int i = 0; i < 12; ++i) {
-    const RequestProfile profile = ModelRequest(Millis(1000));
+  struct Case {
+    int requests;
+    std::int64_t tokens;
+  };
+  // Many requests without a prompt, and one long prompt.
+  for (const Case sent : {Case{16, 0}, Case{1, 30000}}) {
+    const auto router = NewRouter();
+    for (const char* id : {"a", "b"}) {
+      router->OnEndpointUp(Millis(0), ModelEndpoint(id));
+      router->OnLoadReport(Millis(0), Report(id, 0, 2));
+    }
+    RequestProfile profile = ModelRequest(Millis(1000));
+    profile.prompt_tokens = TokenCount(sent.tokens);
     const std::vector<EndpointId> not_b = {EndpointId("b")};
-    const auto route = router->Choose(Millis(1000), profile, not_b);
-    router->OnDispatched(Millis(1000), ValueOf(route), profile);
+    for (int i = 0; i < sent.requests; ++i) {
+      const auto route = router->Choose(Millis(1000), profile, not_b);
+      router->OnDispatched(Millis(1000), ValueOf(route), profile);
+    }
+    router->OnLoadReport(Millis(1200), Report("a", 900, 2));
+    // Often enough that a lucky draw hides nothing.
+    for (int i = 0; i < 20; ++i) {
+      EXPECT_EQ(ChosenBy(*router, Millis(1200), profile), EndpointId("b"));
+    }
+    // Out of order: it must not replace the newer one.
+    router->OnLoadReport(Millis(1300), Report("b", 1250, 90));
+    router->OnLoadReport(Millis(1300), Report("b", 800, 0));
+    EXPECT_EQ(ChosenBy(*router, Millis(1300), ModelRequest(Millis(1300))),
+              EndpointId("a"));
   }
-  router->OnLoadReport(Millis(1200), Report("a", 900, 2));
-  EXPECT_EQ(ChosenBy(*router, Millis(1200), ModelRequest()), EndpointId("b"));
-  // Out of order: it must not replace the newer one.
-  router->OnLoadReport(Millis(1300), Report("b", 1250, 30));
-  router->OnLoadReport(Millis(1300), Report("b", 800, 0));
-  EXPECT_EQ(ChosenBy(*router, Millis(1300), ModelRequest()), EndpointId("a"));
 }
 
 // Symptom: after a group was rebuilt, its endpoint gets nothing, or the load of
