--- a/bench/event_queue.h
+++ b/bench/event_queue.h
@@ -13,6 +13,8 @@
 // millisecond of `Time`.
 using Micros = std::int64_t;
 
+inline constexpr Micros kSecond = 1000000;
+
 constexpr Micros MicrosOf(double millis) {
   return static_cast<Micros>(millis * 1000.0);
 }
--- a/bench/retry_world.cc
+++ b/bench/retry_world.cc
@@ -8,11 +8,10 @@
 namespace gcw::bench {
 namespace {
 
-constexpr std::size_t kReplicas = 65;
+constexpr std::size_t kEngines = 65;
 constexpr std::size_t kNodes = 8;
-constexpr Micros kSecond = 1000000;
 constexpr Micros kWay = kSecond / 1000;
-constexpr Micros kWarmUp = 12 * kSecond;
+constexpr Micros kMeasuredFrom = 12 * kSecond;
 constexpr Micros kFaultAt = 25 * kSecond;
 constexpr Micros kFaultEnd = 45 * kSecond;
 constexpr Micros kEnd = 116 * kSecond;
@@ -53,7 +52,7 @@
     : scenario_(scenario), way_(way), random_(SeededRandom(seed)) {
   MakeFleet();
   calls_per_second_ =
-      scenario_.load * CapacityPerReplica(EngineSettings()) * kReplicas;
+      scenario_.load * CapacityPerReplica(EngineSettings()) * kEngines;
 }
 
 void RetryWorld::MakeFleet() {
@@ -65,8 +64,8 @@
              RetryAfterSettings(), SeededRandom(random_()))});
     nodes_.back().router->SetNodeCount(kNodes);
   }
-  is_failing_.resize(kReplicas);
-  for (std::size_t i = 0; i < kReplicas; ++i) {
+  is_failing_.resize(kEngines);
+  for (std::size_t i = 0; i < kEngines; ++i) {
     EngineSettings settings;
     settings.id = EndpointId("replica-" + std::to_string(i));
     engines_.push_back(std::make_unique<EndpointModel>(events_, settings));
@@ -88,13 +87,13 @@
   TickNodes();
   MakeCalls();
   events_.At(kFaultAt, [this] {
-    for (std::size_t i = 0; i < kReplicas; i += 3) {
+    for (std::size_t i = 0; i < kEngines; i += 3) {
       is_failing_[i] = true;
       engines_[i]->GoDown();
     }
   });
   events_.At(kFaultEnd, [this] {
-    for (std::size_t i = 0; i < kReplicas; i += 3) {
+    for (std::size_t i = 0; i < kEngines; i += 3) {
       is_failing_[i] = false;
       engines_[i]->Restart();
     }
@@ -104,7 +103,7 @@
   for (const auto& engine : engines_) {
     generated += engine->generated_tokens();
   }
-  return {.goodput_before = Goodput(kWarmUp, kFaultAt),
+  return {.goodput_before = Goodput(kMeasuredFrom, kFaultAt),
           .goodput_during = Goodput(kFaultAt + kWindow, kFaultEnd),
           .goodput_after = Goodput(kLastSpan, kLastCall),
           .answered_in_the_end = AnsweredInTheEnd(kFaultAt, kFaultEnd),
--- /dev/null
+++ b/bench/routing_faults.cc
@@ -0,0 +1,76 @@
+// The faults of a routing scenario.
+
+#include "bench/routing_world.h"
+
+namespace gcw::bench {
+namespace {
+
+constexpr double kStragglerSlowdown = 4;
+constexpr std::size_t kStragglerStride = 20;
+constexpr Micros kFaultAt = kWarmUp + 4 * kSecond;
+constexpr Micros kFaultEnd = kWarmUp + 18 * kSecond;
+// Until the serving gate closes or opens.
+constexpr Micros kGateDelay = 2 * kSecond;
+
+}  // namespace
+
+void RoutingWorld::InjectFault() {
+  if (scenario_.fault == RoutingFault::kStragglers) {
+    events_.At(kFaultAt, [this] {
+      for (std::size_t i = 0; i < kReplicas; i += kStragglerStride) {
+        replicas_[i].engine->set_slowdown(kStragglerSlowdown);
+      }
+    });
+  }
+  if (scenario_.fault == RoutingFault::kZoneLost) {
+    events_.At(kFaultAt, [this] { LoseZone(); });
+    events_.At(kFaultEnd, [this] { RestoreZone(); });
+  }
+}
+
+// Zone 0 goes dark with its engines; its nodes' callers go to the others.
+void RoutingWorld::LoseZone() {
+  for (Node& node : nodes_) {
+    node.is_down = node.zone == 0;
+  }
+  for (Replica& replica : replicas_) {
+    if (replica.zone == 0) {
+      replica.engine->GoDown();
+    }
+  }
+  events_.After(kGateDelay, [this] {
+    for (Node& node : nodes_) {
+      for (const Replica& replica : replicas_) {
+        if (replica.zone == 0) {
+          node.policy->OnEndpointDown(events_.time(), replica.endpoint.id);
+        }
+      }
+    }
+  });
+}
+
+void RoutingWorld::RestoreZone() {
+  for (Node& node : nodes_) {
+    node.is_down = false;
+  }
+  for (Replica& replica : replicas_) {
+    if (replica.zone == 0) {
+      replica.engine->ComeBack();
+      replica.events.clear();
+      replica.next_event = 1;
+      replica.endpoint.generation = replica.engine->settings().generation;
+    }
+  }
+  events_.After(kGateDelay, [this] {
+    for (Node& node : nodes_) {
+      for (std::size_t i = 0; i < kReplicas; ++i) {
+        if (replicas_[i].zone == 0) {
+          node.last_event[i] = 0;
+          node.policy->OnEndpointUp(events_.time(), replicas_[i].endpoint);
+        }
+      }
+    }
+  });
+}
+
+}  // namespace gcw::bench
--- a/bench/routing_world.cc
+++ b/bench/routing_world.cc
@@ -1,18 +1,16 @@
 #include "bench/routing_world.h"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
+#include "bench/statistics.h"
+
 namespace gcw::bench {
 namespace {
 
 constexpr std::size_t kZones = 3;
-constexpr std::size_t kReplicas = 65;
 constexpr std::size_t kNodes = 8;
 constexpr double kWithinZoneMillis = 0.2;
-constexpr Micros kSecond = 1000000;
-constexpr Micros kWarmUp = 16 * kSecond;
 constexpr Micros kMeasured = 30 * kSecond;
 constexpr Micros kCoolDown = 6 * kSecond;
 // Reports are between 0.2 and 2 s old.
@@ -26,17 +24,12 @@
 // A caller's address holds for a while.
 constexpr double kSameNodeShare = 0.9;
 constexpr std::int64_t kMaxAttempts = 3;
-constexpr double kStragglerSlowdown = 4;
-constexpr std::size_t kStragglerStride = 20;
 constexpr double kGapShare = 0.2;
-constexpr Micros kFaultAt = kWarmUp + 4 * kSecond;
-constexpr Micros kFaultEnd = kWarmUp + 18 * kSecond;
-// Until the serving gate closes or opens.
-constexpr Micros kGateDelay = 2 * kSecond;
 // Four turns, each served for 8 s and followed by a pause of 8 s.
 constexpr double kMeanSessionSeconds = 56;
 constexpr Micros kFirstTurnsBy = 14 * kSecond;
-// What plain balancing finds in caches; measured by this benchmark.
+// What plain balancing found in caches of 16384 blocks; in those of this
+// benchmark it finds less, so that its own capacity is lower.
 constexpr double kNominalHitShare = 0.57;
 constexpr double kMeanPromptTokens = 3200;
 constexpr double kMeanAnswerTokens = 235;
@@ -45,23 +38,6 @@
   return ZoneId("zone-" + std::to_string(zone));
 }
 
-double Percentile(std::vector<double>& values, double share) {
-  if (values.empty()) {
-    return 0;
-  }
-  const auto rank =
-      static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
-  std::nth_element(values.begin(),
-                   values.begin() + static_cast<std::ptrdiff_t>(rank),
-                   values.end());
-  return values[rank];
-}
-
-double Mean(const std::vector<double>& values) {
-  const double sum = std::accumulate(values.begin(), values.end(), 0.0);
-  return sum / static_cast<double>(std::max<std::size_t>(1, values.size()));
-}
-
 }  // namespace
 
 double NominalRequestsPerSecond(const EngineSettings& engine) {
@@ -378,65 +354,6 @@
   failed_ += call->is_measured && !call->has_first_byte ? 1 : 0;
 }
 
-void RoutingWorld::InjectFault() {
-  if (scenario_.fault == RoutingFault::kStragglers) {
-    events_.At(kFaultAt, [this] {
-      for (std::size_t i = 0; i < kReplicas; i += kStragglerStride) {
-        replicas_[i].engine->set_slowdown(kStragglerSlowdown);
-      }
-    });
-  }
-  if (scenario_.fault == RoutingFault::kZoneLost) {
-    events_.At(kFaultAt, [this] { LoseZone(); });
-    events_.At(kFaultEnd, [this] { RestoreZone(); });
-  }
-}
-
-// Zone 0 goes dark with its engines; its nodes' callers go to the others.
-void RoutingWorld::LoseZone() {
-  for (Node& node : nodes_) {
-    node.is_down = node.zone == 0;
-  }
-  for (Replica& replica : replicas_) {
-    if (replica.zone == 0) {
-      replica.engine->GoDown();
-    }
-  }
-  events_.After(kGateDelay, [this] {
-    for (Node& node : nodes_) {
-      for (const Replica& replica : replicas_) {
-        if (replica.zone == 0) {
-          node.policy->OnEndpointDown(events_.time(), replica.endpoint.id);
-        }
-      }
-    }
-  });
-}
-
-void RoutingWorld::RestoreZone() {
-  for (Node& node : nodes_) {
-    node.is_down = false;
-  }
-  for (Replica& replica : replicas_) {
-    if (replica.zone == 0) {
-      replica.engine->ComeBack();
-      replica.events.clear();
-      replica.next_event = 1;
-      replica.endpoint.generation = replica.engine->settings().generation;
-    }
-  }
-  events_.After(kGateDelay, [this] {
-    for (Node& node : nodes_) {
-      for (std::size_t i = 0; i < kReplicas; ++i) {
-        if (replicas_[i].zone == 0) {
-          node.last_event[i] = 0;
-          node.policy->OnEndpointUp(events_.time(), replicas_[i].endpoint);
-        }
-      }
-    }
-  });
-}
-
 double RoutingWorld::WayMillis(std::size_t node, std::size_t replica) const {
   return nodes_[node].zone == replicas_[replica].zone
              ? kWithinZoneMillis
--- a/bench/routing_world.h
+++ b/bench/routing_world.h
@@ -43,6 +43,10 @@
   double answered_tokens_per_second = 0;
 };
 
+inline constexpr std::size_t kReplicas = 65;
+// Nothing is measured before.
+inline constexpr Micros kWarmUp = 16 * kSecond;
+
 // 65 engines in three data centres behind 8 nodes that all use one policy, in
 // virtual time. The same seed gives the same sessions to each policy.
 class RoutingWorld {
