--- a/protocol/protocol.h
+++ b/protocol/protocol.h
@@ -4,10 +4,30 @@
 // Public header of the protocol library: messages and their codecs. No codec
 // throws; text in other encodings than UTF-8 is refused on reading.
 
+#include "protocol/cache_event_json.h"
+#include "protocol/cancel_json.h"
+#include "protocol/chat_answer.h"
+#include "protocol/chat_request.h"
+#include "protocol/codec_error.h"
+#include "protocol/contract_json.h"
+#include "protocol/domain_record_json.h"
+#include "protocol/engine_headers.h"
+#include "protocol/engine_order_json.h"
+#include "protocol/engine_status_json.h"
 #include "protocol/event_field_json.h"
+#include "protocol/hex.h"
+#include "protocol/json_reader.h"
+#include "protocol/json_writer.h"
+#include "protocol/load_report_json.h"
+#include "protocol/node_record_json.h"
+#include "protocol/prefix_blocks.h"
+#include "protocol/reference_answer.h"
+#include "protocol/store_json.h"
 #include "protocol/timeline_json.h"
 #include "protocol/timeline_merge.h"
 #include "protocol/trace_file.h"
 #include "protocol/utf8.h"
+#include "protocol/vm_list_json.h"
+#include "protocol/weight_store_json.h"
 
 #endif  // PROTOCOL_PROTOCOL_H_
