--- a/bench/admission_bench.cc
+++ b/bench/admission_bench.cc
@@ -105,7 +105,7 @@
   for (int i = 0; i < kWarmUpRequests; ++i) {
     fixture.RunOne();
   }
-  for (auto _ : state) {
+  for ([[maybe_unused]] auto _ : state) {
     fixture.RunOne();
   }
 }
--- a/bench/limits_bench.cc
+++ b/bench/limits_bench.cc
@@ -120,6 +120,7 @@
                    const Policy& policy,
                    const Scenario& scenario) {
     std::vector<LimitsFigures> results;
+    results.reserve(options_.seeds.size());
     for (const std::uint64_t seed : SeedsFor(fleet)) {
       LimitsWorld world(SettingsFor(fleet, policy, scenario), seed);
       results.push_back(world.Run());
--- a/bench/limits_world.cc
+++ b/bench/limits_world.cc
@@ -17,6 +17,7 @@
 constexpr Micros kBucket = 100000;
 // Five seconds.
 constexpr std::size_t kWindow = 50;
+constexpr std::size_t kSecond = 10;
 // A lease of fifteen seconds less what had passed of it.
 constexpr Micros kTakeOver = MicrosOf(12000);
 constexpr Duration kRoleLife = Duration::Seconds(13);
@@ -410,7 +411,6 @@
   }
   figures.over_mean /= static_cast<double>(windows);
   // By the second, so that what was refused in one is not made up in another.
-  constexpr std::size_t kSecond = 10;
   for (std::size_t i = first; i + kSecond <= last; i += kSecond) {
     double offered = 0;
     double in_second = 0;
--- a/bench/tier_world.cc
+++ b/bench/tier_world.cc
@@ -81,8 +81,8 @@
   return sorted[static_cast<std::size_t>(place)];
 }
 
-TierWorld::TierWorld(TierWorldSettings settings, std::uint64_t seed)
-    : settings_(std::move(settings)),
+TierWorld::TierWorld(const TierWorldSettings& settings, std::uint64_t seed)
+    : settings_(settings),
       random_(SeededRandom(seed)),
       callers_{SeededRandom(seed + 100), SeededRandom(seed + 200),
                SeededRandom(seed + 300)},
--- a/bench/tier_world.h
+++ b/bench/tier_world.h
@@ -68,7 +68,7 @@
 // Nodes, model engines and callers in virtual time.
 class TierWorld {
  public:
-  TierWorld(TierWorldSettings settings, std::uint64_t seed);
+  TierWorld(const TierWorldSettings& settings, std::uint64_t seed);
   void Run();
 
   const TierOutcome& paid() const { return paid_; }
--- a/coordination/admission_queue.cc
+++ b/coordination/admission_queue.cc
@@ -117,7 +117,8 @@
   std::vector<WaitingRequest> taken;
   for (auto& [rank, queue] : ranks_) {
     std::vector<ContractId> emptied;
-    for (auto& [contract, line] : queue.lines) {
+    for (auto& entry : queue.lines) {
+      Line& line = entry.second;
       std::erase_if(line.requests, [&](const WaitingRequest& request) {
         if (!predicate(request)) {
           return false;
@@ -127,7 +128,7 @@
         return true;
       });
       if (line.requests.empty()) {
-        emptied.push_back(contract);
+        emptied.push_back(entry.first);
       }
     }
     for (const ContractId& contract : emptied) {
--- a/coordination/admission_waiting.cc
+++ b/coordination/admission_waiting.cc
@@ -157,15 +157,14 @@
     return;
   }
   const Request dropped = std::move(found->second);
-  const RequestId dropped_id = id;
   requests_.erase(found);
   if (dropped.phase == Phase::kAwaitingRoom) {
-    dropped.target->queue(dropped.tier).Remove(dropped_id);
+    dropped.target->queue(dropped.tier).Remove(id);
   }
   if (dropped.phase != Phase::kAwaitingShare) {
     limits_->Release(dropped.contract, dropped.estimate, TokenCount(0));
   }
-  Answer(dropped_id, kind, wait, actions);
+  Answer(id, kind, wait, actions);
 }
 
 void Admission::Answer(const RequestId& id,
--- a/coordination/limit_relay.cc
+++ b/coordination/limit_relay.cc
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace gcw {
+namespace {
+
+// Sums of fractions may differ in their last digits.
+constexpr double kRounding = 1e-9;
+
+}  // namespace
 
 LimitRelay::LimitRelay(const LimitTopology* topology,
                        const ContractLimits* limits,
@@ -69,7 +75,6 @@
 // would give the difference to others while the nodes still use it: the sum of
 // shares would exceed the limit for one grant's life.
 void LimitRelay::Acknowledge(Time now, RelayedShard& relayed) {
-  constexpr double kRounding = 1e-9;
   const LimitVector slack = LimitVector::All(kRounding);
   for (const ContractId& contract : relayed.granter.Contracts()) {
     const LimitVector held = relayed.granter.Held(now, contract);
--- a/coordination/limit_settings.cc
+++ b/coordination/limit_settings.cc
@@ -5,6 +5,11 @@
 #include "coordination/stable_hash.h"
 
 namespace gcw {
+namespace {
+
+constexpr std::int64_t kMostDoublings = 8;
+
+}  // namespace
 Duration LimitSettings::Period(std::int64_t nodes) const {
   return std::clamp(period_per_node * nodes, period_min, period_max);
 }
@@ -12,7 +17,6 @@
 // All nodes that wait for a lost owner would else send ten times a second.
 Duration LimitSettings::UrgentInterval(std::int64_t nodes,
                                        std::int64_t unanswered) const {
-  constexpr std::int64_t kMostDoublings = 8;
   const std::int64_t factor = std::int64_t{1}
                               << std::min(unanswered, kMostDoublings);
   return std::min(urgent_interval * factor, Period(nodes));
--- a/coordination/limit_shares.cc
+++ b/coordination/limit_shares.cc
@@ -109,8 +109,7 @@
                       .shard = shard,
                       .valid_until = {},
                       .on_floor = false};
-  ContractState& state =
-      contracts_.emplace(contract, std::move(fresh)).first->second;
+  ContractState& state = contracts_.emplace(contract, fresh).first->second;
   Refresh(now, contract, state);
   StateOf(shard).urgent = true;
   return &state;
--- a/coordination/limits.cc
+++ b/coordination/limits.cc
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-Limits::Limits(LimitParty self,
+Limits::Limits(const LimitParty& self,
                ZoneId zone,
                const LimitSettings& settings,
                EventSink sink,
@@ -98,7 +98,7 @@
   outbox[to].reports.push_back(std::move(report));
 }
 
-std::vector<LimitsAction> Limits::ActionsOf(Outbox outbox) {
+std::vector<LimitsAction> Limits::ActionsOf(Outbox&& outbox) {
   std::vector<LimitsAction> actions;
   actions.reserve(outbox.size());
   for (auto& [node, batch] : outbox) {
--- a/coordination/limits.h
+++ b/coordination/limits.h
@@ -75,7 +75,7 @@
   // Messages of one event, one batch for each receiver.
   using Outbox = std::map<NodeId, LimitBatch>;
 
-  Limits(LimitParty self,
+  Limits(const LimitParty& self,
          ZoneId zone,
          const LimitSettings& settings,
          EventSink sink,
@@ -84,7 +84,7 @@
   void HandleReport(Time now, const LimitReport& report, Outbox& outbox);
   void HandleGrants(Time now, const NodeId& from, const LimitGrants& grants);
   void Deliver(Time now, const NodeId& to, LimitReport report, Outbox& outbox);
-  static std::vector<LimitsAction> ActionsOf(Outbox outbox);
+  static std::vector<LimitsAction> ActionsOf(Outbox&& outbox);
 
   // On the heap, since the parts below point to them.
   std::unique_ptr<LimitTopology> topology_;
--- a/tests/coordination/admission_test.cc
+++ b/tests/coordination/admission_test.cc
@@ -188,6 +188,18 @@
   EXPECT_EQ(admission_->queued(Tier::kTrial), 1);
 }
 
+// The same where one report brings room for both.
+TEST_F(AdmissionTest, RoomForBothGoesToPaidFirst) {
+  Report(16);
+  const auto paid = std::get<Queued>(Offer("paid").at(0)).request;
+  now_ = now_ + Duration::Millis(5001);
+  const auto trial = std::get<Queued>(Offer("trial").at(0)).request;
+  const auto actions = Report(0);
+  ASSERT_EQ(Count<Admit>(actions), 2);
+  EXPECT_EQ(std::get<Admit>(actions.at(0)).request, paid);
+  EXPECT_EQ(std::get<Admit>(actions.at(1)).request, trial);
+}
+
 // Symptom: callers wait until their deadline for a refusal.
 // Sequence: the queue holds more than can run before the deadline.
 // Cause: a queue that does not look at how fast it drains.
--- a/tests/coordination/limits_property_test.cc
+++ b/tests/coordination/limits_property_test.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double kRounding = 1e-6;
+// The smallest of the largest limits in force.
+constexpr double kSmallestConcurrency = 7;
 constexpr Duration kRoleLife = Duration::Seconds(3);
 constexpr Duration kRoleMargin = Duration::Millis(200);
 
@@ -161,7 +163,6 @@
 // While nodes know different versions of a contract, whole requests at once
 // are rounded by different limits: each node may be one over.
 RC_GTEST_PROP(LimitsProperty, ChangedContractKeepsTheSumOfShares, ()) {
-  constexpr double kSmallestConcurrency = 7;
   const auto nodes = *rc::gen::inRange<std::size_t>(2, 5);
   const auto relays = *rc::gen::arbitrary<bool>();
   const auto seed = *rc::gen::arbitrary<std::uint64_t>();
