--- a/bench/limits_bench.cc
+++ b/bench/limits_bench.cc
@@ -127,6 +127,7 @@
     }
     const auto spread = [&results](Field field) {
       std::vector<double> values;
+      values.reserve(results.size());
       for (const LimitsFigures& figures : results) {
         values.push_back(figures.*field);
       }
--- a/bench/limits_world.cc
+++ b/bench/limits_world.cc
@@ -14,10 +14,6 @@
 constexpr Micros kTickPeriod = 50000;
 constexpr Micros kNetworkDelay = 1500;
 constexpr double kMicrosPerSecond = 1e6;
-constexpr Micros kBucket = 100000;
-// Five seconds.
-constexpr std::size_t kWindow = 50;
-constexpr std::size_t kSecond = 10;
 // A lease of fifteen seconds less what had passed of it.
 constexpr Micros kTakeOver = MicrosOf(12000);
 constexpr Duration kRoleLife = Duration::Seconds(13);
@@ -52,7 +48,8 @@
 LimitsWorld::LimitsWorld(const LimitsWorldSettings& settings,
                          std::uint64_t seed)
     : settings_(settings), random_(SeededRandom(seed)) {
-  const auto buckets = static_cast<std::size_t>(settings_.end / kBucket) + 1;
+  const auto buckets =
+      static_cast<std::size_t>(settings_.end / kLimitsBucket) + 1;
   admitted_.resize(buckets);
   offered_.resize(buckets);
   if (!settings_.relays) {
@@ -220,7 +217,7 @@
 }
 
 void LimitsWorld::ArriveMeasured(std::size_t node) {
-  ++offered_[static_cast<std::size_t>(events_.now() / kBucket)];
+  ++offered_[static_cast<std::size_t>(events_.now() / kLimitsBucket)];
   switch (settings_.policy) {
     case LimitPolicy::kCentral:
       AskCentral(node);
@@ -239,7 +236,7 @@
 }
 
 void LimitsWorld::Admitted() {
-  ++admitted_[static_cast<std::size_t>(events_.now() / kBucket)];
+  ++admitted_[static_cast<std::size_t>(events_.now() / kLimitsBucket)];
 }
 
 // Refused where the counting node does not answer.
@@ -366,13 +363,6 @@
   }
 }
 
-// What is accepted, so that nodes that do not know it yet over-admit.
-double LimitsWorld::LimitAt(Micros when) const {
-  const bool is_changed = settings_.fault == LimitFault::kContractChanged &&
-                          when >= settings_.fault_at;
-  return is_changed ? settings_.limit / 2 : settings_.limit;
-}
-
 LimitsFigures LimitsWorld::Run() {
   counter_ = owners_[static_cast<std::size_t>(ShardOfMeasured().value())];
   ScheduleCaller(settings_.offered, kKindMeasured);
@@ -389,62 +379,4 @@
   return Figures();
 }
 
-LimitsFigures LimitsWorld::Figures() const {
-  LimitsFigures figures;
-  const auto first = static_cast<std::size_t>(settings_.warm_up / kBucket);
-  const auto last = static_cast<std::size_t>(settings_.end / kBucket);
-  double possible = 0;
-  double admitted = 0;
-  std::int64_t windows = 0;
-  for (std::size_t i = first; i + kWindow <= last; ++i) {
-    double in_window = 0;
-    double allowed = 0;
-    for (std::size_t j = i; j < i + kWindow; ++j) {
-      in_window += static_cast<double>(admitted_[j]);
-      allowed += LimitAt(static_cast<Micros>(j) * kBucket) *
-                 static_cast<double>(kBucket) / kMicrosPerSecond;
-    }
-    const double over = std::max(0.0, in_window / allowed - 1);
-    figures.over_worst = std::max(figures.over_worst, over);
-    figures.over_mean += over;
-    ++windows;
-  }
-  figures.over_mean /= static_cast<double>(windows);
-  // By the second, so that what was refused in one is not made up in another.
-  for (std::size_t i = first; i + kSecond <= last; i += kSecond) {
-    double offered = 0;
-    double in_second = 0;
-    for (std::size_t j = i; j < i + kSecond; ++j) {
-      offered += static_cast<double>(offered_[j]);
-      in_second += static_cast<double>(admitted_[j]);
-    }
-    const double most =
-        std::min(offered, LimitAt(static_cast<Micros>(i) * kBucket));
-    possible += most;
-    admitted += std::min(in_second, most);
-  }
-  figures.under_use = 1 - admitted / possible;
-  figures.concurrency_over_worst =
-      std::max(0.0, static_cast<double>(running_most_) /
-                            static_cast<double>(settings_.concurrency_limit) -
-                        1);
-  figures.pending =
-      asked_ == 0 ? 0
-                  : static_cast<double>(waited_) / static_cast<double>(asked_);
-  const double seconds =
-      static_cast<double>(settings_.end - settings_.warm_up) / kMicrosPerSecond;
-  for (const Node& node : nodes_) {
-    figures.messages += static_cast<double>(node.messages) / seconds;
-    figures.bytes += node.bytes / seconds;
-    figures.bytes_worst_node =
-        std::max(figures.bytes_worst_node, node.bytes / seconds);
-    figures.cpu_worst_node = std::max(figures.cpu_worst_node,
-                                      node.cpu_seconds * kMicrosPerSecond /
-                                          static_cast<double>(settings_.end));
-  }
-  figures.messages /= static_cast<double>(nodes_.size());
-  figures.bytes /= static_cast<double>(nodes_.size());
-  return figures;
-}
-
 }  // namespace gcw::bench
--- a/bench/limits_world.h
+++ b/bench/limits_world.h
@@ -11,6 +11,9 @@
 
 namespace gcw::bench {
 
+// Arrivals and admissions are counted by this much time.
+inline constexpr Micros kLimitsBucket = 100000;
+
 // How a contract's limits are kept over all nodes.
 enum class LimitPolicy {
   // One node counts; each request asks it.
--- a/bench/tier_world.cc
+++ b/bench/tier_world.cc
@@ -11,14 +11,7 @@
 const ContractId kTrialContract("trial");
 constexpr Micros kTickPeriod = 50000;
 constexpr Micros kNetworkDelay = 1000;
-constexpr Micros kBurstPeriod = 20000000;
-constexpr double kBurstShare = 0.25;
 constexpr double kMicrosPerSecond = 1e6;
-constexpr std::size_t kGapBuckets = 5000;
-constexpr Micros kGapBucket = 100;
-// A few teams are large.
-constexpr std::array<double, TierWorld::kTeams> kTeamWeights{
-    6, 5, 4, 1, 1, 1, 0.5, 0.5, 0.5, 0.5};
 
 ContractId TeamContract(std::size_t team) {
   return ContractId("team-" + std::to_string(team));
@@ -49,38 +42,6 @@
 
 }  // namespace
 
-void TierOutcome::AddGap(Micros gap) {
-  token_gaps.resize(kGapBuckets);
-  const auto bucket = static_cast<std::size_t>(gap / kGapBucket);
-  ++token_gaps[std::min(bucket, kGapBuckets - 1)];
-}
-
-double TierOutcome::GapQuantile(double q) const {
-  std::int64_t total = 0;
-  for (const std::int64_t count : token_gaps) {
-    total += count;
-  }
-  std::int64_t below = 0;
-  for (std::size_t i = 0; i < token_gaps.size(); ++i) {
-    below += token_gaps[i];
-    if (static_cast<double>(below) >= q * static_cast<double>(total)) {
-      return static_cast<double>(i) * kGapBucket / 1000.0;
-    }
-  }
-  return 0;
-}
-
-double TierOutcome::TtftQuantile(double q) const {
-  if (ttft_millis.empty()) {
-    return 0;
-  }
-  std::vector<double> sorted = ttft_millis;
-  const auto place =
-      static_cast<std::ptrdiff_t>(q * static_cast<double>(sorted.size() - 1));
-  std::nth_element(sorted.begin(), sorted.begin() + place, sorted.end());
-  return sorted[static_cast<std::size_t>(place)];
-}
-
 TierWorld::TierWorld(const TierWorldSettings& settings, std::uint64_t seed)
     : settings_(settings),
       random_(SeededRandom(seed)),
@@ -179,75 +140,6 @@
   }
 }
 
-double TierWorld::PaidRateNow() const {
-  if (settings_.burst_factor == 1) {
-    return 1;
-  }
-  const auto phase = static_cast<double>(events_.now() % kBurstPeriod) /
-                     static_cast<double>(kBurstPeriod);
-  return phase < kBurstShare
-             ? settings_.burst_factor
-             : (1 - kBurstShare * settings_.burst_factor) / (1 - kBurstShare);
-}
-
-// Arrivals are thinned from the highest rate, so that bursts keep the draw.
-void TierWorld::ScheduleArrival(Tier tier, double rate, bool flood) {
-  if (rate <= 0) {
-    return;
-  }
-  const Random& random = CallersOf(tier, flood);
-  const double highest =
-      tier == Tier::kPaid ? rate * std::max(1.0, settings_.burst_factor) : rate;
-  const double wait = -std::log(1 - DrawUnit(random)) / highest;
-  events_.After(static_cast<Micros>(wait * kMicrosPerSecond), [this, tier, rate,
-                                                               highest, flood] {
-    const double now = tier == Tier::kPaid ? rate * PaidRateNow() : rate;
-    if (DrawUnit(CallersOf(tier, flood)) * highest < now) {
-      Arrive(tier, flood);
-    }
-    ScheduleArrival(tier, rate, flood);
-  });
-}
-
-// Callers of each kind draw for themselves, so that paid ones come alike with
-// and without the others.
-const Random& TierWorld::CallersOf(Tier tier, bool flood) const {
-  if (flood) {
-    return callers_[2];
-  }
-  return callers_[tier == Tier::kPaid ? 0 : 1];
-}
-
-std::int64_t TierWorld::LogNormal(const Random& random,
-                                  double median,
-                                  double sigma,
-                                  std::int64_t most) {
-  const double u = std::max(1e-12, DrawUnit(random));
-  const double normal = std::sqrt(-2 * std::log(u)) *
-                        std::cos(2 * std::numbers::pi * DrawUnit(random));
-  const auto value =
-      static_cast<std::int64_t>(median * std::exp(sigma * normal));
-  return std::clamp<std::int64_t>(value, 1, most);
-}
-
-void TierWorld::Arrive(Tier tier, bool flood) {
-  Call call;
-  call.id = next_call_++;
-  call.tier = tier;
-  const Random& random = CallersOf(tier, flood);
-  call.node = DrawBelow(random, nodes_.size());
-  call.prompt = LogNormal(random, 250, 0.7, 4000);
-  call.generate = LogNormal(random, 150, 0.6, 1000);
-  call.arrived = events_.now();
-  if (!flood) {
-    double pick = DrawUnit(random) * 20;
-    while (call.team + 1 < kTeams && pick >= kTeamWeights[call.team]) {
-      pick -= kTeamWeights[call.team++];
-    }
-  }
-  Offer(calls_.emplace(call.id, call).first->second);
-}
-
 template <typename Function>
 void TierWorld::Record(const Call& call, Function function) {
   if (!IsMeasured(call)) {
--- a/bench/tier_world.h
+++ b/bench/tier_world.h
@@ -11,6 +11,7 @@
 
 #include "bench/endpoint_model.h"
 #include "bench/event_queue.h"
+#include "bench/tier_outcome.h"
 #include "coordination/coordination.h"
 
 namespace gcw::bench {
@@ -46,25 +47,6 @@
   AdmissionSettings admission;
 };
 
-// What one tier or team saw after the warm-up.
-struct TierOutcome {
-  std::vector<double> ttft_millis;
-  // Time between two tokens, as many per bucket of a tenth of a millisecond.
-  std::vector<std::int64_t> token_gaps;
-  std::int64_t offered = 0;
-  std::int64_t answered = 0;
-  std::int64_t refused = 0;
-  std::int64_t preempted = 0;
-  std::int64_t failed = 0;
-  std::int64_t tokens = 0;
-  // Of requests that were cancelled.
-  std::int64_t wasted_tokens = 0;
-
-  void AddGap(Micros gap);
-  double GapQuantile(double q) const;
-  double TtftQuantile(double q) const;
-};
-
 // Nodes, model engines and callers in virtual time.
 class TierWorld {
  public:
