--- a/coordination/config_gossip.cc
+++ b/coordination/config_gossip.cc
@@ -275,6 +275,7 @@
     const std::vector<NodeId>& to,
     const ConfigPush& push) const {
   std::vector<ConfigGossipAction> actions;
+  actions.reserve(to.size());
   for (const NodeId& peer : to) {
     actions.emplace_back(PeerSend<ConfigMessage>{peer, push});
   }
--- a/coordination/config_gossip.h
+++ b/coordination/config_gossip.h
@@ -22,7 +22,7 @@
   // After this many questions without an answer a peer counts as unreachable.
   int attempts = 5;
   // Entries are left out of a message beyond this size.
-  std::size_t message_bytes = 64 * 1024;
+  std::size_t message_bytes = 65536;
   // Peers asked at once while the node becomes ready.
   std::size_t questions_per_tick = 64;
 };
--- a/coordination/membership.h
+++ b/coordination/membership.h
@@ -42,7 +42,7 @@
   Duration reconnect_interval = Duration::Seconds(5);
   // A dead member is forgotten after this, unless the key-value service lists
   // it.
-  Duration dead_memory = Duration::Seconds(4 * 3600);
+  Duration dead_memory = Duration::Seconds(14400);
   // Every node reads the list of nodes once per this long for each node of the
   // fleet, so that the fleet's reads do not grow with its size.
   Duration read_interval_per_node = Duration::Seconds(1);
--- a/state/state.h
+++ b/state/state.h
@@ -3,8 +3,8 @@
 
 // Public header of the state library: what nodes know and agree on.
 
-#include "state/config_store.h"
 #include "state/cache_event.h"
+#include "state/config_store.h"
 #include "state/contract.h"
 #include "state/contract_entry.h"
 #include "state/domain_record.h"
--- a/tests/coordination/role_leases_test.cc
+++ b/tests/coordination/role_leases_test.cc
@@ -262,6 +262,7 @@
     roles.insert(RoleName("role" + std::to_string(i)));
   }
   std::vector<NodeId> nodes;
+  nodes.reserve(8);
   for (int i = 0; i < 8; ++i) {
     nodes.emplace_back("n" + std::to_string(i));
   }
@@ -284,6 +285,7 @@
 
 TEST(RendezvousTest, KeysSpreadAndOnlyTheLostNodesKeysMove) {
   std::vector<NodeId> nodes;
+  nodes.reserve(10);
   for (int i = 0; i < 10; ++i) {
     nodes.emplace_back("node-" + std::to_string(i));
   }
--- a/tests/support/config_cluster.h
+++ b/tests/support/config_cluster.h
@@ -80,7 +80,7 @@
                    const std::string& key,
                    std::optional<std::string> value,
                    Revision expected) {
-    const ChangeId id("c" + std::to_string(++last_change_));
+    ChangeId id("c" + std::to_string(++last_change_));
     Propose(index, {key, std::move(value), expected, id, false});
     return id;
   }
