--- a/tests/support/lease_cluster.h
+++ b/tests/support/lease_cluster.h
@@ -75,6 +75,11 @@
          node.roles->SetDesired(node.Clock(now_), std::move(roles)));
   }
 
+  void Release(std::size_t index) {
+    Node& node = nodes_[index];
+    Send(index, "lease", node.lease->Release(node.Clock(now_)));
+  }
+
   void Step() {
     now_ = now_ + kStep;
     for (FakeStoreLink::Delivery& delivery : link_.Deliver(now_)) {
