--- a/tests/state/config_store_test.cc
+++ b/tests/state/config_store_test.cc
@@ -20,7 +20,7 @@
 // the way there.
 RC_GTEST_PROP(ConfigStoreTest,
               CopiesAgreeInWhateverOrderVersionsArrive,
-              (std::vector<std::uint8_t> keys, std::uint64_t seed)) {
+              (const std::vector<std::uint8_t>& keys, std::uint64_t seed)) {
   std::vector<ConfigEntry> versions;
   std::map<std::string, Revision> newest;
   for (const std::uint8_t key : keys) {
