membership: a node's record may bear the incarnation of its run

The node's core numbers its runs itself, while the list in the service gave members the revision of node/<id>. Each node would then announce itself to all others after a start of the fleet. Tried and given up: taking no version from the list.

--- a/coordination/membership.cc
+++ b/coordination/membership.cc
@@ -28,6 +28,7 @@
       random_(std::move(random)),
       sink_(std::move(sink)),
       backoff_(settings.backoff) {
+  OwnMember().version.incarnation = self.incarnation;
   OwnMember().record = std::move(self);
 }
 
--- a/coordination/membership.h
+++ b/coordination/membership.h
@@ -87,7 +87,8 @@
                                              StoreCallId id,
                                              const StoreReply& reply);
 
-  // The node's lease has a new incarnation; see `NodeLease::incarnation`.
+  // For nodes whose record bears no incarnation: the lease has a new one; see
+  // `NodeLease::incarnation`.
   void SetIncarnation(Time now, Incarnation incarnation);
   // A planned stop has begun: tells others at once.
   std::vector<MembershipAction> Leave(Time now);
--- a/coordination/membership_rumors.cc
+++ b/coordination/membership_rumors.cc
@@ -208,9 +208,14 @@
     if (record->id == self_) {
       continue;
     }
+    // The version under which the node announces itself. A lower one would make
+    // each node of a fleet that starts spread its announcement to all others.
+    const Incarnation incarnation = record->incarnation == Incarnation()
+                                        ? Incarnation(entry.revision.value())
+                                        : record->incarnation;
     HearAlive(now,
               {.node = record->id,
-               .version = {Incarnation(entry.revision.value()), 0},
+               .version = {incarnation, 0},
                .state = MemberState::kAlive,
                .record = record},
               /*pass_on=*/false);
--- a/protocol/node_record_json.cc
+++ b/protocol/node_record_json.cc
@@ -8,6 +8,7 @@
 std::string EncodeNodeRecord(const NodeRecord& record) {
   return boost::json::serialize(
       boost::json::object{{"id", ToJson(record.id)},
+                          {"incarnation", ToJson(record.incarnation)},
                           {"caller_address", ToJson(record.caller_address)},
                           {"peer_address", ToJson(record.peer_address)},
                           {"operator_address", ToJson(record.operator_address)},
@@ -21,6 +22,7 @@
   return DecodeJson(text, [](JsonReader& reader) {
     NodeRecord record;
     record.id = reader.TextId<NodeId>("id");
+    record.incarnation = reader.CountOf<Incarnation>("incarnation");
     record.caller_address = reader.TextId<Address>("caller_address");
     record.peer_address = reader.TextId<Address>("peer_address");
     record.operator_address = reader.TextId<Address>("operator_address");
--- a/state/node_record.h
+++ b/state/node_record.h
@@ -15,6 +15,9 @@
 // What a node tells of itself, under `node/<id>` and to its peers.
 struct NodeRecord {
   NodeId id;
+  // Of the run that wrote the record, higher than those of earlier runs; zero
+  // where the revision of `node/<id>` serves as such.
+  Incarnation incarnation;
   ZoneId zone;
   RegionId region;
   // Where other nodes, callers and operators reach it.
--- a/tests/protocol/record_json_test.cc
+++ b/tests/protocol/record_json_test.cc
@@ -72,6 +72,7 @@
 
 RC_GTEST_PROP(RecordJsonTest, NodeRecordsComeBackWhole, ()) {
   const NodeRecord record{.id = AnyId<NodeId>(),
+                          .incarnation = AnyNumber<Incarnation>(),
                           .zone = AnyId<ZoneId>(),
                           .region = AnyId<RegionId>(),
                           .peer_address = AnyId<Address>(),
--- a/tests/support/text_codecs.h
+++ b/tests/support/text_codecs.h
@@ -34,6 +34,7 @@
               return std::nullopt;
             }
             return NodeRecord{.id = NodeId(fields[0]),
+                              .incarnation = {},
                               .zone = ZoneId(fields[1]),
                               .region = RegionId(fields[2]),
                               .peer_address = {},
