--- a/coordination/once_messages.h
+++ b/coordination/once_messages.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/actions.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -111,11 +112,8 @@
 using OnceMessage =
     std::variant<OnceClaimRequest, OnceClaimReply, OnceFinish, OnceFinishAck>;
 
-// Sends a message to a node; the node hands messages to itself back to itself.
-struct OncePeerSend {
-  NodeId to;
-  OnceMessage message;
-};
+// The node hands messages to itself back to itself.
+using OncePeerSend = PeerSend<OnceMessage>;
 
 // Longer keys are hashed by the node before they get here.
 inline constexpr std::size_t kMaxOnceKeyLength = 160;
--- a/coordination/once_shard.h
+++ b/coordination/once_shard.h
@@ -40,11 +40,11 @@
   Duration window = Duration::Seconds(3600);
   // Most bytes that the entries may take in the journal. New keys are refused
   // when it is full; no key is forgotten early.
-  std::size_t most_journal_bytes = 256 * 1024;
+  std::size_t most_journal_bytes = 262144;
   // Most bytes of answers kept; the oldest go first.
-  std::size_t most_answer_bytes = 1024 * 1024;
+  std::size_t most_answer_bytes = 1048576;
   // Larger answers are not kept.
-  std::size_t largest_answer_bytes = 64 * 1024;
+  std::size_t largest_answer_bytes = 65536;
 };
 
 // A claim was recorded, or had been, and may be granted once the record of this
@@ -70,9 +70,11 @@
   // Takes over the entries of a journal. Their ages start anew, since the
   // clock that dated them is not this node's.
   void Load(Time now, const std::vector<OnceEntry>& entries);
-  // Refuses keys without an entry until the window has passed: claims may have
-  // been granted that no journal knows.
-  void RefuseUnknownKeys(Time now);
+  // Claims may have been granted until `last_grant` that the loaded journal
+  // does not know. Refuses keys without an entry until the window has passed
+  // since, and keys that it says were given back: they may have been claimed
+  // again.
+  void RefuseUnknownKeys(Time last_grant);
   bool refuses_unknown_keys(Time now) const;
 
   std::vector<OnceEntry> Entries() const;
@@ -108,12 +110,16 @@
   void KeepAnswer(const IdempotencyKey& key,
                   Claimed& claimed,
                   const OnceAnswer& answer);
+  void RememberReturned(const OnceClaimId& claim);
   void DropOldestAnswer();
+  void SkipForgottenAnswers();
 
   OnceShardSettings settings_;
   std::unordered_map<IdempotencyKey, Claimed> claims_;
   std::deque<Expiry> expiries_;
   std::deque<IdempotencyKey> answered_;
+  // Claims given back last.
+  std::deque<OnceClaimId> returned_;
   std::size_t journal_bytes_ = 0;
   std::size_t answer_bytes_ = 0;
   std::int64_t version_ = 0;
