guard: a crashing request takes two endpoints, and none is refused in its place

Blaming all that ran on a lost endpoint refuses healthy requests that were there twice. The first loss only makes suspects; suspects then run one copy at a time and never two on one endpoint, under permits of one desk, so that the next loss names its cause. Spread as membership's fingerprint deltas.

Seen on a copy with one mechanism broken at a time, each fails a test: suspects run freely; suspects share an endpoint; losses in company count; losses not spread; copies not kept together.

--- /dev/null
+++ b/coordination/fingerprint_guard.cc
@@ -0,0 +1,334 @@
+#include "coordination/fingerprint_guard.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "coordination/rendezvous.h"
+
+namespace gcw {
+
+namespace {
+
+// All suspects share one desk: only a place that knows every suspect can keep
+// two of them apart.
+constexpr std::string_view kDeskKey = "fingerprint-permits";
+
+}  // namespace
+
+FingerprintGuard::FingerprintGuard(NodeId self,
+                                   FingerprintGuardSettings settings,
+                                   EventSink events)
+    : self_(std::move(self)),
+      settings_(settings),
+      events_(std::move(events)),
+      suspects_(settings.suspects),
+      desk_(settings.permits) {}
+
+void FingerprintGuard::OnMembers(Time now, const std::vector<NodeId>& members) {
+  desk_node_ = RendezvousOwner(kDeskKey, members);
+  if (desk_node_ == self_) {
+    desk_.Open(now);
+  } else {
+    desk_.Close();
+  }
+}
+
+GuardVerdict FingerprintGuard::Judge(Time now, Fingerprint fingerprint) const {
+  switch (suspects_.Level(now, fingerprint)) {
+    case SuspectLevel::kBlocked:
+      return GuardBlocked{};
+    case SuspectLevel::kSuspect:
+      return GuardSuspect{};
+    case SuspectLevel::kNone:
+      break;
+  }
+  if (Proven(now, fingerprint)) {
+    return GuardFree{};
+  }
+  const auto copies = copies_.find(fingerprint);
+  if (copies == copies_.end()) {
+    return GuardFree{};
+  }
+  return GuardPinned{copies->second.endpoint};
+}
+
+bool FingerprintGuard::Proven(Time now, Fingerprint fingerprint) const {
+  const auto found = proven_.find(fingerprint);
+  return found != proven_.end() && now < found->second;
+}
+
+// Runs and their ends ---------------------------------------------------------
+
+void FingerprintGuard::OnStarted(Time now,
+                                 const AttemptId& attempt,
+                                 Fingerprint fingerprint,
+                                 const EndpointId& endpoint) {
+  const bool permitted = permitted_.contains(attempt);
+  Copies& copies = copies_[fingerprint];
+  copies.endpoint = endpoint;
+  ++copies.count;
+  running_[attempt] =
+      Running{fingerprint, endpoint, permitted, now + settings_.permit_renewal};
+}
+
+GuardActions FingerprintGuard::OnFinished(Time now,
+                                          const AttemptId& attempt,
+                                          bool completed) {
+  GuardActions actions;
+  const auto found = running_.find(attempt);
+  if (found == running_.end()) {
+    if (permitted_.erase(attempt) > 0) {
+      SendToDesk(PermitDone{attempt, std::nullopt}, actions);
+    }
+    return actions;
+  }
+  const Running running = found->second;
+  Forget(attempt);
+  if (running.permitted) {
+    permitted_.erase(attempt);
+    SendToDesk(PermitDone{attempt, std::nullopt}, actions);
+  }
+  if (!completed) {
+    return actions;
+  }
+  Prove(now, running.fingerprint);
+  if (suspects_.Level(now, running.fingerprint) == SuspectLevel::kSuspect) {
+    suspects_.Clear(now, running.fingerprint);
+    Spread(now, running.fingerprint, actions);
+  }
+  return actions;
+}
+
+GuardActions FingerprintGuard::OnEndpointLost(Time now,
+                                              const EndpointId& endpoint) {
+  GuardActions actions;
+  std::vector<std::pair<AttemptId, Running>> lost;
+  for (const auto& [attempt, running] : running_) {
+    if (running.endpoint == endpoint) {
+      lost.emplace_back(attempt, running);
+    }
+  }
+  for (const auto& [attempt, running] : lost) {
+    Forget(attempt);
+    AddLoss(now, running, actions);
+    if (running.permitted) {
+      permitted_.erase(attempt);
+      SendToDesk(PermitDone{attempt, suspects_.Delta(now, running.fingerprint)},
+                 actions);
+    }
+  }
+  return actions;
+}
+
+void FingerprintGuard::Forget(const AttemptId& attempt) {
+  const auto found = running_.find(attempt);
+  const auto copies = copies_.find(found->second.fingerprint);
+  if (--copies->second.count == 0) {
+    copies_.erase(copies);
+  }
+  running_.erase(found);
+}
+
+void FingerprintGuard::Prove(Time now, Fingerprint fingerprint) {
+  const Time expires = now + settings_.proven_for;
+  proven_[fingerprint] = expires;
+  proofs_.push_back(Proof{fingerprint, expires});
+  while (proofs_.size() > settings_.most_proven) {
+    DropOldestProof();
+  }
+}
+
+void FingerprintGuard::DropOldestProof() {
+  const Proof& oldest = proofs_.front();
+  const auto found = proven_.find(oldest.fingerprint);
+  if (found != proven_.end() && found->second == oldest.expires) {
+    proven_.erase(found);
+  }
+  proofs_.pop_front();
+}
+
+void FingerprintGuard::AddLoss(Time now,
+                               const Running& running,
+                               GuardActions& actions) {
+  const SuspectLevel before = suspects_.Level(now, running.fingerprint);
+  if (running.permitted) {
+    suspects_.AddLossAlone(now, running.fingerprint);
+  } else if (proven_.erase(running.fingerprint) == 0) {
+    suspects_.AddLossInCompany(now, running.fingerprint);
+  } else {
+    // It ended well before: more likely another request is to blame. The next
+    // loss counts.
+    return;
+  }
+  Spread(now, running.fingerprint, actions);
+  if (before != SuspectLevel::kBlocked &&
+      suspects_.Level(now, running.fingerprint) == SuspectLevel::kBlocked) {
+    events_(EventDraft{EventKind::kFingerprintBlocked,
+                       std::to_string(running.fingerprint.value()),
+                       EventId(),
+                       {EventField{"endpoint", running.endpoint.value()}}});
+  }
+}
+
+void FingerprintGuard::Spread(Time now,
+                              Fingerprint fingerprint,
+                              GuardActions& actions) {
+  actions.emplace_back(GuardSpread{suspects_.Delta(now, fingerprint)});
+}
+
+void FingerprintGuard::OnDelta(Time now, const FingerprintDelta& delta) {
+  suspects_.Merge(now, delta);
+}
+
+void FingerprintGuard::SetAllowed(std::set<Fingerprint> allowed) {
+  for (const Fingerprint fingerprint : allowed) {
+    events_(EventDraft{EventKind::kFingerprintUnblocked,
+                       std::to_string(fingerprint.value()),
+                       EventId(),
+                       {}});
+  }
+  suspects_.SetAllowed(std::move(allowed));
+}
+
+// Permits --------------------------------------------------------------------
+
+GuardActions FingerprintGuard::AskPermit(Time now,
+                                         const AttemptId& attempt,
+                                         Fingerprint fingerprint,
+                                         std::vector<EndpointId> candidates) {
+  GuardActions actions;
+  Asking& asking = asking_[attempt];
+  asking.request =
+      PermitRequest{attempt, fingerprint, std::move(candidates), EndpointId()};
+  asking.since = now;
+  Ask(now, asking, actions);
+  return actions;
+}
+
+void FingerprintGuard::Ask(Time now, Asking& asking, GuardActions& actions) {
+  asking.next_ask = now + settings_.permit_retry;
+  SendToDesk(asking.request, actions);
+}
+
+void FingerprintGuard::SendToDesk(GuardMessage message,
+                                  GuardActions& actions) const {
+  if (desk_node_) {
+    actions.emplace_back(GuardPeerSend{*desk_node_, std::move(message)});
+  }
+}
+
+GuardActions FingerprintGuard::OnMessage(Time now,
+                                         const NodeId& from,
+                                         const GuardMessage& message) {
+  GuardActions actions;
+  std::visit(
+      Overloaded{
+          [&](const PermitRequest& request) {
+            actions.emplace_back(GuardPeerSend{from, Answer(now, request)});
+          },
+          [&](const PermitReply& reply) { OnReply(reply, actions); },
+          [&](const PermitDone& done) { OnDone(now, done); },
+      },
+      message);
+  return actions;
+}
+
+PermitReply FingerprintGuard::Answer(Time now, const PermitRequest& request) {
+  const SuspectLevel level = suspects_.Level(now, request.fingerprint);
+  return PermitReply{request.attempt, desk_.Ask(now, request, level)};
+}
+
+// The desk counts the loss before it hands out the fingerprint's next permit:
+// by the rumor alone it might learn of the loss too late.
+void FingerprintGuard::OnDone(Time now, const PermitDone& done) {
+  if (done.loss) {
+    suspects_.Merge(now, *done.loss);
+  }
+  desk_.Done(done.attempt);
+}
+
+void FingerprintGuard::OnReply(const PermitReply& reply,
+                               GuardActions& actions) {
+  const auto asking = asking_.find(reply.attempt);
+  if (asking == asking_.end()) {
+    return;
+  }
+  if (const auto* granted = std::get_if<PermitGranted>(&reply.verdict)) {
+    asking_.erase(asking);
+    permitted_[reply.attempt] = granted->endpoint;
+    actions.emplace_back(GuardPermit{reply.attempt, granted->endpoint});
+  } else if (std::holds_alternative<PermitBlocked>(reply.verdict)) {
+    asking_.erase(asking);
+    Refuse(reply.attempt, actions);
+  }
+}
+
+void FingerprintGuard::Refuse(const AttemptId& attempt, GuardActions& actions) {
+  actions.emplace_back(GuardRefuse{
+      attempt,
+      Refusal{RefusalKind::kFingerprintBlocked, settings_.retry_after}});
+}
+
+void FingerprintGuard::RenewPermits(Time now, GuardActions& actions) {
+  for (auto& [attempt, running] : running_) {
+    if (running.permitted && now >= running.next_renewal) {
+      running.next_renewal = now + settings_.permit_renewal;
+      SendToDesk(
+          PermitRequest{attempt, running.fingerprint, {}, running.endpoint},
+          actions);
+    }
+  }
+}
+
+GuardActions FingerprintGuard::Tick(Time now) {
+  GuardActions actions;
+  suspects_.Tick(now);
+  desk_.Tick(now);
+  while (!proofs_.empty() && proofs_.front().expires <= now) {
+    DropOldestProof();
+  }
+  RenewPermits(now, actions);
+  std::vector<AttemptId> late;
+  for (auto& [attempt, asking] : asking_) {
+    if (now - asking.since >= settings_.permit_timeout ||
+        suspects_.Level(now, asking.request.fingerprint) ==
+            SuspectLevel::kBlocked) {
+      late.push_back(attempt);
+    } else if (now >= asking.next_ask) {
+      Ask(now, asking, actions);
+    }
+  }
+  for (const AttemptId& attempt : late) {
+    asking_.erase(attempt);
+    // The desk may have granted meanwhile.
+    SendToDesk(PermitDone{attempt, std::nullopt}, actions);
+    Refuse(attempt, actions);
+  }
+  return actions;
+}
+
+FingerprintGuard::Builder& FingerprintGuard::Builder::SetSelf(NodeId self) {
+  self_ = std::move(self);
+  return *this;
+}
+
+FingerprintGuard::Builder& FingerprintGuard::Builder::SetSettings(
+    FingerprintGuardSettings settings) {
+  settings_ = settings;
+  return *this;
+}
+
+FingerprintGuard::Builder& FingerprintGuard::Builder::SetEvents(
+    EventSink events) {
+  events_ = std::move(events);
+  return *this;
+}
+
+std::unique_ptr<FingerprintGuard> FingerprintGuard::Builder::Build() const {
+  // Not make_unique: the constructor is private.
+  return std::unique_ptr<FingerprintGuard>(
+      new FingerprintGuard(self_, settings_, events_));
+}
+
+}  // namespace gcw
