once: a late report does not take an answer back

No test failed when a late "not run" was let overwrite an answer, so that the second send would run again. The new test fails with that broken, on a copy.

--- a/tests/coordination/once_failure_test.cc
+++ b/tests/coordination/once_failure_test.cc
@@ -266,6 +266,26 @@
   EXPECT_EQ(shard.size(), 1U);
 }
 
+// Symptom: a request that was answered runs again.
+// Sequence of events: the sender reports the answer; a report "not run" of the
+// same claim follows, for example late and out of order.
+// Cause: the last report wins.
+TEST(OnceShardTest, AnAnswerIsNotTakenBack) {
+  OnceShard shard(OnceShardSettings{});
+  OnceClaimRequest request;
+  request.claim = OnceClaimId("first");
+  request.key = IdempotencyKey("key");
+  shard.Claim(Time(), request);
+  const OnceAnswer answer{200, {}, "done"};
+  shard.Finish(Time(), {request.claim, request.key, OnceAnswered{answer}});
+  shard.Finish(Time(), {request.claim, request.key, OnceNotRun{}});
+  request.claim = OnceClaimId("second");
+  const OnceShardDecision decision = shard.Claim(Time(), request);
+  const auto* verdict = std::get_if<OnceVerdict>(&decision);
+  ASSERT_NE(verdict, nullptr);
+  EXPECT_TRUE(std::holds_alternative<OnceReplayed>(*verdict));
+}
+
 RC_GTEST_PROP(OnceJournalTest,
               ReadsBackWhatItWrote,
               (const std::string& change)) {
