--- a/coordination/issued_keys.h
+++ b/coordination/issued_keys.h
@@ -32,7 +32,7 @@
 
 struct IssuedKeysSettings {
   // A key that was not used for so long is refused as "outcome unknown".
-  Duration valid_for = Duration::Seconds(24 * 3600);
+  Duration valid_for = Duration::Seconds(86400);
   // Most keys remembered. The oldest are refused first.
   std::size_t most_keys = 200000;
   OnceShardSettings claims;
--- a/coordination/once_client.h
+++ b/coordination/once_client.h
@@ -34,7 +34,7 @@
   Duration finish_retry = Duration::Millis(500);
   int most_finish_sends = 40;
   // Larger answers are not kept for a second send.
-  std::size_t largest_answer_bytes = 64 * 1024;
+  std::size_t largest_answer_bytes = 65536;
   // When a refused caller should come back.
   Duration retry_after = Duration::Seconds(1);
 };
--- a/coordination/once_placement.cc
+++ b/coordination/once_placement.cc
@@ -1,7 +1,10 @@
 #include "coordination/once_placement.h"
 
+#include <algorithm>
 #include <string_view>
 
+#include "coordination/rendezvous.h"
+
 namespace gcw {
 
 namespace {
@@ -18,8 +21,8 @@
   return hash;
 }
 
-// Spreads every bit over the whole word, since FNV leaves the upper bits of
-// short texts alike.
+// Spreads every bit over the whole word, since FNV leaves some bits of short
+// texts alike.
 std::uint64_t Mix(std::uint64_t word) {
   word ^= word >> 30;
   word *= 0xbf58476d1ce4e5b9ULL;
@@ -54,17 +57,17 @@
 std::optional<OnceMember> PreferredOnceOwner(
     OnceShardId shard,
     const std::vector<OnceMember>& members) {
-  const std::uint64_t salt = Mix(static_cast<std::uint64_t>(shard.value()) + 1);
-  std::optional<OnceMember> best;
-  std::uint64_t best_weight = 0;
-  for (const OnceMember& member : members) {
-    const std::uint64_t weight = Mix(HashBytes(member.node.value()) ^ salt);
-    if (!best || weight > best_weight) {
-      best = member;
-      best_weight = weight;
-    }
+  const std::string key = OnceShardKey(shard);
+  const auto best =
+      std::max_element(members.begin(), members.end(),
+                       [&](const OnceMember& left, const OnceMember& right) {
+                         return RendezvousScore(key, left.node) <
+                                RendezvousScore(key, right.node);
+                       });
+  if (best == members.end()) {
+    return std::nullopt;
   }
-  return best;
+  return *best;
 }
 
 }  // namespace gcw
--- a/coordination/once_shard.h
+++ b/coordination/once_shard.h
@@ -40,11 +40,11 @@
   Duration window = Duration::Seconds(3600);
   // Most bytes that the entries may take in the journal. New keys are refused
   // when it is full; no key is forgotten early.
-  std::size_t most_journal_bytes = 256 * 1024;
+  std::size_t most_journal_bytes = 262144;
   // Most bytes of answers kept; the oldest go first.
-  std::size_t most_answer_bytes = 1024 * 1024;
+  std::size_t most_answer_bytes = 1048576;
   // Larger answers are not kept.
-  std::size_t largest_answer_bytes = 64 * 1024;
+  std::size_t largest_answer_bytes = 65536;
 };
 
 // A claim was recorded, or had been, and may be granted once the record of this
