--- /dev/null
+++ b/tests/coordination/domain_writer_test.cc
@@ -0,0 +1,106 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "coordination/coordination.h"
+#include "coordination/domain_writer.h"
+
+namespace gcw {
+namespace {
+
+constexpr Time kStart = Time::FromMillis(1000000);
+
+// A record stands in the store as its change id and its writer's number.
+DomainRecordCodec Codec() {
+  return {[](const DomainRecord& record) {
+            return record.change.value() + ":" +
+                   std::to_string(record.written_by.value());
+          },
+          [](std::string_view text) -> std::optional<DomainRecord> {
+            const std::string all(text);
+            const auto colon = all.find(':');
+            DomainRecord record;
+            record.domain = FabricDomainId("d");
+            record.change = ChangeId(all.substr(0, colon));
+            record.written_by = FencingToken(std::stoll(all.substr(colon + 1)));
+            return record;
+          }};
+}
+
+class DomainWriterTest : public testing::Test {
+ protected:
+  DomainWriterTest()
+      : writer_(FabricDomainId("d"), settings_, Codec(), DiscardEvents()) {
+    writer_.Start(now_, FencingToken(5));
+  }
+
+  // Makes the call that is due.
+  StoreCall Call() {
+    std::optional<StoreCall> call = writer_.Tick(now_);
+    EXPECT_TRUE(call.has_value());
+    ++id_;
+    writer_.OnCallSent(now_, id_);
+    return *call;
+  }
+
+  void AnswerRead(const std::string& value, int revision, int at) {
+    EXPECT_TRUE(std::holds_alternative<StoreRange>(Call()));
+    writer_.OnReply(
+        now_, id_,
+        StoreRangeReply{
+            Revision(at),
+            {StoreEntry{"domain/d", value, Revision(revision), LeaseId()}}});
+  }
+
+  void Wait(Duration time) { now_ = now_ + time; }
+
+  WriterSettings settings_;
+  DomainWriter writer_;
+  Time now_ = kStart;
+  StoreCallId id_;
+};
+
+// Symptom: a write that holds is taken for failed, and its orders never leave.
+// Events: the service writes, its answer is lost.
+// Cause: silence was read as refusal. The record is read back.
+TEST_F(DomainWriterTest, ReadsBackAfterALostAnswer) {
+  AnswerRead("a:4", 8, 9);
+  EXPECT_FALSE(writer_.IsClaimed());
+  ASSERT_TRUE(writer_.Propose(now_, writer_.record(), ChangeId("b")));
+  EXPECT_EQ(std::get<StorePut>(Call()).expected, Revision(8));
+  writer_.OnReply(now_, id_, StoreNoAnswer{});
+  EXPECT_EQ(writer_.state(), WriterState::kReading);
+  Wait(settings_.retry_interval);
+  AnswerRead("b:5", 10, 10);
+  EXPECT_EQ(writer_.state(), WriterState::kReady);
+  EXPECT_TRUE(writer_.IsClaimed());
+  EXPECT_EQ(writer_.record().change, ChangeId("b"));
+}
+
+// Symptom: members are given away by a record that is long out of date.
+// Events: the service is restored, or a read is answered by a member behind.
+// Cause: a revision lower than one seen before was believed.
+TEST_F(DomainWriterTest, RefusesWhatIsOlderThanWhatItSaw) {
+  AnswerRead("a:4", 8, 20);
+  ASSERT_TRUE(writer_.Propose(now_, writer_.record(), ChangeId("b")));
+  Call();
+  writer_.OnReply(now_, id_, StoreNoAnswer{});
+  Wait(settings_.retry_interval);
+  AnswerRead("old:3", 6, 19);
+  EXPECT_EQ(writer_.state(), WriterState::kReading);
+  EXPECT_EQ(writer_.record().change, ChangeId("a"));
+}
+
+TEST_F(DomainWriterTest, StopsWhenOvertaken) {
+  AnswerRead("a:4", 8, 9);
+  ASSERT_TRUE(writer_.Propose(now_, writer_.record(), ChangeId("b")));
+  Call();
+  writer_.OnReply(
+      now_, id_,
+      StoreConflict{StoreEntry{"domain/d", "c:6", Revision(11), LeaseId()}});
+  EXPECT_EQ(writer_.state(), WriterState::kOvertaken);
+  EXPECT_FALSE(writer_.Propose(now_, writer_.record(), ChangeId("d")));
+}
+
+}  // namespace
+}  // namespace gcw
--- a/tests/coordination/group_keeper_test.cc
+++ b/tests/coordination/group_keeper_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <string>
 
 #include "coordination/record_changes.h"
@@ -113,6 +114,42 @@
   }
 }
 
+// What no look at the clock prevents: the sender is paused between the look and
+// the write. Engines that check fencing numbers refuse the order. Of those that
+// ignore them, some leave their group's generation; this lasts until the new
+// keeper has read their state back and ordered them again.
+TEST(GroupKeeperTest, OrderWrittenLateIsRefusedOrReconciled) {
+  for (const bool checks_fences : {true, false}) {
+    Duration longest;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      GroupsWorld world(seed, checks_fences);
+      world.faults().writes_late = true;
+      for (int step = 0; step < 400 && world.orders_sent() == 0; ++step) {
+        world.Step();
+      }
+      GroupsWorld::Node* keeper = world.KeeperOf("d1");
+      ASSERT_NE(keeper, nullptr);
+      keeper->is_paused = true;
+      world.Run(Duration::Seconds(25));
+      world.engines().Restart(world.now(), VmId("d1-v0"));
+      world.Run(Duration::Seconds(15));
+      keeper->is_paused = false;
+      Duration lasted;
+      for (int step = 0; step < 400; ++step) {
+        world.Step();
+        lasted =
+            FindBreach(world).empty() ? lasted : lasted + GroupsWorld::kStep;
+      }
+      longest = std::max(longest, lasted);
+      EXPECT_EQ(CountServing(world), 3) << "seed " << seed;
+    }
+    std::printf("fences %s: out of place for at most %lld ms\n",
+                checks_fences ? "checked" : "ignored",
+                static_cast<long long>(longest.millis()));
+    EXPECT_LE(longest, checks_fences ? Duration() : Duration::Seconds(12));
+  }
+}
+
 // Symptom: a change seems refused although it holds, and is made twice.
 // Events: the service writes the record, but the answer is lost.
 // Cause: a lost answer was taken for a failure. The change id read back tells.
--- /dev/null
+++ b/tests/coordination/repair_planner_test.cc
@@ -0,0 +1,189 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "coordination/coordination.h"
+#include "coordination/flap_tracker.h"
+
+namespace gcw {
+namespace {
+
+constexpr Time kStart = Time::FromMillis(1000000);
+const ZoneId kZone("z1");
+const FabricDomainId kDomain("d1");
+
+VmId Vm(const char* domain, int number) {
+  return VmId(std::string(domain) + "-" + std::to_string(number));
+}
+
+// Two domains of eight VMs; model "high" goes before model "low".
+class RepairPlannerTest : public testing::Test {
+ protected:
+  RepairPlannerTest() {
+    view_.zone = kZone;
+    for (const char* domain : {"d1", "d2"}) {
+      view_.records[FabricDomainId(domain)].domain = FabricDomainId(domain);
+      for (int i = 0; i < 8; ++i) {
+        view_.vms[Vm(domain, i)] = PlannerVm{.domain = FabricDomainId(domain),
+                                             .accelerators = 1,
+                                             .assignable = true};
+      }
+    }
+    Want("high", 1);
+    Want("low", 2);
+  }
+
+  void Want(const char* model, int rank) {
+    WantedModel wanted{ModelId(model), 2, Rank(rank), {}};
+    wanted.targets[kZone] = GroupTarget{0, 0};
+    view_.wanted.push_back(wanted);
+  }
+
+  // A serving group of two VMs of `domain`, the first of which is `first`.
+  void Serve(const char* domain, const char* model, int first) {
+    const GroupId id(std::string(domain) + model + std::to_string(first));
+    view_.records[FabricDomainId(domain)].groups.push_back(
+        GroupRecord{id,
+                    ModelId(model),
+                    Generation(1),
+                    GroupState::kServing,
+                    {Vm(domain, first), Vm(domain, first + 1)}});
+    for (const int number : {first, first + 1}) {
+      view_.vms[Vm(domain, number)].assignable = false;
+    }
+    for (WantedModel& wanted : view_.wanted) {
+      if (wanted.model == ModelId(model)) {
+        ++wanted.targets[kZone].wanted;
+        ++wanted.targets[kZone].most;
+      }
+    }
+  }
+
+  void Lose(const char* domain, int number) {
+    view_.vms[Vm(domain, number)].condition = VmCondition::kLost;
+    view_.vms[Vm(domain, number)].assignable = false;
+  }
+
+  void TakeSpares(const char* domain) {
+    for (auto& [id, vm] : view_.vms) {
+      vm.assignable = vm.assignable && vm.domain != FabricDomainId(domain);
+    }
+  }
+
+  PlannerView view_;
+  PlannerSettings settings_;
+};
+
+TEST_F(RepairPlannerTest, TakesASpareOfTheSameDomain) {
+  Serve("d1", "high", 0);
+  Lose("d1", 1);
+  const auto moves = RepairPlanner(settings_).Plan(kStart, view_);
+  ASSERT_EQ(moves.size(), 1U);
+  const auto& move = std::get<ReplaceMembers>(moves[0]);
+  EXPECT_EQ(move.removed, std::vector<VmId>{Vm("d1", 1)});
+  EXPECT_EQ(move.added, std::vector<VmId>{Vm("d1", 2)});
+}
+
+TEST_F(RepairPlannerTest, BorrowsFromALowerRankButNotFromItsOwn) {
+  Serve("d1", "high", 0);
+  Serve("d1", "high", 2);
+  Serve("d1", "low", 4);
+  TakeSpares("d1");
+  TakeSpares("d2");
+  Lose("d1", 1);
+  const auto moves = RepairPlanner(settings_).Plan(kStart, view_);
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_EQ(std::get<DrainGroup>(moves[0]).group, GroupId("d1low4"));
+  Lose("d1", 4);
+  Lose("d1", 5);
+  EXPECT_TRUE(RepairPlanner(settings_).Plan(kStart, view_).empty());
+}
+
+TEST_F(RepairPlannerTest, RebuildsElsewhere) {
+  Serve("d1", "high", 0);
+  TakeSpares("d1");
+  Lose("d1", 1);
+  const auto moves = RepairPlanner(settings_).Plan(kStart, view_);
+  ASSERT_EQ(moves.size(), 2U);
+  EXPECT_EQ(std::get<FormGroup>(moves[0]).domain, FabricDomainId("d2"));
+  EXPECT_EQ(std::get<DissolveGroup>(moves[1]).group, GroupId("d1high0"));
+}
+
+// Symptom: a domain that is dark for a minute has all its groups rebuilt
+// elsewhere, and they load weights still when it is back.
+// Events: all VMs of a domain are lost at once and return.
+// Cause: each group was repaired as if it alone had lost its VMs.
+TEST_F(RepairPlannerTest, HoldsTheGroupsOfADarkDomain) {
+  Serve("d1", "high", 0);
+  Serve("d1", "high", 2);
+  for (int i = 0; i < 8; ++i) {
+    Lose("d1", i);
+  }
+  RepairPlanner planner(settings_);
+  EXPECT_TRUE(planner.Plan(kStart, view_).empty());
+  EXPECT_TRUE(planner.IsDark(kDomain));
+  const Time over = kStart + settings_.dark_hold;
+  EXPECT_TRUE(planner.Plan(over - Duration::Millis(1), view_).empty());
+  EXPECT_EQ(planner.Plan(over, view_).size(), 4U);
+}
+
+TEST_F(RepairPlannerTest, LoadsTheHighestNeedFirstWithinTheBudget) {
+  Serve("d1", "low", 0);
+  Serve("d1", "high", 2);
+  Lose("d1", 0);
+  Lose("d1", 2);
+  settings_.most_loads = 1;
+  const auto moves = RepairPlanner(settings_).Plan(kStart, view_);
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_EQ(std::get<ReplaceMembers>(moves[0]).group, GroupId("d1high2"));
+  view_.load_wait = settings_.longest_load_wait + Duration::Millis(1);
+  EXPECT_TRUE(RepairPlanner(settings_).Plan(kStart, view_).empty());
+}
+
+// Symptom: a group goes down and loads weights again every few minutes.
+// Events: one of its VMs restarts over and over.
+// Cause: the VM was taken back at each return although there were spares.
+TEST_F(RepairPlannerTest, PrefersASpareToAVmThatFlaps) {
+  Serve("d1", "high", 0);
+  view_.vms[Vm("d1", 1)].condition = VmCondition::kRestarted;
+  auto moves = RepairPlanner(settings_).Plan(kStart, view_);
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_TRUE(std::get<ReplaceMembers>(moves[0]).removed.empty());
+  view_.vms[Vm("d1", 1)].held_off = true;
+  moves = RepairPlanner(settings_).Plan(kStart, view_);
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_EQ(std::get<ReplaceMembers>(moves[0]).removed,
+            std::vector<VmId>{Vm("d1", 1)});
+}
+
+TEST_F(RepairPlannerTest, DrainsAGroupWhoseVmLeaves) {
+  Serve("d1", "high", 0);
+  view_.vms[Vm("d1", 1)].condition = VmCondition::kLeaving;
+  RepairPlanner planner(settings_);
+  auto moves = planner.Plan(kStart, view_);
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_EQ(std::get<DrainGroup>(moves[0]).group, GroupId("d1high0"));
+  view_.records[kDomain].groups[0].state = GroupState::kDraining;
+  view_.drained.insert(GroupId("d1high0"));
+  moves = planner.Plan(kStart, view_);
+  ASSERT_FALSE(moves.empty());
+  EXPECT_EQ(std::get<ReplaceMembers>(moves[0]).removed,
+            std::vector<VmId>{Vm("d1", 1)});
+}
+
+TEST(FlapTrackerTest, HoldsOffLongerEachTime) {
+  const FlapSettings settings;
+  FlapTracker flaps(settings);
+  const VmId vm("v");
+  flaps.OnLost(kStart, vm);
+  EXPECT_FALSE(flaps.IsHeldOff(kStart, vm));
+  flaps.OnLost(kStart, vm);
+  EXPECT_TRUE(flaps.IsHeldOff(kStart, vm));
+  EXPECT_FALSE(flaps.IsHeldOff(kStart + settings.first_hold, vm));
+  flaps.OnLost(kStart, vm);
+  EXPECT_TRUE(flaps.IsHeldOff(kStart + settings.first_hold, vm));
+  EXPECT_FALSE(flaps.IsHeldOff(kStart + settings.first_hold * 2, vm));
+}
+
+}  // namespace
+}  // namespace gcw
