--- a/bench/repair_world.cc
+++ b/bench/repair_world.cc
@@ -52,8 +52,8 @@
   const Time start = now_;
   // The zone fills before it is measured.
   const Time measured_from = start + Duration::Seconds(3600);
-  const Time short_dark = start + Duration::Seconds(6 * 3600);
-  const Time long_dark = start + Duration::Seconds(30 * 3600);
+  const Time short_dark = start + Duration::Seconds(21600);
+  const Time long_dark = start + Duration::Seconds(108000);
   while (now_ < end_) {
     now_ = now_ + settings_.step;
     Return();
--- a/bench/repair_world.h
+++ b/bench/repair_world.h
@@ -21,7 +21,7 @@
   double restarts_per_vm_day = 1.41;
   double failures_per_vm_day = 0.035;
   int flapping_vms = 2;
-  Duration length = Duration::Seconds(2 * 86400);
+  Duration length = Duration::Seconds(172800);
   Duration step = Duration::Seconds(2);
   // Detecting a loss, and an engine's leaving.
   Duration detection = Duration::Seconds(4);
