--- a/state/state.h
+++ b/state/state.h
@@ -3,8 +3,10 @@
 
 // Public header of the state library: what nodes know and agree on.
 
+#include "state/cache_event.h"
 #include "state/config_store.h"
 #include "state/contract.h"
+#include "state/contract_entry.h"
 #include "state/domain_record.h"
 #include "state/endpoint.h"
 #include "state/engine_order.h"
@@ -14,5 +16,6 @@
 #include "state/store_types.h"
 #include "state/vm_list.h"
 #include "state/wanted_model.h"
+#include "state/weight_store_status.h"
 
 #endif  // STATE_STATE_H_
--- a/tests/coordination/role_leases_test.cc
+++ b/tests/coordination/role_leases_test.cc
@@ -144,6 +144,79 @@
   EXPECT_TRUE(cluster.HoldsAreTrue({kRole}));
 }
 
+<<<<<<< HEAD
+=======
+// Symptom: two nodes give orders in one role.
+// Sequence: a node gives up the role; the deletion of the key is slow; the node
+// is to take the role again; the deletion arrives.
+// Cause: taking the key as still held while its deletion is under way.
+TEST(RoleLeasesTest, LateDeletionDoesNotFreeARoleTakenAgain) {
+  LeaseCluster cluster(1, 6);
+  cluster.SetDesired(0, {kRole});
+  cluster.Run(Duration::Seconds(2));
+  ASSERT_EQ(cluster.Holds(kRole).size(), 1U);
+  FakeStoreFaults& faults = cluster.link().faults();
+  faults.min_delay = faults.max_delay = Duration::Seconds(4);
+  cluster.SetDesired(0, {});
+  EXPECT_TRUE(cluster.Holds(kRole).empty());
+  cluster.Run(Duration::Millis(100));
+  faults = FakeStoreFaults();
+  cluster.SetDesired(0, {kRole});
+  bool held = false;
+  for (int step = 0; step < 200; ++step) {
+    cluster.Step();
+    held |= !cluster.Holds(kRole).empty();
+    ASSERT_TRUE(cluster.HoldsAreTrue({kRole}));
+  }
+  EXPECT_TRUE(held);
+}
+
+// Symptom: nobody holds a role, and nobody can take it, while all nodes run.
+// Sequence: n0's put is slow; its second put takes the role; n0 gives it up;
+// the first put arrives and writes the key again; n1 wants the role.
+// Cause: a key on n0's lease that n0 does not know of.
+TEST(RoleLeasesTest, KeyLeftByALatePutIsRemoved) {
+  LeaseCluster cluster(2, 7);
+  cluster.Run(Duration::Seconds(2));
+  FakeStoreFaults& faults = cluster.link().faults();
+  faults.min_delay = faults.max_delay = Duration::Seconds(6);
+  cluster.SetDesired(0, {kRole});
+  cluster.Run(Duration::Millis(100));
+  faults = FakeStoreFaults();
+  cluster.Run(Duration::Seconds(4));
+  ASSERT_EQ(cluster.Holds(kRole).size(), 1U);
+  cluster.SetDesired(0, {});
+  cluster.Run(Duration::Seconds(3));
+  ASSERT_TRUE(cluster.link().store().entries().contains("role/keeper/d1"));
+  ASSERT_TRUE(cluster.Holds(kRole).empty());
+  cluster.SetDesired(1, {kRole});
+  cluster.Run(Duration::Seconds(25));
+  EXPECT_EQ(cluster.Holds(kRole).size(), 1U);
+}
+
+// Symptom: a node acts in a role that it lost with an earlier lease.
+// Sequence: the lease lapses and the node is granted another, before the roles
+// are next looked at.
+// Cause: asking whether the node has a lease, not whether the role hangs on it.
+TEST(RoleLeasesTest, HoldEndsWithItsOwnLease) {
+  LeaseId lease(1);
+  RoleLeases roles =
+      RoleLeases::Builder()
+          .SetSelf(NodeId("n0"))
+          .SetLease([&](Time now) {
+            return HeldLease{lease, Incarnation(1), now + Duration::Seconds(9)};
+          })
+          .Build();
+  const Time now = Time::FromMillis(1000);
+  const auto actions = roles.SetDesired(now, {kRole});
+  const auto& request = std::get<StoreRequest>(actions.front());
+  roles.OnStoreReply(now, request.id, StoreWritten{Revision(7)});
+  ASSERT_TRUE(roles.Held(kRole, now));
+  lease = LeaseId(2);
+  EXPECT_FALSE(roles.Held(kRole, now));
+}
+
+>>>>>>> membership
 // Symptom: a new keeper gives orders with a lower fencing number than its
 // predecessor, and endpoints that check numbers refuse them for good.
 // Sequence: nodes know revision 1000; the service is restored from a backup at
@@ -192,6 +265,10 @@
     roles.insert(RoleName("role" + std::to_string(i)));
   }
   std::vector<NodeId> nodes;
+<<<<<<< HEAD
+=======
+  nodes.reserve(8);
+>>>>>>> membership
   for (int i = 0; i < 8; ++i) {
     nodes.emplace_back("n" + std::to_string(i));
   }
@@ -214,6 +291,10 @@
 
 TEST(RendezvousTest, KeysSpreadAndOnlyTheLostNodesKeysMove) {
   std::vector<NodeId> nodes;
+<<<<<<< HEAD
+=======
+  nodes.reserve(10);
+>>>>>>> membership
   for (int i = 0; i < 10; ++i) {
     nodes.emplace_back("node-" + std::to_string(i));
   }
