--- a/tests/coordination/role_leases_test.cc
+++ b/tests/coordination/role_leases_test.cc
@@ -144,8 +144,6 @@
   EXPECT_TRUE(cluster.HoldsAreTrue({kRole}));
 }
 
-<<<<<<< HEAD
-=======
 // Symptom: two nodes give orders in one role.
 // Sequence: a node gives up the role; the deletion of the key is slow; the node
 // is to take the role again; the deletion arrives.
@@ -216,7 +214,6 @@
   EXPECT_FALSE(roles.Held(kRole, now));
 }
 
->>>>>>> membership
 // Symptom: a new keeper gives orders with a lower fencing number than its
 // predecessor, and endpoints that check numbers refuse them for good.
 // Sequence: nodes know revision 1000; the service is restored from a backup at
@@ -265,10 +262,7 @@
     roles.insert(RoleName("role" + std::to_string(i)));
   }
   std::vector<NodeId> nodes;
-<<<<<<< HEAD
-=======
   nodes.reserve(8);
->>>>>>> membership
   for (int i = 0; i < 8; ++i) {
     nodes.emplace_back("n" + std::to_string(i));
   }
@@ -291,10 +285,7 @@
 
 TEST(RendezvousTest, KeysSpreadAndOnlyTheLostNodesKeysMove) {
   std::vector<NodeId> nodes;
-<<<<<<< HEAD
-=======
   nodes.reserve(10);
->>>>>>> membership
   for (int i = 0; i < 10; ++i) {
     nodes.emplace_back("node-" + std::to_string(i));
   }
