--- a/bench/repair_world.cc
+++ b/bench/repair_world.cc
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <utility>
 
-#include "coordination/record_changes.h"
+#include "coordination/coordination.h"
 
 namespace gcw::bench {
 namespace {
--- a/bench/repair_world.h
+++ b/bench/repair_world.h
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "coordination/coordination.h"
-#include "coordination/flap_tracker.h"
 
 namespace gcw::bench {
 
--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -14,6 +14,7 @@
 #include "coordination/membership.h"
 #include "coordination/membership_messages.h"
 #include "coordination/node_lease.h"
+#include "coordination/record_changes.h"
 #include "coordination/rendezvous.h"
 #include "coordination/repair_planner.h"
 #include "coordination/request.h"
--- a/coordination/domain_writer.h
+++ b/coordination/domain_writer.h
@@ -11,8 +11,8 @@
 
 namespace gcw {
 
-// How domain records stand in the key-value service; the codecs live in a higher
-// layer.
+// How domain records stand in the key-value service; the codecs live in a
+// higher layer.
 struct DomainRecordCodec {
   std::function<std::string(const DomainRecord&)> encode;
   // Absent where the text is no record.
--- a/tests/coordination/domain_writer_test.cc
+++ b/tests/coordination/domain_writer_test.cc
@@ -3,7 +3,6 @@
 #include <string>
 
 #include "coordination/coordination.h"
-#include "coordination/domain_writer.h"
 
 namespace gcw {
 namespace {
--- a/tests/coordination/group_keeper_test.cc
+++ b/tests/coordination/group_keeper_test.cc
@@ -6,7 +6,6 @@
 #include <cstdio>
 #include <string>
 
-#include "coordination/record_changes.h"
 #include "tests/support/groups_world.h"
 
 namespace gcw {
--- a/tests/coordination/repair_planner_test.cc
+++ b/tests/coordination/repair_planner_test.cc
@@ -3,7 +3,6 @@
 #include <string>
 
 #include "coordination/coordination.h"
-#include "coordination/flap_tracker.h"
 
 namespace gcw {
 namespace {
