--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -48,6 +48,7 @@
 #include "coordination/once_owner.h"
 #include "coordination/once_placement.h"
 #include "coordination/peer_message.h"
+#include "coordination/record_changes.h"
 #include "coordination/rendezvous.h"
 #include "coordination/repair_planner.h"
 #include "coordination/request.h"
