--- a/programs/gcw_load/entry_source.cc
+++ b/programs/gcw_load/entry_source.cc
@@ -38,12 +38,6 @@
   Ask(0);
 }
 
-void EntrySource::Stop() {
-  const std::lock_guard lock(mutex_);
-  stopped_ = true;
-  timer_.cancel();
-}
-
 std::optional<Address> EntrySource::Choose(const std::vector<Address>& tried) {
   if (direct_) {
     return tried.empty() ? direct_ : std::nullopt;
@@ -104,10 +98,6 @@
 }
 
 void EntrySource::AskAfter(Duration wait) {
-  const std::lock_guard lock(mutex_);
-  if (stopped_) {
-    return;
-  }
   timer_.expires_after(std::chrono::milliseconds(wait.millis()));
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
--- a/programs/gcw_load/entry_source.h
+++ b/programs/gcw_load/entry_source.h
@@ -30,8 +30,6 @@
 
   // `first` is told once whether there are addresses to use.
   void Start(std::function<void(bool)> first);
-  // Asks no more.
-  void Stop();
 
   // An address that is not among those tried. From any thread.
   std::optional<Address> Choose(const std::vector<Address>& tried);
@@ -53,11 +51,10 @@
   const std::optional<Address> direct_;
   const Clock clock_ = SystemClock();
   std::mutex mutex_;
-  // The members below are guarded by the mutex, but `next_` and `first_`, which
-  // belong to the one question that is open.
+  // Guarded by the mutex.
   EntryBook book_;
+  // The members below belong to the one question that is open or waits.
   boost::asio::steady_timer timer_;
-  bool stopped_ = false;
   std::size_t next_ = 0;
   std::function<void(bool)> first_;
 };
--- a/programs/gcw_load/load_command_line.cc
+++ b/programs/gcw_load/load_command_line.cc
@@ -12,7 +12,6 @@
 #include <boost/program_options.hpp>
 
 #include "protocol/protocol.h"
-#include "transport/address.h"
 
 namespace gcw {
 namespace {
--- a/programs/gcw_load/load_run.cc
+++ b/programs/gcw_load/load_run.cc
@@ -155,8 +155,9 @@
 void LoadRun::Finish() {
   recorder_.Record(
       [this](LoadTally& tally, KeyLedger&) { tally.ran_for = Since(start_); });
-  signals_.cancel();
-  entries_.Stop();
+  // Each request has its outcome. Without this the run would go on until the
+  // last pooled connection has aged out.
+  io_.stop();
 }
 
 }  // namespace gcw
--- a/transport/transport.h
+++ b/transport/transport.h
@@ -4,6 +4,7 @@
 // Public header of the transport library: everything that meets the network,
 // files and system clocks.
 
+#include "transport/address.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/http_types.h"
