load: choose entries without a pointer that may be null

Now addresses of weight 0 are taken out before the draw and the last one left is the answer where rounding leaves a rest. The help shows 0.2 as 0.2.

--- a/programs/gcw_load/entry_book.cc
+++ b/programs/gcw_load/entry_book.cc
@@ -36,19 +36,17 @@
   if (total <= 0) {
     return left[DrawBelow(random_, left.size())]->address;
   }
+  // Without those of weight 0, which the sum's rounding could else reach.
+  std::erase_if(left,
+                [](const WeightedEntry* entry) { return entry->weight <= 0; });
   double drawn = DrawUnit(random_) * total;
-  const WeightedEntry* chosen = nullptr;
   for (const WeightedEntry* entry : left) {
-    if (entry->weight <= 0) {
-      continue;
-    }
-    chosen = entry;
     drawn -= entry->weight;
     if (drawn < 0) {
-      break;
+      return entry->address;
     }
   }
-  return chosen->address;
+  return left.back()->address;
 }
 
 }  // namespace gcw
--- a/programs/gcw_load/load_command_line.cc
+++ b/programs/gcw_load/load_command_line.cc
@@ -83,7 +83,7 @@
   add("prompt-bytes", Default(std::size_t{256}), "length of a prompt");
   add("shared-prefix-bytes", Default(std::size_t{0}),
       "first part of the prompt that is alike in all");
-  add("whole-share", Default(0.2),
+  add("whole-share", options::value<double>()->default_value(0.2, "0.2"),
       "share of model requests asked for whole, not as a stream");
   add("timeout-ms", Default(std::int64_t{30000}), "time-out of a send");
   add("resends", Default(3), "further sends of a reservation, with its key");
--- a/programs/gcw_load/load_tally.h
+++ b/programs/gcw_load/load_tally.h
@@ -23,7 +23,7 @@
   std::int64_t sent = 0;
   // Whole, and its own.
   std::int64_t answered = 0;
-  // Not run.
+  // Not run; by the connection's failure where nothing was sent.
   TypeCounts refused;
   // It may have run, and no answer began.
   TypeCounts unknown;
