--- a/transport/transport.h
+++ b/transport/transport.h
@@ -9,7 +9,6 @@
 #include "transport/call_error.h"
 #include "transport/caller_service.h"
 #include "transport/engine_client.h"
-#include "transport/address.h"
 #include "transport/http_client.h"
 #include "transport/http_error.h"
 #include "transport/http_server.h"
