groups: the keeper plans only over domains of its zone

Symptom: all three nodes of the demo ended with std::out_of_range right after the first domain records were written. Cause: MakeView gave the planner records of every zone, and RepairPlan::IsWorthMoreThanSpares looks up the number of VMs of a record's domain (backtrace from gdb). Ruled out: the cache readings of the endpoint desk. Before: NodeCoreTest.KeepersOfTwoZonesHearOfEachOthersRecords failed with map::at. After: all 6 tests of NodeCoreTest pass.

--- a/coordination/group_keeper.cc
+++ b/coordination/group_keeper.cc
@@ -1,5 +1,6 @@
 #include "coordination/group_keeper.h"
 
+#include <set>
 #include <utility>
 
 #include "coordination/record_changes.h"
@@ -194,17 +195,26 @@
   view.wanted = wanted_;
   view.load_wait = load_wait_;
   view.drains_asked = drains_asked_;
-  for (const auto& [domain, foreign] : foreign_) {
-    view.records[domain] = foreign.record;
-  }
-  for (const auto& [domain, kept] : kept_) {
-    view.records[domain] = kept.writer().record();
-    view.drained.merge(kept.DrainedGroups(now, tracker_));
-  }
+  std::set<FabricDomainId> zone_domains;
   for (const auto& [vm, facts] : tracker_.all()) {
     if (facts.entry.purpose == VmPurpose::kModelEngine &&
         facts.entry.zone == zone_) {
       view.vms[vm] = Describe(now, vm, facts);
+      zone_domains.insert(facts.entry.domain);
+    }
+  }
+  // Records of all zones arrive here. The planner looks up the VMs of each
+  // record's domain, so one of another zone, or one that came before the VM
+  // list, would end the process.
+  for (const auto& [domain, foreign] : foreign_) {
+    if (zone_domains.contains(domain)) {
+      view.records[domain] = foreign.record;
+    }
+  }
+  for (const auto& [domain, kept] : kept_) {
+    if (zone_domains.contains(domain)) {
+      view.records[domain] = kept.writer().record();
+      view.drained.merge(kept.DrainedGroups(now, tracker_));
     }
   }
   return view;
--- a/tests/coordination/node_core_test.cc
+++ b/tests/coordination/node_core_test.cc
@@ -87,6 +87,33 @@
   }
 }
 
+// Symptom: every node ended with std::out_of_range when the first groups of two
+// data centres were written.
+// Sequence: keepers in two zones write their domains' records; each node hears
+// of both.
+// Cause: the keeper planned over records of domains in which its own zone has
+// no VM, and the planner looked such a domain's VMs up.
+TEST_F(NodeCoreTest, KeepersOfTwoZonesHearOfEachOthersRecords) {
+  fleet_.AddNode("n1", "z1");
+  fleet_.AddNode("n2", "z2");
+  for (const char* zone : {"1", "2"}) {
+    for (const char* number : {"1", "2", "3"}) {
+      fleet_.AddVm(std::string("v") + zone + number, std::string("d") + zone,
+                   std::string("z") + zone);
+    }
+  }
+  fleet_.RunFor(Duration::Seconds(3));
+  WantedModel model;
+  model.model = ModelId("notes");
+  model.vms_per_group = 2;
+  model.targets[ZoneId("z1")] = GroupTarget{1, 1};
+  model.targets[ZoneId("z2")] = GroupTarget{1, 1};
+  fleet_.WantModel(NodeId("n1"), model);
+  fleet_.RunFor(Duration::Seconds(60));
+  EXPECT_EQ(fleet_.core("n1").Endpoints(fleet_.now()).size(), 2U);
+  EXPECT_EQ(fleet_.core("n2").Endpoints(fleet_.now()).size(), 2U);
+}
+
 // Symptom: a group goes on getting requests after one of its VMs has died.
 // Sequence: two groups serve; a member that is not the first dies.
 // Cause: the first VM still answers, so only evidence on each VM shows it.
