--- a/bench/limits_figures.cc
+++ b/bench/limits_figures.cc
@@ -10,7 +10,7 @@
 constexpr double kMicrosPerSecond = 1e6;
 // Five seconds, in buckets.
 constexpr std::size_t kWindow = 50;
-constexpr std::size_t kSecond = 10;
+constexpr std::size_t kSamplesPerSecond = 10;
 
 }  // namespace
 
@@ -44,10 +44,11 @@
   }
   figures.over_mean /= static_cast<double>(windows);
   // By the second, so that what was refused in one is not made up in another.
-  for (std::size_t i = first; i + kSecond <= last; i += kSecond) {
+  for (std::size_t i = first; i + kSamplesPerSecond <= last;
+       i += kSamplesPerSecond) {
     double offered = 0;
     double in_second = 0;
-    for (std::size_t j = i; j < i + kSecond; ++j) {
+    for (std::size_t j = i; j < i + kSamplesPerSecond; ++j) {
       offered += static_cast<double>(offered_[j]);
       in_second += static_cast<double>(admitted_[j]);
     }
--- a/coordination/node_core.cc
+++ b/coordination/node_core.cc
@@ -15,6 +15,13 @@
   return settings;
 }
 
+// The record says which run of the process it is of, so that the list in the
+// key-value service and what nodes tell each other carry the same version.
+NodeCoreSettings WithIncarnation(NodeCoreSettings settings) {
+  settings.self.incarnation = settings.incarnation;
+  return settings;
+}
+
 // Makes attempt ids unique over nodes and their runs.
 std::string AttemptPrefix(const NodeCoreSettings& settings) {
   return settings.self.id.value() + "." +
@@ -28,7 +35,7 @@
                    Random random,
                    EventSink events,
                    Time started)
-    : settings_(std::move(settings)),
+    : settings_(WithIncarnation(std::move(settings))),
       codecs_(std::move(codecs)),
       events_(std::move(events)),
       lease_(NodeLease::Builder()
@@ -118,7 +125,10 @@
                  EndpointModules{&gate_, &keeper_, router_.get(), &admission_}),
       requests_(settings_.requests,
                 RequestModules{&admission_, router_.get(), once_client_.get(),
-                               guard_.get(), &retries_, &retry_after_},
+                               guard_.get(), &retries_, &retry_after_,
+                               [this](Time now, const EndpointId& endpoint) {
+                                 return gate_.IsOpen(now, endpoint);
+                               }},
                 AttemptPrefix(settings_),
                 events_) {
   membership_.SetIncarnation(started, settings_.incarnation);
@@ -184,6 +194,8 @@
   TellRoles(now);
   Apply(now, limits_.Tick(now));
   Apply(now, once_owner_->Tick(now));
+  once_owner_->OnRevisionSeen(configuration_->highest_revision());
+  once_client_->OnRevisionSeen(once_owner_->seen());
   Apply(now, endpoints_.Tick(now));
   Apply(now, requests_.OnOnce(now, once_client_->Tick(now)));
   Apply(now, requests_.OnGuard(now, guard_->Tick(now)));
@@ -358,6 +370,9 @@
   for (std::int64_t shard = 0; shard < settings_.limits.shards; ++shard) {
     shards.insert(LimitRole(LimitShard(shard)));
   }
+  std::set<RoleName> all = keepers;
+  all.insert(shards.begin(), shards.end());
+  roles_.SetFleet(std::move(all), membership_.view().Owners().size());
   std::set<RoleName> desired;
   if (configuration_->ready() && !leaving_since_) {
     const View& view = membership_.view();
@@ -365,23 +380,30 @@
         RolesOf(settings_.self.id, keepers, view.OwnersIn(settings_.self.zone));
     desired.merge(RolesOf(settings_.self.id, shards, view.Owners()));
   }
-  // A limit role is given up only when nothing granted under it lives.
+  KeepWhileReleasing(now, desired);
+  CallStoreFor(NodeModule::kRoleLeases,
+               roles_.SetDesired(now, std::move(desired)));
+}
+
+// A role is not given up at once. A keeper's successor waits out a lease before
+// its first order, so a view that changes back and forth would leave a domain
+// without repair; a limit role is given up when nothing granted under it lives.
+void NodeCore::KeepWhileReleasing(Time now, std::set<RoleName>& desired) {
   for (const RoleName& role : roles_.HeldRoles(now)) {
-    const std::optional<LimitShard> shard = LimitShardOf(role);
-    if (!shard || desired.contains(role)) {
+    if (desired.contains(role)) {
       releasing_.erase(role);
       continue;
     }
-    const auto [release, fresh] = releasing_.try_emplace(role, now);
-    if (fresh) {
+    const auto [release, fresh] =
+        releasing_.try_emplace(role, now + settings_.role_hold);
+    const std::optional<LimitShard> shard = LimitShardOf(role);
+    if (fresh && shard) {
       release->second = limits_.PrepareRelease(now, *shard);
     }
     if (now < release->second) {
       desired.insert(role);
     }
   }
-  CallStoreFor(NodeModule::kRoleLeases,
-               roles_.SetDesired(now, std::move(desired)));
 }
 
 void NodeCore::TellRoles(Time now) {
--- a/coordination/node_core.h
+++ b/coordination/node_core.h
@@ -64,6 +64,8 @@
   KeeperSettings keeper;
   EndpointDeskSettings endpoints;
   RequestDeskSettings requests;
+  // How long a keeper role that should go to another node is kept.
+  Duration role_hold = Duration::Seconds(10);
   // Between announcements of a role to nodes that came later.
   Duration role_announcement = Duration::Seconds(20);
 };
@@ -161,6 +163,7 @@
   void OnProposalFinished(const ProposalFinished& finished);
   void OnViewChanged(Time now);
   void UpdateRoles(Time now);
+  void KeepWhileReleasing(Time now, std::set<RoleName>& desired);
   void TellRoles(Time now);
   void AnnounceRole(const RoleName& role, FencingToken fence);
   void UpdateRefusal(Time now);
@@ -194,7 +197,7 @@
   std::uint64_t seen_view_ = 0;
   // Roles that were held at the last tick, and when each was announced.
   std::map<RoleName, Time> announced_roles_;
-  // Limit roles that go to another node, and when they may be released.
+  // Roles that go to another node, and when they may be released.
   std::map<RoleName, Time> releasing_;
   std::map<std::string, WantedModel> wanted_;
   std::map<ChangeId, std::vector<OperatorCallId>> operator_calls_;
--- a/coordination/node_core_actions.cc
+++ b/coordination/node_core_actions.cc
@@ -228,14 +228,9 @@
   if (entry.record.value) {
     contract = codecs_.decode_contract(*entry.record.value);
   }
-  if (!contract) {
-    limits_.OnContractWithdrawn(id);
-    Apply(now,
-          requests_.OnAdmission(now, admission_.OnContractWithdrawn(now, id)));
-    return;
-  }
-  limits_.OnContract(now, *contract);
-  admission_.OnContract(now, *contract);
+  Apply(now, requests_.OnAdmission(
+                 now, contract ? admission_.OnContract(now, *contract)
+                               : admission_.OnContractWithdrawn(now, id)));
 }
 
 void NodeCore::OnModelEntry(const ConfigEntry& entry) {
--- a/coordination/request_desk.cc
+++ b/coordination/request_desk.cc
@@ -241,19 +241,25 @@
   Dispatch(now, request, *route, NextAttemptId());
 }
 
+// A node that was paused wakes up with endpoints that opened long ago, and may
+// get here before its next tick; so the gate is asked once more, and an
+// endpoint without fresh evidence is left out.
 std::optional<Route> RequestDesk::ChooseRoute(Time now,
-                                              const Request& request,
+                                              Request& request,
                                               RefusalKind& reason) {
-  const Result<Route, RefusalKind> route =
-      request.allowed.empty()
-          ? modules_.router->Choose(now, request.profile, request.excluded)
-          : modules_.router->ChooseAmong(now, request.profile, request.excluded,
-                                         request.allowed);
-  if (!IsOk(route)) {
-    reason = ErrorOf(route);
-    return std::nullopt;
-  }
-  return ValueOf(route);
+  while (true) {
+    const Result<Route, RefusalKind> route = modules_.router->ChooseAmong(
+        now, request.profile, request.excluded, request.allowed);
+    if (!IsOk(route)) {
+      reason = ErrorOf(route);
+      return std::nullopt;
+    }
+    const EndpointId& endpoint = ValueOf(route).endpoint->id;
+    if (modules_.is_open(now, endpoint)) {
+      return ValueOf(route);
+    }
+    request.excluded.push_back(endpoint);
+  }
 }
 
 void RequestDesk::AskPermit(Time now, Request& request) {
--- a/coordination/request_desk.h
+++ b/coordination/request_desk.h
@@ -44,6 +44,8 @@
   FingerprintGuard* guard = nullptr;
   RetryBudget* retries = nullptr;
   RetryAfterPlanner* retry_after = nullptr;
+  // Whether the endpoint's serving gate is open at that time.
+  std::function<bool(Time, const EndpointId&)> is_open;
 };
 
 // An endpoint turned out to be gone when an attempt there broke.
@@ -148,7 +150,7 @@
   void Offer(Time now, Request& request);
   void StartAttempt(Time now, Request& request);
   std::optional<Route> ChooseRoute(Time now,
-                                   const Request& request,
+                                   Request& request,
                                    RefusalKind& reason);
   void AskPermit(Time now, Request& request);
   void Dispatch(Time now, Request& request, const Route& route, AttemptId id);
--- a/protocol/membership_wire.cc
+++ b/protocol/membership_wire.cc
@@ -27,6 +27,7 @@
   out->set_operator_address(record.operator_address.value());
   out->set_weight(record.weight);
   out->set_leaving(record.leaving);
+  out->set_incarnation(record.incarnation.value());
 }
 
 NodeRecord Get(const wire::NodeRecord& in, WireFaults& faults) {
@@ -39,6 +40,8 @@
   record.operator_address = Address(in.operator_address());
   record.weight = faults.Count(in.weight(), "record.weight");
   record.leaving = in.leaving();
+  record.incarnation =
+      faults.CountOf<Incarnation>(in.incarnation(), "record.incarnation");
   return record;
 }
 
--- a/tests/protocol/peer_codec_test.cc
+++ b/tests/protocol/peer_codec_test.cc
@@ -17,6 +17,7 @@
   record.zone = ZoneId("z");
   record.weight = 2;
   record.leaving = true;
+  record.incarnation = Incarnation(6);
   return {NodeId("n"), {Incarnation(4), 5}, MemberState::kAlive, record};
 }
 
@@ -30,8 +31,7 @@
           DeltaRumor{NodeId("n"),
                      {},
                      10,
-                     GroupEvidenceDelta{GroupId("g"), Generation(11), VmId("v"),
-                                        true, Duration::Millis(12)}}};
+                     RoleHolderDelta{RoleName("limit/3"), FencingToken(11)}}};
 }
 
 ConfigEntry SomeEntry() {
@@ -46,6 +46,20 @@
   return {201, {{"X-A", "\xff"}}, std::string("a\0b", 3)};
 }
 
+// Without `taken_at`, which is told as an age.
+LoadReport SomeReport() {
+  LoadReport report;
+  report.endpoint = EndpointId("e");
+  report.generation = Generation(1);
+  report.queued_requests = 2;
+  report.running_requests = 3;
+  report.batch_limit = 4;
+  report.queued_prompt_tokens = TokenCount(5);
+  report.cache_used = TokenCount(6);
+  report.cache_capacity = TokenCount(7);
+  return report;
+}
+
 LimitBatch SomeLimits() {
   LimitReport report;
   report.sender = {NodeId("n"), Incarnation(1)};
@@ -84,7 +98,11 @@
       ConfigMessage(ConfigPush{Revision(1), Revision(2), {SomeEntry()}}),
       GuardMessage(PermitRequest{
           AttemptId("a"), Fingerprint(-1), {EndpointId("e")}, EndpointId("f")}),
-      GuardMessage(PermitDone{AttemptId("a")}),
+      GuardMessage(PermitDone{AttemptId("a"), std::nullopt}),
+      GuardMessage(PermitDone{
+          AttemptId("a"),
+          FingerprintDelta{Fingerprint(-7), true, 2, Duration::Millis(9)}}),
+      LoadDigest{{SharedLoad{SomeReport(), Duration::Millis(5)}}},
       OnceMessage(OnceClaimRequest{OnceClaimId("c"), IdempotencyKey("k"),
                                    Fingerprint(-2), Duration::Millis(3),
                                    Revision(4)}),
