--- a/coordination/contract_share.cc
+++ b/coordination/contract_share.cc
@@ -100,8 +100,8 @@
   // are; as little as does not crowd out what others really ask for.
   const double requests =
       std::max(kLeastRequestRate, request_demand_.Measure(now));
-  const double tokens = std::max(kLeastRequestRate * last_estimate_,
-                                 token_demand_.Measure(now));
+  const double tokens =
+      std::max(kLeastRequestRate * last_estimate_, token_demand_.Measure(now));
   // One more than runs, so that the next request finds room.
   const auto at_once = static_cast<double>(running_ + 1 + turned_away_);
   turned_away_ = 0;
