--- a/coordination/endpoint_desk.cc
+++ b/coordination/endpoint_desk.cc
@@ -15,8 +15,8 @@
 }  // namespace
 
 EndpointDesk::EndpointDesk(EndpointDeskSettings settings,
-                           NodeId self,
-                           ZoneId zone,
+                           const NodeId& self,
+                           const ZoneId& zone,
                            EndpointModules modules)
     : settings_(settings),
       self_{self, zone},
--- a/coordination/endpoint_desk.h
+++ b/coordination/endpoint_desk.h
@@ -47,8 +47,8 @@
 class EndpointDesk {
  public:
   EndpointDesk(EndpointDeskSettings settings,
-               NodeId self,
-               ZoneId zone,
+               const NodeId& self,
+               const ZoneId& zone,
                EndpointModules modules);
 
   EndpointDeskActions OnView(Time now, const View& view);
--- a/coordination/node_core.cc
+++ b/coordination/node_core.cc
@@ -32,7 +32,7 @@
 
 NodeCore::NodeCore(NodeCoreSettings settings,
                    NodeCodecs codecs,
-                   Random random,
+                   const Random& random,
                    EventSink events,
                    Time started)
     : settings_(WithIncarnation(std::move(settings))),
--- a/coordination/node_core.h
+++ b/coordination/node_core.h
@@ -114,7 +114,7 @@
  private:
   NodeCore(NodeCoreSettings settings,
            NodeCodecs codecs,
-           Random random,
+           const Random& random,
            EventSink events,
            Time started);
 
--- a/coordination/request_desk.cc
+++ b/coordination/request_desk.cc
@@ -43,7 +43,7 @@
                          std::string attempt_prefix,
                          EventSink events)
     : settings_(settings),
-      modules_(modules),
+      modules_(std::move(modules)),
       attempt_prefix_(std::move(attempt_prefix)),
       events_(std::move(events)) {}
 
--- a/core/event_log.cc
+++ b/core/event_log.cc
@@ -77,6 +77,18 @@
   return hybrid_clock_.Observe(clock_(), remote);
 }
 
+EventPage EventLog::ReadNewest(std::size_t limit) const {
+  EventPage page;
+  const std::size_t count = std::min(limit, events_.size());
+  const auto skipped = static_cast<std::int64_t>(events_.size() - count);
+  page.events.assign(events_.begin() + skipped, events_.end());
+  page.dropped = first_counter_ - 1 + skipped;
+  if (!page.events.empty()) {
+    page.next = page.events.back().id;
+  }
+  return page;
+}
+
 Result<EventPage, EventReadError> EventLog::ReadSince(const EventId& after,
                                                       std::size_t limit) const {
   EventPage page;
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -84,6 +84,8 @@
   // Up to `limit` events after the one named, an empty id meaning the start.
   Result<EventPage, EventReadError> ReadSince(const EventId& after,
                                               std::size_t limit) const;
+  // The newest events, at most `limit`; `dropped` counts all earlier ones.
+  EventPage ReadNewest(std::size_t limit) const;
   // Causes and effects of a subject as far as this node's log knows them.
   Explanation Why(std::string_view subject) const;
 
--- a/programs/gcw_node/node_process.cc
+++ b/programs/gcw_node/node_process.cc
@@ -18,6 +18,9 @@
 namespace gcw {
 namespace {
 
+constexpr std::int64_t kNever = -1;
+// A caller that takes the end of its answer slower than this loses it.
+constexpr Duration kMostLastAnswers = Duration::Seconds(15);
 constexpr std::size_t kMostCallerConnections = 20000;
 constexpr std::size_t kMostOperatorConnections = 256;
 
@@ -94,6 +97,8 @@
   void BuildCore();
   void BuildServices();
   void StartThreads();
+  // The core's planned stop is complete; answers may still be on their way out.
+  void EndServing();
   // Tells on standard output where the node listens.
   void Announce() const;
 
@@ -121,7 +126,8 @@
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> operator_server;
   std::vector<std::thread> threads;
-  std::atomic<bool> stopped = false;
+  // Since when nothing new is accepted; absent before.
+  std::atomic<std::int64_t> accepting_ended_ms = kNever;
 };
 
 // The servers come first, since the core tells their ports to others. No
@@ -221,7 +227,7 @@
                                               settings.weights, clock);
   runtime = std::make_unique<NodeRuntime>(
       control, *core, log, *executor, node_metrics,
-      NodeRuntime::Hooks{clock, [this] { stopped = true; }});
+      NodeRuntime::Hooks{clock, [this] { EndServing(); }});
   CallerServiceSettings caller_settings = settings.callers;
   caller_settings.id_prefix =
       settings.core.self.id.value() + "-" +
@@ -239,6 +245,13 @@
   }
 }
 
+// A request ends for the core when its answer is queued. Ending the process
+// then would cut the answers of slow callers, so connections are let finish.
+void NodeProcess::Parts::EndServing() {
+  caller_server->StopAccepting();
+  accepting_ended_ms = clock().millis();
+}
+
 void NodeProcess::Parts::Announce() const {
   const NodeRecord& self = settings.core.self;
   std::cout << boost::json::serialize(boost::json::object{
@@ -281,7 +294,13 @@
 }
 
 bool NodeProcess::stopped() const {
-  return parts_->stopped;
+  const std::int64_t ended = parts_->accepting_ended_ms;
+  if (ended == kNever) {
+    return false;
+  }
+  const Duration waited = parts_->clock() - Time::FromMillis(ended);
+  return parts_->caller_server->open_connections() == 0 ||
+         waited >= kMostLastAnswers;
 }
 
 }  // namespace gcw
--- a/programs/gcw_node/node_settings.cc
+++ b/programs/gcw_node/node_settings.cc
@@ -14,7 +14,7 @@
 constexpr ListRange kAnyList{0, 64};
 constexpr DurationRange kShortSpan{Duration::Millis(10), Duration::Seconds(60)};
 constexpr DurationRange kLongSpan{Duration::Millis(100),
-                                  Duration::Seconds(24 * 3600)};
+                                  Duration::Seconds(24L * 3600)};
 
 // Keys whose text needs a second look once it is read.
 struct RawSettings {
--- a/protocol/sse_parser.h
+++ b/protocol/sse_parser.h
@@ -13,7 +13,7 @@
 class SseParser {
  public:
   // Without a bound an endpoint that never ends its line would fill the memory.
-  static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+  static constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
 
   using DataHook = std::function<void(std::string_view data)>;
 
--- a/tests/core/event_log_test.cc
+++ b/tests/core/event_log_test.cc
@@ -47,6 +47,23 @@
   EXPECT_EQ(observed_, 1);
 }
 
+// Symptom: the operators' time line ended minutes before the fault that they
+// looked for.
+// Sequence: more events than one page holds; the page is asked for without an
+// id. Cause: reading from the start gives the oldest events.
+TEST_F(EventLogTest, ReadsTheNewestAndCountsTheOthers) {
+  for (const char* subject : {"a", "b", "c", "d"}) {
+    Append(subject);
+  }
+  const EventPage page = log_.ReadNewest(2);
+  ASSERT_EQ(page.events.size(), 2U);
+  EXPECT_EQ(page.events[0].draft.subject, "c");
+  EXPECT_EQ(page.events[1].draft.subject, "d");
+  EXPECT_EQ(page.dropped, 2);
+  EXPECT_EQ(page.next, page.events[1].id);
+  EXPECT_TRUE(Read(page.next).events.empty());
+}
+
 TEST_F(EventLogTest, ReadsOnInPages) {
   Append("a");
   Append("b");
--- a/transport/action_executor.cc
+++ b/transport/action_executor.cc
@@ -54,7 +54,7 @@
       weights_(std::move(weights)),
       clock_(std::move(clock)) {}
 
-void ActionExecutor::Execute(CallStore action) {
+void ActionExecutor::Execute(const CallStore& action) {
   const NodeModule module = action.module;
   const StoreCallId id = action.id;
   clients_.store->Call(action.call, [this, module, id](StoreReply reply) {
@@ -66,7 +66,7 @@
   clients_.send_to_peer(std::move(action));
 }
 
-void ActionExecutor::Execute(SendProbe action) {
+void ActionExecutor::Execute(const SendProbe& action) {
   if (action.probe.purpose == VmPurpose::kModelEngine) {
     ProbeEngine(action);
   } else {
@@ -98,7 +98,7 @@
       });
 }
 
-void ActionExecutor::Execute(SendOrder action) {
+void ActionExecutor::Execute(const SendOrder& action) {
   const OrderId id = action.id;
   clients_.engines->SendOrder(
       action.address, action.order, action.timeout,
@@ -130,7 +130,7 @@
   request.method = "GET";
   request.target = "/weights";
   FetchDecoded<WeightStoreStatus>(
-      platform_, weights_, std::move(request), OptionsWithin(kReadTimeout),
+      platform_, weights_, request, OptionsWithin(kReadTimeout),
       DecodeWeightStoreStatus,
       [this](const Result<WeightStoreStatus, CallError>& status) {
         if (IsOk(status)) {
@@ -139,7 +139,7 @@
       });
 }
 
-void ActionExecutor::Execute(ReadLoad action) {
+void ActionExecutor::Execute(const ReadLoad& action) {
   const EndpointId endpoint = action.endpoint.id;
   clients_.engines->ReadLoad(
       action.endpoint.address, kReadTimeout,
@@ -154,7 +154,7 @@
       });
 }
 
-void ActionExecutor::Execute(ReadCacheEvents action) {
+void ActionExecutor::Execute(const ReadCacheEvents& action) {
   const Endpoint& endpoint = action.endpoint;
   clients_.engines->ReadCacheEvents(
       endpoint.address, action.after, kReadTimeout,
--- a/transport/action_executor.h
+++ b/transport/action_executor.h
@@ -36,14 +36,14 @@
   void SetPost(std::function<void(NodeEvent)> post) { post_ = std::move(post); }
 
   // All on the control thread.
-  void Execute(CallStore action);
+  void Execute(const CallStore& action);
   void Execute(SendToPeer action);
-  void Execute(SendProbe action);
-  void Execute(SendOrder action);
+  void Execute(const SendProbe& action);
+  void Execute(const SendOrder& action);
   void Execute(const ReadVmList& action);
   void Execute(const ReadWeightStore& action);
-  void Execute(ReadLoad action);
-  void Execute(ReadCacheEvents action);
+  void Execute(const ReadLoad& action);
+  void Execute(const ReadCacheEvents& action);
   void Execute(const DropConnections& action);
   // The core spreads records itself.
   void Execute(const PublishRecord&) {}
--- a/transport/caller_exchange.h
+++ b/transport/caller_exchange.h
@@ -50,7 +50,7 @@
  private:
   // The caller is too slow to take its stream; its part that waits here would
   // fill the memory.
-  static constexpr std::size_t kMaxUnsentBytes = 4 * 1024 * 1024;
+  static constexpr std::size_t kMaxUnsentBytes = 4UL * 1024 * 1024;
 
   void StartAttempt(const DispatchAttempt& dispatch);
   HttpCallHandlers MakeHandlers(const DispatchAttempt& dispatch);
--- a/transport/caller_service.cc
+++ b/transport/caller_service.cc
@@ -96,7 +96,7 @@
       clock_(std::move(clock)) {}
 
 void CallerService::Handle(HttpRequest request,
-                           std::shared_ptr<HttpResponder> responder) {
+                           const std::shared_ptr<HttpResponder>& responder) {
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (path.starts_with(kServicePath)) {
     HandleService(std::move(request), responder);
--- a/transport/caller_service.h
+++ b/transport/caller_service.h
@@ -41,7 +41,8 @@
                 Clock clock);
 
   // To be used as the handler of an `HttpServer`.
-  void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+  void Handle(HttpRequest request,
+              const std::shared_ptr<HttpResponder>& responder);
 
  private:
   using Responder = std::shared_ptr<HttpResponder>;
--- a/transport/chat_receiver.cc
+++ b/transport/chat_receiver.cc
@@ -9,7 +9,7 @@
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusConflict = 409;
 constexpr int kStatusUnavailable = 503;
-constexpr std::size_t kMaxOtherBodyBytes = 64 * 1024;
+constexpr std::size_t kMaxOtherBodyBytes = 64UL * 1024;
 constexpr std::string_view kEndOfStream = "[DONE]";
 
 AttemptBroke Malformed(TokenCount delivered) {
--- a/transport/operator_service.cc
+++ b/transport/operator_service.cc
@@ -134,8 +134,8 @@
       families_{{"contracts", kContractPrefix, NormalizeContract},
                 {"models", kModelPrefix, NormalizeModel}} {}
 
-void OperatorService::Handle(HttpRequest request,
-                             std::shared_ptr<HttpResponder> responder) {
+void OperatorService::Handle(const HttpRequest& request,
+                             const std::shared_ptr<HttpResponder>& responder) {
   if (!IsAuthorized(request)) {
     responder->Respond(ErrorResponse(
         kStatusUnauthorized, "credential_wrong",
@@ -307,8 +307,9 @@
       static_cast<std::size_t>(ParseNumber(QueryValue(request.target, "limit"))
                                    .value_or(kDefaultEvents));
   runtime_.Run([responder, after, limit](NodeCore&, EventLog& log, Time) {
+    const std::size_t most = std::min(limit, kMostEvents);
     const Result<EventPage, EventReadError> page =
-        log.ReadSince(after, std::min(limit, kMostEvents));
+        after.empty() ? log.ReadNewest(most) : log.ReadSince(after, most);
     if (!IsOk(page)) {
       responder->Respond(ErrorResponse(kStatusBadRequest, "invalid_event_id",
                                        "`after` is no event id of this node."));
--- a/transport/operator_service.h
+++ b/transport/operator_service.h
@@ -22,7 +22,8 @@
   OperatorService(Secret credential, NodeRuntime& runtime, Metrics& metrics);
 
   // To be used as the handler of an `HttpServer`.
-  void Handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+  void Handle(const HttpRequest& request,
+              const std::shared_ptr<HttpResponder>& responder);
 
  private:
   using Responder = std::shared_ptr<HttpResponder>;
--- a/transport/service_receiver.h
+++ b/transport/service_receiver.h
@@ -13,7 +13,7 @@
 class ServiceReceiver : public AnswerReceiver {
  public:
   // Largest answer that is kept for a second send of the same request.
-  static constexpr std::size_t kMaxKeptBytes = 64 * 1024;
+  static constexpr std::size_t kMaxKeptBytes = 64UL * 1024;
 
   // `request` is as it goes to the service, without the attempt's headers.
   ServiceReceiver(RequestId id,
