programs: a test of the whole path with real processes

Cause: each part has tests of its own, but none started gcw-node beside the stand-ins as processes, so that a part which is not wired to the next one was seen only by scripts/demo, which nothing runs by itself.

`tests/support/process_fleet.h` starts programs on kernel-chosen ports, reads the line that each prints, and kills its children by their ids. The first test brings up a group by the keeper, checks streamed and whole answers against the reference, the refusal of an unknown key, and that a reservation sent through two nodes with one key runs once. It polls for conditions and asserts on no time.

Ruled out: a time to live of 3 s for the lease. Within the default time-out and margin of orders (2 s and 1 s) such a keeper never may send an order, and no group came up in 100 s.

--- /dev/null
+++ b/tests/programs/whole_path_test.cc
@@ -0,0 +1,415 @@
+#include <atomic>
+#include <future>
+#include <optional>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "programs/gcw_load/answer_verdict.h"
+#include "programs/gcw_load/error_answer.h"
+#include "programs/gcw_load/stream_checker.h"
+#include "programs/gcwctl/operator_client.h"
+#include "tests/support/process_fleet.h"
+
+namespace gcw {
+namespace {
+
+namespace json = boost::json;
+
+constexpr const char* kCallerKey = "whole-path-caller-key";
+constexpr const char* kModelPath = "/v1/chat/completions";
+constexpr const char* kDomain = "lj-1-f1";
+constexpr int kStatusOk = 200;
+
+// What came back of one call, also where it ended early.
+struct Received {
+  HttpResponse answer{0, {}, {}};
+  std::optional<HttpFailure> failure;
+};
+
+// Sends the request and collects what comes back. `on_body` sees each piece.
+Received Exchange(
+    const Address& address,
+    HttpRequest request,
+    const std::function<void()>& on_body = [] {}) {
+  HttpCallOptions options;
+  options.connect_timeout = options.progress_timeout = Duration::Seconds(30);
+  Received received;
+  boost::asio::io_context context;
+  HttpClient client(context);
+  HttpCallHandlers handlers;
+  handlers.on_head = [&](const HttpResponse& head) { received.answer = head; };
+  handlers.on_body = [&](std::string_view chunk) {
+    received.answer.body += chunk;
+    on_body();
+  };
+  handlers.on_end = [&] { context.stop(); };
+  handlers.on_failure = [&](HttpFailure failure) {
+    received.failure = failure;
+    context.stop();
+  };
+  client.Send(address, std::move(request), options, std::move(handlers));
+  context.run();
+  return received;
+}
+
+HttpRequest CallerRequest(const std::string& method,
+                          const std::string& target,
+                          const std::string& body,
+                          const std::string& key = kCallerKey) {
+  HttpRequest request;
+  request.method = method;
+  request.target = target;
+  request.headers = {{"Authorization", "Bearer " + key}};
+  request.body = body;
+  return request;
+}
+
+ChatRequest Chat(const std::string& prompt, bool stream, int tokens = 16) {
+  ChatRequest chat;
+  chat.model = ModelId("notes");
+  chat.messages = {{"user", prompt}};
+  chat.max_tokens = TokenCount(tokens);
+  chat.stream = stream;
+  return chat;
+}
+
+enum class Outcome {
+  kWhole,
+  // The caller was told of an error, by a status or in the stream.
+  kToldError,
+  // It ended without a word.
+  kCut,
+  // It looked whole and was not.
+  kWrong,
+};
+
+Outcome JudgeVerdict(const AnswerVerdict& verdict, const std::string& body) {
+  if (std::holds_alternative<WholeVerdict>(verdict)) {
+    return Outcome::kWhole;
+  }
+  if (std::holds_alternative<ViolationVerdict>(verdict)) {
+    return Outcome::kWrong;
+  }
+  const bool told = body.find("data: {\"error\"") != std::string::npos;
+  return told ? Outcome::kToldError : Outcome::kCut;
+}
+
+Outcome Judge(const ChatRequest& chat, const Received& received) {
+  const HttpResponse& answer = received.answer;
+  const ExpectedAnswer expected{
+      ReferenceAnswer(PromptOf(chat), chat.max_tokens), AttemptId()};
+  if (answer.status == kStatusOk && chat.stream) {
+    StreamChecker checker(expected);
+    checker.OnBytes(answer.body);
+    return JudgeVerdict(
+        received.failure ? checker.OnFailure("cut") : checker.OnEnd(),
+        answer.body);
+  }
+  if (received.failure) {
+    return Outcome::kCut;
+  }
+  if (answer.status == kStatusOk) {
+    return JudgeVerdict(CheckWholeAnswer(answer.body, expected), answer.body);
+  }
+  return ReadErrorAnswer(answer.body) ? Outcome::kToldError : Outcome::kCut;
+}
+
+void ExpectWholeOrTold(Outcome outcome) {
+  EXPECT_TRUE(outcome == Outcome::kWhole || outcome == Outcome::kToldError)
+      << static_cast<int>(outcome);
+}
+
+// One fabric domain of three engines, which serve one group of two, one plain
+// service, and as many nodes as a test starts.
+class WholePathTest : public testing::Test {
+ protected:
+  using Node = ProcessFleet::NodeAddresses;
+
+  void SetUp() override {
+    store_ = fleet_.StartStandin("store", {"store"});
+    weights_ = fleet_.StartStandin("weights", {"weights"});
+    VmListSnapshot list;
+    for (const std::string vm : {"v1", "v2", "v3"}) {
+      list.vms.push_back(StartEngine(vm));
+    }
+    desk_ = fleet_.StartStandin("desk", {"service", "--vm", "desk"});
+    VmEntry desk;
+    desk.id = VmId("desk");
+    desk.purpose = VmPurpose::kPlainService;
+    desk.zone = ZoneId("lj-1");
+    desk.address = desk_;
+    desk.service = ServiceId("reservations");
+    list.vms.push_back(desk);
+    fleet_.folder().Write("vms.json", EncodeVmList(list));
+    vm_list_ = fleet_.StartStandin(
+        "vmlist",
+        {"vmlist", "--vms", fleet_.folder().File("vms.json").string()});
+  }
+
+  VmEntry StartEngine(const std::string& vm) {
+    VmEntry entry;
+    entry.id = VmId(vm);
+    entry.domain = FabricDomainId(kDomain);
+    entry.zone = ZoneId("lj-1");
+    entry.accelerators = 1;
+    entry.address = fleet_.StartStandin(
+        vm, {"engine", "--vm", vm, "--weights", weights_.value(),
+             "--shard-bytes", "20000000"});
+    return entry;
+  }
+
+  Node StartNode(const std::string& id) {
+    return fleet_.StartNode(
+        id,
+        "zone = \"lj-1\"\nregion = \"lj\"\n"
+        "[store]\naddress = \"" +
+            store_.value() +
+            "\"\n"
+            "[vm_list]\naddress = \"" +
+            vm_list_.value() +
+            "\"\n"
+            "interval_ms = 500\n"
+            "[weights]\naddress = \"" +
+            weights_.value() +
+            "\"\n"
+            "[lease]\ntime_to_live_ms = 5000\nrenew_interval_ms = 700\n"
+            "margin_ms = 500\n"
+            "[orders]\ntakeover_wait_ms = 5000\n"
+            "[keeper]\nlist_lag_ms = 2000\n"
+            "[callers]\nmodel_progress_timeout_ms = 2000\n"
+            "[entries]\nkeep_ms = 500\nspread_ms = 500\n"
+            "[log]\nevents = true\n");
+  }
+
+  // Status 0 where no answer came.
+  static OperatorAnswer Operate(const Node& node,
+                                const std::string& method,
+                                const std::string& target,
+                                const std::string& body = "") {
+    OperatorClient client(node.operators,
+                          Secret(ProcessFleet::kOperatorCredential),
+                          Duration::Seconds(20));
+    auto answer = client.Call(method, target, body);
+    return IsOk(answer) ? std::move(ValueOf(answer)) : OperatorAnswer{};
+  }
+
+  static Contract CallerContract() {
+    Contract contract;
+    contract.id = ContractId("team");
+    contract.customer = "A team";
+    contract.tier = Tier::kPaid;
+    contract.models = {ModelId("notes")};
+    contract.services = {ServiceId("reservations")};
+    contract.requests_per_second = 1000;
+    contract.tokens_per_second = 1e6;
+    contract.concurrency = 100;
+    contract.keys = {DigestOfKey(kCallerKey)};
+    return contract;
+  }
+
+  static bool PutModel(const Node& node) {
+    WantedModel model;
+    model.model = ModelId("notes");
+    model.vms_per_group = 2;
+    model.targets[ZoneId("lj-1")] = {1, 1};
+    return Operate(node, "PUT", "/v1/models/notes?expected=0&change=model",
+                   EncodeWantedModel(model))
+               .status == kStatusOk;
+  }
+
+  static bool PutContract(const Node& node) {
+    return Operate(node, "PUT", "/v1/contracts/team?expected=0&change=contract",
+                   EncodeContract(CallerContract()))
+               .status == kStatusOk;
+  }
+
+  // Model and contract are in force and the group serves, seen by this node.
+  void WaitUntilServing(const Node& node) {
+    ASSERT_TRUE(fleet_.Until([&] { return PutModel(node); }));
+    ASSERT_TRUE(fleet_.Until([&] { return PutContract(node); }));
+    ASSERT_TRUE(AnswersSoon(node));
+  }
+
+  static Outcome Ask(const Node& node, const ChatRequest& chat) {
+    return Judge(
+        chat, Exchange(node.callers, CallerRequest("POST", kModelPath,
+                                                   EncodeChatRequest(chat))));
+  }
+
+  // Asks in both ways until both are answered. Whatever comes before must be a
+  // told error.
+  bool AnswersSoon(const Node& node) {
+    return fleet_.Until([&] {
+      const Outcome streamed = AskNext(node, true);
+      const Outcome whole = AskNext(node, false);
+      return streamed == Outcome::kWhole && whole == Outcome::kWhole;
+    });
+  }
+
+  Outcome AskNext(const Node& node, bool stream) {
+    const ChatRequest chat =
+        Chat("question " + std::to_string(++questions_), stream);
+    const Outcome outcome = Ask(node, chat);
+    ExpectWholeOrTold(outcome);
+    return outcome;
+  }
+
+  // The group's record as the node sees it, empty while there is none.
+  static json::object Group(const Node& node) {
+    const json::object page = Operate(node, "GET", "/v1/groups").body;
+    const json::value* groups = page.if_contains("groups");
+    if (groups == nullptr || groups->as_array().empty()) {
+      return {};
+    }
+    return groups->as_array().front().as_object();
+  }
+
+  static std::string Member(const Node& node, std::size_t rank) {
+    const json::object group = Group(node);
+    return std::string(group.at("members").as_array().at(rank).as_string());
+  }
+
+  static bool HasMember(const Node& node, const std::string& vm) {
+    const json::object group = Group(node);
+    const json::value* members = group.if_contains("members");
+    return members != nullptr &&
+           json::serialize(*members).find('"' + vm + '"') != std::string::npos;
+  }
+
+  static bool HoldsRoles(const Node& node) {
+    const json::object page = Operate(node, "GET", "/v1/status").body;
+    const json::value* roles = page.if_contains("roles");
+    return roles != nullptr && !roles->as_array().empty();
+  }
+
+  static std::int64_t ContractRevision(const Node& node) {
+    const json::object page = Operate(node, "GET", "/v1/contracts/team").body;
+    const json::value* revision = page.if_contains("revision");
+    return revision == nullptr ? 0 : revision->as_int64();
+  }
+
+  // Lowers the contract's concurrency, always with the same change id.
+  static int PutSecondContract(const Node& node, std::int64_t expected) {
+    Contract contract = CallerContract();
+    contract.concurrency = 50;
+    return Operate(node, "PUT",
+                   "/v1/contracts/team?change=second&expected=" +
+                       std::to_string(expected),
+                   EncodeContract(contract))
+        .status;
+  }
+
+  // By the node's own time line, how often the group was closed. Fails where a
+  // request went to it while it was.
+  static int CountClosings(const Node& node, const std::string& group) {
+    const json::object page =
+        Operate(node, "GET", "/v1/timeline?limit=5000").body;
+    int closings = 0;
+    bool is_open = false;
+    for (const json::value& event : page.at("events").as_array()) {
+      const std::string kind(event.at("event").as_string());
+      if (event.at("subject").as_string() == group) {
+        is_open =
+            kind == "group_serving" || (is_open && kind != "group_closed");
+        closings += kind == "group_closed" ? 1 : 0;
+      }
+      if (kind == "request_dispatched" || kind == "request_retried") {
+        EXPECT_TRUE(is_open ||
+                    event.at("fields").at("endpoint").as_string() != group)
+            << json::serialize(event);
+      }
+    }
+    return closings;
+  }
+
+  // Switches a fault of a stand-in.
+  static void SetFault(const Address& standin,
+                       const std::string& name,
+                       bool value) {
+    const std::string body =
+        json::serialize(json::object{{"name", name}, {"value", value}});
+    const Received received =
+        Exchange(standin, CallerRequest("POST", "/faults", body));
+    ASSERT_EQ(received.answer.status, kStatusOk);
+  }
+
+  ProcessFleet fleet_;
+  Address store_;
+  Address weights_;
+  Address desk_;
+  Address vm_list_;
+  int questions_ = 0;
+};
+
+// An answer that comes while the test goes on.
+class LongAnswer {
+ public:
+  LongAnswer(const Address& node, const ChatRequest& chat)
+      : received_(std::async(std::launch::async, [this, node, chat] {
+          return Exchange(
+              node, CallerRequest("POST", kModelPath, EncodeChatRequest(chat)),
+              [this] { has_begun_ = true; });
+        })) {}
+
+  bool has_begun() const { return has_begun_; }
+  Received Wait() { return received_.get(); }
+
+ private:
+  std::atomic<bool> has_begun_ = false;
+  std::future<Received> received_;
+};
+
+// Sends the reservation with one key until it is answered; refused sends were
+// not run, so that sending again is right.
+class Reservation {
+ public:
+  explicit Reservation(const ProcessFleet& fleet) : fleet_(fleet) {}
+
+  HttpResponse SendUntilAnswered(const Address& node) const {
+    Received received;
+    EXPECT_TRUE(fleet_.Until([&] {
+      HttpRequest request = CallerRequest(
+          "POST", "/services/reservations/seats", R"({"seat":"12A"})");
+      request.headers.push_back({"Idempotency-Key", "seat-12A"});
+      received = Exchange(node, std::move(request));
+      return received.answer.status == kStatusOk;
+    })) << received.answer.body;
+    return received.answer;
+  }
+
+ private:
+  const ProcessFleet& fleet_;
+};
+
+// Symptom: a fleet whose parts pass their own tests serves nobody, a caller
+// gets another's text, or one reservation is made twice.
+// Sequence of events: two nodes start on an empty store, operators put a model
+// and a contract, callers ask through both nodes, and a reservation is sent
+// again through the other node.
+// Cause: a part that is not wired to the next, or each node remembering for
+// itself which keys have run.
+TEST_F(WholePathTest, ServesStreamsWholeAnswersAndReservationsOnce) {
+  const Node first = StartNode("n1");
+  const Node second = StartNode("n2");
+  ASSERT_NO_FATAL_FAILURE(WaitUntilServing(first));
+  ASSERT_TRUE(AnswersSoon(second));
+  const ChatRequest chat = Chat("hello", false);
+  const Received refused = Exchange(
+      first.callers, CallerRequest("POST", kModelPath, EncodeChatRequest(chat),
+                                   "a-key-of-nobody"));
+  EXPECT_EQ(refused.answer.status, 401);
+  EXPECT_EQ(ReadErrorAnswer(refused.answer.body)->type, "unknown_key");
+
+  const Reservation reservation(fleet_);
+  const HttpResponse one = reservation.SendUntilAnswered(first.callers);
+  const HttpResponse two = reservation.SendUntilAnswered(second.callers);
+  EXPECT_EQ(one.body, two.body);
+  const Received counts =
+      Exchange(desk_, CallerRequest("GET", "/executions", ""));
+  EXPECT_EQ(json::parse(counts.answer.body).at("total"), 1)
+      << counts.answer.body;
+}
+
+}  // namespace
+}  // namespace gcw
--- /dev/null
+++ b/tests/support/process_fleet.h
@@ -0,0 +1,245 @@
+#ifndef TESTS_SUPPORT_PROCESS_FLEET_H_
+#define TESTS_SUPPORT_PROCESS_FLEET_H_
+
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <iterator>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <boost/json.hpp>
+
+#include "transport/transport.h"
+
+namespace gcw {
+
+// A folder of its own below the system's temporary one, removed at the end.
+class TemporaryFolder {
+ public:
+  TemporaryFolder() {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "gcw-test-XXXXXX").string();
+    if (mkdtemp(pattern.data()) == nullptr) {
+      throw std::runtime_error("no temporary folder can be made");
+    }
+    path_ = pattern;
+  }
+  ~TemporaryFolder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+
+  std::filesystem::path File(const std::string& name) const {
+    return path_ / name;
+  }
+  void Write(const std::string& name, const std::string& text) const {
+    std::ofstream(File(name)) << text;
+  }
+  std::string Read(const std::string& name) const {
+    std::ifstream in(File(name));
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+
+ private:
+  std::filesystem::path path_;
+};
+
+// One program of ours, running. It is killed by its id and waited for at the
+// end, also where it is stopped.
+class ChildProcess {
+ public:
+  // Its standard error goes to the file `log`.
+  ChildProcess(const std::string& program,
+               const std::vector<std::string>& arguments,
+               const std::filesystem::path& log) {
+    int ends[2];
+    if (pipe2(ends, O_CLOEXEC) != 0) {
+      throw std::runtime_error("no pipe can be made");
+    }
+    output_ = ends[0];
+    const int failure = Spawn(program, arguments, log.string(), ends[1]);
+    close(ends[1]);
+    if (failure != 0) {
+      close(output_);
+      throw std::runtime_error(program + " cannot be started");
+    }
+  }
+  ~ChildProcess() {
+    Signal(SIGKILL);
+    waitpid(pid_, nullptr, 0);
+    close(output_);
+  }
+  ChildProcess(const ChildProcess&) = delete;
+  ChildProcess& operator=(const ChildProcess&) = delete;
+
+  // The id stays this child's until the destructor has waited for it.
+  void Signal(int signal) const { kill(pid_, signal); }
+
+  // The object on the first line of standard output, which tells where the
+  // program listens; empty where none came in time.
+  boost::json::object ReadAnnouncement(std::chrono::milliseconds patience) {
+    std::string line;
+    char character = 0;
+    pollfd waited{output_, POLLIN, 0};
+    while (poll(&waited, 1, static_cast<int>(patience.count())) > 0 &&
+           read(output_, &character, 1) == 1 && character != '\n') {
+      line.push_back(character);
+    }
+    boost::json::error_code error;
+    boost::json::value value = boost::json::parse(line, error);
+    return error || !value.is_object() ? boost::json::object()
+                                       : std::move(value.as_object());
+  }
+
+ private:
+  int Spawn(const std::string& program,
+            const std::vector<std::string>& arguments,
+            const std::string& log,
+            int output) {
+    std::vector<char*> words{const_cast<char*>(program.c_str())};
+    for (const std::string& argument : arguments) {
+      words.push_back(const_cast<char*>(argument.c_str()));
+    }
+    words.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    const int failure = posix_spawn(&pid_, program.c_str(), &actions, nullptr,
+                                    words.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    return failure;
+  }
+
+  pid_t pid_ = 0;
+  int output_ = -1;
+};
+
+// Stand-ins and nodes as processes on loopback, on ports that the kernel
+// chooses. A failed test prints the end of their logs.
+class ProcessFleet {
+ public:
+  static constexpr const char* kOperatorCredential = "test-operator-credential";
+
+  ProcessFleet() {
+    folder_.Write("peer.secret", "test-peer-secret-of-no-use");
+    folder_.Write("operator.secret", kOperatorCredential);
+  }
+  ~ProcessFleet() {
+    if (testing::Test::HasFailure()) {
+      PrintLogs();
+    }
+  }
+  ProcessFleet(const ProcessFleet&) = delete;
+  ProcessFleet& operator=(const ProcessFleet&) = delete;
+
+  const TemporaryFolder& folder() const { return folder_; }
+
+  // Starts `gcw-standin`, whose first argument is the part that it plays.
+  Address StartStandin(const std::string& name,
+                       const std::vector<std::string>& arguments) {
+    return AddressIn(Start(name, "gcw-standin", arguments), "address");
+  }
+
+  struct NodeAddresses {
+    Address callers;
+    Address operators;
+  };
+
+  // Starts `gcw-node`; `settings` follow those that every node needs.
+  NodeAddresses StartNode(const std::string& id, const std::string& settings) {
+    folder_.Write(id + ".toml", "[node]\nid = \"" + id + "\"\n" + settings +
+                                    "[operators]\n"
+                                    "credential_file = \"operator.secret\"\n"
+                                    "[peers]\nsecret_file = \"peer.secret\"\n");
+    const boost::json::object announced = Start(
+        id, "gcw-node", {"--settings", folder_.File(id + ".toml").string()});
+    return {AddressIn(announced, "callers"), AddressIn(announced, "operators")};
+  }
+
+  void Signal(const std::string& name, int signal) const {
+    children_.at(name)->Signal(signal);
+  }
+
+  // Looks again and again until the condition holds; false where it did not in
+  // time. All waits of a test end before CTest's own time-out, which would
+  // leave the processes behind.
+  bool Until(const std::function<bool()>& condition) const {
+    const auto end = std::min(Now() + kLongestWait, started_ + kLongestTest);
+    while (!condition()) {
+      if (Now() > end) {
+        return false;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return true;
+  }
+
+ private:
+  static constexpr std::chrono::seconds kLongestWait{60};
+  static constexpr std::chrono::seconds kLongestTest{100};
+  static constexpr std::size_t kLogBytesShown = 4000;
+
+  static std::chrono::steady_clock::time_point Now() {
+    return std::chrono::steady_clock::now();
+  }
+
+  static Address AddressIn(const boost::json::object& announced,
+                           std::string_view field) {
+    return Address(std::string(announced.at(field).as_string()));
+  }
+
+  boost::json::object Start(const std::string& name,
+                            const std::string& program,
+                            const std::vector<std::string>& arguments) {
+    auto child =
+        std::make_unique<ChildProcess>(GCW_BINARY_FOLDER "/" + program,
+                                       arguments, folder_.File(name + ".log"));
+    boost::json::object announced = child->ReadAnnouncement(kLongestWait);
+    if (announced.empty()) {
+      throw std::runtime_error(
+          name + " did not start: " + folder_.Read(name + ".log"));
+    }
+    children_[name] = std::move(child);
+    return announced;
+  }
+
+  void PrintLogs() const {
+    for (const auto& [name, child] : children_) {
+      const std::string log = folder_.Read(name + ".log");
+      const std::size_t skipped =
+          log.size() - std::min(log.size(), kLogBytesShown);
+      std::cerr << "== log of " << name << '\n' << log.substr(skipped) << '\n';
+    }
+  }
+
+  // The folder outlives the processes that write to it.
+  TemporaryFolder folder_;
+  std::map<std::string, std::unique_ptr<ChildProcess>> children_;
+  std::chrono::steady_clock::time_point started_ = Now();
+};
+
+}  // namespace gcw
+
+#endif  // TESTS_SUPPORT_PROCESS_FLEET_H_
