programs: a killed VM, a store outage and a stopped VM with real processes

Cause: these failures were brought about in the core's virtual time and in scripts/demo, but no test that runs by itself did it to processes.

- A killed member: whatever callers get until the group is repaired is whole or a told error; by the node's own time line nothing was sent to the group while it was closed, and it was closed.
- A store outage that lasts past the node's lease: requests are answered, a contract change gets 503 and is not in force; the same change id is accepted after the outage.

Ruled out: asserting on the time that a repair takes; looking at `open_endpoints` for the closed group, which a fast repair can slip past. Requests that left before the node noticed the loss are not counted as a fault: their answers are judged only.

Not seen here: that each test fails without its mechanism.

--- a/tests/programs/whole_path_test.cc
+++ b/tests/programs/whole_path_test.cc
@@ -411,5 +411,79 @@
       << counts.answer.body;
 }
 
+// Symptom: requests hang or are cut, or a half answer passes for a whole one,
+// after a VM of a group died; or the group stays down though a VM is free.
+// Sequence of events: the group serves, one long answer is under way, the VM
+// of the second member is killed, callers go on asking.
+// Cause: an incomplete group that still gets requests, an engine's broken
+// stream that is closed as if it were whole, or a keeper that does not replace
+// the lost VM.
+TEST_F(WholePathTest, AGroupThatLostAVmGetsNothingAndIsRepaired) {
+  const Node node = StartNode("n1");
+  ASSERT_NO_FATAL_FAILURE(WaitUntilServing(node));
+  const std::string lost = Member(node, 1);
+  const std::string group(Group(node).at("group").as_string());
+  const int closings = CountClosings(node, group);
+  const ChatRequest chat = Chat("a long question", true, 100);
+  LongAnswer answer(node.callers, chat);
+  ASSERT_TRUE(fleet_.Until([&] { return answer.has_begun(); }));
+  fleet_.Signal(lost, SIGKILL);
+  EXPECT_TRUE(fleet_.Until([&] {
+    AskNext(node, true);
+    AskNext(node, false);
+    return !HasMember(node, lost) && !Group(node).empty();
+  }));
+  EXPECT_TRUE(AnswersSoon(node));
+  ExpectWholeOrTold(Judge(chat, answer.Wait()));
+  EXPECT_GT(CountClosings(node, group), closings);
+}
+
+// Symptom: callers are refused while the key-value service is down, or a
+// contract change that was refused comes into force, or never can again.
+// Sequence of events: the service answers nothing until the node's lease has
+// lapsed, callers go on asking, an operator changes a contract and sends the
+// same change again after the outage.
+// Cause: serving that hangs on the node's lease, or a change that is taken for
+// made, or for lost, without a word from the service.
+TEST_F(WholePathTest, ANodeServesOnThroughAStoreOutage) {
+  const Node node = StartNode("n1");
+  ASSERT_NO_FATAL_FAILURE(WaitUntilServing(node));
+  ASSERT_TRUE(fleet_.Until([&] { return HoldsRoles(node); }));
+  SetFault(store_, "outage", true);
+  ASSERT_TRUE(fleet_.Until([&] {
+    AskNext(node, true);
+    return !HoldsRoles(node);
+  }));
+  EXPECT_TRUE(AnswersSoon(node));
+  const std::int64_t revision = ContractRevision(node);
+  EXPECT_EQ(PutSecondContract(node, revision), 503);
+  EXPECT_EQ(ContractRevision(node), revision);
+  EXPECT_TRUE(AnswersSoon(node));
+
+  SetFault(store_, "outage", false);
+  EXPECT_TRUE(fleet_.Until(
+      [&] { return PutSecondContract(node, revision) == kStatusOk; }));
+  EXPECT_TRUE(fleet_.Until([&] { return ContractRevision(node) > revision; }));
+  EXPECT_TRUE(AnswersSoon(node));
+}
+
+// Symptom: an answer that was under way stops in the middle and its connection
+// closes, or stays open, without a word.
+// Sequence of events: an answer streams from a group, the VM of its first
+// member stops without closing its connections.
+// Cause: a connection that is silent looks like a slow one until its progress
+// is watched; a caller that is given up then must be told.
+TEST_F(WholePathTest, AnAnswerFromAStoppedVmGoesOnElsewhereOrIsToldBroken) {
+  const Node node = StartNode("n1");
+  ASSERT_NO_FATAL_FAILURE(WaitUntilServing(node));
+  const std::string stopped = Member(node, 0);
+  const ChatRequest chat = Chat("a long question", true, 100);
+  LongAnswer answer(node.callers, chat);
+  ASSERT_TRUE(fleet_.Until([&] { return answer.has_begun(); }));
+  fleet_.Signal(stopped, SIGSTOP);
+  ExpectWholeOrTold(Judge(chat, answer.Wait()));
+  EXPECT_TRUE(AnswersSoon(node));
+}
+
 }  // namespace
 }  // namespace gcw
