--- a/programs/gcw_node/node_process.cc
+++ b/programs/gcw_node/node_process.cc
@@ -137,8 +137,8 @@
   if (!Listen(
           settings.caller_listen, kMostCallerConnections,
           [this](HttpRequest request,
-                 std::shared_ptr<HttpResponder> responder) {
-            callers->Handle(std::move(request), std::move(responder));
+                 const std::shared_ptr<HttpResponder>& responder) {
+            callers->Handle(std::move(request), responder);
           },
           caller_server, error.kind)) {
     return false;
@@ -146,9 +146,9 @@
   error.listener = NodeListener::kOperators;
   if (!Listen(
           settings.operator_listen, kMostOperatorConnections,
-          [this](HttpRequest request,
-                 std::shared_ptr<HttpResponder> responder) {
-            operators->Handle(std::move(request), std::move(responder));
+          [this](const HttpRequest& request,
+                 const std::shared_ptr<HttpResponder>& responder) {
+            operators->Handle(request, responder);
           },
           operator_server, error.kind)) {
     return false;
