--- a/coordination/admission.cc
+++ b/coordination/admission/admission.cc
@@ -1,9 +1,9 @@
-#include "coordination/admission.h"
+#include "coordination/admission/admission.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "coordination/refusals.h"
+#include "coordination/requests/refusals.h"
 
 namespace gcw {
 namespace {
--- a/coordination/admission.h
+++ b/coordination/admission/admission.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ADMISSION_H_
-#define COORDINATION_ADMISSION_H_
+#ifndef COORDINATION_ADMISSION_ADMISSION_H_
+#define COORDINATION_ADMISSION_ADMISSION_H_
 
 #include <array>
 #include <cstdint>
@@ -10,15 +10,15 @@
 #include <variant>
 #include <vector>
 
-#include "coordination/admission_queue.h"
-#include "coordination/admission_settings.h"
-#include "coordination/contract_directory.h"
-#include "coordination/demand_meter.h"
-#include "coordination/headroom.h"
-#include "coordination/limits.h"
-#include "coordination/request.h"
-#include "coordination/tier_room.h"
-#include "coordination/token_estimator.h"
+#include "coordination/admission/admission_queue.h"
+#include "coordination/admission/admission_settings.h"
+#include "coordination/admission/headroom.h"
+#include "coordination/admission/tier_room.h"
+#include "coordination/admission/token_estimator.h"
+#include "coordination/configuration/contract_directory.h"
+#include "coordination/limits/demand_meter.h"
+#include "coordination/limits/limits.h"
+#include "coordination/requests/request.h"
 #include "core/core.h"
 
 namespace gcw {
@@ -215,4 +215,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ADMISSION_H_
+#endif  // COORDINATION_ADMISSION_ADMISSION_H_
--- a/coordination/admission_builder.cc
+++ b/coordination/admission/admission_builder.cc
@@ -1,4 +1,4 @@
-#include "coordination/admission.h"
+#include "coordination/admission/admission.h"
 
 #include <utility>
 
--- a/coordination/admission_queue.h
+++ b/coordination/admission/admission_queue.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ADMISSION_QUEUE_H_
-#define COORDINATION_ADMISSION_QUEUE_H_
+#ifndef COORDINATION_ADMISSION_ADMISSION_QUEUE_H_
+#define COORDINATION_ADMISSION_ADMISSION_QUEUE_H_
 
 #include <cstdint>
 #include <deque>
@@ -76,4 +76,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ADMISSION_QUEUE_H_
+#endif  // COORDINATION_ADMISSION_ADMISSION_QUEUE_H_
--- a/coordination/admission_waiting.cc
+++ b/coordination/admission/admission_waiting.cc
@@ -4,8 +4,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "coordination/admission.h"
-#include "coordination/refusals.h"
+#include "coordination/admission/admission.h"
+#include "coordination/requests/refusals.h"
 
 namespace gcw {
 namespace {
--- a/coordination/headroom.h
+++ b/coordination/admission/headroom.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_HEADROOM_H_
-#define COORDINATION_HEADROOM_H_
+#ifndef COORDINATION_ADMISSION_HEADROOM_H_
+#define COORDINATION_ADMISSION_HEADROOM_H_
 
 #include <cstdint>
 #include <optional>
@@ -37,4 +37,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_HEADROOM_H_
+#endif  // COORDINATION_ADMISSION_HEADROOM_H_
--- a/coordination/tier_pools.cc
+++ b/coordination/admission/tier_pools.cc
@@ -1,4 +1,4 @@
-#include "coordination/tier_pools.h"
+#include "coordination/admission/tier_pools.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/tier_pools.h
+++ b/coordination/admission/tier_pools.h
@@ -1,12 +1,12 @@
-#ifndef COORDINATION_TIER_POOLS_H_
-#define COORDINATION_TIER_POOLS_H_
+#ifndef COORDINATION_ADMISSION_TIER_POOLS_H_
+#define COORDINATION_ADMISSION_TIER_POOLS_H_
 
 #include <cstdint>
 #include <deque>
 #include <vector>
 
-#include "coordination/admission_settings.h"
-#include "coordination/headroom.h"
+#include "coordination/admission/admission_settings.h"
+#include "coordination/admission/headroom.h"
 
 namespace gcw {
 
@@ -55,4 +55,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_TIER_POOLS_H_
+#endif  // COORDINATION_ADMISSION_TIER_POOLS_H_
--- a/coordination/tier_room.cc
+++ b/coordination/admission/tier_room.cc
@@ -1,4 +1,4 @@
-#include "coordination/tier_room.h"
+#include "coordination/admission/tier_room.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/tier_room.h
+++ b/coordination/admission/tier_room.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_TIER_ROOM_H_
-#define COORDINATION_TIER_ROOM_H_
+#ifndef COORDINATION_ADMISSION_TIER_ROOM_H_
+#define COORDINATION_ADMISSION_TIER_ROOM_H_
 
 #include <array>
 #include <cstdint>
@@ -10,9 +10,9 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/admission_settings.h"
-#include "coordination/headroom.h"
-#include "coordination/tier_pools.h"
+#include "coordination/admission/admission_settings.h"
+#include "coordination/admission/headroom.h"
+#include "coordination/admission/tier_pools.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -71,4 +71,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_TIER_ROOM_H_
+#endif  // COORDINATION_ADMISSION_TIER_ROOM_H_
--- a/coordination/token_estimator.cc
+++ b/coordination/admission/token_estimator.cc
@@ -1,4 +1,4 @@
-#include "coordination/token_estimator.h"
+#include "coordination/admission/token_estimator.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/token_estimator.h
+++ b/coordination/admission/token_estimator.h
@@ -1,9 +1,9 @@
-#ifndef COORDINATION_TOKEN_ESTIMATOR_H_
-#define COORDINATION_TOKEN_ESTIMATOR_H_
+#ifndef COORDINATION_ADMISSION_TOKEN_ESTIMATOR_H_
+#define COORDINATION_ADMISSION_TOKEN_ESTIMATOR_H_
 
 #include <unordered_map>
 
-#include "coordination/request.h"
+#include "coordination/requests/request.h"
 
 namespace gcw {
 
@@ -23,4 +23,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_TOKEN_ESTIMATOR_H_
+#endif  // COORDINATION_ADMISSION_TOKEN_ESTIMATOR_H_
--- a/coordination/issued_keys.cc
+++ b/coordination/at_most_once/issued_keys.cc
@@ -1,4 +1,4 @@
-#include "coordination/issued_keys.h"
+#include "coordination/at_most_once/issued_keys.h"
 
 #include <charconv>
 #include <string>
--- a/coordination/issued_keys.h
+++ b/coordination/at_most_once/issued_keys.h
@@ -1,14 +1,14 @@
-#ifndef COORDINATION_ISSUED_KEYS_H_
-#define COORDINATION_ISSUED_KEYS_H_
+#ifndef COORDINATION_AT_MOST_ONCE_ISSUED_KEYS_H_
+#define COORDINATION_AT_MOST_ONCE_ISSUED_KEYS_H_
 
 #include <cstdint>
 #include <deque>
 #include <optional>
 #include <string_view>
 
-#include "coordination/once_messages.h"
-#include "coordination/once_placement.h"
-#include "coordination/once_shard.h"
+#include "coordination/at_most_once/once_messages.h"
+#include "coordination/at_most_once/once_placement.h"
+#include "coordination/at_most_once/once_shard.h"
 
 namespace gcw {
 
@@ -72,4 +72,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ISSUED_KEYS_H_
+#endif  // COORDINATION_AT_MOST_ONCE_ISSUED_KEYS_H_
--- a/coordination/once_client.cc
+++ b/coordination/at_most_once/once_client.cc
@@ -1,10 +1,10 @@
-#include "coordination/once_client.h"
+#include "coordination/at_most_once/once_client.h"
 
 #include <algorithm>
 #include <string>
 #include <utility>
 
-#include "coordination/issued_keys.h"
+#include "coordination/at_most_once/issued_keys.h"
 
 namespace gcw {
 
--- a/coordination/once_client.h
+++ b/coordination/at_most_once/once_client.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ONCE_CLIENT_H_
-#define COORDINATION_ONCE_CLIENT_H_
+#ifndef COORDINATION_AT_MOST_ONCE_ONCE_CLIENT_H_
+#define COORDINATION_AT_MOST_ONCE_ONCE_CLIENT_H_
 
 #include <cstdint>
 #include <map>
@@ -10,9 +10,9 @@
 #include <variant>
 #include <vector>
 
-#include "coordination/once_messages.h"
-#include "coordination/once_placement.h"
-#include "coordination/request.h"
+#include "coordination/at_most_once/once_messages.h"
+#include "coordination/at_most_once/once_placement.h"
+#include "coordination/requests/request.h"
 
 namespace gcw {
 
@@ -187,4 +187,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ONCE_CLIENT_H_
+#endif  // COORDINATION_AT_MOST_ONCE_ONCE_CLIENT_H_
--- a/coordination/once_journal.cc
+++ b/coordination/at_most_once/once_journal.cc
@@ -1,4 +1,4 @@
-#include "coordination/once_journal.h"
+#include "coordination/at_most_once/once_journal.h"
 
 #include <charconv>
 #include <cstdint>
--- a/coordination/once_journal.h
+++ b/coordination/at_most_once/once_journal.h
@@ -1,12 +1,12 @@
-#ifndef COORDINATION_ONCE_JOURNAL_H_
-#define COORDINATION_ONCE_JOURNAL_H_
+#ifndef COORDINATION_AT_MOST_ONCE_ONCE_JOURNAL_H_
+#define COORDINATION_AT_MOST_ONCE_ONCE_JOURNAL_H_
 
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "coordination/once_placement.h"
-#include "coordination/once_shard.h"
+#include "coordination/at_most_once/once_placement.h"
+#include "coordination/at_most_once/once_shard.h"
 
 namespace gcw {
 
@@ -47,4 +47,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ONCE_JOURNAL_H_
+#endif  // COORDINATION_AT_MOST_ONCE_ONCE_JOURNAL_H_
--- a/coordination/once_messages.h
+++ b/coordination/at_most_once/once_messages.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ONCE_MESSAGES_H_
-#define COORDINATION_ONCE_MESSAGES_H_
+#ifndef COORDINATION_AT_MOST_ONCE_ONCE_MESSAGES_H_
+#define COORDINATION_AT_MOST_ONCE_ONCE_MESSAGES_H_
 
 #include <string>
 #include <variant>
@@ -120,4 +120,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ONCE_MESSAGES_H_
+#endif  // COORDINATION_AT_MOST_ONCE_ONCE_MESSAGES_H_
--- a/coordination/once_owner.h
+++ b/coordination/at_most_once/once_owner.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ONCE_OWNER_H_
-#define COORDINATION_ONCE_OWNER_H_
+#ifndef COORDINATION_AT_MOST_ONCE_ONCE_OWNER_H_
+#define COORDINATION_AT_MOST_ONCE_ONCE_OWNER_H_
 
 #include <map>
 #include <memory>
@@ -7,10 +7,10 @@
 #include <vector>
 
 #include "coordination/actions.h"
-#include "coordination/issued_keys.h"
-#include "coordination/once_messages.h"
-#include "coordination/once_placement.h"
-#include "coordination/once_shard_owner.h"
+#include "coordination/at_most_once/issued_keys.h"
+#include "coordination/at_most_once/once_messages.h"
+#include "coordination/at_most_once/once_placement.h"
+#include "coordination/at_most_once/once_shard_owner.h"
 
 namespace gcw {
 
@@ -104,4 +104,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ONCE_OWNER_H_
+#endif  // COORDINATION_AT_MOST_ONCE_ONCE_OWNER_H_
--- a/coordination/once_placement.cc
+++ b/coordination/at_most_once/once_placement.cc
@@ -1,4 +1,4 @@
-#include "coordination/once_placement.h"
+#include "coordination/at_most_once/once_placement.h"
 
 #include <algorithm>
 #include <string_view>
--- a/coordination/once_placement.h
+++ b/coordination/at_most_once/once_placement.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ONCE_PLACEMENT_H_
-#define COORDINATION_ONCE_PLACEMENT_H_
+#ifndef COORDINATION_AT_MOST_ONCE_ONCE_PLACEMENT_H_
+#define COORDINATION_AT_MOST_ONCE_ONCE_PLACEMENT_H_
 
 #include <compare>
 #include <optional>
@@ -39,4 +39,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ONCE_PLACEMENT_H_
+#endif  // COORDINATION_AT_MOST_ONCE_ONCE_PLACEMENT_H_
--- a/coordination/once_shard.cc
+++ b/coordination/at_most_once/once_shard.cc
@@ -1,9 +1,9 @@
-#include "coordination/once_shard.h"
+#include "coordination/at_most_once/once_shard.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "coordination/once_journal.h"
+#include "coordination/at_most_once/once_journal.h"
 
 namespace gcw {
 
--- a/coordination/once_shard.h
+++ b/coordination/at_most_once/once_shard.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ONCE_SHARD_H_
-#define COORDINATION_ONCE_SHARD_H_
+#ifndef COORDINATION_AT_MOST_ONCE_ONCE_SHARD_H_
+#define COORDINATION_AT_MOST_ONCE_ONCE_SHARD_H_
 
 #include <cstdint>
 #include <deque>
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-#include "coordination/once_messages.h"
+#include "coordination/at_most_once/once_messages.h"
 
 namespace gcw {
 
@@ -128,4 +128,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ONCE_SHARD_H_
+#endif  // COORDINATION_AT_MOST_ONCE_ONCE_SHARD_H_
--- a/coordination/once_shard_owner.cc
+++ b/coordination/at_most_once/once_shard_owner.cc
@@ -1,4 +1,4 @@
-#include "coordination/once_shard_owner.h"
+#include "coordination/at_most_once/once_shard_owner.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/once_shard_owner.h
+++ b/coordination/at_most_once/once_shard_owner.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ONCE_SHARD_OWNER_H_
-#define COORDINATION_ONCE_SHARD_OWNER_H_
+#ifndef COORDINATION_AT_MOST_ONCE_ONCE_SHARD_OWNER_H_
+#define COORDINATION_AT_MOST_ONCE_ONCE_SHARD_OWNER_H_
 
 #include <functional>
 #include <optional>
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "coordination/actions.h"
-#include "coordination/once_journal.h"
-#include "coordination/once_messages.h"
-#include "coordination/once_shard.h"
+#include "coordination/at_most_once/once_journal.h"
+#include "coordination/at_most_once/once_messages.h"
+#include "coordination/at_most_once/once_shard.h"
 
 namespace gcw {
 
@@ -186,4 +186,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ONCE_SHARD_OWNER_H_
+#endif  // COORDINATION_AT_MOST_ONCE_ONCE_SHARD_OWNER_H_
--- a/coordination/once_shard_owner_calls.cc
+++ b/coordination/at_most_once/once_shard_owner_calls.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "coordination/once_shard_owner.h"
+#include "coordination/at_most_once/once_shard_owner.h"
 
 namespace gcw {
 
--- a/coordination/config_gossip.cc
+++ b/coordination/configuration/config_gossip.cc
@@ -1,4 +1,4 @@
-#include "coordination/config_gossip.h"
+#include "coordination/configuration/config_gossip.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/config_gossip.h
+++ b/coordination/configuration/config_gossip.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_CONFIG_GOSSIP_H_
-#define COORDINATION_CONFIG_GOSSIP_H_
+#ifndef COORDINATION_CONFIGURATION_CONFIG_GOSSIP_H_
+#define COORDINATION_CONFIGURATION_CONFIG_GOSSIP_H_
 
 #include <functional>
 #include <map>
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "coordination/actions.h"
-#include "coordination/config_messages.h"
+#include "coordination/configuration/config_messages.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -112,4 +112,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_CONFIG_GOSSIP_H_
+#endif  // COORDINATION_CONFIGURATION_CONFIG_GOSSIP_H_
--- a/coordination/config_messages.cc
+++ b/coordination/configuration/config_messages.cc
@@ -1,4 +1,4 @@
-#include "coordination/config_messages.h"
+#include "coordination/configuration/config_messages.h"
 
 #include "core/core.h"
 
--- a/coordination/config_messages.h
+++ b/coordination/configuration/config_messages.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_CONFIG_MESSAGES_H_
-#define COORDINATION_CONFIG_MESSAGES_H_
+#ifndef COORDINATION_CONFIGURATION_CONFIG_MESSAGES_H_
+#define COORDINATION_CONFIGURATION_CONFIG_MESSAGES_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -62,4 +62,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_CONFIG_MESSAGES_H_
+#endif  // COORDINATION_CONFIGURATION_CONFIG_MESSAGES_H_
--- a/coordination/config_proposer.cc
+++ b/coordination/configuration/config_proposer.cc
@@ -1,4 +1,4 @@
-#include "coordination/config_proposer.h"
+#include "coordination/configuration/config_proposer.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/config_sync.cc
+++ b/coordination/configuration/config_sync.cc
@@ -1,4 +1,4 @@
-#include "coordination/config_sync.h"
+#include "coordination/configuration/config_sync.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/config_sync.h
+++ b/coordination/configuration/config_sync.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_CONFIG_SYNC_H_
-#define COORDINATION_CONFIG_SYNC_H_
+#ifndef COORDINATION_CONFIGURATION_CONFIG_SYNC_H_
+#define COORDINATION_CONFIGURATION_CONFIG_SYNC_H_
 
 #include <functional>
 #include <map>
@@ -12,11 +12,11 @@
 #include <vector>
 
 #include "coordination/actions.h"
-#include "coordination/config_gossip.h"
-#include "coordination/config_messages.h"
-#include "coordination/config_proposer.h"
-#include "coordination/config_watch.h"
-#include "coordination/member.h"
+#include "coordination/configuration/config_gossip.h"
+#include "coordination/configuration/config_messages.h"
+#include "coordination/configuration/config_proposer.h"
+#include "coordination/configuration/config_watch.h"
+#include "coordination/membership/member.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -209,4 +209,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_CONFIG_SYNC_H_
+#endif  // COORDINATION_CONFIGURATION_CONFIG_SYNC_H_
--- a/coordination/config_sync_store.cc
+++ b/coordination/configuration/config_sync_store.cc
@@ -5,7 +5,7 @@
 #include <map>
 #include <utility>
 
-#include "coordination/config_sync.h"
+#include "coordination/configuration/config_sync.h"
 
 namespace gcw {
 namespace {
--- a/coordination/config_watch.cc
+++ b/coordination/configuration/config_watch.cc
@@ -1,4 +1,4 @@
-#include "coordination/config_watch.h"
+#include "coordination/configuration/config_watch.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/config_watch.h
+++ b/coordination/configuration/config_watch.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_CONFIG_WATCH_H_
-#define COORDINATION_CONFIG_WATCH_H_
+#ifndef COORDINATION_CONFIGURATION_CONFIG_WATCH_H_
+#define COORDINATION_CONFIGURATION_CONFIG_WATCH_H_
 
 #include <optional>
 #include <string>
@@ -94,4 +94,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_CONFIG_WATCH_H_
+#endif  // COORDINATION_CONFIGURATION_CONFIG_WATCH_H_
--- a/coordination/contract_directory.cc
+++ b/coordination/configuration/contract_directory.cc
@@ -1,4 +1,4 @@
-#include "coordination/contract_directory.h"
+#include "coordination/configuration/contract_directory.h"
 
 namespace gcw {
 
--- a/coordination/contract_directory.h
+++ b/coordination/configuration/contract_directory.h
@@ -1,10 +1,10 @@
-#ifndef COORDINATION_CONTRACT_DIRECTORY_H_
-#define COORDINATION_CONTRACT_DIRECTORY_H_
+#ifndef COORDINATION_CONFIGURATION_CONTRACT_DIRECTORY_H_
+#define COORDINATION_CONFIGURATION_CONTRACT_DIRECTORY_H_
 
 #include <optional>
 #include <unordered_map>
 
-#include "coordination/request.h"
+#include "coordination/requests/request.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -32,4 +32,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_CONTRACT_DIRECTORY_H_
+#endif  // COORDINATION_CONFIGURATION_CONTRACT_DIRECTORY_H_
--- a/coordination/record_changes.cc
+++ b/coordination/configuration/record_changes.cc
@@ -1,4 +1,4 @@
-#include "coordination/record_changes.h"
+#include "coordination/configuration/record_changes.h"
 
 #include <algorithm>
 #include <set>
--- a/coordination/record_changes.h
+++ b/coordination/configuration/record_changes.h
@@ -1,7 +1,7 @@
-#ifndef COORDINATION_RECORD_CHANGES_H_
-#define COORDINATION_RECORD_CHANGES_H_
+#ifndef COORDINATION_CONFIGURATION_RECORD_CHANGES_H_
+#define COORDINATION_CONFIGURATION_RECORD_CHANGES_H_
 
-#include "coordination/repair_planner.h"
+#include "coordination/groups/repair_planner.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -28,4 +28,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_RECORD_CHANGES_H_
+#endif  // COORDINATION_CONFIGURATION_RECORD_CHANGES_H_
--- /dev/null
+++ b/coordination/gateway/fleet_keeper.h
@@ -0,0 +1,187 @@
+#ifndef COORDINATION_GATEWAY_FLEET_KEEPER_H_
+#define COORDINATION_GATEWAY_FLEET_KEEPER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coordination/actions.h"
+#include "coordination/gateway/fleet_view.h"
+#include "coordination/gateway/group_planner.h"
+#include "coordination/gateway/load_pacer.h"
+#include "coordination/groups/domain_writer.h"
+#include "coordination/groups/order_sender.h"
+#include "coordination/roles/role_leases.h"
+#include "state/state.h"
+
+namespace gcw {
+
+struct FleetKeeperSettings {
+  WriterSettings writer = {Duration::Millis(1500), Duration::Millis(300)};
+  GroupPlannerSettings planner;
+  LoadPacerSettings loads;
+  // No order leaves with less than this left of the role's lease: it must have
+  // arrived, or its connection been given up, before another node may hold it.
+  Duration order_margin = Duration::Millis(500);
+  // An order without an answer counts as unanswered.
+  Duration order_timeout = Duration::Millis(1000);
+  // Between two sends of one order whose effect is not seen.
+  Duration resend_interval = Duration::Millis(1200);
+  // A group that is not whole by then is given up: the slowest load, behind a
+  // full queue of others.
+  Duration form_limit = Duration::Seconds(60);
+  // How long a group that is closed by plan may run what it has.
+  Duration drain_limit = Duration::Millis(6000);
+  // Engines notice a lost member after this long; by then a group whose first
+  // member is gone has broken everywhere. From the platform, plus a margin.
+  Duration stall_limit = Duration::Millis(4300);
+};
+
+struct SendGroupOrder {
+  OrderId id;
+  VmId vm;
+  Address address;
+  GroupOrder order;
+  Duration timeout;
+};
+
+using FleetKeeperAction = std::variant<StoreRequest, SendGroupOrder>;
+
+// Keeps the replica groups of all fabric domains while this node holds the
+// keeper's role. One record per domain in the key-value service says which VMs
+// form which group; engines are told only what is known to be committed, and
+// what they report is compared with the record until both agree.
+//
+// A VM is put into another group only after its group's first member was seen
+// to serve it no longer, so that no request runs in a group that lost a member
+// to another group.
+class FleetKeeper {
+ public:
+  FleetKeeper(FleetKeeperSettings settings,
+              DomainRecordCodec codec,
+              EventSink events);
+
+  // Absent where the role is not held.
+  void SetRole(Time now, const std::optional<HeldRole>& role);
+  // Requests have begun to come: loads count against the weight store's rate.
+  void OnTraffic() { loads_.OnTraffic(); }
+  // A group stands still by the word of the nodes that send to it.
+  void OnStandstill(Time now, const VmId& head, Generation generation);
+
+  std::vector<FleetKeeperAction> Tick(Time now, const FleetView& view);
+  std::vector<FleetKeeperAction> OnStoreReply(Time now,
+                                              StoreCallId id,
+                                              const StoreReply& reply);
+  void OnOrderReply(Time now, OrderId id, GroupOrderVerdict verdict);
+
+  // Whether an engine refused an order because another keeper has the role.
+  bool is_fenced_off() const { return fenced_off_; }
+
+ private:
+  // What this keeper has seen of a group since it has the role.
+  struct GroupRun {
+    Time since;
+    std::set<VmId> joined;
+    std::map<VmId, Address> addresses;
+    bool open_seen = false;
+    bool open_sent = false;
+    // Why it ends; empty while it does not.
+    std::string ending;
+    Time ending_since;
+    bool ends_by_plan = false;
+    std::optional<Time> head_absent_since;
+    bool head_left = false;
+  };
+  struct Domain {
+    ServiceId service;
+    DomainWriter writer;
+    std::map<GroupId, GroupRun> runs;
+  };
+  struct PendingOrder {
+    VmId vm;
+    GroupOrder order;
+    Time sent;
+  };
+  struct LastOrder {
+    GroupOrderKind kind = GroupOrderKind::kJoin;
+    GroupId group;
+    Time sent;
+  };
+  using DomainVms = std::map<VmId, const VmRegistration*>;
+
+  void FindDomains(Time now, const FleetView& view);
+  void ReviewGroups(Time now, const FleetView& view, Domain& domain);
+  std::string FindDamage(Time now,
+                         const FleetView& view,
+                         const GroupRecord& group,
+                         GroupRun& run) const;
+  bool IsOver(Time now,
+              const FleetView& view,
+              const GroupRecord& group,
+              GroupRun& run) const;
+  void RemoveOver(Time now,
+                  const FleetView& view,
+                  Domain& domain,
+                  DomainRecord& next);
+  PlannedDomain Describe(const FleetView& view,
+                         const Domain& domain,
+                         const DomainRecord& next,
+                         const EngineProfile& profile) const;
+  void PlanService(Time now, const FleetView& view, const ServiceRule& service);
+  void Commit(Time now, Domain& domain, DomainRecord next);
+  void OrderGroup(Time now,
+                  const FleetView& view,
+                  const Domain& domain,
+                  const GroupRecord& group);
+  void OrderJoins(Time now,
+                  const FleetView& view,
+                  const Domain& domain,
+                  const GroupRecord& group,
+                  GroupRun& run);
+  void OrderEnd(Time now,
+                const FleetView& view,
+                const GroupRecord& group,
+                GroupRun& run);
+  void OrderStagings(Time now, const FleetView& view);
+  bool MayOrder(Time now,
+                const VmId& vm,
+                GroupOrderKind kind,
+                const GroupId& group) const;
+  void Send(Time now, const VmId& vm, const Address& address, GroupOrder order);
+  void ExpireOrders(Time now);
+  const ModelProfile* ProfileOf(const FleetView& view,
+                                const ServiceId& service,
+                                const ModelId& model) const;
+  void Report(EventKind kind,
+              const GroupRecord& group,
+              std::vector<EventField> fields);
+
+  FleetKeeperSettings settings_;
+  DomainRecordCodec codec_;
+  EventSink events_;
+  GroupPlanner planner_;
+  LoadPacer loads_;
+  std::optional<HeldRole> role_;
+  bool fenced_off_ = false;
+  std::map<FabricDomainId, Domain> domains_;
+  std::vector<PlannedStaging> stagings_;
+  std::map<OrderId, PendingOrder> pending_;
+  // The order under way of each VM: one at a time.
+  std::map<VmId, OrderId> pending_of_;
+  std::map<VmId, LastOrder> last_orders_;
+  std::set<std::pair<VmId, Generation>> standstills_;
+  OrderId last_order_;
+  StoreCallId last_call_;
+  std::map<StoreCallId, FabricDomainId> calls_;
+  std::int64_t last_group_ = 0;
+  std::int64_t last_change_ = 0;
+  std::vector<FleetKeeperAction> actions_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_GATEWAY_FLEET_KEEPER_H_
--- /dev/null
+++ b/coordination/gateway/fleet_view.cc
@@ -0,0 +1,105 @@
+#include "coordination/gateway/fleet_view.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/gateway/gateway_keys.h"
+
+namespace gcw {
+
+FleetView::FleetView(FleetCodec codec, EventSink events)
+    : codec_(std::move(codec)), events_(std::move(events)) {}
+
+void FleetView::OnPut(Time /*now*/, const StoreEntry& entry) {
+  const std::string_view key = entry.key;
+  if (key.starts_with(codec_.vm_prefix)) {
+    OnRegistration(VmId(entry.key.substr(codec_.vm_prefix.size())), entry);
+  } else if (key == codec_.configuration_key) {
+    OnConfiguration(entry);
+  } else if (key.starts_with(kNodePrefix)) {
+    if (std::optional<NodeRecord> node = codec_.decode_node(entry.value)) {
+      nodes_.insert_or_assign(NodeId(entry.key.substr(kNodePrefix.size())),
+                              *std::move(node));
+    }
+  } else if (key.starts_with(kRolePrefix)) {
+    holders_.insert_or_assign(RoleName(entry.key.substr(kRolePrefix.size())),
+                              NodeId(entry.value));
+  }
+}
+
+void FleetView::OnDeleted(Time /*now*/, const std::string& key) {
+  const std::string_view view = key;
+  if (view.starts_with(codec_.vm_prefix)) {
+    const VmId vm(key.substr(codec_.vm_prefix.size()));
+    if (vms_.erase(vm) > 0) {
+      changed_vms_.insert(vm);
+      events_({EventKind::kVmLost, vm.value(), {}, {}});
+    }
+  } else if (view.starts_with(kNodePrefix)) {
+    nodes_.erase(NodeId(key.substr(kNodePrefix.size())));
+  } else if (view.starts_with(kRolePrefix)) {
+    holders_.erase(RoleName(key.substr(kRolePrefix.size())));
+  }
+}
+
+void FleetView::OnConfiguration(const StoreEntry& entry) {
+  std::optional<FleetConfiguration> read =
+      codec_.decode_configuration(entry.value);
+  // A document that cannot be read leaves the last good one in force.
+  if (!read) {
+    return;
+  }
+  if (routes_ && read->version <= routes_->configuration().version) {
+    return;
+  }
+  events_({EventKind::kConfigurationApplied,
+           entry.key,
+           {},
+           {{"version", read->version.value()},
+            {"revision", entry.revision.value()},
+            {"routes", static_cast<std::int64_t>(read->routes.size())}}});
+  routes_ = std::make_shared<const RouteTable>(*std::move(read));
+  ++configuration_changes_;
+}
+
+void FleetView::OnRegistration(const VmId& vm, const StoreEntry& entry) {
+  std::optional<VmRegistration> read =
+      codec_.decode_registration(vm, entry.value);
+  if (!read) {
+    return;
+  }
+  const auto [known, is_new] = vms_.try_emplace(vm);
+  if (!is_new && known->second == *read) {
+    return;
+  }
+  if (is_new) {
+    events_({EventKind::kVmAppeared, vm.value(), {}, {}});
+  } else if (read->draining && !known->second.draining) {
+    events_({EventKind::kEndpointLeaving, vm.value(), {}, {}});
+  }
+  known->second = *std::move(read);
+  changed_vms_.insert(vm);
+}
+
+const VmRegistration* FleetView::FindVm(const VmId& vm) const {
+  const auto found = vms_.find(vm);
+  return found == vms_.end() ? nullptr : &found->second;
+}
+
+std::size_t FleetView::serving_nodes() const {
+  const auto serving =
+      std::count_if(nodes_.begin(), nodes_.end(),
+                    [](const auto& node) { return !node.second.leaving; });
+  return std::max<std::size_t>(1, static_cast<std::size_t>(serving));
+}
+
+NodeId FleetView::HolderOf(const RoleName& role) const {
+  const auto found = holders_.find(role);
+  return found == holders_.end() ? NodeId() : found->second;
+}
+
+std::set<VmId> FleetView::TakeChangedVms() {
+  return std::exchange(changed_vms_, {});
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/gateway/fleet_view.h
@@ -0,0 +1,72 @@
+#ifndef COORDINATION_GATEWAY_FLEET_VIEW_H_
+#define COORDINATION_GATEWAY_FLEET_VIEW_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "coordination/roles/role_assignment.h"
+#include "state/state.h"
+
+namespace gcw {
+
+// Where the platform keeps what this system reads, and how it is spelled. The
+// codecs live in a higher layer.
+struct FleetCodec {
+  std::string configuration_key;
+  // Followed by the VM's id.
+  std::string vm_prefix;
+  // Both absent where the text is not understood; `on_fault` has told why.
+  std::function<std::optional<FleetConfiguration>(std::string_view)>
+      decode_configuration;
+  std::function<std::optional<VmRegistration>(const VmId&, std::string_view)>
+      decode_registration;
+  std::function<std::optional<NodeRecord>(std::string_view)> decode_node;
+};
+
+// The typed picture that a node has of the fleet: configuration, endpoints'
+// VMs, other nodes, holders of roles. It never goes back to an older version of
+// the configuration while the process lives.
+class FleetView {
+ public:
+  FleetView(FleetCodec codec, EventSink events);
+
+  void OnPut(Time now, const StoreEntry& entry);
+  void OnDeleted(Time now, const std::string& key);
+
+  // Null until a configuration is known.
+  std::shared_ptr<const RouteTable> routes() const { return routes_; }
+  const std::map<VmId, VmRegistration>& vms() const { return vms_; }
+  const VmRegistration* FindVm(const VmId& vm) const;
+  const std::map<NodeId, NodeRecord>& nodes() const { return nodes_; }
+  // Nodes that are not about to stop; at least 1.
+  std::size_t serving_nodes() const;
+  // Empty where nobody holds the role.
+  NodeId HolderOf(const RoleName& role) const;
+
+  // VMs that were registered, changed or removed since the last call.
+  std::set<VmId> TakeChangedVms();
+  // Counts changes of the configuration.
+  std::uint64_t configuration_changes() const { return configuration_changes_; }
+
+ private:
+  void OnConfiguration(const StoreEntry& entry);
+  void OnRegistration(const VmId& vm, const StoreEntry& entry);
+
+  FleetCodec codec_;
+  EventSink events_;
+  std::shared_ptr<const RouteTable> routes_;
+  std::map<VmId, VmRegistration> vms_;
+  std::map<NodeId, NodeRecord> nodes_;
+  std::map<RoleName, NodeId> holders_;
+  std::set<VmId> changed_vms_;
+  std::uint64_t configuration_changes_ = 0;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_GATEWAY_FLEET_VIEW_H_
--- /dev/null
+++ b/coordination/gateway/forward_desk.cc
@@ -0,0 +1,306 @@
+#include "coordination/gateway/forward_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gcw {
+
+ForwardDesk::ForwardDesk(ForwardDeskSettings settings,
+                         ReplicaSelector* selector,
+                         SharedRetryBudget* budget,
+                         Random random,
+                         EventSink events)
+    : settings_(settings),
+      selector_(selector),
+      budget_(budget),
+      random_(std::move(random)),
+      events_(std::move(events)) {}
+
+ForwardBegun ForwardDesk::OnArrived(Time now,
+                                    ForwardRequest request,
+                                    std::shared_ptr<const RouteTable> routes) {
+  ++last_id_;
+  Open open;
+  open.request = std::move(request);
+  open.routes = std::move(routes);
+  open.arrived = now;
+  ForwardStep step = Admit(now, open);
+  if (std::holds_alternative<SendForward>(step)) {
+    by_attempt_[open.attempt] = last_id_;
+    open_.emplace(last_id_, std::move(open));
+  }
+  return {last_id_, std::move(step)};
+}
+
+ForwardStep ForwardDesk::Admit(Time now, Open& open) {
+  // A node that knows no configuration cannot tell an unknown route or key from
+  // one that it has not heard of.
+  if (!open.routes) {
+    return Refuse(now, open, RefusalKind::kNotReady);
+  }
+  open.route = open.routes->Find(open.request.host, open.request.path);
+  if (open.route == nullptr) {
+    return Refuse(now, open, RefusalKind::kUnknownService);
+  }
+  const CustomerMatch* customer =
+      open.request.key.empty() ? nullptr
+                               : open.routes->FindCustomer(open.request.key);
+  if (customer == nullptr && open.routes->needs_keys() &&
+      !open.route->open_to_all) {
+    return Refuse(now, open, RefusalKind::kUnknownKey);
+  }
+  if (customer != nullptr) {
+    open.customer = customer->customer;
+  }
+  open.deadline =
+      now + std::min(open.request.patience.value_or(open.route->time_limit),
+                     open.route->time_limit);
+  open.service = ChooseService(*open.route);
+  budget_->OnRequest(now, open.service);
+  return Send(now, open, open.request.resume_after);
+}
+
+ServiceId ForwardDesk::ChooseService(const RouteRule& route) {
+  std::int64_t total = 0;
+  for (const ServiceShare& share : route.shares) {
+    total += share.weight;
+  }
+  if (total <= 0) {
+    return route.shares.front().service;
+  }
+  auto draw = static_cast<std::int64_t>(
+      DrawBelow(random_, static_cast<std::uint64_t>(total)));
+  for (const ServiceShare& share : route.shares) {
+    draw -= share.weight;
+    if (draw < 0) {
+      return share.service;
+    }
+  }
+  return route.shares.back().service;
+}
+
+ForwardStep ForwardDesk::Send(Time now,
+                              Open& open,
+                              std::optional<std::int64_t> resume) {
+  const Result<ReplicaChoice, RefusalKind> choice = selector_->Choose(
+      now, {open.service, open.request.model, open.request.prompt_tokens},
+      open.excluded);
+  if (!IsOk(choice)) {
+    return Refuse(now, open, ErrorOf(choice));
+  }
+  const Replica& replica = ValueOf(choice).replica;
+  open.vm = replica.vm;
+  open.attempt = selector_->OnSent(now, replica.vm, open.request.prompt_tokens,
+                                   open.route->streams);
+  ++open.sends;
+  SendForward send;
+  send.vm = replica.vm;
+  send.address = replica.address;
+  send.customer = open.customer;
+  send.time_left = open.deadline - now;
+  send.resume_after = resume;
+  send.fresh_connection = open.route->repetition == Repetition::kNever;
+  send.streams = open.route->streams;
+  return send;
+}
+
+ForwardStep ForwardDesk::OnEnded(Time now,
+                                 ForwardId id,
+                                 const ForwardEnd& end) {
+  const auto found = open_.find(id);
+  if (found == open_.end()) {
+    return ForwardCut{};
+  }
+  Open& open = found->second;
+  selector_->OnEnded(now, open.attempt, end.kind);
+  by_attempt_.erase(open.attempt);
+  open.excluded.push_back(open.vm);
+  if (!end.at_fault.empty() && end.at_fault != open.vm) {
+    open.excluded.push_back(end.at_fault);
+  }
+  ForwardStep step = PassAnswer{};
+  switch (end.kind) {
+    case ForwardEndKind::kSucceeded:
+      break;
+    case ForwardEndKind::kFailedThere:
+      ++open.runs;
+      if (!end.is_callers_fault && MayRunAgain(now, open, end)) {
+        step = SendAgain(now, open, end, true);
+        // Where no other endpoint is to be had, the failure itself is the most
+        // truthful answer.
+        if (!std::holds_alternative<SendForward>(step)) {
+          step = PassAnswer{};
+        }
+      }
+      break;
+    case ForwardEndKind::kNotRun:
+    case ForwardEndKind::kOtherVm:
+      step = SendAgain(now, open, end, true);
+      break;
+    case ForwardEndKind::kNothingSent:
+      step = SendAgain(now, open, end, false);
+      break;
+    case ForwardEndKind::kBroke:
+    case ForwardEndKind::kSilent:
+      ++open.runs;
+      step = MayRunAgain(now, open, end)
+                 ? SendAgain(now, open, end, true)
+                 : GiveUp(now, open, end, RefusalKind::kNoEndpoint);
+      break;
+    case ForwardEndKind::kOutOfTime:
+      ++open.runs;
+      step = GiveUp(now, open, end, RefusalKind::kDeadline);
+      break;
+  }
+  if (std::holds_alternative<SendForward>(step)) {
+    by_attempt_[open.attempt] = id;
+    return step;
+  }
+  open_.erase(found);
+  return step;
+}
+
+bool ForwardDesk::MayRunAgain(Time now,
+                              const Open& open,
+                              const ForwardEnd& end) const {
+  if (open.route->repetition == Repetition::kNever ||
+      open.runs >= open.route->most_attempts ||
+      now + settings_.least_time >= open.deadline) {
+    return false;
+  }
+  return !end.delivered ||
+         (open.route->repetition == Repetition::kResume && end.last_event);
+}
+
+ForwardStep ForwardDesk::SendAgain(Time now,
+                                   Open& open,
+                                   const ForwardEnd& end,
+                                   bool arrived_there) {
+  const bool refused = end.kind == ForwardEndKind::kNotRun ||
+                       end.kind == ForwardEndKind::kOtherVm ||
+                       end.kind == ForwardEndKind::kNothingSent;
+  if (refused && ++open.refusals > settings_.most_refusals) {
+    return GiveUp(now, open, end, RefusalKind::kEndpointRefused);
+  }
+  if (now + settings_.least_time >= open.deadline) {
+    return GiveUp(now, open, end, RefusalKind::kDeadline);
+  }
+  const std::optional<std::int64_t> resume =
+      end.delivered ? end.last_event : open.request.resume_after;
+  ForwardStep step = Send(now, open, resume);
+  if (!std::holds_alternative<SendForward>(step)) {
+    const auto& why = std::get<ForwardRefused>(step);
+    return GiveUp(now, open, end, why.kind);
+  }
+  // Only sends that may reach an endpoint beyond the first count.
+  if (arrived_there && !budget_->Spend(now, open.service)) {
+    selector_->OnCancelled(open.attempt);
+    return GiveUp(now, open, end, RefusalKind::kRetryBudget);
+  }
+  Report(EventKind::kRequestRetried, open,
+         {{"after", std::string(ForwardEndKindName(end.kind))},
+          {"vm", open.vm.value()},
+          {"sends", open.sends},
+          {"resume_after", resume.value_or(-1)}});
+  return step;
+}
+
+ForwardStep ForwardDesk::GiveUp(Time now,
+                                const Open& open,
+                                const ForwardEnd& end,
+                                RefusalKind reason) {
+  if (end.delivered) {
+    Report(EventKind::kRequestOutcomeUnknown, open,
+           {{"end", std::string(ForwardEndKindName(end.kind))},
+            {"reason", std::string(RefusalKindName(reason))},
+            {"answer", std::string("cut")}});
+    return ForwardCut{};
+  }
+  if (open.runs == 0) {
+    return Refuse(now, open, reason);
+  }
+  Report(EventKind::kRequestOutcomeUnknown, open,
+         {{"end", std::string(ForwardEndKindName(end.kind))},
+          {"reason", std::string(RefusalKindName(reason))},
+          {"waited_ms", (now - open.arrived).millis()}});
+  return ForwardUnknown{end.kind == ForwardEndKind::kOutOfTime};
+}
+
+ForwardStep ForwardDesk::Refuse(Time now, const Open& open, RefusalKind kind) {
+  const bool helps =
+      kind != RefusalKind::kUnknownKey && kind != RefusalKind::kUnknownService;
+  const Duration retry_after = helps ? RetryAfter() : Duration();
+  Report(EventKind::kRequestRefused, open,
+         {{"reason", std::string(RefusalKindName(kind))},
+          {"sends", open.sends},
+          {"waited_ms", (now - open.arrived).millis()},
+          {"retry_after_ms", retry_after.millis()}});
+  return ForwardRefused{kind, retry_after};
+}
+
+Duration ForwardDesk::RetryAfter() {
+  const double spread =
+      1 + settings_.retry_spread * (2 * DrawUnit(random_) - 1);
+  return Duration::Millis(static_cast<std::int64_t>(
+      static_cast<double>(settings_.retry_after.millis()) * spread));
+}
+
+void ForwardDesk::OnProgress(Time now, ForwardId id) {
+  const auto found = open_.find(id);
+  if (found != open_.end()) {
+    selector_->OnProgress(now, found->second.attempt);
+  }
+}
+
+void ForwardDesk::OnLoad(Time now, ForwardId id, const LoadReading& load) {
+  const auto found = open_.find(id);
+  if (found != open_.end()) {
+    selector_->OnLoad(now, found->second.vm, load);
+  }
+}
+
+void ForwardDesk::OnCallerGone(Time /*now*/, ForwardId id) {
+  const auto found = open_.find(id);
+  if (found == open_.end()) {
+    return;
+  }
+  selector_->OnCancelled(found->second.attempt);
+  by_attempt_.erase(found->second.attempt);
+  open_.erase(found);
+}
+
+std::vector<ForwardId> ForwardDesk::MovableOf(
+    Time now,
+    const std::vector<AttemptNumber>& stuck) {
+  std::vector<ForwardId> movable;
+  for (const AttemptNumber attempt : stuck) {
+    const auto found = by_attempt_.find(attempt);
+    if (found == by_attempt_.end()) {
+      continue;
+    }
+    const Open& open = open_.at(found->second);
+    const bool may_repeat = open.route->repetition != Repetition::kNever &&
+                            open.runs + 1 < open.route->most_attempts &&
+                            now + settings_.least_time < open.deadline;
+    const std::vector<VmId> excluded = {open.vm};
+    if (may_repeat &&
+        IsOk(selector_->Choose(
+            now, {open.service, open.request.model, open.request.prompt_tokens},
+            excluded))) {
+      movable.push_back(found->second);
+    }
+  }
+  return movable;
+}
+
+void ForwardDesk::Report(EventKind kind,
+                         const Open& open,
+                         std::vector<EventField> fields) {
+  if (open.route != nullptr) {
+    fields.push_back({"route", open.route->name});
+    fields.push_back({"version", open.routes->configuration().version.value()});
+  }
+  events_({kind, open.request.id.value(), {}, std::move(fields)});
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/gateway/gateway_core.cc
@@ -0,0 +1,381 @@
+#include "coordination/gateway/gateway_core.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "coordination/rendezvous.h"
+
+namespace gcw {
+namespace {
+
+// Parts of an engine's published times that are not worth a setting: a batch is
+// taken to be half full.
+constexpr double kUsualFill = 0.5;
+
+NodeLease MakeLease(const GatewaySettings& settings,
+                    const GatewayCore::Codecs& codecs,
+                    const Random& random,
+                    const EventSink& events) {
+  return NodeLease::Builder()
+      .SetSettings(settings.lease)
+      .SetRecord(settings.self)
+      .SetEncode(codecs.encode_node)
+      .SetRandom(random)
+      .SetEventSink(events)
+      .Build();
+}
+
+}  // namespace
+
+GatewayCore::GatewayCore(GatewaySettings settings,
+                         Codecs codecs,
+                         Random random,
+                         EventSink events)
+    : settings_(std::move(settings)),
+      random_(std::move(random)),
+      events_(std::move(events)),
+      view_(codecs.fleet, events_),
+      mirror_(settings_.mirror,
+              random_,
+              {[this](Time now, const StoreEntry& entry) {
+                 view_.OnPut(now, entry);
+               },
+               [this](Time now, const std::string& key) {
+                 view_.OnDeleted(now, key);
+               },
+               [this](bool reachable) {
+                 events_({reachable ? EventKind::kStoreReachable
+                                    : EventKind::kStoreUnreachable,
+                          settings_.self.id.value(),
+                          {},
+                          {{"revision", mirror_.revision().value()}}});
+               }}),
+      lease_(MakeLease(settings_, codecs, random_, events_)),
+      roles_(RoleLeases::Builder()
+                 .SetSettings(settings_.roles)
+                 .SetSelf(settings_.self.id)
+                 .SetLease([this](Time now) { return lease_.Held(now); })
+                 .SetRandom(random_)
+                 .SetEventSink(events_)
+                 .Build()),
+      keeper_(settings_.keeper, codecs.domain_record, events_),
+      selector_(settings_.selector, settings_.self.zone, random_, events_),
+      budget_(settings_.retries),
+      desk_(settings_.requests, &selector_, &budget_, random_, events_) {}
+
+GatewayActions GatewayCore::Tick(Time now) {
+  Apply(mirror_.Tick(now));
+  Apply(GatewayModule::kLease, lease_.Tick(now));
+  UpdateRole(now);
+  UpdateReplicas(now);
+  MoveStuck(now, selector_.Tick(now));
+  for (const Replica& replica : selector_.TakeStandstills()) {
+    const StandstillNotice notice{replica.vm, replica.generation};
+    keeper_.OnStandstill(now, notice.head, notice.generation);
+    for (const Address& address : OtherNodes()) {
+      actions_.emplace_back(TellNode{address, notice});
+    }
+  }
+  RunKeeper(now);
+  return TakeActions();
+}
+
+GatewayActions GatewayCore::OnStoreReply(Time now,
+                                         GatewayModule module,
+                                         StoreCallId id,
+                                         const StoreReply& reply) {
+  switch (module) {
+    case GatewayModule::kMirror:
+      Apply(mirror_.OnStoreReply(now, id, reply));
+      UpdateReplicas(now);
+      RunKeeper(now);
+      break;
+    case GatewayModule::kLease:
+      Apply(GatewayModule::kLease, lease_.OnStoreReply(now, id, reply));
+      break;
+    case GatewayModule::kRoles:
+      Apply(GatewayModule::kRoles, roles_.OnStoreReply(now, id, reply));
+      RunKeeper(now);
+      break;
+    case GatewayModule::kKeeper:
+      Apply(keeper_.OnStoreReply(now, id, reply));
+      RunKeeper(now);
+      break;
+  }
+  return TakeActions();
+}
+
+GatewayActions GatewayCore::OnSnapshot(Time now,
+                                       const MirrorSnapshot& snapshot) {
+  mirror_.OnPeerSnapshot(now, snapshot);
+  UpdateReplicas(now);
+  return TakeActions();
+}
+
+GatewayActions GatewayCore::OnNotice(Time now, const StandstillNotice& notice) {
+  MoveStuck(now,
+            selector_.OnStandstillHeard(now, notice.head, notice.generation));
+  keeper_.OnStandstill(now, notice.head, notice.generation);
+  RunKeeper(now);
+  return TakeActions();
+}
+
+GatewayActions GatewayCore::OnOrderReply(Time now,
+                                         OrderId id,
+                                         GroupOrderVerdict verdict) {
+  keeper_.OnOrderReply(now, id, verdict);
+  RunKeeper(now);
+  return TakeActions();
+}
+
+void GatewayCore::OnStopAsked(Time now) {
+  if (stop_asked_) {
+    return;
+  }
+  stop_asked_ = now;
+  events_({EventKind::kNodeDraining, settings_.self.id.value(), {}, {}});
+  NodeRecord record = settings_.self;
+  record.leaving = true;
+  Apply(GatewayModule::kLease, lease_.SetRecord(now, std::move(record)));
+}
+
+bool GatewayCore::is_stop_over(Time now) const {
+  return stop_asked_ && now - *stop_asked_ >= settings_.stop_within;
+}
+
+ForwardBegun GatewayCore::OnArrived(Time now, ForwardRequest request) {
+  if (!traffic_seen_) {
+    traffic_seen_ = true;
+    keeper_.OnTraffic();
+  }
+  const bool refuses =
+      stop_asked_ && now - *stop_asked_ >= settings_.stop_refuses_after;
+  if (refuses) {
+    events_(
+        {EventKind::kRequestRefused,
+         request.id.value(),
+         {},
+         {{"reason", std::string(RefusalKindName(RefusalKind::kDraining))}}});
+    return {ForwardId(), ForwardRefused{RefusalKind::kDraining,
+                                        settings_.requests.retry_after}};
+  }
+  return desk_.OnArrived(now, std::move(request), view_.routes());
+}
+
+ForwardStep GatewayCore::OnEnded(Time now,
+                                 ForwardId id,
+                                 const ForwardEnd& end) {
+  return desk_.OnEnded(now, id, end);
+}
+
+std::vector<Address> GatewayCore::Entries(const ZoneId& /*zone*/) const {
+  std::vector<Address> addresses;
+  if (!stopping()) {
+    addresses.push_back(settings_.self.caller_address);
+  }
+  for (const auto& [id, node] : view_.nodes()) {
+    if (addresses.size() >= settings_.most_entries) {
+      break;
+    }
+    if (!node.leaving && id != settings_.self.id) {
+      addresses.push_back(node.caller_address);
+    }
+  }
+  return addresses;
+}
+
+std::optional<CallerLimits> GatewayCore::caller_limits() const {
+  if (!view_.routes()) {
+    return std::nullopt;
+  }
+  return view_.routes()->configuration().limits;
+}
+
+bool GatewayCore::is_keeper(Time now) const {
+  return roles_.Held(RoleName(std::string(kKeeperRole)), now).has_value();
+}
+
+void GatewayCore::UpdateRole(Time now) {
+  const RoleName role{std::string(kKeeperRole)};
+  const NodeId holder = view_.HolderOf(role);
+  bool wants = false;
+  if (stopping() || keeper_.is_fenced_off() || !mirror_.loaded() ||
+      !mirror_.reachable()) {
+    role_free_since_.reset();
+  } else if (roles_.Held(role, now)) {
+    wants = true;
+  } else if (holder == settings_.self.id) {
+    wants = true;
+  } else if (holder.empty()) {
+    if (!role_free_since_) {
+      role_free_since_ = now;
+    }
+    std::vector<NodeId> nodes = {settings_.self.id};
+    for (const auto& [id, node] : view_.nodes()) {
+      if (!node.leaving && id != settings_.self.id) {
+        nodes.push_back(id);
+      }
+    }
+    const auto order = RendezvousOrder(kKeeperRole, nodes, nodes.size());
+    const auto rank = std::find(order.begin(), order.end(), settings_.self.id) -
+                      order.begin();
+    wants = now - *role_free_since_ >=
+            settings_.role_step * static_cast<std::int64_t>(rank);
+  } else {
+    role_free_since_.reset();
+  }
+  std::set<RoleName> desired;
+  if (wants) {
+    desired.insert(role);
+  }
+  Apply(GatewayModule::kRoles, roles_.SetDesired(now, std::move(desired)));
+}
+
+void GatewayCore::RunKeeper(Time now) {
+  const std::optional<HeldRole> held =
+      roles_.Held(RoleName(std::string(kKeeperRole)), now);
+  keeper_.SetRole(now, held);
+  if (held) {
+    Apply(keeper_.Tick(now, view_));
+  }
+}
+
+void GatewayCore::UpdateReplicas(Time now) {
+  const bool changed = !view_.TakeChangedVms().empty() ||
+                       view_.configuration_changes() != seen_configuration_;
+  budget_.SetNodeCount(view_.serving_nodes());
+  selector_.SetNodeCount(view_.serving_nodes());
+  if (!changed || !view_.routes()) {
+    return;
+  }
+  seen_configuration_ = view_.configuration_changes();
+  selector_.SetReplicas(now, MakeReplicas());
+}
+
+std::vector<Replica> GatewayCore::MakeReplicas() const {
+  std::vector<Replica> replicas;
+  for (const auto& [id, vm] : view_.vms()) {
+    const ServiceRule* service = view_.routes()->FindService(vm.service);
+    if (service == nullptr || vm.draining) {
+      continue;
+    }
+    if (std::optional<Replica> replica = MakeReplica(vm, *service)) {
+      replicas.push_back(*std::move(replica));
+    }
+  }
+  return replicas;
+}
+
+std::optional<Replica> GatewayCore::MakeReplica(
+    const VmRegistration& vm,
+    const ServiceRule& service) const {
+  Replica replica;
+  replica.vm = vm.id;
+  replica.address = vm.address;
+  replica.service = vm.service;
+  replica.zone = vm.zone;
+  replica.places = std::max<std::int64_t>(1, vm.places);
+  if (!service.engine) {
+    return replica;
+  }
+  const EngineProfile& engine = *service.engine;
+  if (!vm.membership || vm.membership->rank != 0 ||
+      vm.membership->phase != MemberPhase::kOpen || vm.models.empty()) {
+    return std::nullopt;
+  }
+  replica.model = vm.models.front();
+  replica.group = vm.membership->group;
+  replica.generation = vm.membership->generation;
+  replica.places = engine.batch_limit;
+  for (const ModelProfile& model : engine.models) {
+    if (model.model != replica.model) {
+      continue;
+    }
+    if (!IsWhole(vm, model.group_size)) {
+      return std::nullopt;
+    }
+    const double fill = kUsualFill * static_cast<double>(engine.batch_limit);
+    replica.pass_ms = engine.steps_per_pass * model.pace *
+                      (engine.step_ms + engine.step_ms_per_request * fill);
+    replica.prompt_tokens_per_ms = engine.prompt_tokens_per_ms / model.pace;
+    replica.service_ms = replica.pass_ms * engine.usual_answer_tokens /
+                         std::max(1.0, engine.steps_per_pass);
+    return replica;
+  }
+  return std::nullopt;
+}
+
+bool GatewayCore::IsWhole(const VmRegistration& head, std::size_t size) const {
+  std::size_t present = 0;
+  for (const auto& [id, vm] : view_.vms()) {
+    if (vm.membership && !vm.draining &&
+        vm.membership->group == head.membership->group &&
+        vm.membership->generation == head.membership->generation) {
+      ++present;
+    }
+  }
+  return present >= size;
+}
+
+void GatewayCore::MoveStuck(Time now, const std::vector<AttemptNumber>& stuck) {
+  for (const ForwardId id : desk_.MovableOf(now, stuck)) {
+    actions_.emplace_back(MoveForward{id});
+  }
+}
+
+std::vector<Address> GatewayCore::OtherNodes() const {
+  std::vector<Address> addresses;
+  for (const auto& [id, node] : view_.nodes()) {
+    if (id != settings_.self.id) {
+      addresses.push_back(node.peer_address);
+    }
+  }
+  return addresses;
+}
+
+void GatewayCore::Apply(std::vector<StoreMirrorAction> actions) {
+  for (StoreMirrorAction& action : actions) {
+    if (auto* request = std::get_if<StoreRequest>(&action)) {
+      actions_.emplace_back(
+          CallGatewayStore{GatewayModule::kMirror, std::move(*request)});
+      continue;
+    }
+    std::vector<Address> others = OtherNodes();
+    if (others.empty()) {
+      others = settings_.seeds;
+      std::erase(others, settings_.self.peer_address);
+    }
+    if (!others.empty()) {
+      const auto& ask = std::get<AskPeerSnapshot>(action);
+      actions_.emplace_back(AskNodeSnapshot{
+          others[DrawBelow(random_, others.size())], ask.newer_than});
+    }
+  }
+}
+
+void GatewayCore::Apply(
+    GatewayModule module,
+    const std::vector<std::variant<StoreRequest>>& actions) {
+  for (const auto& action : actions) {
+    actions_.emplace_back(
+        CallGatewayStore{module, std::get<StoreRequest>(action)});
+  }
+}
+
+void GatewayCore::Apply(std::vector<FleetKeeperAction> actions) {
+  for (FleetKeeperAction& action : actions) {
+    if (auto* request = std::get_if<StoreRequest>(&action)) {
+      actions_.emplace_back(
+          CallGatewayStore{GatewayModule::kKeeper, std::move(*request)});
+    } else {
+      actions_.emplace_back(std::get<SendGroupOrder>(std::move(action)));
+    }
+  }
+}
+
+GatewayActions GatewayCore::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/gateway/gateway_core.h
@@ -0,0 +1,185 @@
+#ifndef COORDINATION_GATEWAY_GATEWAY_CORE_H_
+#define COORDINATION_GATEWAY_GATEWAY_CORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coordination/gateway/fleet_keeper.h"
+#include "coordination/gateway/fleet_view.h"
+#include "coordination/gateway/forward_desk.h"
+#include "coordination/gateway/gateway_keys.h"
+#include "coordination/gateway/replica_selector.h"
+#include "coordination/gateway/shared_retry_budget.h"
+#include "coordination/gateway/store_mirror.h"
+#include "coordination/roles/node_lease.h"
+#include "coordination/roles/role_leases.h"
+
+namespace gcw {
+
+// There is one role, and groups are not repaired while nobody holds it.
+inline RoleLeasesSettings RoleSettings() {
+  RoleLeasesSettings settings;
+  settings.retry_interval = Duration::Millis(400);
+  settings.call_timeout = Duration::Millis(1000);
+  settings.backoff = {Duration::Millis(150), Duration::Millis(800)};
+  return settings;
+}
+
+struct GatewaySettings {
+  NodeRecord self;
+  // Peer addresses that the settings name; some may be stale.
+  std::vector<Address> seeds;
+  NodeLeaseSettings lease = {Duration::Millis(3000),
+                             Duration::Millis(900),
+                             Duration::Millis(400),
+                             Duration::Millis(1000),
+                             {Duration::Millis(150), Duration::Millis(800)}};
+  RoleLeasesSettings roles = RoleSettings();
+  StoreMirrorSettings mirror;
+  FleetKeeperSettings keeper;
+  ReplicaSelectorSettings selector;
+  SharedRetryBudgetSettings retries;
+  ForwardDeskSettings requests;
+  // How long callers may keep the list of addresses.
+  Duration entries_keep = Duration::Seconds(2);
+  // Addresses in one such list at most.
+  std::size_t most_entries = 64;
+  // A free keeper's role is tried by the preferred node at once and by each
+  // further one this much later, so that it is not asked for by all.
+  Duration role_step = Duration::Millis(120);
+  // From the start of a planned stop: new requests are refused from then on,
+  // since one that is cut at the end would be lost...
+  Duration stop_refuses_after = Duration::Millis(5000);
+  // ... and this is the latest end.
+  Duration stop_within = Duration::Millis(7400);
+};
+
+// The part of the core that asked the key-value service.
+enum class GatewayModule { kMirror, kLease, kRoles, kKeeper };
+
+struct CallGatewayStore {
+  GatewayModule module = GatewayModule::kMirror;
+  StoreRequest request;
+};
+// Ask the node at that address for what its mirror has.
+struct AskNodeSnapshot {
+  Address address;
+  Revision newer_than;
+};
+// A group that stands still, told between nodes.
+struct StandstillNotice {
+  VmId head;
+  Generation generation;
+};
+struct TellNode {
+  Address address;
+  StandstillNotice notice;
+};
+// End the request's attempt as kSilent; another endpoint can go on with it.
+struct MoveForward {
+  ForwardId id;
+};
+
+using GatewayAction = std::variant<CallGatewayStore,
+                                   AskNodeSnapshot,
+                                   TellNode,
+                                   SendGroupOrder,
+                                   MoveForward>;
+using GatewayActions = std::vector<GatewayAction>;
+
+// The decisions of one node on a platform whose store holds the configuration
+// and the endpoints. Like NodeCore it does no input or output and is driven by
+// events with their times, on one thread; every action that asks for something
+// is answered by a call of the matching `On...`, or never. See docs/CORE.md.
+class GatewayCore {
+ public:
+  struct Codecs {
+    FleetCodec fleet;
+    DomainRecordCodec domain_record;
+    std::function<std::string(const NodeRecord&)> encode_node;
+  };
+
+  GatewayCore(GatewaySettings settings,
+              Codecs codecs,
+              Random random,
+              EventSink events);
+  GatewayCore(const GatewayCore&) = delete;
+  GatewayCore& operator=(const GatewayCore&) = delete;
+
+  GatewayActions Tick(Time now);
+  GatewayActions OnStoreReply(Time now,
+                              GatewayModule module,
+                              StoreCallId id,
+                              const StoreReply& reply);
+  GatewayActions OnSnapshot(Time now, const MirrorSnapshot& snapshot);
+  GatewayActions OnNotice(Time now, const StandstillNotice& notice);
+  GatewayActions OnOrderReply(Time now, OrderId id, GroupOrderVerdict verdict);
+  void OnStopAsked(Time now);
+
+  ForwardBegun OnArrived(Time now, ForwardRequest request);
+  ForwardStep OnEnded(Time now, ForwardId id, const ForwardEnd& end);
+  void OnProgress(Time now, ForwardId id) { desk_.OnProgress(now, id); }
+  void OnLoad(Time now, ForwardId id, const LoadReading& load) {
+    desk_.OnLoad(now, id, load);
+  }
+  void OnCallerGone(Time now, ForwardId id) { desk_.OnCallerGone(now, id); }
+
+  // Addresses for callers of that data centre.
+  std::vector<Address> Entries(const ZoneId& zone) const;
+  Duration entries_keep() const { return settings_.entries_keep; }
+  bool ready() const { return view_.routes() != nullptr && !stopping(); }
+  bool stopping() const { return stop_asked_.has_value(); }
+  // Whether the process may end: a planned stop is over.
+  bool is_stop_over(Time now) const;
+  std::size_t open_requests() const { return desk_.open_requests(); }
+  const FleetView& view() const { return view_; }
+  const StoreMirror& mirror() const { return mirror_; }
+  bool is_keeper(Time now) const;
+  // Absent where this node knows nothing newer.
+  std::optional<MirrorSnapshot> Snapshot(Revision newer_than) const {
+    return mirror_.Snapshot(newer_than);
+  }
+  std::optional<CallerLimits> caller_limits() const;
+
+ private:
+  void Apply(std::vector<StoreMirrorAction> actions);
+  void Apply(GatewayModule module,
+             const std::vector<std::variant<StoreRequest>>& actions);
+  void Apply(std::vector<FleetKeeperAction> actions);
+  void UpdateRole(Time now);
+  void UpdateReplicas(Time now);
+  void RunKeeper(Time now);
+  void MoveStuck(Time now, const std::vector<AttemptNumber>& stuck);
+  std::vector<Address> OtherNodes() const;
+  std::vector<Replica> MakeReplicas() const;
+  std::optional<Replica> MakeReplica(const VmRegistration& vm,
+                                     const ServiceRule& service) const;
+  bool IsWhole(const VmRegistration& head, std::size_t size) const;
+  GatewayActions TakeActions();
+
+  GatewaySettings settings_;
+  Random random_;
+  EventSink events_;
+  FleetView view_;
+  StoreMirror mirror_;
+  NodeLease lease_;
+  RoleLeases roles_;
+  FleetKeeper keeper_;
+  ReplicaSelector selector_;
+  SharedRetryBudget budget_;
+  ForwardDesk desk_;
+
+  std::optional<Time> role_free_since_;
+  std::uint64_t seen_configuration_ = 0;
+  std::optional<Time> stop_asked_;
+  bool traffic_seen_ = false;
+  GatewayActions actions_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_GATEWAY_GATEWAY_CORE_H_
--- /dev/null
+++ b/coordination/gateway/group_planner.h
@@ -0,0 +1,76 @@
+#ifndef COORDINATION_GATEWAY_GROUP_PLANNER_H_
+#define COORDINATION_GATEWAY_GROUP_PLANNER_H_
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+#include "state/state.h"
+
+namespace gcw {
+
+struct GroupPlannerSettings {
+  // VMs of a domain that are better kept free for repairs than put into one
+  // more group: a repair with a staged spare takes seconds, a load many.
+  std::size_t reserve_per_domain = 1;
+};
+
+// A VM that a group may be formed of.
+struct FreeVm {
+  VmId vm;
+  // Models that it can take up without a load.
+  std::vector<ModelId> at_hand;
+  // The model of its last group, which it takes up fastest; may be empty.
+  ModelId last_model;
+};
+
+// What is known of one fabric domain.
+struct PlannedDomain {
+  FabricDomainId domain;
+  std::vector<FreeVm> free;
+  // VMs in groups that are or will be whole, by model.
+  std::map<ModelId, std::size_t> groups;
+  // All VMs that live, in groups or not.
+  std::size_t vms = 0;
+};
+
+struct PlannedGroup {
+  FabricDomainId domain;
+  ModelId model;
+  // In rank order.
+  std::vector<VmId> members;
+};
+
+struct PlannedStaging {
+  VmId vm;
+  ModelId model;
+};
+
+struct GroupPlan {
+  std::vector<PlannedGroup> groups;
+  std::vector<PlannedStaging> stagings;
+};
+
+// Decides which groups to form of VMs that are free, over all domains of one
+// service, and which weights the VMs that stay free should hold. Groups follow
+// the models' parts of the work; a group never leaves its domain.
+class GroupPlanner {
+ public:
+  explicit GroupPlanner(GroupPlannerSettings settings) : settings_(settings) {}
+
+  GroupPlan Plan(const EngineProfile& profile,
+                 std::vector<PlannedDomain> domains) const;
+
+  // How many groups of each model a domain with that many VMs would best have,
+  // in the order of the profile's models.
+  std::vector<std::size_t> BestMix(const EngineProfile& profile,
+                                   std::size_t vms,
+                                   const std::vector<double>& fill) const;
+
+ private:
+  GroupPlannerSettings settings_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_GATEWAY_GROUP_PLANNER_H_
--- /dev/null
+++ b/coordination/gateway/replica_selector.cc
@@ -0,0 +1,321 @@
+#include "coordination/gateway/replica_selector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gcw {
+
+ReplicaSelector::ReplicaSelector(ReplicaSelectorSettings settings,
+                                 ZoneId zone,
+                                 Random random,
+                                 EventSink events)
+    : settings_(settings),
+      zone_(std::move(zone)),
+      random_(std::move(random)),
+      events_(std::move(events)) {}
+
+void ReplicaSelector::SetReplicas(Time now, std::vector<Replica> replicas) {
+  std::set<VmId> seen;
+  for (Replica& replica : replicas) {
+    seen.insert(replica.vm);
+    const auto [it, is_new] = states_.try_emplace(replica.vm, settings_);
+    State& state = it->second;
+    if (is_new || state.replica.generation != replica.generation) {
+      // Another group at the same VM starts without load or history.
+      state = State(settings_);
+      state.last_progress = now;
+    }
+    state.replica = std::move(replica);
+  }
+  std::erase_if(states_,
+                [&](const auto& state) { return !seen.contains(state.first); });
+}
+
+void ReplicaSelector::SetNodeCount(std::size_t nodes) {
+  nodes_ = static_cast<double>(std::max<std::size_t>(1, nodes));
+}
+
+ReplicaSelector::State* ReplicaSelector::Find(const VmId& vm) {
+  const auto found = states_.find(vm);
+  return found == states_.end() ? nullptr : &found->second;
+}
+
+bool ReplicaSelector::IsUsable(Time now, const State& state) const {
+  if (state.stands_still_until && now < *state.stands_still_until) {
+    return false;
+  }
+  return state.backoff.IsOpen(now);
+}
+
+double ReplicaSelector::ExpectedRequests(Time now, const State& state) const {
+  const auto own = static_cast<double>(state.in_flight);
+  if (state.load_at == Time() || now - state.load_at > settings_.load_life) {
+    return own * std::min(nodes_, 4.0);
+  }
+  const auto reported =
+      static_cast<double>(state.load.running + state.load.waiting +
+                          state.sent_since - state.ended_since);
+  return std::max(own, reported);
+}
+
+double ReplicaSelector::ExpectedWait(Time now,
+                                     const State& state,
+                                     const ReplicaDemand& demand) const {
+  const Replica& replica = state.replica;
+  const double requests = ExpectedRequests(now, state);
+  const auto places = static_cast<double>(replica.places);
+  double wait = replica.pass_ms * std::min(1.0, requests / places);
+  if (replica.prompt_tokens_per_ms > 0) {
+    const double tokens = state.pending_prompt_tokens +
+                          static_cast<double>(demand.prompt_tokens.value());
+    wait += tokens / replica.prompt_tokens_per_ms;
+  } else {
+    wait += replica.service_ms * requests / places;
+  }
+  const double in_front = requests + 1 - places;
+  if (in_front > 0) {
+    wait += replica.service_ms * in_front / places;
+  }
+  if (replica.zone != zone_) {
+    wait += settings_.other_zone_ms;
+  }
+  return wait;
+}
+
+Result<ReplicaChoice, RefusalKind> ReplicaSelector::Choose(
+    Time now,
+    const ReplicaDemand& demand,
+    std::span<const VmId> excluded) {
+  const State* best = nullptr;
+  double best_cost = 0;
+  bool any = false;
+  for (const auto& [vm, state] : states_) {
+    const Replica& replica = state.replica;
+    if (replica.service != demand.service || replica.model != demand.model ||
+        std::find(excluded.begin(), excluded.end(), vm) != excluded.end() ||
+        !IsUsable(now, state)) {
+      continue;
+    }
+    any = true;
+    if (ExpectedRequests(now, state) >=
+        settings_.most_fill * static_cast<double>(replica.places)) {
+      continue;
+    }
+    const double cost = ExpectedWait(now, state, demand) +
+                        settings_.spread_ms * DrawUnit(random_);
+    if (best == nullptr || cost < best_cost) {
+      best = &state;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return any ? RefusalKind::kNoCapacity : RefusalKind::kNoEndpoint;
+  }
+  return ReplicaChoice{best->replica, best_cost};
+}
+
+AttemptNumber ReplicaSelector::OnSent(Time now,
+                                      const VmId& vm,
+                                      TokenCount prompt_tokens,
+                                      bool streams) {
+  ++last_attempt_;
+  Attempt attempt;
+  attempt.vm = vm;
+  attempt.prompt_tokens = static_cast<double>(prompt_tokens.value());
+  attempt.sent = now;
+  attempt.streams = streams;
+  if (State* state = Find(vm)) {
+    attempt.generation = state->replica.generation;
+    state->backoff.OnSent(now);
+    ++state->in_flight;
+    ++state->sent_since;
+    state->pending_prompt_tokens += attempt.prompt_tokens;
+  }
+  attempts_.emplace(last_attempt_, std::move(attempt));
+  return last_attempt_;
+}
+
+void ReplicaSelector::OnLoad(Time now,
+                             const VmId& vm,
+                             const LoadReading& load) {
+  if (State* state = Find(vm)) {
+    state->load = load;
+    state->load_at = now;
+    state->sent_since = 0;
+    state->ended_since = 0;
+  }
+}
+
+void ReplicaSelector::OnProgress(Time now, AttemptNumber attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  Attempt& running = found->second;
+  State* state = Find(running.vm);
+  const bool is_first = !running.progress.has_value();
+  running.progress = now;
+  if (state == nullptr || state->replica.generation != running.generation) {
+    return;
+  }
+  state->last_progress = now;
+  if (is_first) {
+    state->pending_prompt_tokens =
+        std::max(0.0, state->pending_prompt_tokens - running.prompt_tokens);
+  }
+  if (state->stands_still_until) {
+    state->stands_still_until.reset();
+    events_({EventKind::kEndpointRestored, running.vm.value(), {}, {}});
+  }
+}
+
+void ReplicaSelector::End(const Attempt& attempt) {
+  State* state = Find(attempt.vm);
+  if (state == nullptr || state->replica.generation != attempt.generation) {
+    return;
+  }
+  state->in_flight = std::max<std::int64_t>(0, state->in_flight - 1);
+  ++state->ended_since;
+  if (!attempt.progress) {
+    state->pending_prompt_tokens =
+        std::max(0.0, state->pending_prompt_tokens - attempt.prompt_tokens);
+  }
+}
+
+void ReplicaSelector::OnEnded(Time now,
+                              AttemptNumber attempt,
+                              ForwardEndKind end) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const Attempt ended = found->second;
+  attempts_.erase(found);
+  End(ended);
+  State* state = Find(ended.vm);
+  if (state == nullptr || state->replica.generation != ended.generation) {
+    return;
+  }
+  switch (end) {
+    case ForwardEndKind::kSucceeded:
+      state->backoff.OnSucceeded();
+      return;
+    case ForwardEndKind::kFailedThere:
+    case ForwardEndKind::kNotRun:
+    case ForwardEndKind::kOtherVm:
+    case ForwardEndKind::kNothingSent:
+    case ForwardEndKind::kBroke:
+    case ForwardEndKind::kSilent: {
+      const bool was_open = state->backoff.IsOpen(now);
+      state->backoff.OnFailed(now);
+      if (was_open) {
+        events_({EventKind::kEndpointEjected,
+                 ended.vm.value(),
+                 {},
+                 {{"reason", std::string(ForwardEndKindName(end))},
+                  {"failures", state->backoff.failures()}}});
+      }
+      return;
+    }
+    case ForwardEndKind::kOutOfTime:
+      state->backoff.OnAbandoned();
+      return;
+  }
+}
+
+void ReplicaSelector::OnCancelled(AttemptNumber attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const Attempt ended = found->second;
+  attempts_.erase(found);
+  End(ended);
+  if (State* state = Find(ended.vm)) {
+    state->backoff.OnAbandoned();
+  }
+}
+
+std::vector<AttemptNumber> ReplicaSelector::Tick(Time now) {
+  // By replica: whether a stream that had begun is silent for too long, and
+  // none of them goes on.
+  std::set<VmId> silent;
+  for (const auto& [number, attempt] : attempts_) {
+    if (!attempt.streams) {
+      continue;
+    }
+    const State* state = Find(attempt.vm);
+    if (state == nullptr || state->replica.generation != attempt.generation ||
+        state->stands_still_until) {
+      continue;
+    }
+    const Time last =
+        std::max(attempt.progress.value_or(attempt.sent), state->last_progress);
+    const Duration limit = attempt.progress ? settings_.silence_limit
+                                            : settings_.first_event_limit;
+    if (now - last > limit) {
+      silent.insert(attempt.vm);
+    }
+  }
+  std::vector<AttemptNumber> stuck;
+  for (const VmId& vm : silent) {
+    State& state = *Find(vm);
+    standstills_.push_back(state.replica);
+    const auto marked = MarkStandstill(now, state, "own_streams");
+    stuck.insert(stuck.end(), marked.begin(), marked.end());
+  }
+  return stuck;
+}
+
+std::vector<AttemptNumber> ReplicaSelector::OnStandstillHeard(
+    Time now,
+    const VmId& vm,
+    Generation generation) {
+  State* state = Find(vm);
+  if (state == nullptr || state->replica.generation != generation ||
+      state->stands_still_until) {
+    return {};
+  }
+  // Streams that go on here say more than another node's word.
+  if (now - state->last_progress < settings_.silence_limit / 2) {
+    return {};
+  }
+  return MarkStandstill(now, *state, "other_node");
+}
+
+std::vector<AttemptNumber> ReplicaSelector::MarkStandstill(
+    Time now,
+    State& state,
+    std::string_view evidence) {
+  state.stands_still_until = now + settings_.standstill_hold;
+  events_({EventKind::kConnectionSilent,
+           state.replica.vm.value(),
+           {},
+           {{"group", state.replica.group.value()},
+            {"evidence", std::string(evidence)},
+            {"silent_ms", (now - state.last_progress).millis()},
+            {"in_flight", state.in_flight}}});
+  std::vector<AttemptNumber> stuck;
+  for (const auto& [number, attempt] : attempts_) {
+    if (attempt.vm == state.replica.vm &&
+        attempt.generation == state.replica.generation) {
+      stuck.push_back(number);
+    }
+  }
+  return stuck;
+}
+
+std::vector<Replica> ReplicaSelector::TakeStandstills() {
+  return std::exchange(standstills_, {});
+}
+
+std::size_t ReplicaSelector::open_replicas(const ServiceId& service,
+                                           const ModelId& model) const {
+  return static_cast<std::size_t>(
+      std::count_if(states_.begin(), states_.end(), [&](const auto& state) {
+        return state.second.replica.service == service &&
+               state.second.replica.model == model;
+      }));
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/gateway/replica_selector.h
@@ -0,0 +1,170 @@
+#ifndef COORDINATION_GATEWAY_REPLICA_SELECTOR_H_
+#define COORDINATION_GATEWAY_REPLICA_SELECTOR_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+#include "coordination/gateway/forward_request.h"
+#include "coordination/routing/failure_backoff.h"
+#include "state/state.h"
+
+namespace gcw {
+
+struct ReplicaSelectorSettings {
+  // A replica whose running streams all give nothing for this long is taken to
+  // stand still: a lost member stops a group with nothing else to show for it,
+  // and the group goes on taking requests. Healthy ones give an event a pass,
+  // 50 to 60 ms at the engines' published times.
+  Duration silence_limit = Duration::Millis(400);
+  // The same before the first event of a stream, where reading long prompts and
+  // waiting for a place take their time.
+  Duration first_event_limit = Duration::Millis(1500);
+  // A replica that stood still is left out until it gives something, or for
+  // this long; by then its group has been repaired or taken down.
+  Duration standstill_hold = Duration::Millis(6000);
+  // What a replica of another data centre costs, in expected wait.
+  double other_zone_ms = 4;
+  // Reports are old, and nodes with the same report would all choose the same
+  // replica: this much expected wait is drawn at random for each.
+  double spread_ms = 12;
+  // Requests in a replica, running and waiting, beyond which nothing more is
+  // sent there, as a multiple of its places.
+  double most_fill = 1.3;
+  // A report of load counts for this long.
+  Duration load_life = Duration::Millis(2500);
+  FailureBackoffSettings backoff = {Duration::Millis(300), Duration::Seconds(3),
+                                    Duration::Seconds(2)};
+};
+
+// Something that takes requests: a replica group at its first member, or a
+// plain service's process.
+struct Replica {
+  VmId vm;
+  Address address;
+  ServiceId service;
+  // Both empty for plain services.
+  ModelId model;
+  GroupId group;
+  Generation generation;
+  ZoneId zone;
+  std::int64_t places = 1;
+  // How long one pass over a full batch takes; zero for plain services.
+  double pass_ms = 0;
+  double prompt_tokens_per_ms = 0;
+  // How long a request keeps its place.
+  double service_ms = 50;
+
+  friend bool operator==(const Replica&, const Replica&) = default;
+};
+
+struct ReplicaDemand {
+  ServiceId service;
+  ModelId model;
+  TokenCount prompt_tokens;
+};
+
+struct ReplicaChoice {
+  Replica replica;
+  double expected_ms = 0;
+};
+
+// Names one attempt at one replica.
+using AttemptNumber = StrongNumber<struct AttemptNumberTag>;
+
+// Chooses the replica for each attempt. It knows what each last reported and
+// what this node sent there since, and leaves out those that fail, stand still
+// or are full.
+class ReplicaSelector {
+ public:
+  ReplicaSelector(ReplicaSelectorSettings settings,
+                  ZoneId zone,
+                  Random random,
+                  EventSink events);
+
+  // The replicas that there are now.
+  void SetReplicas(Time now, std::vector<Replica> replicas);
+  void SetNodeCount(std::size_t nodes);
+
+  // Absent with the reason: kNoEndpoint or kNoCapacity.
+  Result<ReplicaChoice, RefusalKind> Choose(Time now,
+                                            const ReplicaDemand& demand,
+                                            std::span<const VmId> excluded);
+
+  AttemptNumber OnSent(Time now,
+                       const VmId& vm,
+                       TokenCount prompt_tokens,
+                       bool streams);
+  void OnLoad(Time now, const VmId& vm, const LoadReading& load);
+  // Something of the answer came.
+  void OnProgress(Time now, AttemptNumber attempt);
+  void OnEnded(Time now, AttemptNumber attempt, ForwardEndKind end);
+  // The caller left.
+  void OnCancelled(AttemptNumber attempt);
+
+  // Attempts at replicas that were just found to stand still.
+  std::vector<AttemptNumber> Tick(Time now);
+  // Another node found it standing still.
+  std::vector<AttemptNumber> OnStandstillHeard(Time now,
+                                               const VmId& vm,
+                                               Generation generation);
+  // Replicas found standing still since the last call, for other nodes.
+  std::vector<Replica> TakeStandstills();
+
+  std::size_t open_replicas(const ServiceId& service,
+                            const ModelId& model) const;
+
+ private:
+  struct State {
+    explicit State(const ReplicaSelectorSettings& settings)
+        : backoff(settings.backoff) {}
+
+    Replica replica;
+    FailureBackoff backoff;
+    std::int64_t in_flight = 0;
+    double pending_prompt_tokens = 0;
+    LoadReading load;
+    Time load_at;
+    std::int64_t sent_since = 0;
+    std::int64_t ended_since = 0;
+    Time last_progress;
+    std::optional<Time> stands_still_until;
+  };
+  struct Attempt {
+    VmId vm;
+    Generation generation;
+    double prompt_tokens = 0;
+    Time sent;
+    // Of the last event.
+    std::optional<Time> progress;
+    bool streams = false;
+  };
+
+  State* Find(const VmId& vm);
+  bool IsUsable(Time now, const State& state) const;
+  double ExpectedRequests(Time now, const State& state) const;
+  double ExpectedWait(Time now,
+                      const State& state,
+                      const ReplicaDemand& demand) const;
+  void End(const Attempt& attempt);
+  std::vector<AttemptNumber> MarkStandstill(Time now,
+                                            State& state,
+                                            std::string_view evidence);
+
+  ReplicaSelectorSettings settings_;
+  ZoneId zone_;
+  Random random_;
+  EventSink events_;
+  double nodes_ = 1;
+  std::map<VmId, State> states_;
+  std::map<AttemptNumber, Attempt> attempts_;
+  AttemptNumber last_attempt_;
+  std::vector<Replica> standstills_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_GATEWAY_REPLICA_SELECTOR_H_
--- /dev/null
+++ b/coordination/gateway/shared_retry_budget.cc
@@ -0,0 +1,57 @@
+#include "coordination/gateway/shared_retry_budget.h"
+
+#include <algorithm>
+
+namespace gcw {
+
+SharedRetryBudget::SharedRetryBudget(const SharedRetryBudgetSettings& settings)
+    : settings_(settings) {}
+
+std::int64_t SharedRetryBudget::SlotNumber(Time now) const {
+  return now.millis() * static_cast<std::int64_t>(kSlots) /
+         settings_.window.millis();
+}
+
+SharedRetryBudget::Slot& SharedRetryBudget::SlotAt(Account& account,
+                                                   std::int64_t number) {
+  Slot& slot = account.slots[static_cast<std::size_t>(
+      number % static_cast<std::int64_t>(account.slots.size()))];
+  if (slot.number != number) {
+    slot = Slot{number, 0, 0};
+  }
+  return slot;
+}
+
+void SharedRetryBudget::OnRequest(Time now, const ServiceId& service) {
+  ++SlotAt(accounts_[service], SlotNumber(now)).requests;
+}
+
+bool SharedRetryBudget::Spend(Time now, const ServiceId& service) {
+  Account& account = accounts_[service];
+  const std::int64_t current = SlotNumber(now);
+  // The window of sends has one slot more than that of requests, so that no
+  // window that begins within a slot holds more.
+  const std::int64_t oldest = current - static_cast<std::int64_t>(kSlots);
+  std::int64_t requests = 0;
+  std::int64_t spent = 0;
+  for (const Slot& slot : account.slots) {
+    if (slot.number >= oldest) {
+      spent += slot.spent;
+      requests += slot.number > oldest ? slot.requests : 0;
+    }
+  }
+  const double allowed =
+      settings_.used_share * (settings_.ratio * static_cast<double>(requests) +
+                              settings_.slack / static_cast<double>(nodes_));
+  if (static_cast<double>(spent + 1) > allowed) {
+    return false;
+  }
+  ++SlotAt(account, current).spent;
+  return true;
+}
+
+void SharedRetryBudget::SetNodeCount(std::size_t nodes) {
+  nodes_ = std::max<std::size_t>(1, nodes);
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/gateway/store_mirror.cc
@@ -0,0 +1,237 @@
+#include "coordination/gateway/store_mirror.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gcw {
+
+StoreMirror::StoreMirror(StoreMirrorSettings settings,
+                         Random random,
+                         Hooks hooks)
+    : settings_(std::move(settings)),
+      random_(std::move(random)),
+      hooks_(std::move(hooks)),
+      backoff_(settings_.backoff) {}
+
+std::vector<StoreMirrorAction> StoreMirror::Tick(Time now) {
+  RemoveHeld(now);
+  std::vector<StoreMirrorAction> actions;
+  if (!last_answer_) {
+    last_answer_ = now;
+  }
+  const bool away = now - *last_answer_ >= settings_.away_after;
+  if (away && reachable_) {
+    reachable_ = false;
+    hooks_.on_reachable(false);
+  }
+  if (away && now >= next_ask_) {
+    next_ask_ = now + settings_.ask_peer_interval;
+    actions.emplace_back(AskPeerSnapshot{loaded_ ? revision_ : Revision()});
+  }
+  if (std::optional<StoreCall> call = NextCall(now)) {
+    call_ = ++last_id_;
+    actions.emplace_back(StoreRequest{last_id_, *std::move(call)});
+  }
+  return actions;
+}
+
+std::optional<StoreCall> StoreMirror::NextCall(Time now) {
+  if (call_ || now < next_call_) {
+    return std::nullopt;
+  }
+  if (phase_ == Phase::kReading) {
+    return StoreRange{settings_.prefixes[reading_], page_after_};
+  }
+  next_call_ = now + settings_.watch_interval;
+  return StoreWatch{settings_.watch_prefix, revision_, settings_.watch_wait};
+}
+
+std::vector<StoreMirrorAction>
+StoreMirror::OnStoreReply(Time now, StoreCallId id, const StoreReply& reply) {
+  if (call_ != id) {
+    return {};
+  }
+  call_.reset();
+  if (const auto* range = std::get_if<StoreRangeReply>(&reply)) {
+    OnAnswered(now);
+    OnRange(now, *range);
+  } else if (const auto* watch = std::get_if<StoreWatchReply>(&reply)) {
+    OnAnswered(now);
+    OnWatch(now, *watch);
+  } else if (const auto* busy = std::get_if<StoreBusy>(&reply)) {
+    OnFailed(now, busy->retry_after);
+  } else {
+    OnFailed(now, Duration());
+  }
+  return Tick(now);
+}
+
+void StoreMirror::OnAnswered(Time now) {
+  backoff_.Reset();
+  // An outage that was noticed, and any gap that long: while the service was
+  // away, it may have dropped keys of owners who live.
+  if (!reachable_ ||
+      (last_answer_ &&
+       now - *last_answer_ >= settings_.away_after + settings_.watch_wait)) {
+    lapse_until_ = now + settings_.lapse_grace;
+  }
+  last_answer_ = now;
+  if (!reachable_) {
+    reachable_ = true;
+    hooks_.on_reachable(true);
+  }
+}
+
+void StoreMirror::OnFailed(Time now, Duration least_wait) {
+  next_call_ = now + std::max(least_wait, backoff_.Next(random_));
+}
+
+void StoreMirror::StartReading() {
+  phase_ = Phase::kReading;
+  reading_ = 0;
+  page_after_.clear();
+  page_seen_.clear();
+  round_revision_.reset();
+}
+
+void StoreMirror::OnRange(Time now, const StoreRangeReply& reply) {
+  // Set back to the past, or a stale copy: nothing is learnt from it.
+  if (loaded_ && reply.revision < revision_) {
+    OnFailed(now, Duration());
+    return;
+  }
+  for (const StoreEntry& entry : reply.entries) {
+    page_seen_.insert(entry.key);
+    Put(now, entry);
+  }
+  round_revision_ = round_revision_ ? std::min(*round_revision_, reply.revision)
+                                    : reply.revision;
+  if (reply.more && !reply.entries.empty()) {
+    page_after_ = reply.entries.back().key;
+    return;
+  }
+  DeleteMissing(now, settings_.prefixes[reading_], page_seen_,
+                *round_revision_);
+  page_after_.clear();
+  page_seen_.clear();
+  if (++reading_ < settings_.prefixes.size()) {
+    return;
+  }
+  // Changes between the reads of two families are seen again by the watch.
+  revision_ = *round_revision_;
+  phase_ = Phase::kWatching;
+  loaded_ = true;
+}
+
+void StoreMirror::OnWatch(Time now, const StoreWatchReply& reply) {
+  if (reply.compacted) {
+    StartReading();
+    return;
+  }
+  for (const StoreEntry& entry : reply.changed) {
+    Put(now, entry);
+  }
+  for (const StoreDeletion& deletion : reply.deleted) {
+    Delete(now, deletion.key, deletion.revision);
+  }
+  revision_ = std::max(revision_, reply.revision);
+}
+
+void StoreMirror::OnPeerSnapshot(Time now, const MirrorSnapshot& snapshot) {
+  if (reachable_ || (loaded_ && snapshot.revision <= revision_)) {
+    return;
+  }
+  std::set<std::string> seen;
+  for (const StoreEntry& entry : snapshot.entries) {
+    seen.insert(entry.key);
+    Put(now, entry);
+  }
+  // Removals are held back as after an outage: the peer may have seen keys
+  // lapse whose owners live.
+  lapse_until_ = std::max(lapse_until_, now + settings_.lapse_grace);
+  for (const std::string& prefix : settings_.prefixes) {
+    DeleteMissing(now, prefix, seen, snapshot.revision);
+  }
+  revision_ = std::max(revision_, snapshot.revision);
+  if (!loaded_) {
+    loaded_ = true;
+  }
+  // Everything up to the snapshot's revision is known: no read is needed.
+  if (phase_ == Phase::kReading && !call_) {
+    phase_ = Phase::kWatching;
+  }
+}
+
+std::optional<MirrorSnapshot> StoreMirror::Snapshot(Revision newer_than) const {
+  if (!loaded_ || revision_ <= newer_than) {
+    return std::nullopt;
+  }
+  MirrorSnapshot snapshot;
+  snapshot.revision = revision_;
+  snapshot.entries.reserve(entries_.size());
+  for (const auto& [key, entry] : entries_) {
+    snapshot.entries.push_back(entry);
+  }
+  return snapshot;
+}
+
+void StoreMirror::Put(Time now, const StoreEntry& entry) {
+  StoreEntry& known = entries_[entry.key];
+  if (entry.revision <= known.revision) {
+    return;
+  }
+  known = entry;
+  held_removals_.erase(entry.key);
+  hooks_.on_put(now, entry);
+}
+
+void StoreMirror::Delete(Time now, const std::string& key, Revision revision) {
+  const auto found = entries_.find(key);
+  if (found == entries_.end() || found->second.revision > revision) {
+    return;
+  }
+  if (now < lapse_until_ && MayLapse(key)) {
+    held_removals_.emplace(key, lapse_until_);
+    return;
+  }
+  held_removals_.erase(key);
+  entries_.erase(found);
+  hooks_.on_deleted(now, key);
+}
+
+void StoreMirror::DeleteMissing(Time now,
+                                std::string_view prefix,
+                                const std::set<std::string>& seen,
+                                Revision revision) {
+  std::vector<std::string> missing;
+  for (auto it = entries_.lower_bound(std::string(prefix));
+       it != entries_.end() && it->first.starts_with(prefix); ++it) {
+    if (!seen.contains(it->first)) {
+      missing.push_back(it->first);
+    }
+  }
+  for (const std::string& key : missing) {
+    Delete(now, key, revision);
+  }
+}
+
+void StoreMirror::RemoveHeld(Time now) {
+  for (auto it = held_removals_.begin(); it != held_removals_.end();) {
+    if (now < it->second) {
+      ++it;
+      continue;
+    }
+    const std::string key = it->first;
+    it = held_removals_.erase(it);
+    entries_.erase(key);
+    hooks_.on_deleted(now, key);
+  }
+}
+
+bool StoreMirror::MayLapse(std::string_view key) const {
+  return std::any_of(
+      settings_.lapsing_prefixes.begin(), settings_.lapsing_prefixes.end(),
+      [&](const std::string& prefix) { return key.starts_with(prefix); });
+}
+
+}  // namespace gcw
--- a/coordination/domain_writer.cc
+++ b/coordination/groups/domain_writer.cc
@@ -1,4 +1,4 @@
-#include "coordination/domain_writer.h"
+#include "coordination/groups/domain_writer.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/domain_writer.h
+++ b/coordination/groups/domain_writer.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_DOMAIN_WRITER_H_
-#define COORDINATION_DOMAIN_WRITER_H_
+#ifndef COORDINATION_GROUPS_DOMAIN_WRITER_H_
+#define COORDINATION_GROUPS_DOMAIN_WRITER_H_
 
 #include <functional>
 #include <optional>
@@ -97,4 +97,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_DOMAIN_WRITER_H_
+#endif  // COORDINATION_GROUPS_DOMAIN_WRITER_H_
--- a/coordination/flap_tracker.cc
+++ b/coordination/groups/flap_tracker.cc
@@ -1,4 +1,4 @@
-#include "coordination/flap_tracker.h"
+#include "coordination/groups/flap_tracker.h"
 
 #include <algorithm>
 
--- a/coordination/flap_tracker.h
+++ b/coordination/groups/flap_tracker.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_FLAP_TRACKER_H_
-#define COORDINATION_FLAP_TRACKER_H_
+#ifndef COORDINATION_GROUPS_FLAP_TRACKER_H_
+#define COORDINATION_GROUPS_FLAP_TRACKER_H_
 
 #include <map>
 
@@ -43,4 +43,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_FLAP_TRACKER_H_
+#endif  // COORDINATION_GROUPS_FLAP_TRACKER_H_
--- a/coordination/group_keeper.cc
+++ b/coordination/groups/group_keeper.cc
@@ -1,9 +1,9 @@
-#include "coordination/group_keeper.h"
+#include "coordination/groups/group_keeper.h"
 
 #include <set>
 #include <utility>
 
-#include "coordination/record_changes.h"
+#include "coordination/configuration/record_changes.h"
 
 namespace gcw {
 
--- a/coordination/group_keeper.h
+++ b/coordination/groups/group_keeper.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_GROUP_KEEPER_H_
-#define COORDINATION_GROUP_KEEPER_H_
+#ifndef COORDINATION_GROUPS_GROUP_KEEPER_H_
+#define COORDINATION_GROUPS_GROUP_KEEPER_H_
 
 #include <map>
 #include <set>
@@ -7,10 +7,10 @@
 #include <vector>
 
 #include "coordination/actions.h"
-#include "coordination/keeper_settings.h"
-#include "coordination/kept_domain.h"
-#include "coordination/repair_planner.h"
-#include "coordination/vm_probe.h"
+#include "coordination/groups/keeper_settings.h"
+#include "coordination/groups/kept_domain.h"
+#include "coordination/groups/repair_planner.h"
+#include "coordination/groups/vm_probe.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -119,4 +119,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_GROUP_KEEPER_H_
+#endif  // COORDINATION_GROUPS_GROUP_KEEPER_H_
--- a/coordination/groups_messages.h
+++ b/coordination/groups/groups_messages.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_GROUPS_MESSAGES_H_
-#define COORDINATION_GROUPS_MESSAGES_H_
+#ifndef COORDINATION_GROUPS_GROUPS_MESSAGES_H_
+#define COORDINATION_GROUPS_GROUPS_MESSAGES_H_
 
 #include <cstdint>
 #include <vector>
@@ -57,4 +57,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_GROUPS_MESSAGES_H_
+#endif  // COORDINATION_GROUPS_GROUPS_MESSAGES_H_
--- a/coordination/keeper_settings.h
+++ b/coordination/groups/keeper_settings.h
@@ -1,11 +1,11 @@
-#ifndef COORDINATION_KEEPER_SETTINGS_H_
-#define COORDINATION_KEEPER_SETTINGS_H_
+#ifndef COORDINATION_GROUPS_KEEPER_SETTINGS_H_
+#define COORDINATION_GROUPS_KEEPER_SETTINGS_H_
 
-#include "coordination/domain_writer.h"
-#include "coordination/flap_tracker.h"
-#include "coordination/order_sender.h"
-#include "coordination/repair_planner.h"
-#include "coordination/vm_tracker.h"
+#include "coordination/groups/domain_writer.h"
+#include "coordination/groups/flap_tracker.h"
+#include "coordination/groups/order_sender.h"
+#include "coordination/groups/repair_planner.h"
+#include "coordination/groups/vm_tracker.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -30,4 +30,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_KEEPER_SETTINGS_H_
+#endif  // COORDINATION_GROUPS_KEEPER_SETTINGS_H_
--- a/coordination/kept_domain.cc
+++ b/coordination/groups/kept_domain.cc
@@ -1,10 +1,10 @@
-#include "coordination/kept_domain.h"
+#include "coordination/groups/kept_domain.h"
 
 #include <algorithm>
 #include <string>
 #include <utility>
 
-#include "coordination/record_changes.h"
+#include "coordination/configuration/record_changes.h"
 
 namespace gcw {
 namespace {
--- a/coordination/kept_domain.h
+++ b/coordination/groups/kept_domain.h
@@ -1,16 +1,16 @@
-#ifndef COORDINATION_KEPT_DOMAIN_H_
-#define COORDINATION_KEPT_DOMAIN_H_
+#ifndef COORDINATION_GROUPS_KEPT_DOMAIN_H_
+#define COORDINATION_GROUPS_KEPT_DOMAIN_H_
 
 #include <map>
 #include <optional>
 #include <set>
 #include <vector>
 
-#include "coordination/domain_writer.h"
-#include "coordination/keeper_settings.h"
-#include "coordination/order_sender.h"
-#include "coordination/repair_planner.h"
-#include "coordination/vm_tracker.h"
+#include "coordination/groups/domain_writer.h"
+#include "coordination/groups/keeper_settings.h"
+#include "coordination/groups/order_sender.h"
+#include "coordination/groups/repair_planner.h"
+#include "coordination/groups/vm_tracker.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -103,4 +103,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_KEPT_DOMAIN_H_
+#endif  // COORDINATION_GROUPS_KEPT_DOMAIN_H_
--- a/coordination/kept_domain_orders.cc
+++ b/coordination/groups/kept_domain_orders.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "coordination/kept_domain.h"
-#include "coordination/record_changes.h"
+#include "coordination/configuration/record_changes.h"
+#include "coordination/groups/kept_domain.h"
 
 namespace gcw {
 
--- a/coordination/order_sender.cc
+++ b/coordination/groups/order_sender.cc
@@ -1,4 +1,4 @@
-#include "coordination/order_sender.h"
+#include "coordination/groups/order_sender.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/order_sender.h
+++ b/coordination/groups/order_sender.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ORDER_SENDER_H_
-#define COORDINATION_ORDER_SENDER_H_
+#ifndef COORDINATION_GROUPS_ORDER_SENDER_H_
+#define COORDINATION_GROUPS_ORDER_SENDER_H_
 
 #include <map>
 #include <optional>
@@ -98,4 +98,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ORDER_SENDER_H_
+#endif  // COORDINATION_GROUPS_ORDER_SENDER_H_
--- a/coordination/repair_plan.cc
+++ b/coordination/groups/repair_plan.cc
@@ -1,4 +1,4 @@
-#include "coordination/repair_plan.h"
+#include "coordination/groups/repair_plan.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/repair_plan.h
+++ b/coordination/groups/repair_plan.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_REPAIR_PLAN_H_
-#define COORDINATION_REPAIR_PLAN_H_
+#ifndef COORDINATION_GROUPS_REPAIR_PLAN_H_
+#define COORDINATION_GROUPS_REPAIR_PLAN_H_
 
 #include <cstdint>
 #include <map>
@@ -7,7 +7,7 @@
 #include <tuple>
 #include <vector>
 
-#include "coordination/repair_planner.h"
+#include "coordination/groups/repair_planner.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -105,4 +105,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_REPAIR_PLAN_H_
+#endif  // COORDINATION_GROUPS_REPAIR_PLAN_H_
--- a/coordination/repair_plan_needs.cc
+++ b/coordination/groups/repair_plan_needs.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "coordination/repair_plan.h"
+#include "coordination/groups/repair_plan.h"
 
 namespace gcw {
 namespace {
--- a/coordination/repair_planner.cc
+++ b/coordination/groups/repair_planner.cc
@@ -1,9 +1,9 @@
-#include "coordination/repair_planner.h"
+#include "coordination/groups/repair_planner.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "coordination/repair_plan.h"
+#include "coordination/groups/repair_plan.h"
 
 namespace gcw {
 namespace {
--- a/coordination/repair_planner.h
+++ b/coordination/groups/repair_planner.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_REPAIR_PLANNER_H_
-#define COORDINATION_REPAIR_PLANNER_H_
+#ifndef COORDINATION_GROUPS_REPAIR_PLANNER_H_
+#define COORDINATION_GROUPS_REPAIR_PLANNER_H_
 
 #include <cstdint>
 #include <map>
@@ -153,4 +153,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_REPAIR_PLANNER_H_
+#endif  // COORDINATION_GROUPS_REPAIR_PLANNER_H_
--- a/coordination/serving_gate.cc
+++ b/coordination/groups/serving_gate.cc
@@ -1,4 +1,4 @@
-#include "coordination/serving_gate.h"
+#include "coordination/groups/serving_gate.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/serving_gate.h
+++ b/coordination/groups/serving_gate.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_SERVING_GATE_H_
-#define COORDINATION_SERVING_GATE_H_
+#ifndef COORDINATION_GROUPS_SERVING_GATE_H_
+#define COORDINATION_GROUPS_SERVING_GATE_H_
 
 #include <map>
 #include <optional>
@@ -9,11 +9,11 @@
 #include <vector>
 
 #include "coordination/actions.h"
-#include "coordination/groups_messages.h"
-#include "coordination/peer_presence.h"
-#include "coordination/presence_log.h"
-#include "coordination/presence_prober.h"
-#include "coordination/vm_probe.h"
+#include "coordination/groups/groups_messages.h"
+#include "coordination/groups/vm_probe.h"
+#include "coordination/membership/peer_presence.h"
+#include "coordination/membership/presence_log.h"
+#include "coordination/membership/presence_prober.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -256,4 +256,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_SERVING_GATE_H_
+#endif  // COORDINATION_GROUPS_SERVING_GATE_H_
--- a/coordination/serving_gate_reports.cc
+++ b/coordination/groups/serving_gate_reports.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "coordination/groups/serving_gate.h"
 #include "coordination/rendezvous.h"
-#include "coordination/serving_gate.h"
 
 namespace gcw {
 
--- a/coordination/serving_gate_review.cc
+++ b/coordination/groups/serving_gate_review.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "coordination/serving_gate.h"
+#include "coordination/groups/serving_gate.h"
 
 namespace gcw {
 
--- a/coordination/vm_probe.h
+++ b/coordination/groups/vm_probe.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_VM_PROBE_H_
-#define COORDINATION_VM_PROBE_H_
+#ifndef COORDINATION_GROUPS_VM_PROBE_H_
+#define COORDINATION_GROUPS_VM_PROBE_H_
 
 #include <variant>
 
@@ -41,4 +41,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_VM_PROBE_H_
+#endif  // COORDINATION_GROUPS_VM_PROBE_H_
--- a/coordination/vm_tracker.cc
+++ b/coordination/groups/vm_tracker.cc
@@ -1,4 +1,4 @@
-#include "coordination/vm_tracker.h"
+#include "coordination/groups/vm_tracker.h"
 
 #include <algorithm>
 
--- a/coordination/vm_tracker.h
+++ b/coordination/groups/vm_tracker.h
@@ -1,12 +1,12 @@
-#ifndef COORDINATION_VM_TRACKER_H_
-#define COORDINATION_VM_TRACKER_H_
+#ifndef COORDINATION_GROUPS_VM_TRACKER_H_
+#define COORDINATION_GROUPS_VM_TRACKER_H_
 
 #include <map>
 #include <optional>
 #include <set>
 #include <vector>
 
-#include "coordination/vm_probe.h"
+#include "coordination/groups/vm_probe.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -105,4 +105,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_VM_TRACKER_H_
+#endif  // COORDINATION_GROUPS_VM_TRACKER_H_
--- a/coordination/cession_book.cc
+++ b/coordination/limits/cession_book.cc
@@ -1,4 +1,4 @@
-#include "coordination/cession_book.h"
+#include "coordination/limits/cession_book.h"
 
 #include <algorithm>
 
--- a/coordination/cession_book.h
+++ b/coordination/limits/cession_book.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_CESSION_BOOK_H_
-#define COORDINATION_CESSION_BOOK_H_
+#ifndef COORDINATION_LIMITS_CESSION_BOOK_H_
+#define COORDINATION_LIMITS_CESSION_BOOK_H_
 
 #include <cstdint>
 #include <unordered_map>
@@ -27,4 +27,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_CESSION_BOOK_H_
+#endif  // COORDINATION_LIMITS_CESSION_BOOK_H_
--- a/coordination/contract_limits.h
+++ b/coordination/limits/contract_limits.h
@@ -1,10 +1,10 @@
-#ifndef COORDINATION_CONTRACT_LIMITS_H_
-#define COORDINATION_CONTRACT_LIMITS_H_
+#ifndef COORDINATION_LIMITS_CONTRACT_LIMITS_H_
+#define COORDINATION_LIMITS_CONTRACT_LIMITS_H_
 
 #include <cstdint>
 #include <unordered_map>
 
-#include "coordination/limit_vector.h"
+#include "coordination/limits/limit_vector.h"
 
 namespace gcw {
 
@@ -33,4 +33,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_CONTRACT_LIMITS_H_
+#endif  // COORDINATION_LIMITS_CONTRACT_LIMITS_H_
--- a/coordination/contract_share.cc
+++ b/coordination/limits/contract_share.cc
@@ -1,4 +1,4 @@
-#include "coordination/contract_share.h"
+#include "coordination/limits/contract_share.h"
 
 #include <algorithm>
 
--- a/coordination/contract_share.h
+++ b/coordination/limits/contract_share.h
@@ -1,12 +1,12 @@
-#ifndef COORDINATION_CONTRACT_SHARE_H_
-#define COORDINATION_CONTRACT_SHARE_H_
+#ifndef COORDINATION_LIMITS_CONTRACT_SHARE_H_
+#define COORDINATION_LIMITS_CONTRACT_SHARE_H_
 
 #include <cstdint>
 
-#include "coordination/demand_meter.h"
-#include "coordination/limit_messages.h"
-#include "coordination/share_decision.h"
-#include "coordination/token_bucket.h"
+#include "coordination/limits/demand_meter.h"
+#include "coordination/limits/limit_messages.h"
+#include "coordination/limits/share_decision.h"
+#include "coordination/limits/token_bucket.h"
 
 namespace gcw {
 
@@ -55,4 +55,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_CONTRACT_SHARE_H_
+#endif  // COORDINATION_LIMITS_CONTRACT_SHARE_H_
--- a/coordination/demand_meter.cc
+++ b/coordination/limits/demand_meter.cc
@@ -1,4 +1,4 @@
-#include "coordination/demand_meter.h"
+#include "coordination/limits/demand_meter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/demand_meter.h
+++ b/coordination/limits/demand_meter.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_DEMAND_METER_H_
-#define COORDINATION_DEMAND_METER_H_
+#ifndef COORDINATION_LIMITS_DEMAND_METER_H_
+#define COORDINATION_LIMITS_DEMAND_METER_H_
 
 #include "core/core.h"
 
@@ -22,4 +22,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_DEMAND_METER_H_
+#endif  // COORDINATION_LIMITS_DEMAND_METER_H_
--- a/coordination/limit_client.cc
+++ b/coordination/limits/limit_client.cc
@@ -1,4 +1,4 @@
-#include "coordination/limit_client.h"
+#include "coordination/limits/limit_client.h"
 
 #include <utility>
 
--- a/coordination/limit_client.h
+++ b/coordination/limits/limit_client.h
@@ -1,12 +1,12 @@
-#ifndef COORDINATION_LIMIT_CLIENT_H_
-#define COORDINATION_LIMIT_CLIENT_H_
+#ifndef COORDINATION_LIMITS_LIMIT_CLIENT_H_
+#define COORDINATION_LIMITS_LIMIT_CLIENT_H_
 
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/limit_messages.h"
+#include "coordination/limits/limit_messages.h"
 
 namespace gcw {
 
@@ -59,4 +59,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_LIMIT_CLIENT_H_
+#endif  // COORDINATION_LIMITS_LIMIT_CLIENT_H_
--- a/coordination/limit_granter.cc
+++ b/coordination/limits/limit_granter.cc
@@ -1,4 +1,4 @@
-#include "coordination/limit_granter.h"
+#include "coordination/limits/limit_granter.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/limit_granter.h
+++ b/coordination/limits/limit_granter.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_LIMIT_GRANTER_H_
-#define COORDINATION_LIMIT_GRANTER_H_
+#ifndef COORDINATION_LIMITS_LIMIT_GRANTER_H_
+#define COORDINATION_LIMITS_LIMIT_GRANTER_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,9 +9,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/cession_book.h"
-#include "coordination/limit_ledger.h"
-#include "coordination/limit_messages.h"
+#include "coordination/limits/cession_book.h"
+#include "coordination/limits/limit_ledger.h"
+#include "coordination/limits/limit_messages.h"
 
 namespace gcw {
 
@@ -78,4 +78,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_LIMIT_GRANTER_H_
+#endif  // COORDINATION_LIMITS_LIMIT_GRANTER_H_
--- a/coordination/limit_ledger.cc
+++ b/coordination/limits/limit_ledger.cc
@@ -1,4 +1,4 @@
-#include "coordination/limit_ledger.h"
+#include "coordination/limits/limit_ledger.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/limit_ledger.h
+++ b/coordination/limits/limit_ledger.h
@@ -1,10 +1,10 @@
-#ifndef COORDINATION_LIMIT_LEDGER_H_
-#define COORDINATION_LIMIT_LEDGER_H_
+#ifndef COORDINATION_LIMITS_LIMIT_LEDGER_H_
+#define COORDINATION_LIMITS_LIMIT_LEDGER_H_
 
 #include <cstdint>
 #include <vector>
 
-#include "coordination/limit_messages.h"
+#include "coordination/limits/limit_messages.h"
 
 namespace gcw {
 
@@ -73,4 +73,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_LIMIT_LEDGER_H_
+#endif  // COORDINATION_LIMITS_LIMIT_LEDGER_H_
--- a/coordination/limit_messages.h
+++ b/coordination/limits/limit_messages.h
@@ -1,11 +1,11 @@
-#ifndef COORDINATION_LIMIT_MESSAGES_H_
-#define COORDINATION_LIMIT_MESSAGES_H_
+#ifndef COORDINATION_LIMITS_LIMIT_MESSAGES_H_
+#define COORDINATION_LIMITS_LIMIT_MESSAGES_H_
 
 #include <cstdint>
 #include <optional>
 #include <vector>
 
-#include "coordination/limit_vector.h"
+#include "coordination/limits/limit_vector.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -105,4 +105,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_LIMIT_MESSAGES_H_
+#endif  // COORDINATION_LIMITS_LIMIT_MESSAGES_H_
--- a/coordination/limit_owner.cc
+++ b/coordination/limits/limit_owner.cc
@@ -1,4 +1,4 @@
-#include "coordination/limit_owner.h"
+#include "coordination/limits/limit_owner.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/limit_owner.h
+++ b/coordination/limits/limit_owner.h
@@ -1,13 +1,13 @@
-#ifndef COORDINATION_LIMIT_OWNER_H_
-#define COORDINATION_LIMIT_OWNER_H_
+#ifndef COORDINATION_LIMITS_LIMIT_OWNER_H_
+#define COORDINATION_LIMITS_LIMIT_OWNER_H_
 
 #include <map>
 #include <optional>
 #include <vector>
 
-#include "coordination/contract_limits.h"
-#include "coordination/limit_granter.h"
-#include "coordination/limit_topology.h"
+#include "coordination/limits/contract_limits.h"
+#include "coordination/limits/limit_granter.h"
+#include "coordination/limits/limit_topology.h"
 
 namespace gcw {
 
@@ -55,4 +55,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_LIMIT_OWNER_H_
+#endif  // COORDINATION_LIMITS_LIMIT_OWNER_H_
--- a/coordination/limit_relay.cc
+++ b/coordination/limits/limit_relay.cc
@@ -1,4 +1,4 @@
-#include "coordination/limit_relay.h"
+#include "coordination/limits/limit_relay.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/limit_relay.h
+++ b/coordination/limits/limit_relay.h
@@ -1,15 +1,15 @@
-#ifndef COORDINATION_LIMIT_RELAY_H_
-#define COORDINATION_LIMIT_RELAY_H_
+#ifndef COORDINATION_LIMITS_LIMIT_RELAY_H_
+#define COORDINATION_LIMITS_LIMIT_RELAY_H_
 
 #include <map>
 #include <optional>
 #include <vector>
 
-#include "coordination/contract_limits.h"
-#include "coordination/limit_client.h"
-#include "coordination/limit_granter.h"
-#include "coordination/limit_topology.h"
-#include "coordination/report_schedule.h"
+#include "coordination/limits/contract_limits.h"
+#include "coordination/limits/limit_client.h"
+#include "coordination/limits/limit_granter.h"
+#include "coordination/limits/limit_topology.h"
+#include "coordination/limits/report_schedule.h"
 
 namespace gcw {
 
@@ -55,4 +55,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_LIMIT_RELAY_H_
+#endif  // COORDINATION_LIMITS_LIMIT_RELAY_H_
--- a/coordination/limit_settings.cc
+++ b/coordination/limits/limit_settings.cc
@@ -1,4 +1,4 @@
-#include "coordination/limit_settings.h"
+#include "coordination/limits/limit_settings.h"
 
 #include <algorithm>
 
--- a/coordination/limit_settings.h
+++ b/coordination/limits/limit_settings.h
@@ -1,9 +1,9 @@
-#ifndef COORDINATION_LIMIT_SETTINGS_H_
-#define COORDINATION_LIMIT_SETTINGS_H_
+#ifndef COORDINATION_LIMITS_LIMIT_SETTINGS_H_
+#define COORDINATION_LIMITS_LIMIT_SETTINGS_H_
 
 #include <cstdint>
 
-#include "coordination/limit_messages.h"
+#include "coordination/limits/limit_messages.h"
 
 namespace gcw {
 
@@ -56,4 +56,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_LIMIT_SETTINGS_H_
+#endif  // COORDINATION_LIMITS_LIMIT_SETTINGS_H_
--- a/coordination/limit_shares.cc
+++ b/coordination/limits/limit_shares.cc
@@ -1,4 +1,4 @@
-#include "coordination/limit_shares.h"
+#include "coordination/limits/limit_shares.h"
 
 #include <algorithm>
 #include <limits>
--- a/coordination/limit_shares.h
+++ b/coordination/limits/limit_shares.h
@@ -1,16 +1,16 @@
-#ifndef COORDINATION_LIMIT_SHARES_H_
-#define COORDINATION_LIMIT_SHARES_H_
+#ifndef COORDINATION_LIMITS_LIMIT_SHARES_H_
+#define COORDINATION_LIMITS_LIMIT_SHARES_H_
 
 #include <cstdint>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
-#include "coordination/contract_limits.h"
-#include "coordination/contract_share.h"
-#include "coordination/limit_client.h"
-#include "coordination/limit_topology.h"
-#include "coordination/report_schedule.h"
+#include "coordination/limits/contract_limits.h"
+#include "coordination/limits/contract_share.h"
+#include "coordination/limits/limit_client.h"
+#include "coordination/limits/limit_topology.h"
+#include "coordination/limits/report_schedule.h"
 #include "core/core.h"
 
 namespace gcw {
@@ -100,4 +100,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_LIMIT_SHARES_H_
+#endif  // COORDINATION_LIMITS_LIMIT_SHARES_H_
--- a/coordination/limit_topology.cc
+++ b/coordination/limits/limit_topology.cc
@@ -1,4 +1,4 @@
-#include "coordination/limit_topology.h"
+#include "coordination/limits/limit_topology.h"
 
 #include <algorithm>
 #include <set>
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "coordination/rendezvous.h"
-#include "coordination/role_assignment.h"
+#include "coordination/roles/role_assignment.h"
 
 namespace gcw {
 namespace {
--- a/coordination/limit_topology.h
+++ b/coordination/limits/limit_topology.h
@@ -1,11 +1,11 @@
-#ifndef COORDINATION_LIMIT_TOPOLOGY_H_
-#define COORDINATION_LIMIT_TOPOLOGY_H_
+#ifndef COORDINATION_LIMITS_LIMIT_TOPOLOGY_H_
+#define COORDINATION_LIMITS_LIMIT_TOPOLOGY_H_
 
 #include <cstdint>
 #include <map>
 #include <vector>
 
-#include "coordination/limit_settings.h"
+#include "coordination/limits/limit_settings.h"
 #include "core/core.h"
 
 namespace gcw {
@@ -61,4 +61,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_LIMIT_TOPOLOGY_H_
+#endif  // COORDINATION_LIMITS_LIMIT_TOPOLOGY_H_
--- a/coordination/limit_vector.h
+++ b/coordination/limits/limit_vector.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_LIMIT_VECTOR_H_
-#define COORDINATION_LIMIT_VECTOR_H_
+#ifndef COORDINATION_LIMITS_LIMIT_VECTOR_H_
+#define COORDINATION_LIMITS_LIMIT_VECTOR_H_
 
 #include <algorithm>
 #include <array>
@@ -89,4 +89,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_LIMIT_VECTOR_H_
+#endif  // COORDINATION_LIMITS_LIMIT_VECTOR_H_
--- a/coordination/limits.cc
+++ b/coordination/limits/limits.cc
@@ -1,4 +1,4 @@
-#include "coordination/limits.h"
+#include "coordination/limits/limits.h"
 
 #include <utility>
 
--- a/coordination/limits.h
+++ b/coordination/limits/limits.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_LIMITS_H_
-#define COORDINATION_LIMITS_H_
+#ifndef COORDINATION_LIMITS_LIMITS_H_
+#define COORDINATION_LIMITS_LIMITS_H_
 
 #include <map>
 #include <memory>
@@ -7,14 +7,14 @@
 #include <vector>
 
 #include "coordination/actions.h"
-#include "coordination/contract_limits.h"
-#include "coordination/limit_messages.h"
-#include "coordination/limit_owner.h"
-#include "coordination/limit_relay.h"
-#include "coordination/limit_settings.h"
-#include "coordination/limit_shares.h"
-#include "coordination/limit_topology.h"
-#include "coordination/report_schedule.h"
+#include "coordination/limits/contract_limits.h"
+#include "coordination/limits/limit_messages.h"
+#include "coordination/limits/limit_owner.h"
+#include "coordination/limits/limit_relay.h"
+#include "coordination/limits/limit_settings.h"
+#include "coordination/limits/limit_shares.h"
+#include "coordination/limits/limit_topology.h"
+#include "coordination/limits/report_schedule.h"
 #include "core/core.h"
 
 namespace gcw {
@@ -116,4 +116,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_LIMITS_H_
+#endif  // COORDINATION_LIMITS_LIMITS_H_
--- a/coordination/share_decision.h
+++ b/coordination/limits/share_decision.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_SHARE_DECISION_H_
-#define COORDINATION_SHARE_DECISION_H_
+#ifndef COORDINATION_LIMITS_SHARE_DECISION_H_
+#define COORDINATION_LIMITS_SHARE_DECISION_H_
 
 #include "core/core.h"
 
@@ -27,4 +27,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_SHARE_DECISION_H_
+#endif  // COORDINATION_LIMITS_SHARE_DECISION_H_
--- a/coordination/token_bucket.cc
+++ b/coordination/limits/token_bucket.cc
@@ -1,4 +1,4 @@
-#include "coordination/token_bucket.h"
+#include "coordination/limits/token_bucket.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/token_bucket.h
+++ b/coordination/limits/token_bucket.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_TOKEN_BUCKET_H_
-#define COORDINATION_TOKEN_BUCKET_H_
+#ifndef COORDINATION_LIMITS_TOKEN_BUCKET_H_
+#define COORDINATION_LIMITS_TOKEN_BUCKET_H_
 
 #include "core/core.h"
 
@@ -35,4 +35,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_TOKEN_BUCKET_H_
+#endif  // COORDINATION_LIMITS_TOKEN_BUCKET_H_
--- a/coordination/delta_filter.cc
+++ b/coordination/membership/delta_filter.cc
@@ -1,4 +1,4 @@
-#include "coordination/delta_filter.h"
+#include "coordination/membership/delta_filter.h"
 
 namespace gcw {
 
--- a/coordination/delta_filter.h
+++ b/coordination/membership/delta_filter.h
@@ -1,10 +1,10 @@
-#ifndef COORDINATION_DELTA_FILTER_H_
-#define COORDINATION_DELTA_FILTER_H_
+#ifndef COORDINATION_MEMBERSHIP_DELTA_FILTER_H_
+#define COORDINATION_MEMBERSHIP_DELTA_FILTER_H_
 
 #include <cstdint>
 #include <map>
 
-#include "coordination/membership_messages.h"
+#include "coordination/membership/membership_messages.h"
 
 namespace gcw {
 
@@ -33,4 +33,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_DELTA_FILTER_H_
+#endif  // COORDINATION_MEMBERSHIP_DELTA_FILTER_H_
--- a/coordination/member.cc
+++ b/coordination/membership/member.cc
@@ -1,4 +1,4 @@
-#include "coordination/member.h"
+#include "coordination/membership/member.h"
 
 #include <algorithm>
 
--- a/coordination/member.h
+++ b/coordination/membership/member.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_MEMBER_H_
-#define COORDINATION_MEMBER_H_
+#ifndef COORDINATION_MEMBERSHIP_MEMBER_H_
+#define COORDINATION_MEMBERSHIP_MEMBER_H_
 
 #include <compare>
 #include <cstdint>
@@ -75,4 +75,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_MEMBER_H_
+#endif  // COORDINATION_MEMBERSHIP_MEMBER_H_
--- a/coordination/membership.cc
+++ b/coordination/membership/membership.cc
@@ -1,4 +1,4 @@
-#include "coordination/membership.h"
+#include "coordination/membership/membership.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/membership.h
+++ b/coordination/membership/membership.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_MEMBERSHIP_H_
-#define COORDINATION_MEMBERSHIP_H_
+#ifndef COORDINATION_MEMBERSHIP_MEMBERSHIP_H_
+#define COORDINATION_MEMBERSHIP_MEMBERSHIP_H_
 
 #include <cstddef>
 #include <functional>
@@ -12,10 +12,10 @@
 
 #include "coordination/actions.h"
 #include "coordination/backoff.h"
-#include "coordination/delta_filter.h"
-#include "coordination/member.h"
-#include "coordination/membership_messages.h"
-#include "coordination/rumor_queue.h"
+#include "coordination/membership/delta_filter.h"
+#include "coordination/membership/member.h"
+#include "coordination/membership/membership_messages.h"
+#include "coordination/membership/rumor_queue.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -235,4 +235,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_MEMBERSHIP_H_
+#endif  // COORDINATION_MEMBERSHIP_MEMBERSHIP_H_
--- a/coordination/membership_messages.cc
+++ b/coordination/membership/membership_messages.cc
@@ -1,4 +1,4 @@
-#include "coordination/membership_messages.h"
+#include "coordination/membership/membership_messages.h"
 
 namespace gcw {
 namespace {
--- a/coordination/membership_messages.h
+++ b/coordination/membership/membership_messages.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_MEMBERSHIP_MESSAGES_H_
-#define COORDINATION_MEMBERSHIP_MESSAGES_H_
+#ifndef COORDINATION_MEMBERSHIP_MEMBERSHIP_MESSAGES_H_
+#define COORDINATION_MEMBERSHIP_MEMBERSHIP_MESSAGES_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -7,8 +7,8 @@
 #include <variant>
 #include <vector>
 
-#include "coordination/member.h"
-#include "coordination/role_assignment.h"
+#include "coordination/membership/member.h"
+#include "coordination/roles/role_assignment.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -121,4 +121,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_MEMBERSHIP_MESSAGES_H_
+#endif  // COORDINATION_MEMBERSHIP_MEMBERSHIP_MESSAGES_H_
--- a/coordination/membership_peers.cc
+++ b/coordination/membership/membership_peers.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "coordination/membership.h"
+#include "coordination/membership/membership.h"
 
 namespace gcw {
 
--- a/coordination/peer_presence.cc
+++ b/coordination/membership/peer_presence.cc
@@ -1,4 +1,4 @@
-#include "coordination/peer_presence.h"
+#include "coordination/membership/peer_presence.h"
 
 #include <algorithm>
 
--- a/coordination/peer_presence.h
+++ b/coordination/membership/peer_presence.h
@@ -1,11 +1,11 @@
-#ifndef COORDINATION_PEER_PRESENCE_H_
-#define COORDINATION_PEER_PRESENCE_H_
+#ifndef COORDINATION_MEMBERSHIP_PEER_PRESENCE_H_
+#define COORDINATION_MEMBERSHIP_PEER_PRESENCE_H_
 
 #include <cstdint>
 #include <map>
 #include <optional>
 
-#include "coordination/groups_messages.h"
+#include "coordination/groups/groups_messages.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -50,4 +50,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_PEER_PRESENCE_H_
+#endif  // COORDINATION_MEMBERSHIP_PEER_PRESENCE_H_
--- a/coordination/presence_log.cc
+++ b/coordination/membership/presence_log.cc
@@ -1,4 +1,4 @@
-#include "coordination/presence_log.h"
+#include "coordination/membership/presence_log.h"
 
 namespace gcw {
 
--- a/coordination/presence_log.h
+++ b/coordination/membership/presence_log.h
@@ -1,11 +1,11 @@
-#ifndef COORDINATION_PRESENCE_LOG_H_
-#define COORDINATION_PRESENCE_LOG_H_
+#ifndef COORDINATION_MEMBERSHIP_PRESENCE_LOG_H_
+#define COORDINATION_MEMBERSHIP_PRESENCE_LOG_H_
 
 #include <cstdint>
 #include <map>
 #include <vector>
 
-#include "coordination/groups_messages.h"
+#include "coordination/groups/groups_messages.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -40,4 +40,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_PRESENCE_LOG_H_
+#endif  // COORDINATION_MEMBERSHIP_PRESENCE_LOG_H_
--- a/coordination/presence_prober.cc
+++ b/coordination/membership/presence_prober.cc
@@ -1,4 +1,4 @@
-#include "coordination/presence_prober.h"
+#include "coordination/membership/presence_prober.h"
 
 #include <algorithm>
 
--- a/coordination/presence_prober.h
+++ b/coordination/membership/presence_prober.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_PRESENCE_PROBER_H_
-#define COORDINATION_PRESENCE_PROBER_H_
+#ifndef COORDINATION_MEMBERSHIP_PRESENCE_PROBER_H_
+#define COORDINATION_MEMBERSHIP_PRESENCE_PROBER_H_
 
 #include <cstddef>
 #include <map>
@@ -7,8 +7,8 @@
 #include <set>
 #include <vector>
 
-#include "coordination/groups_messages.h"
-#include "coordination/vm_probe.h"
+#include "coordination/groups/groups_messages.h"
+#include "coordination/groups/vm_probe.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -122,4 +122,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_PRESENCE_PROBER_H_
+#endif  // COORDINATION_MEMBERSHIP_PRESENCE_PROBER_H_
--- a/coordination/rumor_queue.cc
+++ b/coordination/membership/rumor_queue.cc
@@ -1,4 +1,4 @@
-#include "coordination/rumor_queue.h"
+#include "coordination/membership/rumor_queue.h"
 
 #include <iterator>
 #include <utility>
--- a/coordination/rumor_queue.h
+++ b/coordination/membership/rumor_queue.h
@@ -1,12 +1,12 @@
-#ifndef COORDINATION_RUMOR_QUEUE_H_
-#define COORDINATION_RUMOR_QUEUE_H_
+#ifndef COORDINATION_MEMBERSHIP_RUMOR_QUEUE_H_
+#define COORDINATION_MEMBERSHIP_RUMOR_QUEUE_H_
 
 #include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "coordination/membership_messages.h"
+#include "coordination/membership/membership_messages.h"
 
 namespace gcw {
 
@@ -52,4 +52,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_RUMOR_QUEUE_H_
+#endif  // COORDINATION_MEMBERSHIP_RUMOR_QUEUE_H_
--- a/coordination/suspect_table.cc
+++ b/coordination/membership/suspect_table.cc
@@ -1,4 +1,4 @@
-#include "coordination/suspect_table.h"
+#include "coordination/membership/suspect_table.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/suspect_table.h
+++ b/coordination/membership/suspect_table.h
@@ -1,11 +1,11 @@
-#ifndef COORDINATION_SUSPECT_TABLE_H_
-#define COORDINATION_SUSPECT_TABLE_H_
+#ifndef COORDINATION_MEMBERSHIP_SUSPECT_TABLE_H_
+#define COORDINATION_MEMBERSHIP_SUSPECT_TABLE_H_
 
 #include <cstdint>
 #include <set>
 #include <unordered_map>
 
-#include "coordination/membership_messages.h"
+#include "coordination/membership/membership_messages.h"
 
 namespace gcw {
 
@@ -59,4 +59,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_SUSPECT_TABLE_H_
+#endif  // COORDINATION_MEMBERSHIP_SUSPECT_TABLE_H_
--- a/coordination/entry_directory.cc
+++ b/coordination/node/entry_directory.cc
@@ -1,4 +1,4 @@
-#include "coordination/entry_directory.h"
+#include "coordination/node/entry_directory.h"
 
 #include <utility>
 
--- a/coordination/entry_directory.h
+++ b/coordination/node/entry_directory.h
@@ -1,11 +1,11 @@
-#ifndef COORDINATION_ENTRY_DIRECTORY_H_
-#define COORDINATION_ENTRY_DIRECTORY_H_
+#ifndef COORDINATION_NODE_ENTRY_DIRECTORY_H_
+#define COORDINATION_NODE_ENTRY_DIRECTORY_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <vector>
 
-#include "coordination/member.h"
+#include "coordination/membership/member.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -51,4 +51,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ENTRY_DIRECTORY_H_
+#endif  // COORDINATION_NODE_ENTRY_DIRECTORY_H_
--- a/coordination/node_actions.h
+++ b/coordination/node/node_actions.h
@@ -1,11 +1,11 @@
-#ifndef COORDINATION_NODE_ACTIONS_H_
-#define COORDINATION_NODE_ACTIONS_H_
+#ifndef COORDINATION_NODE_NODE_ACTIONS_H_
+#define COORDINATION_NODE_NODE_ACTIONS_H_
 
 #include <variant>
 #include <vector>
 
-#include "coordination/admission.h"
-#include "coordination/node_events.h"
+#include "coordination/admission/admission.h"
+#include "coordination/node/node_events.h"
 
 namespace gcw {
 
@@ -148,4 +148,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_NODE_ACTIONS_H_
+#endif  // COORDINATION_NODE_NODE_ACTIONS_H_
--- a/coordination/node_core.cc
+++ b/coordination/node/node_core.cc
@@ -1,4 +1,4 @@
-#include "coordination/node_core.h"
+#include "coordination/node/node_core.h"
 
 #include <utility>
 
--- a/coordination/node_core.h
+++ b/coordination/node/node_core.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_NODE_CORE_H_
-#define COORDINATION_NODE_CORE_H_
+#ifndef COORDINATION_NODE_NODE_CORE_H_
+#define COORDINATION_NODE_NODE_CORE_H_
 
 #include <deque>
 #include <functional>
@@ -11,22 +11,22 @@
 #include <string_view>
 #include <vector>
 
-#include "coordination/admission.h"
-#include "coordination/config_sync.h"
-#include "coordination/endpoint_desk.h"
-#include "coordination/entry_directory.h"
-#include "coordination/fingerprint_guard.h"
-#include "coordination/limits.h"
-#include "coordination/membership.h"
-#include "coordination/node_actions.h"
-#include "coordination/node_events.h"
-#include "coordination/node_keys.h"
-#include "coordination/node_lease.h"
-#include "coordination/once_client.h"
-#include "coordination/once_owner.h"
-#include "coordination/request_desk.h"
-#include "coordination/role_assignment.h"
-#include "coordination/role_leases.h"
+#include "coordination/admission/admission.h"
+#include "coordination/at_most_once/once_client.h"
+#include "coordination/at_most_once/once_owner.h"
+#include "coordination/configuration/config_sync.h"
+#include "coordination/limits/limits.h"
+#include "coordination/membership/membership.h"
+#include "coordination/node/entry_directory.h"
+#include "coordination/node/node_actions.h"
+#include "coordination/node/node_events.h"
+#include "coordination/node/node_keys.h"
+#include "coordination/requests/fingerprint_guard.h"
+#include "coordination/requests/request_desk.h"
+#include "coordination/roles/node_lease.h"
+#include "coordination/roles/role_assignment.h"
+#include "coordination/roles/role_leases.h"
+#include "coordination/routing/endpoint_desk.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -225,4 +225,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_NODE_CORE_H_
+#endif  // COORDINATION_NODE_NODE_CORE_H_
--- a/coordination/node_core_actions.cc
+++ b/coordination/node/node_core_actions.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "coordination/node_core.h"
+#include "coordination/node/node_core.h"
 
 namespace gcw {
 
--- a/coordination/node_events.cc
+++ b/coordination/node/node_events.cc
@@ -1,4 +1,4 @@
-#include "coordination/node_events.h"
+#include "coordination/node/node_events.h"
 
 namespace gcw {
 
--- a/coordination/node_events.h
+++ b/coordination/node/node_events.h
@@ -1,16 +1,16 @@
-#ifndef COORDINATION_NODE_EVENTS_H_
-#define COORDINATION_NODE_EVENTS_H_
+#ifndef COORDINATION_NODE_NODE_EVENTS_H_
+#define COORDINATION_NODE_NODE_EVENTS_H_
 
 #include <optional>
 #include <variant>
 
-#include "coordination/attempt_log.h"
-#include "coordination/config_proposer.h"
-#include "coordination/once_messages.h"
-#include "coordination/order_sender.h"
-#include "coordination/peer_message.h"
-#include "coordination/request.h"
-#include "coordination/vm_probe.h"
+#include "coordination/at_most_once/once_messages.h"
+#include "coordination/configuration/config_proposer.h"
+#include "coordination/groups/order_sender.h"
+#include "coordination/groups/vm_probe.h"
+#include "coordination/node/peer_message.h"
+#include "coordination/requests/attempt_log.h"
+#include "coordination/requests/request.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -171,4 +171,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_NODE_EVENTS_H_
+#endif  // COORDINATION_NODE_NODE_EVENTS_H_
--- a/coordination/node_keys.h
+++ b/coordination/node/node_keys.h
@@ -1,13 +1,13 @@
-#ifndef COORDINATION_NODE_KEYS_H_
-#define COORDINATION_NODE_KEYS_H_
+#ifndef COORDINATION_NODE_NODE_KEYS_H_
+#define COORDINATION_NODE_NODE_KEYS_H_
 
 #include <charconv>
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include "coordination/limit_messages.h"
-#include "coordination/role_assignment.h"
+#include "coordination/limits/limit_messages.h"
+#include "coordination/roles/role_assignment.h"
 
 namespace gcw {
 
@@ -41,4 +41,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_NODE_KEYS_H_
+#endif  // COORDINATION_NODE_NODE_KEYS_H_
--- a/coordination/attempt_log.cc
+++ b/coordination/requests/attempt_log.cc
@@ -1,4 +1,4 @@
-#include "coordination/attempt_log.h"
+#include "coordination/requests/attempt_log.h"
 
 #include <algorithm>
 
--- a/coordination/attempt_log.h
+++ b/coordination/requests/attempt_log.h
@@ -1,12 +1,12 @@
-#ifndef COORDINATION_ATTEMPT_LOG_H_
-#define COORDINATION_ATTEMPT_LOG_H_
+#ifndef COORDINATION_REQUESTS_ATTEMPT_LOG_H_
+#define COORDINATION_REQUESTS_ATTEMPT_LOG_H_
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <variant>
 
-#include "coordination/request.h"
+#include "coordination/requests/request.h"
 
 namespace gcw {
 
@@ -127,4 +127,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ATTEMPT_LOG_H_
+#endif  // COORDINATION_REQUESTS_ATTEMPT_LOG_H_
--- a/coordination/fingerprint_guard.cc
+++ b/coordination/requests/fingerprint_guard.cc
@@ -1,4 +1,4 @@
-#include "coordination/fingerprint_guard.h"
+#include "coordination/requests/fingerprint_guard.h"
 
 #include <algorithm>
 #include <string_view>
--- a/coordination/fingerprint_guard.h
+++ b/coordination/requests/fingerprint_guard.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_FINGERPRINT_GUARD_H_
-#define COORDINATION_FINGERPRINT_GUARD_H_
+#ifndef COORDINATION_REQUESTS_FINGERPRINT_GUARD_H_
+#define COORDINATION_REQUESTS_FINGERPRINT_GUARD_H_
 
 #include <deque>
 #include <map>
@@ -10,11 +10,11 @@
 #include <variant>
 #include <vector>
 
-#include "coordination/guard_messages.h"
-#include "coordination/membership_messages.h"
-#include "coordination/permit_desk.h"
-#include "coordination/request.h"
-#include "coordination/suspect_table.h"
+#include "coordination/membership/membership_messages.h"
+#include "coordination/membership/suspect_table.h"
+#include "coordination/requests/guard_messages.h"
+#include "coordination/requests/permit_desk.h"
+#include "coordination/requests/request.h"
 
 namespace gcw {
 
@@ -174,4 +174,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_FINGERPRINT_GUARD_H_
+#endif  // COORDINATION_REQUESTS_FINGERPRINT_GUARD_H_
--- a/coordination/guard_messages.h
+++ b/coordination/requests/guard_messages.h
@@ -1,12 +1,12 @@
-#ifndef COORDINATION_GUARD_MESSAGES_H_
-#define COORDINATION_GUARD_MESSAGES_H_
+#ifndef COORDINATION_REQUESTS_GUARD_MESSAGES_H_
+#define COORDINATION_REQUESTS_GUARD_MESSAGES_H_
 
 #include <optional>
 #include <variant>
 #include <vector>
 
 #include "coordination/actions.h"
-#include "coordination/membership_messages.h"
+#include "coordination/membership/membership_messages.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -49,4 +49,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_GUARD_MESSAGES_H_
+#endif  // COORDINATION_REQUESTS_GUARD_MESSAGES_H_
--- a/coordination/permit_desk.cc
+++ b/coordination/requests/permit_desk.cc
@@ -1,4 +1,4 @@
-#include "coordination/permit_desk.h"
+#include "coordination/requests/permit_desk.h"
 
 #include <algorithm>
 
--- a/coordination/permit_desk.h
+++ b/coordination/requests/permit_desk.h
@@ -1,12 +1,12 @@
-#ifndef COORDINATION_PERMIT_DESK_H_
-#define COORDINATION_PERMIT_DESK_H_
+#ifndef COORDINATION_REQUESTS_PERMIT_DESK_H_
+#define COORDINATION_REQUESTS_PERMIT_DESK_H_
 
 #include <map>
 #include <optional>
 #include <vector>
 
-#include "coordination/guard_messages.h"
-#include "coordination/suspect_table.h"
+#include "coordination/membership/suspect_table.h"
+#include "coordination/requests/guard_messages.h"
 
 namespace gcw {
 
@@ -49,4 +49,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_PERMIT_DESK_H_
+#endif  // COORDINATION_REQUESTS_PERMIT_DESK_H_
--- a/coordination/refusals.cc
+++ b/coordination/requests/refusals.cc
@@ -1,4 +1,4 @@
-#include "coordination/refusals.h"
+#include "coordination/requests/refusals.h"
 
 namespace gcw {
 
--- a/coordination/refusals.h
+++ b/coordination/requests/refusals.h
@@ -1,8 +1,8 @@
-#ifndef COORDINATION_REFUSALS_H_
-#define COORDINATION_REFUSALS_H_
+#ifndef COORDINATION_REQUESTS_REFUSALS_H_
+#define COORDINATION_REQUESTS_REFUSALS_H_
 
-#include "coordination/request.h"
-#include "coordination/share_decision.h"
+#include "coordination/limits/share_decision.h"
+#include "coordination/requests/request.h"
 
 namespace gcw {
 
@@ -14,4 +14,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_REFUSALS_H_
+#endif  // COORDINATION_REQUESTS_REFUSALS_H_
--- a/coordination/request.cc
+++ b/coordination/requests/request.cc
@@ -1,4 +1,4 @@
-#include "coordination/request.h"
+#include "coordination/requests/request.h"
 
 namespace gcw {
 
--- a/coordination/request.h
+++ b/coordination/requests/request.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_REQUEST_H_
-#define COORDINATION_REQUEST_H_
+#ifndef COORDINATION_REQUESTS_REQUEST_H_
+#define COORDINATION_REQUESTS_REQUEST_H_
 
 #include <cstdint>
 #include <string_view>
@@ -97,4 +97,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_REQUEST_H_
+#endif  // COORDINATION_REQUESTS_REQUEST_H_
--- a/coordination/request_desk.cc
+++ b/coordination/requests/request_desk.cc
@@ -1,4 +1,4 @@
-#include "coordination/request_desk.h"
+#include "coordination/requests/request_desk.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/request_desk.h
+++ b/coordination/requests/request_desk.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_REQUEST_DESK_H_
-#define COORDINATION_REQUEST_DESK_H_
+#ifndef COORDINATION_REQUESTS_REQUEST_DESK_H_
+#define COORDINATION_REQUESTS_REQUEST_DESK_H_
 
 #include <cstdint>
 #include <functional>
@@ -10,15 +10,15 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/admission.h"
-#include "coordination/attempt_log.h"
-#include "coordination/fingerprint_guard.h"
-#include "coordination/node_actions.h"
-#include "coordination/node_events.h"
-#include "coordination/once_client.h"
-#include "coordination/retry_after.h"
-#include "coordination/retry_budget.h"
-#include "coordination/router.h"
+#include "coordination/admission/admission.h"
+#include "coordination/at_most_once/once_client.h"
+#include "coordination/node/node_actions.h"
+#include "coordination/node/node_events.h"
+#include "coordination/requests/attempt_log.h"
+#include "coordination/requests/fingerprint_guard.h"
+#include "coordination/requests/retry_after.h"
+#include "coordination/requests/retry_budget.h"
+#include "coordination/routing/router.h"
 
 namespace gcw {
 
@@ -196,4 +196,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_REQUEST_DESK_H_
+#endif  // COORDINATION_REQUESTS_REQUEST_DESK_H_
--- a/coordination/retry_after.cc
+++ b/coordination/requests/retry_after.cc
@@ -1,4 +1,4 @@
-#include "coordination/retry_after.h"
+#include "coordination/requests/retry_after.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/retry_after.h
+++ b/coordination/requests/retry_after.h
@@ -1,7 +1,7 @@
-#ifndef COORDINATION_RETRY_AFTER_H_
-#define COORDINATION_RETRY_AFTER_H_
+#ifndef COORDINATION_REQUESTS_RETRY_AFTER_H_
+#define COORDINATION_REQUESTS_RETRY_AFTER_H_
 
-#include "coordination/request.h"
+#include "coordination/requests/request.h"
 
 namespace gcw {
 
@@ -45,4 +45,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_RETRY_AFTER_H_
+#endif  // COORDINATION_REQUESTS_RETRY_AFTER_H_
--- a/coordination/retry_budget.cc
+++ b/coordination/requests/retry_budget.cc
@@ -1,4 +1,4 @@
-#include "coordination/retry_budget.h"
+#include "coordination/requests/retry_budget.h"
 
 #include <algorithm>
 
--- a/coordination/retry_budget.h
+++ b/coordination/requests/retry_budget.h
@@ -1,11 +1,11 @@
-#ifndef COORDINATION_RETRY_BUDGET_H_
-#define COORDINATION_RETRY_BUDGET_H_
+#ifndef COORDINATION_REQUESTS_RETRY_BUDGET_H_
+#define COORDINATION_REQUESTS_RETRY_BUDGET_H_
 
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
 
-#include "coordination/request.h"
+#include "coordination/requests/request.h"
 
 namespace gcw {
 
@@ -88,4 +88,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_RETRY_BUDGET_H_
+#endif  // COORDINATION_REQUESTS_RETRY_BUDGET_H_
--- a/coordination/node_lease.h
+++ b/coordination/roles/node_lease.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_NODE_LEASE_H_
-#define COORDINATION_NODE_LEASE_H_
+#ifndef COORDINATION_ROLES_NODE_LEASE_H_
+#define COORDINATION_ROLES_NODE_LEASE_H_
 
 #include <functional>
 #include <map>
@@ -138,4 +138,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_NODE_LEASE_H_
+#endif  // COORDINATION_ROLES_NODE_LEASE_H_
--- a/coordination/role_assignment.cc
+++ b/coordination/roles/role_assignment.cc
@@ -1,4 +1,4 @@
-#include "coordination/role_assignment.h"
+#include "coordination/roles/role_assignment.h"
 
 #include "coordination/rendezvous.h"
 
--- a/coordination/role_assignment.h
+++ b/coordination/roles/role_assignment.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ROLE_ASSIGNMENT_H_
-#define COORDINATION_ROLE_ASSIGNMENT_H_
+#ifndef COORDINATION_ROLES_ROLE_ASSIGNMENT_H_
+#define COORDINATION_ROLES_ROLE_ASSIGNMENT_H_
 
 #include <map>
 #include <set>
@@ -25,4 +25,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ROLE_ASSIGNMENT_H_
+#endif  // COORDINATION_ROLES_ROLE_ASSIGNMENT_H_
--- a/coordination/role_leases.cc
+++ b/coordination/roles/role_leases.cc
@@ -1,4 +1,4 @@
-#include "coordination/role_leases.h"
+#include "coordination/roles/role_leases.h"
 
 #include <algorithm>
 #include <string>
--- a/coordination/role_leases.h
+++ b/coordination/roles/role_leases.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ROLE_LEASES_H_
-#define COORDINATION_ROLE_LEASES_H_
+#ifndef COORDINATION_ROLES_ROLE_LEASES_H_
+#define COORDINATION_ROLES_ROLE_LEASES_H_
 
 #include <functional>
 #include <map>
@@ -10,8 +10,8 @@
 
 #include "coordination/actions.h"
 #include "coordination/backoff.h"
-#include "coordination/node_lease.h"
-#include "coordination/role_assignment.h"
+#include "coordination/roles/node_lease.h"
+#include "coordination/roles/role_assignment.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -171,4 +171,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ROLE_LEASES_H_
+#endif  // COORDINATION_ROLES_ROLE_LEASES_H_
--- a/coordination/role_leases_read.cc
+++ b/coordination/roles/role_leases_read.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <string_view>
 
-#include "coordination/role_leases.h"
+#include "coordination/roles/role_leases.h"
 
 namespace gcw {
 namespace {
--- a/coordination/endpoint_desk.cc
+++ b/coordination/routing/endpoint_desk.cc
@@ -1,4 +1,4 @@
-#include "coordination/endpoint_desk.h"
+#include "coordination/routing/endpoint_desk.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/endpoint_desk.h
+++ b/coordination/routing/endpoint_desk.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ENDPOINT_DESK_H_
-#define COORDINATION_ENDPOINT_DESK_H_
+#ifndef COORDINATION_ROUTING_ENDPOINT_DESK_H_
+#define COORDINATION_ROUTING_ENDPOINT_DESK_H_
 
 #include <map>
 #include <set>
@@ -7,13 +7,13 @@
 #include <variant>
 #include <vector>
 
-#include "coordination/admission.h"
-#include "coordination/endpoint_subset.h"
-#include "coordination/group_keeper.h"
-#include "coordination/load_exchange.h"
-#include "coordination/node_actions.h"
-#include "coordination/router.h"
-#include "coordination/serving_gate.h"
+#include "coordination/admission/admission.h"
+#include "coordination/groups/group_keeper.h"
+#include "coordination/groups/serving_gate.h"
+#include "coordination/node/node_actions.h"
+#include "coordination/routing/endpoint_subset.h"
+#include "coordination/routing/load_exchange.h"
+#include "coordination/routing/router.h"
 
 namespace gcw {
 
@@ -124,4 +124,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ENDPOINT_DESK_H_
+#endif  // COORDINATION_ROUTING_ENDPOINT_DESK_H_
--- a/coordination/endpoint_load.cc
+++ b/coordination/routing/endpoint_load.cc
@@ -1,4 +1,4 @@
-#include "coordination/endpoint_load.h"
+#include "coordination/routing/endpoint_load.h"
 
 #include <algorithm>
 
--- a/coordination/endpoint_load.h
+++ b/coordination/routing/endpoint_load.h
@@ -1,10 +1,10 @@
-#ifndef COORDINATION_ENDPOINT_LOAD_H_
-#define COORDINATION_ENDPOINT_LOAD_H_
+#ifndef COORDINATION_ROUTING_ENDPOINT_LOAD_H_
+#define COORDINATION_ROUTING_ENDPOINT_LOAD_H_
 
 #include <cstdint>
 #include <vector>
 
-#include "coordination/route.h"
+#include "coordination/routing/route.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -91,4 +91,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ENDPOINT_LOAD_H_
+#endif  // COORDINATION_ROUTING_ENDPOINT_LOAD_H_
--- a/coordination/endpoint_pool.cc
+++ b/coordination/routing/endpoint_pool.cc
@@ -1,4 +1,4 @@
-#include "coordination/endpoint_pool.h"
+#include "coordination/routing/endpoint_pool.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/endpoint_pool.h
+++ b/coordination/routing/endpoint_pool.h
@@ -1,13 +1,13 @@
-#ifndef COORDINATION_ENDPOINT_POOL_H_
-#define COORDINATION_ENDPOINT_POOL_H_
+#ifndef COORDINATION_ROUTING_ENDPOINT_POOL_H_
+#define COORDINATION_ROUTING_ENDPOINT_POOL_H_
 
 #include <cstdint>
 #include <span>
 #include <vector>
 
-#include "coordination/endpoint_state.h"
-#include "coordination/request.h"
-#include "coordination/router_settings.h"
+#include "coordination/requests/request.h"
+#include "coordination/routing/endpoint_state.h"
+#include "coordination/routing/router_settings.h"
 
 namespace gcw {
 
@@ -102,4 +102,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ENDPOINT_POOL_H_
+#endif  // COORDINATION_ROUTING_ENDPOINT_POOL_H_
--- a/coordination/endpoint_state.h
+++ b/coordination/routing/endpoint_state.h
@@ -1,11 +1,11 @@
-#ifndef COORDINATION_ENDPOINT_STATE_H_
-#define COORDINATION_ENDPOINT_STATE_H_
+#ifndef COORDINATION_ROUTING_ENDPOINT_STATE_H_
+#define COORDINATION_ROUTING_ENDPOINT_STATE_H_
 
 #include <cstdint>
 #include <memory>
 
-#include "coordination/endpoint_load.h"
-#include "coordination/failure_backoff.h"
+#include "coordination/routing/endpoint_load.h"
+#include "coordination/routing/failure_backoff.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -29,4 +29,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ENDPOINT_STATE_H_
+#endif  // COORDINATION_ROUTING_ENDPOINT_STATE_H_
--- a/coordination/endpoint_subset.cc
+++ b/coordination/routing/endpoint_subset.cc
@@ -1,4 +1,4 @@
-#include "coordination/endpoint_subset.h"
+#include "coordination/routing/endpoint_subset.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/coordination/endpoint_subset.h
+++ b/coordination/routing/endpoint_subset.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ENDPOINT_SUBSET_H_
-#define COORDINATION_ENDPOINT_SUBSET_H_
+#ifndef COORDINATION_ROUTING_ENDPOINT_SUBSET_H_
+#define COORDINATION_ROUTING_ENDPOINT_SUBSET_H_
 
 #include <vector>
 
@@ -39,4 +39,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ENDPOINT_SUBSET_H_
+#endif  // COORDINATION_ROUTING_ENDPOINT_SUBSET_H_
--- a/coordination/failure_backoff.cc
+++ b/coordination/routing/failure_backoff.cc
@@ -1,4 +1,4 @@
-#include "coordination/failure_backoff.h"
+#include "coordination/routing/failure_backoff.h"
 
 #include <algorithm>
 
--- a/coordination/load_exchange.cc
+++ b/coordination/routing/load_exchange.cc
@@ -1,4 +1,4 @@
-#include "coordination/load_exchange.h"
+#include "coordination/routing/load_exchange.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/load_exchange.h
+++ b/coordination/routing/load_exchange.h
@@ -1,12 +1,12 @@
-#ifndef COORDINATION_LOAD_EXCHANGE_H_
-#define COORDINATION_LOAD_EXCHANGE_H_
+#ifndef COORDINATION_ROUTING_LOAD_EXCHANGE_H_
+#define COORDINATION_ROUTING_LOAD_EXCHANGE_H_
 
 #include <map>
 #include <variant>
 #include <vector>
 
 #include "coordination/actions.h"
-#include "coordination/member.h"
+#include "coordination/membership/member.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -88,4 +88,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_LOAD_EXCHANGE_H_
+#endif  // COORDINATION_ROUTING_LOAD_EXCHANGE_H_
--- a/coordination/route.h
+++ b/coordination/routing/route.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ROUTE_H_
-#define COORDINATION_ROUTE_H_
+#ifndef COORDINATION_ROUTING_ROUTE_H_
+#define COORDINATION_ROUTING_ROUTE_H_
 
 #include <cstdint>
 #include <memory>
@@ -41,4 +41,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ROUTE_H_
+#endif  // COORDINATION_ROUTING_ROUTE_H_
--- a/coordination/router.cc
+++ b/coordination/routing/router.cc
@@ -1,4 +1,4 @@
-#include "coordination/router.h"
+#include "coordination/routing/router.h"
 
 #include <algorithm>
 #include <string>
--- a/coordination/router.h
+++ b/coordination/routing/router.h
@@ -1,5 +1,5 @@
-#ifndef COORDINATION_ROUTER_H_
-#define COORDINATION_ROUTER_H_
+#ifndef COORDINATION_ROUTING_ROUTER_H_
+#define COORDINATION_ROUTING_ROUTER_H_
 
 #include <cstdint>
 #include <memory>
@@ -7,11 +7,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/endpoint_pool.h"
-#include "coordination/endpoint_state.h"
-#include "coordination/request.h"
-#include "coordination/route.h"
-#include "coordination/router_settings.h"
+#include "coordination/requests/request.h"
+#include "coordination/routing/endpoint_pool.h"
+#include "coordination/routing/endpoint_state.h"
+#include "coordination/routing/route.h"
+#include "coordination/routing/router_settings.h"
 
 namespace gcw {
 
@@ -35,7 +35,7 @@
 
   // An endpoint is routable from now on, or changed. A new generation starts
   // without load, prefixes or history. False where the node has no slot left:
-  // it has to choose a subset first (coordination/endpoint_subset.h).
+  // it has to choose a subset first (coordination/routing/endpoint_subset.h).
   bool OnEndpointUp(Time now, const Endpoint& endpoint);
   // The endpoint receives nothing new from now on. Its attempts may go on.
   void OnEndpointDown(Time now, const EndpointId& endpoint);
@@ -143,4 +143,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ROUTER_H_
+#endif  // COORDINATION_ROUTING_ROUTER_H_
--- a/coordination/router_settings.h
+++ b/coordination/routing/router_settings.h
@@ -1,11 +1,11 @@
-#ifndef COORDINATION_ROUTER_SETTINGS_H_
-#define COORDINATION_ROUTER_SETTINGS_H_
+#ifndef COORDINATION_ROUTING_ROUTER_SETTINGS_H_
+#define COORDINATION_ROUTING_ROUTER_SETTINGS_H_
 
 #include <cstdint>
 #include <vector>
 
-#include "coordination/failure_backoff.h"
-#include "coordination/straggler_detector.h"
+#include "coordination/routing/failure_backoff.h"
+#include "coordination/routing/straggler_detector.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -56,4 +56,4 @@
 
 }  // namespace gcw
 
-#endif  // COORDINATION_ROUTER_SETTINGS_H_
+#endif  // COORDINATION_ROUTING_ROUTER_SETTINGS_H_
--- a/coordination/straggler_detector.cc
+++ b/coordination/routing/straggler_detector.cc
@@ -1,4 +1,4 @@
-#include "coordination/straggler_detector.h"
+#include "coordination/routing/straggler_detector.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/programs/gcw_gateway/gateway_process.cc
@@ -0,0 +1,156 @@
+#include "programs/gcw_gateway/gateway_process.h"
+
+#include <csignal>
+#include <cstdio>
+#include <random>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "platform/platform.h"
+
+namespace gcw {
+namespace {
+
+// One thread runs everything, which lets Asio do without locks.
+constexpr int kThreads = 1;
+
+void WriteLine(std::string_view line) {
+  std::fwrite(line.data(), 1, line.size(), stdout);
+  std::fflush(stdout);
+}
+
+std::string_view LogClassName(LogClass log_class) {
+  switch (log_class) {
+    case LogClass::kBelief:
+      return "belief";
+    case LogClass::kTrouble:
+      return "trouble";
+    case LogClass::kSuccess:
+      return "success";
+  }
+  return "unknown";
+}
+
+void LogLeftOut(LogClass log_class, std::int64_t left_out) {
+  LogEvent(
+      LogSeverity::kWarning, "log_lines_left_out",
+      {{"class", std::string(LogClassName(log_class))}, {"lines", left_out}});
+}
+
+GatewayCore::Codecs MakeCodecs() {
+  GatewayCore::Codecs codecs;
+  codecs.fleet = MakePlatformFleetCodec();
+  codecs.domain_record.encode = EncodeDomainRecord;
+  codecs.domain_record.decode =
+      [](std::string_view text) -> std::optional<DomainRecord> {
+    Decoded<DomainRecord> decoded = DecodeDomainRecord(text);
+    if (!IsOk(decoded)) {
+      LogEvent(LogSeverity::kError, "store_value_malformed",
+               {{"what", std::string("domain_record")},
+                {"field", ErrorOf(decoded).field}});
+      return std::nullopt;
+    }
+    return std::move(ValueOf(decoded));
+  };
+  codecs.encode_node = EncodeNodeRecord;
+  return codecs;
+}
+
+}  // namespace
+
+// In the order in which they are built; destroyed the other way about.
+struct GatewayProcess::Parts {
+  explicit Parts(GatewayProcessSettings with_settings)
+      : settings(std::move(with_settings)),
+        clock(SystemClock()),
+        json_log({settings.core.self.id, "gcw-gateway", settings.log_severity,
+                  WriteLine}),
+        budget(settings.log_budget, LogTimelineEvent, LogLeftOut),
+        log(EventLog::Builder()
+                .SetNode(settings.core.self.id)
+                .SetIncarnation(Incarnation(clock().millis()))
+                .SetClock(clock)
+                .SetCapacity(static_cast<std::size_t>(settings.events_kept))
+                .SetObserver([this](const TimelineEvent& event) {
+                  metrics.Observe(event);
+                  budget.Take(event);
+                })
+                .Build()),
+        core(settings.core,
+             MakeCodecs(),
+             SeededRandom(std::random_device()()),
+             log.Sink()),
+        runtime(settings.runtime,
+                {&context, &core, MakePlatformDialect(), &metrics, clock}),
+        signals(context, SIGTERM, SIGINT, SIGHUP) {}
+
+  void WaitForSignal(const std::string& settings_path);
+  void Reload(const std::string& settings_path) const;
+
+  GatewayProcessSettings settings;
+  Clock clock;
+  JsonLog json_log;
+  GatewayMetrics metrics;
+  LogBudget budget;
+  EventLog log;
+  boost::asio::io_context context{kThreads};
+  GatewayCore core;
+  GatewayRuntime runtime;
+  boost::asio::signal_set signals;
+};
+
+void GatewayProcess::Parts::WaitForSignal(const std::string& settings_path) {
+  signals.async_wait([this, settings_path](
+                         const boost::system::error_code& error, int signal) {
+    if (error) {
+      return;
+    }
+    if (signal == SIGHUP) {
+      Reload(settings_path);
+    } else {
+      runtime.BeginStop();
+    }
+    WaitForSignal(settings_path);
+  });
+}
+
+// Settings of a running node are not changed: what may change while it runs
+// comes from the key-value service. A reload checks the file, so that a fault
+// in it is known before the next start.
+void GatewayProcess::Parts::Reload(const std::string& settings_path) const {
+  const auto read = ReadGatewaySettings(settings_path);
+  const auto* errors = std::get_if<1>(&read);
+  LogEvent(errors != nullptr ? LogSeverity::kError : LogSeverity::kInfo,
+           "settings_reloaded",
+           {{"errors", static_cast<std::int64_t>(
+                           errors != nullptr ? errors->size() : 0)}});
+}
+
+std::variant<std::unique_ptr<GatewayProcess>, GatewayListenError>
+GatewayProcess::Start(GatewayProcessSettings settings) {
+  SetPlatformKeys(settings.core.mirror);
+  auto parts = std::make_unique<Parts>(std::move(settings));
+  if (const auto error = parts->runtime.Listen()) {
+    return *error;
+  }
+  LogEvent(LogSeverity::kInfo, "node_started",
+           {{"callers", parts->settings.core.self.caller_address.value()},
+            {"peers", parts->settings.core.self.peer_address.value()},
+            {"store", parts->settings.runtime.store.value()}});
+  parts->runtime.Start();
+  return std::unique_ptr<GatewayProcess>(new GatewayProcess(std::move(parts)));
+}
+
+GatewayProcess::GatewayProcess(std::unique_ptr<Parts> parts)
+    : parts_(std::move(parts)) {}
+
+GatewayProcess::~GatewayProcess() = default;
+
+void GatewayProcess::Run(const std::string& settings_path) {
+  parts_->WaitForSignal(settings_path);
+  parts_->context.run();
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -0,0 +1,275 @@
+#include "programs/gcw_gateway/gateway_settings.h"
+
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace gcw {
+namespace {
+
+constexpr TextRange kIdText{1, 64};
+constexpr TextRange kAddressText{3, 64};
+constexpr ListRange kAnyList{0, 64};
+constexpr DurationRange kShortSpan{Duration::Millis(10), Duration::Seconds(60)};
+
+// What a broken group may still do after the platform's figure: reports of the
+// engines take part of a second to arrive.
+constexpr Duration kStallMargin = Duration::Millis(300);
+
+// Keys whose text needs a second look once it is read.
+struct RawSettings {
+  std::string callers;
+  std::string readiness;
+  std::string entries;
+  std::string peers;
+  std::string metrics;
+  std::vector<std::string> seeds;
+  Duration stall_time = Duration::Millis(4000);
+};
+
+void DeclareNode(GatewayProcessSettings& settings,
+                 RawSettings& raw,
+                 SettingsReader& reader) {
+  NodeRecord& self = settings.core.self;
+  reader.Add("node.id", &self.id, kIdText,
+             "Name of this node, stable over restarts.",
+             SettingNeed::kRequired);
+  reader.Add("node.zone", &self.zone, kIdText, "Data centre of this node.",
+             SettingNeed::kRequired);
+  reader.Add("node.region", &self.region, kIdText, "Region of the data centre.",
+             SettingNeed::kRequired);
+  reader.Add("listen.callers", &raw.callers, kAddressText,
+             "\"ip:port\" for callers' requests.", SettingNeed::kRequired);
+  reader.Add("listen.readiness", &raw.readiness, kAddressText,
+             "\"ip:port\" where the platform asks whether the node is ready.",
+             SettingNeed::kRequired);
+  reader.Add("listen.entries", &raw.entries, kAddressText,
+             "\"ip:port\" where callers ask which addresses to use.",
+             SettingNeed::kRequired);
+  reader.Add("listen.peers", &raw.peers, kAddressText,
+             "\"ip:port\" for other nodes.", SettingNeed::kRequired);
+  reader.Add("listen.metrics", &raw.metrics, kAddressText,
+             "\"ip:port\" where metrics are served.");
+  reader.Add("peers.seeds", &raw.seeds, kAnyList,
+             "Peer addresses to ask while the key-value service is away.");
+}
+
+void DeclareStore(GatewayProcessSettings& settings, SettingsReader& reader) {
+  reader.Add("store.address", &settings.runtime.store, kAddressText,
+             "Address of the key-value service.", SettingNeed::kRequired);
+  reader.Add("store.timeout_ms", &settings.runtime.store_timeout, kShortSpan,
+             "Longest wait for an answer of the key-value service.");
+  StoreMirrorSettings& mirror = settings.core.mirror;
+  reader.Add("store.watch_interval_ms", &mirror.watch_interval, kShortSpan,
+             "Time between two watches at least.");
+  reader.Add("store.watch_wait_ms", &mirror.watch_wait, kShortSpan,
+             "How long the key-value service may hold a watch.");
+  reader.Add("store.away_after_ms", &mirror.away_after, kShortSpan,
+             "Without an answer for so long, other nodes are asked.");
+  reader.Add("store.lapse_grace_ms", &mirror.lapse_grace, kShortSpan,
+             "How long entries that vanish right after an outage are kept.");
+  NodeLeaseSettings& lease = settings.core.lease;
+  reader.Add("lease.time_to_live_ms", &lease.time_to_live, kShortSpan,
+             "Life of the node's lease without a renewal.");
+  reader.Add("lease.renew_interval_ms", &lease.renew_interval, kShortSpan,
+             "Time between renewals of the node's lease.");
+  reader.Add("lease.margin_ms", &lease.margin, kShortSpan,
+             "Time before its end from which the lease is not relied on.");
+}
+
+void DeclareRequests(GatewayProcessSettings& settings, SettingsReader& reader) {
+  reader.Add("callers.entries_keep_ms", &settings.core.entries_keep, kShortSpan,
+             "How long callers may keep the list of addresses.");
+  reader.Add("callers.retry_after_ms", &settings.core.requests.retry_after,
+             kShortSpan, "When refused callers should come back, on average.");
+  ForwardExchangeSettings& exchange = settings.runtime.exchange;
+  reader.Add("endpoints.connect_timeout_ms", &exchange.connect_timeout,
+             kShortSpan, "Longest wait for a connection to an endpoint.");
+  reader.Add("endpoints.service_silence_ms", &exchange.service_silence,
+             kShortSpan,
+             "A plain service without a byte for so long is given up on where "
+             "the request may be repeated.");
+  ReplicaSelectorSettings& selector = settings.core.selector;
+  reader.Add("routing.silence_limit_ms", &selector.silence_limit, kShortSpan,
+             "A group whose running streams give nothing for so long stands "
+             "still.");
+  reader.Add("routing.first_event_limit_ms", &selector.first_event_limit,
+             kShortSpan, "The same before a stream's first event.");
+  reader.Add("routing.other_zone_ms", &selector.other_zone_ms,
+             NumberRange{0, 1000},
+             "What an endpoint of another data centre costs, in expected "
+             "wait.");
+  reader.Add("routing.spread_ms", &selector.spread_ms, NumberRange{0, 1000},
+             "Random part of the expected wait.");
+  reader.Add("routing.most_fill", &selector.most_fill, NumberRange{0.1, 100},
+             "Requests in an endpoint, as a multiple of its places, beyond "
+             "which nothing more is sent there.");
+  SharedRetryBudgetSettings& retries = settings.core.retries;
+  reader.Add("retries.ratio", &retries.ratio, NumberRange{0, 10},
+             "Second sends of all nodes as a share of the requests.");
+  reader.Add("retries.slack", &retries.slack, NumberRange{0, 1e6},
+             "Second sends of all nodes beyond that share.");
+  reader.Add("retries.window_ms", &retries.window, kShortSpan,
+             "Span over which both are counted.");
+}
+
+void DeclareGroups(GatewayProcessSettings& settings,
+                   RawSettings& raw,
+                   SettingsReader& reader) {
+  FleetKeeperSettings& keeper = settings.core.keeper;
+  reader.Add("groups.stall_time_ms", &raw.stall_time, kShortSpan,
+             "After so long engines break a group that lost a member.");
+  reader.Add("groups.drain_limit_ms", &keeper.drain_limit, kShortSpan,
+             "How long a group that is closed by plan may run what it has.");
+  reader.Add("groups.form_limit_ms", &keeper.form_limit,
+             {Duration::Seconds(1), Duration::Seconds(3600)},
+             "A group that is not whole by then is given up.");
+  reader.Add("groups.order_timeout_ms", &keeper.order_timeout, kShortSpan,
+             "Longest wait for an engine's answer to an order.");
+  reader.Add("groups.load_rate_share", &keeper.loads.rate_share,
+             NumberRange{0.01, 1},
+             "Part of the weight store's rate that is used.");
+}
+
+void DeclareLogging(GatewayProcessSettings& settings, SettingsReader& reader) {
+  reader.Add("log.events_kept", &settings.events_kept,
+             IntegerRange{100, 1000000}, "Events of the time line in memory.");
+  reader.AddChoice<LogSeverity>("log.severity", &settings.log_severity,
+                                {{"info", LogSeverity::kInfo},
+                                 {"warning", LogSeverity::kWarning},
+                                 {"error", LogSeverity::kError}},
+                                "Lowest severity that is logged.");
+  LogBudgetSettings& budget = settings.log_budget;
+  constexpr IntegerRange kLines{0, 100000};
+  reader.Add("log.belief_lines", &budget.belief_lines, kLines,
+             "Lines a second for changes of what the node believes.");
+  reader.Add("log.trouble_lines", &budget.trouble_lines, kLines,
+             "Lines a second for requests refused, failed or moved.");
+  reader.Add("log.success_lines", &budget.success_lines, kLines,
+             "Lines a second for other decisions on requests.");
+}
+
+void DeclareAll(GatewayProcessSettings& settings,
+                RawSettings& raw,
+                SettingsReader& reader) {
+  DeclareNode(settings, raw, reader);
+  DeclareStore(settings, reader);
+  DeclareRequests(settings, reader);
+  DeclareGroups(settings, raw, reader);
+  DeclareLogging(settings, reader);
+}
+
+SettingError BadItem(const std::string& path,
+                     std::string_view key,
+                     const std::string& value,
+                     std::string_view allowed) {
+  SettingError error;
+  error.kind = SettingErrorKind::kOutOfRange;
+  error.file = path;
+  error.key = key;
+  error.value = value;
+  error.allowed = allowed;
+  return error;
+}
+
+std::optional<GatewayListen> ParseListen(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0) {
+    return std::nullopt;
+  }
+  GatewayListen listen;
+  listen.ip = text.substr(0, colon);
+  const char* const end = text.data() + text.size();
+  const auto read = std::from_chars(text.data() + colon + 1, end, listen.port);
+  if (read.ec != std::errc() || read.ptr != end) {
+    return std::nullopt;
+  }
+  return listen;
+}
+
+std::vector<SettingError> ReadItems(const std::string& path,
+                                    const RawSettings& raw,
+                                    GatewayProcessSettings& settings) {
+  std::vector<SettingError> errors;
+  struct Place {
+    std::string_view key;
+    const std::string* text;
+    GatewayListen* listen;
+  };
+  GatewayRuntimeSettings& runtime = settings.runtime;
+  const std::array<Place, 5> places = {{
+      {"listen.callers", &raw.callers, &runtime.callers},
+      {"listen.readiness", &raw.readiness, &runtime.readiness},
+      {"listen.entries", &raw.entries, &runtime.entries},
+      {"listen.peers", &raw.peers, &runtime.peers},
+      {"listen.metrics", &raw.metrics, &runtime.metrics},
+  }};
+  for (const Place& place : places) {
+    if (place.text->empty()) {
+      continue;
+    }
+    if (const auto listen = ParseListen(*place.text)) {
+      *place.listen = *listen;
+    } else {
+      errors.push_back(BadItem(path, place.key, *place.text, "ip:port"));
+    }
+  }
+  for (const std::string& seed : raw.seeds) {
+    if (ParseListen(seed)) {
+      settings.core.seeds.emplace_back(seed);
+    } else {
+      errors.push_back(BadItem(path, "peers.seeds", seed, "ip:port"));
+    }
+  }
+  settings.core.self.caller_address = Address(raw.callers);
+  settings.core.self.peer_address = Address(raw.peers);
+  settings.core.self.operator_address = Address(raw.peers);
+  settings.core.keeper.stall_limit = raw.stall_time + kStallMargin;
+  return errors;
+}
+
+// Values that are each in range but do not fit together.
+std::vector<SettingError> CheckTogether(
+    const std::string& path,
+    const GatewayProcessSettings& settings) {
+  const NodeLeaseSettings& lease = settings.core.lease;
+  if (lease.renew_interval * 2 + lease.margin <= lease.time_to_live) {
+    return {};
+  }
+  return {BadItem(path, "lease.time_to_live_ms",
+                  std::to_string(lease.time_to_live.millis()),
+                  "at least twice renew_interval_ms plus margin_ms, so that "
+                  "one lost renewal does not end the lease")};
+}
+
+}  // namespace
+
+std::variant<GatewayProcessSettings, std::vector<SettingError>>
+ReadGatewaySettings(const std::string& path) {
+  GatewayProcessSettings settings;
+  RawSettings raw;
+  SettingsReader reader;
+  DeclareAll(settings, raw, reader);
+  std::vector<SettingError> errors = reader.ReadFile(path);
+  if (errors.empty()) {
+    errors = ReadItems(path, raw, settings);
+  }
+  if (errors.empty()) {
+    errors = CheckTogether(path, settings);
+  }
+  if (!errors.empty()) {
+    return errors;
+  }
+  return settings;
+}
+
+void WriteGatewaySettingsReference(std::ostream& out) {
+  GatewayProcessSettings settings;
+  RawSettings raw;
+  SettingsReader reader;
+  DeclareAll(settings, raw, reader);
+  reader.WriteReference(out);
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/programs/gcw_gateway/gateway_settings.h
@@ -0,0 +1,32 @@
+#ifndef PROGRAMS_GCW_GATEWAY_GATEWAY_SETTINGS_H_
+#define PROGRAMS_GCW_GATEWAY_GATEWAY_SETTINGS_H_
+
+#include <ostream>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "transport/transport.h"
+
+namespace gcw {
+
+// Everything that `gcw-gateway` reads from its settings file; docs/SETTINGS.md
+// lists the keys.
+struct GatewayProcessSettings {
+  GatewaySettings core;
+  GatewayRuntimeSettings runtime;
+  std::int64_t events_kept = 2000;
+  LogSeverity log_severity = LogSeverity::kInfo;
+  LogBudgetSettings log_budget;
+};
+
+// Reads and checks the file; all errors at once.
+std::variant<GatewayProcessSettings, std::vector<SettingError>>
+ReadGatewaySettings(const std::string& path);
+
+// The keys as a Markdown table.
+void WriteGatewaySettingsReference(std::ostream& out);
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_GCW_GATEWAY_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/protocol/mirror_json.h
@@ -0,0 +1,21 @@
+#ifndef PROTOCOL_MIRROR_JSON_H_
+#define PROTOCOL_MIRROR_JSON_H_
+
+#include <string>
+#include <string_view>
+
+#include "coordination/coordination.h"
+#include "protocol/codec_error.h"
+
+namespace gcw {
+
+// What nodes of a gateway tell each other: their copies of the key-value
+// service, and groups that stand still.
+std::string EncodeMirrorSnapshot(const MirrorSnapshot& snapshot);
+Decoded<MirrorSnapshot> DecodeMirrorSnapshot(std::string_view text);
+std::string EncodeStandstillNotice(const StandstillNotice& notice);
+Decoded<StandstillNotice> DecodeStandstillNotice(std::string_view text);
+
+}  // namespace gcw
+
+#endif  // PROTOCOL_MIRROR_JSON_H_
--- /dev/null
+++ b/state/group_order.cc
@@ -0,0 +1,41 @@
+#include "state/group_order.h"
+
+namespace gcw {
+
+std::string_view GroupOrderKindName(GroupOrderKind kind) {
+  switch (kind) {
+    case GroupOrderKind::kJoin:
+      return "join";
+    case GroupOrderKind::kOpen:
+      return "open";
+    case GroupOrderKind::kClose:
+      return "close";
+    case GroupOrderKind::kLeave:
+      return "leave";
+    case GroupOrderKind::kStage:
+      return "stage";
+  }
+  return "unknown";
+}
+
+std::string_view GroupOrderVerdictName(GroupOrderVerdict verdict) {
+  switch (verdict) {
+    case GroupOrderVerdict::kBegun:
+      return "begun";
+    case GroupOrderVerdict::kDone:
+      return "done";
+    case GroupOrderVerdict::kMisfit:
+      return "misfit";
+    case GroupOrderVerdict::kStale:
+      return "stale";
+    case GroupOrderVerdict::kOtherVm:
+      return "other_vm";
+    case GroupOrderVerdict::kRefused:
+      return "refused";
+    case GroupOrderVerdict::kNoAnswer:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
+}  // namespace gcw
--- a/state/store_types.h
+++ b/state/store_types.h
@@ -27,9 +27,11 @@
   LeaseId lease;
 };
 
-// Reads all keys that begin with `prefix`.
+// Reads all keys that begin with `prefix`, or a page of them.
 struct StoreRange {
   std::string prefix;
+  // Where it is not empty, only keys behind this one: the next page.
+  std::string after = {};
 };
 
 // Writes `key` if its revision is `expected`; revision 0 means absent.
@@ -78,6 +80,8 @@
   // The service's revision at the read.
   Revision revision;
   std::vector<StoreEntry> entries;
+  // There are more keys behind the last one of `entries`.
+  bool more = false;
 };
 
 // A put or delete that took effect, at this revision.
--- a/tests/coordination/admission_queue_test.cc
+++ b/tests/coordination/admission/admission_queue_test.cc
@@ -1,4 +1,4 @@
-#include "coordination/admission_queue.h"
+#include "coordination/admission/admission_queue.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
--- a/tests/coordination/once_failure_test.cc
+++ b/tests/coordination/at_most_once/once_failure_test.cc
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "coordination/once_journal.h"
+#include "coordination/at_most_once/once_journal.h"
 #include "tests/support/once_world.h"
 
 namespace gcw {
--- a/tests/coordination/limit_relay_test.cc
+++ b/tests/coordination/limits/limit_relay_test.cc
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "tests/coordination/limits_fleet.h"
+#include "tests/coordination/limits/limits_fleet.h"
 
 namespace gcw {
 namespace {
--- a/tests/coordination/limits_fleet.h
+++ b/tests/coordination/limits/limits_fleet.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_COORDINATION_LIMITS_FLEET_H_
-#define TESTS_COORDINATION_LIMITS_FLEET_H_
+#ifndef TESTS_COORDINATION_LIMITS_LIMITS_FLEET_H_
+#define TESTS_COORDINATION_LIMITS_LIMITS_FLEET_H_
 
 #include <algorithm>
 #include <deque>
@@ -228,4 +228,4 @@
 
 }  // namespace gcw
 
-#endif  // TESTS_COORDINATION_LIMITS_FLEET_H_
+#endif  // TESTS_COORDINATION_LIMITS_LIMITS_FLEET_H_
--- a/tests/coordination/limits_property_test.cc
+++ b/tests/coordination/limits/limits_property_test.cc
@@ -4,7 +4,7 @@
 
 #include <vector>
 
-#include "tests/coordination/limits_fleet.h"
+#include "tests/coordination/limits/limits_fleet.h"
 
 namespace gcw {
 namespace {
--- a/tests/coordination/limits_test.cc
+++ b/tests/coordination/limits/limits_test.cc
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "tests/coordination/limits_fleet.h"
+#include "tests/coordination/limits/limits_fleet.h"
 
 namespace gcw {
 namespace {
--- a/tests/coordination/membership_test.cc
+++ b/tests/coordination/membership/membership_test.cc
@@ -1,4 +1,4 @@
-#include "coordination/membership.h"
+#include "coordination/membership/membership.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/coordination/retry_test.cc
+++ b/tests/coordination/requests/retry_test.cc
@@ -4,9 +4,9 @@
 #include <algorithm>
 #include <vector>
 
-#include "coordination/retry_after.h"
-#include "coordination/retry_budget.h"
-#include "tests/coordination/routing_fixtures.h"
+#include "coordination/requests/retry_after.h"
+#include "coordination/requests/retry_budget.h"
+#include "tests/coordination/routing/routing_fixtures.h"
 
 namespace gcw {
 namespace {
--- a/tests/coordination/node_lease_test.cc
+++ b/tests/coordination/roles/node_lease_test.cc
@@ -1,4 +1,4 @@
-#include "coordination/node_lease.h"
+#include "coordination/roles/node_lease.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/coordination/role_leases_test.cc
+++ b/tests/coordination/roles/role_leases_test.cc
@@ -1,4 +1,4 @@
-#include "coordination/role_leases.h"
+#include "coordination/roles/role_leases.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/coordination/endpoint_subset_test.cc
+++ b/tests/coordination/routing/endpoint_subset_test.cc
@@ -1,4 +1,4 @@
-#include "coordination/endpoint_subset.h"
+#include "coordination/routing/endpoint_subset.h"
 
 #include <gtest/gtest.h>
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "tests/coordination/routing_fixtures.h"
+#include "tests/coordination/routing/routing_fixtures.h"
 
 namespace gcw {
 namespace {
--- a/tests/coordination/router_test.cc
+++ b/tests/coordination/routing/router_test.cc
@@ -1,4 +1,4 @@
-#include "coordination/router.h"
+#include "coordination/routing/router.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "tests/coordination/routing_fixtures.h"
+#include "tests/coordination/routing/routing_fixtures.h"
 
 namespace gcw {
 namespace {
--- /dev/null
+++ b/transport/gateway/gateway_metrics.h
@@ -0,0 +1,33 @@
+#ifndef TRANSPORT_GATEWAY_GATEWAY_METRICS_H_
+#define TRANSPORT_GATEWAY_GATEWAY_METRICS_H_
+
+#include <string>
+
+#include "core/core.h"
+#include "transport/metrics.h"
+
+namespace gcw {
+
+// The metrics of a gateway.
+class GatewayMetrics {
+ public:
+  GatewayMetrics();
+
+  std::string Expose() const { return metrics_.Expose(); }
+  // Counts an event of the time line by its kind.
+  void Observe(const TimelineEvent& event);
+
+ private:
+  Metrics metrics_;
+  CounterFamily& events_;
+
+ public:
+  Counter& requests;
+  Counter& store_calls;
+  Counter& store_failures;
+  Counter& orders;
+};
+
+}  // namespace gcw
+
+#endif  // TRANSPORT_GATEWAY_GATEWAY_METRICS_H_
--- /dev/null
+++ b/transport/gateway/gateway_runtime.cc
@@ -0,0 +1,307 @@
+#include "transport/gateway/gateway_runtime.h"
+
+#include <charconv>
+#include <utility>
+
+#include "protocol/protocol.h"
+#include "transport/json_log.h"
+#include "transport/query_string.h"
+
+namespace gcw {
+namespace {
+
+constexpr std::string_view kMirrorPath = "/v1/mirror";
+constexpr std::string_view kStandstillPath = "/v1/standstill";
+constexpr std::string_view kNewerThan = "newer_than";
+constexpr int kOk = 200;
+constexpr int kNoContent = 204;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr std::size_t kMostOtherConnections = 512;
+
+HttpCallOptions Within(Duration limit) {
+  HttpCallOptions options;
+  options.connect_timeout = limit;
+  options.progress_timeout = limit;
+  options.deadline = limit;
+  return options;
+}
+
+}  // namespace
+
+GatewayRuntime::GatewayRuntime(GatewayRuntimeSettings settings, Parts parts)
+    : settings_(std::move(settings)),
+      parts_(std::move(parts)),
+      endpoints_(*parts_.context),
+      store_(*parts_.context),
+      watches_(*parts_.context),
+      orders_(*parts_.context),
+      peers_(*parts_.context),
+      timer_(*parts_.context) {}
+
+std::optional<GatewayListenError> GatewayRuntime::Listen() {
+  std::optional<GatewayListenError> error;
+  const auto ignore_request =
+      [](void (GatewayRuntime::*serve)(const std::shared_ptr<HttpResponder>&),
+         GatewayRuntime* self) {
+        return [serve, self](const HttpRequest&,
+                             const std::shared_ptr<HttpResponder>& responder) {
+          (self->*serve)(responder);
+        };
+      };
+  const bool all =
+      ListenOn(
+          GatewayListener::kCallers, settings_.callers,
+          settings_.most_caller_connections,
+          [this](HttpRequest request,
+                 const std::shared_ptr<HttpResponder>& responder) {
+            ServeCaller(std::move(request), responder);
+          },
+          error) &&
+      ListenOn(GatewayListener::kReadiness, settings_.readiness,
+               kMostOtherConnections,
+               ignore_request(&GatewayRuntime::ServeReadiness, this), error) &&
+      ListenOn(
+          GatewayListener::kEntries, settings_.entries, kMostOtherConnections,
+          [this](const HttpRequest& request,
+                 const std::shared_ptr<HttpResponder>& responder) {
+            ServeEntries(request, responder);
+          },
+          error) &&
+      ListenOn(
+          GatewayListener::kPeers, settings_.peers, kMostOtherConnections,
+          [this](const HttpRequest& request,
+                 const std::shared_ptr<HttpResponder>& responder) {
+            ServePeer(request, responder);
+          },
+          error);
+  if (all && settings_.metrics.port != 0) {
+    ListenOn(GatewayListener::kMetrics, settings_.metrics,
+             kMostOtherConnections,
+             ignore_request(&GatewayRuntime::ServeMetrics, this), error);
+  }
+  return error;
+}
+
+bool GatewayRuntime::ListenOn(GatewayListener listener,
+                              const GatewayListen& where,
+                              std::size_t most_connections,
+                              HttpHandler handler,
+                              std::optional<GatewayListenError>& error) {
+  HttpServerLimits limits;
+  limits.max_connections = most_connections;
+  auto listening = HttpServer::Listen(*parts_.context, where.ip, where.port,
+                                      limits, std::move(handler));
+  if (!IsOk(listening)) {
+    error = GatewayListenError{listener, ErrorOf(listening).kind};
+    return false;
+  }
+  servers_[listener] = std::move(ValueOf(listening));
+  return true;
+}
+
+std::uint16_t GatewayRuntime::port_of(GatewayListener listener) const {
+  const auto found = servers_.find(listener);
+  return found == servers_.end() ? 0 : found->second->port();
+}
+
+void GatewayRuntime::Start() {
+  Tick();
+}
+
+void GatewayRuntime::ScheduleTick() {
+  timer_.expires_after(
+      std::chrono::milliseconds(settings_.tick_interval.millis()));
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      Tick();
+    }
+  });
+}
+
+void GatewayRuntime::Tick() {
+  Execute(parts_.core->Tick(Now()));
+  if (parts_.core->is_stop_over(Now()) && !stopped_) {
+    stopped_ = true;
+    LogEvent(LogSeverity::kInfo, "node_stopped",
+             {{"open_requests", static_cast<std::int64_t>(exchanges_.size())}});
+    parts_.context->stop();
+    return;
+  }
+  ScheduleTick();
+}
+
+void GatewayRuntime::BeginStop() {
+  parts_.core->OnStopAsked(Now());
+  const auto callers = servers_.find(GatewayListener::kCallers);
+  if (callers != servers_.end()) {
+    callers->second->AnnounceStop();
+  }
+}
+
+void GatewayRuntime::ServeCaller(
+    HttpRequest request,
+    const std::shared_ptr<HttpResponder>& responder) {
+  ForwardExchange::Parts parts;
+  parts.core = parts_.core;
+  parts.dialect = &parts_.dialect;
+  parts.endpoints = &endpoints_;
+  parts.clock = parts_.clock;
+  parts.on_over = [this](ForwardId id) { exchanges_.erase(id); };
+  auto exchange = std::make_shared<ForwardExchange>(
+      settings_.exchange, std::move(parts), std::move(request), responder);
+  parts_.metrics->requests.Add();
+  const ForwardId id = exchange->Start();
+  if (exchange->is_over()) {
+    return;
+  }
+  exchanges_[id] = std::move(exchange);
+}
+
+void GatewayRuntime::ServeReadiness(
+    const std::shared_ptr<HttpResponder>& responder) {
+  responder->Respond({parts_.core->ready() ? kOk : kUnavailable, {}, {}});
+}
+
+void GatewayRuntime::ServeEntries(
+    const HttpRequest& request,
+    const std::shared_ptr<HttpResponder>& responder) {
+  const ZoneId zone = parts_.dialect.read_entries_zone(request);
+  const std::vector<Address> addresses = parts_.core->Entries(zone);
+  if (addresses.empty()) {
+    responder->Respond({kUnavailable, {}, {}});
+    return;
+  }
+  responder->Respond(
+      parts_.dialect.make_entries(addresses, parts_.core->entries_keep()));
+}
+
+void GatewayRuntime::ServePeer(
+    const HttpRequest& request,
+    const std::shared_ptr<HttpResponder>& responder) {
+  const std::string_view target = request.target;
+  const std::string_view path = target.substr(0, target.find('?'));
+  if (path == kMirrorPath) {
+    std::int64_t newer_than = 0;
+    const std::string text = QueryValue(request.target, kNewerThan);
+    std::from_chars(text.data(), text.data() + text.size(), newer_than);
+    const auto snapshot = parts_.core->Snapshot(Revision(newer_than));
+    if (!snapshot) {
+      responder->Respond({kNoContent, {}, {}});
+      return;
+    }
+    responder->Respond({kOk,
+                        {{"Content-Type", "application/json"}},
+                        EncodeMirrorSnapshot(*snapshot)});
+    return;
+  }
+  if (path == kStandstillPath) {
+    const auto notice = DecodeStandstillNotice(request.body);
+    if (!IsOk(notice)) {
+      LogEvent(LogSeverity::kWarning, "peer_message_malformed",
+               {{"field", ErrorOf(notice).field}});
+      responder->Respond({kBadRequest, {}, {}});
+      return;
+    }
+    responder->Respond({kNoContent, {}, {}});
+    Execute(parts_.core->OnNotice(Now(), ValueOf(notice)));
+    return;
+  }
+  responder->Respond({kNotFound, {}, {}});
+}
+
+void GatewayRuntime::ServeMetrics(
+    const std::shared_ptr<HttpResponder>& responder) {
+  responder->Respond({kOk,
+                      {{"Content-Type", "text/plain; version=0.0.4"}},
+                      parts_.metrics->Expose()});
+}
+
+void GatewayRuntime::Execute(GatewayActions actions) {
+  for (const GatewayAction& action : actions) {
+    std::visit([this](const auto& each) { Execute(each); }, action);
+  }
+}
+
+void GatewayRuntime::Execute(const CallGatewayStore& action) {
+  const auto* watch = std::get_if<StoreWatch>(&action.request.call);
+  Duration timeout = settings_.store_timeout;
+  if (watch != nullptr) {
+    timeout = timeout + watch->wait;
+  }
+  HttpClient& client = watch != nullptr ? watches_ : store_;
+  parts_.metrics->store_calls.Add();
+  client.Fetch(
+      settings_.store, parts_.dialect.make_store_call(action.request.call),
+      Within(timeout),
+      [this, action, &client](const Result<HttpResponse, HttpFailure>& answer) {
+        StoreReply reply = StoreNoAnswer{};
+        if (IsOk(answer)) {
+          reply = parts_.dialect.read_store_reply(action.request.call,
+                                                  ValueOf(answer));
+        } else {
+          // Others that have been idle meanwhile may have gone silent too.
+          client.ForgetConnections(settings_.store);
+          parts_.metrics->store_failures.Add();
+        }
+        Execute(parts_.core->OnStoreReply(Now(), action.module,
+                                          action.request.id, reply));
+      });
+}
+
+void GatewayRuntime::Execute(const AskNodeSnapshot& action) {
+  HttpRequest request{"GET",
+                      std::string(kMirrorPath) + "?" + std::string(kNewerThan) +
+                          "=" + std::to_string(action.newer_than.value()),
+                      {},
+                      {}};
+  peers_.Fetch(
+      action.address, std::move(request), Within(settings_.peer_timeout),
+      [this](const Result<HttpResponse, HttpFailure>& answer) {
+        if (!IsOk(answer) || ValueOf(answer).status != kOk) {
+          return;
+        }
+        const auto snapshot = DecodeMirrorSnapshot(ValueOf(answer).body);
+        if (!IsOk(snapshot)) {
+          LogEvent(LogSeverity::kWarning, "peer_message_malformed",
+                   {{"field", ErrorOf(snapshot).field}});
+          return;
+        }
+        Execute(parts_.core->OnSnapshot(Now(), ValueOf(snapshot)));
+      });
+}
+
+void GatewayRuntime::Execute(const TellNode& action) {
+  HttpRequest request{"POST",
+                      std::string(kStandstillPath),
+                      {{"Content-Type", "application/json"}},
+                      EncodeStandstillNotice(action.notice)};
+  // A lost notice costs time only: each node finds a standstill by itself.
+  peers_.Fetch(action.address, std::move(request),
+               Within(settings_.peer_timeout),
+               [](const Result<HttpResponse, HttpFailure>&) {});
+}
+
+void GatewayRuntime::Execute(const SendGroupOrder& action) {
+  parts_.metrics->orders.Add();
+  orders_.Fetch(
+      action.address, parts_.dialect.make_order(action.vm, action.order),
+      Within(action.timeout),
+      [this, id = action.id](const Result<HttpResponse, HttpFailure>& answer) {
+        const GroupOrderVerdict verdict =
+            IsOk(answer) ? parts_.dialect.read_order(ValueOf(answer).status)
+                         : GroupOrderVerdict::kNoAnswer;
+        Execute(parts_.core->OnOrderReply(Now(), id, verdict));
+      });
+}
+
+void GatewayRuntime::Execute(const MoveForward& action) {
+  const auto found = exchanges_.find(action.id);
+  if (found != exchanges_.end()) {
+    const std::shared_ptr<ForwardExchange> exchange = found->second;
+    exchange->Move();
+  }
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/transport/gateway/gateway_runtime.h
@@ -0,0 +1,116 @@
+#ifndef TRANSPORT_GATEWAY_GATEWAY_RUNTIME_H_
+#define TRANSPORT_GATEWAY_GATEWAY_RUNTIME_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "coordination/coordination.h"
+#include "transport/gateway/forward_exchange.h"
+#include "transport/gateway/gateway_dialect.h"
+#include "transport/gateway/gateway_metrics.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+
+namespace gcw {
+
+struct GatewayListen {
+  std::string ip;
+  std::uint16_t port = 0;
+};
+
+struct GatewayRuntimeSettings {
+  Address store;
+  // From sending a call to the key-value service to giving up on its answer. A
+  // watch may take as long as it waits in addition.
+  Duration store_timeout = Duration::Millis(800);
+  Duration peer_timeout = Duration::Millis(500);
+  Duration tick_interval = Duration::Millis(40);
+  GatewayListen callers;
+  GatewayListen readiness;
+  GatewayListen entries;
+  GatewayListen peers;
+  // Port 0: none is served.
+  GatewayListen metrics;
+  std::size_t most_caller_connections = 2500;
+  ForwardExchangeSettings exchange;
+};
+
+enum class GatewayListener { kCallers, kReadiness, kEntries, kPeers, kMetrics };
+
+struct GatewayListenError {
+  GatewayListener listener;
+  ListenErrorKind kind;
+};
+
+// Drives a gateway's core: its one thread reads and writes every connection and
+// holds the control state too, since the VMs of the platform have one core, and
+// handing each event to another thread would cost more than handling it.
+class GatewayRuntime {
+ public:
+  // All outlive the runtime.
+  struct Parts {
+    boost::asio::io_context* context = nullptr;
+    GatewayCore* core = nullptr;
+    GatewayDialect dialect;
+    GatewayMetrics* metrics = nullptr;
+    Clock clock;
+  };
+
+  GatewayRuntime(GatewayRuntimeSettings settings, Parts parts);
+  GatewayRuntime(const GatewayRuntime&) = delete;
+  GatewayRuntime& operator=(const GatewayRuntime&) = delete;
+
+  // Absent when all listen.
+  std::optional<GatewayListenError> Listen();
+  void Start();
+  // Begins a planned stop; the context runs out of work when it is over.
+  void BeginStop();
+
+  std::uint16_t port_of(GatewayListener listener) const;
+
+ private:
+  void ScheduleTick();
+  void Tick();
+  bool ListenOn(GatewayListener listener,
+                const GatewayListen& where,
+                std::size_t most_connections,
+                HttpHandler handler,
+                std::optional<GatewayListenError>& error);
+  void ServeCaller(HttpRequest request,
+                   const std::shared_ptr<HttpResponder>& responder);
+  void ServeReadiness(const std::shared_ptr<HttpResponder>& responder);
+  void ServeEntries(const HttpRequest& request,
+                    const std::shared_ptr<HttpResponder>& responder);
+  void ServePeer(const HttpRequest& request,
+                 const std::shared_ptr<HttpResponder>& responder);
+  void ServeMetrics(const std::shared_ptr<HttpResponder>& responder);
+
+  void Execute(GatewayActions actions);
+  void Execute(const CallGatewayStore& action);
+  void Execute(const AskNodeSnapshot& action);
+  void Execute(const TellNode& action);
+  void Execute(const SendGroupOrder& action);
+  void Execute(const MoveForward& action);
+  Time Now() const { return parts_.clock(); }
+
+  GatewayRuntimeSettings settings_;
+  Parts parts_;
+  HttpClient endpoints_;
+  HttpClient store_;
+  HttpClient watches_;
+  HttpClient orders_;
+  HttpClient peers_;
+  boost::asio::steady_timer timer_;
+  std::unordered_map<GatewayListener, std::unique_ptr<HttpServer>> servers_;
+  std::unordered_map<ForwardId, std::shared_ptr<ForwardExchange>> exchanges_;
+  bool stopped_ = false;
+};
+
+}  // namespace gcw
+
+#endif  // TRANSPORT_GATEWAY_GATEWAY_RUNTIME_H_
--- a/transport/http_client_call.cc
+++ b/transport/http_client_call.cc
@@ -1,6 +1,8 @@
 #include "transport/http_client_call.h"
 
 #include <algorithm>
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -33,6 +35,25 @@
              : HttpFailureKind::kConnectionReset;
 }
 
+// How long the server keeps the idle connection, by its `Keep-Alive` header. A
+// request on a connection that the server closes at that moment is lost, with
+// its outcome unknown, so a part of the time is left unused.
+Duration KeepAliveLimit(const http::fields& head) {
+  constexpr std::string_view kName = "timeout=";
+  constexpr std::int64_t kMillisUsedPerSecond = 600;
+  const auto value = head["Keep-Alive"];
+  const std::size_t at = value.find(kName);
+  std::int64_t seconds = 0;
+  if (at == std::string_view::npos ||
+      std::from_chars(value.data() + at + kName.size(),
+                      value.data() + value.size(), seconds)
+              .ec != std::errc()) {
+    return HttpConnectionPool::kMaxIdle;
+  }
+  return std::min(HttpConnectionPool::kMaxIdle,
+                  Duration::Millis(seconds * kMillisUsedPerSecond));
+}
+
 }  // namespace
 
 HttpClientCall::HttpClientCall(std::unique_ptr<HttpConnection> connection,
@@ -242,6 +263,14 @@
 }
 
 void HttpClientCall::OnEof() {
+  if (head_delivered_ && parser_->need_eof()) {
+    error_code error;
+    parser_->put_eof(error);
+    if (!error) {
+      End();
+      return;
+    }
+  }
   const bool answer_began = parser_->got_some() || buffer_.size() > 0;
   Fail(answer_began ? HttpFailureKind::kTruncated
                     : HttpFailureKind::kConnectionReset);
@@ -293,7 +322,7 @@
     return true;
   }
   progress_ = HttpProgress::kAnswerBegun;
-  if (parser_->need_eof()) {
+  if (parser_->need_eof() && !options_.accept_unframed) {
     Fail(HttpFailureKind::kMalformedAnswer);
     return false;
   }
@@ -323,6 +352,7 @@
   done_ = true;
   timer_.Stop();
   if (reusable) {
+    connection_->idle_limit = KeepAliveLimit(parser_->get());
     pool_->Put(address_, std::move(connection_));
   }
   connection_.reset();
--- a/transport/http_connection.h
+++ b/transport/http_connection.h
@@ -14,6 +14,8 @@
 
   Strand strand;
   StrandSocket socket;
+  // How long it may be idle before it is used no more.
+  Duration idle_limit = Duration::Seconds(30);
   // When it returned to the pool.
   std::chrono::steady_clock::time_point idle_since;
 };
--- a/transport/http_connection_pool.cc
+++ b/transport/http_connection_pool.cc
@@ -11,7 +11,7 @@
 
 std::unique_ptr<HttpConnection> HttpConnectionPool::Take(
     const Address& address) {
-  const auto oldest = SteadyClock::now() - ToChrono(kMaxIdle);
+  const auto now = SteadyClock::now();
   const std::lock_guard lock(mutex_);
   const auto found = idle_.find(address);
   if (found == idle_.end()) {
@@ -23,7 +23,7 @@
     auto connection = std::move(connections.back());
     connections.pop_back();
     --size_;
-    if (connection->idle_since > oldest &&
+    if (connection->idle_since + ToChrono(connection->idle_limit) > now &&
         !HasUnreadInput(connection->socket)) {
       usable = std::move(connection);
     }
@@ -88,7 +88,7 @@
 }
 
 void HttpConnectionPool::Sweep() {
-  const auto oldest = SteadyClock::now() - ToChrono(kMaxIdle);
+  const auto now = SteadyClock::now();
   const std::lock_guard lock(mutex_);
   sweep_armed_ = false;
   if (closed_) {
@@ -96,7 +96,7 @@
   }
   for (auto it = idle_.begin(); it != idle_.end();) {
     size_ -= std::erase_if(it->second, [&](const auto& connection) {
-      return connection->idle_since <= oldest;
+      return connection->idle_since + ToChrono(connection->idle_limit) <= now;
     });
     it = it->second.empty() ? idle_.erase(it) : std::next(it);
   }
--- a/transport/http_server.cc
+++ b/transport/http_server.cc
@@ -143,6 +143,10 @@
   return state_->port;
 }
 
+void HttpServer::AnnounceStop() {
+  state_->connections->set_stopping();
+}
+
 void HttpServer::StopAccepting() {
   state_->connections->set_stopping();
   state_->StopAccepting();
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -36,6 +36,9 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   std::uint16_t port() const;
+  // Every further answer says that its connection closes. New connections are
+  // still taken: callers go on coming until they have asked for addresses anew.
+  void AnnounceStop();
   // Takes no new connections. Open ones end after the request they run, or
   // shortly after an answer that had promised to keep the connection.
   void StopAccepting();
--- a/transport/http_types.h
+++ b/transport/http_types.h
@@ -126,6 +126,10 @@
   // Uses a pooled connection where one is free. Requests that may not be
   // repeated use a new one, since a pooled connection may have died unseen.
   bool reuse_connection = true;
+  // Takes an answer without a length, which ends with its connection. One that
+  // is reset is still an error; whether an orderly close is the answer's end is
+  // for the caller of the client to know.
+  bool accept_unframed = false;
 };
 
 // Receives one exchange. All calls come on threads of the client's context, on
