gateway: keep the role while the lease holds, probe members of a group that stands still

Ruled out: false alarms of the standstill detection (17 of 17 were losses).

Remaining: a dead head keeps its members for 6.6 s, a dead keeper 2.6 s.

--- a/coordination/gateway/fleet_keeper.cc
+++ b/coordination/gateway/fleet_keeper.cc
@@ -43,14 +43,15 @@
   last_orders_.clear();
   calls_.clear();
   stagings_.clear();
+  doubts_.clear();
+  first_seen_.clear();
+  last_appeared_.clear();
   fenced_off_ = false;
   last_group_ = 0;
   loads_.Tick(now);
 }
 
-void FleetKeeper::OnStandstill(Time /*now*/,
-                               const VmId& head,
-                               Generation generation) {
+void FleetKeeper::OnStandstill(const VmId& head, Generation generation) {
   standstills_.emplace(head, generation);
 }
 
@@ -78,6 +79,7 @@
     }
   }
   OrderStagings(now, view);
+  ProbeDoubted(now, view);
   for (auto& [id, domain] : domains_) {
     if (std::optional<StoreCall> call = domain.writer.Tick(now)) {
       ++last_call_;
@@ -109,6 +111,9 @@
       continue;
     }
     const FabricDomainId domain = RecordDomain(vm);
+    if (first_seen_.emplace(id, now).second) {
+      last_appeared_[domain] = now;
+    }
     if (domains_.contains(domain)) {
       continue;
     }
@@ -133,7 +138,7 @@
     ReviewGroups(now, view, domain);
     DomainRecord next = domain.writer.record();
     RemoveOver(now, view, domain, next);
-    planned.push_back(Describe(view, domain, next, *service.engine));
+    planned.push_back(Describe(now, view, domain, next));
     nexts.emplace(id, std::move(next));
   }
   GroupPlan plan = planner_.Plan(*service.engine, planned);
@@ -204,6 +209,12 @@
     run.ending = FindDamage(now, view, group, run);
     if (!run.ending.empty()) {
       run.ending_since = now;
+      // Whichever member is the cause must not go into the next group.
+      if (!run.ends_by_plan) {
+        for (const VmId& member : group.members) {
+          Doubtful(now, member);
+        }
+      }
       Report(EventKind::kGroupClosed, group, {{"reason", run.ending}});
     }
   }
@@ -220,6 +231,9 @@
     if (vm == nullptr) {
       return "member_lost:" + member.value();
     }
+    if (IsSilent(member)) {
+      return "member_silent:" + member.value();
+    }
     if (vm->draining) {
       run.ends_by_plan = true;
       return "member_leaving:" + member.value();
@@ -281,10 +295,10 @@
   });
 }
 
-PlannedDomain FleetKeeper::Describe(const FleetView& view,
+PlannedDomain FleetKeeper::Describe(Time now,
+                                    const FleetView& view,
                                     const Domain& domain,
-                                    const DomainRecord& next,
-                                    const EngineProfile& profile) const {
+                                    const DomainRecord& next) const {
   PlannedDomain planned;
   planned.domain = next.domain;
   std::set<VmId> taken;
@@ -295,13 +309,19 @@
       ++planned.groups[group.model];
     }
   }
+  const auto appeared = last_appeared_.find(next.domain);
+  planned.filling = appeared != last_appeared_.end() &&
+                    now - appeared->second < settings_.settle_time;
   for (const auto& [id, vm] : view.vms()) {
     if (vm.service != domain.service || vm.domain.empty() ||
-        RecordDomain(vm) != next.domain || vm.draining) {
+        RecordDomain(vm) != next.domain || vm.draining || IsSilent(id)) {
       continue;
     }
     ++planned.vms;
-    if (taken.contains(id)) {
+    // One that is being probed may be the one that failed its last group.
+    const auto doubt = doubts_.find(id);
+    if (taken.contains(id) ||
+        (doubt != doubts_.end() && doubt->second.probing)) {
       continue;
     }
     FreeVm free;
@@ -322,7 +342,6 @@
     }
     planned.free.push_back(std::move(free));
   }
-  (void)profile;
   return planned;
 }
 
@@ -451,6 +470,55 @@
   }
 }
 
+void FleetKeeper::Doubtful(Time now, const VmId& vm) {
+  Doubt& doubt = doubts_[vm];
+  if (!doubt.probing) {
+    doubt.next_probe = now;
+  }
+}
+
+bool FleetKeeper::IsSilent(const VmId& vm) const {
+  const auto found = doubts_.find(vm);
+  return found != doubts_.end() && found->second.silent;
+}
+
+void FleetKeeper::ProbeDoubted(Time now, const FleetView& view) {
+  for (auto it = doubts_.begin(); it != doubts_.end();) {
+    const VmRegistration* vm = view.FindVm(it->first);
+    if (vm == nullptr) {
+      it = doubts_.erase(it);
+      continue;
+    }
+    Doubt& doubt = it->second;
+    if (!doubt.probing && now >= doubt.next_probe) {
+      doubt.probing = true;
+      actions_.emplace_back(
+          ProbeEngine{it->first, vm->address, settings_.probe_timeout});
+    }
+    ++it;
+  }
+}
+
+void FleetKeeper::OnProbeReply(Time now, const VmId& vm, bool answered) {
+  const auto found = doubts_.find(vm);
+  if (found == doubts_.end()) {
+    return;
+  }
+  if (answered) {
+    doubts_.erase(found);
+    return;
+  }
+  if (!found->second.silent) {
+    events_({EventKind::kVmHeldOff,
+             vm.value(),
+             {},
+             {{"reason", std::string("no_answer_to_probe")}}});
+  }
+  found->second.silent = true;
+  found->second.probing = false;
+  found->second.next_probe = now + settings_.probe_interval;
+}
+
 const ModelProfile* FleetKeeper::ProfileOf(const FleetView& view,
                                            const ServiceId& service,
                                            const ModelId& model) const {
@@ -536,6 +604,9 @@
       loads_.End(pending.vm);
     }
   }
+  if (verdict == GroupOrderVerdict::kNoAnswer) {
+    Doubtful(now, pending.vm);
+  }
   if (verdict == GroupOrderVerdict::kStale &&
       pending.order.kind != GroupOrderKind::kJoin) {
     fenced_off_ = true;
--- a/coordination/gateway/fleet_keeper.h
+++ b/coordination/gateway/fleet_keeper.h
@@ -28,9 +28,17 @@
   // arrived, or its connection been given up, before another node may hold it.
   Duration order_margin = Duration::Millis(500);
   // An order without an answer counts as unanswered.
-  Duration order_timeout = Duration::Millis(1000);
+  Duration order_timeout = Duration::Millis(500);
   // Between two sends of one order whose effect is not seen.
-  Duration resend_interval = Duration::Millis(1200);
+  Duration resend_interval = Duration::Millis(1000);
+  // A VM that does not answer a probe for this long is silent: it is put into
+  // no group. Engines answer probes at once, whatever they run.
+  Duration probe_timeout = Duration::Millis(300);
+  // Between two probes of a silent VM.
+  Duration probe_interval = Duration::Millis(1000);
+  // Endpoints register within some seconds after a start of the whole fleet; a
+  // domain is settled once none appeared there for this long.
+  Duration settle_time = Duration::Millis(1500);
   // A group that is not whole by then is given up: the slowest load, behind a
   // full queue of others.
   Duration form_limit = Duration::Seconds(60);
@@ -49,7 +57,15 @@
   Duration timeout;
 };
 
-using FleetKeeperAction = std::variant<StoreRequest, SendGroupOrder>;
+// Ask whether the VM's engine answers at all.
+struct ProbeEngine {
+  VmId vm;
+  Address address;
+  Duration timeout;
+};
+
+using FleetKeeperAction =
+    std::variant<StoreRequest, SendGroupOrder, ProbeEngine>;
 
 // Keeps the replica groups of all fabric domains while this node holds the
 // keeper's role. One record per domain in the key-value service says which VMs
@@ -70,13 +86,14 @@
   // Requests have begun to come: loads count against the weight store's rate.
   void OnTraffic() { loads_.OnTraffic(); }
   // A group stands still by the word of the nodes that send to it.
-  void OnStandstill(Time now, const VmId& head, Generation generation);
+  void OnStandstill(const VmId& head, Generation generation);
 
   std::vector<FleetKeeperAction> Tick(Time now, const FleetView& view);
   std::vector<FleetKeeperAction> OnStoreReply(Time now,
                                               StoreCallId id,
                                               const StoreReply& reply);
   void OnOrderReply(Time now, OrderId id, GroupOrderVerdict verdict);
+  void OnProbeReply(Time now, const VmId& vm, bool answered);
 
   // Whether an engine refused an order because another keeper has the role.
   bool is_fenced_off() const { return fenced_off_; }
@@ -111,7 +128,12 @@
     GroupId group;
     Time sent;
   };
-  using DomainVms = std::map<VmId, const VmRegistration*>;
+  // What probes said of a VM that is in doubt.
+  struct Doubt {
+    bool silent = false;
+    bool probing = false;
+    Time next_probe;
+  };
 
   void FindDomains(Time now, const FleetView& view);
   void ReviewGroups(Time now, const FleetView& view, Domain& domain);
@@ -127,10 +149,10 @@
                   const FleetView& view,
                   Domain& domain,
                   DomainRecord& next);
-  PlannedDomain Describe(const FleetView& view,
+  PlannedDomain Describe(Time now,
+                         const FleetView& view,
                          const Domain& domain,
-                         const DomainRecord& next,
-                         const EngineProfile& profile) const;
+                         const DomainRecord& next) const;
   void PlanService(Time now, const FleetView& view, const ServiceRule& service);
   void Commit(Time now, Domain& domain, DomainRecord next);
   void OrderGroup(Time now,
@@ -147,6 +169,10 @@
                 const GroupRecord& group,
                 GroupRun& run);
   void OrderStagings(Time now, const FleetView& view);
+  void ProbeDoubted(Time now, const FleetView& view);
+  // Has the VM probed at once.
+  void Doubtful(Time now, const VmId& vm);
+  bool IsSilent(const VmId& vm) const;
   bool MayOrder(Time now,
                 const VmId& vm,
                 GroupOrderKind kind,
@@ -174,6 +200,10 @@
   std::map<VmId, OrderId> pending_of_;
   std::map<VmId, LastOrder> last_orders_;
   std::set<std::pair<VmId, Generation>> standstills_;
+  std::map<VmId, Doubt> doubts_;
+  // When each VM was first seen, and the last time in each domain.
+  std::map<VmId, Time> first_seen_;
+  std::map<FabricDomainId, Time> last_appeared_;
   OrderId last_order_;
   StoreCallId last_call_;
   std::map<StoreCallId, FabricDomainId> calls_;
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -72,7 +72,7 @@
   MoveStuck(now, selector_.Tick(now));
   for (const Replica& replica : selector_.TakeStandstills()) {
     const StandstillNotice notice{replica.vm, replica.generation};
-    keeper_.OnStandstill(now, notice.head, notice.generation);
+    keeper_.OnStandstill(notice.head, notice.generation);
     for (const Address& address : OtherNodes()) {
       actions_.emplace_back(TellNode{address, notice});
     }
@@ -116,7 +116,7 @@
 GatewayActions GatewayCore::OnNotice(Time now, const StandstillNotice& notice) {
   MoveStuck(now,
             selector_.OnStandstillHeard(now, notice.head, notice.generation));
-  keeper_.OnStandstill(now, notice.head, notice.generation);
+  keeper_.OnStandstill(notice.head, notice.generation);
   RunKeeper(now);
   return TakeActions();
 }
@@ -129,6 +129,14 @@
   return TakeActions();
 }
 
+GatewayActions GatewayCore::OnProbeReply(Time now,
+                                         const VmId& vm,
+                                         bool answered) {
+  keeper_.OnProbeReply(now, vm, answered);
+  RunKeeper(now);
+  return TakeActions();
+}
+
 void GatewayCore::OnStopAsked(Time now) {
   if (stop_asked_) {
     return;
@@ -200,11 +208,12 @@
   const RoleName role{std::string(kKeeperRole)};
   const NodeId holder = view_.HolderOf(role);
   bool wants = false;
-  if (stopping() || keeper_.is_fenced_off() || !mirror_.loaded() ||
-      !mirror_.reachable()) {
+  if (stopping() || keeper_.is_fenced_off() || !mirror_.loaded()) {
     role_free_since_.reset();
   } else if (roles_.Held(role, now)) {
     wants = true;
+  } else if (!mirror_.reachable()) {
+    role_free_since_.reset();
   } else if (holder == settings_.self.id) {
     wants = true;
   } else if (holder.empty()) {
@@ -368,8 +377,10 @@
     if (auto* request = std::get_if<StoreRequest>(&action)) {
       actions_.emplace_back(
           CallGatewayStore{GatewayModule::kKeeper, std::move(*request)});
+    } else if (auto* order = std::get_if<SendGroupOrder>(&action)) {
+      actions_.emplace_back(std::move(*order));
     } else {
-      actions_.emplace_back(std::get<SendGroupOrder>(std::move(action)));
+      actions_.emplace_back(std::get<ProbeEngine>(std::move(action)));
     }
   }
 }
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -88,6 +88,7 @@
                                    AskNodeSnapshot,
                                    TellNode,
                                    SendGroupOrder,
+                                   ProbeEngine,
                                    MoveForward>;
 using GatewayActions = std::vector<GatewayAction>;
 
@@ -118,6 +119,7 @@
   GatewayActions OnSnapshot(Time now, const MirrorSnapshot& snapshot);
   GatewayActions OnNotice(Time now, const StandstillNotice& notice);
   GatewayActions OnOrderReply(Time now, OrderId id, GroupOrderVerdict verdict);
+  GatewayActions OnProbeReply(Time now, const VmId& vm, bool answered);
   void OnStopAsked(Time now);
 
   ForwardBegun OnArrived(Time now, ForwardRequest request);
--- a/coordination/gateway/group_planner.cc
+++ b/coordination/gateway/group_planner.cc
@@ -74,6 +74,42 @@
   }
 }
 
+std::vector<std::size_t> GroupPlanner::MixOfFilling(
+    const EngineProfile& profile,
+    const PlannedDomain& domain,
+    std::size_t expected_vms) const {
+  const std::size_t model_count = profile.models.size();
+  const std::size_t reserve =
+      std::min(settings_.reserve_per_domain, expected_vms);
+  const std::vector<double> none(model_count, 0);
+  const auto wanted = BestMix(profile, expected_vms - reserve, none);
+  std::vector<std::size_t> by_size(model_count);
+  for (std::size_t i = 0; i < model_count; ++i) {
+    by_size[i] = i;
+  }
+  std::stable_sort(
+      by_size.begin(), by_size.end(), [&](std::size_t a, std::size_t b) {
+        return profile.models[a].group_size > profile.models[b].group_size;
+      });
+  std::vector<std::size_t> mix(model_count, 0);
+  std::size_t left = domain.free.size();
+  // Largest first: small groups fit into what is left, but a large one does not
+  // fit any more once small ones have taken the first VMs that appeared.
+  for (const std::size_t i : by_size) {
+    const ModelProfile& model = profile.models[i];
+    const auto found = domain.groups.find(model.model);
+    std::size_t have = found == domain.groups.end() ? 0 : found->second;
+    for (; have < wanted[i] && left >= model.group_size; ++have) {
+      ++mix[i];
+      left -= model.group_size;
+    }
+    if (have < wanted[i]) {
+      break;
+    }
+  }
+  return mix;
+}
+
 GroupPlan GroupPlanner::Plan(const EngineProfile& profile,
                              std::vector<PlannedDomain> domains) const {
   GroupPlan plan;
@@ -108,6 +144,10 @@
     return have[i] * static_cast<double>(model.group_size) /
            (std::max(0.01, model.work_share) * all_vms);
   };
+  std::size_t largest = 0;
+  for (const PlannedDomain& domain : domains) {
+    largest = std::max(largest, domain.vms);
+  }
   // Whole domains first: they have the widest choice.
   std::stable_sort(domains.begin(), domains.end(),
                    [](const PlannedDomain& a, const PlannedDomain& b) {
@@ -117,11 +157,16 @@
     for (std::size_t i = 0; i < model_count; ++i) {
       fill[i] = fill_of(i);
     }
-    const bool untouched = domain.groups.empty();
-    const std::size_t keep =
-        untouched ? std::min(settings_.reserve_per_domain, domain.free.size())
-                  : 0;
-    const auto mix = BestMix(profile, domain.free.size() - keep, fill);
+    std::vector<std::size_t> mix;
+    if (domain.filling) {
+      mix = MixOfFilling(profile, domain, largest);
+    } else {
+      const bool untouched = domain.groups.empty();
+      const std::size_t keep =
+          untouched ? std::min(settings_.reserve_per_domain, domain.free.size())
+                    : 0;
+      mix = BestMix(profile, domain.free.size() - keep, fill);
+    }
     for (std::size_t i = 0; i < model_count; ++i) {
       const ModelProfile& model = profile.models[i];
       for (std::size_t n = 0; n < mix[i]; ++n) {
@@ -147,6 +192,9 @@
         plan.groups.push_back(std::move(group));
       }
     }
+    if (domain.filling) {
+      continue;
+    }
     // Spares hold the weights of the models whose members are most likely to be
     // lost, which are those with the most VMs for each spare.
     std::vector<double> spares(model_count, 0);
--- a/coordination/gateway/group_planner.h
+++ b/coordination/gateway/group_planner.h
@@ -32,6 +32,8 @@
   std::map<ModelId, std::size_t> groups;
   // All VMs that live, in groups or not.
   std::size_t vms = 0;
+  // VMs still appear, as after a start of the whole fleet.
+  bool filling = false;
 };
 
 struct PlannedGroup {
@@ -68,6 +70,12 @@
                                    const std::vector<double>& fill) const;
 
  private:
+  // What to form already while a domain's VMs still appear: as if it will have
+  // as many as the largest domain known.
+  std::vector<std::size_t> MixOfFilling(const EngineProfile& profile,
+                                        const PlannedDomain& domain,
+                                        std::size_t expected_vms) const;
+
   GroupPlannerSettings settings_;
 };
 
--- a/coordination/gateway/store_mirror.cc
+++ b/coordination/gateway/store_mirror.cc
@@ -19,7 +19,8 @@
   if (!last_answer_) {
     last_answer_ = now;
   }
-  const bool away = now - *last_answer_ >= settings_.away_after;
+  const bool away =
+      now - *last_answer_ >= settings_.watch_wait + settings_.away_after;
   if (away && reachable_) {
     reachable_ = false;
     hooks_.on_reachable(false);
--- a/coordination/gateway/store_mirror.h
+++ b/coordination/gateway/store_mirror.h
@@ -31,14 +31,17 @@
   // Keys whose removal right after an outage of the service may be undone by
   // their owner within `lapse_grace`.
   std::vector<std::string> lapsing_prefixes;
-  // Between two watches at least: endpoints write all the time, and a watch
-  // that goes back at once would be a call for each of their writes.
-  Duration watch_interval = Duration::Millis(350);
-  // How long the service may hold a watch.
-  Duration watch_wait = Duration::Millis(1000);
-  // Without an answer for this long the service counts as away, and other
-  // nodes are asked for what they know.
-  Duration away_after = Duration::Millis(900);
+  // Between two watches at least: when many endpoints change at once, a watch
+  // that goes back immediately would be a call for each change.
+  Duration watch_interval = Duration::Millis(200);
+  // How long the service may hold a watch. A connection that went silent is
+  // noticed only when the answer is overdue, and a leaving endpoint must be
+  // known within two seconds (the platform's bound): wait and time-out together
+  // stay well below it.
+  Duration watch_wait = Duration::Millis(900);
+  // Without an answer for this long beyond the wait of a watch, the service
+  // counts as away, and other nodes are asked for what they know.
+  Duration away_after = Duration::Millis(700);
   // Between two such questions.
   Duration ask_peer_interval = Duration::Millis(500);
   // Owners of lapsed keys write them again within two seconds of the service's
--- a/transport/gateway/gateway_dialect.h
+++ b/transport/gateway/gateway_dialect.h
@@ -48,6 +48,9 @@
       read_answer;
   std::function<HttpRequest(const VmId&, const GroupOrder&)> make_order;
   std::function<GroupOrderVerdict(int status)> read_order;
+  std::function<HttpRequest(const VmId&)> make_probe;
+  // Whether the answer shows that this VM's engine is alive.
+  std::function<bool(const HttpResponse&, const VmId&)> is_probe_of_vm;
 
   // The key-value service.
   std::function<HttpRequest(const StoreCall&)> make_store_call;
--- a/transport/gateway/gateway_metrics.cc
+++ b/transport/gateway/gateway_metrics.cc
@@ -36,7 +36,10 @@
                           "Calls to the key-value service without an answer.")),
       orders(AddPlainCounter(metrics_,
                              "gcw_orders_total",
-                             "Orders sent to engines.")) {}
+                             "Orders sent to engines.")),
+      probes(AddPlainCounter(metrics_,
+                             "gcw_probes_total",
+                             "Probes sent to engines.")) {}
 
 void GatewayMetrics::Observe(const TimelineEvent& event) {
   events_.With({std::string(EventKindName(event.draft.kind))}).Add();
--- a/transport/gateway/gateway_metrics.h
+++ b/transport/gateway/gateway_metrics.h
@@ -26,6 +26,7 @@
   Counter& store_calls;
   Counter& store_failures;
   Counter& orders;
+  Counter& probes;
 };
 
 }  // namespace gcw
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -296,6 +296,18 @@
       });
 }
 
+void GatewayRuntime::Execute(const ProbeEngine& action) {
+  parts_.metrics->probes.Add();
+  orders_.Fetch(
+      action.address, parts_.dialect.make_probe(action.vm),
+      Within(action.timeout),
+      [this, vm = action.vm](const Result<HttpResponse, HttpFailure>& answer) {
+        const bool answered =
+            IsOk(answer) && parts_.dialect.is_probe_of_vm(ValueOf(answer), vm);
+        Execute(parts_.core->OnProbeReply(Now(), vm, answered));
+      });
+}
+
 void GatewayRuntime::Execute(const MoveForward& action) {
   const auto found = exchanges_.find(action.id);
   if (found != exchanges_.end()) {
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -27,7 +27,7 @@
   Address store;
   // From sending a call to the key-value service to giving up on its answer. A
   // watch may take as long as it waits in addition.
-  Duration store_timeout = Duration::Millis(800);
+  Duration store_timeout = Duration::Millis(600);
   Duration peer_timeout = Duration::Millis(500);
   Duration tick_interval = Duration::Millis(40);
   GatewayListen callers;
@@ -95,6 +95,7 @@
   void Execute(const AskNodeSnapshot& action);
   void Execute(const TellNode& action);
   void Execute(const SendGroupOrder& action);
+  void Execute(const ProbeEngine& action);
   void Execute(const MoveForward& action);
   Time Now() const { return parts_.clock(); }
 
