gateway: loads before the first request are not paced; a lease of 1.8 s; dead heads from the standstill on

Cause: all groups were whole only 1.2 s after traffic began (loads paced at 10 at once although the weight store does not count loads before the first request); a dead keeper was replaced after 2.6 s; members of a group with a dead head stayed bound 6.6 s.

--- a/coordination/gateway/fleet_keeper.cc
+++ b/coordination/gateway/fleet_keeper.cc
@@ -262,9 +262,10 @@
                          const FleetView& view,
                          const GroupRecord& group,
                          GroupRun& run) const {
-  const VmRegistration* head = view.FindVm(group.members.front());
-  if (head != nullptr) {
-    run.head_absent_since.reset();
+  const VmId& head_id = group.members.front();
+  const VmRegistration* head = view.FindVm(head_id);
+  if (head != nullptr && !IsSilent(head_id)) {
+    run.head_gone_since.reset();
     // An engine that is in no group, in another one or in a broken one runs
     // nothing for this group; a late order to open it finds no such group.
     return !IsMemberOf(*head, group) ||
@@ -273,10 +274,10 @@
   // The registration may be gone while the engine lives and serves, cut off
   // from the key-value service only. It is over once the engine said that it
   // left, or cannot have gone on.
-  if (!run.head_absent_since) {
-    run.head_absent_since = now;
+  if (!run.head_gone_since) {
+    run.head_gone_since = run.ending_since;
   }
-  return run.head_left || now - *run.head_absent_since >= settings_.stall_limit;
+  return run.head_left || now - *run.head_gone_since >= settings_.stall_limit;
 }
 
 void FleetKeeper::RemoveOver(Time now,
--- a/coordination/gateway/fleet_keeper.h
+++ b/coordination/gateway/fleet_keeper.h
@@ -110,7 +110,8 @@
     std::string ending;
     Time ending_since;
     bool ends_by_plan = false;
-    std::optional<Time> head_absent_since;
+    // Since when nothing was heard of the first member.
+    std::optional<Time> head_gone_since;
     bool head_left = false;
   };
   struct Domain {
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -33,10 +33,10 @@
   NodeRecord self;
   // Peer addresses that the settings name; some may be stale.
   std::vector<Address> seeds;
-  NodeLeaseSettings lease = {Duration::Millis(3000),
-                             Duration::Millis(900),
-                             Duration::Millis(400),
-                             Duration::Millis(1000),
+  NodeLeaseSettings lease = {Duration::Millis(1800),
+                             Duration::Millis(500),
+                             Duration::Millis(300),
+                             Duration::Millis(700),
                              {Duration::Millis(150), Duration::Millis(800)}};
   RoleLeasesSettings roles = RoleSettings();
   StoreMirrorSettings mirror;
--- a/coordination/gateway/group_planner.cc
+++ b/coordination/gateway/group_planner.cc
@@ -144,7 +144,11 @@
     return have[i] * static_cast<double>(model.group_size) /
            (std::max(0.01, model.work_share) * all_vms);
   };
-  std::size_t largest = 0;
+  // One group of each model is the least to expect of a domain.
+  std::size_t largest = settings_.reserve_per_domain;
+  for (const ModelProfile& model : profile.models) {
+    largest += model.group_size;
+  }
   for (const PlannedDomain& domain : domains) {
     largest = std::max(largest, domain.vms);
   }
--- a/coordination/gateway/load_pacer.cc
+++ b/coordination/gateway/load_pacer.cc
@@ -30,11 +30,8 @@
   if (IsLoading(vm)) {
     return true;
   }
-  if (static_cast<double>(running_.size()) >= at_once_) {
-    return false;
-  }
   if (has_traffic_) {
-    if (balance_ < 1) {
+    if (static_cast<double>(running_.size()) >= at_once_ || balance_ < 1) {
       return false;
     }
     balance_ -= 1;
