groups: members leave one by one where the first one cannot be reached

Sequence: a cut takes the first member of a group from the key-value service and from the nodes for 5 s; its entry lapses, the keeper waits out the stall time and puts the members into another group; the cut heals and the first member is open still. Cause: silence was taken for an end. Ruled out: probing through other nodes, since none reaches it; and waiting longer, since cuts last as long as they like. Now every member that can be reached is told to leave before it joins another group, and a first member that comes back is told so too.

Also: planning waits for probes under way, since small groups took the VMs that a large one would have had 0.2 s later.

--- a/coordination/gateway/fleet_keeper.cc
+++ b/coordination/gateway/fleet_keeper.cc
@@ -44,6 +44,8 @@
   calls_.clear();
   stagings_.clear();
   doubts_.clear();
+  ended_.clear();
+  left_.clear();
   first_seen_.clear();
   last_appeared_.clear();
   fenced_off_ = false;
@@ -212,7 +214,10 @@
       // Whichever member is the cause must not go into the next group.
       if (!run.ends_by_plan) {
         for (const VmId& member : group.members) {
-          Doubtful(now, member);
+          const auto address = run.addresses.find(member);
+          if (address != run.addresses.end()) {
+            Doubtful(now, member, address->second);
+          }
         }
       }
       Report(EventKind::kGroupClosed, group, {{"reason", run.ending}});
@@ -258,26 +263,31 @@
   return {};
 }
 
-bool FleetKeeper::IsOver(Time now,
-                         const FleetView& view,
+bool FleetKeeper::HasLeft(const FleetView& view,
+                          const GroupRecord& group,
+                          const GroupRun& run,
+                          const VmId& member) const {
+  const VmRegistration* vm = view.FindVm(member);
+  // A late order for this group finds no such group there.
+  return run.left.contains(member) ||
+         (vm != nullptr && (!IsMemberOf(*vm, group) ||
+                            vm->membership->phase == MemberPhase::kBroken));
+}
+
+bool FleetKeeper::IsOver(const FleetView& view,
                          const GroupRecord& group,
-                         GroupRun& run) const {
-  const VmId& head_id = group.members.front();
-  const VmRegistration* head = view.FindVm(head_id);
-  if (head != nullptr && !IsSilent(head_id)) {
-    run.head_gone_since.reset();
-    // An engine that is in no group, in another one or in a broken one runs
-    // nothing for this group; a late order to open it finds no such group.
-    return !IsMemberOf(*head, group) ||
-           head->membership->phase == MemberPhase::kBroken;
-  }
-  // The registration may be gone while the engine lives and serves, cut off
-  // from the key-value service only. It is over once the engine said that it
-  // left, or cannot have gone on.
-  if (!run.head_gone_since) {
-    run.head_gone_since = run.ending_since;
-  }
-  return run.head_left || now - *run.head_gone_since >= settings_.stall_limit;
+                         const GroupRun& run) const {
+  if (HasLeft(view, group, run, group.members.front())) {
+    return true;
+  }
+  // The first member may be cut off and go on; the others are free of it once
+  // each has left. One that is gone or silent is put into no group, and is told
+  // to leave when it comes back.
+  return std::all_of(
+      group.members.begin() + 1, group.members.end(), [&](const VmId& member) {
+        return view.FindVm(member) == nullptr || IsSilent(member) ||
+               HasLeft(view, group, run, member);
+      });
 }
 
 void FleetKeeper::RemoveOver(Time now,
@@ -286,9 +296,12 @@
                              DomainRecord& next) {
   std::erase_if(next.groups, [&](const GroupRecord& group) {
     GroupRun& run = domain.runs[group.id];
-    if (run.ending.empty() || !IsOver(now, view, group, run)) {
+    if (run.ending.empty() || !IsOver(view, group, run)) {
       return false;
     }
+    if (HasLeft(view, group, run, group.members.front())) {
+      ended_.insert(group.id);
+    }
     Report(EventKind::kGroupDissolved, group,
            {{"reason", run.ending},
             {"after_ms", (now - run.ending_since).millis()}});
@@ -296,10 +309,26 @@
   });
 }
 
+bool FleetKeeper::IsFreeOfOldGroup(Time now, const VmRegistration& vm) {
+  const GroupMembership& old = *vm.membership;
+  if (old.phase == MemberPhase::kJoining || old.phase == MemberPhase::kBroken ||
+      ended_.contains(old.group) || left_.contains({vm.id, old.group})) {
+    return true;
+  }
+  if (MayOrder(now, vm.id, GroupOrderKind::kLeave, old.group)) {
+    GroupOrder order;
+    order.kind = GroupOrderKind::kLeave;
+    order.group = old.group;
+    order.generation = old.generation;
+    Send(now, vm.id, vm.address, std::move(order));
+  }
+  return false;
+}
+
 PlannedDomain FleetKeeper::Describe(Time now,
                                     const FleetView& view,
                                     const Domain& domain,
-                                    const DomainRecord& next) const {
+                                    const DomainRecord& next) {
   PlannedDomain planned;
   planned.domain = next.domain;
   std::set<VmId> taken;
@@ -319,10 +348,16 @@
       continue;
     }
     ++planned.vms;
-    // One that is being probed may be the one that failed its last group.
-    const auto doubt = doubts_.find(id);
-    if (taken.contains(id) ||
-        (doubt != doubts_.end() && doubt->second.probing)) {
+    if (taken.contains(id)) {
+      continue;
+    }
+    // It may be the one that failed its last group.
+    if (doubts_.contains(id)) {
+      planned.unsettled = true;
+      continue;
+    }
+    if (vm.membership && !IsFreeOfOldGroup(now, vm)) {
+      planned.unsettled = true;
       continue;
     }
     FreeVm free;
@@ -423,28 +458,48 @@
                            GroupRun& run) {
   const VmId& head = group.members.front();
   const VmRegistration* vm = view.FindVm(head);
-  if (vm != nullptr && !IsMemberOf(*vm, group)) {
+  const bool head_reached =
+      vm != nullptr && IsMemberOf(*vm, group) && !IsSilent(head);
+  if (!head_reached) {
+    for (const VmId& member : group.members) {
+      OrderLeave(now, view, group, run, member);
+    }
+    return;
+  }
+  const MemberPhase phase = vm->membership->phase;
+  const bool let_finish =
+      run.ends_by_plan &&
+      (phase == MemberPhase::kOpen || phase == MemberPhase::kClosing) &&
+      now - run.ending_since < settings_.drain_limit;
+  if (!let_finish) {
+    OrderLeave(now, view, group, run, head);
     return;
   }
-  const auto address = run.addresses.find(head);
-  if (run.head_left || address == run.addresses.end()) {
+  if (phase == MemberPhase::kOpen &&
+      MayOrder(now, head, GroupOrderKind::kClose, group.id)) {
+    GroupOrder order;
+    order.kind = GroupOrderKind::kClose;
+    order.group = group.id;
+    order.generation = group.generation;
+    Send(now, head, vm->address, std::move(order));
+  }
+}
+
+void FleetKeeper::OrderLeave(Time now,
+                             const FleetView& view,
+                             const GroupRecord& group,
+                             const GroupRun& run,
+                             const VmId& member) {
+  const VmRegistration* vm = view.FindVm(member);
+  if (vm == nullptr || IsSilent(member) || HasLeft(view, group, run, member) ||
+      !MayOrder(now, member, GroupOrderKind::kLeave, group.id)) {
     return;
   }
-  const bool let_finish = run.ends_by_plan && vm != nullptr &&
-                          (vm->membership->phase == MemberPhase::kOpen ||
-                           vm->membership->phase == MemberPhase::kClosing) &&
-                          now - run.ending_since < settings_.drain_limit;
   GroupOrder order;
-  order.kind = let_finish ? GroupOrderKind::kClose : GroupOrderKind::kLeave;
+  order.kind = GroupOrderKind::kLeave;
   order.group = group.id;
   order.generation = group.generation;
-  order.model = group.model;
-  if (let_finish && vm->membership->phase == MemberPhase::kClosing) {
-    return;
-  }
-  if (MayOrder(now, head, order.kind, group.id)) {
-    Send(now, head, address->second, std::move(order));
-  }
+  Send(now, member, vm->address, std::move(order));
 }
 
 void FleetKeeper::OrderStagings(Time now, const FleetView& view) {
@@ -471,8 +526,9 @@
   }
 }
 
-void FleetKeeper::Doubtful(Time now, const VmId& vm) {
+void FleetKeeper::Doubtful(Time now, const VmId& vm, const Address& address) {
   Doubt& doubt = doubts_[vm];
+  doubt.address = address;
   if (!doubt.probing) {
     doubt.next_probe = now;
   }
@@ -485,8 +541,7 @@
 
 void FleetKeeper::ProbeDoubted(Time now, const FleetView& view) {
   for (auto it = doubts_.begin(); it != doubts_.end();) {
-    const VmRegistration* vm = view.FindVm(it->first);
-    if (vm == nullptr) {
+    if (view.FindVm(it->first) == nullptr) {
       it = doubts_.erase(it);
       continue;
     }
@@ -494,30 +549,31 @@
     if (!doubt.probing && now >= doubt.next_probe) {
       doubt.probing = true;
       actions_.emplace_back(
-          ProbeEngine{it->first, vm->address, settings_.probe_timeout});
+          ProbeEngine{it->first, doubt.address, settings_.probe_timeout});
     }
     ++it;
   }
 }
 
-void FleetKeeper::OnProbeReply(Time now, const VmId& vm, bool answered) {
+void FleetKeeper::OnProbeReply(Time now, const VmId& vm, ProbeVerdict verdict) {
   const auto found = doubts_.find(vm);
   if (found == doubts_.end()) {
     return;
   }
-  if (answered) {
+  if (verdict == ProbeVerdict::kAnswered) {
     doubts_.erase(found);
     return;
   }
-  if (!found->second.silent) {
+  Doubt& doubt = found->second;
+  if (!doubt.silent) {
     events_({EventKind::kVmHeldOff,
              vm.value(),
              {},
-             {{"reason", std::string("no_answer_to_probe")}}});
+             {{"probe", std::string(ProbeVerdictName(verdict))}}});
   }
-  found->second.silent = true;
-  found->second.probing = false;
-  found->second.next_probe = now + settings_.probe_interval;
+  doubt.silent = true;
+  doubt.probing = false;
+  doubt.next_probe = now + settings_.probe_interval;
 }
 
 const ModelProfile* FleetKeeper::ProfileOf(const FleetView& view,
@@ -558,7 +614,7 @@
   ++last_order_;
   last_orders_[vm] = {order.kind, order.group, now};
   pending_of_[vm] = last_order_;
-  pending_[last_order_] = {vm, order, now};
+  pending_[last_order_] = {vm, address, order, now};
   events_({EventKind::kOrderSent,
            vm.value(),
            {},
@@ -605,8 +661,9 @@
       loads_.End(pending.vm);
     }
   }
-  if (verdict == GroupOrderVerdict::kNoAnswer) {
-    Doubtful(now, pending.vm);
+  if (verdict == GroupOrderVerdict::kNoAnswer ||
+      verdict == GroupOrderVerdict::kUnreachable) {
+    Doubtful(now, pending.vm, pending.address);
   }
   if (verdict == GroupOrderVerdict::kStale &&
       pending.order.kind != GroupOrderKind::kJoin) {
@@ -615,14 +672,16 @@
   }
   if (pending.order.kind != GroupOrderKind::kLeave ||
       verdict == GroupOrderVerdict::kNoAnswer ||
+      verdict == GroupOrderVerdict::kUnreachable ||
       verdict == GroupOrderVerdict::kRefused) {
     return;
   }
   // Done, or the engine is in no such group, or another VM has the address.
+  left_.emplace(pending.vm, pending.order.group);
   for (auto& [domain_id, domain] : domains_) {
     const auto run = domain.runs.find(pending.order.group);
     if (run != domain.runs.end()) {
-      run->second.head_left = true;
+      run->second.left.insert(pending.vm);
     }
   }
 }
--- a/coordination/gateway/fleet_keeper.h
+++ b/coordination/gateway/fleet_keeper.h
@@ -33,9 +33,9 @@
   Duration resend_interval = Duration::Millis(1000);
   // A VM that does not answer a probe for this long is silent: it is put into
   // no group. Engines answer probes at once, whatever they run.
-  Duration probe_timeout = Duration::Millis(300);
+  Duration probe_timeout = Duration::Millis(200);
   // Between two probes of a silent VM.
-  Duration probe_interval = Duration::Millis(1000);
+  Duration probe_interval = Duration::Millis(600);
   // Endpoints register within some seconds after a start of the whole fleet; a
   // domain is settled once none appeared there for this long.
   Duration settle_time = Duration::Millis(1500);
@@ -44,9 +44,6 @@
   Duration form_limit = Duration::Seconds(60);
   // How long a group that is closed by plan may run what it has.
   Duration drain_limit = Duration::Millis(6000);
-  // Engines notice a lost member after this long; by then a group whose first
-  // member is gone has broken everywhere. From the platform, plus a margin.
-  Duration stall_limit = Duration::Millis(4300);
 };
 
 struct SendGroupOrder {
@@ -72,9 +69,9 @@
 // form which group; engines are told only what is known to be committed, and
 // what they report is compared with the record until both agree.
 //
-// A VM is put into another group only after its group's first member was seen
-// to serve it no longer, so that no request runs in a group that lost a member
-// to another group.
+// A VM is put into another group only after its engine, or that of its group's
+// first member, said that it left: so no request runs in a group that lost a
+// member to another one, also where the first member is cut off and goes on.
 class FleetKeeper {
  public:
   FleetKeeper(FleetKeeperSettings settings,
@@ -93,7 +90,7 @@
                                               StoreCallId id,
                                               const StoreReply& reply);
   void OnOrderReply(Time now, OrderId id, GroupOrderVerdict verdict);
-  void OnProbeReply(Time now, const VmId& vm, bool answered);
+  void OnProbeReply(Time now, const VmId& vm, ProbeVerdict verdict);
 
   // Whether an engine refused an order because another keeper has the role.
   bool is_fenced_off() const { return fenced_off_; }
@@ -110,9 +107,8 @@
     std::string ending;
     Time ending_since;
     bool ends_by_plan = false;
-    // Since when nothing was heard of the first member.
-    std::optional<Time> head_gone_since;
-    bool head_left = false;
+    // Members whose engines said that they left.
+    std::set<VmId> left;
   };
   struct Domain {
     ServiceId service;
@@ -121,6 +117,7 @@
   };
   struct PendingOrder {
     VmId vm;
+    Address address;
     GroupOrder order;
     Time sent;
   };
@@ -134,6 +131,7 @@
     bool silent = false;
     bool probing = false;
     Time next_probe;
+    Address address;
   };
 
   void FindDomains(Time now, const FleetView& view);
@@ -142,10 +140,14 @@
                          const FleetView& view,
                          const GroupRecord& group,
                          GroupRun& run) const;
-  bool IsOver(Time now,
-              const FleetView& view,
+  // Whether the member is no part of the group any more.
+  bool HasLeft(const FleetView& view,
+               const GroupRecord& group,
+               const GroupRun& run,
+               const VmId& member) const;
+  bool IsOver(const FleetView& view,
               const GroupRecord& group,
-              GroupRun& run) const;
+              const GroupRun& run) const;
   void RemoveOver(Time now,
                   const FleetView& view,
                   Domain& domain,
@@ -153,7 +155,10 @@
   PlannedDomain Describe(Time now,
                          const FleetView& view,
                          const Domain& domain,
-                         const DomainRecord& next) const;
+                         const DomainRecord& next);
+  // Whether the VM may take part in a new group although its engine names one
+  // that no record has; has it leave where not.
+  bool IsFreeOfOldGroup(Time now, const VmRegistration& vm);
   void PlanService(Time now, const FleetView& view, const ServiceRule& service);
   void Commit(Time now, Domain& domain, DomainRecord next);
   void OrderGroup(Time now,
@@ -165,6 +170,11 @@
                   const Domain& domain,
                   const GroupRecord& group,
                   GroupRun& run);
+  void OrderLeave(Time now,
+                  const FleetView& view,
+                  const GroupRecord& group,
+                  const GroupRun& run,
+                  const VmId& member);
   void OrderEnd(Time now,
                 const FleetView& view,
                 const GroupRecord& group,
@@ -172,7 +182,7 @@
   void OrderStagings(Time now, const FleetView& view);
   void ProbeDoubted(Time now, const FleetView& view);
   // Has the VM probed at once.
-  void Doubtful(Time now, const VmId& vm);
+  void Doubtful(Time now, const VmId& vm, const Address& address);
   bool IsSilent(const VmId& vm) const;
   bool MayOrder(Time now,
                 const VmId& vm,
@@ -201,6 +211,10 @@
   std::map<VmId, OrderId> pending_of_;
   std::map<VmId, LastOrder> last_orders_;
   std::set<std::pair<VmId, Generation>> standstills_;
+  // Groups whose first member left: the others are free.
+  std::set<GroupId> ended_;
+  // The groups that VMs left by order.
+  std::set<std::pair<VmId, GroupId>> left_;
   std::map<VmId, Doubt> doubts_;
   // When each VM was first seen, and the last time in each domain.
   std::map<VmId, Time> first_seen_;
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -131,8 +131,8 @@
 
 GatewayActions GatewayCore::OnProbeReply(Time now,
                                          const VmId& vm,
-                                         bool answered) {
-  keeper_.OnProbeReply(now, vm, answered);
+                                         ProbeVerdict verdict) {
+  keeper_.OnProbeReply(now, vm, verdict);
   RunKeeper(now);
   return TakeActions();
 }
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -119,7 +119,7 @@
   GatewayActions OnSnapshot(Time now, const MirrorSnapshot& snapshot);
   GatewayActions OnNotice(Time now, const StandstillNotice& notice);
   GatewayActions OnOrderReply(Time now, OrderId id, GroupOrderVerdict verdict);
-  GatewayActions OnProbeReply(Time now, const VmId& vm, bool answered);
+  GatewayActions OnProbeReply(Time now, const VmId& vm, ProbeVerdict verdict);
   void OnStopAsked(Time now);
 
   ForwardBegun OnArrived(Time now, ForwardRequest request);
--- a/coordination/gateway/group_planner.cc
+++ b/coordination/gateway/group_planner.cc
@@ -161,6 +161,9 @@
     for (std::size_t i = 0; i < model_count; ++i) {
       fill[i] = fill_of(i);
     }
+    if (domain.unsettled) {
+      continue;
+    }
     std::vector<std::size_t> mix;
     if (domain.filling) {
       mix = MixOfFilling(profile, domain, largest);
--- a/coordination/gateway/group_planner.h
+++ b/coordination/gateway/group_planner.h
@@ -34,6 +34,9 @@
   std::size_t vms = 0;
   // VMs still appear, as after a start of the whole fleet.
   bool filling = false;
+  // Some VMs will be free in a moment: forming groups of the others already
+  // would leave no room for the large ones.
+  bool unsettled = false;
 };
 
 struct PlannedGroup {
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -13,10 +13,6 @@
 constexpr ListRange kAnyList{0, 64};
 constexpr DurationRange kShortSpan{Duration::Millis(10), Duration::Seconds(60)};
 
-// What a broken group may still do after the platform's figure: reports of the
-// engines take part of a second to arrive.
-constexpr Duration kStallMargin = Duration::Millis(300);
-
 // Keys whose text needs a second look once it is read.
 struct RawSettings {
   std::string callers;
@@ -25,7 +21,6 @@
   std::string peers;
   std::string metrics;
   std::vector<std::string> seeds;
-  Duration stall_time = Duration::Millis(4000);
 };
 
 void DeclareNode(GatewayProcessSettings& settings,
@@ -114,12 +109,8 @@
              "Span over which both are counted.");
 }
 
-void DeclareGroups(GatewayProcessSettings& settings,
-                   RawSettings& raw,
-                   SettingsReader& reader) {
+void DeclareGroups(GatewayProcessSettings& settings, SettingsReader& reader) {
   FleetKeeperSettings& keeper = settings.core.keeper;
-  reader.Add("groups.stall_time_ms", &raw.stall_time, kShortSpan,
-             "After so long engines break a group that lost a member.");
   reader.Add("groups.drain_limit_ms", &keeper.drain_limit, kShortSpan,
              "How long a group that is closed by plan may run what it has.");
   reader.Add("groups.form_limit_ms", &keeper.form_limit,
@@ -156,7 +147,7 @@
   DeclareNode(settings, raw, reader);
   DeclareStore(settings, reader);
   DeclareRequests(settings, reader);
-  DeclareGroups(settings, raw, reader);
+  DeclareGroups(settings, reader);
   DeclareLogging(settings, reader);
 }
 
@@ -225,7 +216,6 @@
   settings.core.self.caller_address = Address(raw.callers);
   settings.core.self.peer_address = Address(raw.peers);
   settings.core.self.operator_address = Address(raw.peers);
-  settings.core.keeper.stall_limit = raw.stall_time + kStallMargin;
   return errors;
 }
 
--- a/state/group_order.cc
+++ b/state/group_order.cc
@@ -18,6 +18,34 @@
   return "unknown";
 }
 
+std::string_view ProbeVerdictName(ProbeVerdict verdict) {
+  switch (verdict) {
+    case ProbeVerdict::kAnswered:
+      return "answered";
+    case ProbeVerdict::kOtherVm:
+      return "other_vm";
+    case ProbeVerdict::kConnected:
+      return "connected";
+    case ProbeVerdict::kRefused:
+      return "refused";
+    case ProbeVerdict::kUnreachable:
+      return "unreachable";
+  }
+  return "unknown";
+}
+
+std::optional<ProbeVerdict> ProbeVerdictFromName(std::string_view name) {
+  for (const ProbeVerdict verdict :
+       {ProbeVerdict::kAnswered, ProbeVerdict::kOtherVm,
+        ProbeVerdict::kConnected, ProbeVerdict::kRefused,
+        ProbeVerdict::kUnreachable}) {
+    if (ProbeVerdictName(verdict) == name) {
+      return verdict;
+    }
+  }
+  return std::nullopt;
+}
+
 std::string_view GroupOrderVerdictName(GroupOrderVerdict verdict) {
   switch (verdict) {
     case GroupOrderVerdict::kBegun:
@@ -34,6 +62,8 @@
       return "refused";
     case GroupOrderVerdict::kNoAnswer:
       return "no_answer";
+    case GroupOrderVerdict::kUnreachable:
+      return "unreachable";
   }
   return "unknown";
 }
--- a/state/group_order.h
+++ b/state/group_order.h
@@ -1,6 +1,7 @@
 #ifndef STATE_GROUP_ORDER_H_
 #define STATE_GROUP_ORDER_H_
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -50,8 +51,27 @@
   kRefused,
   // It may have been carried out, or may still be, much later.
   kNoAnswer,
+  // No connection came about: it was not carried out.
+  kUnreachable,
 };
 
+// What a question to a VM's engine showed.
+enum class ProbeVerdict {
+  // The engine answered for this VM.
+  kAnswered,
+  // Another VM has the address.
+  kOtherVm,
+  // The VM lives, but its engine said nothing.
+  kConnected,
+  // Its process is gone.
+  kRefused,
+  // No connection came about.
+  kUnreachable,
+};
+
+std::string_view ProbeVerdictName(ProbeVerdict verdict);
+std::optional<ProbeVerdict> ProbeVerdictFromName(std::string_view name);
+
 std::string_view GroupOrderVerdictName(GroupOrderVerdict verdict);
 
 }  // namespace gcw
--- a/transport/gateway/gateway_dialect.h
+++ b/transport/gateway/gateway_dialect.h
@@ -49,8 +49,7 @@
   std::function<HttpRequest(const VmId&, const GroupOrder&)> make_order;
   std::function<GroupOrderVerdict(int status)> read_order;
   std::function<HttpRequest(const VmId&)> make_probe;
-  // Whether the answer shows that this VM's engine is alive.
-  std::function<bool(const HttpResponse&, const VmId&)> is_probe_of_vm;
+  std::function<ProbeVerdict(int status)> read_probe;
 
   // The key-value service.
   std::function<HttpRequest(const StoreCall&)> make_store_call;
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -28,6 +28,15 @@
   return options;
 }
 
+ProbeVerdict VerdictOf(const HttpFailure& failure) {
+  if (failure.kind == HttpFailureKind::kConnectRefused) {
+    return ProbeVerdict::kRefused;
+  }
+  return failure.progress == HttpProgress::kNothingSent
+             ? ProbeVerdict::kUnreachable
+             : ProbeVerdict::kConnected;
+}
+
 }  // namespace
 
 GatewayRuntime::GatewayRuntime(GatewayRuntimeSettings settings, Parts parts)
@@ -289,9 +298,12 @@
       action.address, parts_.dialect.make_order(action.vm, action.order),
       Within(action.timeout),
       [this, id = action.id](const Result<HttpResponse, HttpFailure>& answer) {
-        const GroupOrderVerdict verdict =
-            IsOk(answer) ? parts_.dialect.read_order(ValueOf(answer).status)
-                         : GroupOrderVerdict::kNoAnswer;
+        GroupOrderVerdict verdict = GroupOrderVerdict::kNoAnswer;
+        if (IsOk(answer)) {
+          verdict = parts_.dialect.read_order(ValueOf(answer).status);
+        } else if (ErrorOf(answer).progress == HttpProgress::kNothingSent) {
+          verdict = GroupOrderVerdict::kUnreachable;
+        }
         Execute(parts_.core->OnOrderReply(Now(), id, verdict));
       });
 }
@@ -302,9 +314,10 @@
       action.address, parts_.dialect.make_probe(action.vm),
       Within(action.timeout),
       [this, vm = action.vm](const Result<HttpResponse, HttpFailure>& answer) {
-        const bool answered =
-            IsOk(answer) && parts_.dialect.is_probe_of_vm(ValueOf(answer), vm);
-        Execute(parts_.core->OnProbeReply(Now(), vm, answered));
+        const ProbeVerdict verdict =
+            IsOk(answer) ? parts_.dialect.read_probe(ValueOf(answer).status)
+                         : VerdictOf(ErrorOf(answer));
+        Execute(parts_.core->OnProbeReply(Now(), vm, verdict));
       });
 }
 
