groups: a group whose streams go on is whole, whatever the registrations say

Ruled out: the planner's choice of VMs (there were no others). Now a lapsed registration closes a group only where its streams stopped too; a forming group that waits for a load takes a VM with the weights at hand instead; spares hold the weights whose want strands most VM-seconds.

--- a/coordination/gateway/fleet_keeper.cc
+++ b/coordination/gateway/fleet_keeper.cc
@@ -23,9 +23,11 @@
 
 FleetKeeper::FleetKeeper(FleetKeeperSettings settings,
                          DomainRecordCodec codec,
+                         LastProgress last_progress,
                          EventSink events)
     : settings_(settings),
       codec_(std::move(codec)),
+      last_progress_(std::move(last_progress)),
       events_(std::move(events)),
       planner_(settings.planner),
       loads_(settings.loads) {}
@@ -208,7 +210,7 @@
     if (!run.ending.empty()) {
       continue;
     }
-    run.ending = FindDamage(now, view, group, run);
+    run.ending = FindDamage(now, view, domain, group, run);
     if (!run.ending.empty()) {
       run.ending_since = now;
       // Whichever member is the cause must not go into the next group.
@@ -229,10 +231,19 @@
 
 std::string FleetKeeper::FindDamage(Time now,
                                     const FleetView& view,
+                                    const Domain& domain,
                                     const GroupRecord& group,
                                     GroupRun& run) const {
+  const VmId& head = group.members.front();
+  // A member that is cut off from the key-value service loses its registration
+  // and goes on; closing its group would lose the others' work too.
+  const bool goes_on =
+      now - last_progress_(head, group.generation) < settings_.progress_life;
   for (const VmId& member : group.members) {
     const VmRegistration* vm = view.FindVm(member);
+    if (vm == nullptr && goes_on && member != head) {
+      continue;
+    }
     if (vm == nullptr) {
       return "member_lost:" + member.value();
     }
@@ -256,13 +267,41 @@
   if (!run.open_seen && now - run.since >= settings_.form_limit) {
     return "not_formed";
   }
-  const VmId& head = group.members.front();
   if (standstills_.contains({head, group.generation})) {
     return "stands_still";
   }
+  if (!run.open_seen && !run.open_sent &&
+      HasBetterMember(view, domain, group)) {
+    return "better_member";
+  }
   return {};
 }
 
+bool FleetKeeper::HasBetterMember(const FleetView& view,
+                                  const Domain& domain,
+                                  const GroupRecord& group) const {
+  const bool waits_for_load = std::any_of(
+      group.members.begin(), group.members.end(), [&](const VmId& member) {
+        const VmRegistration* vm = view.FindVm(member);
+        return vm != nullptr && !vm->HasStaged(group.model);
+      });
+  if (!waits_for_load) {
+    return false;
+  }
+  std::set<VmId> taken;
+  for (const GroupRecord& other : domain.writer.record().groups) {
+    taken.insert(other.members.begin(), other.members.end());
+  }
+  return std::any_of(
+      view.vms().begin(), view.vms().end(), [&](const auto& entry) {
+        const VmRegistration& vm = entry.second;
+        return !vm.domain.empty() && !vm.draining &&
+               RecordDomain(vm) == domain.writer.record().domain &&
+               vm.HasStaged(group.model) && !taken.contains(vm.id) &&
+               !doubts_.contains(vm.id);
+      });
+}
+
 bool FleetKeeper::HasLeft(const FleetView& view,
                           const GroupRecord& group,
                           const GroupRun& run,
--- a/coordination/gateway/fleet_keeper.h
+++ b/coordination/gateway/fleet_keeper.h
@@ -2,6 +2,7 @@
 #define COORDINATION_GATEWAY_FLEET_KEEPER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -36,6 +37,9 @@
   Duration probe_timeout = Duration::Millis(200);
   // Between two probes of a silent VM.
   Duration probe_interval = Duration::Millis(600);
+  // A group whose streams went on within this time is whole, whatever the
+  // registrations say: one lost member stops them all.
+  Duration progress_life = Duration::Millis(1200);
   // Endpoints register within some seconds after a start of the whole fleet; a
   // domain is settled once none appeared there for this long.
   Duration settle_time = Duration::Millis(1500);
@@ -74,8 +78,13 @@
 // member to another one, also where the first member is cut off and goes on.
 class FleetKeeper {
  public:
+  // When this node last saw a group make progress, by its first member; the
+  // start of time where it never did.
+  using LastProgress = std::function<Time(const VmId& head, Generation)>;
+
   FleetKeeper(FleetKeeperSettings settings,
               DomainRecordCodec codec,
+              LastProgress last_progress,
               EventSink events);
 
   // Absent where the role is not held.
@@ -138,6 +147,7 @@
   void ReviewGroups(Time now, const FleetView& view, Domain& domain);
   std::string FindDamage(Time now,
                          const FleetView& view,
+                         const Domain& domain,
                          const GroupRecord& group,
                          GroupRun& run) const;
   // Whether the member is no part of the group any more.
@@ -145,6 +155,10 @@
                const GroupRecord& group,
                const GroupRun& run,
                const VmId& member) const;
+  // Whether a member still loads although a free VM has the weights at hand.
+  bool HasBetterMember(const FleetView& view,
+                       const Domain& domain,
+                       const GroupRecord& group) const;
   bool IsOver(const FleetView& view,
               const GroupRecord& group,
               const GroupRun& run) const;
@@ -199,6 +213,7 @@
 
   FleetKeeperSettings settings_;
   DomainRecordCodec codec_;
+  LastProgress last_progress_;
   EventSink events_;
   GroupPlanner planner_;
   LoadPacer loads_;
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -59,7 +59,13 @@
                  .SetRandom(random_)
                  .SetEventSink(events_)
                  .Build()),
-      keeper_(settings_.keeper, codecs.domain_record, events_),
+      keeper_(
+          settings_.keeper,
+          codecs.domain_record,
+          [this](const VmId& head, Generation generation) {
+            return selector_.LastProgress(head, generation);
+          },
+          events_),
       selector_(settings_.selector, settings_.self.zone, random_, events_),
       budget_(settings_.retries),
       desk_(settings_.requests, &selector_, &budget_, random_, events_) {}
@@ -301,7 +307,9 @@
     if (model.model != replica.model) {
       continue;
     }
-    if (!IsWhole(vm, model.group_size)) {
+    // Whether it is whole shows in its streams: a lost member stops them, while
+    // a member without a registration may be cut off from the store only.
+    if (HasLeavingMember(vm)) {
       return std::nullopt;
     }
     const double fill = kUsualFill * static_cast<double>(engine.batch_limit);
@@ -315,16 +323,14 @@
   return std::nullopt;
 }
 
-bool GatewayCore::IsWhole(const VmRegistration& head, std::size_t size) const {
-  std::size_t present = 0;
-  for (const auto& [id, vm] : view_.vms()) {
-    if (vm.membership && !vm.draining &&
-        vm.membership->group == head.membership->group &&
-        vm.membership->generation == head.membership->generation) {
-      ++present;
-    }
-  }
-  return present >= size;
+bool GatewayCore::HasLeavingMember(const VmRegistration& head) const {
+  return std::any_of(
+      view_.vms().begin(), view_.vms().end(), [&](const auto& entry) {
+        const VmRegistration& vm = entry.second;
+        return vm.draining && vm.membership &&
+               vm.membership->group == head.membership->group &&
+               vm.membership->generation == head.membership->generation;
+      });
 }
 
 void GatewayCore::MoveStuck(Time now, const std::vector<AttemptNumber>& stuck) {
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -160,7 +160,7 @@
   std::vector<Replica> MakeReplicas() const;
   std::optional<Replica> MakeReplica(const VmRegistration& vm,
                                      const ServiceRule& service) const;
-  bool IsWhole(const VmRegistration& head, std::size_t size) const;
+  bool HasLeavingMember(const VmRegistration& head) const;
   GatewayActions TakeActions();
 
   GatewaySettings settings_;
--- a/coordination/gateway/group_planner.cc
+++ b/coordination/gateway/group_planner.cc
@@ -223,12 +223,15 @@
       double most_need = -1;
       for (std::size_t i = 0; i < model_count; ++i) {
         const auto found = domain.groups.find(profile.models[i].model);
+        const ModelProfile& model = profile.models[i];
         const double members =
             found == domain.groups.end()
                 ? 0
-                : static_cast<double>(found->second *
-                                      profile.models[i].group_size);
-        const double need = (members + 0.1) / (spares[i] + 1);
+                : static_cast<double>(found->second * model.group_size);
+        // VM-seconds that a loss without such a spare strands.
+        const double stranded = static_cast<double>(model.group_size) *
+                                static_cast<double>(model.load_time.millis());
+        const double need = (members + 0.1) * stranded / (spares[i] + 1);
         if (need > most_need) {
           most_need = need;
           most = i;
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -159,6 +159,7 @@
     return;
   }
   state->last_progress = now;
+  state->last_event = now;
   if (is_first) {
     state->pending_prompt_tokens =
         std::max(0.0, state->pending_prompt_tokens - running.prompt_tokens);
@@ -309,6 +310,14 @@
   return std::exchange(standstills_, {});
 }
 
+Time ReplicaSelector::LastProgress(const VmId& vm,
+                                   Generation generation) const {
+  const auto found = states_.find(vm);
+  const bool is_same =
+      found != states_.end() && found->second.replica.generation == generation;
+  return is_same ? found->second.last_event : Time();
+}
+
 std::size_t ReplicaSelector::open_replicas(const ServiceId& service,
                                            const ModelId& model) const {
   return static_cast<std::size_t>(
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -114,6 +114,9 @@
   // Replicas found standing still since the last call, for other nodes.
   std::vector<Replica> TakeStandstills();
 
+  // When anything last came from that group; the start of time where nothing
+  // did.
+  Time LastProgress(const VmId& vm, Generation generation) const;
   std::size_t open_replicas(const ServiceId& service,
                             const ModelId& model) const;
 
@@ -130,7 +133,9 @@
     Time load_at;
     std::int64_t sent_since = 0;
     std::int64_t ended_since = 0;
+    // Of the last event, or the time from which there could have been one.
     Time last_progress;
+    Time last_event;
     std::optional<Time> stands_still_until;
   };
   struct Attempt {
