groups: spares by the downtime of a group without one

A group's downtime costs the same whatever its size, so spares go by chance of a loss and length of the load, and a second spare of one model counts a quarter.

--- a/coordination/gateway/group_planner.cc
+++ b/coordination/gateway/group_planner.cc
@@ -228,10 +228,13 @@
             found == domain.groups.end()
                 ? 0
                 : static_cast<double>(found->second * model.group_size);
-        // VM-seconds that a loss without such a spare strands.
-        const double stranded = static_cast<double>(model.group_size) *
-                                static_cast<double>(model.load_time.millis());
-        const double need = (members + 0.1) * stranded / (spares[i] + 1);
+        // Time that a group without such a spare would be down, by how likely
+        // it is to lose a member. Squared: the second spare of a model helps
+        // only after a second loss.
+        const double covered = spares[i] + 1;
+        const double need = (members + 0.1) *
+                            static_cast<double>(model.load_time.millis()) /
+                            (covered * covered);
         if (need > most_need) {
           most_need = need;
           most = i;
