--- a/coordination/gateway/fleet_keeper.cc
+++ b/coordination/gateway/fleet_keeper.cc
@@ -252,6 +252,13 @@
     if (IsSilent(member)) {
       return "member_silent:" + member.value();
     }
+    // One that leaves by plan stays while its group has work. Without a spare
+    // to take its place, closing the group now would only end its service
+    // sooner.
+    if (vm->draining && member != head && run.open_seen &&
+        CountFreeWith(view, domain, group.model) == 0) {
+      continue;
+    }
     if (vm->draining) {
       run.ends_by_plan = true;
       return "member_leaving:" + member.value();
--- a/coordination/gateway/forward_desk.cc
+++ b/coordination/gateway/forward_desk.cc
@@ -82,9 +82,8 @@
 ForwardStep ForwardDesk::Send(Time now,
                               Open& open,
                               std::optional<std::int64_t> resume) {
-  const Result<ReplicaChoice, RefusalKind> choice = selector_->Choose(
-      now, {open.service, open.request.model, open.request.prompt_tokens},
-      open.excluded);
+  const Result<ReplicaChoice, RefusalKind> choice =
+      selector_->Choose(now, DemandOf(open), open.excluded);
   if (!IsOk(choice)) {
     return Refuse(now, open, ErrorOf(choice));
   }
@@ -104,6 +103,14 @@
   return send;
 }
 
+ReplicaDemand ForwardDesk::DemandOf(const Open& open) {
+  // A plain service has no models, whatever the request says.
+  const ServiceRule* service = open.routes->FindService(open.service);
+  const bool has_models = service != nullptr && service->engine.has_value();
+  return {open.service, has_models ? open.request.model : ModelId(),
+          open.request.prompt_tokens};
+}
+
 ForwardStep ForwardDesk::OnEnded(Time now,
                                  ForwardId id,
                                  const ForwardEnd& end) {
@@ -283,10 +290,7 @@
                             open.runs + 1 < open.route->most_attempts &&
                             now + settings_.least_time < open.deadline;
     const std::vector<VmId> excluded = {open.vm};
-    if (may_repeat &&
-        IsOk(selector_->Choose(
-            now, {open.service, open.request.model, open.request.prompt_tokens},
-            excluded))) {
+    if (may_repeat && IsOk(selector_->Choose(now, DemandOf(open), excluded))) {
       movable.push_back(found->second);
     }
   }
--- a/coordination/gateway/forward_desk.h
+++ b/coordination/gateway/forward_desk.h
@@ -79,6 +79,7 @@
     int refusals = 0;
   };
 
+  static ReplicaDemand DemandOf(const Open& open);
   ForwardStep Admit(Time now, Open& open);
   ForwardStep Send(Time now, Open& open, std::optional<std::int64_t> resume);
   // The next attempt, or why there is none.
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -319,10 +319,7 @@
       continue;
     }
     // Whether it is whole shows in its streams: a lost member stops them, while
-    // a member without a registration may be cut off from the store only.
-    if (HasLeavingMember(vm)) {
-      return std::nullopt;
-    }
+    // one without a registration may be cut off from the store only.
     const double fill = kUsualFill * static_cast<double>(engine.batch_limit);
     replica.pass_ms = engine.steps_per_pass * model.pace *
                       (engine.step_ms + engine.step_ms_per_request * fill);
@@ -334,16 +331,6 @@
   return std::nullopt;
 }
 
-bool GatewayCore::HasLeavingMember(const VmRegistration& head) const {
-  return std::any_of(
-      view_.vms().begin(), view_.vms().end(), [&](const auto& entry) {
-        const VmRegistration& vm = entry.second;
-        return vm.draining && vm.membership &&
-               vm.membership->group == head.membership->group &&
-               vm.membership->generation == head.membership->generation;
-      });
-}
-
 void GatewayCore::MoveStuck(Time now, const std::vector<AttemptNumber>& stuck) {
   for (const ForwardId id : desk_.MovableOf(now, stuck)) {
     actions_.emplace_back(MoveForward{id});
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -166,7 +166,6 @@
   std::vector<Replica> MakeReplicas() const;
   std::optional<Replica> MakeReplica(const VmRegistration& vm,
                                      const ServiceRule& service) const;
-  bool HasLeavingMember(const VmRegistration& head) const;
   GatewayActions TakeActions();
 
   GatewaySettings settings_;
--- a/coordination/gateway/group_planner.cc
+++ b/coordination/gateway/group_planner.cc
@@ -125,6 +125,14 @@
   if (all_vms <= 0 || model_count == 0) {
     return plan;
   }
+  // One group of each model is the least to expect of a domain.
+  std::size_t largest = settings_.reserve_per_domain;
+  for (const ModelProfile& model : profile.models) {
+    largest += model.group_size;
+  }
+  for (const PlannedDomain& domain : domains) {
+    largest = std::max(largest, domain.vms);
+  }
   // How much of its part of the VMs each model has, and how many groups of it
   // the fleet would have if every domain were whole.
   std::vector<double> fill(model_count, 0);
@@ -132,9 +140,9 @@
   std::vector<double> have(model_count, 0);
   const std::vector<double> none(model_count, 0);
   for (const PlannedDomain& domain : domains) {
-    const std::size_t reserve =
-        std::min(settings_.reserve_per_domain, domain.vms);
-    const auto mix = BestMix(profile, domain.vms - reserve, none);
+    const std::size_t vms = domain.filling ? largest : domain.vms;
+    const std::size_t reserve = std::min(settings_.reserve_per_domain, vms);
+    const auto mix = BestMix(profile, vms - reserve, none);
     for (std::size_t i = 0; i < model_count; ++i) {
       wanted[i] += static_cast<double>(mix[i]);
       const auto found = domain.groups.find(profile.models[i].model);
@@ -148,14 +156,6 @@
     return have[i] * static_cast<double>(model.group_size) /
            (std::max(0.01, model.work_share) * all_vms);
   };
-  // One group of each model is the least to expect of a domain.
-  std::size_t largest = settings_.reserve_per_domain;
-  for (const ModelProfile& model : profile.models) {
-    largest += model.group_size;
-  }
-  for (const PlannedDomain& domain : domains) {
-    largest = std::max(largest, domain.vms);
-  }
   // Whole domains first: they have the widest choice.
   std::stable_sort(domains.begin(), domains.end(),
                    [](const PlannedDomain& a, const PlannedDomain& b) {
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -84,7 +84,12 @@
   }
   // A group with a slow member runs at that member's pace.
   if (replica.pass_ms > 0 && state.event_gap_ms > replica.pass_ms) {
-    wait *= state.event_gap_ms / replica.pass_ms;
+    // Forgotten over time: one that gets nothing shows nothing new.
+    const double known =
+        1 - static_cast<double>((now - state.last_event).millis()) /
+                static_cast<double>(settings_.load_life.millis());
+    const double excess = state.event_gap_ms / replica.pass_ms - 1;
+    wait *= 1 + excess * std::max(0.0, known);
   }
   if (replica.zone != zone_) {
     wait += settings_.other_zone_ms;
--- a/coordination/gateway/store_mirror.cc
+++ b/coordination/gateway/store_mirror.cc
@@ -88,7 +88,8 @@
   next_call_ = now + std::max(least_wait, backoff_.Next(random_));
 }
 
-void StoreMirror::StartReading() {
+void StoreMirror::StartReading(Time now) {
+  next_call_ = now;
   phase_ = Phase::kReading;
   reading_ = 0;
   page_after_.clear();
@@ -127,7 +128,7 @@
 
 void StoreMirror::OnWatch(Time now, const StoreWatchReply& reply) {
   if (reply.compacted) {
-    StartReading();
+    StartReading(now);
     return;
   }
   for (const StoreEntry& entry : reply.changed) {
--- a/coordination/gateway/store_mirror.h
+++ b/coordination/gateway/store_mirror.h
@@ -98,7 +98,7 @@
   void OnFailed(Time now, Duration least_wait);
   void OnRange(Time now, const StoreRangeReply& reply);
   void OnWatch(Time now, const StoreWatchReply& reply);
-  void StartReading();
+  void StartReading(Time now);
   void Put(Time now, const StoreEntry& entry);
   void Delete(Time now, const std::string& key, Revision revision);
   // Removes keys of the family that a full read does not show.
--- a/programs/gcw_gateway/gateway_process.cc
+++ b/programs/gcw_gateway/gateway_process.cc
@@ -83,7 +83,8 @@
              SeededRandom(std::random_device()()),
              log.Sink()),
         runtime(settings.runtime,
-                {&context, &core, MakePlatformDialect(), &metrics, clock}),
+                {&context, &core, MakePlatformDialect(), &metrics, log.Sink(),
+                 clock}),
         signals(context, SIGTERM, SIGINT, SIGHUP) {}
 
   void WaitForSignal(const std::string& settings_path);
--- a/programs/gcwctl/commands.cc
+++ b/programs/gcwctl/commands.cc
@@ -7,6 +7,7 @@
 
 #include <boost/json.hpp>
 
+#include "programs/gcwctl/answer_fields.h"
 #include "programs/gcwctl/setting_files.h"
 #include "programs/gcwctl/table.h"
 
@@ -19,23 +20,6 @@
 constexpr int kStatusAccepted = 202;
 constexpr int kStatusConflict = 409;
 
-// A change id of this run, unlikely to be that of another.
-std::string NewChangeId() {
-  return "gcwctl-" + std::to_string(SystemClock()().millis()) + "-" +
-         std::to_string(getpid());
-}
-
-std::string FieldText(const json::object& object, std::string_view name) {
-  const json::value* value = object.if_contains(name);
-  return value == nullptr ? "" : PlainText(*value);
-}
-
-json::array FieldList(const json::object& object, std::string_view name) {
-  const json::value* value = object.if_contains(name);
-  return value != nullptr && value->is_array() ? value->get_array()
-                                               : json::array();
-}
-
 std::string_view Explain(OperatorCallErrorKind kind) {
   switch (kind) {
     case OperatorCallErrorKind::kAddressMalformed:
@@ -93,127 +77,6 @@
   return Usage();
 }
 
-ExitCode Commands::RunFamily(const Family& family) {
-  const std::string action = Word(1);
-  if (action == "list") {
-    return ListSettings(family);
-  }
-  if (Word(2).empty()) {
-    return Usage();
-  }
-  if (action == "show") {
-    return ShowPage("/v1/" + family.list + "/" + Word(2));
-  }
-  if (action == "create" || action == "change") {
-    return WriteSetting(family, action == "create");
-  }
-  if (action == "withdraw") {
-    return Withdraw(family);
-  }
-  return Usage();
-}
-
-ExitCode Commands::WriteSetting(const Family& family, bool create) {
-  if (!create && !line_.expected) {
-    err_ << "--expected REVISION is missing; `gcwctl " << family.name
-         << " show ID` prints the current one\n";
-    return ExitCode::kUsage;
-  }
-  const ReadDocument read = family.name == "contract"
-                                ? ReadContractFile(Word(2))
-                                : ReadModelFile(Word(2));
-  if (const auto* errors = std::get_if<std::vector<SettingError>>(&read)) {
-    for (const SettingError& error : *errors) {
-      err_ << error << '\n';
-    }
-    return ExitCode::kUsage;
-  }
-  const auto& document = std::get<SettingDocument>(read);
-  return SendChange("PUT", "/v1/" + family.list + "/" + document.id,
-                    line_.expected.value_or(0), document.text);
-}
-
-ExitCode Commands::Withdraw(const Family& family) {
-  if (!line_.expected) {
-    err_ << "--expected REVISION is missing; `gcwctl " << family.name
-         << " show ID` prints the current one\n";
-    return ExitCode::kUsage;
-  }
-  return SendChange("DELETE", "/v1/" + family.list + "/" + Word(2),
-                    *line_.expected, "");
-}
-
-ExitCode Commands::SendChange(const std::string& method,
-                              const std::string& path,
-                              std::int64_t expected,
-                              const std::string& body) {
-  const std::string change =
-      line_.change.empty() ? NewChangeId() : line_.change;
-  OperatorAnswer answer;
-  ExitCode failure = ExitCode::kUnreachable;
-  const bool answered = Call(method,
-                             path + "?expected=" + std::to_string(expected) +
-                                 "&change=" + EscapeQuery(change),
-                             body, answer, failure);
-  if (!answered) {
-    if (failure == ExitCode::kOutcomeUnknown) {
-      err_ << "repeat with --change-id " << change << " to learn the outcome\n";
-    }
-    return failure;
-  }
-  if (answer.status != kStatusOk) {
-    const ExitCode refused = ReportRefusal(answer);
-    if (refused == ExitCode::kOutcomeUnknown) {
-      err_ << "repeat with --change-id " << change << " to learn the outcome\n";
-    }
-    return refused;
-  }
-  if (line_.json) {
-    out_ << json::serialize(answer.body) << '\n';
-  } else {
-    out_ << "accepted at revision " << FieldText(answer.body, "revision")
-         << '\n';
-  }
-  return ExitCode::kDone;
-}
-
-ExitCode Commands::ListSettings(const Family& family) {
-  OperatorAnswer answer;
-  ExitCode failure = ExitCode::kUnreachable;
-  if (!Get("/v1/" + family.list, answer, failure)) {
-    return failure;
-  }
-  if (line_.json) {
-    out_ << json::serialize(answer.body) << '\n';
-    return ExitCode::kDone;
-  }
-  json::array rows;
-  for (const json::value& item : FieldList(answer.body, family.list)) {
-    json::object row = item.get_object();
-    if (row["value"].is_object()) {
-      for (const auto& field : json::object(row["value"].get_object())) {
-        row[field.key()] = field.value();
-      }
-    }
-    rows.emplace_back(std::move(row));
-  }
-  const std::vector<std::string> columns =
-      family.name == "contract"
-          ? std::vector<std::string>{"id",
-                                     "tier",
-                                     "rank",
-                                     "models",
-                                     "services",
-                                     "requests_per_second",
-                                     "tokens_per_second",
-                                     "concurrency",
-                                     "revision"}
-          : std::vector<std::string>{"model", "vms_per_group", "rank",
-                                     "targets", "revision"};
-  PrintTable(rows, columns, out_);
-  return ExitCode::kDone;
-}
-
 ExitCode Commands::ShowPage(const std::string& target) {
   OperatorAnswer answer;
   ExitCode failure = ExitCode::kUnreachable;
@@ -369,66 +232,6 @@
   return ShowPage("/v1/changes/" + Word(2));
 }
 
-ExitCode Commands::ShowTimeline() {
-  TimelineDecoder decoder;
-  std::vector<TimelineEvent> events;
-  ExitCode failure = ExitCode::kUnreachable;
-  if (!CollectEvents(events, decoder, failure)) {
-    return failure;
-  }
-  if (!line_.trace_file.empty()) {
-    std::ofstream trace(line_.trace_file);
-    trace << ExportTrace(events);
-    if (!trace.flush()) {
-      err_ << line_.trace_file << " cannot be written\n";
-      return ExitCode::kRefused;
-    }
-  }
-  if (line_.json) {
-    out_ << EncodeEvents(events) << '\n';
-    return ExitCode::kDone;
-  }
-  json::array rows;
-  for (const TimelineEvent& event : events) {
-    rows.emplace_back(EventToJson(event));
-  }
-  PrintTable(rows, {"time_ms", "node", "event", "subject", "fields", "cause"},
-             out_);
-  return ExitCode::kDone;
-}
-
-ExitCode Commands::ShowWhy() {
-  if (Word(1).empty()) {
-    return Usage();
-  }
-  TimelineDecoder decoder;
-  std::vector<TimelineEvent> events;
-  ExitCode failure = ExitCode::kUnreachable;
-  if (!CollectEvents(events, decoder, failure)) {
-    return failure;
-  }
-  const Explanation explanation = ExplainSubject(events, Word(1));
-  if (explanation.events.empty()) {
-    err_ << "no event is about " << Word(1)
-         << "; it may be too old, see docs/OPERATORS.md\n";
-    return ExitCode::kRefused;
-  }
-  json::array rows;
-  for (const ExplainedEvent& explained : explanation.events) {
-    json::object row = EventToJson(explained.event);
-    row["relation"] = EventRelationName(explained.relation);
-    rows.emplace_back(std::move(row));
-  }
-  if (line_.json) {
-    out_ << json::serialize(json::object{{"events", rows}}) << '\n';
-    return ExitCode::kDone;
-  }
-  PrintTable(rows,
-             {"relation", "time_ms", "node", "event", "subject", "fields"},
-             out_);
-  return ExitCode::kDone;
-}
-
 bool Commands::Call(const std::string& method,
                     const std::string& target,
                     const std::string& body,
@@ -502,36 +305,6 @@
   return true;
 }
 
-bool Commands::CollectEvents(std::vector<TimelineEvent>& events,
-                             TimelineDecoder& decoder,
-                             ExitCode& failure) {
-  std::vector<json::object> nodes;
-  if (!FindNodes(nodes, failure)) {
-    return false;
-  }
-  std::vector<std::vector<TimelineEvent>> timelines;
-  for (const json::object& node : nodes) {
-    const std::string id = FieldText(node, "node");
-    const Address address(FieldText(node, "operator_address"));
-    const Result<OperatorAnswer, OperatorCallError> answer =
-        ClientFor(address).Call(
-            "GET", "/v1/timeline?limit=" + std::to_string(line_.limit));
-    if (!IsOk(answer) || ValueOf(answer).status != kStatusOk) {
-      err_ << id << " gave no events; the list is without its part\n";
-      continue;
-    }
-    Result<EventPage, TimelineError> page =
-        decoder.DecodePage(json::serialize(ValueOf(answer).body));
-    if (!IsOk(page)) {
-      err_ << id << " gave events that cannot be read\n";
-      continue;
-    }
-    timelines.push_back(std::move(ValueOf(page).events));
-  }
-  events = MergeTimelines(std::move(timelines));
-  return true;
-}
-
 ExitCode Commands::Usage() {
   err_ << HelpFor(Word(0));
   return ExitCode::kUsage;
--- /dev/null
+++ b/programs/gcwctl/commands_settings.cc
@@ -0,0 +1,152 @@
+// Commands that write and list settings: contracts and models.
+
+#include "programs/gcwctl/commands.h"
+
+#include <unistd.h>
+
+#include <fstream>
+#include <utility>
+
+#include <boost/json.hpp>
+
+#include "programs/gcwctl/answer_fields.h"
+#include "programs/gcwctl/setting_files.h"
+#include "programs/gcwctl/table.h"
+
+namespace gcw {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int kStatusOk = 200;
+
+// A change id of this run, unlikely to be that of another.
+std::string NewChangeId() {
+  return "gcwctl-" + std::to_string(SystemClock()().millis()) + "-" +
+         std::to_string(getpid());
+}
+
+}  // namespace
+
+ExitCode Commands::RunFamily(const Family& family) {
+  const std::string action = Word(1);
+  if (action == "list") {
+    return ListSettings(family);
+  }
+  if (Word(2).empty()) {
+    return Usage();
+  }
+  if (action == "show") {
+    return ShowPage("/v1/" + family.list + "/" + Word(2));
+  }
+  if (action == "create" || action == "change") {
+    return WriteSetting(family, action == "create");
+  }
+  if (action == "withdraw") {
+    return Withdraw(family);
+  }
+  return Usage();
+}
+
+ExitCode Commands::WriteSetting(const Family& family, bool create) {
+  if (!create && !line_.expected) {
+    err_ << "--expected REVISION is missing; `gcwctl " << family.name
+         << " show ID` prints the current one\n";
+    return ExitCode::kUsage;
+  }
+  const ReadDocument read = family.name == "contract"
+                                ? ReadContractFile(Word(2))
+                                : ReadModelFile(Word(2));
+  if (const auto* errors = std::get_if<std::vector<SettingError>>(&read)) {
+    for (const SettingError& error : *errors) {
+      err_ << error << '\n';
+    }
+    return ExitCode::kUsage;
+  }
+  const auto& document = std::get<SettingDocument>(read);
+  return SendChange("PUT", "/v1/" + family.list + "/" + document.id,
+                    line_.expected.value_or(0), document.text);
+}
+
+ExitCode Commands::Withdraw(const Family& family) {
+  if (!line_.expected) {
+    err_ << "--expected REVISION is missing; `gcwctl " << family.name
+         << " show ID` prints the current one\n";
+    return ExitCode::kUsage;
+  }
+  return SendChange("DELETE", "/v1/" + family.list + "/" + Word(2),
+                    *line_.expected, "");
+}
+
+ExitCode Commands::SendChange(const std::string& method,
+                              const std::string& path,
+                              std::int64_t expected,
+                              const std::string& body) {
+  const std::string change =
+      line_.change.empty() ? NewChangeId() : line_.change;
+  OperatorAnswer answer;
+  ExitCode failure = ExitCode::kUnreachable;
+  const bool answered = Call(method,
+                             path + "?expected=" + std::to_string(expected) +
+                                 "&change=" + EscapeQuery(change),
+                             body, answer, failure);
+  if (!answered) {
+    if (failure == ExitCode::kOutcomeUnknown) {
+      err_ << "repeat with --change-id " << change << " to learn the outcome\n";
+    }
+    return failure;
+  }
+  if (answer.status != kStatusOk) {
+    const ExitCode refused = ReportRefusal(answer);
+    if (refused == ExitCode::kOutcomeUnknown) {
+      err_ << "repeat with --change-id " << change << " to learn the outcome\n";
+    }
+    return refused;
+  }
+  if (line_.json) {
+    out_ << json::serialize(answer.body) << '\n';
+  } else {
+    out_ << "accepted at revision " << FieldText(answer.body, "revision")
+         << '\n';
+  }
+  return ExitCode::kDone;
+}
+
+ExitCode Commands::ListSettings(const Family& family) {
+  OperatorAnswer answer;
+  ExitCode failure = ExitCode::kUnreachable;
+  if (!Get("/v1/" + family.list, answer, failure)) {
+    return failure;
+  }
+  if (line_.json) {
+    out_ << json::serialize(answer.body) << '\n';
+    return ExitCode::kDone;
+  }
+  json::array rows;
+  for (const json::value& item : FieldList(answer.body, family.list)) {
+    json::object row = item.get_object();
+    if (row["value"].is_object()) {
+      for (const auto& field : json::object(row["value"].get_object())) {
+        row[field.key()] = field.value();
+      }
+    }
+    rows.emplace_back(std::move(row));
+  }
+  const std::vector<std::string> columns =
+      family.name == "contract"
+          ? std::vector<std::string>{"id",
+                                     "tier",
+                                     "rank",
+                                     "models",
+                                     "services",
+                                     "requests_per_second",
+                                     "tokens_per_second",
+                                     "concurrency",
+                                     "revision"}
+          : std::vector<std::string>{"model", "vms_per_group", "rank",
+                                     "targets", "revision"};
+  PrintTable(rows, columns, out_);
+  return ExitCode::kDone;
+}
+
+}  // namespace gcw
--- a/tests/coordination/gateway/fleet_keeper_test.cc
+++ b/tests/coordination/gateway/fleet_keeper_test.cc
@@ -201,6 +201,36 @@
   ExpectNoViolation();
 }
 
+// Symptom: a group is closed and formed anew of the same VMs every second, and
+// its streams are cut each time. Sequence: a member works ten times slower than
+// it should; events come half a second apart; nodes say that the group stands
+// still. Cause: silence was taken for a loss although every member answered.
+TEST_F(FleetKeeperTest, ASlowGroupIsNotFormedAnewOfTheSameVms) {
+  const VmId head = world_.OpenHead("large");
+  for (auto& [id, engine] : world_.engines()) {
+    engine.pace = 10;
+  }
+  const std::int64_t joins = world_.engine(head).joins;
+  for (int i = 0; i < 10; ++i) {
+    world_.SayStandstill(head);
+    world_.Run(Duration::Millis(700));
+  }
+  EXPECT_EQ(world_.engine(head).joins, joins);
+  EXPECT_EQ(world_.open_groups("large"), 2U);
+  ExpectNoViolation();
+}
+
+TEST_F(FleetKeeperTest, ASlowMemberIsReplacedByASoundSpare) {
+  const VmId head = world_.OpenHead("large");
+  const VmId slow = world_.MembersOf(head)[3];
+  world_.engine(slow).pace = 10;
+  world_.SayStandstill(head);
+  EXPECT_TRUE(world_.RunUntil(Duration::Seconds(8), [&] {
+    return world_.open_groups("large") == 2 && !world_.ServesIn(slow);
+  }));
+  ExpectNoViolation();
+}
+
 // A planned leave closes the group, lets it finish, and forms it anew.
 TEST_F(FleetKeeperTest, AMemberThatLeavesByPlanIsReplaced) {
   const VmId head = world_.OpenHead("small");
--- a/tests/coordination/gateway/replica_selector_test.cc
+++ b/tests/coordination/gateway/replica_selector_test.cc
@@ -85,8 +85,10 @@
   for (int i = 0; i < 20; ++i) {
     EXPECT_NE(ValueOf(Choose()).replica.vm, VmId("a"));
   }
-  // It moves again: it was only slow.
+  // It moves again: it was only slow, which is forgotten after a while.
   selector_.OnProgress(now_, stuck);
+  EXPECT_NE(ValueOf(Choose()).replica.vm, VmId("a"));
+  Wait(2500);
   bool chosen = false;
   for (int i = 0; i < 50; ++i) {
     chosen = chosen || ValueOf(Choose()).replica.vm == VmId("a");
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -148,6 +148,19 @@
     return VmId();
   }
 
+  // Whether the VM is a member of an open group.
+  bool ServesIn(const VmId& vm) const {
+    for (const auto& [id, engine] : engines_) {
+      const auto& membership = engine.self.membership;
+      if (membership && membership->phase == MemberPhase::kOpen &&
+          std::count(engine.group_members.begin(), engine.group_members.end(),
+                     vm) > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   // Of the group that the VM is in; the first one has rank 0.
   std::vector<VmId> MembersOf(const VmId& vm) const {
     return engines_.at(vm).group_members;
@@ -194,6 +207,17 @@
     Publish(engines_.at(vm));
   }
 
+  // Tells the keeper's node that the group of this first member stands still.
+  void SayStandstill(const VmId& head) {
+    if (const auto node = keeper()) {
+      const auto& membership = engines_.at(head).self.membership;
+      if (membership) {
+        Execute(*node, nodes_[*node].core->OnNotice(
+                           now_, {head, membership->generation}));
+      }
+    }
+  }
+
   void KillNode(std::size_t index) {
     nodes_[index].alive = false;
     nodes_[index].core.reset();
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -20,6 +20,22 @@
 
 }  // namespace
 
+std::string_view ForwardOutcomeName(ForwardOutcome outcome) {
+  switch (outcome) {
+    case ForwardOutcome::kAnswered:
+      return "answered";
+    case ForwardOutcome::kRefused:
+      return "refused";
+    case ForwardOutcome::kUnknown:
+      return "unknown";
+    case ForwardOutcome::kCut:
+      return "cut";
+    case ForwardOutcome::kCallerGone:
+      return "caller_gone";
+  }
+  return "none";
+}
+
 ForwardExchange::ForwardExchange(ForwardExchangeSettings settings,
                                  Parts parts,
                                  HttpRequest request,
@@ -32,8 +48,8 @@
 ForwardId ForwardExchange::Start() {
   ForwardRequest request = parts_.dialect->read_request(request_);
   request_id_ = request.id;
-  ForwardBegun begun =
-      parts_.core->OnArrived(parts_.clock(), std::move(request));
+  arrived_ = parts_.clock();
+  ForwardBegun begun = parts_.core->OnArrived(arrived_, std::move(request));
   id_ = begun.id;
   responder_->OnCallerGone([weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
@@ -50,12 +66,12 @@
   } else if (std::holds_alternative<PassAnswer>(step)) {
     PassWhole();
   } else if (const auto* refused = std::get_if<ForwardRefused>(&step)) {
-    Respond(parts_.dialect->make_refusal(*refused));
+    Respond(parts_.dialect->make_refusal(*refused), ForwardOutcome::kRefused);
   } else if (const auto* unknown = std::get_if<ForwardUnknown>(&step)) {
-    Respond(parts_.dialect->make_unknown(*unknown));
+    Respond(parts_.dialect->make_unknown(*unknown), ForwardOutcome::kUnknown);
   } else {
     responder_->Abort();
-    Finish();
+    Finish(ForwardOutcome::kCut, attempt_.head.status);
   }
 }
 
@@ -63,6 +79,7 @@
   attempt_ = Attempt();
   attempt_.send = send;
   const int number = ++attempt_number_;
+  ++attempts_;
   HttpCallOptions options;
   options.connect_timeout = settings_.connect_timeout;
   options.deadline = send.time_left;
@@ -138,6 +155,7 @@
 void ForwardExchange::PassEvents(std::string_view events) {
   if (!stream_begun_) {
     stream_begun_ = true;
+    first_byte_ = parts_.clock();
     responder_->StartStream(attempt_.head.status, attempt_.head.headers);
   }
   responder_->Write(std::string(events));
@@ -204,19 +222,20 @@
 void ForwardExchange::PassWhole() {
   if (stream_begun_) {
     responder_->Finish();
-    Finish();
+    Finish(ForwardOutcome::kAnswered, attempt_.head.status);
     return;
   }
   HttpResponse response;
   response.status = attempt_.head.status;
   response.headers = std::move(attempt_.head.headers);
   response.body = std::move(attempt_.held);
-  Respond(std::move(response));
+  Respond(std::move(response), ForwardOutcome::kAnswered);
 }
 
-void ForwardExchange::Respond(HttpResponse response) {
+void ForwardExchange::Respond(HttpResponse response, ForwardOutcome outcome) {
+  const int status = response.status;
   responder_->Respond(std::move(response));
-  Finish();
+  Finish(outcome, status);
 }
 
 void ForwardExchange::OnCallerGone() {
@@ -229,15 +248,23 @@
     attempt_.call.reset();
   }
   parts_.core->OnCallerGone(parts_.clock(), id_);
-  Finish();
+  Finish(ForwardOutcome::kCallerGone, 0);
 }
 
-void ForwardExchange::Finish() {
+void ForwardExchange::Finish(ForwardOutcome outcome, int status) {
   over_ = true;
   responder_.reset();
-  if (parts_.on_over) {
-    parts_.on_over(id_);
-  }
+  const Time now = parts_.clock();
+  ForwardSummary summary;
+  summary.id = id_;
+  summary.request = request_id_;
+  summary.outcome = outcome;
+  summary.status = status;
+  summary.vm = attempt_.send.vm;
+  summary.attempts = attempts_;
+  summary.first_byte = first_byte_.value_or(now) - arrived_;
+  summary.whole = now - arrived_;
+  parts_.on_over(summary);
 }
 
 }  // namespace gcw
--- a/transport/gateway/forward_exchange.h
+++ b/transport/gateway/forward_exchange.h
@@ -26,6 +26,24 @@
   std::size_t most_unsent_bytes = 256UL * 1024;
 };
 
+// How a request ended for its caller.
+enum class ForwardOutcome { kAnswered, kRefused, kUnknown, kCut, kCallerGone };
+
+std::string_view ForwardOutcomeName(ForwardOutcome outcome);
+
+// One request of a caller, for metrics and the log.
+struct ForwardSummary {
+  ForwardId id;
+  RequestId request;
+  ForwardOutcome outcome = ForwardOutcome::kAnswered;
+  int status = 0;
+  // The endpoint of the last attempt; empty where there was none.
+  VmId vm;
+  int attempts = 0;
+  Duration first_byte;
+  Duration whole;
+};
+
 // One request of a caller: carries out what the core decides, attempt by
 // attempt, and passes the answer on. Used on one thread.
 class ForwardExchange : public std::enable_shared_from_this<ForwardExchange> {
@@ -36,7 +54,7 @@
     HttpClient* endpoints = nullptr;
     Clock clock;
     // The exchange is over.
-    std::function<void(ForwardId)> on_over;
+    std::function<void(const ForwardSummary&)> on_over;
   };
 
   ForwardExchange(ForwardExchangeSettings settings,
@@ -73,9 +91,9 @@
   void EndAttempt(ForwardEndKind kind);
   void PassWhole();
   void PassEvents(std::string_view events);
-  void Respond(HttpResponse response);
+  void Respond(HttpResponse response, ForwardOutcome outcome);
   void OnCallerGone();
-  void Finish();
+  void Finish(ForwardOutcome outcome, int status);
 
   const ForwardExchangeSettings settings_;
   const Parts parts_;
@@ -86,6 +104,9 @@
   Attempt attempt_;
   // Tells calls of the attempt under way from those of earlier ones.
   int attempt_number_ = 0;
+  Time arrived_;
+  std::optional<Time> first_byte_;
+  int attempts_ = 0;
   bool stream_begun_ = false;
   std::optional<std::int64_t> last_event_;
   bool over_ = false;
--- a/transport/gateway/gateway_metrics.cc
+++ b/transport/gateway/gateway_metrics.cc
@@ -20,10 +20,35 @@
   return metrics.AddCounter(std::move(spec));
 }
 
+CounterFamily& AddOutcomes(Metrics& metrics) {
+  MetricSpec spec;
+  spec.name = "gcw_outcomes_total";
+  spec.help = "Requests that are over, by outcome for the caller.";
+  spec.label_names = {"outcome"};
+  return metrics.AddCounter(std::move(spec));
+}
+
+DistributionFamily& AddTimes(Metrics& metrics,
+                             std::string name,
+                             std::string help) {
+  MetricSpec spec;
+  spec.name = std::move(name);
+  spec.help = std::move(help);
+  spec.label_names = {"outcome"};
+  return metrics.AddDistribution(std::move(spec), BucketRange{});
+}
+
 }  // namespace
 
 GatewayMetrics::GatewayMetrics()
     : events_(AddEvents(metrics_)),
+      outcomes_(AddOutcomes(metrics_)),
+      first_byte_(AddTimes(metrics_,
+                           "gcw_first_byte_ms",
+                           "From arrival to the first byte, milliseconds.")),
+      whole_(AddTimes(metrics_,
+                      "gcw_request_ms",
+                      "From arrival to the end, milliseconds.")),
       requests(AddPlainCounter(metrics_,
                                "gcw_requests_total",
                                "Requests of callers that were read.")),
@@ -45,4 +70,12 @@
   events_.With({std::string(EventKindName(event.draft.kind))}).Add();
 }
 
+void GatewayMetrics::ObserveRequest(const ForwardSummary& summary) {
+  const std::string outcome(ForwardOutcomeName(summary.outcome));
+  outcomes_.With({outcome}).Add();
+  first_byte_.With({outcome}).Record(
+      static_cast<double>(summary.first_byte.millis()));
+  whole_.With({outcome}).Record(static_cast<double>(summary.whole.millis()));
+}
+
 }  // namespace gcw
--- a/transport/gateway/gateway_metrics.h
+++ b/transport/gateway/gateway_metrics.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "core/core.h"
+#include "transport/gateway/forward_exchange.h"
 #include "transport/metrics.h"
 
 namespace gcw {
@@ -16,10 +17,15 @@
   std::string Expose() const { return metrics_.Expose(); }
   // Counts an event of the time line by its kind.
   void Observe(const TimelineEvent& event);
+  // A request that is over.
+  void ObserveRequest(const ForwardSummary& summary);
 
  private:
   Metrics metrics_;
   CounterFamily& events_;
+  CounterFamily& outcomes_;
+  DistributionFamily& first_byte_;
+  DistributionFamily& whole_;
 
  public:
   Counter& requests;
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -165,7 +165,20 @@
   parts.dialect = &parts_.dialect;
   parts.endpoints = &endpoints_;
   parts.clock = parts_.clock;
-  parts.on_over = [this](ForwardId id) { exchanges_.erase(id); };
+  parts.on_over = [this](const ForwardSummary& summary) {
+    parts_.metrics->ObserveRequest(summary);
+    parts_.report(
+        {EventKind::kRequestFinished,
+         summary.request.value(),
+         {},
+         {{"outcome", std::string(ForwardOutcomeName(summary.outcome))},
+          {"status", static_cast<std::int64_t>(summary.status)},
+          {"vm", summary.vm.value()},
+          {"attempts", static_cast<std::int64_t>(summary.attempts)},
+          {"first_byte_ms", summary.first_byte.millis()},
+          {"whole_ms", summary.whole.millis()}}});
+    exchanges_.erase(summary.id);
+  };
   auto exchange = std::make_shared<ForwardExchange>(
       settings_.exchange, std::move(parts), std::move(request), responder);
   parts_.metrics->requests.Add();
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -58,6 +58,8 @@
     GatewayCore* core = nullptr;
     GatewayDialect dialect;
     GatewayMetrics* metrics = nullptr;
+    // Takes events of the time line.
+    EventSink report;
     Clock clock;
   };
 
