--- a/coordination/gateway/fleet_keeper.cc
+++ b/coordination/gateway/fleet_keeper.cc
@@ -277,7 +277,7 @@
     return "not_formed";
   }
   if (run.stands_still_since) {
-    const std::string reason = JudgeStandstill(now, view, domain, group, run);
+    std::string reason = JudgeStandstill(now, view, domain, group, run);
     if (!reason.empty()) {
       return reason;
     }
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -29,7 +29,7 @@
 }  // namespace
 
 GatewayCore::GatewayCore(GatewaySettings settings,
-                         Codecs codecs,
+                         const Codecs& codecs,
                          Random random,
                          EventSink events)
     : settings_(std::move(settings)),
@@ -165,7 +165,8 @@
 }
 
 bool GatewayCore::is_stop_over(Time now) const {
-  return stop_asked_ && now - *stop_asked_ >= settings_.stop_within;
+  return stop_asked_ &&
+         now - *stop_asked_ >= settings_.stop_grace - settings_.stop_margin;
 }
 
 ForwardBegun GatewayCore::OnArrived(Time now, ForwardRequest request) {
@@ -223,32 +224,17 @@
 void GatewayCore::UpdateRole(Time now) {
   const RoleName role{std::string(kKeeperRole)};
   const NodeId holder = view_.HolderOf(role);
-  bool wants = false;
-  if (stopping() || keeper_.is_fenced_off() || !mirror_.loaded()) {
+  const bool may_take =
+      !stopping() && !keeper_.is_fenced_off() && mirror_.loaded();
+  bool wants =
+      may_take && (roles_.Held(role, now) || holder == settings_.self.id);
+  if (!may_take || wants || !mirror_.reachable() || !holder.empty()) {
     role_free_since_.reset();
-  } else if (roles_.Held(role, now)) {
-    wants = true;
-  } else if (!mirror_.reachable()) {
-    role_free_since_.reset();
-  } else if (holder == settings_.self.id) {
-    wants = true;
-  } else if (holder.empty()) {
+  } else {
     if (!role_free_since_) {
       role_free_since_ = now;
     }
-    std::vector<NodeId> nodes = {settings_.self.id};
-    for (const auto& [id, node] : view_.nodes()) {
-      if (!node.leaving && id != settings_.self.id) {
-        nodes.push_back(id);
-      }
-    }
-    const auto order = RendezvousOrder(kKeeperRole, nodes, nodes.size());
-    const auto rank = std::find(order.begin(), order.end(), settings_.self.id) -
-                      order.begin();
-    wants = now - *role_free_since_ >=
-            settings_.role_step * static_cast<std::int64_t>(rank);
-  } else {
-    role_free_since_.reset();
+    wants = now - *role_free_since_ >= settings_.role_step * RankFor(role);
   }
   std::set<RoleName> desired;
   if (wants) {
@@ -257,6 +243,18 @@
   Apply(GatewayModule::kRoles, roles_.SetDesired(now, std::move(desired)));
 }
 
+std::int64_t GatewayCore::RankFor(const RoleName& role) const {
+  std::vector<NodeId> nodes = {settings_.self.id};
+  for (const auto& [id, node] : view_.nodes()) {
+    if (!node.leaving && id != settings_.self.id) {
+      nodes.push_back(id);
+    }
+  }
+  const auto order = RendezvousOrder(role.value(), nodes, nodes.size());
+  return std::find(order.begin(), order.end(), settings_.self.id) -
+         order.begin();
+}
+
 void GatewayCore::RunKeeper(Time now) {
   const std::optional<HeldRole> held =
       roles_.Held(RoleName(std::string(kKeeperRole)), now);
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -44,18 +44,22 @@
   ReplicaSelectorSettings selector;
   SharedRetryBudgetSettings retries;
   ForwardDeskSettings requests;
-  // How long callers may keep the list of addresses.
-  Duration entries_keep = Duration::Seconds(2);
+  // How long callers may keep the list of addresses; some keep it three times
+  // as long.
+  Duration entries_keep = Duration::Seconds(1);
   // Addresses in one such list at most.
   std::size_t most_entries = 64;
   // A free keeper's role is tried by the preferred node at once and by each
   // further one this much later, so that it is not asked for by all.
   Duration role_step = Duration::Millis(120);
-  // From the start of a planned stop: new requests are refused from then on,
-  // since one that is cut at the end would be lost...
-  Duration stop_refuses_after = Duration::Millis(5000);
-  // ... and this is the latest end.
-  Duration stop_within = Duration::Millis(7400);
+  // A node that stops by plan takes requests for this long: what came later
+  // could still run when the node has to end, and would be cut. Longer than
+  // callers keep the addresses where they keep them as asked.
+  Duration stop_refuses_after = Duration::Millis(2900);
+  // The platform ends a node that is told to stop after this time.
+  Duration stop_grace = Duration::Seconds(8);
+  // Left of it for the last answers on their way out.
+  Duration stop_margin = Duration::Millis(600);
 };
 
 // The part of the core that asked the key-value service.
@@ -105,7 +109,7 @@
   };
 
   GatewayCore(GatewaySettings settings,
-              Codecs codecs,
+              const Codecs& codecs,
               Random random,
               EventSink events);
   GatewayCore(const GatewayCore&) = delete;
@@ -159,6 +163,8 @@
              const std::vector<std::variant<StoreRequest>>& actions);
   void Apply(std::vector<FleetKeeperAction> actions);
   void UpdateRole(Time now);
+  // How many nodes are preferred to this one for the role.
+  std::int64_t RankFor(const RoleName& role) const;
   void UpdateReplicas(Time now);
   void RunKeeper(Time now);
   void MoveStuck(Time now, const std::vector<AttemptNumber>& stuck);
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -78,6 +78,12 @@
              "How long callers may keep the list of addresses.");
   reader.Add("callers.retry_after_ms", &settings.core.requests.retry_after,
              kShortSpan, "When refused callers should come back, on average.");
+  reader.Add("stop.grace_ms", &settings.core.stop_grace,
+             {Duration::Seconds(1), Duration::Seconds(3600)},
+             "After so long the platform ends a node that was told to stop.");
+  reader.Add("stop.refuses_after_ms", &settings.core.stop_refuses_after,
+             kShortSpan,
+             "A node that was told to stop takes requests for so long.");
   ForwardExchangeSettings& exchange = settings.runtime.exchange;
   reader.Add("endpoints.connect_timeout_ms", &exchange.connect_timeout,
              kShortSpan, "Longest wait for a connection to an endpoint.");
--- /dev/null
+++ b/tests/coordination/gateway/gateway_core_test.cc
@@ -0,0 +1,84 @@
+#include <gtest/gtest.h>
+
+#include "coordination/coordination.h"
+#include "tests/support/gateway_world.h"
+
+namespace gcw {
+namespace {
+
+class GatewayCoreTest : public testing::Test {
+ protected:
+  GatewayCoreTest() : world_(2, 1, 11, 3) {
+    EXPECT_TRUE(world_.RunUntil(Duration::Seconds(12), [this] {
+      return world_.open_groups("large") == 1 &&
+             world_.open_groups("small") == 1;
+    }));
+    world_.Run(Duration::Seconds(1));
+  }
+
+  ForwardStep Arrive(std::size_t node) {
+    ForwardRequest request;
+    request.id = RequestId("q");
+    request.host = "h";
+    request.path = "/m/x";
+    request.model = ModelId("large");
+    return world_.node(node).core->OnArrived(world_.now(), request).step;
+  }
+
+  GatewayWorld world_;
+};
+
+// Symptom: a stream is cut when its node ends. Sequence: SIGTERM; 3.5 s later a
+// caller that keeps addresses for longer than asked sends a request; the stream
+// takes 4 s; the node has to end. Cause: the node took what it could not
+// finish.
+TEST_F(GatewayCoreTest, ANodeThatStopsRefusesWhatItCouldNotFinish) {
+  world_.node(0).core->OnStopAsked(world_.now());
+  EXPECT_FALSE(world_.node(0).core->ready());
+  world_.Run(Duration::Millis(2500));
+  EXPECT_TRUE(std::holds_alternative<SendForward>(Arrive(0)));
+  world_.Run(Duration::Millis(500));
+  const ForwardStep late = Arrive(0);
+  ASSERT_TRUE(std::holds_alternative<ForwardRefused>(late));
+  EXPECT_EQ(std::get<ForwardRefused>(late).kind, RefusalKind::kDraining);
+  EXPECT_GT(std::get<ForwardRefused>(late).retry_after, Duration());
+  EXPECT_FALSE(world_.node(0).core->is_stop_over(world_.now()));
+  world_.Run(Duration::Millis(4500));
+  EXPECT_TRUE(world_.node(0).core->is_stop_over(world_.now()));
+}
+
+TEST_F(GatewayCoreTest, AddressesAreThoseOfNodesThatDoNotStop) {
+  EXPECT_EQ(world_.node(0).core->Entries(ZoneId("z")).size(), 2U);
+  world_.node(1).core->OnStopAsked(world_.now());
+  world_.Run(Duration::Seconds(1));
+  const std::vector<Address> entries =
+      world_.node(0).core->Entries(ZoneId("z"));
+  EXPECT_EQ(entries, std::vector<Address>{Address("c0")});
+  // It leaves its own answers too.
+  EXPECT_EQ(world_.node(1).core->Entries(ZoneId("z")),
+            std::vector<Address>{Address("c0")});
+}
+
+// Symptom: nothing is known at a node that starts in an outage of the service.
+TEST_F(GatewayCoreTest, ANodeThatStartsInAnOutageLearnsFromAnother) {
+  world_.KillNode(1);
+  world_.store_down = true;
+  world_.Run(Duration::Seconds(1));
+  world_.StartNode(1);
+  EXPECT_FALSE(world_.node(1).core->ready());
+  world_.Run(Duration::Seconds(5));
+  EXPECT_TRUE(world_.node(1).core->ready());
+  EXPECT_TRUE(std::holds_alternative<SendForward>(Arrive(1)));
+}
+
+// Symptom: a node that the service turns away knows of no change for as long.
+TEST_F(GatewayCoreTest, ANodeThatTheServiceTurnsAwayLearnsFromAnother) {
+  world_.node(0).store_cut = true;
+  world_.Run(Duration::Seconds(3));
+  world_.AddEngine("d0", "late");
+  world_.Run(Duration::Seconds(3));
+  EXPECT_NE(world_.node(0).core->view().FindVm(VmId("late")), nullptr);
+}
+
+}  // namespace
+}  // namespace gcw
--- a/tests/programs/gateway_path_test.cc
+++ b/tests/programs/gateway_path_test.cc
@@ -132,6 +132,7 @@
   std::vector<std::thread> callers;
   std::atomic<int> wrong = 0;
   std::atomic<bool> stop = false;
+  callers.reserve(2);
   for (int i = 0; i < 2; ++i) {
     callers.emplace_back([&] {
       while (!stop) {
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -248,7 +248,7 @@
                       parts_.metrics->Expose()});
 }
 
-void GatewayRuntime::Execute(GatewayActions actions) {
+void GatewayRuntime::Execute(const GatewayActions& actions) {
   for (const GatewayAction& action : actions) {
     std::visit([this](const auto& each) { Execute(each); }, action);
   }
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -93,7 +93,7 @@
                  const std::shared_ptr<HttpResponder>& responder);
   void ServeMetrics(const std::shared_ptr<HttpResponder>& responder);
 
-  void Execute(GatewayActions actions);
+  void Execute(const GatewayActions& actions);
   void Execute(const CallGatewayStore& action);
   void Execute(const AskNodeSnapshot& action);
   void Execute(const TellNode& action);
