--- a/coordination/gateway/fleet_keeper.h
+++ b/coordination/gateway/fleet_keeper.h
@@ -185,7 +185,7 @@
   void Commit(Time now, Domain& domain, DomainRecord next);
   void OrderGroup(Time now,
                   const FleetView& view,
-                  const Domain& domain,
+                  Domain& domain,
                   const GroupRecord& group);
   void OrderJoins(Time now,
                   const FleetView& view,
--- /dev/null
+++ b/coordination/gateway/fleet_keeper_orders.cc
@@ -0,0 +1,251 @@
+// What engines are told, and what their answers mean.
+
+#include "coordination/gateway/fleet_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/gateway/group_membership.h"
+
+namespace gcw {
+
+void FleetKeeper::OrderGroup(Time now,
+                             const FleetView& view,
+                             Domain& domain,
+                             const GroupRecord& group) {
+  const auto found = domain.runs.find(group.id);
+  if (found == domain.runs.end()) {
+    return;
+  }
+  GroupRun& run = found->second;
+  if (!run.ending.empty()) {
+    OrderEnd(now, view, group, run);
+    return;
+  }
+  OrderJoins(now, view, domain, group, run);
+}
+
+void FleetKeeper::OrderJoins(Time now,
+                             const FleetView& view,
+                             const Domain& domain,
+                             const GroupRecord& group,
+                             GroupRun& run) {
+  const ModelProfile* profile = ProfileOf(view, domain.service, group.model);
+  bool all_ready = true;
+  for (const VmId& member : group.members) {
+    const VmRegistration* vm = view.FindVm(member);
+    if (vm == nullptr) {
+      all_ready = false;
+      continue;
+    }
+    if (IsMemberOf(*vm, group)) {
+      all_ready = all_ready && vm->membership->phase != MemberPhase::kJoining;
+      continue;
+    }
+    all_ready = false;
+    if (!MayOrder(now, member, GroupOrderKind::kJoin, group.id)) {
+      continue;
+    }
+    const bool needs_load = !vm->HasStaged(group.model);
+    if (needs_load && profile != nullptr &&
+        !loads_.Begin(now, member, profile->load_time)) {
+      continue;
+    }
+    GroupOrder order;
+    order.kind = GroupOrderKind::kJoin;
+    order.group = group.id;
+    order.generation = group.generation;
+    order.model = group.model;
+    order.members = group.members;
+    Send(now, member, vm->address, std::move(order));
+  }
+  const VmId& head = group.members.front();
+  if (!all_ready) {
+    return;
+  }
+  const VmRegistration* vm = view.FindVm(head);
+  // Nobody else checks the members: a group that opened without one of them
+  // would take requests that it cannot run.
+  if (vm->membership->phase != MemberPhase::kReady ||
+      !MayOrder(now, head, GroupOrderKind::kOpen, group.id)) {
+    return;
+  }
+  GroupOrder order;
+  order.kind = GroupOrderKind::kOpen;
+  order.group = group.id;
+  order.generation = group.generation;
+  order.model = group.model;
+  run.open_sent = true;
+  Send(now, head, vm->address, std::move(order));
+}
+
+void FleetKeeper::OrderEnd(Time now,
+                           const FleetView& view,
+                           const GroupRecord& group,
+                           GroupRun& run) {
+  const VmId& head = group.members.front();
+  const VmRegistration* vm = view.FindVm(head);
+  const bool head_reached =
+      vm != nullptr && IsMemberOf(*vm, group) && !IsSilent(head);
+  if (!head_reached) {
+    for (const VmId& member : group.members) {
+      OrderLeave(now, view, group, run, member);
+    }
+    return;
+  }
+  const MemberPhase phase = vm->membership->phase;
+  const bool let_finish =
+      run.ends_by_plan &&
+      (phase == MemberPhase::kOpen || phase == MemberPhase::kClosing) &&
+      now - run.ending_since < settings_.drain_limit;
+  if (!let_finish) {
+    OrderLeave(now, view, group, run, head);
+    return;
+  }
+  if (phase == MemberPhase::kOpen &&
+      MayOrder(now, head, GroupOrderKind::kClose, group.id)) {
+    GroupOrder order;
+    order.kind = GroupOrderKind::kClose;
+    order.group = group.id;
+    order.generation = group.generation;
+    Send(now, head, vm->address, std::move(order));
+  }
+}
+
+void FleetKeeper::OrderLeave(Time now,
+                             const FleetView& view,
+                             const GroupRecord& group,
+                             const GroupRun& run,
+                             const VmId& member) {
+  const VmRegistration* vm = view.FindVm(member);
+  if (vm == nullptr || IsSilent(member) || HasLeft(view, group, run, member) ||
+      !MayOrder(now, member, GroupOrderKind::kLeave, group.id)) {
+    return;
+  }
+  GroupOrder order;
+  order.kind = GroupOrderKind::kLeave;
+  order.group = group.id;
+  order.generation = group.generation;
+  Send(now, member, vm->address, std::move(order));
+}
+
+void FleetKeeper::OrderStagings(Time now, const FleetView& view) {
+  for (const PlannedStaging& staging : stagings_) {
+    const VmRegistration* vm = view.FindVm(staging.vm);
+    if (vm == nullptr || !vm->staged.empty() ||
+        !MayOrder(now, staging.vm, GroupOrderKind::kStage, GroupId())) {
+      continue;
+    }
+    const ModelProfile* profile = ProfileOf(view, vm->service, staging.model);
+    if (profile == nullptr || loads_.IsLoading(staging.vm) ||
+        !loads_.Begin(now, staging.vm, profile->load_time)) {
+      continue;
+    }
+    GroupOrder order;
+    order.kind = GroupOrderKind::kStage;
+    order.model = staging.model;
+    Send(now, staging.vm, vm->address, std::move(order));
+  }
+  for (const auto& [id, vm] : view.vms()) {
+    if (!vm.staged.empty()) {
+      loads_.End(id);
+    }
+  }
+}
+
+bool FleetKeeper::MayOrder(Time now,
+                           const VmId& vm,
+                           GroupOrderKind kind,
+                           const GroupId& group) const {
+  if (pending_of_.contains(vm)) {
+    return false;
+  }
+  const auto last = last_orders_.find(vm);
+  if (last == last_orders_.end() || last->second.kind != kind ||
+      last->second.group != group) {
+    return true;
+  }
+  return now - last->second.sent >= settings_.resend_interval;
+}
+
+void FleetKeeper::Send(Time now,
+                       const VmId& vm,
+                       const Address& address,
+                       GroupOrder order) {
+  order.fence = role_->fence;
+  ++last_order_;
+  last_orders_[vm] = {order.kind, order.group, now};
+  pending_of_[vm] = last_order_;
+  pending_[last_order_] = {vm, address, order, now};
+  events_({EventKind::kOrderSent,
+           vm.value(),
+           {},
+           {{"order", std::string(GroupOrderKindName(order.kind))},
+            {"group", order.group.value()},
+            {"model", order.model.value()},
+            {"fence", order.fence.value()}}});
+  actions_.emplace_back(SendGroupOrder{
+      last_order_, vm, address, std::move(order), settings_.order_timeout});
+}
+
+void FleetKeeper::ExpireOrders(Time now) {
+  std::erase_if(pending_, [&](const auto& pending) {
+    const bool is_over =
+        now - pending.second.sent >= settings_.order_timeout * 2;
+    if (is_over) {
+      pending_of_.erase(pending.second.vm);
+    }
+    return is_over;
+  });
+}
+
+void FleetKeeper::OnOrderReply(Time now,
+                               OrderId id,
+                               GroupOrderVerdict verdict) {
+  const auto found = pending_.find(id);
+  if (found == pending_.end()) {
+    return;
+  }
+  const PendingOrder pending = found->second;
+  pending_.erase(found);
+  pending_of_.erase(pending.vm);
+  if (verdict != GroupOrderVerdict::kBegun &&
+      verdict != GroupOrderVerdict::kDone) {
+    events_({EventKind::kOrderRefused,
+             pending.vm.value(),
+             {},
+             {{"order", std::string(GroupOrderKindName(pending.order.kind))},
+              {"group", pending.order.group.value()},
+              {"verdict", std::string(GroupOrderVerdictName(verdict))},
+              {"after_ms", (now - pending.sent).millis()}}});
+    if (pending.order.kind == GroupOrderKind::kJoin ||
+        pending.order.kind == GroupOrderKind::kStage) {
+      loads_.End(pending.vm);
+    }
+  }
+  if (verdict == GroupOrderVerdict::kNoAnswer ||
+      verdict == GroupOrderVerdict::kUnreachable) {
+    Doubtful(now, pending.vm, pending.address);
+  }
+  if (verdict == GroupOrderVerdict::kStale &&
+      pending.order.kind != GroupOrderKind::kJoin) {
+    fenced_off_ = true;
+    return;
+  }
+  if (pending.order.kind != GroupOrderKind::kLeave ||
+      verdict == GroupOrderVerdict::kNoAnswer ||
+      verdict == GroupOrderVerdict::kUnreachable ||
+      verdict == GroupOrderVerdict::kRefused) {
+    return;
+  }
+  // Done, or the engine is in no such group, or another VM has the address.
+  left_.emplace(pending.vm, pending.order.group);
+  for (auto& [domain_id, domain] : domains_) {
+    const auto run = domain.runs.find(pending.order.group);
+    if (run != domain.runs.end()) {
+      run->second.left.insert(pending.vm);
+    }
+  }
+}
+
+}  // namespace gcw
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -210,13 +210,6 @@
   return addresses;
 }
 
-std::optional<CallerLimits> GatewayCore::caller_limits() const {
-  if (!view_.routes()) {
-    return std::nullopt;
-  }
-  return view_.routes()->configuration().limits;
-}
-
 bool GatewayCore::is_keeper(Time now) const {
   return roles_.Held(RoleName(std::string(kKeeperRole)), now).has_value();
 }
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -155,7 +155,6 @@
   std::optional<MirrorSnapshot> Snapshot(Revision newer_than) const {
     return mirror_.Snapshot(newer_than);
   }
-  std::optional<CallerLimits> caller_limits() const;
 
  private:
   void Apply(std::vector<StoreMirrorAction> actions);
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -341,13 +341,4 @@
   return is_same ? found->second.last_event : Time();
 }
 
-std::size_t ReplicaSelector::open_replicas(const ServiceId& service,
-                                           const ModelId& model) const {
-  return static_cast<std::size_t>(
-      std::count_if(states_.begin(), states_.end(), [&](const auto& state) {
-        return state.second.replica.service == service &&
-               state.second.replica.model == model;
-      }));
-}
-
 }  // namespace gcw
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -117,8 +117,6 @@
   // When anything last came from that group; the start of time where nothing
   // did.
   Time LastProgress(const VmId& vm, Generation generation) const;
-  std::size_t open_replicas(const ServiceId& service,
-                            const ModelId& model) const;
 
  private:
   struct State {
