--- a/programs/gcw_node/main.cc
+++ b/programs/gcw_node/main.cc
@@ -43,13 +43,15 @@
   return "unknown";
 }
 
-// Blocks the signals of a planned stop in all threads that start later; they
-// are taken by `sigtimedwait`.
-sigset_t BlockStopSignals() {
+// Blocks the signals of a planned stop and of a reload in all threads that
+// start later; they are taken by `sigtimedwait`. One that nobody takes would
+// end the process.
+sigset_t BlockSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   // A connection that breaks while it is written to is a failed write, not an
   // end of the process.
@@ -57,6 +59,18 @@
   return signals;
 }
 
+// Settings of a running node do not change; faults in the file are known before
+// the next start.
+void CheckAgain(const std::string& path) {
+  const auto read = gcw::ReadNodeSettings(path);
+  const auto* errors = std::get_if<1>(&read);
+  gcw::LogEvent(
+      errors != nullptr ? gcw::LogSeverity::kError : gcw::LogSeverity::kInfo,
+      "settings_checked",
+      {{"errors",
+        static_cast<std::int64_t>(errors != nullptr ? errors->size() : 0)}});
+}
+
 int RunNode(const std::string& path, bool only_check) {
   auto read = gcw::ReadNodeSettings(path);
   if (const auto* errors = std::get_if<1>(&read)) {
@@ -69,7 +83,7 @@
     std::cout << path << ": all settings are sound\n";
     return kExitOk;
   }
-  const sigset_t signals = BlockStopSignals();
+  const sigset_t signals = BlockSignals();
   auto started = gcw::NodeProcess::Start(std::move(std::get<0>(read)));
   if (const auto* error = std::get_if<gcw::NodeStartError>(&started)) {
     std::cerr << "cannot listen for " << ListenerName(error->listener)
@@ -80,7 +94,10 @@
   // A planned stop may also begin through the operators' port.
   const timespec patience{0, kSignalWaitNanos};
   while (!node.stopped()) {
-    if (sigtimedwait(&signals, nullptr, &patience) > 0) {
+    const int signal = sigtimedwait(&signals, nullptr, &patience);
+    if (signal == SIGHUP) {
+      CheckAgain(path);
+    } else if (signal > 0) {
       node.BeginStop();
     }
   }
--- a/programs/gcw_node/node_settings.cc
+++ b/programs/gcw_node/node_settings.cc
@@ -1,5 +1,6 @@
 #include "programs/gcw_node/node_settings.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -222,6 +223,14 @@
   return errors;
 }
 
+bool IsHeaderText(const std::string& text) {
+  constexpr char kFirstPrintable = ' ';
+  constexpr char kLastPrintable = '~';
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return c >= kFirstPrintable && c <= kLastPrintable;
+  });
+}
+
 // Values that are each in range but do not fit together.
 std::vector<SettingError> CheckTogether(const std::string& path,
                                         const NodeSettings& settings) {
@@ -245,6 +254,12 @@
                     ", so that an order can leave at any time between two "
                     "renewals"));
   }
+  // The secret goes to other nodes in a header, which takes no other bytes:
+  // anything else would end the process at its first call to a peer.
+  if (!IsHeaderText(settings.peer_secret.Reveal())) {
+    errors.push_back(BadItem(path, "peers.secret_file", "(withheld)",
+                             "printable ASCII characters only"));
+  }
   const Duration wait = order.takeover_wait;
   if (wait < lease.time_to_live) {
     errors.push_back(BadItem(path, "orders.takeover_wait_ms",
--- a/tests/programs/node_settings_test.cc
+++ b/tests/programs/node_settings_test.cc
@@ -60,6 +60,18 @@
   EXPECT_EQ(errors[0].key, "lease.time_to_live_ms");
 }
 
+// Symptom: the node ends about a second after its start, again and again, with
+// its secret in the log. Sequence: the secret's file has bytes that no header
+// may have; the settings' check passes; the first call to a peer ends the
+// process. Cause: only the secret's length was checked.
+TEST_F(NodeSettingsTest, RefusesASecretThatIsNoHeaderText) {
+  Write("secret", "a-secret-\x01-\xc3\xa9-of-this-test");
+  const std::vector<SettingError> errors = ErrorsWith("");
+  ASSERT_EQ(errors.size(), 1U);
+  EXPECT_EQ(errors[0].key, "peers.secret_file");
+  EXPECT_EQ(errors[0].value, "(withheld)");
+}
+
 TEST_F(NodeSettingsTest, RefusesAMalformedSeedAndDistance) {
   const std::vector<SettingError> errors = ErrorsWith(
       "peers.seeds = [\"no-address\"]\nzones.distances = [\"z2=far\"]\n");
--- a/tests/programs/whole_path_test.cc
+++ b/tests/programs/whole_path_test.cc
@@ -445,6 +445,19 @@
 // same change again after the outage.
 // Cause: serving that hangs on the node's lease, or a change that is taken for
 // made, or for lost, without a word from the service.
+// Symptom: the node ends when its settings file changes. Sequence: SIGHUP.
+// Cause: nothing took the signal, and its default ends the process.
+TEST_F(WholePathTest, AReloadIsNoEnd) {
+  StartNode("n1");
+  fleet_.Signal("n1", SIGHUP);
+  EXPECT_TRUE(fleet_.Until([&] {
+    return fleet_.HasEnded("n1") ||
+           fleet_.folder().Read("n1.log").find("settings_checked") !=
+               std::string::npos;
+  }));
+  EXPECT_FALSE(fleet_.HasEnded("n1"));
+}
+
 TEST_F(WholePathTest, ANodeServesOnThroughAStoreOutage) {
   const Node node = StartNode("n1");
   ASSERT_NO_FATAL_FAILURE(WaitUntilServing(node));
