--- /dev/null
+++ b/tests/coordination/gateway/load_pacer_test.cc
@@ -0,0 +1,56 @@
+#include <gtest/gtest.h>
+
+#include "coordination/coordination.h"
+
+namespace gcw {
+namespace {
+
+EngineProfile Profile() {
+  EngineProfile profile;
+  profile.loads_per_second = 4;
+  profile.loads_at_once = 8;
+  return profile;
+}
+
+int BeginAll(LoadPacer& pacer, Time now, int from, int to) {
+  int begun = 0;
+  for (int i = from; i < to; ++i) {
+    begun +=
+        pacer.Begin(now, VmId("v" + std::to_string(i)), Duration::Seconds(16))
+            ? 1
+            : 0;
+  }
+  return begun;
+}
+
+// Symptom: groups are whole only after the first requests came. Cause: loads
+// before the first request were paced, though the weight store does not count
+// them.
+TEST(LoadPacerTest, DoesNotPaceBeforeTheFirstRequest) {
+  LoadPacer pacer({});
+  pacer.SetProfile(Profile());
+  pacer.Tick(Time::FromMillis(1000));
+  EXPECT_EQ(BeginAll(pacer, Time::FromMillis(1000), 0, 60), 60);
+}
+
+TEST(LoadPacerTest, KeepsBelowTheRateAndTheLoadsAtOnceAfterIt) {
+  LoadPacer pacer({});
+  pacer.SetProfile(Profile());
+  pacer.OnTraffic();
+  int begun = 0;
+  for (int tick = 0; tick < 50; ++tick) {
+    const Time now = Time::FromMillis(1000 + tick * 100);
+    pacer.Tick(now);
+    begun += BeginAll(pacer, now, begun, begun + 5);
+  }
+  // Five seconds at three quarters of four a second would be 15, and the burst;
+  // ten run at once.
+  EXPECT_EQ(begun, 10);
+  pacer.End(VmId("v0"));
+  const Time later = Time::FromMillis(7000);
+  pacer.Tick(later);
+  EXPECT_EQ(BeginAll(pacer, later, 100, 110), 1);
+}
+
+}  // namespace
+}  // namespace gcw
--- /dev/null
+++ b/tests/transport/line_writer_test.cc
@@ -0,0 +1,66 @@
+#include "transport/line_writer.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <string>
+
+namespace gcw {
+namespace {
+
+class LineWriterTest : public testing::Test {
+ protected:
+  LineWriterTest() { EXPECT_EQ(pipe2(ends_, O_CLOEXEC), 0); }
+  ~LineWriterTest() override {
+    close(ends_[0]);
+    close(ends_[1]);
+  }
+
+  std::string ReadSome() {
+    std::string text(1UL << 20, '\0');
+    const ssize_t size = read(ends_[0], text.data(), text.size());
+    text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+    return text;
+  }
+
+  int ends_[2] = {-1, -1};
+};
+
+TEST_F(LineWriterTest, WritesLinesInOrder) {
+  LineWriter writer(ends_[1], 1000);
+  writer.Write("one\n");
+  writer.Write("two\n");
+  EXPECT_EQ(ReadSome(), "one\ntwo\n");
+}
+
+// Symptom: every request of a process waits. Sequence: whoever reads its log
+// stops; the pipe fills; the next line waits for room. Cause: a write that may
+// wait on the thread that serves.
+TEST_F(LineWriterTest, NeverWaitsAndHoldsNoMoreThanItsBound) {
+  constexpr std::size_t kBound = 50000;
+  LineWriter writer(ends_[1], kBound);
+  const std::string line = std::string(999, 'x') + "\n";
+  for (int i = 0; i < 2000; ++i) {
+    writer.Write(line);
+    ASSERT_LE(writer.held_bytes(), kBound);
+  }
+  EXPECT_GT(writer.dropped(), 0);
+  // Once somebody reads again, what is held goes out first.
+  while (writer.held_bytes() > 0) {
+    EXPECT_FALSE(ReadSome().empty());
+    writer.Flush();
+  }
+  EXPECT_EQ(writer.held_bytes(), 0U);
+}
+
+TEST_F(LineWriterTest, ALineThatIsTooLongLosesItsEnd) {
+  LineWriter writer(ends_[1], 10000);
+  writer.Write(std::string(LineWriter::kMaxLineBytes + 10, 'x') + "\n");
+  const std::string read = ReadSome();
+  EXPECT_EQ(read.size(), LineWriter::kMaxLineBytes);
+  EXPECT_EQ(read.back(), '\n');
+}
+
+}  // namespace
+}  // namespace gcw
--- /dev/null
+++ b/tests/transport/log_budget_test.cc
@@ -0,0 +1,49 @@
+#include "transport/log_budget.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace gcw {
+namespace {
+
+TimelineEvent Event(std::int64_t millis, EventKind kind) {
+  TimelineEvent event;
+  event.time.physical = Time::FromMillis(millis);
+  event.draft.kind = kind;
+  return event;
+}
+
+// Symptom: the one refusal that would explain a complaint is missing. Sequence:
+// thousands of requests succeed in the same second. Cause: one bound for all.
+TEST(LogBudgetTest, SuccessesNeverHideATroubleOrAChangeOfBelief) {
+  std::map<EventKind, int> written;
+  std::map<LogClass, std::int64_t> left_out;
+  LogBudget budget(
+      {2, 3, 5},
+      [&](const TimelineEvent& event) { ++written[event.draft.kind]; },
+      [&](LogClass log_class, std::int64_t lines) {
+        left_out[log_class] += lines;
+      });
+  for (int i = 0; i < 100; ++i) {
+    budget.Take(Event(1000 + i, EventKind::kRequestFinished));
+  }
+  for (int i = 0; i < 10; ++i) {
+    budget.Take(Event(1500, EventKind::kRequestRefused));
+    budget.Take(Event(1500, EventKind::kGroupClosed));
+  }
+  EXPECT_EQ(written[EventKind::kRequestFinished], 5);
+  EXPECT_EQ(written[EventKind::kRequestRefused], 3);
+  EXPECT_EQ(written[EventKind::kGroupClosed], 2);
+  EXPECT_TRUE(left_out.empty());
+  // The next second tells what was left out, and begins anew.
+  budget.Take(Event(2000, EventKind::kRequestRefused));
+  EXPECT_EQ(left_out[LogClass::kSuccess], 95);
+  EXPECT_EQ(left_out[LogClass::kTrouble], 7);
+  EXPECT_EQ(left_out[LogClass::kBelief], 8);
+  EXPECT_EQ(written[EventKind::kRequestRefused], 4);
+  EXPECT_EQ(budget.left_out(), 110);
+}
+
+}  // namespace
+}  // namespace gcw
