--- a/tests/programs/gateway_path_test.cc
+++ b/tests/programs/gateway_path_test.cc
@@ -51,13 +51,13 @@
   HttpResponse Ask(const Address& address,
                    const std::string& route,
                    const std::string& key = "standin-key") {
-    ++last_request_;
+    const int request = ++last_request_;
     const auto answer = Call(
         address,
         {"POST",
          "/" + route + "/x",
          {{"Host", "models.example"},
-          {std::string(kAttemptIdHeader), "q" + std::to_string(last_request_)},
+          {std::string(kAttemptIdHeader), "q" + std::to_string(request)},
           {std::string(kModelHeader), route},
           {std::string(kTokensHeader), "100,120"},
           {std::string(kPatienceHeader), "8000"},
@@ -100,7 +100,8 @@
   Address store_;
   ProcessFleet::GatewayAddresses first_;
   ProcessFleet::GatewayAddresses second_;
-  int last_request_ = 0;
+  // Several callers ask at once in some tests.
+  std::atomic<int> last_request_ = 0;
 };
 
 TEST_F(GatewayPathTest, FormsGroupsAndServesAllKindsOfRequest) {
