gateway: nodes of a larger fleet watch the store less often; bounds on its calls

Change: the time between two watches grows with the number of nodes (18 watches a second of all nodes together, as 8 nodes make), up to what the platform's bounds for leaving endpoints and configurations leave, which come from the deploy file now. Whether the service is away is judged by what it owes, not by the time since its last answer, so that a node's own pause is no outage.

--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -263,6 +263,7 @@
                        view_.configuration_changes() != seen_configuration_;
   budget_.SetNodeCount(view_.serving_nodes());
   selector_.SetNodeCount(view_.serving_nodes());
+  mirror_.SetNodeCount(view_.serving_nodes());
   if (!changed || !view_.routes()) {
     return;
   }
--- a/coordination/gateway/store_mirror.cc
+++ b/coordination/gateway/store_mirror.cc
@@ -16,11 +16,7 @@
 std::vector<StoreMirrorAction> StoreMirror::Tick(Time now) {
   RemoveHeld(now);
   std::vector<StoreMirrorAction> actions;
-  if (!last_answer_) {
-    last_answer_ = now;
-  }
-  const bool away =
-      now - *last_answer_ >= settings_.watch_wait + settings_.away_after;
+  const bool away = IsAway(now);
   if (away && reachable_) {
     reachable_ = false;
     hooks_.on_reachable(false);
@@ -31,6 +27,10 @@
   }
   if (std::optional<StoreCall> call = NextCall(now)) {
     call_ = ++last_id_;
+    if (!owed_since_) {
+      const auto* watch = std::get_if<StoreWatch>(&*call);
+      owed_since_ = watch != nullptr ? now + watch->wait : now;
+    }
     actions.emplace_back(StoreRequest{last_id_, *std::move(call)});
   }
   return actions;
@@ -43,9 +43,26 @@
   if (phase_ == Phase::kReading) {
     return StoreRange{settings_.prefixes[reading_], page_after_};
   }
-  next_call_ = now + (eager_ ? settings_.eager_watch_interval
-                             : settings_.watch_interval);
-  return StoreWatch{settings_.watch_prefix, revision_, settings_.watch_wait};
+  const Duration interval = WatchInterval();
+  next_call_ = now + interval;
+  // Held until the next one is due: a watch that comes back earlier without a
+  // change would be a call for nothing.
+  return StoreWatch{settings_.watch_prefix, revision_,
+                    std::max(settings_.watch_wait, interval)};
+}
+
+Duration StoreMirror::WatchInterval() const {
+  if (eager_) {
+    return settings_.eager_watch_interval;
+  }
+  const auto shared = Duration::Millis(static_cast<std::int64_t>(
+      1000 * static_cast<double>(nodes_) / settings_.fleet_watches_per_second));
+  const Duration longest = settings_.known_within - settings_.repeat_margin;
+  return std::max(settings_.watch_interval, std::min(shared, longest));
+}
+
+bool StoreMirror::IsAway(Time now) const {
+  return owed_since_ && now - *owed_since_ >= settings_.away_after;
 }
 
 std::vector<StoreMirrorAction>
@@ -72,12 +89,10 @@
   backoff_.Reset();
   // An outage that was noticed, and any gap that long: while the service was
   // away, it may have dropped keys of owners who live.
-  if (!reachable_ ||
-      (last_answer_ &&
-       now - *last_answer_ >= settings_.away_after + settings_.watch_wait)) {
+  if (!reachable_ || IsAway(now)) {
     lapse_until_ = now + settings_.lapse_grace;
   }
-  last_answer_ = now;
+  owed_since_.reset();
   if (!reachable_) {
     reachable_ = true;
     hooks_.on_reachable(true);
@@ -85,6 +100,7 @@
 }
 
 void StoreMirror::OnFailed(Time now, Duration least_wait) {
+  owed_since_ = owed_since_ ? std::min(*owed_since_, now) : now;
   next_call_ = now + std::max(least_wait, backoff_.Next(random_));
 }
 
--- a/coordination/gateway/store_mirror.h
+++ b/coordination/gateway/store_mirror.h
@@ -31,18 +31,26 @@
   // Keys whose removal right after an outage of the service may be undone by
   // their owner within `lapse_grace`.
   std::vector<std::string> lapsing_prefixes;
-  // Between two watches at least: when many endpoints change at once, a watch
-  // that goes back immediately would be a call for each change.
+  // Between two watches of a node at least: when many endpoints change at once,
+  // a watch that goes back immediately would be a call for each change.
   Duration watch_interval = Duration::Millis(450);
   // The same for a node that acts on each change at once.
   Duration eager_watch_interval = Duration::Millis(150);
-  // How long the service may hold a watch. A connection that went silent is
-  // noticed only when the answer is overdue, and a leaving endpoint must be
-  // known within two seconds (the platform's bound): wait and time-out together
-  // stay well below it.
+  // Watches of all nodes together: each change ends the watch of every node,
+  // and in a large fleet something changes all the time. With more nodes each
+  // one waits longer between two, as far as `known_within` lets it.
+  double fleet_watches_per_second = 18;
+  // How long the service may hold a watch, at least. A connection that went
+  // silent is noticed only when the answer is overdue.
   Duration watch_wait = Duration::Millis(900);
-  // Without an answer for this long beyond the wait of a watch, the service
-  // counts as away, and other nodes are asked for what they know.
+  // A change must be known to every node this long after it was accepted: the
+  // shorter of the platform's bounds for endpoints that leave and for
+  // configurations.
+  Duration known_within = Duration::Millis(2000);
+  // Left of that for an answer that never came and the call after it.
+  Duration repeat_margin = Duration::Millis(1000);
+  // An answer overdue by this much: the service counts as away, and other nodes
+  // are asked for what they know.
   Duration away_after = Duration::Millis(700);
   // Between two such questions.
   Duration ask_peer_interval = Duration::Millis(500);
@@ -82,6 +90,8 @@
 
   // Whether each change counts, as for the keeper of groups.
   void SetEager(bool eager) { eager_ = eager; }
+  // How many nodes watch the service, this one included.
+  void SetNodeCount(std::size_t nodes) { nodes_ = nodes; }
   // Whether all families were read, from the service or from a peer.
   bool loaded() const { return loaded_; }
   bool reachable() const { return reachable_; }
@@ -94,6 +104,10 @@
   enum class Phase { kReading, kWatching };
 
   std::optional<StoreCall> NextCall(Time now);
+  // Whether an answer is overdue for longer than a call may take.
+  bool IsAway(Time now) const;
+  // From one watch of this node to its next at least.
+  Duration WatchInterval() const;
   void OnAnswered(Time now);
   void OnFailed(Time now, Duration least_wait);
   void OnRange(Time now, const StoreRangeReply& reply);
@@ -118,6 +132,7 @@
   // Removals that wait for the key to come back, with the end of the wait.
   std::map<std::string, Time> held_removals_;
   bool eager_ = false;
+  std::size_t nodes_ = 1;
   bool loaded_ = false;
   bool reachable_ = true;
   Revision revision_;
@@ -132,7 +147,8 @@
   StoreCallId last_id_;
   std::optional<StoreCallId> call_;
   Time next_call_;
-  std::optional<Time> last_answer_;
+  // Since when the service owes an answer.
+  std::optional<Time> owed_since_;
   Time next_ask_;
   // Until when removals are held back.
   Time lapse_until_;
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -1,5 +1,6 @@
 #include "programs/gcw_gateway/gateway_settings.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
@@ -21,6 +22,9 @@
   std::string peers;
   std::string metrics;
   std::vector<std::string> seeds;
+  // The shorter one bounds how old a node's copy of the store may be.
+  Duration leaving_known_within = StoreMirrorSettings().known_within;
+  Duration configuration_known_within = StoreMirrorSettings().known_within;
 };
 
 void DeclareNode(GatewayProcessSettings& settings,
@@ -50,7 +54,9 @@
              "Peer addresses to ask while the key-value service is away.");
 }
 
-void DeclareStore(GatewayProcessSettings& settings, SettingsReader& reader) {
+void DeclareStore(GatewayProcessSettings& settings,
+                  RawSettings& raw,
+                  SettingsReader& reader) {
   reader.Add("store.address", &settings.runtime.store, kAddressText,
              "Address of the key-value service.", SettingNeed::kRequired);
   reader.Add("store.timeout_ms", &settings.runtime.store_timeout, kShortSpan,
@@ -58,10 +64,23 @@
   StoreMirrorSettings& mirror = settings.core.mirror;
   reader.Add("store.watch_interval_ms", &mirror.watch_interval, kShortSpan,
              "Time between two watches at least.");
+  reader.Add("store.fleet_watches_per_second", &mirror.fleet_watches_per_second,
+             NumberRange{0.1, 10000},
+             "Watches of all nodes together; with more nodes each one waits "
+             "longer between two.");
   reader.Add("store.watch_wait_ms", &mirror.watch_wait, kShortSpan,
-             "How long the key-value service may hold a watch.");
+             "How long the key-value service may hold a watch, at least.");
+  reader.Add("store.leaving_known_within_ms", &raw.leaving_known_within,
+             kShortSpan,
+             "So long after an endpoint's leaving was accepted, nothing more "
+             "may be sent to it.");
+  reader.Add("store.configuration_known_within_ms",
+             &raw.configuration_known_within, kShortSpan,
+             "So long after a configuration was accepted it must be in force.");
+  reader.Add("store.repeat_margin_ms", &mirror.repeat_margin, kShortSpan,
+             "Left of both for an answer that never came and the next call.");
   reader.Add("store.away_after_ms", &mirror.away_after, kShortSpan,
-             "Without an answer for so long, other nodes are asked.");
+             "An answer overdue by so much: other nodes are asked.");
   reader.Add("store.lapse_grace_ms", &mirror.lapse_grace, kShortSpan,
              "How long entries that vanish right after an outage are kept.");
   NodeLeaseSettings& lease = settings.core.lease;
@@ -151,7 +170,7 @@
                 RawSettings& raw,
                 SettingsReader& reader) {
   DeclareNode(settings, raw, reader);
-  DeclareStore(settings, reader);
+  DeclareStore(settings, raw, reader);
   DeclareRequests(settings, reader);
   DeclareGroups(settings, reader);
   DeclareLogging(settings, reader);
@@ -219,6 +238,8 @@
       errors.push_back(BadItem(path, "peers.seeds", seed, "ip:port"));
     }
   }
+  settings.core.mirror.known_within =
+      std::min(raw.leaving_known_within, raw.configuration_known_within);
   settings.core.self.caller_address = Address(raw.callers);
   settings.core.self.peer_address = Address(raw.peers);
   settings.core.self.operator_address = Address(raw.peers);
@@ -229,14 +250,25 @@
 std::vector<SettingError> CheckTogether(
     const std::string& path,
     const GatewayProcessSettings& settings) {
+  std::vector<SettingError> errors;
   const NodeLeaseSettings& lease = settings.core.lease;
-  if (lease.renew_interval * 2 + lease.margin <= lease.time_to_live) {
-    return {};
+  if (lease.renew_interval * 2 + lease.margin > lease.time_to_live) {
+    errors.push_back(
+        BadItem(path, "lease.time_to_live_ms",
+                std::to_string(lease.time_to_live.millis()),
+                "at least twice renew_interval_ms plus margin_ms, so that "
+                "one lost renewal does not end the lease"));
   }
-  return {BadItem(path, "lease.time_to_live_ms",
-                  std::to_string(lease.time_to_live.millis()),
-                  "at least twice renew_interval_ms plus margin_ms, so that "
-                  "one lost renewal does not end the lease")};
+  const StoreMirrorSettings& mirror = settings.core.mirror;
+  if (mirror.repeat_margin + settings.runtime.store_timeout >
+      mirror.known_within) {
+    errors.push_back(
+        BadItem(path, "store.repeat_margin_ms",
+                std::to_string(mirror.repeat_margin.millis()),
+                "with timeout_ms at most leaving_known_within_ms and "
+                "configuration_known_within_ms"));
+  }
+  return errors;
 }
 
 }  // namespace
--- a/tests/coordination/gateway/store_mirror_test.cc
+++ b/tests/coordination/gateway/store_mirror_test.cc
@@ -51,6 +51,10 @@
   std::optional<StoreCall> Answer(const StoreReply& reply) {
     return Take(mirror_.OnStoreReply(now_, id_, reply));
   }
+  // The watch under way ends without a change.
+  std::optional<StoreCall> EndWatch() {
+    return Answer(StoreWatchReply{Revision(20), {}, {}, false});
+  }
   void Wait(std::int64_t millis) { now_ = now_ + Duration::Millis(millis); }
 
   // Reads both families; `a/1` and `b/1` are there.
@@ -182,6 +186,63 @@
   EXPECT_EQ(values_.at("b/1"), "again");
 }
 
+// Symptom: in a fleet of 72 nodes calls to the service cost a tenth of what is
+// served. Sequence: something changes all the time, and each change ends the
+// watch of every node. Cause: all nodes watched as often as those of a small
+// fleet.
+TEST_F(StoreMirrorTest, NodesOfALargerFleetWatchLessOften) {
+  const auto watches_in_ten_seconds = [this](std::size_t nodes) {
+    mirror_.SetNodeCount(nodes);
+    int watches = 0;
+    for (int i = 0; i < 100; ++i) {
+      Wait(100);
+      if (Tick()) {
+        ++watches;
+        EndWatch();
+      }
+    }
+    return watches;
+  };
+  Load();
+  EndWatch();
+  EXPECT_NEAR(watches_in_ten_seconds(8), 20, 2);
+  EXPECT_NEAR(watches_in_ten_seconds(16), 11, 2);
+  // A change must be known within two seconds, a repeated call included.
+  EXPECT_NEAR(watches_in_ten_seconds(1000), 10, 1);
+  mirror_.SetEager(true);
+  EXPECT_GE(watches_in_ten_seconds(1000), 40);
+}
+
+// Symptom: a node of a large fleet that waits between two watches calls the
+// service away and asks other nodes. Cause: its own pause counted as silence.
+TEST_F(StoreMirrorTest, APauseBetweenTwoWatchesIsNoOutage) {
+  Load();
+  mirror_.SetNodeCount(1000);
+  EndWatch();
+  for (int i = 0; i < 10; ++i) {
+    Wait(1000);
+    Tick();
+    EndWatch();
+  }
+  EXPECT_TRUE(reports_.empty());
+  EXPECT_EQ(asked_, 0);
+}
+
+// A watch that waits for longer in a larger fleet is not overdue sooner.
+TEST_F(StoreMirrorTest, AnUnansweredLongWatchIsAnOutageWhenItIsOverdue) {
+  Load();
+  mirror_.SetNodeCount(1000);
+  EndWatch();
+  Wait(1000);
+  Tick();
+  Wait(1600);
+  Tick();
+  EXPECT_TRUE(reports_.empty());
+  Wait(200);
+  Tick();
+  EXPECT_EQ(reports_, std::vector<bool>{false});
+}
+
 TEST_F(StoreMirrorTest, AStaleReadTeachesNothing) {
   Load();
   Wait(500);
--- /dev/null
+++ b/tests/programs/gateway_settings_test.cc
@@ -0,0 +1,71 @@
+#include "programs/gcw_gateway/gateway_settings.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+namespace gcw {
+namespace {
+
+class GatewaySettingsTest : public testing::Test {
+ protected:
+  GatewaySettingsTest()
+      : file_(std::filesystem::path(testing::TempDir()) /
+              ("gateway-settings-" + std::to_string(getpid()) + ".toml")) {}
+  ~GatewaySettingsTest() override { std::filesystem::remove(file_); }
+
+  auto Read(const std::string& more) {
+    std::ofstream(file_)
+        << "node.id = \"n1\"\nnode.zone = \"z\"\nnode.region = \"r\"\n"
+           "listen.callers = \"127.0.0.1:1\"\n"
+           "listen.readiness = \"127.0.0.1:2\"\n"
+           "listen.entries = \"127.0.0.1:3\"\nlisten.peers = \"127.0.0.1:4\"\n"
+           "store.address = \"127.0.0.1:5\"\n"
+        << more;
+    return ReadGatewaySettings(file_.string());
+  }
+  std::vector<SettingError> ErrorsWith(const std::string& more) {
+    const auto read = Read(more);
+    const auto* errors = std::get_if<std::vector<SettingError>>(&read);
+    return errors == nullptr ? std::vector<SettingError>() : *errors;
+  }
+
+ private:
+  std::filesystem::path file_;
+};
+
+TEST_F(GatewaySettingsTest, DefaultsAreSound) {
+  EXPECT_TRUE(ErrorsWith("").empty());
+}
+
+TEST_F(GatewaySettingsTest, TheShorterBoundHoldsForTheCopyOfTheStore) {
+  const auto read = Read(
+      "store.leaving_known_within_ms = 3000\n"
+      "store.configuration_known_within_ms = 2500\n");
+  const auto* settings = std::get_if<GatewayProcessSettings>(&read);
+  ASSERT_NE(settings, nullptr);
+  EXPECT_EQ(settings->core.mirror.known_within, Duration::Millis(2500));
+}
+
+TEST_F(GatewaySettingsTest, RefusesABoundThatLeavesNoTimeForASecondCall) {
+  const auto errors = ErrorsWith("store.leaving_known_within_ms = 1500\n");
+  ASSERT_EQ(errors.size(), 1U);
+  EXPECT_EQ(errors[0].key, "store.repeat_margin_ms");
+}
+
+TEST_F(GatewaySettingsTest, RefusesALeaseThatOneLostRenewalEnds) {
+  const auto errors = ErrorsWith("lease.time_to_live_ms = 1000\n");
+  ASSERT_EQ(errors.size(), 1U);
+  EXPECT_EQ(errors[0].key, "lease.time_to_live_ms");
+}
+
+TEST_F(GatewaySettingsTest, RefusesWhatIsNoAddressAndWhatIsUnknown) {
+  EXPECT_FALSE(ErrorsWith("peers.seeds = [\"here\"]\n").empty());
+  EXPECT_FALSE(ErrorsWith("store.adress = \"127.0.0.1:5\"\n").empty());
+}
+
+}  // namespace
+}  // namespace gcw
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -46,6 +46,11 @@
     std::unique_ptr<GatewayCore> core;
     bool alive = true;
     bool store_cut = false;
+    // The service answers this node's calls with a refusal.
+    bool store_refuses = false;
+    // Calls to the service; renewals of leases cost less and count apart.
+    std::int64_t store_calls = 0;
+    std::int64_t store_renewals = 0;
     int run = 0;
   };
   struct Stream {
@@ -206,6 +211,8 @@
     engines_.at(vm).self.draining = true;
     Publish(engines_.at(vm));
   }
+  // A registration that is written again, as one whose numbers changed.
+  void Rewrite(const VmId& vm) { Publish(engines_.at(vm)); }
 
   // Tells the keeper's node that the group of this first member stands still.
   void SayStandstill(const VmId& head) {
@@ -272,10 +279,13 @@
 
   bool store_down = false;
   bool traffic = false;
+  // Nodes that no caller asks.
+  std::set<std::size_t> idle_nodes;
   // Streams that ended whole, and those that were cut or never answered.
   int served = 0;
   int lost = 0;
   int moved = 0;
+  int progress_questions = 0;
 
  private:
   void MakeConfiguration() {
@@ -378,6 +388,13 @@
 
   void Do(std::size_t index, const CallGatewayStore& call) {
     const int run = nodes_[index].run;
+    const bool renews =
+        std::holds_alternative<StoreLeaseKeepAlive>(call.request.call);
+    ++(renews ? nodes_[index].store_renewals : nodes_[index].store_calls);
+    if (nodes_[index].store_refuses) {
+      Reply(index, run, call, StoreBusy{}, kNetwork * 2);
+      return;
+    }
     if (store_down || nodes_[index].store_cut) {
       Reply(index, run, call, StoreNoAnswer{}, Duration::Millis(600));
       return;
@@ -412,6 +429,19 @@
     }
   }
 
+  // Nodes give up on a watch some time after it should have come back.
+  void EndWatchesUnanswered() {
+    constexpr Duration kOverdue = Duration::Millis(600);
+    std::vector<Watch> waiting = std::exchange(watches_, {});
+    for (Watch& watch : waiting) {
+      if (now_ >= watch.until + kOverdue) {
+        Reply(watch.node, watch.run, watch.call, StoreNoAnswer{}, kNetwork);
+      } else {
+        watches_.push_back(std::move(watch));
+      }
+    }
+  }
+
   void Do(std::size_t index, const AskNodeSnapshot& ask) {
     const std::size_t other = std::stoul(ask.address.value());
     if (!nodes_[other].alive) {
