gateway: a silent group is asked about before it is taken for standing still

With 8 nodes each one has streams at each group, so it did not show.

Ruled out: lost members (probes answered), slow ones (pace 1), the keeper's change at 14.6 s (the groups closed later were whole).

Change: a node that suspects a group asks 8 others at random and waits 80 ms for one that saw progress; the keeper does so every 250 ms until it has decided. No message per node beyond that, whatever the fleet's size. The keeper's test fails without its question (run so); the selector's tests are of new calls.

--- a/coordination/gateway/fleet_keeper.cc
+++ b/coordination/gateway/fleet_keeper.cc
@@ -52,6 +52,20 @@
   standstills_.emplace(head, generation);
 }
 
+std::vector<std::pair<VmId, Generation>> FleetKeeper::StandingStill() const {
+  std::vector<std::pair<VmId, Generation>> groups;
+  for (const auto& [id, domain] : domains_) {
+    for (const GroupRecord& group : domain.writer.record().groups) {
+      const auto run = domain.runs.find(group.id);
+      if (run != domain.runs.end() && run->second.stands_still_since &&
+          run->second.ending.empty()) {
+        groups.emplace_back(group.members.front(), group.generation);
+      }
+    }
+  }
+  return groups;
+}
+
 std::vector<FleetKeeperAction> FleetKeeper::Tick(Time now,
                                                  const FleetView& view) {
   actions_.clear();
--- a/coordination/gateway/fleet_keeper.h
+++ b/coordination/gateway/fleet_keeper.h
@@ -98,6 +98,9 @@
   void OnTraffic() { loads_.OnTraffic(); }
   // A group stands still by the word of the nodes that send to it.
   void OnStandstill(const VmId& head, Generation generation);
+  // First members and generations of groups of which that is still to be
+  // judged.
+  std::vector<std::pair<VmId, Generation>> StandingStill() const;
 
   std::vector<FleetKeeperAction> Tick(Time now, const FleetView& view);
   std::vector<FleetKeeperAction> OnStoreReply(Time now,
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -86,6 +86,9 @@
   UpdateRole(now);
   UpdateReplicas(now);
   MoveStuck(now, selector_.Tick(now));
+  for (const Replica& replica : selector_.TakeSuspicions()) {
+    AskWitnesses({replica.vm, replica.generation});
+  }
   for (const Replica& replica : selector_.TakeStandstills()) {
     const StandstillNotice notice{replica.vm, replica.generation};
     keeper_.OnStandstill(notice.head, notice.generation);
@@ -94,6 +97,7 @@
     }
   }
   RunKeeper(now);
+  AskForKeeper(now);
   return TakeActions();
 }
 
@@ -137,6 +141,42 @@
   return TakeActions();
 }
 
+GatewayActions GatewayCore::OnProgressHeard(Time now,
+                                            const StandstillNotice& group,
+                                            Duration ago) {
+  selector_.OnProgressHeard(now, group.head, group.generation, ago);
+  return TakeActions();
+}
+
+std::optional<Duration> GatewayCore::ProgressAge(
+    Time now,
+    const StandstillNotice& group) const {
+  const auto progress = selector_.OwnProgress(group.head, group.generation);
+  return progress ? std::optional(now - *progress) : std::nullopt;
+}
+
+void GatewayCore::AskWitnesses(const StandstillNotice& group) {
+  std::vector<Address> others = OtherNodes();
+  const std::size_t count =
+      std::min(others.size(), settings_.standstill_witnesses);
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(others[i], others[i + DrawBelow(random_, others.size() - i)]);
+    actions_.emplace_back(AskProgress{others[i], group});
+  }
+}
+
+// A keeper that has no stream at a group knows nothing of it by itself; closing
+// a group that is only full would cut every stream that it runs.
+void GatewayCore::AskForKeeper(Time now) {
+  if (now < next_witness_ask_ || !is_keeper(now)) {
+    return;
+  }
+  next_witness_ask_ = now + settings_.witness_interval;
+  for (const auto& [head, generation] : keeper_.StandingStill()) {
+    AskWitnesses({head, generation});
+  }
+}
+
 GatewayActions GatewayCore::OnOrderReply(Time now,
                                          OrderId id,
                                          GroupOrderVerdict verdict) {
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -49,6 +49,11 @@
   Duration entries_keep = Duration::Seconds(1);
   // Addresses in one such list at most.
   std::size_t most_entries = 64;
+  // Other nodes, drawn at random, that are asked whether a group that seems to
+  // stand still goes on for them. A group in use has streams of most nodes.
+  std::size_t standstill_witnesses = 8;
+  // The keeper asks again after so long until it has decided.
+  Duration witness_interval = Duration::Millis(250);
   // A free keeper's role is tried by the preferred node at once and by each
   // further one this much later, so that it is not asked for by all.
   Duration role_step = Duration::Millis(120);
@@ -83,6 +88,11 @@
   Address address;
   StandstillNotice notice;
 };
+// Ask the node at that address whether the group goes on for it.
+struct AskProgress {
+  Address address;
+  StandstillNotice group;
+};
 // End the request's attempt as kSilent; another endpoint can go on with it.
 struct MoveForward {
   ForwardId id;
@@ -91,6 +101,7 @@
 using GatewayAction = std::variant<CallGatewayStore,
                                    AskNodeSnapshot,
                                    TellNode,
+                                   AskProgress,
                                    SendGroupOrder,
                                    ProbeEngine,
                                    MoveForward>;
@@ -126,6 +137,13 @@
                               const StoreReply& reply);
   GatewayActions OnSnapshot(Time now, const MirrorSnapshot& snapshot);
   GatewayActions OnNotice(Time now, const StandstillNotice& notice);
+  // Another node saw the group make progress that long ago.
+  GatewayActions OnProgressHeard(Time now,
+                                 const StandstillNotice& group,
+                                 Duration ago);
+  // How long ago this node saw the group make progress, for one that asks.
+  std::optional<Duration> ProgressAge(Time now,
+                                      const StandstillNotice& group) const;
   GatewayActions OnOrderReply(Time now, OrderId id, GroupOrderVerdict verdict);
   GatewayActions OnProbeReply(Time now,
                               const VmId& vm,
@@ -167,6 +185,8 @@
   void UpdateReplicas(Time now);
   void RunKeeper(Time now);
   void MoveStuck(Time now, const std::vector<AttemptNumber>& stuck);
+  void AskWitnesses(const StandstillNotice& group);
+  void AskForKeeper(Time now);
   std::vector<Address> OtherNodes() const;
   std::vector<Replica> MakeReplicas() const;
   std::optional<Replica> MakeReplica(const VmRegistration& vm,
@@ -186,6 +206,7 @@
   ForwardDesk desk_;
 
   std::optional<Time> role_free_since_;
+  Time next_witness_ask_;
   std::uint64_t seen_configuration_ = 0;
   std::optional<Time> stop_asked_;
   bool traffic_seen_ = false;
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -260,9 +260,7 @@
   }
 }
 
-std::vector<AttemptNumber> ReplicaSelector::Tick(Time now) {
-  // By replica: whether a stream that had begun is silent for too long, and
-  // none of them goes on.
+std::set<VmId> ReplicaSelector::FindSilent(Time now) {
   std::set<VmId> silent;
   for (const auto& [number, attempt] : attempts_) {
     if (!attempt.streams) {
@@ -281,9 +279,26 @@
       silent.insert(attempt.vm);
     }
   }
+  return silent;
+}
+
+std::vector<AttemptNumber> ReplicaSelector::Tick(Time now) {
+  const std::set<VmId> silent = FindSilent(now);
   std::vector<AttemptNumber> stuck;
-  for (const VmId& vm : silent) {
-    State& state = *Find(vm);
+  for (auto& [vm, state] : states_) {
+    if (!silent.contains(vm)) {
+      state.suspected_since.reset();
+      continue;
+    }
+    if (!state.suspected_since) {
+      state.suspected_since = now;
+      suspicions_.push_back(state.replica);
+    }
+    // Without other nodes there is nobody to know better.
+    if (nodes_ > 1 && now - *state.suspected_since < settings_.witness_wait) {
+      continue;
+    }
+    state.suspected_since.reset();
     standstills_.push_back(state.replica);
     const auto marked = MarkStandstill(now, state, "own_streams");
     stuck.insert(stuck.end(), marked.begin(), marked.end());
@@ -291,6 +306,22 @@
   return stuck;
 }
 
+std::vector<Replica> ReplicaSelector::TakeSuspicions() {
+  return std::exchange(suspicions_, {});
+}
+
+void ReplicaSelector::OnProgressHeard(Time now,
+                                      const VmId& vm,
+                                      Generation generation,
+                                      Duration ago) {
+  State* state = Find(vm);
+  if (state == nullptr || state->replica.generation != generation) {
+    return;
+  }
+  state->last_heard = std::max(state->last_heard, now - ago);
+  state->last_progress = std::max(state->last_progress, now - ago);
+}
+
 std::vector<AttemptNumber> ReplicaSelector::OnStandstillHeard(
     Time now,
     const VmId& vm,
@@ -333,12 +364,25 @@
   return std::exchange(standstills_, {});
 }
 
+std::optional<Time> ReplicaSelector::OwnProgress(const VmId& vm,
+                                                 Generation generation) const {
+  const auto found = states_.find(vm);
+  if (found == states_.end() ||
+      found->second.replica.generation != generation ||
+      found->second.last_event == Time()) {
+    return std::nullopt;
+  }
+  return found->second.last_event;
+}
+
 Time ReplicaSelector::LastProgress(const VmId& vm,
                                    Generation generation) const {
   const auto found = states_.find(vm);
-  const bool is_same =
-      found != states_.end() && found->second.replica.generation == generation;
-  return is_same ? found->second.last_event : Time();
+  if (found == states_.end() ||
+      found->second.replica.generation != generation) {
+    return Time();
+  }
+  return std::max(found->second.last_event, found->second.last_heard);
 }
 
 }  // namespace gcw
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -23,6 +23,11 @@
   // The same before the first event of a stream, where reading long prompts and
   // waiting for a place take their time.
   Duration first_event_limit = Duration::Millis(1500);
+  // A node's few streams at a replica may wait in its queue while others' go
+  // on: before it takes the replica for standing still it asks other nodes, and
+  // waits this long for one that saw progress. Answers take a few milliseconds
+  // within a region.
+  Duration witness_wait = Duration::Millis(80);
   // A replica that stood still is left out until it gives something, or for
   // this long; by then its group has been repaired or taken down.
   Duration standstill_hold = Duration::Millis(6000);
@@ -107,6 +112,14 @@
 
   // Attempts at replicas that were just found to stand still.
   std::vector<AttemptNumber> Tick(Time now);
+  // Replicas that seem to stand still since the last call: other nodes may know
+  // better.
+  std::vector<Replica> TakeSuspicions();
+  // Another node saw it make progress that long ago.
+  void OnProgressHeard(Time now,
+                       const VmId& vm,
+                       Generation generation,
+                       Duration ago);
   // Another node found it standing still.
   std::vector<AttemptNumber> OnStandstillHeard(Time now,
                                                const VmId& vm,
@@ -114,7 +127,9 @@
   // Replicas found standing still since the last call, for other nodes.
   std::vector<Replica> TakeStandstills();
 
-  // When anything last came from that group; the start of time where nothing
+  // When anything last came from that group to this node.
+  std::optional<Time> OwnProgress(const VmId& vm, Generation generation) const;
+  // The same to this node or one that told; the start of time where nothing
   // did.
   Time LastProgress(const VmId& vm, Generation generation) const;
 
@@ -134,6 +149,10 @@
     // Of the last event, or the time from which there could have been one.
     Time last_progress;
     Time last_event;
+    // Of the last event of another node's streams, as it told.
+    Time last_heard;
+    // Since when it seems to stand still.
+    std::optional<Time> suspected_since;
     // Usual time between two events of a stream; 0 until one is known.
     double event_gap_ms = 0;
     std::optional<Time> stands_still_until;
@@ -155,6 +174,8 @@
                       const State& state,
                       const ReplicaDemand& demand) const;
   void End(const Attempt& attempt);
+  // Replicas whose running streams here are all silent for too long.
+  std::set<VmId> FindSilent(Time now);
   std::vector<AttemptNumber> MarkStandstill(Time now,
                                             State& state,
                                             std::string_view evidence);
@@ -168,6 +189,7 @@
   std::map<AttemptNumber, Attempt> attempts_;
   AttemptNumber last_attempt_;
   std::vector<Replica> standstills_;
+  std::vector<Replica> suspicions_;
 };
 
 }  // namespace gcw
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -116,6 +116,9 @@
              "still.");
   reader.Add("routing.first_event_limit_ms", &selector.first_event_limit,
              kShortSpan, "The same before a stream's first event.");
+  reader.Add("routing.witness_wait_ms", &selector.witness_wait, kShortSpan,
+             "How long other nodes may take to say that a silent group goes on "
+             "for them.");
   reader.Add("routing.other_zone_ms", &selector.other_zone_ms,
              NumberRange{0, 1000},
              "What an endpoint of another data centre costs, in expected "
--- a/protocol/mirror_json.cc
+++ b/protocol/mirror_json.cc
@@ -50,4 +50,13 @@
   });
 }
 
+std::string EncodeProgressAge(Duration age) {
+  return boost::json::serialize(boost::json::object{{"age_ms", age.millis()}});
+}
+
+Decoded<Duration> DecodeProgressAge(std::string_view text) {
+  return DecodeJson(
+      text, [](JsonReader& reader) { return reader.DurationMillis("age_ms"); });
+}
+
 }  // namespace gcw
--- a/protocol/mirror_json.h
+++ b/protocol/mirror_json.h
@@ -15,6 +15,9 @@
 Decoded<MirrorSnapshot> DecodeMirrorSnapshot(std::string_view text);
 std::string EncodeStandstillNotice(const StandstillNotice& notice);
 Decoded<StandstillNotice> DecodeStandstillNotice(std::string_view text);
+// How long ago a node saw a group make progress.
+std::string EncodeProgressAge(Duration age);
+Decoded<Duration> DecodeProgressAge(std::string_view text);
 
 }  // namespace gcw
 
--- a/tests/coordination/gateway/fleet_keeper_test.cc
+++ b/tests/coordination/gateway/fleet_keeper_test.cc
@@ -205,6 +205,28 @@
 // its streams are cut each time. Sequence: a member works ten times slower than
 // it should; events come half a second apart; nodes say that the group stands
 // still. Cause: silence was taken for a loss although every member answered.
+// Symptom: a group that is only full is closed, and every stream that it runs
+// is cut. Sequence: a node says that it stands still; the keeper's node has no
+// stream there. Cause: the keeper took what it did not see for what is not.
+TEST_F(FleetKeeperTest, AGroupThatGoesOnForOtherNodesIsNotClosed) {
+  const std::size_t keeper = *world_.keeper();
+  world_.idle_nodes.insert(keeper);
+  // Its own streams end.
+  world_.Run(Duration::Seconds(3));
+  const VmId head = world_.OpenHead("large");
+  const Generation before = world_.engine(head).self.membership->generation;
+  world_.SayStandstill(head);
+  world_.Run(Duration::Seconds(4));
+  ASSERT_TRUE(world_.engine(head).self.membership.has_value());
+  EXPECT_EQ(world_.engine(head).self.membership->generation, before);
+  EXPECT_GT(world_.progress_questions, 0);
+  // Nobody is asked for ever.
+  const int asked = world_.progress_questions;
+  world_.Run(Duration::Seconds(2));
+  EXPECT_EQ(world_.progress_questions, asked);
+  ExpectNoViolation();
+}
+
 TEST_F(FleetKeeperTest, ASlowGroupIsNotFormedAnewOfTheSameVms) {
   const VmId head = world_.OpenHead("large");
   for (auto& [id, engine] : world_.engines()) {
--- a/tests/coordination/gateway/replica_selector_test.cc
+++ b/tests/coordination/gateway/replica_selector_test.cc
@@ -96,6 +96,44 @@
   EXPECT_TRUE(chosen);
 }
 
+// Symptom: in a fleet of 72 nodes groups that are only full are left out, their
+// streams are moved and prompts are read again elsewhere, which fills the next
+// group. Sequence: the one request of a node waits in a queue for longer than
+// the limit. Cause: a node took its own few streams for all of the group's.
+TEST_F(ReplicaSelectorTest, AskOtherNodesBeforeAGroupIsTakenToStandStill) {
+  selector_.SetNodeCount(72);
+  Send("a");
+  Wait(1600);
+  EXPECT_TRUE(selector_.Tick(now_).empty());
+  const std::vector<Replica> suspected = selector_.TakeSuspicions();
+  ASSERT_EQ(suspected.size(), 1U);
+  EXPECT_EQ(suspected.front().vm, VmId("a"));
+  Wait(20);
+  selector_.OnProgressHeard(now_, VmId("a"), Generation(1),
+                            Duration::Millis(60));
+  Wait(400);
+  EXPECT_TRUE(selector_.Tick(now_).empty());
+  EXPECT_TRUE(selector_.TakeSuspicions().empty());
+  EXPECT_TRUE(selector_.TakeStandstills().empty());
+  // What another node saw is no progress of this one's own.
+  EXPECT_FALSE(selector_.OwnProgress(VmId("a"), Generation(1)).has_value());
+}
+
+TEST_F(ReplicaSelectorTest, WithoutAWitnessAGroupStandsStillSoonAfter) {
+  selector_.SetNodeCount(72);
+  const AttemptNumber stuck = Send("a");
+  selector_.OnProgress(now_, stuck);
+  Wait(450);
+  EXPECT_TRUE(selector_.Tick(now_).empty());
+  // An old word, or one of an older group, is no sign of life.
+  selector_.OnProgressHeard(now_, VmId("a"), Generation(1),
+                            Duration::Millis(460));
+  selector_.OnProgressHeard(now_, VmId("a"), Generation(9), Duration());
+  Wait(80);
+  EXPECT_EQ(selector_.Tick(now_), std::vector<AttemptNumber>{stuck});
+  EXPECT_EQ(selector_.TakeStandstills().size(), 1U);
+}
+
 TEST_F(ReplicaSelectorTest, ANewGenerationStartsWithoutHistory) {
   const AttemptNumber stuck = Send("a");
   selector_.OnProgress(now_, stuck);
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -88,6 +88,8 @@
       if (!store_down) {
         store_.DropLapsed(now_);
         AnswerWatches();
+      } else {
+        EndWatchesUnanswered();
       }
       if ((now_.millis() / kStep.millis()) % 4 == 0) {
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
@@ -468,6 +470,22 @@
     });
   }
 
+  void Do(std::size_t index, const AskProgress& ask) {
+    const std::size_t other = std::stoul(ask.address.value());
+    ++progress_questions;
+    if (!nodes_[other].alive) {
+      return;
+    }
+    const int run = nodes_[index].run;
+    const auto age = nodes_[other].core->ProgressAge(now_, ask.group);
+    After(kNetwork * 2, [this, index, run, ask, age] {
+      AtNode(index, run, [&](GatewayCore& core) {
+        return age ? core.OnProgressHeard(now_, ask.group, *age)
+                   : GatewayActions();
+      });
+    });
+  }
+
   void Do(std::size_t index, const MoveForward& move) {
     const auto stream = std::find_if(
         streams_.begin(), streams_.end(),
@@ -675,7 +693,7 @@
 
   void SendRequests() {
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
-      if (!nodes_[i].alive) {
+      if (!nodes_[i].alive || idle_nodes.contains(i)) {
         continue;
       }
       for (const char* model : {"large", "small"}) {
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -12,6 +12,7 @@
 
 constexpr std::string_view kMirrorPath = "/v1/mirror";
 constexpr std::string_view kStandstillPath = "/v1/standstill";
+constexpr std::string_view kProgressPath = "/v1/progress";
 constexpr std::string_view kNewerThan = "newer_than";
 constexpr int kOk = 200;
 constexpr int kNoContent = 204;
@@ -213,32 +214,57 @@
   const std::string_view target = request.target;
   const std::string_view path = target.substr(0, target.find('?'));
   if (path == kMirrorPath) {
-    std::int64_t newer_than = 0;
-    const std::string text = QueryValue(request.target, kNewerThan);
-    std::from_chars(text.data(), text.data() + text.size(), newer_than);
-    const auto snapshot = parts_.core->Snapshot(Revision(newer_than));
-    if (!snapshot) {
-      responder->Respond({kNoContent, {}, {}});
-      return;
-    }
-    responder->Respond({kOk,
-                        {{"Content-Type", "application/json"}},
-                        EncodeMirrorSnapshot(*snapshot)});
+    ServeMirror(request, *responder);
+    return;
+  }
+  if (path != kStandstillPath && path != kProgressPath) {
+    responder->Respond({kNotFound, {}, {}});
+    return;
+  }
+  const auto notice = DecodeStandstillNotice(request.body);
+  if (!IsOk(notice)) {
+    LogEvent(LogSeverity::kWarning, "peer_message_malformed",
+             {{"field", ErrorOf(notice).field}});
+    responder->Respond({kBadRequest, {}, {}});
     return;
   }
   if (path == kStandstillPath) {
-    const auto notice = DecodeStandstillNotice(request.body);
-    if (!IsOk(notice)) {
-      LogEvent(LogSeverity::kWarning, "peer_message_malformed",
-               {{"field", ErrorOf(notice).field}});
-      responder->Respond({kBadRequest, {}, {}});
-      return;
-    }
-    responder->Respond({kNoContent, {}, {}});
-    Execute(parts_.core->OnNotice(Now(), ValueOf(notice)));
+    ServeStandstill(ValueOf(notice), *responder);
+  } else {
+    ServeProgress(ValueOf(notice), *responder);
+  }
+}
+
+void GatewayRuntime::ServeMirror(const HttpRequest& request,
+                                 HttpResponder& responder) {
+  std::int64_t newer_than = 0;
+  const std::string text = QueryValue(request.target, kNewerThan);
+  std::from_chars(text.data(), text.data() + text.size(), newer_than);
+  const auto snapshot = parts_.core->Snapshot(Revision(newer_than));
+  if (!snapshot) {
+    responder.Respond({kNoContent, {}, {}});
+    return;
+  }
+  responder.Respond({kOk,
+                     {{"Content-Type", "application/json"}},
+                     EncodeMirrorSnapshot(*snapshot)});
+}
+
+void GatewayRuntime::ServeStandstill(const StandstillNotice& notice,
+                                     HttpResponder& responder) {
+  responder.Respond({kNoContent, {}, {}});
+  Execute(parts_.core->OnNotice(Now(), notice));
+}
+
+void GatewayRuntime::ServeProgress(const StandstillNotice& group,
+                                   HttpResponder& responder) {
+  const auto age = parts_.core->ProgressAge(Now(), group);
+  if (!age) {
+    responder.Respond({kNoContent, {}, {}});
     return;
   }
-  responder->Respond({kNotFound, {}, {}});
+  responder.Respond(
+      {kOk, {{"Content-Type", "application/json"}}, EncodeProgressAge(*age)});
 }
 
 void GatewayRuntime::ServeMetrics(
@@ -313,6 +339,28 @@
                [](const Result<HttpResponse, HttpFailure>&) {});
 }
 
+void GatewayRuntime::Execute(const AskProgress& action) {
+  HttpRequest request{"POST",
+                      std::string(kProgressPath),
+                      {{"Content-Type", "application/json"}},
+                      EncodeStandstillNotice(action.group)};
+  peers_.Fetch(
+      action.address, std::move(request), Within(settings_.peer_timeout),
+      [this,
+       group = action.group](const Result<HttpResponse, HttpFailure>& answer) {
+        if (!IsOk(answer) || ValueOf(answer).status != kOk) {
+          return;
+        }
+        const auto age = DecodeProgressAge(ValueOf(answer).body);
+        if (!IsOk(age)) {
+          LogEvent(LogSeverity::kWarning, "peer_message_malformed",
+                   {{"field", ErrorOf(age).field}});
+          return;
+        }
+        Execute(parts_.core->OnProgressHeard(Now(), group, ValueOf(age)));
+      });
+}
+
 void GatewayRuntime::Execute(const SendGroupOrder& action) {
   parts_.metrics->orders.Add();
   orders_.Fetch(
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -91,12 +91,18 @@
                     const std::shared_ptr<HttpResponder>& responder);
   void ServePeer(const HttpRequest& request,
                  const std::shared_ptr<HttpResponder>& responder);
+  void ServeMirror(const HttpRequest& request, HttpResponder& responder);
+  // What another node says or asks of a group.
+  void ServeStandstill(const StandstillNotice& notice,
+                       HttpResponder& responder);
+  void ServeProgress(const StandstillNotice& group, HttpResponder& responder);
   void ServeMetrics(const std::shared_ptr<HttpResponder>& responder);
 
   void Execute(const GatewayActions& actions);
   void Execute(const CallGatewayStore& action);
   void Execute(const AskNodeSnapshot& action);
   void Execute(const TellNode& action);
+  void Execute(const AskProgress& action);
   void Execute(const SendGroupOrder& action);
   void Execute(const ProbeEngine& action);
   void Execute(const MoveForward& action);
