gateway: callers are held to the operators' limits

Cause: the limits of header, body, header time and idle time of the operators' document were decoded and not used; the server had those of its start.

Change: HttpServer takes request limits while it runs, for requests that begin and connections that become idle from then on; the gateway sets them with each new configuration. The header has a time of its own beside the whole request's. The stand-in's operator can write another document (POST /standin/configure).

Ruled out: limits that change under a request that has begun.

Shown by GatewayPathTest.CallersAreHeldToTheOperatorsLimits on real processes (bodies over the operators' bound get 413, and 200 once it is raised) and HttpServerTest.TakesOtherLimitsWhileItRuns, EndsHeadersThatArriveTooSlowly.

--- a/programs/gcw_standin/platform_documents.cc
+++ b/programs/gcw_standin/platform_documents.cc
@@ -174,9 +174,13 @@
   return profile;
 }
 
-std::string EncodeStandinConfiguration() {
+std::string EncodeStandinConfiguration(const StandinChoices& choices) {
   const object document{
-      {"version", 1},
+      {"version", choices.version},
+      {"limits", object{{"max_header_bytes", 16384},
+                        {"max_body_bytes", choices.max_body_bytes},
+                        {"header_timeout_ms", 10000},
+                        {"idle_timeout_ms", 60000}}},
       {"routes", array{EncodeRoute("large", "stream", "llm", 2),
                        EncodeRoute("small", "stream", "llm", 2),
                        EncodeRoute("safe", "safe", "desk", 2),
@@ -187,7 +191,7 @@
                     {"engine", EncodeEngine(StandinEngineProfile())}},
              object{{"name", "desk"}, {"max_connections", 110}}}},
       {"tenants", array{object{{"name", "paid"},
-                               {"api_keys", array{"standin-key"}},
+                               {"api_keys", array{choices.key}},
                                {"priority", 1}}}}};
   return boost::json::serialize(document);
 }
--- a/programs/gcw_standin/platform_documents.h
+++ b/programs/gcw_standin/platform_documents.h
@@ -1,6 +1,7 @@
 #ifndef PROGRAMS_GCW_STANDIN_PLATFORM_DOCUMENTS_H_
 #define PROGRAMS_GCW_STANDIN_PLATFORM_DOCUMENTS_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -13,10 +14,16 @@
 
 // The engines of its one model service.
 EngineProfile StandinEngineProfile();
+// What the stand-in's operator changes while it runs.
+struct StandinChoices {
+  std::int64_t version = 1;
+  std::int64_t max_body_bytes = 4194304;
+  std::string key = "standin-key";
+};
 // The operators' document: models `large` (6 VMs) and `small` (3) under
 // `/large/` and `/small/`, a plain service under `/safe/` and `/once/`, all of
-// the host `models.example`; the key `standin-key` of customer `paid`.
-std::string EncodeStandinConfiguration();
+// the host `models.example`; the one key is customer `paid`'s.
+std::string EncodeStandinConfiguration(const StandinChoices& choices);
 std::string EncodeRegistrationEntry(const VmRegistration& registration);
 
 // Absent where the request is no call to the store.
--- a/programs/gcw_standin/platform_shell.cc
+++ b/programs/gcw_standin/platform_shell.cc
@@ -1,12 +1,11 @@
 #include "programs/gcw_standin/platform_shell.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include <boost/json.hpp>
 
-#include "programs/gcw_standin/platform_documents.h"
-
 namespace gcw {
 namespace {
 
@@ -25,7 +24,7 @@
 PlatformShell::PlatformShell(StandinServer& server,
                              PlatformShellSettings settings)
     : server_(server), settings_(std::move(settings)), store_(settings_.store) {
-  Write(std::string(kConfigurationKey), EncodeStandinConfiguration());
+  Write(std::string(kConfigurationKey), EncodeStandinConfiguration(choices_));
   for (int d = 0; d < settings_.domains; ++d) {
     for (int v = 0; v < settings_.vms_per_domain; ++v) {
       VmRegistration self;
@@ -106,6 +105,11 @@
       return;
     }
   }
+  if (path == "/standin/configure") {
+    Configure(request);
+    responder.Respond({kOk, {}, {}});
+    return;
+  }
   if (path == "/standin/runs") {
     boost::json::object runs;
     for (const auto& [id, engine] : engines_) {
@@ -117,6 +121,18 @@
   responder.Respond({kNotFound, {}, {}});
 }
 
+void PlatformShell::Configure(const HttpRequest& request) {
+  ++choices_.version;
+  const std::string key = QueryValue(request.target, "key");
+  if (!key.empty()) {
+    choices_.key = key;
+  }
+  const std::string bytes = QueryValue(request.target, "max_body_bytes");
+  std::from_chars(bytes.data(), bytes.data() + bytes.size(),
+                  choices_.max_body_bytes);
+  Write(std::string(kConfigurationKey), EncodeStandinConfiguration(choices_));
+}
+
 void PlatformShell::Deliver(const std::vector<StoreAnswer>& answers) {
   for (const StoreAnswer& answer : answers) {
     const auto found = waiting_.find(answer.ticket);
--- a/programs/gcw_standin/platform_shell.h
+++ b/programs/gcw_standin/platform_shell.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "programs/gcw_standin/platform_documents.h"
 #include "programs/gcw_standin/platform_engine.h"
 #include "programs/gcw_standin/standin_server.h"
 #include "programs/gcw_standin/standin_store.h"
@@ -24,7 +25,9 @@
 // there, and an operator who writes one document. Left out: rates by kind of
 // call, stale reads, other documents than that one, addresses that are used
 // again. The faults of stand-ins concern the store; `POST /standin/kill?vm=ID`
-// ends an endpoint without a word, and `GET /standin/runs` counts what ran.
+// ends an endpoint without a word, `POST /standin/configure?max_body_bytes=N`
+// or `?key=KEY` writes the next document, and `GET /standin/runs` counts what
+// ran.
 class PlatformShell {
  public:
   PlatformShell(StandinServer& server, PlatformShellSettings settings);
@@ -41,12 +44,14 @@
                  std::optional<EngineProfile> engine);
   void Register(const PlatformEngine& engine);
   void Remove(const VmId& vm);
+  void Configure(const HttpRequest& request);
   void Write(const std::string& key, const std::string& value);
   bool IsWhole(const PlatformEngine& head) const;
 
   StandinServer& server_;
   PlatformShellSettings settings_;
   StandinStore store_;
+  StandinChoices choices_;
   Ticket last_ticket_;
   struct Waiting {
     StoreCall call;
--- a/tests/programs/gateway_path_test.cc
+++ b/tests/programs/gateway_path_test.cc
@@ -50,19 +50,20 @@
 
   HttpResponse Ask(const Address& address,
                    const std::string& route,
-                   const std::string& key = "standin-key") {
+                   const std::string& key = "standin-key",
+                   const std::string& body = "body") {
     const int request = ++last_request_;
-    const auto answer = Call(
-        address,
-        {"POST",
-         "/" + route + "/x",
-         {{"Host", "models.example"},
-          {std::string(kAttemptIdHeader), "q" + std::to_string(request)},
-          {std::string(kModelHeader), route},
-          {std::string(kTokensHeader), "100,120"},
-          {std::string(kPatienceHeader), "8000"},
-          {std::string(kAuthorizationHeader), "Bearer " + key}},
-         "body"});
+    const auto answer =
+        Call(address,
+             {"POST",
+              "/" + route + "/x",
+              {{"Host", "models.example"},
+               {std::string(kAttemptIdHeader), "q" + std::to_string(request)},
+               {std::string(kModelHeader), route},
+               {std::string(kTokensHeader), "100,120"},
+               {std::string(kPatienceHeader), "8000"},
+               {std::string(kAuthorizationHeader), "Bearer " + key}},
+              body});
     return IsOk(answer) ? ValueOf(answer) : HttpResponse{0, {}, {}};
   }
 
@@ -183,6 +184,24 @@
   EXPECT_TRUE(ServesBothModels());
 }
 
+// Symptom: a request that operators allow no longer, or allow by now, is judged
+// by other bounds than theirs. Sequence: they lower the bound of bodies, then
+// raise it. Cause: the server's bounds were those of its start.
+TEST_F(GatewayPathTest, CallersAreHeldToTheOperatorsLimits) {
+  ASSERT_TRUE(ServesBothModels());
+  const std::string body(5000, 'b');
+  EXPECT_EQ(Ask(first_.callers, "safe", "standin-key", body).status, 200);
+  Call(store_, {"POST", "/standin/configure?max_body_bytes=4999", {}, {}});
+  EXPECT_TRUE(fleet_.Until([&] {
+    return Ask(first_.callers, "safe", "standin-key", body).status == 413;
+  }));
+  EXPECT_EQ(Ask(first_.callers, "safe").status, 200);
+  Call(store_, {"POST", "/standin/configure?max_body_bytes=5000", {}, {}});
+  EXPECT_TRUE(fleet_.Until([&] {
+    return Ask(first_.callers, "safe", "standin-key", body).status == 200;
+  }));
+}
+
 // Symptom: the process ends by itself when its settings file changes. Cause:
 // nothing handled SIGHUP.
 TEST_F(GatewayPathTest, AReloadIsNoEnd) {
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -100,6 +100,28 @@
   EXPECT_EQ(handled_, 0);
 }
 
+TEST_F(HttpServerTest, EndsHeadersThatArriveTooSlowly) {
+  limits_.header_timeout = Duration::Millis(50);
+  ServeEcho();
+  EXPECT_THAT(Exchange("POST / HTTP/1.1\r\nContent-Le"),
+              StartsWith("HTTP/1.1 408 "));
+  EXPECT_EQ(handled_, 0);
+}
+
+TEST_F(HttpServerTest, TakesOtherLimitsWhileItRuns) {
+  ServeEcho();
+  const std::string request =
+      "POST / HTTP/1.1\r\nContent-Length: 4\r\nConnection: close\r\n\r\nabcd";
+  EXPECT_THAT(Exchange(request), StartsWith("HTTP/1.1 200 "));
+  server_->SetRequestLimits(
+      {1000, 3, Duration::Millis(50), Duration::Millis(50)});
+  EXPECT_THAT(Exchange(request), StartsWith("HTTP/1.1 413 "));
+  EXPECT_THAT(Exchange("GET / HTTP/1.1\r\nX: " + std::string(2000, 'x')),
+              StartsWith("HTTP/1.1 431 "));
+  EXPECT_THAT(Exchange("GET / HTTP/1.1\r\nX"), StartsWith("HTTP/1.1 408 "));
+  EXPECT_EQ(Exchange(""), "");
+}
+
 TEST_F(HttpServerTest, ClosesIdleConnections) {
   limits_.idle_timeout = Duration::Millis(50);
   ServeEcho();
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -140,6 +140,7 @@
 
 void GatewayRuntime::Tick() {
   Execute(parts_.core->Tick(Now()));
+  ApplyCallerLimits();
   if (parts_.core->is_stop_over(Now()) && !stopped_) {
     stopped_ = true;
     LogEvent(LogSeverity::kInfo, "node_stopped",
@@ -150,6 +151,19 @@
   ScheduleTick();
 }
 
+void GatewayRuntime::ApplyCallerLimits() {
+  const std::shared_ptr<const RouteTable> routes = parts_.core->view().routes();
+  if (!routes || routes->configuration().version == limits_version_) {
+    return;
+  }
+  limits_version_ = routes->configuration().version;
+  const CallerLimits& limits = routes->configuration().limits;
+  servers_.at(GatewayListener::kCallers)
+      ->SetRequestLimits({static_cast<std::size_t>(limits.max_header_bytes),
+                          static_cast<std::size_t>(limits.max_body_bytes),
+                          limits.header_timeout, limits.idle_timeout});
+}
+
 void GatewayRuntime::BeginStop() {
   parts_.core->OnStopAsked(Now());
   const auto callers = servers_.find(GatewayListener::kCallers);
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -79,6 +79,8 @@
  private:
   void ScheduleTick();
   void Tick();
+  // Callers are held to what the operators' configuration sets.
+  void ApplyCallerLimits();
   bool ListenOn(GatewayListener listener,
                 const GatewayListen& where,
                 std::size_t most_connections,
@@ -119,6 +121,8 @@
   std::unordered_map<GatewayListener, std::unique_ptr<HttpServer>> servers_;
   std::unordered_map<GatewayListener, std::string> ips_;
   std::unordered_map<ForwardId, std::shared_ptr<ForwardExchange>> exchanges_;
+  // Of the limits in force for callers.
+  ConfigurationVersion limits_version_;
   bool stopped_ = false;
 };
 
--- a/transport/http_server.cc
+++ b/transport/http_server.cc
@@ -143,6 +143,10 @@
   return state_->port;
 }
 
+void HttpServer::SetRequestLimits(const HttpRequestLimits& limits) {
+  state_->connections->SetRequestLimits(limits);
+}
+
 void HttpServer::AnnounceStop() {
   state_->connections->set_stopping();
 }
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -36,6 +36,9 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   std::uint16_t port() const;
+  // Holds for requests that begin from now on, and for connections that become
+  // idle. Safe from any thread.
+  void SetRequestLimits(const HttpRequestLimits& limits);
   // Every further answer says that its connection closes. New connections are
   // still taken: callers go on coming until they have asked for addresses anew.
   void AnnounceStop();
--- a/transport/http_server_session.cc
+++ b/transport/http_server_session.cc
@@ -146,13 +146,14 @@
   if (phase_ == Phase::kIdle) {
     phase_ = Phase::kReading;
     continue_sent_ = false;
-    timer_.Set(server_->limits().request_timeout);
+    timer_.Set(server_->header_timeout());
     parser_.emplace();
     parser_->eager(true);
     parser_->header_limit(
-        static_cast<std::uint32_t>(server_->limits().max_header_bytes));
-    parser_->body_limit(server_->limits().max_body_bytes);
+        static_cast<std::uint32_t>(server_->max_header_bytes()));
+    parser_->body_limit(server_->max_body_bytes());
   }
+  const bool had_header = parser_->is_header_done();
   error_code error;
   buffer_.consume(parser_->put(buffer_.data(), error));
   if (error && error != http::error::need_more) {
@@ -163,6 +164,9 @@
     Dispatch();
     return;
   }
+  if (!had_header && parser_->is_header_done()) {
+    timer_.Set(server_->limits().request_timeout);
+  }
   SendContinueOnce();
   WaitReadable();
 }
@@ -311,7 +315,7 @@
 
 void HttpServerSession::EnterIdle() {
   timer_.Set(server_->stopping() ? server_->limits().stopping_idle_timeout
-                                 : server_->limits().idle_timeout);
+                                 : server_->idle_timeout());
 }
 
 void HttpServerSession::Linger() {
--- a/transport/http_server_state.cc
+++ b/transport/http_server_state.cc
@@ -5,7 +5,19 @@
 namespace gcw {
 
 HttpServerState::HttpServerState(HttpServerLimits limits, HttpHandler handler)
-    : limits_(limits), handler_(std::move(handler)) {}
+    : limits_(limits),
+      handler_(std::move(handler)),
+      max_header_bytes_(limits.max_header_bytes),
+      max_body_bytes_(limits.max_body_bytes),
+      header_timeout_ms_(limits.header_timeout.millis()),
+      idle_timeout_ms_(limits.idle_timeout.millis()) {}
+
+void HttpServerState::SetRequestLimits(const HttpRequestLimits& limits) {
+  max_header_bytes_ = limits.max_header_bytes;
+  max_body_bytes_ = limits.max_body_bytes;
+  header_timeout_ms_ = limits.header_timeout.millis();
+  idle_timeout_ms_ = limits.idle_timeout.millis();
+}
 
 HttpServerState::Admission HttpServerState::Add(
     const std::shared_ptr<HttpServerSession>& session) {
--- a/transport/http_server_state.h
+++ b/transport/http_server_state.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -19,7 +20,16 @@
  public:
   HttpServerState(HttpServerLimits limits, HttpHandler handler);
 
+  // Those of the start; what may change meanwhile is below.
   const HttpServerLimits& limits() const { return limits_; }
+  std::size_t max_header_bytes() const { return max_header_bytes_; }
+  std::size_t max_body_bytes() const { return max_body_bytes_; }
+  Duration header_timeout() const {
+    return Duration::Millis(header_timeout_ms_);
+  }
+  Duration idle_timeout() const { return Duration::Millis(idle_timeout_ms_); }
+  // Holds for requests that begin from now on.
+  void SetRequestLimits(const HttpRequestLimits& limits);
   const HttpHandler& handler() const { return handler_; }
   bool stopping() const { return stopping_; }
   void set_stopping() { stopping_ = true; }
@@ -40,6 +50,10 @@
 
   const HttpServerLimits limits_;
   const HttpHandler handler_;
+  std::atomic<std::size_t> max_header_bytes_;
+  std::atomic<std::size_t> max_body_bytes_;
+  std::atomic<std::int64_t> header_timeout_ms_;
+  std::atomic<std::int64_t> idle_timeout_ms_;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> closed_ = false;
   mutable std::mutex mutex_;
--- a/transport/http_types.h
+++ b/transport/http_types.h
@@ -71,7 +71,9 @@
   std::size_t max_header_bytes = 16UL * 1024;
   std::size_t max_body_bytes = 4UL * 1024 * 1024;
   std::size_t max_connections = 20000;
-  // A request must arrive whole within this time of its first byte.
+  // A request's header must arrive whole within this time of its first byte.
+  Duration header_timeout = Duration::Seconds(20);
+  // The same for the whole request.
   Duration request_timeout = Duration::Seconds(20);
   // A connection without a request is closed after this time.
   Duration idle_timeout = Duration::Seconds(75);
@@ -84,6 +86,14 @@
   Duration linger_timeout = Duration::Seconds(2);
 };
 
+// What operators set of these while a server runs.
+struct HttpRequestLimits {
+  std::size_t max_header_bytes = 0;
+  std::size_t max_body_bytes = 0;
+  Duration header_timeout;
+  Duration idle_timeout;
+};
+
 // How far a request got, which decides whether it may have run.
 enum class HttpProgress {
   // No byte of the request was given to the kernel: it was not run.
