--- a/coordination/gateway/group_planner.cc
+++ b/coordination/gateway/group_planner.cc
@@ -9,8 +9,6 @@
 namespace gcw {
 namespace {
 
-constexpr double kLeastShare = 0.01;
-
 bool HasAtHand(const FreeVm& vm, const ModelId& model) {
   return std::find(vm.at_hand.begin(), vm.at_hand.end(), model) !=
          vm.at_hand.end();
@@ -32,25 +30,18 @@
   return vm.at_hand.empty() ? 2 : 3;
 }
 
-// Groups that the model's part of the work calls for, of those that the VMs
-// have room for. The operators' parts are of the time that groups work, not of
-// VMs: a group of twelve serves no more requests at once than one of six.
-double CalledFor(const EngineProfile& profile, std::size_t i, double vms) {
-  double vms_per_group = 0;
-  for (const ModelProfile& model : profile.models) {
-    vms_per_group += std::max(kLeastShare, model.work_share) *
-                     static_cast<double>(model.group_size);
-  }
-  return std::max(kLeastShare, profile.models[i].work_share) * vms /
-         vms_per_group;
+// Worth of having `fill` times the VMs that a model's part of the work calls
+// for: each further group of one model is worth less than the one before.
+double WorthOf(double share, double fill) {
+  return share * (1 - std::exp(-fill));
 }
 
 }  // namespace
 
-std::vector<std::size_t> GroupPlanner::BestMix(const EngineProfile& profile,
-                                               std::size_t vms,
-                                               const std::vector<double>& have,
-                                               double fleet_vms) const {
+std::vector<std::size_t> GroupPlanner::BestMix(
+    const EngineProfile& profile,
+    std::size_t vms,
+    const std::vector<double>& fill) const {
   std::vector<std::size_t> counts(profile.models.size(), 0);
   std::vector<std::size_t> best = counts;
   double best_worth = -1;
@@ -61,10 +52,12 @@
     for (std::size_t i = 0; i < counts.size(); ++i) {
       const ModelProfile& model = profile.models[i];
       used += counts[i] * model.group_size;
-      const double fill = (have[i] + static_cast<double>(counts[i])) /
-                          CalledFor(profile, i, fleet_vms);
-      worth += std::max(kLeastShare, model.work_share) *
-               (1 - std::exp(-settings_.scarcity * fill));
+      const double share = std::max(0.01, model.work_share);
+      const double vms_of_model =
+          static_cast<double>(counts[i] * model.group_size);
+      const double called_for = share * static_cast<double>(vms);
+      worth += WorthOf(share, fill[i] + vms_of_model / called_for) -
+               WorthOf(share, fill[i]);
     }
     if (used <= vms && worth > best_worth + 1e-9) {
       best_worth = worth;
@@ -85,30 +78,15 @@
   }
 }
 
-std::vector<std::vector<std::size_t>> GroupPlanner::WantedMixes(
-    const EngineProfile& profile,
-    const std::vector<PlannedDomain>& domains,
-    std::size_t largest) const {
-  std::vector<std::vector<std::size_t>> mixes;
-  std::vector<double> have(profile.models.size(), 0);
-  double vms_so_far = 0;
-  for (const PlannedDomain& domain : domains) {
-    const std::size_t vms = domain.filling ? largest : domain.vms;
-    vms_so_far += static_cast<double>(vms);
-    const std::size_t reserve = std::min(settings_.reserve_per_domain, vms);
-    mixes.push_back(BestMix(profile, vms - reserve, have, vms_so_far));
-    for (std::size_t i = 0; i < have.size(); ++i) {
-      have[i] += static_cast<double>(mixes.back()[i]);
-    }
-  }
-  return mixes;
-}
-
 std::vector<std::size_t> GroupPlanner::MixOfFilling(
     const EngineProfile& profile,
     const PlannedDomain& domain,
-    const std::vector<std::size_t>& wanted) {
+    std::size_t expected_vms) const {
   const std::size_t model_count = profile.models.size();
+  const std::size_t reserve =
+      std::min(settings_.reserve_per_domain, expected_vms);
+  const std::vector<double> none(model_count, 0);
+  const auto wanted = BestMix(profile, expected_vms - reserve, none);
   std::vector<std::size_t> by_size(model_count);
   for (std::size_t i = 0; i < model_count; ++i) {
     by_size[i] = i;
@@ -155,40 +133,50 @@
   for (const PlannedDomain& domain : domains) {
     largest = std::max(largest, domain.vms);
   }
-  // How many groups of each model there are, and how many the fleet would have
-  // if every domain were whole.
+  // How much of its part of the VMs each model has, and how many groups of it
+  // the fleet would have if every domain were whole.
+  std::vector<double> fill(model_count, 0);
   std::vector<double> wanted(model_count, 0);
   std::vector<double> have(model_count, 0);
-  std::map<FabricDomainId, std::vector<std::size_t>> wanted_in;
-  const auto mixes = WantedMixes(profile, domains, largest);
-  for (std::size_t d = 0; d < domains.size(); ++d) {
-    wanted_in[domains[d].domain] = mixes[d];
+  const std::vector<double> none(model_count, 0);
+  for (const PlannedDomain& domain : domains) {
+    const std::size_t vms = domain.filling ? largest : domain.vms;
+    const std::size_t reserve = std::min(settings_.reserve_per_domain, vms);
+    const auto mix = BestMix(profile, vms - reserve, none);
     for (std::size_t i = 0; i < model_count; ++i) {
-      wanted[i] += static_cast<double>(mixes[d][i]);
-      const auto found = domains[d].groups.find(profile.models[i].model);
-      if (found != domains[d].groups.end()) {
+      wanted[i] += static_cast<double>(mix[i]);
+      const auto found = domain.groups.find(profile.models[i].model);
+      if (found != domain.groups.end()) {
         have[i] += static_cast<double>(found->second);
       }
     }
   }
+  const auto fill_of = [&](std::size_t i) {
+    const ModelProfile& model = profile.models[i];
+    return have[i] * static_cast<double>(model.group_size) /
+           (std::max(0.01, model.work_share) * all_vms);
+  };
   // Whole domains first: they have the widest choice.
   std::stable_sort(domains.begin(), domains.end(),
                    [](const PlannedDomain& a, const PlannedDomain& b) {
                      return a.free.size() > b.free.size();
                    });
   for (PlannedDomain& domain : domains) {
+    for (std::size_t i = 0; i < model_count; ++i) {
+      fill[i] = fill_of(i);
+    }
     if (domain.unsettled) {
       continue;
     }
     std::vector<std::size_t> mix;
     if (domain.filling) {
-      mix = MixOfFilling(profile, domain, wanted_in[domain.domain]);
+      mix = MixOfFilling(profile, domain, largest);
     } else {
       const bool untouched = domain.groups.empty();
       const std::size_t keep =
           untouched ? std::min(settings_.reserve_per_domain, domain.free.size())
                     : 0;
-      mix = BestMix(profile, domain.free.size() - keep, have, all_vms);
+      mix = BestMix(profile, domain.free.size() - keep, fill);
     }
     for (std::size_t i = 0; i < model_count; ++i) {
       const ModelProfile& model = profile.models[i];
--- a/coordination/gateway/group_planner.h
+++ b/coordination/gateway/group_planner.h
@@ -13,10 +13,6 @@
   // VMs of a domain that are better kept free for repairs than put into one
   // more group: a repair with a staged spare takes seconds, a load many.
   std::size_t reserve_per_domain = 1;
-  // How much less each further group of a model is worth: with this times a
-  // model's part of the groups that the fleet has room for, all but 1/e of its
-  // work is served in time. Higher values even out the models' parts more.
-  double scarcity = 3;
 };
 
 // A VM that a group may be formed of.
@@ -72,26 +68,18 @@
   GroupPlan Plan(const EngineProfile& profile,
                  std::vector<PlannedDomain> domains) const;
 
-  // How many groups of each model are best formed of that many VMs, in the
-  // order of the profile's models, where the fleet has `have` groups of each
-  // already and `fleet_vms` VMs.
+  // How many groups of each model a domain with that many VMs would best have,
+  // in the order of the profile's models.
   std::vector<std::size_t> BestMix(const EngineProfile& profile,
                                    std::size_t vms,
-                                   const std::vector<double>& have,
-                                   double fleet_vms) const;
+                                   const std::vector<double>& fill) const;
 
  private:
-  // The groups that each domain would best have if all its VMs were free. Each
-  // domain makes up for what those before it have too little of.
-  std::vector<std::vector<std::size_t>> WantedMixes(
-      const EngineProfile& profile,
-      const std::vector<PlannedDomain>& domains,
-      std::size_t largest) const;
-  // What to form already while a domain's VMs still appear.
-  static std::vector<std::size_t> MixOfFilling(
-      const EngineProfile& profile,
-      const PlannedDomain& domain,
-      const std::vector<std::size_t>& wanted);
+  // What to form already while a domain's VMs still appear: as if it will have
+  // as many as the largest domain known.
+  std::vector<std::size_t> MixOfFilling(const EngineProfile& profile,
+                                        const PlannedDomain& domain,
+                                        std::size_t expected_vms) const;
 
   GroupPlannerSettings settings_;
 };
