store: a service that does not know a call is told from a lapsed lease; no flood

Cause: 404 was read as a lapsed lease for every call; a node without a lease took it as the answer to its grant and asked again at once, and the watch of the configuration took any answer of another kind for one that needs no pause.

Ruled out: the backoff of calls without an answer (a first test with those passed on the code before).

Change: 404 is a lapsed lease only where the call names a lease and the body says so; else, and for 400, 405 and 501, the service does not know the call, and each module waits 5 s. Refusals carry which of the two they are. One line tells when the belief of the service changes (answers, refuses, knows_no_call, silent), after three answers of a kind, for both daemons.

--- a/coordination/configuration/config_watch.cc
+++ b/coordination/configuration/config_watch.cc
@@ -76,7 +76,10 @@
     OnFailure(now, busy->retry_after);
     return std::nullopt;
   }
-  if (std::holds_alternative<StoreNoAnswer>(reply)) {
+  // An answer to another kind of call says no more than none; asking again at
+  // once would go on for as long as such answers come.
+  if (!std::holds_alternative<StoreWatchReply>(reply) &&
+      !std::holds_alternative<StoreRangeReply>(reply)) {
     OnFailure(now, Duration());
     return std::nullopt;
   }
@@ -86,14 +89,11 @@
   if (const auto* watched = std::get_if<StoreWatchReply>(&reply)) {
     return OnWatchReply(now, *watched);
   }
-  const auto* range = std::get_if<StoreRangeReply>(&reply);
-  if (range == nullptr) {
-    return std::nullopt;
-  }
+  const auto& range = std::get<StoreRangeReply>(reply);
   read_due_ = false;
-  position_ = range->revision;
-  return ConfigBatch{range->revision, known_at_call_, std::nullopt,
-                     range->entries};
+  position_ = range.revision;
+  return ConfigBatch{range.revision, known_at_call_, std::nullopt,
+                     range.entries};
 }
 
 std::optional<ConfigBatch> ConfigWatch::OnWatchReply(
--- a/coordination/roles/node_lease.cc
+++ b/coordination/roles/node_lease.cc
@@ -118,6 +118,13 @@
     next_call_ = now + std::max(busy->retry_after, backoff_.Next(random_));
     return;
   }
+  // No answer to a grant names a lapsed lease; asking again at once would go on
+  // for as long as the service says so.
+  if (pending.kind == CallKind::kGrant &&
+      !std::holds_alternative<StoreLeaseReply>(reply)) {
+    next_call_ = now + backoff_.Next(random_);
+    return;
+  }
   backoff_.Reset();
   if (const auto* granted = std::get_if<StoreLeaseReply>(&reply)) {
     OnLeaseReply(pending, *granted);
--- a/protocol/store_reply_json.cc
+++ b/protocol/store_reply_json.cc
@@ -10,6 +10,10 @@
 constexpr int kConflict = 409;
 constexpr int kBusy = 429;
 constexpr int kUnavailable = 503;
+constexpr int kBadRequest = 400;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kNotImplemented = 501;
+constexpr std::string_view kLeaseUnknownError = "lease_unknown";
 
 boost::json::value ToJson(const StoreEntry& entry) {
   return boost::json::object{{"key", entry.key},
@@ -71,7 +75,7 @@
 }
 
 StoreReplyMessage Encode(const StoreLeaseUnknown&) {
-  return Message(kLeaseUnknown, {{"error", "lease_unknown"}});
+  return Message(kLeaseUnknown, {{"error", kLeaseUnknownError}});
 }
 
 StoreReplyMessage Encode(const StoreWatchReply& reply) {
@@ -101,7 +105,8 @@
 }
 
 StoreReply ReadBusy(JsonReader& reader) {
-  return StoreBusy{.retry_after = reader.DurationMillis("retry_after_ms")};
+  return StoreBusy{.retry_after = reader.DurationMillis("retry_after_ms"),
+                   .reason = StoreRefusal::kRate};
 }
 
 StoreReply ReadRangeReply(JsonReader& reader) {
@@ -125,6 +130,21 @@
                          .compacted = reader.Bool("compacted")};
 }
 
+StoreReply UnknownCall() {
+  return StoreBusy{kUnknownStoreCallWait, StoreRefusal::kUnknownCall};
+}
+
+// Whether the call names a lease and the answer says that there is none such.
+bool IsLeaseUnknown(const StoreCall& call, std::string_view body) {
+  const auto* put = std::get_if<StorePut>(&call);
+  const bool names_lease = (put != nullptr && put->lease != LeaseId()) ||
+                           std::holds_alternative<StoreLeaseKeepAlive>(call) ||
+                           std::holds_alternative<StoreLeaseRevoke>(call);
+  const auto error = DecodeJson(
+      body, [](JsonReader& reader) { return reader.String("error"); });
+  return names_lease && IsOk(error) && ValueOf(error) == kLeaseUnknownError;
+}
+
 Decoded<StoreReply> DecodeOk(const StoreCall& call, std::string_view body) {
   return std::visit(
       Overloaded{
@@ -160,7 +180,14 @@
     case kOk:
       return DecodeOk(call, body);
     case kLeaseUnknown:
-      return StoreReply(StoreLeaseUnknown{});
+      // The same status says that a service does not know the call; taken for a
+      // lapsed lease it would be answered by the next grant at once.
+      return IsLeaseUnknown(call, body) ? StoreReply(StoreLeaseUnknown{})
+                                        : UnknownCall();
+    case kBadRequest:
+    case kMethodNotAllowed:
+    case kNotImplemented:
+      return UnknownCall();
     case kConflict:
       return DecodeJson(body, ReadConflict);
     case kBusy:
--- a/state/store_types.h
+++ b/state/store_types.h
@@ -121,9 +121,20 @@
 // No answer. A write may have taken effect or may still do so.
 struct StoreNoAnswer {};
 
-// The service refused without acting, since its rate is used up.
+enum class StoreRefusal {
+  // Its rate is used up, or it turns this node away.
+  kRate,
+  // It does not know the call: it is another kind of service.
+  kUnknownCall,
+};
+
+// A call that the service does not know is no better a moment later.
+inline constexpr Duration kUnknownStoreCallWait = Duration::Seconds(5);
+
+// The service refused without acting.
 struct StoreBusy {
   Duration retry_after;
+  StoreRefusal reason = StoreRefusal::kRate;
 };
 
 using StoreReply = std::variant<StoreRangeReply,
--- a/tests/coordination/node/node_core_test.cc
+++ b/tests/coordination/node/node_core_test.cc
@@ -76,6 +76,21 @@
   int last_request_ = 0;
 };
 
+// Symptom: 90 calls a second and node to a service that does not know them.
+// Sequence: a node is given the address of another kind of key-value service,
+// which answers each call with 404. Cause: 404 was read as a lapsed lease, also
+// where a lease was asked for, and a lapsed lease is asked for anew at once.
+TEST_F(NodeCoreTest, AServiceThatKnowsNoLeaseIsNotFlooded) {
+  for (const char* id : {"n1", "n2", "n3"}) {
+    fleet_.AddNode(id, "z1");
+  }
+  fleet_.store().faults().knows_no_lease = true;
+  fleet_.RunFor(Duration::Seconds(10));
+  const std::int64_t before = fleet_.store().calls();
+  fleet_.RunFor(Duration::Seconds(30));
+  EXPECT_LE(fleet_.store().calls() - before, 3 * 30 * 2);
+}
+
 TEST_F(NodeCoreTest, GroupsComeToBeAndServeThroughEveryNode) {
   Start();
   for (const char* node : {"n1", "n2", "n3"}) {
--- a/tests/protocol/store_json_test.cc
+++ b/tests/protocol/store_json_test.cc
@@ -142,6 +142,26 @@
   EXPECT_TRUE(std::holds_alternative<StoreNoAnswer>(ValueOf(reply)));
 }
 
+// Symptom: calls without end to a service of another kind. Cause: its 404 was
+// read as a lapsed lease.
+TEST(StoreJsonTest, AServiceThatDoesNotKnowTheCallIsNoLapsedLease) {
+  const auto reason = [](const StoreCall& call, int status,
+                         std::string_view body) {
+    const auto reply = DecodeStoreReply(call, status, body);
+    const auto* busy =
+        IsOk(reply) ? std::get_if<StoreBusy>(&ValueOf(reply)) : nullptr;
+    return busy != nullptr && busy->reason == StoreRefusal::kUnknownCall &&
+           busy->retry_after == kUnknownStoreCallWait;
+  };
+  EXPECT_TRUE(reason(StoreLeaseGrant{}, 404, ""));
+  EXPECT_TRUE(reason(StoreLeaseGrant{}, 404, R"({"error":"lease_unknown"})"));
+  EXPECT_TRUE(reason(StoreLeaseKeepAlive{}, 404, "<html>"));
+  EXPECT_TRUE(reason(StoreRange{}, 405, "{}"));
+  EXPECT_TRUE(reason(StoreRange{}, 501, "{}"));
+  EXPECT_FALSE(
+      reason(StoreLeaseKeepAlive{}, 404, R"({"error":"lease_unknown"})"));
+}
+
 TEST(StoreJsonTest, AnAnswerWithoutItsRevisionIsAnError) {
   EXPECT_FALSE(IsOk(DecodeStoreReply(StorePut{}, 200, "{}")));
   EXPECT_FALSE(IsOk(DecodeStoreReply(StorePut{}, 409, "{}")));
--- a/tests/support/fake_store_link.h
+++ b/tests/support/fake_store_link.h
@@ -21,6 +21,8 @@
   double request_lost = 0;
   double reply_lost = 0;
   double busy = 0;
+  // Each call is answered at once, as if its lease had lapsed.
+  bool knows_no_lease = false;
   // Reads are answered from the last snapshot.
   double stale_read = 0;
 };
@@ -61,6 +63,11 @@
     if (faults_.outage || !reaches_(caller) || Draws(faults_.request_lost)) {
       return;
     }
+    if (faults_.knows_no_lease) {
+      replies_.push_back(
+          {now + Delay(), {std::move(caller), id, StoreLeaseUnknown{}}});
+      return;
+    }
     Waiting waiting{now + Delay(), {}, std::move(caller), id, std::move(call)};
     if (const auto* watch = std::get_if<StoreWatch>(&waiting.call)) {
       waiting.watch_ends = waiting.at + watch->wait;
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -315,6 +315,7 @@
           client.ForgetConnections(settings_.store);
           parts_.metrics->store_failures.Add();
         }
+        store_belief_.Observe(reply);
         Execute(parts_.core->OnStoreReply(Now(), action.module,
                                           action.request.id, reply));
       });
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -15,6 +15,7 @@
 #include "transport/gateway/gateway_metrics.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
+#include "transport/store_belief.h"
 
 namespace gcw {
 
@@ -123,6 +124,7 @@
   std::unordered_map<ForwardId, std::shared_ptr<ForwardExchange>> exchanges_;
   // Of the limits in force for callers.
   ConfigurationVersion limits_version_;
+  StoreBeliefObserver store_belief_{LogStoreBelief};
   bool stopped_ = false;
 };
 
--- /dev/null
+++ b/transport/store_belief.cc
@@ -0,0 +1,62 @@
+#include "transport/store_belief.h"
+
+#include <string>
+#include <utility>
+
+#include "transport/json_log.h"
+
+namespace gcw {
+namespace {
+
+StoreBelief BeliefOf(const StoreReply& reply) {
+  if (std::holds_alternative<StoreNoAnswer>(reply)) {
+    return StoreBelief::kSilent;
+  }
+  const auto* busy = std::get_if<StoreBusy>(&reply);
+  if (busy == nullptr) {
+    return StoreBelief::kAnswers;
+  }
+  return busy->reason == StoreRefusal::kUnknownCall ? StoreBelief::kKnowsNoCall
+                                                    : StoreBelief::kRefuses;
+}
+
+}  // namespace
+
+std::string_view StoreBeliefName(StoreBelief belief) {
+  switch (belief) {
+    case StoreBelief::kAnswers:
+      return "answers";
+    case StoreBelief::kRefuses:
+      return "refuses";
+    case StoreBelief::kKnowsNoCall:
+      return "knows_no_call";
+    case StoreBelief::kSilent:
+      return "silent";
+  }
+  return "unknown";
+}
+
+void LogStoreBelief(StoreBelief belief) {
+  LogEvent(belief == StoreBelief::kAnswers ? LogSeverity::kInfo
+                                           : LogSeverity::kWarning,
+           "store_belief", {{"service", std::string(StoreBeliefName(belief))}});
+}
+
+StoreBeliefObserver::StoreBeliefObserver(OnChange on_change)
+    : on_change_(std::move(on_change)) {}
+
+void StoreBeliefObserver::Observe(const StoreReply& reply) {
+  const StoreBelief seen = BeliefOf(reply);
+  {
+    const std::lock_guard lock(mutex_);
+    in_a_row_ = seen == last_ ? in_a_row_ + 1 : 1;
+    last_ = seen;
+    if (seen == believed_ || in_a_row_ < kInARow) {
+      return;
+    }
+    believed_ = seen;
+  }
+  on_change_(seen);
+}
+
+}  // namespace gcw
--- a/transport/store_client.cc
+++ b/transport/store_client.cc
@@ -27,7 +27,10 @@
 
 StoreClient::StoreClient(boost::asio::io_context& context,
                          StoreClientSettings settings)
-    : settings_(std::move(settings)), calls_(context), watches_(context) {}
+    : settings_(std::move(settings)),
+      belief_(std::make_shared<StoreBeliefObserver>(LogStoreBelief)),
+      calls_(context),
+      watches_(context) {}
 
 void StoreClient::Call(const StoreCall& call, Done done) {
   const auto* watch = std::get_if<StoreWatch>(&call);
@@ -42,9 +45,11 @@
                       std::move(message.body)};
   HttpClient& client = watch != nullptr ? watches_ : calls_;
   client.Fetch(settings_.address, std::move(request), OptionsWithin(timeout),
-               [call, done = std::move(done)](
+               [belief = belief_, call, done = std::move(done)](
                    const Result<HttpResponse, HttpFailure>& answer) {
-                 done(ToReply(call, answer));
+                 StoreReply reply = ToReply(call, answer);
+                 belief->Observe(reply);
+                 done(std::move(reply));
                });
 }
 
--- a/transport/store_client.h
+++ b/transport/store_client.h
@@ -2,11 +2,13 @@
 #define TRANSPORT_STORE_CLIENT_H_
 
 #include <functional>
+#include <memory>
 
 #include <boost/asio/io_context.hpp>
 
 #include "state/state.h"
 #include "transport/http_client.h"
+#include "transport/store_belief.h"
 
 namespace gcw {
 
@@ -31,6 +33,8 @@
 
  private:
   const StoreClientSettings settings_;
+  // Shared with calls under way, which may end after this.
+  std::shared_ptr<StoreBeliefObserver> belief_;
   HttpClient calls_;
   HttpClient watches_;
 };
