gcwctl: why and timeline read logs; three failures are brought about and explained

The line of an unknown outcome names the VM and the number of sends.

Found on the way: GatewayPathTest.ServesOnWhileTheStoreIsAway set its fault by a body that the stand-in refuses, so that the store was never away. SetFault asserts the stand-in's answer now; the test passes with the fault in force.

--- a/coordination/gateway/forward_desk.cc
+++ b/coordination/gateway/forward_desk.cc
@@ -220,6 +220,8 @@
     Report(EventKind::kRequestOutcomeUnknown, open,
            {{"end", std::string(ForwardEndKindName(end.kind))},
             {"reason", std::string(RefusalKindName(reason))},
+            {"vm", open.vm.value()},
+            {"sends", open.sends},
             {"answer", std::string("cut")}});
     return ForwardCut{};
   }
@@ -229,6 +231,8 @@
   Report(EventKind::kRequestOutcomeUnknown, open,
          {{"end", std::string(ForwardEndKindName(end.kind))},
           {"reason", std::string(RefusalKindName(reason))},
+          {"vm", open.vm.value()},
+          {"sends", open.sends},
           {"waited_ms", (now - open.arrived).millis()}});
   return ForwardUnknown{end.kind == ForwardEndKind::kOutOfTime};
 }
--- a/programs/gcw_standin/platform_shell.cc
+++ b/programs/gcw_standin/platform_shell.cc
@@ -70,7 +70,10 @@
                         const std::shared_ptr<HttpResponder>& responder) {
     Handle(now, request, responder);
   };
-  hooks.is_work = [](const HttpRequest&) { return true; };
+  // Orders to the stand-in itself are never subject to its faults.
+  hooks.is_work = [](const HttpRequest& request) {
+    return !request.target.starts_with("/standin/");
+  };
   hooks.is_write = IsWrite;
   return hooks;
 }
--- a/programs/gcwctl/command_line.cc
+++ b/programs/gcwctl/command_line.cc
@@ -75,14 +75,25 @@
        "gcwctl change show REVISION\n\nOn which nodes the revision is in "
        "force.\n\nExample:\n  gcwctl change show 117\n"},
       {"timeline",
-       "gcwctl timeline [--limit N] [--trace FILE]\n\n"
-       "The newest events of all nodes as one ordered list; --trace writes a\n"
-       "trace-event file that common viewers open.\n\n"
-       "Example:\n  gcwctl timeline --trace repair.json\n"},
+       "gcwctl timeline [--limit N] [--trace FILE] [--logs FILE ...]\n\n"
+       "The newest events of all nodes as one list, newest first; --trace\n"
+       "writes a trace-event file that common viewers open. With --logs the\n"
+       "events are read from logs, `-` for standard input.\n\n"
+       "Examples:\n  gcwctl timeline --trace repair.json\n"
+       "  gcwctl timeline --limit 50 --logs gw-1.log gw-2.log\n"},
       {"why",
-       "gcwctl why SUBJECT\n\nWhat led to the events about a request, group,\n"
-       "contract, VM or node, and what followed, over all nodes.\n\n"
-       "Example:\n  gcwctl why lj-1-f1-12-3\n"}};
+       "gcwctl why SUBJECT [--logs FILE ...]\n\n"
+       "What led to the events about a request, group, contract, VM or node, "
+       "and\n"
+       "what followed, over all nodes, newest first. Rows of relation "
+       "`around`\n"
+       "are what happened meanwhile to the VMs, groups or configuration that "
+       "it\n"
+       "depended on. With --logs the events are read from logs, `-` for "
+       "standard\n"
+       "input: those of a node that has ended, too.\n\n"
+       "Examples:\n  gcwctl why lj-1-f1-12-3\n"
+       "  gcwctl why 9c41d07be2a35f68 --logs gw-1.log gw-2.log\n"}};
   return help;
 }
 
@@ -112,6 +123,7 @@
   add("timeout-ms", options::value<std::int64_t>(), "");
   add("expected", options::value<std::int64_t>(), "");
   add("change-id", options::value<std::string>(), "");
+  add("logs", options::value<std::vector<std::string>>()->multitoken(), "");
   add("trace", options::value<std::string>(), "");
   add("domain", options::value<std::string>(), "");
   add("limit", options::value<std::int64_t>(), "");
@@ -141,6 +153,7 @@
   }
   line.change = Get(values, "change-id", std::string());
   line.trace_file = Get(values, "trace", std::string());
+  line.log_files = Get(values, "logs", std::vector<std::string>());
   line.domain = Get(values, "domain", std::string());
   line.limit = Get(values, "limit", line.limit);
   line.words = Get(values, "words", std::vector<std::string>());
--- a/programs/gcwctl/command_line.h
+++ b/programs/gcwctl/command_line.h
@@ -21,6 +21,8 @@
   // Given again to learn the outcome of an earlier try.
   std::string change;
   std::string trace_file;
+  // Logs to read events from instead of asking nodes; "-" is standard input.
+  std::vector<std::string> log_files;
   std::string domain;
   std::int64_t limit = 5000;
   // The verb and what it is about: {"contract", "create", "team.toml"}.
--- a/programs/gcwctl/commands.h
+++ b/programs/gcwctl/commands.h
@@ -72,6 +72,10 @@
   bool CollectEvents(std::vector<TimelineEvent>& events,
                      TimelineDecoder& decoder,
                      ExitCode& failure);
+  // The same from logs.
+  bool ReadEvents(std::vector<TimelineEvent>& events,
+                  TimelineDecoder& decoder,
+                  ExitCode& failure);
   ExitCode Usage();
   std::string Word(std::size_t index) const;
   OperatorClient ClientFor(const Address& node) const;
--- a/programs/gcwctl/commands_events.cc
+++ b/programs/gcwctl/commands_events.cc
@@ -2,12 +2,16 @@
 
 #include "programs/gcwctl/commands.h"
 
+#include <algorithm>
 #include <fstream>
+#include <iostream>
 #include <utility>
 
 #include <boost/json.hpp>
 
 #include "programs/gcwctl/answer_fields.h"
+#include "programs/gcwctl/event_context.h"
+#include "programs/gcwctl/event_log_reader.h"
 #include "programs/gcwctl/table.h"
 
 namespace gcw {
@@ -16,6 +20,13 @@
 namespace json = boost::json;
 
 constexpr int kStatusOk = 200;
+// The relation of events that no other names as its cause.
+constexpr std::string_view kAround = "around";
+
+struct ExplainedRow {
+  std::string_view relation;
+  TimelineEvent event;
+};
 
 }  // namespace
 
@@ -39,8 +50,11 @@
     return ExitCode::kDone;
   }
   json::array rows;
-  for (const TimelineEvent& event : events) {
-    rows.emplace_back(EventToJson(event));
+  const auto shown = static_cast<std::size_t>(std::max<std::int64_t>(
+      0, std::min<std::int64_t>(line_.limit,
+                                static_cast<std::int64_t>(events.size()))));
+  for (std::size_t i = 0; i < shown; ++i) {
+    rows.emplace_back(EventToJson(events[events.size() - 1 - i]));
   }
   PrintTable(rows, {"time_ms", "node", "event", "subject", "fields", "cause"},
              out_);
@@ -63,10 +77,21 @@
          << "; it may be too old, see docs/OPERATORS.md\n";
     return ExitCode::kRefused;
   }
+  std::vector<ExplainedRow> explained;
+  for (const ExplainedEvent& event : explanation.events) {
+    explained.push_back({EventRelationName(event.relation), event.event});
+  }
+  for (TimelineEvent& event : FindContext(events, explanation, {})) {
+    explained.push_back({kAround, std::move(event)});
+  }
+  std::stable_sort(explained.begin(), explained.end(),
+                   [](const ExplainedRow& a, const ExplainedRow& b) {
+                     return b.event.time < a.event.time;
+                   });
   json::array rows;
-  for (const ExplainedEvent& explained : explanation.events) {
-    json::object row = EventToJson(explained.event);
-    row["relation"] = EventRelationName(explained.relation);
+  for (const ExplainedRow& event : explained) {
+    json::object row = EventToJson(event.event);
+    row["relation"] = event.relation;
     rows.emplace_back(std::move(row));
   }
   if (line_.json) {
@@ -82,6 +107,9 @@
 bool Commands::CollectEvents(std::vector<TimelineEvent>& events,
                              TimelineDecoder& decoder,
                              ExitCode& failure) {
+  if (!line_.log_files.empty()) {
+    return ReadEvents(events, decoder, failure);
+  }
   std::vector<json::object> nodes;
   if (!FindNodes(nodes, failure)) {
     return false;
@@ -109,4 +137,36 @@
   return true;
 }
 
+bool Commands::ReadEvents(std::vector<TimelineEvent>& events,
+                          TimelineDecoder& decoder,
+                          ExitCode& failure) {
+  EventLogReader reader(&decoder);
+  std::vector<std::vector<TimelineEvent>> timelines;
+  for (const std::string& name : line_.log_files) {
+    if (name == "-") {
+      timelines.push_back(reader.Read(std::cin));
+      continue;
+    }
+    std::ifstream file(name);
+    if (!file) {
+      err_ << name << " cannot be read\n";
+      failure = ExitCode::kUsage;
+      return false;
+    }
+    timelines.push_back(reader.Read(file));
+  }
+  if (reader.malformed_lines() > 0) {
+    err_ << reader.malformed_lines()
+         << " lines cannot be read; the list is without them\n";
+  }
+  for (std::vector<TimelineEvent>& timeline : timelines) {
+    std::stable_sort(timeline.begin(), timeline.end(),
+                     [](const TimelineEvent& a, const TimelineEvent& b) {
+                       return a.time < b.time;
+                     });
+  }
+  events = MergeTimelines(std::move(timelines));
+  return true;
+}
+
 }  // namespace gcw
--- a/programs/gcwctl/main.cc
+++ b/programs/gcwctl/main.cc
@@ -29,7 +29,8 @@
   }
   std::ifstream file(line.credential_file);
   std::string credential;
-  if (!std::getline(file, credential)) {
+  // Logs are read without asking a node.
+  if (!std::getline(file, credential) && line.log_files.empty()) {
     std::cerr << "cannot read the credential; give --credential-file FILE or "
                  "set GCW_CREDENTIAL_FILE\n";
     return Exit(gcw::ExitCode::kUsage);
--- /dev/null
+++ b/tests/support/gateway_path.h
@@ -0,0 +1,124 @@
+#ifndef TESTS_SUPPORT_GATEWAY_PATH_H_
+#define TESTS_SUPPORT_GATEWAY_PATH_H_
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "platform/platform.h"
+#include "tests/support/process_fleet.h"
+
+namespace gcw {
+
+// Real gateways before the stand-in of the users' platform.
+class GatewayPathTest : public testing::Test {
+ protected:
+  static constexpr Duration kCallLimit = Duration::Seconds(10);
+
+  GatewayPathTest() : client_(context_), thread_([this] { context_.run(); }) {
+    store_ = fleet_.StartStandin("platform", {"platform", "--domains", "1"});
+    first_ = fleet_.StartGateway("gw-1", store_);
+    second_ = fleet_.StartGateway("gw-2", store_);
+  }
+  ~GatewayPathTest() override {
+    work_.reset();
+    context_.stop();
+    thread_.join();
+  }
+
+  Result<HttpResponse, HttpFailure> Call(const Address& address,
+                                         HttpRequest request) {
+    HttpCallOptions options;
+    options.deadline = kCallLimit;
+    options.progress_timeout = kCallLimit;
+    std::promise<Result<HttpResponse, HttpFailure>> answered;
+    client_.Fetch(address, std::move(request), options,
+                  [&](Result<HttpResponse, HttpFailure> answer) {
+                    answered.set_value(std::move(answer));
+                  });
+    return answered.get_future().get();
+  }
+
+  HttpResponse Get(const Address& address, const std::string& target) {
+    const auto answer = Call(address, {"GET", target, {}, {}});
+    return IsOk(answer) ? ValueOf(answer) : HttpResponse{0, {}, {}};
+  }
+
+  HttpResponse Ask(const Address& address,
+                   const std::string& route,
+                   const std::string& key = "standin-key",
+                   const std::string& body = "body") {
+    const int request = ++last_request_;
+    const auto answer =
+        Call(address,
+             {"POST",
+              "/" + route + "/x",
+              {{"Host", "models.example"},
+               {std::string(kAttemptIdHeader), "q" + std::to_string(request)},
+               {std::string(kModelHeader), route},
+               {std::string(kTokensHeader), "100,120"},
+               {std::string(kPatienceHeader), "8000"},
+               {std::string(kAuthorizationHeader), "Bearer " + key}},
+              body});
+    return IsOk(answer) ? ValueOf(answer) : HttpResponse{0, {}, {}};
+  }
+
+  static std::string WholeStream() {
+    std::string all;
+    for (int i = 1; i <= 20; ++i) {
+      all += "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) +
+             "\n\n";
+    }
+    return all;
+  }
+
+  // A fault of the stand-in, which refuses what it does not know.
+  void SetFault(const std::string& name, bool value) {
+    const auto answer = Call(store_, {"POST",
+                                      "/faults",
+                                      {},
+                                      R"({"name":")" + name + R"(","value":)" +
+                                          (value ? "true}" : "false}")});
+    ASSERT_TRUE(IsOk(answer));
+    ASSERT_EQ(ValueOf(answer).status, 200);
+  }
+
+  bool ServesBothModels() {
+    return fleet_.Until([this] {
+      return Ask(first_.callers, "large").status == 200 &&
+             Ask(second_.callers, "small").status == 200;
+    });
+  }
+
+  std::int64_t RunsOf(const std::string& prefix) {
+    const auto runs = boost::json::parse(Get(store_, "/standin/runs").body);
+    std::int64_t total = 0;
+    for (const auto& [vm, count] : runs.as_object()) {
+      total += std::string_view(vm).starts_with(prefix) ? count.as_int64() : 0;
+    }
+    return total;
+  }
+
+  boost::asio::io_context context_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_ = boost::asio::make_work_guard(context_);
+  HttpClient client_;
+  std::thread thread_;
+  ProcessFleet fleet_;
+  Address store_;
+  ProcessFleet::GatewayAddresses first_;
+  ProcessFleet::GatewayAddresses second_;
+  // Several callers ask at once in some tests.
+  std::atomic<int> last_request_ = 0;
+};
+
+}  // namespace gcw
+
+#endif  // TESTS_SUPPORT_GATEWAY_PATH_H_
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -119,6 +119,21 @@
                                        : std::move(value.as_object());
   }
 
+  // What it has written to standard output since the last call.
+  std::string TakeOutput() const {
+    std::string taken;
+    char bytes[4096];
+    pollfd waited{output_, POLLIN, 0};
+    while (poll(&waited, 1, 0) > 0) {
+      const ssize_t size = read(output_, bytes, sizeof(bytes));
+      if (size <= 0) {
+        break;
+      }
+      taken.append(bytes, static_cast<std::size_t>(size));
+    }
+    return taken;
+  }
+
  private:
   int Spawn(const std::string& program,
             const std::vector<std::string>& arguments,
@@ -216,6 +231,11 @@
     return children_.at(name)->HasEnded();
   }
 
+  // What the program has written to standard output since the last call.
+  std::string TakeOutput(const std::string& name) const {
+    return children_.at(name)->TakeOutput();
+  }
+
   void Signal(const std::string& name, int signal) const {
     children_.at(name)->Signal(signal);
   }
