--- /dev/null
+++ b/programs/daemon/setting_items.h
@@ -0,0 +1,19 @@
+#ifndef PROGRAMS_DAEMON_SETTING_ITEMS_H_
+#define PROGRAMS_DAEMON_SETTING_ITEMS_H_
+
+#include <string>
+#include <string_view>
+
+#include "transport/transport.h"
+
+namespace gcw {
+
+// A value that reads well and says what cannot be.
+SettingError MakeItemError(const std::string& file,
+                           std::string_view key,
+                           const std::string& value,
+                           std::string_view allowed);
+
+}  // namespace gcw
+
+#endif  // PROGRAMS_DAEMON_SETTING_ITEMS_H_
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -6,6 +6,8 @@
 #include <optional>
 #include <utility>
 
+#include "programs/daemon/setting_items.h"
+
 namespace gcw {
 namespace {
 
@@ -181,19 +183,6 @@
   DeclareLogging(settings, reader);
 }
 
-SettingError BadItem(const std::string& path,
-                     std::string_view key,
-                     const std::string& value,
-                     std::string_view allowed) {
-  SettingError error;
-  error.kind = SettingErrorKind::kOutOfRange;
-  error.file = path;
-  error.key = key;
-  error.value = value;
-  error.allowed = allowed;
-  return error;
-}
-
 std::optional<GatewayListen> ParseListen(const std::string& text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0) {
@@ -233,14 +222,14 @@
     if (const auto listen = ParseListen(*place.text)) {
       *place.listen = *listen;
     } else {
-      errors.push_back(BadItem(path, place.key, *place.text, "ip:port"));
+      errors.push_back(MakeItemError(path, place.key, *place.text, "ip:port"));
     }
   }
   for (const std::string& seed : raw.seeds) {
     if (ParseListen(seed)) {
       settings.core.seeds.emplace_back(seed);
     } else {
-      errors.push_back(BadItem(path, "peers.seeds", seed, "ip:port"));
+      errors.push_back(MakeItemError(path, "peers.seeds", seed, "ip:port"));
     }
   }
   settings.core.mirror.known_within =
@@ -259,10 +248,11 @@
   if (lease.renew_interval * 2 + lease.margin <= lease.time_to_live) {
     return {};
   }
-  return {BadItem(path, "lease.time_to_live_ms",
-                  std::to_string(lease.time_to_live.millis()),
-                  "at least twice renew_interval_ms plus margin_ms, so that "
-                  "one lost renewal does not end the lease")};
+  return {
+      MakeItemError(path, "lease.time_to_live_ms",
+                    std::to_string(lease.time_to_live.millis()),
+                    "at least twice renew_interval_ms plus margin_ms, so that "
+                    "one lost renewal does not end the lease")};
 }
 
 }  // namespace
--- a/programs/gcw_node/main.cc
+++ b/programs/gcw_node/main.cc
@@ -5,19 +5,14 @@
 #include <cstdint>
 #include <iostream>
 #include <string>
+#include <utility>
+#include <vector>
 
-#include <boost/program_options.hpp>
-
+#include "programs/daemon/daemon_command_line.h"
 #include "programs/gcw_node/node_process.h"
 
 namespace {
 
-namespace options = boost::program_options;
-
-constexpr int kExitOk = 0;
-constexpr int kExitUsage = 2;
-constexpr int kExitSettings = 3;
-constexpr int kExitListen = 4;
 constexpr std::int64_t kSignalWaitNanos = 100'000'000;
 
 constexpr std::string_view kExamples =
@@ -26,10 +21,7 @@
     "  gcw-node --check-settings node.toml\n"
     "  gcw-node --settings-reference\n\n"
     "SIGTERM and SIGINT begin a planned stop: the node leaves the answers to\n"
-    "callers at once, serves until they have moved on, and ends.\n\n"
-    "Exit codes: 0 stopped as planned, 2 wrong command line, 3 wrong "
-    "settings,\n"
-    "4 an address cannot be listened on.\n";
+    "callers at once, serves until they have moved on, and ends.\n";
 
 std::string_view ListenerName(gcw::NodeListener listener) {
   switch (listener) {
@@ -59,36 +51,34 @@
   return signals;
 }
 
+std::vector<gcw::SettingError> CheckNode(const std::string& file) {
+  const auto read = gcw::ReadNodeSettings(file);
+  const auto* errors = std::get_if<1>(&read);
+  return errors == nullptr ? std::vector<gcw::SettingError>() : *errors;
+}
+
 // Settings of a running node do not change; faults in the file are known before
 // the next start.
-void CheckAgain(const std::string& path) {
-  const auto read = gcw::ReadNodeSettings(path);
-  const auto* errors = std::get_if<1>(&read);
+void CheckAgain(const std::string& file) {
+  const std::vector<gcw::SettingError> errors = CheckNode(file);
   gcw::LogEvent(
-      errors != nullptr ? gcw::LogSeverity::kError : gcw::LogSeverity::kInfo,
+      errors.empty() ? gcw::LogSeverity::kInfo : gcw::LogSeverity::kError,
       "settings_checked",
-      {{"errors",
-        static_cast<std::int64_t>(errors != nullptr ? errors->size() : 0)}});
+      {{"errors", static_cast<std::int64_t>(errors.size())}});
 }
 
-int RunNode(const std::string& path, bool only_check) {
-  auto read = gcw::ReadNodeSettings(path);
+gcw::DaemonExit RunNode(const std::string& file) {
+  auto read = gcw::ReadNodeSettings(file);
   if (const auto* errors = std::get_if<1>(&read)) {
-    for (const gcw::SettingError& error : *errors) {
-      std::cerr << error << '\n';
-    }
-    return kExitSettings;
-  }
-  if (only_check) {
-    std::cout << path << ": all settings are sound\n";
-    return kExitOk;
+    gcw::PrintSettingErrors(*errors);
+    return gcw::DaemonExit::kWrongSettings;
   }
   const sigset_t signals = BlockSignals();
   auto started = gcw::NodeProcess::Start(std::move(std::get<0>(read)));
   if (const auto* error = std::get_if<gcw::NodeStartError>(&started)) {
     std::cerr << "cannot listen for " << ListenerName(error->listener)
               << "; is the address taken or not this machine's?\n";
-    return kExitListen;
+    return gcw::DaemonExit::kCannotListen;
   }
   gcw::NodeProcess& node = *std::get<0>(started);
   // A planned stop may also begin through the operators' port.
@@ -96,46 +86,19 @@
   while (!node.stopped()) {
     const int signal = sigtimedwait(&signals, nullptr, &patience);
     if (signal == SIGHUP) {
-      CheckAgain(path);
+      CheckAgain(file);
     } else if (signal > 0) {
       node.BeginStop();
     }
   }
-  return kExitOk;
+  return gcw::DaemonExit::kStoppedAsPlanned;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  options::options_description description("gcw-node");
-  description.add_options()("help,h", "show this help")(
-      "settings", options::value<std::string>(),
-      "settings file; runs the node")("check-settings",
-                                      options::value<std::string>(),
-                                      "check the settings file and end")(
-      "settings-reference", "print all keys as a Markdown table");
-  options::variables_map values;
-  try {
-    options::store(options::parse_command_line(argc, argv, description),
-                   values);
-  } catch (const options::error& error) {
-    std::cerr << error.what() << "\n\n" << description << kExamples;
-    return kExitUsage;
-  }
-  if (values.count("help") > 0) {
-    std::cout << description << '\n' << kExamples;
-    return kExitOk;
-  }
-  if (values.count("settings-reference") > 0) {
-    gcw::WriteNodeSettingsReference(std::cout);
-    return kExitOk;
-  }
-  if (values.count("check-settings") > 0) {
-    return RunNode(values["check-settings"].as<std::string>(), true);
-  }
-  if (values.count("settings") == 0) {
-    std::cerr << "--settings is missing\n\n" << description << kExamples;
-    return kExitUsage;
-  }
-  return RunNode(values["settings"].as<std::string>(), false);
+  return static_cast<int>(
+      gcw::RunDaemonProgram({"gcw-node", kExamples, RunNode, CheckNode,
+                             gcw::WriteNodeSettingsReference},
+                            argc, argv));
 }
--- a/programs/gcw_node/node_settings.cc
+++ b/programs/gcw_node/node_settings.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <utility>
 
+#include "programs/daemon/setting_items.h"
+
 namespace gcw {
 namespace {
 
@@ -160,19 +162,6 @@
              "One-way delay to other data centres: \"zone=milliseconds\".");
 }
 
-SettingError BadItem(const std::string& path,
-                     std::string_view key,
-                     const std::string& value,
-                     std::string_view allowed) {
-  SettingError error;
-  error.kind = SettingErrorKind::kOutOfRange;
-  error.file = path;
-  error.key = key;
-  error.value = value;
-  error.allowed = allowed;
-  return error;
-}
-
 std::optional<NodeRecord> ParseSeed(const std::string& text) {
   const std::size_t at = text.find('@');
   if (at == std::string::npos || at == 0 ||
@@ -209,7 +198,7 @@
     if (std::optional<NodeRecord> seed = ParseSeed(text)) {
       settings.core.seeds.push_back(std::move(*seed));
     } else {
-      errors.push_back(BadItem(path, "peers.seeds", text, "id@ip:port"));
+      errors.push_back(MakeItemError(path, "peers.seeds", text, "id@ip:port"));
     }
   }
   for (const std::string& text : raw.zone_distances) {
@@ -217,7 +206,7 @@
       settings.core.router.distances.push_back(std::move(*distance));
     } else {
       errors.push_back(
-          BadItem(path, "zones.distances", text, "zone=milliseconds"));
+          MakeItemError(path, "zones.distances", text, "zone=milliseconds"));
     }
   }
   return errors;
@@ -237,34 +226,34 @@
   std::vector<SettingError> errors;
   const NodeLeaseSettings& lease = settings.core.lease;
   if (lease.renew_interval * 2 + lease.margin > lease.time_to_live) {
-    errors.push_back(
-        BadItem(path, "lease.time_to_live_ms",
-                std::to_string(lease.time_to_live.millis()),
-                "at least twice renew_interval_ms plus margin_ms, so that one "
-                "lost renewal does not end the lease"));
+    errors.push_back(MakeItemError(
+        path, "lease.time_to_live_ms",
+        std::to_string(lease.time_to_live.millis()),
+        "at least twice renew_interval_ms plus margin_ms, so that one "
+        "lost renewal does not end the lease"));
   }
   const OrderSettings& order = settings.core.keeper.order;
   if (lease.time_to_live - lease.margin - lease.renew_interval <
       order.timeout + order.margin) {
-    errors.push_back(
-        BadItem(path, "lease.time_to_live_ms",
-                std::to_string(lease.time_to_live.millis()),
-                "at least renew_interval_ms plus margin_ms plus " +
-                    std::to_string((order.timeout + order.margin).millis()) +
-                    ", so that an order can leave at any time between two "
-                    "renewals"));
+    errors.push_back(MakeItemError(
+        path, "lease.time_to_live_ms",
+        std::to_string(lease.time_to_live.millis()),
+        "at least renew_interval_ms plus margin_ms plus " +
+            std::to_string((order.timeout + order.margin).millis()) +
+            ", so that an order can leave at any time between two "
+            "renewals"));
   }
   // The secret goes to other nodes in a header, which takes no other bytes:
   // anything else would end the process at its first call to a peer.
   if (!IsHeaderText(settings.peer_secret.Reveal())) {
-    errors.push_back(BadItem(path, "peers.secret_file", "(withheld)",
-                             "printable ASCII characters only"));
+    errors.push_back(MakeItemError(path, "peers.secret_file", "(withheld)",
+                                   "printable ASCII characters only"));
   }
   const Duration wait = order.takeover_wait;
   if (wait < lease.time_to_live) {
-    errors.push_back(BadItem(path, "orders.takeover_wait_ms",
-                             std::to_string(wait.millis()),
-                             "at least lease.time_to_live_ms"));
+    errors.push_back(MakeItemError(path, "orders.takeover_wait_ms",
+                                   std::to_string(wait.millis()),
+                                   "at least lease.time_to_live_ms"));
   }
   return errors;
 }
