--- a/coordination/gateway/store_mirror.cc
+++ b/coordination/gateway/store_mirror.cc
@@ -189,7 +189,11 @@
   snapshot.revision = revision_;
   snapshot.entries.reserve(entries_.size());
   for (const auto& [key, entry] : entries_) {
-    snapshot.entries.push_back(entry);
+    // One that is held back is gone as of the revision. Whoever goes on from
+    // there hears of its removal by nothing else, and holds it back by itself.
+    if (!held_removals_.contains(key)) {
+      snapshot.entries.push_back(entry);
+    }
   }
   return snapshot;
 }
--- a/tests/coordination/gateway/store_mirror_test.cc
+++ b/tests/coordination/gateway/store_mirror_test.cc
@@ -265,6 +265,29 @@
   EXPECT_EQ(reports_, std::vector<bool>{false});
 }
 
+// Symptom: a node names another that was removed for good, for ever. Sequence:
+// a node is removed while some nodes are turned away by the service; one of
+// them learns from a peer that holds the removal back, as after an outage, and
+// goes on from the peer's revision, which is past the removal. Cause: the
+// snapshot held keys that were gone at its revision.
+TEST_F(StoreMirrorTest, ASnapshotHoldsNoKeyWhoseRemovalIsHeldBack) {
+  Load();
+  Tick();
+  Wait(5000);
+  Tick();
+  Answer(StoreNoAnswer{});
+  Wait(1000);
+  Tick();
+  Answer(StoreWatchReply{Revision(40), {}, {{"b/1", Revision(39)}}, false});
+  EXPECT_TRUE(values_.contains("b/1"));
+  const std::optional<MirrorSnapshot> snapshot = mirror_.Snapshot(Revision(1));
+  ASSERT_TRUE(snapshot.has_value());
+  EXPECT_EQ(snapshot->revision, Revision(40));
+  for (const StoreEntry& entry : snapshot->entries) {
+    EXPECT_NE(entry.key, "b/1");
+  }
+}
+
 TEST_F(StoreMirrorTest, AStaleReadTeachesNothing) {
   Load();
   Wait(500);
