groups: a registration older than the order to join proves no leaving

Ruled out: late orders of the first keeper (its fence is lower, and its last orders were answered by 20.66 s); a lost record (the second keeper read it).

Change: once this keeper has told a member to join, its registration counts only after it has shown the group; its own answer to leave counts always. A group whose first member says that it is open and one of whose members does not name it is closed instead of joined again.

--- a/coordination/gateway/fleet_keeper.h
+++ b/coordination/gateway/fleet_keeper.h
@@ -117,6 +117,8 @@
   struct GroupRun {
     Time since;
     std::set<VmId> joined;
+    // Members that this keeper told to join.
+    std::set<VmId> join_sent;
     std::map<VmId, Address> addresses;
     bool open_seen = false;
     bool open_sent = false;
@@ -161,6 +163,8 @@
                          const Domain& domain,
                          const GroupRecord& group,
                          GroupRun& run) const;
+  // Whether the group's first member says that it is open.
+  static bool IsOpen(const FleetView& view, const GroupRecord& group);
   // Whether the member is no part of the group any more.
   bool HasLeft(const FleetView& view,
                const GroupRecord& group,
--- a/coordination/gateway/fleet_keeper_orders.cc
+++ b/coordination/gateway/fleet_keeper_orders.cc
@@ -57,6 +57,7 @@
     order.generation = group.generation;
     order.model = group.model;
     order.members = group.members;
+    run.join_sent.insert(member);
     Send(now, member, vm->address, std::move(order));
   }
   const VmId& head = group.members.front();
--- a/coordination/gateway/fleet_keeper_review.cc
+++ b/coordination/gateway/fleet_keeper_review.cc
@@ -64,6 +64,12 @@
                 [&](const auto& run) { return !recorded.contains(run.first); });
 }
 
+bool FleetKeeper::IsOpen(const FleetView& view, const GroupRecord& group) {
+  const VmRegistration* head = view.FindVm(group.members.front());
+  return head != nullptr && IsMemberOf(*head, group) &&
+         head->membership->phase == MemberPhase::kOpen;
+}
+
 std::string FleetKeeper::FindDamage(Time now,
                                     const FleetView& view,
                                     const Domain& domain,
@@ -97,7 +103,9 @@
       return "member_leaving:" + member.value();
     }
     if (!IsMemberOf(*vm, group)) {
-      if (run.joined.contains(member)) {
+      // All had joined before the first one opened. Joining an open group again
+      // would not make it whole, and bind the member to it.
+      if (run.joined.contains(member) || IsOpen(view, group)) {
         return "member_elsewhere:" + member.value();
       }
       continue;
@@ -185,11 +193,18 @@
                           const GroupRecord& group,
                           const GroupRun& run,
                           const VmId& member) const {
+  if (run.left.contains(member)) {
+    return true;
+  }
+  // A registration without the group may be older than the order to join it,
+  // and the member a part of it by now: only its own word counts then.
+  if (run.join_sent.contains(member) && !run.joined.contains(member)) {
+    return false;
+  }
   const VmRegistration* vm = view.FindVm(member);
   // A late order for this group finds no such group there.
-  return run.left.contains(member) ||
-         (vm != nullptr && (!IsMemberOf(*vm, group) ||
-                            vm->membership->phase == MemberPhase::kBroken));
+  return vm != nullptr && (!IsMemberOf(*vm, group) ||
+                           vm->membership->phase == MemberPhase::kBroken);
 }
 
 bool FleetKeeper::IsOver(const FleetView& view,
--- a/tests/coordination/gateway/fleet_keeper_test.cc
+++ b/tests/coordination/gateway/fleet_keeper_test.cc
@@ -227,6 +227,29 @@
   ExpectNoViolation();
 }
 
+// Symptom: VMs join a second group while the first member of their old one, cut
+// off, still serves it. Sequence: the keeper takes that first member for lost
+// and has the others leave, but does not reach the key-value service any more;
+// the next keeper finds the old group in its record. Cause: it had them join
+// the old group again, and then took their registrations, older than that, for
+// a sign that they had left.
+TEST_F(FleetKeeperTest, MembersThatAnEarlierKeeperFreedAreNotTakenTwice) {
+  const VmId head = world_.OpenHead("large");
+  for (const VmId& member : world_.MembersOf(head)) {
+    world_.engine(member).report_delay = Duration::Millis(400);
+  }
+  world_.Cut(head, true);
+  // The keeper has begun to ask the members by then.
+  world_.Run(Duration::Millis(500));
+  world_.node(*world_.keeper()).store_cut = true;
+  world_.Run(Duration::Seconds(8));
+  ExpectNoViolation();
+  EXPECT_TRUE(world_.RunUntil(Duration::Seconds(20), [this] {
+    return world_.open_groups("large") >= 2;
+  }));
+  ExpectNoViolation();
+}
+
 TEST_F(FleetKeeperTest, ASlowGroupIsNotFormedAnewOfTheSameVms) {
   const VmId head = world_.OpenHead("large");
   for (auto& [id, engine] : world_.engines()) {
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -315,8 +315,13 @@
       return;
     }
     registrations_.push_back(engine.self);
-    Put("vm/" + engine.self.id.value(),
-        std::to_string(registrations_.size() - 1));
+    const std::string value = std::to_string(registrations_.size() - 1);
+    const std::string key = "vm/" + engine.self.id.value();
+    if (engine.report_delay == Duration()) {
+      Put(key, value);
+    } else {
+      After(engine.report_delay, [this, key, value] { Put(key, value); });
+    }
   }
 
   void LapseRegistrations() {
--- a/tests/support/played_engines.h
+++ b/tests/support/played_engines.h
@@ -26,6 +26,8 @@
     bool node_cut = false;
     // Orders get no answer and are carried out this much later.
     Duration order_delay;
+    // From a change to its registration.
+    Duration report_delay;
     Generation seen_generation;
     FencingToken seen_fence;
     // Factor on its times; a slow one gives an event only now and then.
