groups: a role that is held again names no group twice

Cause: the keeper numbered its groups from one each time the role came to it. A VM still ready in the older g2363403 was taken for a member of the newer one, which opened without it (PARTIAL 696, "its member i-2ba6c648d3 has never been ready for it").

The test fails before and passes.

--- a/coordination/gateway/fleet_keeper.cc
+++ b/coordination/gateway/fleet_keeper.cc
@@ -44,7 +44,14 @@
   first_seen_.clear();
   last_appeared_.clear();
   fenced_off_ = false;
-  last_group_ = 0;
+  // A lease that the key-value service kept through an outage brings the role
+  // back with the same fencing number. Names given anew from the first would
+  // then mean two lists of members: a VM that is ready in the older group would
+  // be taken for a member of the newer one.
+  if (role_ && role_->fence != numbered_fence_) {
+    numbered_fence_ = role_->fence;
+    last_group_ = 0;
+  }
   loads_.Tick(now);
 }
 
--- a/coordination/gateway/fleet_keeper.h
+++ b/coordination/gateway/fleet_keeper.h
@@ -267,6 +267,8 @@
   OrderId last_order_;
   StoreCallId last_call_;
   std::map<StoreCallId, FabricDomainId> calls_;
+  // Groups named so far with this fencing number.
+  FencingToken numbered_fence_;
   std::int64_t last_group_ = 0;
   std::int64_t last_change_ = 0;
   std::vector<FleetKeeperAction> actions_;
