groups: plans know the loads under way and the weights at hand

A VM whose group was given up during its load was given no other one for up to three times the load's time. And the choice between models did not count loads: six free members of a large group could become two small ones that wait 12 s.

Change: the keeper keeps the model that each free VM was told to load; a VM that left counts as loading nothing; the planner discounts groups that wait for a load by the time that a group is expected to live (groups.expected_life_ms). Plan() is split into one function a step.

--- a/coordination/gateway/fleet_keeper.cc
+++ b/coordination/gateway/fleet_keeper.cc
@@ -38,6 +38,7 @@
   last_orders_.clear();
   calls_.clear();
   stagings_.clear();
+  staging_.clear();
   doubts_.clear();
   ended_.clear();
   left_.clear();
@@ -238,15 +239,10 @@
     if (!vm.models.empty()) {
       free.last_model = vm.models.front();
     }
-    // A load that was ordered comes to its end; it counts as done.
-    const auto last = last_orders_.find(id);
-    if (free.at_hand.empty() && last != last_orders_.end() &&
-        loads_.IsLoading(id)) {
-      for (const PlannedStaging& staging : stagings_) {
-        if (staging.vm == id) {
-          free.at_hand.push_back(staging.model);
-        }
-      }
+    // Were it not counted, the next plan would mean the VM for another model.
+    const auto staging = staging_.find(id);
+    if (staging != staging_.end()) {
+      free.loading = staging->second;
     }
     planned.free.push_back(std::move(free));
   }
--- a/coordination/gateway/fleet_keeper.h
+++ b/coordination/gateway/fleet_keeper.h
@@ -251,6 +251,8 @@
   bool fenced_off_ = false;
   std::map<FabricDomainId, Domain> domains_;
   std::vector<PlannedStaging> stagings_;
+  // The models that free VMs were told to load onto their hosts.
+  std::map<VmId, ModelId> staging_;
   std::map<OrderId, PendingOrder> pending_;
   // The order under way of each VM: one at a time.
   std::map<VmId, OrderId> pending_of_;
--- a/coordination/gateway/fleet_keeper_orders.cc
+++ b/coordination/gateway/fleet_keeper_orders.cc
@@ -145,6 +145,7 @@
     GroupOrder order;
     order.kind = GroupOrderKind::kStage;
     order.model = staging.model;
+    staging_[staging.vm] = staging.model;
     Send(now, staging.vm, vm->address, std::move(order));
   }
   for (const auto& [id, vm] : view.vms()) {
@@ -152,6 +153,9 @@
       loads_.End(id);
     }
   }
+  std::erase_if(staging_, [&](const auto& staging) {
+    return !loads_.IsLoading(staging.first);
+  });
 }
 
 bool FleetKeeper::MayOrder(Time now,
@@ -240,6 +244,9 @@
     return;
   }
   // Done, or the engine is in no such group, or another VM has the address.
+  // A load that the group wanted is over with it; while it counted, the VM
+  // would be given no other one.
+  loads_.End(pending.vm);
   left_.emplace(pending.vm, pending.order.group);
   for (auto& [domain_id, domain] : domains_) {
     const auto run = domain.runs.find(pending.order.group);
--- a/coordination/gateway/group_planner.h
+++ b/coordination/gateway/group_planner.h
@@ -13,6 +13,9 @@
   // VMs of a domain that are better kept free for repairs than put into one
   // more group: a repair with a staged spare takes seconds, a load many.
   std::size_t reserve_per_domain = 1;
+  // How long a group is expected to serve as it is planned. One that waits for
+  // a load first is worth that much less.
+  Duration expected_life = Duration::Seconds(30);
 };
 
 // A VM that a group may be formed of.
@@ -22,6 +25,8 @@
   std::vector<ModelId> at_hand;
   // The model of its last group, which it takes up fastest; may be empty.
   ModelId last_model;
+  // The model that is being loaded onto its host; may be empty.
+  ModelId loading;
   // Its group would run at its pace: taken last.
   bool slow = false;
 };
@@ -68,18 +73,46 @@
   GroupPlan Plan(const EngineProfile& profile,
                  std::vector<PlannedDomain> domains) const;
 
-  // How many groups of each model a domain with that many VMs would best have,
-  // in the order of the profile's models.
-  std::vector<std::size_t> BestMix(const EngineProfile& profile,
-                                   std::size_t vms,
-                                   const std::vector<double>& fill) const;
-
  private:
-  // What to form already while a domain's VMs still appear: as if it will have
-  // as many as the largest domain known.
-  std::vector<std::size_t> MixOfFilling(const EngineProfile& profile,
-                                        const PlannedDomain& domain,
-                                        std::size_t expected_vms) const;
+  // Numbers of groups, or of VMs, by model in the profile's order.
+  using Counts = std::vector<std::size_t>;
+  // What is known of all domains together.
+  struct Fleet {
+    double vms = 0;
+    // As many VMs as the largest domain has, at least one group of each model.
+    std::size_t largest_domain = 0;
+    // Groups that there are, and that there would be if every domain were
+    // whole.
+    std::vector<double> groups;
+    std::vector<double> wanted;
+  };
+
+  Fleet Survey(const EngineProfile& profile,
+               const std::vector<PlannedDomain>& domains) const;
+  // What a domain with that many VMs would have if they were all free.
+  Counts MixOfWhole(const EngineProfile& profile, std::size_t vms) const;
+  // How many groups of each model so many VMs would best form, when the fleet
+  // has `fill` of each model's part already and so many of the VMs have each
+  // model's weights.
+  Counts BestMix(const EngineProfile& profile,
+                 std::size_t vms,
+                 const std::vector<double>& fill,
+                 const Counts& at_hand) const;
+  // What to form already while a domain's VMs still appear.
+  Counts MixOfFilling(const EngineProfile& profile,
+                      const PlannedDomain& domain,
+                      std::size_t expected_vms) const;
+  Counts MixOfSettled(const EngineProfile& profile,
+                      const PlannedDomain& domain,
+                      const Fleet& fleet) const;
+  void FormGroups(const EngineProfile& profile,
+                  const Counts& mix,
+                  PlannedDomain& domain,
+                  Fleet& fleet,
+                  GroupPlan& plan) const;
+  void StageSpares(const EngineProfile& profile,
+                   const PlannedDomain& domain,
+                   GroupPlan& plan) const;
 
   GroupPlannerSettings settings_;
 };
--- a/tests/coordination/gateway/fleet_keeper_terms_test.cc
+++ b/tests/coordination/gateway/fleet_keeper_terms_test.cc
@@ -115,12 +115,12 @@
 };
 
 // Symptom: requests run in a group one of whose members is no part of it: it is
-// ready in a group of the same name and generation with other members. Sequence:
-// the key-value service gives no answer for longer than the keeper's lease
-// reaches; it keeps leases meanwhile, so the keeper has its role again with the
-// same fencing number once it is back, and plans groups. Cause: the numbers of
-// groups began anew with each time that the role was held, not with each fencing
-// number.
+// ready in a group of the same name and generation with other members.
+// Sequence: the key-value service gives no answer for longer than the keeper's
+// lease reaches; it keeps leases meanwhile, so the keeper has its role again
+// with the same fencing number once it is back, and plans groups. Cause: the
+// numbers of groups began anew with each time that the role was held, not with
+// each fencing number.
 TEST_F(FleetKeeperTermsTest, ARoleThatIsHeldAgainNamesNoGroupTwice) {
   AddDomain("a");
   Run(Duration::Seconds(3), Role());
--- a/tests/coordination/gateway/group_planner_test.cc
+++ b/tests/coordination/gateway/group_planner_test.cc
@@ -59,8 +59,10 @@
 
 TEST(GroupPlannerTest, TakesVmsWithTheWeightsAtHandFirst) {
   PlannedDomain domain = Domain("a", 5, "large");
-  domain.free.push_back({VmId("other"), {ModelId("small")}, ModelId()});
-  domain.free.push_back({VmId("same"), {ModelId("large")}, ModelId("large")});
+  domain.free.push_back(
+      {VmId("other"), {ModelId("small")}, ModelId(), ModelId()});
+  domain.free.push_back(
+      {VmId("same"), {ModelId("large")}, ModelId("large"), ModelId()});
   domain.groups = {{ModelId("small"), 1}};
   domain.vms = 10;
   const GroupPlan plan = GroupPlanner({}).Plan(Profile(), {domain});
@@ -70,6 +72,52 @@
   EXPECT_EQ(std::count(members.begin(), members.end(), VmId("other")), 0);
 }
 
+// Symptom: a group is formed and given up by turns, some forty times a second.
+// Sequence: a spare loads weights while another holds them; the group is formed
+// with the one that loads, then given up for the one that holds them. Cause: a
+// load under way counted as weights at hand.
+TEST(GroupPlannerTest, WeightsAtHandGoBeforeALoadUnderWay) {
+  PlannedDomain domain = Domain("a", 5, "large");
+  domain.free.push_back({VmId("loads"), {}, ModelId(), ModelId("large")});
+  domain.free.push_back({VmId("holds"), {ModelId("large")}, {}, {}});
+  domain.groups = {{ModelId("small"), 1}};
+  domain.vms = 10;
+  const GroupPlan plan = GroupPlanner({}).Plan(Profile(), {domain});
+  ASSERT_EQ(CountOf(plan, "large"), 1U);
+  const auto& members = plan.groups.front().members;
+  EXPECT_EQ(std::count(members.begin(), members.end(), VmId("loads")), 0);
+}
+
+// Symptom: a spare is meant for one model and for the other by turns, and taken
+// into a group whose weights it does not get. Cause: the plan did not know of
+// the load that the one before had begun.
+TEST(GroupPlannerTest, ALoadUnderWayIsNotPlannedAgain) {
+  PlannedDomain domain = Domain("a", 0);
+  domain.free.push_back({VmId("loads"), {}, ModelId(), ModelId("large")});
+  domain.free.push_back({VmId("empty"), {}, ModelId(), ModelId()});
+  domain.groups = {{ModelId("large"), 1}, {ModelId("small"), 1}};
+  domain.vms = 11;
+  const GroupPlan plan = GroupPlanner({}).Plan(Profile(), {domain});
+  ASSERT_EQ(plan.stagings.size(), 1U);
+  EXPECT_EQ(plan.stagings.front().vm, VmId("empty"));
+  EXPECT_EQ(plan.stagings.front().model, ModelId("small"));
+}
+
+// Symptom: a large group's members, free for a moment, are loaded anew for two
+// small groups, and serve after seconds rather than at once. Cause: the plan
+// did not count the loads.
+TEST(GroupPlannerTest, WeightsAtHandDecideBetweenModels) {
+  PlannedDomain domain = Domain("a", 6, "large");
+  domain.groups = {{ModelId("small"), 1}};
+  domain.vms = 11;
+  PlannedDomain other = Domain("b", 0);
+  other.groups = {{ModelId("large"), 4}};
+  other.vms = 40;
+  const GroupPlan plan = GroupPlanner({}).Plan(Profile(), {domain, other});
+  EXPECT_EQ(CountOf(plan, "large"), 1U);
+  EXPECT_EQ(CountOf(plan, "small"), 0U);
+}
+
 TEST(GroupPlannerTest, KeepsTheReserveWhereNoGroupIsMissing) {
   PlannedDomain domain = Domain("a", 3);
   domain.groups = {{ModelId("large"), 1}, {ModelId("small"), 1}};
