--- a/bench/gateway_deferral_bench.cc
+++ b/bench/gateway_deferral_bench.cc
@@ -92,7 +92,7 @@
     Node(const ReplicaSelectorSettings& selector_settings,
          const ForwardDeskSettings& settings,
          std::size_t nodes,
-         Random random)
+         const Random& random)
         : selector(selector_settings, ZoneId("z"), random, DiscardEvents()),
           budget({0.2, 300, Duration::Seconds(10), 0.8}),
           desk(settings, &selector, &budget, random, DiscardEvents()) {
