--- a/coordination/gateway/group_planner.cc
+++ b/coordination/gateway/group_planner.cc
@@ -159,9 +159,10 @@
 GroupPlanner::Counts GroupPlanner::MixOfWhole(const EngineProfile& profile,
                                               std::size_t vms) const {
   const std::size_t reserve = std::min(settings_.reserve_per_domain, vms);
-  const Counts nothing_at_hand(profile.models.size(), 0);
+  // Loads are over in the long run, whatever they take.
+  const Counts all_at_hand(profile.models.size(), vms);
   const std::vector<double> no_fill(profile.models.size(), 0);
-  return BestMix(profile, vms - reserve, no_fill, nothing_at_hand);
+  return BestMix(profile, vms - reserve, no_fill, all_at_hand);
 }
 
 GroupPlanner::Counts GroupPlanner::MixOfFilling(
@@ -208,6 +209,12 @@
         domain.free.begin(), domain.free.end(),
         [&](const FreeVm& vm) { return HasAtHand(vm, model.model); })));
   }
+  // Where each group has to wait for a load, the waits decide nothing: a model
+  // with large weights would never get its first group.
+  if (std::all_of(at_hand.begin(), at_hand.end(),
+                  [](std::size_t count) { return count == 0; })) {
+    at_hand.assign(at_hand.size(), domain.free.size());
+  }
   const std::size_t keep =
       domain.groups.empty()
           ? std::min(settings_.reserve_per_domain, domain.free.size())
--- a/tests/coordination/gateway/group_planner_test.cc
+++ b/tests/coordination/gateway/group_planner_test.cc
@@ -51,6 +51,19 @@
   EXPECT_EQ(plan.stagings.size(), 12U);
 }
 
+// Symptom: at the start of a fleet a model with large weights gets no group.
+// Cause: the wait for its load was held against it, though no VM has any
+// weights yet and each group has to wait for some.
+TEST(GroupPlannerTest, ALongLoadCostsAModelNoGroupAtTheStart) {
+  EngineProfile profile = Profile();
+  profile.models[0].load_time = Duration::Seconds(60);
+  const GroupPlanner planner({});
+  PlannedDomain domain = Domain("a", 11);
+  EXPECT_EQ(CountOf(planner.Plan(profile, {domain}), "large"), 1U);
+  domain.filling = true;
+  EXPECT_EQ(CountOf(planner.Plan(profile, {domain}), "large"), 1U);
+}
+
 TEST(GroupPlannerTest, SparesOfADomainHoldBothModels) {
   const GroupPlan plan = GroupPlanner({}).Plan(Profile(), {Domain("a", 11)});
   ASSERT_EQ(plan.stagings.size(), 2U);
