tests: two tests of peers no longer wait for a message that was lost by design

Cause: both send a ping once and wait for it without end. The client makes no promise: a frame that is not acknowledged within call_timeout (1 s) is lost and not sent again, since newer messages replace what it said. A sanitized build beside load can take longer than that for its first connection.

Ruled out: a frame that is lost after it was acknowledged (the server counts none), a deadlock (a debugger showed the wait alone).

The tests no longer depend on that limit and ask as much as before; a new one states what a late frame comes to.

--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -36,6 +36,11 @@
     settings_.self = NodeId("sender");
     settings_.incarnation = Incarnation(3);
     settings_.secret = Secret("s3cret");
+    // The client makes no promise: a frame that is not acknowledged in time is
+    // lost, and a message that was sent once never arrives. A sanitized build
+    // beside other work can take longer for its first connection than a node
+    // waits, so tests that send once must not depend on that limit.
+    settings_.call_timeout = Duration::Seconds(600);
   }
   ~PeerTest() override {
     OnControl([this] {
@@ -239,6 +244,26 @@
   OnControl([&] { client_.reset(); });
 }
 
+// Symptom: whoever waits for one message waits without end. Sequence: the frame
+// that carries it is not acknowledged within the call's time. Cause: a frame
+// that is late counts as lost and is not sent again; newer messages replace what
+// it said.
+TEST_F(PeerTest, AFrameThatIsNotAcknowledgedInTimeIsLost) {
+  ScriptedServer silent([](RawPeer& peer, int) { peer.ReadToEnd(); });
+  settings_.call_timeout = Duration::Millis(20);
+  Connect(silent.port());
+  Send(1, 1);
+  PeerClientStats stats;
+  do {
+    std::this_thread::yield();
+    stats = ClientStats();
+  } while (stats.lost_frames == 0);
+  EXPECT_EQ(stats.lost_frames, 1);
+  EXPECT_EQ(stats.frames, 1);
+  EXPECT_EQ(stats.dropped_messages, 0);
+  OnControl([&] { client_.reset(); });
+}
+
 TEST_F(PeerTest, TellsWhenItCannotListen) {
   Listen();
   const auto result = PeerServer::Listen(
