gateway: a stream whose pause is too long already is deferred

Cause: what goes on after events went before everything else. After a loss of power of all nodes the callers of some hundred broken streams come back together two seconds later; they are late whatever is done, and new requests began late behind them (of 102 that arrived in that half second 47 in time).

Now a stream goes first only while its pause is within the route's objective; a caller that comes back for the rest has a longer one behind it.

Ruled out: that the age of a repeated request can be read from its time limit; callers draw that from 0.85 to 1.0 of the route's.

--- a/coordination/gateway/forward_desk.cc
+++ b/coordination/gateway/forward_desk.cc
@@ -62,7 +62,7 @@
   open.service = ChooseService(*open.route);
   if (HasModels(open)) {
     open.urgency = open.request.resume_after
-                       ? Urgency::kResumed
+                       ? Urgency::kDeferred
                        : deferral_.Grade(open.service, open.request.model);
   }
   budget_->OnRequest(now, open.service);
@@ -249,7 +249,9 @@
   const std::optional<std::int64_t> resume =
       end.delivered ? end.last_event : open.request.resume_after;
   if (end.delivered) {
-    open.urgency = Urgency::kResumed;
+    open.urgency = now - open.last_event < open.route->pause_objective
+                       ? Urgency::kResumed
+                       : Urgency::kDeferred;
   } else if (now - open.arrived >= open.route->latency_objective) {
     open.urgency = Urgency::kDeferred;
   }
@@ -318,6 +320,7 @@
   const auto found = open_.find(id);
   if (found != open_.end()) {
     Judge(now, found->second, true);
+    found->second.last_event = now;
     selector_->OnProgress(now, found->second.attempt);
   }
 }
--- a/coordination/gateway/forward_desk.h
+++ b/coordination/gateway/forward_desk.h
@@ -72,6 +72,8 @@
     CustomerId customer;
     Time arrived;
     Time deadline;
+    // Of the last events that the caller was given.
+    Time last_event;
     std::vector<VmId> excluded;
     VmId vm;
     AttemptNumber attempt;
--- a/tests/coordination/gateway/forward_desk_test.cc
+++ b/tests/coordination/gateway/forward_desk_test.cc
@@ -202,8 +202,10 @@
     selector_.SetReplicas(now_, replicas);
   }
 
-  ForwardBegun Ask(const std::string& key) {
+  ForwardBegun Ask(const std::string& key,
+                   std::optional<std::int64_t> resume_after = {}) {
     ForwardRequest request;
+    request.resume_after = resume_after;
     request.host = "h";
     request.path = "/stream/1";
     request.key = key;
@@ -233,6 +235,28 @@
 // Symptom: a request that is late anyway makes others late. Sequence: its first
 // endpoint stands still for longer than the objective; it is sent to another
 // one, where requests wait. Cause: it went there as if it were new.
+// Symptom: after a loss of many nodes new requests begin late behind streams
+// that are late already. Sequence: callers whose streams broke with the nodes
+// come back together, two seconds later. Cause: whatever goes on after events
+// went first, however long its pause was already.
+TEST_F(ForwardDeskOrderTest, AStreamWhosePauseIsTooLongAlreadyHoldsNobodyUp) {
+  const ForwardBegun begun = Ask("key");
+  desk_.OnProgress(now_, begun.id);
+  now_ = now_ + Duration::Seconds(1);
+  ForwardEnd end = End(ForwardEndKind::kSilent);
+  end.delivered = true;
+  end.last_event = 3;
+  const ForwardStep step = desk_.OnEnded(now_, begun.id, end);
+  EXPECT_EQ(std::get<SendForward>(step).precedence->urgency,
+            Urgency::kDeferred);
+}
+
+TEST_F(ForwardDeskOrderTest, ACallerThatComesBackForTheRestHoldsNobodyUp) {
+  const ForwardBegun begun = Ask("key", 3);
+  EXPECT_EQ(std::get<SendForward>(begun.step).precedence->urgency,
+            Urgency::kDeferred);
+}
+
 TEST_F(ForwardDeskOrderTest, OneThatIsLateGoesBehindThoseThatAreNot) {
   const ForwardBegun begun = Ask("key");
   now_ = now_ + Duration::Millis(150);
