gateway: callers may keep addresses for five seconds

Cause: after a loss of power of all nodes for 0.74 s the nodes serve after 20 ms, but hardly a request arrives for 0.3 s more: callers who look addresses up meanwhile hang for a second, and with one second to keep them three of four do.

--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -45,8 +45,11 @@
   SharedRetryBudgetSettings retries;
   ForwardDeskSettings requests;
   // How long callers may keep the list of addresses; some keep it three times
-  // as long.
-  Duration entries_keep = Duration::Seconds(1);
+  // as long. While all nodes are down a look-up hangs for a second: the more
+  // seldom callers ask, the fewer come back that much later. Of the requests'
+  // worth 0.49 rather than 0.42 was served in the two seconds after a loss of
+  // power of all nodes (9 nodes, played).
+  Duration entries_keep = Duration::Seconds(5);
   // Addresses in one such list at most.
   std::size_t most_entries = 64;
   // Other nodes, drawn at random, that are asked whether a group that seems to
