--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -31,8 +31,10 @@
   // A replica that stood still is left out until it gives something, or for
   // this long; by then its group has been repaired or taken down.
   Duration standstill_hold = Duration::Millis(6000);
-  // What a replica of another data centre costs, in expected wait.
-  double other_zone_ms = 4;
+  // What a replica of another data centre costs, in expected wait. With 20 ms
+  // rather than 4 ms an eighth less is sent between data centres (9 nodes,
+  // played).
+  double other_zone_ms = 20;
   // Reports are old, and nodes with the same report would all choose the same
   // replica: this much expected wait is drawn at random for each.
   double spread_ms = 12;
