gateway: a run under an earlier one's id is a new one; entries of other writers name no VM

What the platform now says: an endpoint may start again under its id, with the field born for its start; an entry may come from another writer.

Idle connections to a run that is no more are dropped. New lines vm_restarted and vm_unreadable, one for each change.

--- a/coordination/gateway/fleet_view.cc
+++ b/coordination/gateway/fleet_view.cc
@@ -31,6 +31,7 @@
   const std::string_view view = key;
   if (view.starts_with(codec_.vm_prefix)) {
     const VmId vm(key.substr(codec_.vm_prefix.size()));
+    unreadable_vms_.erase(vm);
     if (vms_.erase(vm) > 0) {
       changed_vms_.insert(vm);
       events_({EventKind::kVmLost, vm.value(), {}, {}});
@@ -66,14 +67,22 @@
   std::optional<VmRegistration> read =
       codec_.decode_registration(vm, entry.value);
   if (!read) {
+    OnUnreadable(vm);
     return;
   }
+  unreadable_vms_.erase(vm);
   const auto [known, is_new] = vms_.try_emplace(vm);
   if (!is_new && known->second == *read) {
     return;
   }
   if (is_new) {
     events_({EventKind::kVmAppeared, vm.value(), {}, {}});
+  } else if (read->incarnation != known->second.incarnation) {
+    restarted_vms_.push_back(read->address);
+    events_({EventKind::kVmRestarted,
+             vm.value(),
+             {},
+             {{"incarnation", read->incarnation.value()}}});
   } else if (read->draining && !known->second.draining) {
     events_({EventKind::kEndpointLeaving, vm.value(), {}, {}});
   }
@@ -81,6 +90,17 @@
   changed_vms_.insert(vm);
 }
 
+// What was known of the VM was true of an entry that is no more. Requests sent
+// by it would reach whatever wrote the new one, if anything.
+void FleetView::OnUnreadable(const VmId& vm) {
+  if (unreadable_vms_.insert(vm).second) {
+    events_({EventKind::kVmUnreadable, vm.value(), {}, {}});
+  }
+  if (vms_.erase(vm) > 0) {
+    changed_vms_.insert(vm);
+  }
+}
+
 const VmRegistration* FleetView::FindVm(const VmId& vm) const {
   const auto found = vms_.find(vm);
   return found == vms_.end() ? nullptr : &found->second;
@@ -102,4 +122,8 @@
   return std::exchange(changed_vms_, {});
 }
 
+std::vector<Address> FleetView::TakeRestartedVms() {
+  return std::exchange(restarted_vms_, {});
+}
+
 }  // namespace gcw
--- a/coordination/gateway/fleet_view.h
+++ b/coordination/gateway/fleet_view.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "coordination/roles/role_assignment.h"
 #include "state/state.h"
@@ -50,12 +51,16 @@
 
   // VMs that were registered, changed or removed since the last call.
   std::set<VmId> TakeChangedVms();
+  // Where VMs that started again under their ids since the last call are
+  // reached.
+  std::vector<Address> TakeRestartedVms();
   // Counts changes of the configuration.
   std::uint64_t configuration_changes() const { return configuration_changes_; }
 
  private:
   void OnConfiguration(const StoreEntry& entry);
   void OnRegistration(const VmId& vm, const StoreEntry& entry);
+  void OnUnreadable(const VmId& vm);
 
   FleetCodec codec_;
   EventSink events_;
@@ -64,6 +69,10 @@
   std::map<NodeId, NodeRecord> nodes_;
   std::map<RoleName, NodeId> holders_;
   std::set<VmId> changed_vms_;
+  std::vector<Address> restarted_vms_;
+  // VMs whose entries name no run that can be used, as when something else
+  // wrote them.
+  std::set<VmId> unreadable_vms_;
   std::uint64_t configuration_changes_ = 0;
 };
 
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -309,6 +309,9 @@
 void GatewayCore::UpdateReplicas(Time now) {
   const bool changed = !view_.TakeChangedVms().empty() ||
                        view_.configuration_changes() != seen_configuration_;
+  for (Address& address : view_.TakeRestartedVms()) {
+    actions_.emplace_back(ForgetConnections{std::move(address)});
+  }
   budget_.SetNodeCount(view_.serving_nodes());
   selector_.SetNodeCount(view_.serving_nodes());
   mirror_.SetNodeCount(view_.serving_nodes());
@@ -338,6 +341,7 @@
     const ServiceRule& service) const {
   Replica replica;
   replica.vm = vm.id;
+  replica.incarnation = vm.incarnation;
   replica.address = vm.address;
   replica.service = vm.service;
   replica.zone = vm.zone;
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -106,13 +106,19 @@
   ForwardId id;
 };
 
+// Connections to that address lead to a run that is no more.
+struct ForgetConnections {
+  Address address;
+};
+
 using GatewayAction = std::variant<CallGatewayStore,
                                    AskNodeSnapshot,
                                    TellNode,
                                    AskProgress,
                                    SendGroupOrder,
                                    ProbeEngine,
-                                   MoveForward>;
+                                   MoveForward,
+                                   ForgetConnections>;
 using GatewayActions = std::vector<GatewayAction>;
 
 // The decisions of one node on a platform whose store holds the configuration
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -26,8 +26,10 @@
     seen.insert(replica.vm);
     const auto [it, is_new] = states_.try_emplace(replica.vm, settings_);
     State& state = it->second;
-    if (is_new || state.replica.generation != replica.generation) {
-      // Another group at the same VM starts without load or history.
+    if (is_new || state.replica.generation != replica.generation ||
+        state.replica.incarnation != replica.incarnation) {
+      // Another group at the same VM, or another run of its endpoint, starts
+      // without load or history.
       state = State(settings_);
       state.last_progress = now;
     }
@@ -46,6 +48,14 @@
   return found == states_.end() ? nullptr : &found->second;
 }
 
+ReplicaSelector::State* ReplicaSelector::FindOf(const Attempt& attempt) {
+  State* state = Find(attempt.vm);
+  return state != nullptr && state->replica.generation == attempt.generation &&
+                 state->replica.incarnation == attempt.incarnation
+             ? state
+             : nullptr;
+}
+
 double ReplicaSelector::MostFill(const ReplicaDemand& demand) const {
   if (!demand.urgency) {
     return settings_.most_fill;
@@ -156,6 +166,7 @@
   attempt.streams = streams;
   if (State* state = Find(vm)) {
     attempt.generation = state->replica.generation;
+    attempt.incarnation = state->replica.incarnation;
     state->backoff.OnSent(now);
     ++state->in_flight;
     ++state->sent_since;
@@ -182,12 +193,12 @@
     return;
   }
   Attempt& running = found->second;
-  State* state = Find(running.vm);
+  State* state = FindOf(running);
   const bool is_first = !running.progress.has_value();
   const double gap =
       is_first ? 0 : static_cast<double>((now - *running.progress).millis());
   running.progress = now;
-  if (state == nullptr || state->replica.generation != running.generation) {
+  if (state == nullptr) {
     return;
   }
   state->last_progress = now;
@@ -209,8 +220,8 @@
 }
 
 void ReplicaSelector::End(const Attempt& attempt) {
-  State* state = Find(attempt.vm);
-  if (state == nullptr || state->replica.generation != attempt.generation) {
+  State* state = FindOf(attempt);
+  if (state == nullptr) {
     return;
   }
   state->in_flight = std::max<std::int64_t>(0, state->in_flight - 1);
@@ -231,8 +242,8 @@
   const Attempt ended = found->second;
   attempts_.erase(found);
   End(ended);
-  State* state = Find(ended.vm);
-  if (state == nullptr || state->replica.generation != ended.generation) {
+  State* state = FindOf(ended);
+  if (state == nullptr) {
     return;
   }
   switch (end) {
@@ -270,7 +281,7 @@
   const Attempt ended = found->second;
   attempts_.erase(found);
   End(ended);
-  if (State* state = Find(ended.vm)) {
+  if (State* state = FindOf(ended)) {
     state->backoff.OnAbandoned();
   }
 }
@@ -281,9 +292,8 @@
     if (!attempt.streams) {
       continue;
     }
-    const State* state = Find(attempt.vm);
-    if (state == nullptr || state->replica.generation != attempt.generation ||
-        state->stands_still_until) {
+    const State* state = FindOf(attempt);
+    if (state == nullptr || state->stands_still_until) {
       continue;
     }
     const Time last =
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -64,6 +64,7 @@
 // plain service's process.
 struct Replica {
   VmId vm;
+  Incarnation incarnation;
   Address address;
   ServiceId service;
   // Both empty for plain services.
@@ -176,6 +177,7 @@
   };
   struct Attempt {
     VmId vm;
+    Incarnation incarnation;
     Generation generation;
     double prompt_tokens = 0;
     Time sent;
@@ -185,6 +187,8 @@
   };
 
   State* Find(const VmId& vm);
+  // Null where the attempt was sent to an earlier run or group of the VM.
+  State* FindOf(const Attempt& attempt);
   double MostFill(const ReplicaDemand& demand) const;
   bool IsUsable(Time now, const State& state) const;
   double ExpectedRequests(Time now, const State& state) const;
--- a/core/event.cc
+++ b/core/event.cc
@@ -89,6 +89,10 @@
       return "vm_appeared";
     case EventKind::kVmLost:
       return "vm_lost";
+    case EventKind::kVmRestarted:
+      return "vm_restarted";
+    case EventKind::kVmUnreadable:
+      return "vm_unreadable";
     case EventKind::kVmHeldOff:
       return "vm_held_off";
     case EventKind::kGroupPlanned:
--- a/core/event.h
+++ b/core/event.h
@@ -59,6 +59,8 @@
   kShardLost,
   kVmAppeared,
   kVmLost,
+  kVmRestarted,
+  kVmUnreadable,
   kVmHeldOff,
   kGroupPlanned,
   kGroupRecorded,
--- a/programs/gcwctl/event_context.cc
+++ b/programs/gcwctl/event_context.cc
@@ -25,6 +25,7 @@
     case EventKind::kGroupClosed:
     case EventKind::kGroupDissolved:
     case EventKind::kVmLost:
+    case EventKind::kVmRestarted:
       return true;
     default:
       return false;
--- a/protocol/json_reader.h
+++ b/protocol/json_reader.h
@@ -109,12 +109,20 @@
   std::optional<CodecError>* error_;
 };
 
+// Which bytes the strings of a text may hold.
+enum class JsonBytes { kUtf8, kAny };
+
 // Parses `text` and reads it by `read(JsonReader&)`.
 template <typename Read>
-auto DecodeJson(std::string_view text, Read read)
+auto DecodeJson(std::string_view text,
+                Read read,
+                JsonBytes bytes = JsonBytes::kUtf8)
     -> Decoded<decltype(read(std::declval<JsonReader&>()))> {
   boost::json::error_code syntax;
-  const boost::json::value value = boost::json::parse(text, syntax);
+  boost::json::parse_options options;
+  options.allow_invalid_utf8 = bytes == JsonBytes::kAny;
+  const boost::json::value value =
+      boost::json::parse(text, syntax, {}, options);
   if (syntax) {
     return CodecError{CodecErrorKind::kSyntax, {}};
   }
--- a/protocol/mirror_json.cc
+++ b/protocol/mirror_json.cc
@@ -19,20 +19,25 @@
                           {"entries", std::move(entries)}});
 }
 
+// Values are passed on as they stand in the store: one that is no text must not
+// cost a node without its own path to the store all the others.
 Decoded<MirrorSnapshot> DecodeMirrorSnapshot(std::string_view text) {
-  return DecodeJson(text, [](JsonReader& reader) {
-    MirrorSnapshot snapshot;
-    snapshot.revision = reader.CountOf<Revision>("revision");
-    snapshot.entries = reader.List("entries", [](JsonReader& item) {
-      StoreEntry entry;
-      entry.key = item.String("key");
-      entry.value = item.String("value");
-      entry.revision = item.CountOf<Revision>("revision");
-      entry.lease = item.CountOf<LeaseId>("lease");
-      return entry;
-    });
-    return snapshot;
-  });
+  return DecodeJson(
+      text,
+      [](JsonReader& reader) {
+        MirrorSnapshot snapshot;
+        snapshot.revision = reader.CountOf<Revision>("revision");
+        snapshot.entries = reader.List("entries", [](JsonReader& item) {
+          StoreEntry entry;
+          entry.key = item.String("key");
+          entry.value = item.String("value");
+          entry.revision = item.CountOf<Revision>("revision");
+          entry.lease = item.CountOf<LeaseId>("lease");
+          return entry;
+        });
+        return snapshot;
+      },
+      JsonBytes::kAny);
 }
 
 std::string EncodeStandstillNotice(const StandstillNotice& notice) {
--- a/state/vm_registration.h
+++ b/state/vm_registration.h
@@ -39,10 +39,12 @@
                          const GroupMembership&) = default;
 };
 
-// One run of an endpoint's process on a VM, as it registered itself. A restart
-// is a new registration with another id.
+// One run of an endpoint's process on a VM, as it registered itself.
 struct VmRegistration {
   VmId id;
+  // Its start. A run that starts again under the same id has another one; it
+  // holds and knows nothing of the run before. Zero where it does not say.
+  Incarnation incarnation;
   ServiceId service;
   Address address;
   ZoneId zone;
--- a/tests/coordination/gateway/fleet_view_test.cc
+++ b/tests/coordination/gateway/fleet_view_test.cc
@@ -21,11 +21,17 @@
     configuration.version = ConfigurationVersion(std::stoll(std::string(text)));
     return configuration;
   };
-  codec.decode_registration = [](const VmId& vm, std::string_view text) {
+  codec.decode_registration =
+      [](const VmId& vm,
+         std::string_view text) -> std::optional<VmRegistration> {
+    if (text == "bad") {
+      return std::nullopt;
+    }
     VmRegistration registration;
     registration.id = vm;
     registration.draining = text == "draining";
-    return std::optional<VmRegistration>(registration);
+    registration.incarnation = Incarnation(text == "again" ? 2 : 1);
+    return registration;
   };
   codec.decode_node = [](std::string_view text) {
     NodeRecord node;
@@ -52,6 +58,39 @@
   EXPECT_EQ(view.configuration_changes(), 1U);
 }
 
+// Symptom: requests go to a VM whose entry names no endpoint. Sequence: another
+// writer overwrites the entry with something else. Cause: an entry that could
+// not be read left the one before it in force.
+TEST(FleetViewTest, AnEntryThatCannotBeReadNamesNoVm) {
+  std::vector<EventKind> events;
+  FleetView view(Codec(), [&](const EventDraft& event) {
+    events.push_back(event.kind);
+    return EventId();
+  });
+  view.OnPut(kNow, Entry("vm/1", "ready"));
+  view.OnPut(kNow, Entry("vm/2", "ready"));
+  view.TakeChangedVms();
+  view.OnPut(kNow, Entry("vm/1", "bad"));
+  view.OnPut(kNow, Entry("vm/1", "bad"));
+  EXPECT_EQ(view.FindVm(VmId("1")), nullptr);
+  EXPECT_NE(view.FindVm(VmId("2")), nullptr);
+  EXPECT_EQ(view.TakeChangedVms(), std::set<VmId>{VmId("1")});
+  EXPECT_EQ(std::count(events.begin(), events.end(), EventKind::kVmUnreadable),
+            1);
+  view.OnPut(kNow, Entry("vm/1", "ready"));
+  EXPECT_NE(view.FindVm(VmId("1")), nullptr);
+}
+
+TEST(FleetViewTest, AnotherRunUnderTheSameIdIsToldOnce) {
+  FleetView view(Codec(), DiscardEvents());
+  view.OnPut(kNow, Entry("vm/1", "ready"));
+  EXPECT_TRUE(view.TakeRestartedVms().empty());
+  view.OnPut(kNow, Entry("vm/1", "again"));
+  view.OnPut(kNow, Entry("vm/1", "again"));
+  EXPECT_EQ(view.TakeRestartedVms().size(), 1U);
+  EXPECT_TRUE(view.TakeRestartedVms().empty());
+}
+
 TEST(FleetViewTest, HeartbeatsWithoutAChangeAreNoChange) {
   FleetView view(Codec(), DiscardEvents());
   view.OnPut(kNow, Entry("vm/1", "ready"));
--- a/tests/coordination/gateway/replica_selector_test.cc
+++ b/tests/coordination/gateway/replica_selector_test.cc
@@ -59,6 +59,21 @@
   }
 }
 
+// Symptom: a VM that has just started gets nothing. Sequence: it crashes with
+// requests under way and starts again under its id. Cause: what its earlier run
+// had was counted for the new one.
+TEST_F(ReplicaSelectorTest, ARunUnderTheSameIdStartsWithoutLoad) {
+  Replica replica = Group("a");
+  selector_.SetReplicas(now_, {replica});
+  for (int i = 0; i < 100; ++i) {
+    selector_.OnSent(now_, VmId("a"), TokenCount(100), true);
+  }
+  EXPECT_FALSE(IsOk(Choose()));
+  replica.incarnation = Incarnation(2);
+  selector_.SetReplicas(now_, {replica});
+  EXPECT_TRUE(IsOk(Choose()));
+}
+
 TEST_F(ReplicaSelectorTest, LeavesOutAReplicaThatReportsAFullBatch) {
   selector_.OnLoad(now_, VmId("a"), {26, 20, 26});
   for (int i = 0; i < 20; ++i) {
--- a/tests/platform/platform_wire_test.cc
+++ b/tests/platform/platform_wire_test.cc
@@ -76,6 +76,34 @@
             !CodecErrorKindName(ErrorOf(decoded).kind).empty());
 }
 
+TEST(RegistrationEntryTest, ReadsWhenTheRunBegan) {
+  const auto read = DecodeRegistrationEntry(VmId("i-1"), R"({"backend":"b",
+      "address":"10.0.0.1:1","zone":"z","lifecycle":"ready","batch_slots":2,
+      "born":1791877240332})");
+  ASSERT_TRUE(IsOk(read));
+  EXPECT_EQ(ValueOf(read).incarnation, Incarnation(1791877240332));
+}
+
+// Symptom: requests go to what is no endpoint. Sequence: another writer puts an
+// entry beside the endpoints' own. Cause: a state that is not named was taken
+// for a ready one.
+TEST(RegistrationEntryTest, EntriesOfOtherWritersNameNoVm) {
+  for (const char* text :
+       {"", "\xff\xfe", "[]", R"({"backend":"b"})",
+        R"({"backend":"b","address":"a:1","zone":"z","lifecycle":"asleep",
+            "batch_slots":2})",
+        R"({"backend":7,"address":"a:1","zone":"z","lifecycle":"ready",
+            "batch_slots":2})",
+        R"({"backend":"b","address":"a:1","zone":"z","lifecycle":"ready",
+            "batch_slots":"2"})",
+        R"({"backend":"b","address":"a:1","zone":"z","lifecycle":"ready",
+            "batch_slots":2,"born":"x"})",
+        R"({"backend":"b","address":"a:1","zone":"z","lifecycle":"ready",
+            "batch_slots":2,"born":1.5})"}) {
+    EXPECT_FALSE(IsOk(DecodeRegistrationEntry(VmId("i-1"), text))) << text;
+  }
+}
+
 TEST(RegistrationEntryTest, ReadsAMemberAndAPlainService) {
   const auto member = DecodeRegistrationEntry(VmId("i-1"), R"({"backend":"b",
 "address":"10.0.0.1:80","zone":"z","version":"v1","batch_slots":26,
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -198,6 +198,15 @@
     engines_.at(vm).self.draining = true;
     Publish(engines_.at(vm));
   }
+  // The engine crashes and starts again under its id at once.
+  void Restart(const VmId& vm) {
+    played_.Restart(vm, Incarnation(now_.millis()));
+    Publish(engines_.at(vm));
+  }
+  // An entry by whoever else writes to the store.
+  void WriteEntry(const std::string& key, const std::string& value) {
+    Put(key, value);
+  }
   // A registration that is written again, as one whose numbers changed.
   void Rewrite(const VmId& vm) { Publish(engines_.at(vm)); }
 
@@ -238,10 +247,13 @@
     codecs.fleet.decode_configuration = [this](std::string_view) {
       return std::optional<FleetConfiguration>(configuration_);
     };
-    codecs.fleet.decode_registration = [this](const VmId&,
-                                              std::string_view text) {
-      return std::optional<VmRegistration>(
-          registrations_.at(std::stoul(std::string(text))));
+    codecs.fleet.decode_registration =
+        [this](const VmId&,
+               std::string_view text) -> std::optional<VmRegistration> {
+      if (text.find_first_not_of("0123456789") != std::string_view::npos) {
+        return std::nullopt;
+      }
+      return registrations_.at(std::stoul(std::string(text)));
     };
     codecs.fleet.decode_node = [this](std::string_view text) {
       return std::optional<NodeRecord>(
@@ -476,6 +488,7 @@
     });
   }
 
+  void Do(std::size_t /*index*/, const ForgetConnections& /*forget*/) {}
   void Do(std::size_t index, const MoveForward& move) {
     const auto stream = std::find_if(
         streams_.begin(), streams_.end(),
@@ -507,11 +520,10 @@
     After(answers ? kNetwork * 2 : probe.timeout, [this, index, run, probe,
                                                    answers] {
       AtNode(index, run, [&](GatewayCore& core) {
-        const double pace = engines_.at(probe.vm).pace;
         return core.OnProbeReply(
             now_, probe.vm,
             {answers ? ProbeVerdict::kAnswered : ProbeVerdict::kUnreachable,
-             pace});
+             engines_.at(probe.vm).pace});
       });
     });
   }
--- a/tests/support/played_engines.h
+++ b/tests/support/played_engines.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -20,6 +21,8 @@
   struct Engine {
     VmRegistration self;
     bool alive = true;
+    // Another run has its address; only its registration is left.
+    bool replaced = false;
     // No path to the key-value service.
     bool store_cut = false;
     // No path to the nodes either.
@@ -35,6 +38,10 @@
     Time silent_since;
     std::vector<VmId> group_members;
     std::int64_t joins = 0;
+    // The model that is being loaded onto its host, and the join that waits for
+    // it.
+    ModelId staging;
+    std::optional<GroupOrder> waiting_join;
   };
   using Publish = std::function<void(const Engine&)>;
   using After = std::function<void(Duration, std::function<void()>)>;
@@ -56,6 +63,9 @@
     if (!engine.alive) {
       return GroupOrderVerdict::kNoAnswer;
     }
+    if (engine.replaced) {
+      return GroupOrderVerdict::kOtherVm;
+    }
     if (order.fence < engine.seen_fence) {
       return GroupOrderVerdict::kStale;
     }
@@ -84,15 +94,28 @@
         publish_(engine);
         return GroupOrderVerdict::kBegun;
       case GroupOrderKind::kStage:
-        after_(Duration::Seconds(loads_take_long ? 12 : 1), [this, vm, order] {
-          engines_.at(vm).self.staged = {order.model};
-          publish_(engines_.at(vm));
-        });
+        if (engine.staging == order.model) {
+          return GroupOrderVerdict::kDone;
+        }
+        engine.staging = order.model;
+        after_(Duration::Seconds(loads_take_long ? 12 : 1),
+               [this, vm, order] { FinishStaging(vm, order.model); });
         return GroupOrderVerdict::kBegun;
     }
     return GroupOrderVerdict::kRefused;
   }
 
+  // What its host holds is kept; all else is new.
+  void Restart(const VmId& vm, Incarnation incarnation) {
+    Engine& engine = engines_.at(vm);
+    Engine fresh;
+    fresh.self = engine.self;
+    fresh.self.incarnation = incarnation;
+    fresh.self.membership.reset();
+    fresh.self.models.clear();
+    engine = std::move(fresh);
+  }
+
   bool IsWhole(const Engine& head) const {
     return std::all_of(head.group_members.begin(), head.group_members.end(),
                        [&](const VmId& member) {
@@ -137,7 +160,28 @@
                  : Duration::Seconds(loads_take_long ? 16 : 1);
     }
     publish_(engine);
-    after_(time, [this, vm = engine.self.id, order] {
+    if (engine.staging == order.model) {
+      engine.waiting_join = order;
+      return GroupOrderVerdict::kBegun;
+    }
+    FinishJoinAfter(time, engine.self.id, order);
+    return GroupOrderVerdict::kBegun;
+  }
+
+  // A join waits for the load onto the host that is under way.
+  void FinishStaging(const VmId& vm, const ModelId& model) {
+    Engine& engine = engines_.at(vm);
+    engine.staging = ModelId();
+    engine.self.staged = {model};
+    publish_(engine);
+    if (engine.waiting_join) {
+      FinishJoinAfter(Duration::Millis(1600), vm, *engine.waiting_join);
+      engine.waiting_join.reset();
+    }
+  }
+
+  void FinishJoinAfter(Duration time, const VmId& vm, const GroupOrder& order) {
+    after_(time, [this, vm, order] {
       Engine& joined = engines_.at(vm);
       auto& now_in = joined.self.membership;
       if (!joined.alive || !now_in || now_in->group != order.group) {
@@ -149,7 +193,6 @@
       ever_ready_.emplace(vm, order.group);
       publish_(joined);
     });
-    return GroupOrderVerdict::kBegun;
   }
 
   // A VM that joins another group while its group's first member still serves
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -405,6 +405,11 @@
       });
 }
 
+void GatewayRuntime::Execute(const ForgetConnections& action) {
+  endpoints_.ForgetConnections(action.address);
+  orders_.ForgetConnections(action.address);
+}
+
 void GatewayRuntime::Execute(const MoveForward& action) {
   const auto found = exchanges_.find(action.id);
   if (found != exchanges_.end()) {
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -112,6 +112,7 @@
   void Execute(const SendGroupOrder& action);
   void Execute(const ProbeEngine& action);
   void Execute(const MoveForward& action);
+  void Execute(const ForgetConnections& action);
   Time Now() const { return parts_.clock(); }
 
   GatewayRuntimeSettings settings_;
