--- a/tests/coordination/groups/serving_gate_test.cc
+++ b/tests/coordination/groups/serving_gate_test.cc
@@ -240,6 +240,13 @@
   return breach;
 }
 
+// Symptom: node n2 holds group d1-1-2 open for 7.1 s although it lacks a VM.
+// Sequence: the losses of this seed. Cause: not known yet; the property below
+// found it with a seed drawn at random.
+TEST(ServingGateSeedTest, NoRequestToAGroupThatLacksAVmWithSeed79039) {
+  EXPECT_EQ(RunLosses(79039), "");
+}
+
 RC_GTEST_PROP(ServingGateProperty, NoRequestToAGroupThatLacksAVm, ()) {
   const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1000000);
   RC_ASSERT(RunLosses(seed) == "");
