--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -182,6 +182,10 @@
   reader.Add("groups.expected_life_ms", &keeper.planner.expected_life,
              {Duration::Seconds(1), Duration::Seconds(3600)},
              "How long a group is expected to serve as it is planned.");
+  reader.Add("groups.least_restage_gain", &keeper.planner.least_restage_gain,
+             NumberRange{1, 1000},
+             "A spare loads another model's weights where its groups would be "
+             "down so many times as long without.");
   reader.Add("groups.load_rate_share", &keeper.loads.rate_share,
              NumberRange{0.01, 1},
              "Part of the weight store's rate that is used.");
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -246,8 +246,8 @@
 
 // Symptom: whoever waits for one message waits without end. Sequence: the frame
 // that carries it is not acknowledged within the call's time. Cause: a frame
-// that is late counts as lost and is not sent again; newer messages replace what
-// it said.
+// that is late counts as lost and is not sent again; newer messages replace
+// what it said.
 TEST_F(PeerTest, AFrameThatIsNotAcknowledgedInTimeIsLost) {
   ScriptedServer silent([](RawPeer& peer, int) { peer.ReadToEnd(); });
   settings_.call_timeout = Duration::Millis(20);
