--- a/tests/coordination/gateway/fleet_keeper_test.cc
+++ b/tests/coordination/gateway/fleet_keeper_test.cc
@@ -187,6 +187,20 @@
   }));
 }
 
+// Symptom: a group is taken for whole though one member knows nothing of it.
+// Sequence: a member crashes and starts again under its id before its
+// registration lapses. Cause: the id was taken for the run.
+TEST_F(FleetKeeperTest, AMemberThatStartsAgainUnderItsIdIsTakenUpAgain) {
+  const VmId head = world_.OpenHead("large");
+  const VmId member = world_.MembersOf(head)[3];
+  world_.Restart(member);
+  world_.Run(kSecond);
+  EXPECT_TRUE(world_.RunUntil(Duration::Seconds(6), [this] {
+    return world_.open_groups("large") == 2;
+  }));
+  ExpectNoViolation();
+}
+
 // Symptom: group after group waits for a VM that is gone. Sequence: a VM is cut
 // off from the key-value service, crashes and starts again under another id; a
 // heartbeat of the first run, held up until then, puts its registration back.
