peers: a connection may take as long to open as its frame may wait

Cause, traced from gRPC's own word for each lost frame: an attempt to connect was ended after 100 ms ("connection attempt timed out before receiving SETTINGS frame"), and every frame under way with it, while a frame may wait for call_timeout (1 s, in the test 600 s).

Ruled out: a deadlock, a frame lost after it was acknowledged.

The new test fails without the change (the client closes the connection after 100 ms) and passes with it.

--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -1,7 +1,10 @@
+#include <chrono>
 #include <future>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
+#include <thread>
 #include <vector>
 
 #include <gmock/gmock.h>
@@ -264,6 +267,29 @@
   OnControl([&] { client_.reset(); });
 }
 
+// Symptom: what is sent to a live node on a busy machine is lost, and whoever
+// waits for it waits without end. Sequence: the node takes 300 ms to answer the
+// opening of the connection. Cause: the attempt to connect was ended after
+// 100 ms, however long its frame may wait, and every frame under way with it.
+TEST_F(PeerTest, AConnectionMayTakeAsLongToOpenAsItsFrame) {
+  // An empty SETTINGS frame of HTTP/2: length, type, flags and stream.
+  constexpr std::string_view kSettings("\0\0\0\4\0\0\0\0\0", 9);
+  std::promise<bool> frame_came;
+  ScriptedServer slow([&](RawPeer& peer, int connection) {
+    peer.ReadUntil("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n");
+    if (connection > 0) {
+      return;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    peer.Send(kSettings);
+    frame_came.set_value(peer.ReadUntil("Deliver").ends_with("Deliver"));
+  });
+  Connect(slow.port());
+  Send(1, 1);
+  EXPECT_TRUE(frame_came.get_future().get());
+  OnControl([&] { client_.reset(); });
+}
+
 TEST_F(PeerTest, TellsWhenItCannotListen) {
   Listen();
   const auto result = PeerServer::Listen(
--- a/transport/peer_channel.cc
+++ b/transport/peer_channel.cc
@@ -32,7 +32,11 @@
   arguments.SetInt(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
   arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
-  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 100);
+  // What an attempt to connect may take at least. Ended before a frame is late,
+  // it would take the frames under way with it, and a node on a busy machine,
+  // slow to answer, would not be reached. A refused attempt ends at once.
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS,
+                   Millis(settings.call_timeout));
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
   arguments.SetMaxSendMessageSize(static_cast<int>(kMaxPeerFrameBytes));
   return arguments;
