--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -9,10 +9,6 @@
 namespace gcw {
 namespace {
 
-// Parts of an engine's published times that are not worth a setting: a batch is
-// taken to be half full.
-constexpr double kUsualFill = 0.5;
-
 NodeLease MakeLease(const GatewaySettings& settings,
                     const GatewayCore::Codecs& codecs,
                     const Random& random,
@@ -306,75 +302,6 @@
   }
 }
 
-void GatewayCore::UpdateReplicas(Time now) {
-  const bool changed = !view_.TakeChangedVms().empty() ||
-                       view_.configuration_changes() != seen_configuration_;
-  for (Address& address : view_.TakeRestartedVms()) {
-    actions_.emplace_back(ForgetConnections{std::move(address)});
-  }
-  budget_.SetNodeCount(view_.serving_nodes());
-  selector_.SetNodeCount(view_.serving_nodes());
-  mirror_.SetNodeCount(view_.serving_nodes());
-  if (!changed || !view_.routes()) {
-    return;
-  }
-  seen_configuration_ = view_.configuration_changes();
-  selector_.SetReplicas(now, MakeReplicas());
-}
-
-std::vector<Replica> GatewayCore::MakeReplicas() const {
-  std::vector<Replica> replicas;
-  for (const auto& [id, vm] : view_.vms()) {
-    const ServiceRule* service = view_.routes()->FindService(vm.service);
-    if (service == nullptr || vm.draining) {
-      continue;
-    }
-    if (std::optional<Replica> replica = MakeReplica(vm, *service)) {
-      replicas.push_back(*std::move(replica));
-    }
-  }
-  return replicas;
-}
-
-std::optional<Replica> GatewayCore::MakeReplica(
-    const VmRegistration& vm,
-    const ServiceRule& service) const {
-  Replica replica;
-  replica.vm = vm.id;
-  replica.incarnation = vm.incarnation;
-  replica.address = vm.address;
-  replica.service = vm.service;
-  replica.zone = vm.zone;
-  replica.places = std::max<std::int64_t>(1, vm.places);
-  if (!service.engine) {
-    return replica;
-  }
-  const EngineProfile& engine = *service.engine;
-  if (!vm.membership || vm.membership->rank != 0 ||
-      vm.membership->phase != MemberPhase::kOpen || vm.models.empty()) {
-    return std::nullopt;
-  }
-  replica.model = vm.models.front();
-  replica.group = vm.membership->group;
-  replica.generation = vm.membership->generation;
-  replica.places = engine.batch_limit;
-  for (const ModelProfile& model : engine.models) {
-    if (model.model != replica.model) {
-      continue;
-    }
-    // Whether it is whole shows in its streams: a lost member stops them, while
-    // one without a registration may be cut off from the store only.
-    const double fill = kUsualFill * static_cast<double>(engine.batch_limit);
-    replica.pass_ms = engine.steps_per_pass * model.pace *
-                      (engine.step_ms + engine.step_ms_per_request * fill);
-    replica.prompt_tokens_per_ms = engine.prompt_tokens_per_ms / model.pace;
-    replica.service_ms = replica.pass_ms * engine.usual_answer_tokens /
-                         std::max(1.0, engine.steps_per_pass);
-    return replica;
-  }
-  return std::nullopt;
-}
-
 void GatewayCore::MoveStuck(Time now, const std::vector<AttemptNumber>& stuck) {
   for (const ForwardId id : desk_.MovableOf(now, stuck)) {
     actions_.emplace_back(MoveForward{id});
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -115,13 +115,11 @@
   return wait;
 }
 
-Result<ReplicaChoice, RefusalKind> ReplicaSelector::Choose(
+ReplicaSelector::Candidates ReplicaSelector::FindCandidates(
     Time now,
     const ReplicaDemand& demand,
-    std::span<const VmId> excluded) {
-  std::vector<const State*> near;
-  std::vector<const State*> far;
-  bool any = false;
+    std::span<const VmId> excluded) const {
+  Candidates found;
   for (const auto& [vm, state] : states_) {
     const Replica& replica = state.replica;
     if (replica.service != demand.service || replica.model != demand.model ||
@@ -129,32 +127,51 @@
         !IsUsable(now, state)) {
       continue;
     }
-    any = true;
+    found.any_usable = true;
     if (ExpectedRequests(now, state) <
         MostFill(demand) * static_cast<double>(replica.places)) {
-      (replica.zone == zone_ ? near : far).push_back(&state);
+      (replica.zone == zone_ ? found.near : found.far).push_back(&state);
     }
   }
-  if (near.empty() && far.empty()) {
-    return any ? RefusalKind::kNoCapacity : RefusalKind::kNoEndpoint;
-  }
-  const State* best = nullptr;
-  double best_cost = 0;
-  for (std::vector<const State*>* with_room : {&near, &far}) {
-    const std::size_t drawn = std::min(
-        static_cast<std::size_t>(settings_.choices), with_room->size());
-    for (std::size_t i = 0; i < drawn; ++i) {
-      std::swap((*with_room)[i],
-                (*with_room)[i + DrawBelow(random_, with_room->size() - i)]);
-      const double cost = ExpectedWait(now, *(*with_room)[i], demand) +
-                          settings_.spread_ms * DrawUnit(random_);
-      if (best == nullptr || cost < best_cost) {
-        best = (*with_room)[i];
-        best_cost = cost;
-      }
+  return found;
+}
+
+std::optional<ReplicaChoice> ReplicaSelector::ChooseOf(
+    Time now,
+    const ReplicaDemand& demand,
+    std::vector<const State*> with_room) const {
+  const std::size_t drawn =
+      std::min(static_cast<std::size_t>(settings_.choices), with_room.size());
+  std::optional<ReplicaChoice> best;
+  for (std::size_t i = 0; i < drawn; ++i) {
+    std::swap(with_room[i],
+              with_room[i + DrawBelow(random_, with_room.size() - i)]);
+    const double cost = ExpectedWait(now, *with_room[i], demand) +
+                        settings_.spread_ms * DrawUnit(random_);
+    if (!best || cost < best->expected_ms) {
+      best = ReplicaChoice{with_room[i]->replica, cost};
     }
   }
-  return ReplicaChoice{best->replica, best_cost};
+  return best;
+}
+
+Result<ReplicaChoice, RefusalKind> ReplicaSelector::Choose(
+    Time now,
+    const ReplicaDemand& demand,
+    std::span<const VmId> excluded) const {
+  Candidates candidates = FindCandidates(now, demand, excluded);
+  std::optional<ReplicaChoice> near =
+      ChooseOf(now, demand, std::move(candidates.near));
+  std::optional<ReplicaChoice> far =
+      ChooseOf(now, demand, std::move(candidates.far));
+  if (!near && !far) {
+    return candidates.any_usable ? RefusalKind::kNoCapacity
+                                 : RefusalKind::kNoEndpoint;
+  }
+  if (!near || (far && far->expected_ms < near->expected_ms)) {
+    return *std::move(far);
+  }
+  return *std::move(near);
 }
 
 AttemptNumber ReplicaSelector::OnSent(Time now,
@@ -289,128 +306,4 @@
   }
 }
 
-std::set<VmId> ReplicaSelector::FindSilent(Time now) {
-  std::set<VmId> silent;
-  for (const auto& [number, attempt] : attempts_) {
-    if (!attempt.streams) {
-      continue;
-    }
-    const State* state = FindOf(attempt);
-    if (state == nullptr || state->stands_still_until) {
-      continue;
-    }
-    const Time last =
-        std::max(attempt.progress.value_or(attempt.sent), state->last_progress);
-    const Duration limit = attempt.progress ? settings_.silence_limit
-                                            : settings_.first_event_limit;
-    if (now - last > limit) {
-      silent.insert(attempt.vm);
-    }
-  }
-  return silent;
-}
-
-std::vector<AttemptNumber> ReplicaSelector::Tick(Time now) {
-  const std::set<VmId> silent = FindSilent(now);
-  std::vector<AttemptNumber> stuck;
-  for (auto& [vm, state] : states_) {
-    if (!silent.contains(vm)) {
-      state.suspected_since.reset();
-      continue;
-    }
-    if (!state.suspected_since) {
-      state.suspected_since = now;
-      suspicions_.push_back(state.replica);
-    }
-    // Without other nodes there is nobody to know better.
-    if (nodes_ > 1 && now - *state.suspected_since < settings_.witness_wait) {
-      continue;
-    }
-    state.suspected_since.reset();
-    standstills_.push_back(state.replica);
-    const auto marked = MarkStandstill(now, state, "own_streams");
-    stuck.insert(stuck.end(), marked.begin(), marked.end());
-  }
-  return stuck;
-}
-
-std::vector<Replica> ReplicaSelector::TakeSuspicions() {
-  return std::exchange(suspicions_, {});
-}
-
-void ReplicaSelector::OnProgressHeard(Time now,
-                                      const VmId& vm,
-                                      Generation generation,
-                                      Duration ago) {
-  State* state = Find(vm);
-  if (state == nullptr || state->replica.generation != generation) {
-    return;
-  }
-  state->last_heard = std::max(state->last_heard, now - ago);
-  state->last_progress = std::max(state->last_progress, now - ago);
-}
-
-std::vector<AttemptNumber> ReplicaSelector::OnStandstillHeard(
-    Time now,
-    const VmId& vm,
-    Generation generation) {
-  State* state = Find(vm);
-  if (state == nullptr || state->replica.generation != generation ||
-      state->stands_still_until) {
-    return {};
-  }
-  // Streams that go on here say more than another node's word.
-  if (now - state->last_progress < settings_.silence_limit / 2) {
-    return {};
-  }
-  return MarkStandstill(now, *state, "other_node");
-}
-
-std::vector<AttemptNumber> ReplicaSelector::MarkStandstill(
-    Time now,
-    State& state,
-    std::string_view evidence) {
-  state.stands_still_until = now + settings_.standstill_hold;
-  events_({EventKind::kConnectionSilent,
-           state.replica.vm.value(),
-           {},
-           {{"group", state.replica.group.value()},
-            {"evidence", std::string(evidence)},
-            {"silent_ms", (now - state.last_progress).millis()},
-            {"in_flight", state.in_flight}}});
-  std::vector<AttemptNumber> stuck;
-  for (const auto& [number, attempt] : attempts_) {
-    if (attempt.vm == state.replica.vm &&
-        attempt.generation == state.replica.generation) {
-      stuck.push_back(number);
-    }
-  }
-  return stuck;
-}
-
-std::vector<Replica> ReplicaSelector::TakeStandstills() {
-  return std::exchange(standstills_, {});
-}
-
-std::optional<Time> ReplicaSelector::OwnProgress(const VmId& vm,
-                                                 Generation generation) const {
-  const auto found = states_.find(vm);
-  if (found == states_.end() ||
-      found->second.replica.generation != generation ||
-      found->second.last_event == Time()) {
-    return std::nullopt;
-  }
-  return found->second.last_event;
-}
-
-Time ReplicaSelector::LastProgress(const VmId& vm,
-                                   Generation generation) const {
-  const auto found = states_.find(vm);
-  if (found == states_.end() ||
-      found->second.replica.generation != generation) {
-    return Time();
-  }
-  return std::max(found->second.last_event, found->second.last_heard);
-}
-
 }  // namespace gcw
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -119,9 +119,10 @@
   void SetNodeCount(std::size_t nodes);
 
   // Absent with the reason: kNoEndpoint or kNoCapacity.
-  Result<ReplicaChoice, RefusalKind> Choose(Time now,
-                                            const ReplicaDemand& demand,
-                                            std::span<const VmId> excluded);
+  Result<ReplicaChoice, RefusalKind> Choose(
+      Time now,
+      const ReplicaDemand& demand,
+      std::span<const VmId> excluded) const;
 
   AttemptNumber OnSent(Time now,
                        const VmId& vm,
@@ -192,6 +193,24 @@
     bool streams = false;
   };
 
+  // Replicas that a request can be sent to, with room for it.
+  struct Candidates {
+    std::vector<const State*> near;
+    // Of other data centres.
+    std::vector<const State*> far;
+    // Some are there, with room or without.
+    bool any_usable = false;
+  };
+
+  Candidates FindCandidates(Time now,
+                            const ReplicaDemand& demand,
+                            std::span<const VmId> excluded) const;
+  // The one with the shortest expected wait of a few drawn at random; absent
+  // where there are none.
+  std::optional<ReplicaChoice> ChooseOf(
+      Time now,
+      const ReplicaDemand& demand,
+      std::vector<const State*> with_room) const;
   State* Find(const VmId& vm);
   // Null where the attempt was sent to an earlier run or group of the VM.
   State* FindOf(const Attempt& attempt);
--- /dev/null
+++ b/coordination/gateway/replica_selector_standstill.cc
@@ -0,0 +1,134 @@
+// Replicas that stand still: how it shows, and what other nodes know of it.
+
+#include "coordination/gateway/replica_selector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gcw {
+
+std::set<VmId> ReplicaSelector::FindSilent(Time now) {
+  std::set<VmId> silent;
+  for (const auto& [number, attempt] : attempts_) {
+    if (!attempt.streams) {
+      continue;
+    }
+    const State* state = FindOf(attempt);
+    if (state == nullptr || state->stands_still_until) {
+      continue;
+    }
+    const Time last =
+        std::max(attempt.progress.value_or(attempt.sent), state->last_progress);
+    const Duration limit = attempt.progress ? settings_.silence_limit
+                                            : settings_.first_event_limit;
+    if (now - last > limit) {
+      silent.insert(attempt.vm);
+    }
+  }
+  return silent;
+}
+
+std::vector<AttemptNumber> ReplicaSelector::Tick(Time now) {
+  const std::set<VmId> silent = FindSilent(now);
+  std::vector<AttemptNumber> stuck;
+  for (auto& [vm, state] : states_) {
+    if (!silent.contains(vm)) {
+      state.suspected_since.reset();
+      continue;
+    }
+    if (!state.suspected_since) {
+      state.suspected_since = now;
+      suspicions_.push_back(state.replica);
+    }
+    // Without other nodes there is nobody to know better.
+    if (nodes_ > 1 && now - *state.suspected_since < settings_.witness_wait) {
+      continue;
+    }
+    state.suspected_since.reset();
+    standstills_.push_back(state.replica);
+    const auto marked = MarkStandstill(now, state, "own_streams");
+    stuck.insert(stuck.end(), marked.begin(), marked.end());
+  }
+  return stuck;
+}
+
+std::vector<Replica> ReplicaSelector::TakeSuspicions() {
+  return std::exchange(suspicions_, {});
+}
+
+void ReplicaSelector::OnProgressHeard(Time now,
+                                      const VmId& vm,
+                                      Generation generation,
+                                      Duration ago) {
+  State* state = Find(vm);
+  if (state == nullptr || state->replica.generation != generation) {
+    return;
+  }
+  state->last_heard = std::max(state->last_heard, now - ago);
+  state->last_progress = std::max(state->last_progress, now - ago);
+}
+
+std::vector<AttemptNumber> ReplicaSelector::OnStandstillHeard(
+    Time now,
+    const VmId& vm,
+    Generation generation) {
+  State* state = Find(vm);
+  if (state == nullptr || state->replica.generation != generation ||
+      state->stands_still_until) {
+    return {};
+  }
+  // Streams that go on here say more than another node's word.
+  if (now - state->last_progress < settings_.silence_limit / 2) {
+    return {};
+  }
+  return MarkStandstill(now, *state, "other_node");
+}
+
+std::vector<AttemptNumber> ReplicaSelector::MarkStandstill(
+    Time now,
+    State& state,
+    std::string_view evidence) {
+  state.stands_still_until = now + settings_.standstill_hold;
+  events_({EventKind::kConnectionSilent,
+           state.replica.vm.value(),
+           {},
+           {{"group", state.replica.group.value()},
+            {"evidence", std::string(evidence)},
+            {"silent_ms", (now - state.last_progress).millis()},
+            {"in_flight", state.in_flight}}});
+  std::vector<AttemptNumber> stuck;
+  for (const auto& [number, attempt] : attempts_) {
+    if (attempt.vm == state.replica.vm &&
+        attempt.generation == state.replica.generation) {
+      stuck.push_back(number);
+    }
+  }
+  return stuck;
+}
+
+std::vector<Replica> ReplicaSelector::TakeStandstills() {
+  return std::exchange(standstills_, {});
+}
+
+std::optional<Time> ReplicaSelector::OwnProgress(const VmId& vm,
+                                                 Generation generation) const {
+  const auto found = states_.find(vm);
+  if (found == states_.end() ||
+      found->second.replica.generation != generation ||
+      found->second.last_event == Time()) {
+    return std::nullopt;
+  }
+  return found->second.last_event;
+}
+
+Time ReplicaSelector::LastProgress(const VmId& vm,
+                                   Generation generation) const {
+  const auto found = states_.find(vm);
+  if (found == states_.end() ||
+      found->second.replica.generation != generation) {
+    return Time();
+  }
+  return std::max(found->second.last_event, found->second.last_heard);
+}
+
+}  // namespace gcw
