gateway: models that callers make up leave nothing behind in the policy of deferral

Cause: the window is kept by model, and the question whether a request gives way made an entry for whatever model its caller named, before any endpoint of it was looked for: a caller could grow a node's memory without end. Found by reading the change.

An entry is made only once a request was sent.

--- a/coordination/gateway/deferral_policy.cc
+++ b/coordination/gateway/deferral_policy.cc
@@ -8,9 +8,15 @@
                               const ServiceId& service,
                               const ModelId& model,
                               Duration objective) {
-  const double window = Window(now, service, model, objective);
-  return At(service, model).requests < window ? Urgency::kOnTime
-                                              : Urgency::kDeferred;
+  const auto found = waiting_.find({service, model});
+  // Whatever models callers name: only what was sent somewhere is kept.
+  if (found == waiting_.end()) {
+    return Urgency::kOnTime;
+  }
+  const Waiting& waiting = found->second;
+  return waiting.requests < Window(now, service, model, objective)
+             ? Urgency::kOnTime
+             : Urgency::kDeferred;
 }
 
 double DeferralPolicy::Window(Time now,
--- a/coordination/gateway/deferral_policy.h
+++ b/coordination/gateway/deferral_policy.h
@@ -1,6 +1,7 @@
 #ifndef COORDINATION_GATEWAY_DEFERRAL_POLICY_H_
 #define COORDINATION_GATEWAY_DEFERRAL_POLICY_H_
 
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <utility>
@@ -55,6 +56,8 @@
                 const ServiceId& service,
                 const ModelId& model,
                 Duration objective);
+  // Models of which anything is kept.
+  std::size_t models() const { return waiting_.size(); }
 
  private:
   struct Waiting {
--- a/tests/coordination/gateway/deferral_policy_test.cc
+++ b/tests/coordination/gateway/deferral_policy_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <string>
+
 #include "coordination/coordination.h"
 
 namespace gcw {
@@ -81,5 +83,15 @@
             Urgency::kOnTime);
 }
 
+// Symptom: a node's memory grows until it is killed. Sequence: a caller names
+// another model in each request; none of them is served anywhere. Cause: what
+// is counted by model began with the question whether a request gives way.
+TEST_F(DeferralPolicyTest, ModelsThatCallersMakeUpLeaveNothingBehind) {
+  for (int i = 0; i < 1000; ++i) {
+    policy_.Grade(now_, service_, ModelId(std::to_string(i)), kObjective);
+  }
+  EXPECT_EQ(policy_.models(), 0U);
+}
+
 }  // namespace
 }  // namespace gcw
