membership: a list of nodes counts once it shows this run of the node

On an idle machine the first node is written before the second one reads.

Ruled out: the limit of connection attempts between nodes, changed shortly before: no connection is tried to a node that is not known.

A list from the service now counts where it shows this run of the node, by incarnation and address; else it is read again after the backoff. Of two nodes the one written last sees the other. Two tests with four nodes; both fail before and pass after.

--- a/coordination/membership/membership.h
+++ b/coordination/membership/membership.h
@@ -142,6 +142,8 @@
   // The list of nodes in the key-value service.
   void ReadNodes(Time now);
   void OnNodeList(Time now, const StoreRangeReply& reply);
+  // Whether this run of the node wrote the record, not an earlier one.
+  bool IsOwnRun(const NodeRecord& record) const;
 
   // Messages.
   void OnMessage(Time now, const NodeId& from, const Ping& ping);
@@ -201,7 +203,8 @@
   // Members that are not dead, as of the last period.
   std::size_t live_ = 1;
   std::size_t urgent_left_ = 0;
-  // The full list of members was received, from the service or a peer.
+  // The full list of members was received, from the service or a peer; one from
+  // the service counts where it shows this run of the node as well.
   bool listed_ = false;
   std::set<NodeId> in_store_;
 
--- a/coordination/membership/membership_rumors.cc
+++ b/coordination/membership/membership_rumors.cc
@@ -196,8 +196,7 @@
 }
 
 void Membership::OnNodeList(Time now, const StoreRangeReply& reply) {
-  listed_ = true;
-  backoff_.Reset();
+  bool is_own_run_listed = false;
   in_store_.clear();
   for (const StoreEntry& entry : reply.entries) {
     const std::optional<NodeRecord> record = decode_(entry.value);
@@ -206,6 +205,7 @@
     }
     in_store_.insert(record->id);
     if (record->id == self_) {
+      is_own_run_listed = IsOwnRun(*record);
       continue;
     }
     // The version under which the node announces itself. A lower one would make
@@ -220,6 +220,22 @@
                .record = record},
               /*pass_on=*/false);
   }
+  if (!is_own_run_listed) {
+    // Nodes that start together would each read the list before any of them
+    // stands in it, and be alone until the next read: each would take over what
+    // the others own. Of two nodes, at least the one that was written last sees
+    // the other in a list that shows itself.
+    next_read_ = std::min(next_read_, now + backoff_.Next(random_));
+    return;
+  }
+  listed_ = true;
+  backoff_.Reset();
+}
+
+bool Membership::IsOwnRun(const NodeRecord& record) const {
+  const NodeRecord& own = self().record;
+  return record.incarnation == own.incarnation &&
+         record.peer_address == own.peer_address;
 }
 
 }  // namespace gcw
--- a/tests/coordination/membership/membership_test.cc
+++ b/tests/coordination/membership/membership_test.cc
@@ -15,6 +15,19 @@
   });
 }
 
+// Each node's key comes to stand in the service after it has read the list of
+// nodes; messages arrive only where the sender knows the address.
+void RegisterLate(MemberCluster& cluster) {
+  cluster.network().SetConnected([&](const NodeId& from, const NodeId& to) {
+    return cluster.KnowsAddress(from, to);
+  });
+  cluster.Run(Duration::Seconds(2));
+  for (std::size_t i = 0; i < cluster.nodes().size(); ++i) {
+    cluster.Register(i);
+  }
+  cluster.Run(Duration::Seconds(10));
+}
+
 TEST(MembershipTest, NodesFindEachOtherThroughTheStore) {
   MemberCluster cluster(10, 1);
   cluster.Run(Duration::Seconds(5));
@@ -22,6 +35,40 @@
   EXPECT_EQ(cluster.changes(MemberState::kSuspect), 0);
 }
 
+// Symptom: nodes that started together do not see each other for half a minute;
+// each takes the shards of the others over, and a second send of a request that
+// ran is told that its outcome is unknown.
+// Sequence: all nodes of a fleet start; each reads the list of nodes before any
+// of them has its lease and its key.
+// Cause: a list that was read before the node's own key stood in it passes for
+// complete, and the next one is read much later.
+TEST(MembershipTest, NodesThatStartTogetherFindEachOther) {
+  constexpr std::size_t kNodes = 4;
+  MemberCluster cluster(kNodes, 9);
+  for (std::size_t i = 0; i < kNodes; ++i) {
+    cluster.Unregister(i);
+    cluster.RestartUnregistered(i);
+  }
+  RegisterLate(cluster);
+  EXPECT_TRUE(cluster.Agrees());
+}
+
+// Symptom: as above, where the nodes start anew under their old ids.
+// Sequence: the keys of the earlier runs, with addresses where nobody listens
+// any more, still stand in the service when all nodes read the list.
+// Cause: the key of the node's own earlier run passes for that of this run.
+TEST(MembershipTest, NodesThatStartAnewTogetherFindEachOther) {
+  constexpr std::size_t kNodes = 4;
+  MemberCluster cluster(kNodes, 10);
+  for (std::size_t i = 0; i < kNodes; ++i) {
+    cluster.nodes()[i].record.peer_address =
+        Address("10.0.1.1:7" + std::to_string(i));
+    cluster.RestartUnregistered(i);
+  }
+  RegisterLate(cluster);
+  EXPECT_TRUE(cluster.Agrees());
+}
+
 // Symptom: callers and work go on being sent to a dead node.
 // Sequence: a node is killed.
 // Cause: nobody probing it, or suspicion that never ends.
--- a/tests/support/member_cluster.h
+++ b/tests/support/member_cluster.h
@@ -16,7 +16,8 @@
 namespace gcw {
 
 // Nodes that watch over each other, with one fake key-value service and
-// network. Each node's key stands in the service from its start.
+// network. Each node's key stands in the service from its start, unless it is
+// told to stay unregistered.
 class MemberCluster {
  public:
   static constexpr Duration kStep = Duration::Millis(50);
@@ -54,6 +55,15 @@
 
   // A new process; its lease is granted where the service can be reached.
   void Restart(std::size_t index, std::vector<NodeRecord> seeds = {}) {
+    RestartUnregistered(index, std::move(seeds));
+    if (!link_.faults().outage) {
+      Register(index);
+    }
+  }
+
+  // A new process whose key does not stand in the service yet.
+  void RestartUnregistered(std::size_t index,
+                           std::vector<NodeRecord> seeds = {}) {
     Node& node = nodes_[index];
     ++node.process;
     node.up = true;
@@ -67,9 +77,12 @@
                                          .SetDecode(TextNodeCodec().decode)
                                          .SetRandom(SeededRandom(random_()))
                                          .Build());
-    if (!link_.faults().outage) {
-      Register(index);
-    }
+  }
+
+  // Takes the node's key away, as at the end of its lease.
+  void Unregister(std::size_t index) {
+    link_.store().Execute(
+        now_, StoreDelete{"node/" + nodes_[index].record.id.value(), {}});
   }
 
   // Writes `node/<id>` and tells the node its incarnation.
@@ -116,6 +129,13 @@
     }
   }
 
+  // Whether `from` has the address at which the present run of `to` listens.
+  bool KnowsAddress(const NodeId& from, const NodeId& to) const {
+    const Member* member = nodes_[index_.at(from)].members->view().Find(to);
+    return member != nullptr && member->record.peer_address ==
+                                    nodes_[index_.at(to)].record.peer_address;
+  }
+
   // How many running nodes other than `index` see it in `state`.
   std::size_t Seeing(std::size_t index, MemberState state) const {
     std::size_t count = 0;
--- a/tests/support/text_codecs.h
+++ b/tests/support/text_codecs.h
@@ -26,22 +26,22 @@
               [](const NodeRecord& r) {
                 return r.id.value() + "|" + r.zone.value() + "|" +
                        r.region.value() + "|" + r.caller_address.value() + "|" +
-                       (r.leaving ? "1" : "0");
+                       r.peer_address.value() + "|" + (r.leaving ? "1" : "0");
               },
           .decode = [](std::string_view text) -> std::optional<NodeRecord> {
             const std::vector<std::string> fields = SplitFields(text);
-            if (fields.size() != 5) {
+            if (fields.size() != 6) {
               return std::nullopt;
             }
             return NodeRecord{.id = NodeId(fields[0]),
                               .incarnation = {},
                               .zone = ZoneId(fields[1]),
                               .region = RegionId(fields[2]),
-                              .peer_address = {},
+                              .peer_address = Address(fields[4]),
                               .caller_address = Address(fields[3]),
                               .operator_address = {},
                               .weight = 1,
-                              .leaving = fields[4] == "1"};
+                              .leaving = fields[5] == "1"};
           }};
 }
 
