tests: a watch outlives another call's timeout, whichever request is read first

Cause, from the code and the 2 ms that it took: two threads serve; the test took the first request that was read for the watch, and only waited for an open connection. Where the read was first, its answer was the watch's and the watch's responder was dropped, so that the watch ended unanswered. Two threads also wrote the same variable. Besides, the other call never ran into its timeout, as the test says.

--- a/tests/transport/platform_clients_test.cc
+++ b/tests/transport/platform_clients_test.cc
@@ -103,31 +103,34 @@
       CallStore(Address("127.0.0.1:1"), put)));
 }
 
+// Symptom: a watch ends as unanswered although nothing went wrong, and each
+// change is seen only by the next one.
+// Sequence: a watch waits, another call runs into its timeout, then a change
+// comes and the watch is answered.
+// Cause: one timeout for calls that are answered at once and calls that wait.
 TEST_F(PlatformClientsTest, AWatchMayTakeLongerThanOtherCalls) {
-  std::shared_ptr<HttpResponder> kept;
-  const Address store = Serve(
-      [&](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
-        // Answers only after another call has run into its timeout.
-        if (!kept) {
-          kept = responder;
-          return;
-        }
-        kept->Respond(
-            {200,
-             {},
-             R"({"revision":7,"changed":[],"deleted":[],"compacted":false})"});
-      });
+  std::promise<std::shared_ptr<HttpResponder>> watch_arrived;
+  std::promise<std::shared_ptr<HttpResponder>> read_arrived;
+  const Address store = Serve([&](const HttpRequest& request,
+                                  const std::shared_ptr<HttpResponder>& each) {
+    const bool is_watch = request.target.find("watch") != std::string::npos;
+    (is_watch ? watch_arrived : read_arrived).set_value(each);
+  });
   StoreClient client(io_.context(), {store, Duration::Millis(50)});
   std::promise<StoreReply> watched;
-  std::promise<void> timed_out;
+  std::promise<StoreReply> read;
   client.Call(StoreWatch{"a", {}, kTimeout},
               [&](StoreReply r) { watched.set_value(std::move(r)); });
-  while (server_->open_connections() == 0) {
-    std::this_thread::yield();
-  }
+  const auto watch_responder = watch_arrived.get_future().get();
   client.Call(StoreRange{"a"},
-              [&](const StoreReply&) { timed_out.set_value(); });
-  timed_out.get_future().get();
+              [&](StoreReply r) { read.set_value(std::move(r)); });
+  // Kept, so that the read can only end by its timeout.
+  const auto read_responder = read_arrived.get_future().get();
+  EXPECT_TRUE(std::holds_alternative<StoreNoAnswer>(read.get_future().get()));
+  watch_responder->Respond(
+      {200,
+       {},
+       R"({"revision":7,"changed":[],"deleted":[],"compacted":false})"});
   EXPECT_TRUE(
       std::holds_alternative<StoreWatchReply>(watched.get_future().get()));
 }
