gateway: one node of a data centre watches the store for many

Hypothesis: where a data centre has many nodes, one that watches and tells the others saves most calls and brings news sooner. Nodes name it by rendezvous among those they see; it serves 24 at most, so that its cost does not grow with the fleet. A follower's question waits 400 ms for a change; the answer says how old the teller's copy is and how long it still holds removals back. Without an answer, or with one older than the bound allows, the follower watches the store at once. The keeper always watches; in a data centre with fewer than 8 nodes each node does.

--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -14,6 +14,7 @@
 #include "coordination/configuration/config_messages.h"
 #include "coordination/configuration/config_sync.h"
 #include "coordination/configuration/record_changes.h"
+#include "coordination/gateway/change_feed.h"
 #include "coordination/gateway/deferral_policy.h"
 #include "coordination/gateway/fleet_keeper.h"
 #include "coordination/gateway/fleet_view.h"
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -77,6 +77,7 @@
 }
 
 GatewayActions GatewayCore::Tick(Time now) {
+  UpdateFollowing(now);
   Apply(mirror_.Tick(now));
   Apply(GatewayModule::kLease, lease_.Tick(now));
   UpdateRole(now);
@@ -320,21 +321,24 @@
 
 void GatewayCore::Apply(std::vector<StoreMirrorAction> actions) {
   for (StoreMirrorAction& action : actions) {
-    if (auto* request = std::get_if<StoreRequest>(&action)) {
-      actions_.emplace_back(
-          CallGatewayStore{GatewayModule::kMirror, std::move(*request)});
-      continue;
-    }
-    std::vector<Address> others = OtherNodes();
-    if (others.empty()) {
-      others = settings_.seeds;
-      std::erase(others, settings_.self.peer_address);
-    }
-    if (!others.empty()) {
-      const auto& ask = std::get<AskPeerSnapshot>(action);
-      actions_.emplace_back(AskNodeSnapshot{
-          others[DrawBelow(random_, others.size())], ask.newer_than});
-    }
+    std::visit([this](auto& each) { Apply(std::move(each)); }, action);
+  }
+}
+
+void GatewayCore::Apply(StoreRequest request) {
+  actions_.emplace_back(
+      CallGatewayStore{GatewayModule::kMirror, std::move(request)});
+}
+
+void GatewayCore::Apply(const AskPeerSnapshot& ask) {
+  std::vector<Address> others = OtherNodes();
+  if (others.empty()) {
+    others = settings_.seeds;
+    std::erase(others, settings_.self.peer_address);
+  }
+  if (!others.empty()) {
+    actions_.emplace_back(AskNodeSnapshot{
+        others[DrawBelow(random_, others.size())], ask.newer_than});
   }
 }
 
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -2,6 +2,7 @@
 #define COORDINATION_GATEWAY_GATEWAY_CORE_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -52,6 +53,9 @@
   Duration entries_keep = Duration::Seconds(5);
   // Addresses in one such list at most.
   std::size_t most_entries = 64;
+  // Between two choices of the node to follow; one that does not answer is left
+  // at once.
+  Duration follow_review = Duration::Millis(500);
   // Other nodes, drawn at random, that are asked whether a group that seems to
   // stand still goes on for them. A group in use has streams of most nodes.
   std::size_t standstill_witnesses = 8;
@@ -87,6 +91,14 @@
   Address address;
   Revision newer_than;
 };
+// Ask the node at that address for the changes after a revision.
+struct AskNodeChanges {
+  StoreCallId id;
+  Address address;
+  Revision after;
+  Duration wait;
+  Duration timeout;
+};
 // A group that stands still, told between nodes.
 struct StandstillNotice {
   VmId head;
@@ -113,6 +125,8 @@
 
 using GatewayAction = std::variant<CallGatewayStore,
                                    AskNodeSnapshot,
+                                   AskNodeChanges,
+                                   AnswerChanges,
                                    TellNode,
                                    AskProgress,
                                    SendGroupOrder,
@@ -150,6 +164,12 @@
                               StoreCallId id,
                               const StoreReply& reply);
   GatewayActions OnSnapshot(Time now, const MirrorSnapshot& snapshot);
+  // A follower asks for changes; answered by AnswerChanges.
+  GatewayActions OnChangesAsked(Time now, const ChangeQuestion& question);
+  // Absent where the followed node did not answer or could not tell.
+  GatewayActions OnChangesHeard(Time now,
+                                StoreCallId id,
+                                const std::optional<MirrorChanges>& changes);
   GatewayActions OnNotice(Time now, const StandstillNotice& notice);
   // Another node saw the group make progress that long ago.
   GatewayActions OnProgressHeard(Time now,
@@ -192,9 +212,22 @@
 
  private:
   void Apply(std::vector<StoreMirrorAction> actions);
+  void Apply(StoreRequest request);
+  void Apply(const AskPeerSnapshot& ask);
+  void Apply(const AskPeerChanges& ask);
+  void Apply(AnswerChanges answer);
   void Apply(GatewayModule module,
              const std::vector<std::variant<StoreRequest>>& actions);
   void Apply(std::vector<FleetKeeperAction> actions);
+  void UpdateFollowing(Time now);
+  // The node of this data centre that this one is to follow; empty where it has
+  // to watch the service itself.
+  NodeId ChooseFollowed(Time now);
+  // How many nodes watch the service, by what this node sees of the fleet.
+  std::size_t CountWatchers() const;
+  // How many of the nodes of a data centre do: more in a larger one, so that
+  // none has more followers.
+  std::size_t WatchersOf(std::size_t nodes) const;
   void UpdateRole(Time now);
   // How many nodes are preferred to this one for the role.
   std::int64_t RankFor(const RoleName& role) const;
@@ -221,6 +254,12 @@
   SharedRetryBudget budget_;
   ForwardDesk desk_;
 
+  // The node that is followed; empty where none is.
+  NodeId followed_;
+  Address followed_address_;
+  Time next_follow_review_;
+  // Nodes that could not tell, and until when they are not asked.
+  std::map<NodeId, Time> avoided_;
   std::optional<Time> role_free_since_;
   Time next_witness_ask_;
   std::uint64_t seen_configuration_ = 0;
--- /dev/null
+++ b/coordination/gateway/gateway_core_following.cc
@@ -0,0 +1,105 @@
+// One node of a data centre watches the key-value service for many.
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "coordination/gateway/gateway_core.h"
+#include "coordination/rendezvous.h"
+
+namespace gcw {
+namespace {
+
+constexpr std::string_view kFollowedKey = "followed";
+
+}  // namespace
+
+void GatewayCore::UpdateFollowing(Time now) {
+  if (is_keeper(now)) {
+    // It acts on each change at once.
+    followed_ = NodeId();
+    next_follow_review_ = now;
+  } else if (now >= next_follow_review_) {
+    next_follow_review_ = now + settings_.follow_review;
+    followed_ = ChooseFollowed(now);
+    if (!followed_.empty()) {
+      followed_address_ = view_.nodes().at(followed_).peer_address;
+    }
+    mirror_.SetWatcherCount(CountWatchers());
+  }
+  mirror_.SetFollowing(!followed_.empty());
+}
+
+NodeId GatewayCore::ChooseFollowed(Time now) {
+  std::erase_if(avoided_, [&](const auto& each) { return now >= each.second; });
+  std::vector<NodeId> near = {settings_.self.id};
+  for (const auto& [id, node] : view_.nodes()) {
+    if (id != settings_.self.id && node.zone == settings_.self.zone &&
+        !node.leaving && !avoided_.contains(id)) {
+      near.push_back(id);
+    }
+  }
+  // All nodes that see the same fleet name the same ones, without a word about
+  // it.
+  const std::vector<NodeId> followed =
+      RendezvousOrder(kFollowedKey, near, WatchersOf(near.size()));
+  if (std::find(followed.begin(), followed.end(), settings_.self.id) !=
+      followed.end()) {
+    return NodeId();
+  }
+  return RendezvousOrder(settings_.self.id.value(), followed, 1).front();
+}
+
+std::size_t GatewayCore::CountWatchers() const {
+  std::map<ZoneId, std::size_t> nodes;
+  for (const auto& [id, node] : view_.nodes()) {
+    nodes[node.zone] += node.leaving ? 0 : 1;
+  }
+  // The keeper is one more.
+  std::size_t watchers = 1;
+  for (const auto& [zone, count] : nodes) {
+    watchers += WatchersOf(count);
+  }
+  return watchers;
+}
+
+std::size_t GatewayCore::WatchersOf(std::size_t nodes) const {
+  if (nodes < static_cast<std::size_t>(settings_.mirror.follow_from)) {
+    return nodes;
+  }
+  const auto served_by_one =
+      static_cast<std::size_t>(settings_.mirror.followers) + 1;
+  return (nodes + served_by_one - 1) / served_by_one;
+}
+
+GatewayActions GatewayCore::OnChangesAsked(Time now,
+                                           const ChangeQuestion& question) {
+  Apply(mirror_.OnChangesAsked(now, question));
+  return TakeActions();
+}
+
+GatewayActions GatewayCore::OnChangesHeard(
+    Time now,
+    StoreCallId id,
+    const std::optional<MirrorChanges>& changes) {
+  if (!mirror_.IsUsable(changes) && !followed_.empty()) {
+    avoided_[followed_] = now + settings_.mirror.follow_avoid;
+    next_follow_review_ = now;
+  }
+  Apply(mirror_.OnPeerChanges(now, id, changes));
+  UpdateReplicas(now);
+  RunKeeper(now);
+  return TakeActions();
+}
+
+void GatewayCore::Apply(const AskPeerChanges& ask) {
+  actions_.emplace_back(AskNodeChanges{ask.id, followed_address_, ask.after,
+                                       ask.wait,
+                                       settings_.mirror.follow_timeout});
+}
+
+void GatewayCore::Apply(AnswerChanges answer) {
+  actions_.emplace_back(std::move(answer));
+}
+
+}  // namespace gcw
--- a/coordination/gateway/gateway_core_replicas.cc
+++ b/coordination/gateway/gateway_core_replicas.cc
@@ -22,7 +22,6 @@
   }
   budget_.SetNodeCount(view_.serving_nodes());
   selector_.SetNodeCount(view_.serving_nodes());
-  mirror_.SetNodeCount(view_.serving_nodes());
   if (!changed || !view_.routes()) {
     return;
   }
--- a/coordination/gateway/store_mirror.cc
+++ b/coordination/gateway/store_mirror.cc
@@ -11,7 +11,8 @@
     : settings_(std::move(settings)),
       random_(std::move(random)),
       hooks_(std::move(hooks)),
-      backoff_(settings_.backoff) {}
+      backoff_(settings_.backoff),
+      feed_(settings_.most_kept_changes) {}
 
 std::vector<StoreMirrorAction> StoreMirror::Tick(Time now) {
   RemoveHeld(now);
@@ -25,6 +26,14 @@
     next_ask_ = now + settings_.ask_peer_interval;
     actions.emplace_back(AskPeerSnapshot{loaded_ ? revision_ : Revision()});
   }
+  AnswerQuestions(now, actions);
+  if (MayFollow() && !call_ && now >= next_call_) {
+    call_ = ++last_id_;
+    asks_peer_ = true;
+    actions.emplace_back(
+        AskPeerChanges{last_id_, revision_, settings_.follow_wait});
+    return actions;
+  }
   if (std::optional<StoreCall> call = NextCall(now)) {
     call_ = ++last_id_;
     if (!owed_since_) {
@@ -51,14 +60,34 @@
                     std::max(settings_.watch_wait, interval)};
 }
 
+void StoreMirror::SetFollowing(bool following) {
+  following_ = following;
+  if (!following && asks_peer_) {
+    // A node that has become the keeper does not wait for another one.
+    asks_peer_ = false;
+    call_.reset();
+  }
+}
+
+// While the service owes this node an answer, following would hide whether it
+// is away: keys that lapse meanwhile have to be held back.
+bool StoreMirror::MayFollow() const {
+  return following_ && phase_ == Phase::kWatching && !watches_once_ &&
+         reachable_ && !owed_since_;
+}
+
+Duration StoreMirror::MostAge() const {
+  return settings_.known_within - settings_.repeat_margin;
+}
+
 Duration StoreMirror::WatchInterval() const {
   if (eager_) {
     return settings_.eager_watch_interval;
   }
-  const auto shared = Duration::Millis(static_cast<std::int64_t>(
-      1000 * static_cast<double>(nodes_) / settings_.fleet_watches_per_second));
-  const Duration longest = settings_.known_within - settings_.repeat_margin;
-  return std::max(settings_.watch_interval, std::min(shared, longest));
+  const auto shared = Duration::Millis(
+      static_cast<std::int64_t>(1000 * static_cast<double>(watchers_) /
+                                settings_.fleet_watches_per_second));
+  return std::max(settings_.watch_interval, std::min(shared, MostAge()));
 }
 
 bool StoreMirror::IsAway(Time now) const {
@@ -138,6 +167,7 @@
   }
   // Changes between the reads of two families are seen again by the watch.
   revision_ = *round_revision_;
+  feed_.StartAt(revision_);
   phase_ = Phase::kWatching;
   loaded_ = true;
 }
@@ -147,13 +177,81 @@
     StartReading(now);
     return;
   }
-  for (const StoreEntry& entry : reply.changed) {
+  watches_once_ = false;
+  known_at_ = now;
+  ApplyChanges(now, reply.changed, reply.deleted, reply.revision);
+}
+
+void StoreMirror::ApplyChanges(Time now,
+                               const std::vector<StoreEntry>& changed,
+                               const std::vector<StoreDeletion>& deleted,
+                               Revision revision) {
+  for (const StoreEntry& entry : changed) {
     Put(now, entry);
   }
-  for (const StoreDeletion& deletion : reply.deleted) {
+  for (const StoreDeletion& deletion : deleted) {
     Delete(now, deletion.key, deletion.revision);
   }
-  revision_ = std::max(revision_, reply.revision);
+  feed_.Add(changed, deleted);
+  revision_ = std::max(revision_, revision);
+}
+
+std::vector<StoreMirrorAction> StoreMirror::OnPeerChanges(
+    Time now,
+    StoreCallId id,
+    const std::optional<MirrorChanges>& changes) {
+  if (call_ != id) {
+    return {};
+  }
+  call_.reset();
+  asks_peer_ = false;
+  if (!IsUsable(changes)) {
+    // The service itself is asked at once: what this node knows may be as old
+    // already as it may become.
+    watches_once_ = true;
+    next_call_ = now;
+    return Tick(now);
+  }
+  if (changes->lapse_left > Duration()) {
+    lapse_until_ = std::max(lapse_until_, now + changes->lapse_left);
+  }
+  const Time as_of = now - changes->age;
+  known_at_ = known_at_ ? std::max(*known_at_, as_of) : as_of;
+  ApplyChanges(now, changes->changed, changes->deleted, changes->revision);
+  return Tick(now);
+}
+
+bool StoreMirror::IsUsable(const std::optional<MirrorChanges>& changes) const {
+  return changes && changes->age <= MostAge();
+}
+
+std::vector<StoreMirrorAction> StoreMirror::OnChangesAsked(
+    Time now,
+    const ChangeQuestion& question) {
+  feed_.Ask(now, question);
+  std::vector<StoreMirrorAction> actions;
+  AnswerQuestions(now, actions);
+  return actions;
+}
+
+// A copy that may be old is not passed on: a follower that took it for complete
+// would send requests to endpoints that have left.
+void StoreMirror::AnswerQuestions(Time now,
+                                  std::vector<StoreMirrorAction>& actions) {
+  if (!feed_.has_questions()) {
+    return;
+  }
+  std::optional<Duration> age;
+  if (known_at_ && phase_ == Phase::kWatching &&
+      now - *known_at_ <= MostAge()) {
+    age = now - *known_at_;
+  }
+  const Duration lapse_left =
+      lapse_until_ > now ? lapse_until_ - now : Duration();
+  for (AnswerChanges& answer :
+       feed_.TakeAnswers(now, revision_, age, lapse_left)) {
+    actions.emplace_back(std::move(answer));
+  }
 }
 
 void StoreMirror::OnPeerSnapshot(Time now, const MirrorSnapshot& snapshot) {
@@ -172,9 +270,8 @@
     DeleteMissing(now, prefix, seen, snapshot.revision);
   }
   revision_ = std::max(revision_, snapshot.revision);
-  if (!loaded_) {
-    loaded_ = true;
-  }
+  feed_.StartAt(revision_);
+  loaded_ = true;
   // Everything up to the snapshot's revision is known: no read is needed.
   if (phase_ == Phase::kReading && !call_) {
     phase_ = Phase::kWatching;
--- a/coordination/gateway/store_mirror.h
+++ b/coordination/gateway/store_mirror.h
@@ -13,6 +13,7 @@
 
 #include "coordination/actions.h"
 #include "coordination/backoff.h"
+#include "coordination/gateway/change_feed.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -58,6 +59,21 @@
   // return, as the platform says, and the watch needs its interval.
   Duration lapse_grace = Duration::Millis(2500);
   BackoffSettings backoff = {Duration::Millis(150), Duration::Millis(800)};
+  // How many nodes of a data centre learn of changes from one that watches the
+  // service. Zero: each node watches the service itself.
+  std::int64_t followers = 24;
+  // Fewer nodes in a data centre each watch for themselves: their watches are
+  // few, and what comes over another node comes later.
+  std::int64_t follow_from = 8;
+  // How long such a question waits for a change.
+  Duration follow_wait = Duration::Millis(400);
+  // An answer overdue by this much: the follower watches the service itself.
+  Duration follow_timeout = Duration::Millis(300);
+  // A node that could not tell is not asked again for this long.
+  Duration follow_avoid = Duration::Seconds(5);
+  // Changes kept for followers: those of some seconds while many endpoints come
+  // and go. A follower that is further behind reads the service.
+  std::size_t most_kept_changes = 2000;
 };
 
 // Ask any other node for a snapshot that is newer than the revision.
@@ -65,11 +81,20 @@
   Revision newer_than;
 };
 
-using StoreMirrorAction = std::variant<StoreRequest, AskPeerSnapshot>;
+// Ask the node that this one follows for the changes after the revision.
+struct AskPeerChanges {
+  StoreCallId id;
+  Revision after;
+  Duration wait;
+};
+
+using StoreMirrorAction =
+    std::variant<StoreRequest, AskPeerSnapshot, AskPeerChanges, AnswerChanges>;
 
 // Keeps a copy of some families of keys of the key-value service, by reading
-// them once and then watching. Where this node does not reach the service it
-// learns from nodes that do. Keys only move up in revision.
+// them once and then watching, or following a node that does. Where this node
+// does not reach the service it learns from nodes that do. Keys only move up in
+// revision.
 class StoreMirror {
  public:
   struct Hooks {
@@ -87,11 +112,24 @@
                                               const StoreReply& reply);
   // Another node's snapshot; ignored where it is not newer.
   void OnPeerSnapshot(Time now, const MirrorSnapshot& snapshot);
+  // What the followed node answered; absent where it did not, or could not
+  // tell.
+  std::vector<StoreMirrorAction> OnPeerChanges(
+      Time now,
+      StoreCallId id,
+      const std::optional<MirrorChanges>& changes);
+  // Whether such an answer is fresh enough to go by.
+  bool IsUsable(const std::optional<MirrorChanges>& changes) const;
+  // A follower asks.
+  std::vector<StoreMirrorAction> OnChangesAsked(Time now,
+                                                const ChangeQuestion& question);
 
   // Whether each change counts, as for the keeper of groups.
   void SetEager(bool eager) { eager_ = eager; }
+  // Whether there is a node to follow.
+  void SetFollowing(bool following);
   // How many nodes watch the service, this one included.
-  void SetNodeCount(std::size_t nodes) { nodes_ = nodes; }
+  void SetWatcherCount(std::size_t watchers) { watchers_ = watchers; }
   // Whether all families were read, from the service or from a peer.
   bool loaded() const { return loaded_; }
   bool reachable() const { return reachable_; }
@@ -104,6 +142,14 @@
   enum class Phase { kReading, kWatching };
 
   std::optional<StoreCall> NextCall(Time now);
+  bool MayFollow() const;
+  // How old a copy may be that is passed on.
+  Duration MostAge() const;
+  void ApplyChanges(Time now,
+                    const std::vector<StoreEntry>& changed,
+                    const std::vector<StoreDeletion>& deleted,
+                    Revision revision);
+  void AnswerQuestions(Time now, std::vector<StoreMirrorAction>& actions);
   // Whether an answer is overdue for longer than a call may take.
   bool IsAway(Time now) const;
   // From one watch of this node to its next at least.
@@ -132,7 +178,15 @@
   // Removals that wait for the key to come back, with the end of the wait.
   std::map<std::string, Time> held_removals_;
   bool eager_ = false;
-  std::size_t nodes_ = 1;
+  bool following_ = false;
+  // The call under way is a question to the followed node.
+  bool asks_peer_ = false;
+  // The followed node could not tell: the service is watched once.
+  bool watches_once_ = false;
+  ChangeFeed feed_;
+  // Since when this copy is known to have been complete, by a watch.
+  std::optional<Time> known_at_;
+  std::size_t watchers_ = 1;
   bool loaded_ = false;
   bool reachable_ = true;
   Revision revision_;
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -87,6 +87,17 @@
              "An answer overdue by so much: other nodes are asked.");
   reader.Add("store.lapse_grace_ms", &mirror.lapse_grace, kShortSpan,
              "How long entries that vanish right after an outage are kept.");
+  reader.Add("store.followers", &mirror.followers, IntegerRange{0, 10000},
+             "Nodes of a data centre that learn of changes from one that "
+             "watches the service; 0: each node watches it.");
+  reader.Add("store.follow_from", &mirror.follow_from, IntegerRange{1, 10000},
+             "In a data centre with fewer nodes each one watches it.");
+  reader.Add("store.follow_wait_ms", &mirror.follow_wait, kShortSpan,
+             "How long such a node's question waits for a change.");
+  reader.Add("store.follow_timeout_ms", &mirror.follow_timeout, kShortSpan,
+             "An answer overdue by so much: the node watches the service.");
+  reader.Add("store.follow_avoid_ms", &mirror.follow_avoid, kShortSpan,
+             "How long a node that could not tell is not asked again.");
   NodeLeaseSettings& lease = settings.core.lease;
   reader.Add("lease.time_to_live_ms", &lease.time_to_live, kShortSpan,
              "Life of the node's lease without a renewal.");
--- a/protocol/mirror_json.cc
+++ b/protocol/mirror_json.cc
@@ -5,18 +5,35 @@
 
 namespace gcw {
 
-std::string EncodeMirrorSnapshot(const MirrorSnapshot& snapshot) {
-  boost::json::array entries;
-  entries.reserve(snapshot.entries.size());
-  for (const StoreEntry& entry : snapshot.entries) {
-    entries.push_back(boost::json::object{{"key", entry.key},
+namespace {
+
+boost::json::array EncodeEntries(const std::vector<StoreEntry>& entries) {
+  boost::json::array encoded;
+  encoded.reserve(entries.size());
+  for (const StoreEntry& entry : entries) {
+    encoded.push_back(boost::json::object{{"key", entry.key},
                                           {"value", entry.value},
                                           {"revision", ToJson(entry.revision)},
                                           {"lease", ToJson(entry.lease)}});
   }
+  return encoded;
+}
+
+StoreEntry ReadEntry(JsonReader& reader) {
+  StoreEntry entry;
+  entry.key = reader.String("key");
+  entry.value = reader.String("value");
+  entry.revision = reader.CountOf<Revision>("revision");
+  entry.lease = reader.CountOf<LeaseId>("lease");
+  return entry;
+}
+
+}  // namespace
+
+std::string EncodeMirrorSnapshot(const MirrorSnapshot& snapshot) {
   return boost::json::serialize(
       boost::json::object{{"revision", ToJson(snapshot.revision)},
-                          {"entries", std::move(entries)}});
+                          {"entries", EncodeEntries(snapshot.entries)}});
 }
 
 // Values are passed on as they stand in the store: one that is no text must not
@@ -27,19 +44,46 @@
       [](JsonReader& reader) {
         MirrorSnapshot snapshot;
         snapshot.revision = reader.CountOf<Revision>("revision");
-        snapshot.entries = reader.List("entries", [](JsonReader& item) {
-          StoreEntry entry;
-          entry.key = item.String("key");
-          entry.value = item.String("value");
-          entry.revision = item.CountOf<Revision>("revision");
-          entry.lease = item.CountOf<LeaseId>("lease");
-          return entry;
-        });
+        snapshot.entries = reader.List("entries", ReadEntry);
         return snapshot;
       },
       JsonBytes::kAny);
 }
 
+std::string EncodeMirrorChanges(const MirrorChanges& changes) {
+  boost::json::array deleted;
+  for (const StoreDeletion& deletion : changes.deleted) {
+    deleted.push_back(boost::json::object{
+        {"key", deletion.key}, {"revision", ToJson(deletion.revision)}});
+  }
+  return boost::json::serialize(
+      boost::json::object{{"revision", ToJson(changes.revision)},
+                          {"changed", EncodeEntries(changes.changed)},
+                          {"deleted", std::move(deleted)},
+                          {"age_ms", changes.age.millis()},
+                          {"lapse_left_ms", changes.lapse_left.millis()}});
+}
+
+Decoded<MirrorChanges> DecodeMirrorChanges(std::string_view text) {
+  return DecodeJson(
+      text,
+      [](JsonReader& reader) {
+        MirrorChanges changes;
+        changes.revision = reader.CountOf<Revision>("revision");
+        changes.changed = reader.List("changed", ReadEntry);
+        changes.deleted = reader.List("deleted", [](JsonReader& item) {
+          StoreDeletion deletion;
+          deletion.key = item.String("key");
+          deletion.revision = item.CountOf<Revision>("revision");
+          return deletion;
+        });
+        changes.age = reader.DurationMillis("age_ms");
+        changes.lapse_left = reader.DurationMillis("lapse_left_ms");
+        return changes;
+      },
+      JsonBytes::kAny);
+}
+
 std::string EncodeStandstillNotice(const StandstillNotice& notice) {
   return boost::json::serialize(
       boost::json::object{{"head", ToJson(notice.head)},
--- a/protocol/mirror_json.h
+++ b/protocol/mirror_json.h
@@ -13,6 +13,8 @@
 // service, and groups that stand still.
 std::string EncodeMirrorSnapshot(const MirrorSnapshot& snapshot);
 Decoded<MirrorSnapshot> DecodeMirrorSnapshot(std::string_view text);
+std::string EncodeMirrorChanges(const MirrorChanges& changes);
+Decoded<MirrorChanges> DecodeMirrorChanges(std::string_view text);
 std::string EncodeStandstillNotice(const StandstillNotice& notice);
 Decoded<StandstillNotice> DecodeStandstillNotice(std::string_view text);
 // How long ago a node saw a group make progress.
--- /dev/null
+++ b/tests/coordination/gateway/change_feed_test.cc
@@ -0,0 +1,91 @@
+#include "coordination/gateway/change_feed.h"
+
+#include <gtest/gtest.h>
+
+namespace gcw {
+namespace {
+
+constexpr Time kStart = Time::FromMillis(1000000);
+constexpr Duration kWait = Duration::Millis(400);
+constexpr Duration kFresh = Duration::Millis(20);
+
+StoreEntry Entry(const std::string& key, std::int64_t revision) {
+  return {key, "v", Revision(revision), LeaseId()};
+}
+
+class ChangeFeedTest : public testing::Test {
+ protected:
+  ChangeFeedTest() { feed_.StartAt(Revision(10)); }
+
+  void Ask(std::int64_t after) {
+    feed_.Ask(kStart, {ChangeQuestionId(1), Revision(after), kWait});
+  }
+  std::vector<AnswerChanges> Take(std::int64_t revision,
+                                  Duration later = Duration(),
+                                  std::optional<Duration> age = kFresh) {
+    return feed_.TakeAnswers(kStart + later, Revision(revision), age,
+                             Duration());
+  }
+
+  ChangeFeed feed_{3};
+};
+
+TEST_F(ChangeFeedTest, TellsWhatCameAfterTheRevision) {
+  feed_.Add({Entry("a", 11), Entry("b", 13)}, {{"c", Revision(12)}});
+  Ask(11);
+  const auto answers = Take(13);
+  ASSERT_EQ(answers.size(), 1U);
+  ASSERT_TRUE(answers.front().changes);
+  const MirrorChanges& changes = *answers.front().changes;
+  ASSERT_EQ(changes.changed.size(), 1U);
+  EXPECT_EQ(changes.changed.front().key, "b");
+  ASSERT_EQ(changes.deleted.size(), 1U);
+  EXPECT_EQ(changes.deleted.front().key, "c");
+  EXPECT_EQ(changes.revision, Revision(13));
+  EXPECT_EQ(changes.age, kFresh);
+}
+
+TEST_F(ChangeFeedTest, WaitsForAChangeAsLongAsItIsAskedTo) {
+  Ask(10);
+  EXPECT_TRUE(Take(10, kWait - Duration::Millis(1)).empty());
+  const auto answers = Take(10, kWait);
+  ASSERT_EQ(answers.size(), 1U);
+  ASSERT_TRUE(answers.front().changes);
+  EXPECT_TRUE(answers.front().changes->changed.empty());
+  EXPECT_FALSE(feed_.has_questions());
+}
+
+// Symptom: a follower goes on without an endpoint, or with one that has left.
+// Sequence: it asks for changes of which some are kept no more.
+// Cause: telling what is left as if it were all.
+TEST_F(ChangeFeedTest, TellsNothingOfWhatItKeepsInPart) {
+  feed_.Add({Entry("a", 11), Entry("b", 12)}, {});
+  feed_.Add({Entry("c", 13), Entry("d", 14)}, {});
+  Ask(10);
+  EXPECT_FALSE(Take(14).front().changes);
+  Ask(11);
+  EXPECT_EQ(Take(14).front().changes->changed.size(), 3U);
+}
+
+// Symptom: followers send to endpoints that left seconds ago.
+// Sequence: the node they follow loses the service and goes on answering.
+// Cause: passing on a copy of which nobody knows how old it is.
+TEST_F(ChangeFeedTest, ANodeWithoutAFreshCopyTellsNothing) {
+  Ask(10);
+  EXPECT_TRUE(Take(10).empty());
+  const auto answers = Take(10, Duration::Millis(100), std::nullopt);
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_FALSE(answers.front().changes);
+}
+
+TEST_F(ChangeFeedTest, AFollowerThatIsAheadIsToldNothingOld) {
+  feed_.Add({Entry("a", 11)}, {});
+  Ask(15);
+  EXPECT_TRUE(Take(11).empty());
+  const auto answers = Take(11, kWait);
+  ASSERT_TRUE(answers.front().changes);
+  EXPECT_TRUE(answers.front().changes->changed.empty());
+}
+
+}  // namespace
+}  // namespace gcw
--- /dev/null
+++ b/tests/coordination/gateway/following_test.cc
@@ -0,0 +1,233 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+#include "tests/support/gateway_world.h"
+
+namespace gcw {
+namespace {
+
+constexpr Time kStart = Time::FromMillis(1000000);
+
+StoreEntry Entry(const std::string& key, std::int64_t revision) {
+  return {key, "v", Revision(revision), LeaseId()};
+}
+
+// One mirror that has a node to follow.
+class FollowingMirrorTest : public testing::Test {
+ protected:
+  FollowingMirrorTest() {
+    mirror_.SetFollowing(true);
+    mirror_.Tick(now_);
+    question_ = Find<AskPeerChanges>(mirror_.OnStoreReply(
+        now_, StoreCallId(1),
+        StoreRangeReply{Revision(10), {Entry("a/1", 3)}, false}));
+  }
+
+  static StoreMirrorSettings Settings() {
+    StoreMirrorSettings settings;
+    settings.prefixes = {"a/"};
+    settings.lapsing_prefixes = {"a/"};
+    return settings;
+  }
+  // The question or the call that the mirror makes next.
+  template <typename Action>
+  std::optional<Action> Find(const std::vector<StoreMirrorAction>& actions) {
+    for (const StoreMirrorAction& action : actions) {
+      if (const auto* found = std::get_if<Action>(&action)) {
+        return *found;
+      }
+    }
+    return std::nullopt;
+  }
+
+  // What the followed node was asked last.
+  std::optional<AskPeerChanges> question_;
+  Time now_ = kStart;
+  std::map<std::string, Revision> entries_;
+  StoreMirror mirror_{
+      Settings(),
+      SeededRandom(1),
+      {[this](Time, const StoreEntry& entry) {
+         entries_[entry.key] = entry.revision;
+       },
+       [this](Time, const std::string& key) { entries_.erase(key); },
+       [](bool) {}}};
+};
+
+TEST_F(FollowingMirrorTest, AsksTheFollowedNodeRatherThanTheService) {
+  ASSERT_TRUE(question_);
+  EXPECT_EQ(question_->after, Revision(10));
+  const auto next = mirror_.OnPeerChanges(now_, question_->id,
+                                          MirrorChanges{Revision(12),
+                                                        {Entry("a/2", 11)},
+                                                        {{"a/1", Revision(12)}},
+                                                        Duration::Millis(30),
+                                                        Duration()});
+  EXPECT_TRUE(entries_.contains("a/2"));
+  EXPECT_FALSE(entries_.contains("a/1"));
+  EXPECT_EQ(Find<AskPeerChanges>(next)->after, Revision(12));
+}
+
+// Symptom: a node learns of changes later than the platform allows.
+// Sequence: the followed node cannot tell, does not answer, or answers from an
+// old copy.
+// Cause: going on as if nothing had changed, or asking it again and again.
+TEST_F(FollowingMirrorTest, TurnsToTheServiceAtOnceWhereTheOtherCannotTell) {
+  const MirrorChanges old{
+      Revision(12), {}, {}, Duration::Millis(1001), Duration()};
+  for (const std::optional<MirrorChanges>& answer :
+       {std::optional<MirrorChanges>(), std::optional<MirrorChanges>(old)}) {
+    ASSERT_TRUE(question_);
+    const auto request =
+        Find<StoreRequest>(mirror_.OnPeerChanges(now_, question_->id, answer));
+    ASSERT_TRUE(request);
+    EXPECT_EQ(std::get<StoreWatch>(request->call).after, Revision(10));
+    mirror_.OnStoreReply(now_, request->id,
+                         StoreWatchReply{Revision(10), {}, {}, false});
+    now_ = now_ + Settings().watch_interval;
+    question_ = Find<AskPeerChanges>(mirror_.Tick(now_));
+  }
+}
+
+// Symptom: a node that becomes the keeper sees losses late.
+// Sequence: it waits for the node that it followed.
+// Cause: a question that holds its next call back.
+TEST_F(FollowingMirrorTest, StopsWaitingOnceItHasNobodyToFollow) {
+  ASSERT_TRUE(question_);
+  mirror_.SetFollowing(false);
+  EXPECT_TRUE(Find<StoreRequest>(mirror_.Tick(now_)));
+  EXPECT_TRUE(mirror_.OnPeerChanges(now_, question_->id, std::nullopt).empty());
+}
+
+// Symptom: after an outage of the service a node takes all endpoints for gone.
+// Sequence: entries lapse while the service is away; the followed node holds
+// the removals back, a follower that had not noticed the outage hears of them.
+// Cause: removals that are told without how long they are to be held back.
+TEST_F(FollowingMirrorTest, HoldsRemovalsBackAsLongAsTheFollowedNode) {
+  ASSERT_TRUE(question_);
+  mirror_.OnPeerChanges(now_, question_->id,
+                        MirrorChanges{Revision(12),
+                                      {},
+                                      {{"a/1", Revision(12)}},
+                                      Duration(),
+                                      Duration::Millis(900)});
+  EXPECT_TRUE(entries_.contains("a/1"));
+  now_ = now_ + Duration::Millis(900);
+  mirror_.Tick(now_);
+  EXPECT_FALSE(entries_.contains("a/1"));
+}
+
+// A fleet of nodes of one data centre.
+class FollowingFleetTest : public testing::Test {
+ protected:
+  static constexpr std::size_t kNodes = 20;
+  static constexpr Duration kKnownWithin = Duration::Millis(2000);
+
+  FollowingFleetTest() { world_.Run(Duration::Seconds(20)); }
+
+  std::int64_t StoreCalls() {
+    std::int64_t calls = 0;
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      calls += world_.node(i).store_calls;
+    }
+    return calls;
+  }
+  // Writes registrations all the time, as a fleet where much happens.
+  void RunBusy(Duration span) {
+    constexpr Duration kBetween = Duration::Millis(100);
+    for (Duration run; run < span; run = run + kBetween) {
+      world_.Rewrite(world_.engines().begin()->first);
+      world_.Run(kBetween);
+    }
+  }
+  // Nodes, of those that run, whose copy is not up to this revision.
+  std::size_t CountBehind(Revision revision) {
+    std::size_t behind = 0;
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      behind += world_.node(i).alive &&
+                        world_.node(i).core->mirror().revision() < revision
+                    ? 1
+                    : 0;
+    }
+    return behind;
+  }
+  // The node that has made most calls since: others follow it, or it is the
+  // keeper.
+  std::size_t BusiestWatcher() {
+    std::vector<std::int64_t> before;
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      before.push_back(world_.node(i).store_calls);
+    }
+    RunBusy(Duration::Seconds(5));
+    std::size_t busiest = kNodes;
+    std::int64_t most = 0;
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      const std::int64_t calls = world_.node(i).store_calls - before[i];
+      if (i != world_.keeper() && calls > most) {
+        most = calls;
+        busiest = i;
+      }
+    }
+    return busiest;
+  }
+
+  GatewayWorld world_{kNodes, 1, 6, 7};
+};
+
+// Symptom: calls to the service grow with the fleet.
+// Sequence: registrations change all the time; each change ends a watch of each
+// node.
+// Cause: every node watching for itself.
+TEST_F(FollowingFleetTest, OneNodeWatchesForMany) {
+  const std::int64_t before = StoreCalls();
+  RunBusy(Duration::Seconds(10));
+  // Two to seven a second of the keeper, two of the followed node, and hardly
+  // any of the other eighteen.
+  EXPECT_LT(StoreCalls() - before, 110);
+  const Revision revision = world_.store().revision();
+  world_.Run(Duration::Millis(700));
+  EXPECT_EQ(CountBehind(revision), 0U);
+}
+
+// Symptom: after the loss of one node many others send to endpoints that left.
+// Sequence: the followed node is killed; a registration changes.
+// Cause: waiting for a node that is no more.
+TEST_F(FollowingFleetTest, AllKnowOfAChangeInTimeThoughTheFollowedNodeIsLost) {
+  const std::size_t watcher = BusiestWatcher();
+  ASSERT_LT(watcher, kNodes);
+  world_.KillNode(watcher);
+  world_.Rewrite(world_.engines().begin()->first);
+  const Revision revision = world_.store().revision();
+  world_.Run(kKnownWithin);
+  EXPECT_EQ(CountBehind(revision), 0U);
+}
+
+// Symptom: as above.
+// Sequence: the followed node runs but hears nothing of the service any more.
+// Cause: a copy that is passed on however old it is.
+TEST_F(FollowingFleetTest, AllKnowOfAChangeInTimeThoughTheFollowedNodeIsCut) {
+  const std::size_t watcher = BusiestWatcher();
+  ASSERT_LT(watcher, kNodes);
+  world_.node(watcher).store_cut = true;
+  RunBusy(Duration::Seconds(1));
+  for (int i = 0; i < 20; ++i) {
+    world_.Rewrite(world_.engines().begin()->first);
+    const Revision revision = world_.store().revision();
+    world_.Run(kKnownWithin);
+    EXPECT_LE(CountBehind(revision), 1U);
+  }
+}
+
+// Symptom: news reach the nodes of a small fleet later, for hardly a call less.
+// Sequence: three nodes in a data centre.
+// Cause: following where the watches of all nodes are few.
+TEST(FollowingSmallFleetTest, EachNodeOfASmallDataCentreWatchesForItself) {
+  GatewayWorld world(3, 1, 6, 8);
+  world.Run(Duration::Seconds(10));
+  EXPECT_EQ(world.change_questions, 0);
+}
+
+}  // namespace
+}  // namespace gcw
--- a/tests/coordination/gateway/store_mirror_test.cc
+++ b/tests/coordination/gateway/store_mirror_test.cc
@@ -192,7 +192,7 @@
 // fleet.
 TEST_F(StoreMirrorTest, NodesOfALargerFleetWatchLessOften) {
   const auto watches_in_ten_seconds = [this](std::size_t nodes) {
-    mirror_.SetNodeCount(nodes);
+    mirror_.SetWatcherCount(nodes);
     int watches = 0;
     for (int i = 0; i < 100; ++i) {
       Wait(100);
@@ -222,7 +222,7 @@
   StoreMirror mirror(settings, SeededRandom(1),
                      {[](Time, const StoreEntry&) {},
                       [](Time, const std::string&) {}, [](bool) {}});
-  mirror.SetNodeCount(1000);
+  mirror.SetWatcherCount(1000);
   const auto id_of = [](const std::vector<StoreMirrorAction>& actions) {
     return actions.empty() ? StoreCallId()
                            : std::get<StoreRequest>(actions.front()).id;
@@ -239,7 +239,7 @@
 // service away and asks other nodes. Cause: its own pause counted as silence.
 TEST_F(StoreMirrorTest, APauseBetweenTwoWatchesIsNoOutage) {
   Load();
-  mirror_.SetNodeCount(1000);
+  mirror_.SetWatcherCount(1000);
   EndWatch();
   for (int i = 0; i < 10; ++i) {
     Wait(1000);
@@ -253,7 +253,7 @@
 // A watch that waits for longer in a larger fleet is not overdue sooner.
 TEST_F(StoreMirrorTest, AnUnansweredLongWatchIsAnOutageWhenItIsOverdue) {
   Load();
-  mirror_.SetNodeCount(1000);
+  mirror_.SetWatcherCount(1000);
   EndWatch();
   Wait(1000);
   Tick();
--- a/tests/protocol/mirror_json_test.cc
+++ b/tests/protocol/mirror_json_test.cc
@@ -21,5 +21,35 @@
   EXPECT_EQ(ValueOf(read).entries[1].value, "{}");
 }
 
+TEST(MirrorJsonTest, ChangesAreReadAsWritten) {
+  const MirrorChanges told{Revision(9),
+                           {{"vm/1", "\xff{}", Revision(8), LeaseId(3)}},
+                           {{"vm/2", Revision(9)}},
+                           Duration::Millis(40),
+                           Duration::Millis(900)};
+  const auto read = DecodeMirrorChanges(EncodeMirrorChanges(told));
+  ASSERT_TRUE(IsOk(read));
+  EXPECT_EQ(ValueOf(read).revision, told.revision);
+  ASSERT_EQ(ValueOf(read).changed.size(), 1U);
+  EXPECT_EQ(ValueOf(read).changed[0].value, "\xff{}");
+  EXPECT_EQ(ValueOf(read).changed[0].lease, LeaseId(3));
+  ASSERT_EQ(ValueOf(read).deleted.size(), 1U);
+  EXPECT_EQ(ValueOf(read).deleted[0].key, "vm/2");
+  EXPECT_EQ(ValueOf(read).deleted[0].revision, Revision(9));
+  EXPECT_EQ(ValueOf(read).age, told.age);
+  EXPECT_EQ(ValueOf(read).lapse_left, told.lapse_left);
+}
+
+// Symptom: a node's copy loses entries, or time runs backwards in it.
+// Sequence: another version or a broken node answers.
+// Cause: fields that are taken for zero where they are missing or negative.
+TEST(MirrorJsonTest, ChangesWithoutTheirAgeAreNone) {
+  EXPECT_FALSE(IsOk(DecodeMirrorChanges(
+      R"({"revision":9,"changed":[],"deleted":[],"lapse_left_ms":0})")));
+  EXPECT_FALSE(IsOk(DecodeMirrorChanges(
+      R"({"revision":9,"changed":[],"deleted":[],"age_ms":-1,)"
+      R"("lapse_left_ms":0})")));
+}
+
 }  // namespace
 }  // namespace gcw
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -285,6 +285,7 @@
   int lost = 0;
   int moved = 0;
   int progress_questions = 0;
+  int change_questions = 0;
 
  private:
   void MakeConfiguration() {
@@ -462,6 +463,39 @@
     }
   }
 
+  void Do(std::size_t index, const AskNodeChanges& ask) {
+    const std::size_t other = std::stoul(ask.address.value());
+    ++change_questions;
+    const ChangeQuestionId question(++last_question_);
+    questions_[question] = {index, nodes_[index].run, ask.id};
+    After(ask.wait + ask.timeout,
+          [this, question] { AnswerQuestion(question, std::nullopt); });
+    const int run = nodes_[other].run;
+    After(kNetwork, [this, other, run, question, ask] {
+      AtNode(other, run, [&](GatewayCore& core) {
+        return core.OnChangesAsked(now_, {question, ask.after, ask.wait});
+      });
+    });
+  }
+
+  void Do(std::size_t /*index*/, const AnswerChanges& answer) {
+    After(kNetwork,
+          [this, answer] { AnswerQuestion(answer.id, answer.changes); });
+  }
+
+  void AnswerQuestion(ChangeQuestionId id,
+                      const std::optional<MirrorChanges>& changes) {
+    const auto question = questions_.find(id);
+    if (question == questions_.end()) {
+      return;
+    }
+    const Question asked = question->second;
+    questions_.erase(question);
+    AtNode(asked.node, asked.run, [&](GatewayCore& core) {
+      return core.OnChangesHeard(now_, asked.call, changes);
+    });
+  }
+
   void Do(std::size_t /*index*/, const TellNode& tell) {
     const std::size_t other = std::stoul(tell.address.value());
     const int run = nodes_[other].run;
@@ -623,6 +657,14 @@
   std::vector<Watch> watches_;
   std::multimap<Time, std::function<void()>> queue_;
   std::vector<Stream> streams_;
+  // What a follower waits for.
+  struct Question {
+    std::size_t node;
+    int run;
+    StoreCallId call;
+  };
+  std::map<ChangeQuestionId, Question> questions_;
+  std::int64_t last_question_ = 0;
   std::int64_t last_request_ = 0;
 };
 
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -1,34 +1,16 @@
 #include "transport/gateway/gateway_runtime.h"
 
-#include <charconv>
 #include <utility>
 
-#include "protocol/protocol.h"
 #include "transport/json_log.h"
-#include "transport/query_string.h"
 
 namespace gcw {
 namespace {
 
-constexpr std::string_view kMirrorPath = "/v1/mirror";
-constexpr std::string_view kStandstillPath = "/v1/standstill";
-constexpr std::string_view kProgressPath = "/v1/progress";
-constexpr std::string_view kNewerThan = "newer_than";
 constexpr int kOk = 200;
-constexpr int kNoContent = 204;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr std::size_t kMostOtherConnections = 512;
 
-HttpCallOptions Within(Duration limit) {
-  HttpCallOptions options;
-  options.connect_timeout = limit;
-  options.progress_timeout = limit;
-  options.deadline = limit;
-  return options;
-}
-
 ProbeVerdict VerdictOf(const HttpFailure& failure) {
   if (failure.kind == HttpFailureKind::kConnectRefused) {
     return ProbeVerdict::kRefused;
@@ -40,6 +22,14 @@
 
 }  // namespace
 
+HttpCallOptions GatewayRuntime::Within(Duration limit) {
+  HttpCallOptions options;
+  options.connect_timeout = limit;
+  options.progress_timeout = limit;
+  options.deadline = limit;
+  return options;
+}
+
 GatewayRuntime::GatewayRuntime(GatewayRuntimeSettings settings, Parts parts)
     : settings_(std::move(settings)),
       parts_(std::move(parts)),
@@ -222,65 +212,6 @@
       parts_.dialect.make_entries(addresses, parts_.core->entries_keep()));
 }
 
-void GatewayRuntime::ServePeer(
-    const HttpRequest& request,
-    const std::shared_ptr<HttpResponder>& responder) {
-  const std::string_view target = request.target;
-  const std::string_view path = target.substr(0, target.find('?'));
-  if (path == kMirrorPath) {
-    ServeMirror(request, *responder);
-    return;
-  }
-  if (path != kStandstillPath && path != kProgressPath) {
-    responder->Respond({kNotFound, {}, {}});
-    return;
-  }
-  const auto notice = DecodeStandstillNotice(request.body);
-  if (!IsOk(notice)) {
-    LogEvent(LogSeverity::kWarning, "peer_message_malformed",
-             {{"field", ErrorOf(notice).field}});
-    responder->Respond({kBadRequest, {}, {}});
-    return;
-  }
-  if (path == kStandstillPath) {
-    ServeStandstill(ValueOf(notice), *responder);
-  } else {
-    ServeProgress(ValueOf(notice), *responder);
-  }
-}
-
-void GatewayRuntime::ServeMirror(const HttpRequest& request,
-                                 HttpResponder& responder) {
-  std::int64_t newer_than = 0;
-  const std::string text = QueryValue(request.target, kNewerThan);
-  std::from_chars(text.data(), text.data() + text.size(), newer_than);
-  const auto snapshot = parts_.core->Snapshot(Revision(newer_than));
-  if (!snapshot) {
-    responder.Respond({kNoContent, {}, {}});
-    return;
-  }
-  responder.Respond({kOk,
-                     {{"Content-Type", "application/json"}},
-                     EncodeMirrorSnapshot(*snapshot)});
-}
-
-void GatewayRuntime::ServeStandstill(const StandstillNotice& notice,
-                                     HttpResponder& responder) {
-  responder.Respond({kNoContent, {}, {}});
-  Execute(parts_.core->OnNotice(Now(), notice));
-}
-
-void GatewayRuntime::ServeProgress(const StandstillNotice& group,
-                                   HttpResponder& responder) {
-  const auto age = parts_.core->ProgressAge(Now(), group);
-  if (!age) {
-    responder.Respond({kNoContent, {}, {}});
-    return;
-  }
-  responder.Respond(
-      {kOk, {{"Content-Type", "application/json"}}, EncodeProgressAge(*age)});
-}
-
 void GatewayRuntime::ServeMetrics(
     const std::shared_ptr<HttpResponder>& responder) {
   responder->Respond({kOk,
@@ -321,61 +252,6 @@
       });
 }
 
-void GatewayRuntime::Execute(const AskNodeSnapshot& action) {
-  HttpRequest request{"GET",
-                      std::string(kMirrorPath) + "?" + std::string(kNewerThan) +
-                          "=" + std::to_string(action.newer_than.value()),
-                      {},
-                      {}};
-  peers_.Fetch(
-      action.address, std::move(request), Within(settings_.peer_timeout),
-      [this](const Result<HttpResponse, HttpFailure>& answer) {
-        if (!IsOk(answer) || ValueOf(answer).status != kOk) {
-          return;
-        }
-        const auto snapshot = DecodeMirrorSnapshot(ValueOf(answer).body);
-        if (!IsOk(snapshot)) {
-          LogEvent(LogSeverity::kWarning, "peer_message_malformed",
-                   {{"field", ErrorOf(snapshot).field}});
-          return;
-        }
-        Execute(parts_.core->OnSnapshot(Now(), ValueOf(snapshot)));
-      });
-}
-
-void GatewayRuntime::Execute(const TellNode& action) {
-  HttpRequest request{"POST",
-                      std::string(kStandstillPath),
-                      {{"Content-Type", "application/json"}},
-                      EncodeStandstillNotice(action.notice)};
-  // A lost notice costs time only: each node finds a standstill by itself.
-  peers_.Fetch(action.address, std::move(request),
-               Within(settings_.peer_timeout),
-               [](const Result<HttpResponse, HttpFailure>&) {});
-}
-
-void GatewayRuntime::Execute(const AskProgress& action) {
-  HttpRequest request{"POST",
-                      std::string(kProgressPath),
-                      {{"Content-Type", "application/json"}},
-                      EncodeStandstillNotice(action.group)};
-  peers_.Fetch(
-      action.address, std::move(request), Within(settings_.peer_timeout),
-      [this,
-       group = action.group](const Result<HttpResponse, HttpFailure>& answer) {
-        if (!IsOk(answer) || ValueOf(answer).status != kOk) {
-          return;
-        }
-        const auto age = DecodeProgressAge(ValueOf(answer).body);
-        if (!IsOk(age)) {
-          LogEvent(LogSeverity::kWarning, "peer_message_malformed",
-                   {{"field", ErrorOf(age).field}});
-          return;
-        }
-        Execute(parts_.core->OnProgressHeard(Now(), group, ValueOf(age)));
-      });
-}
-
 void GatewayRuntime::Execute(const SendGroupOrder& action) {
   parts_.metrics->orders.Add();
   orders_.Fetch(
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -98,6 +98,9 @@
   void ServePeer(const HttpRequest& request,
                  const std::shared_ptr<HttpResponder>& responder);
   void ServeMirror(const HttpRequest& request, HttpResponder& responder);
+  // Answered when something has changed, or the question has waited.
+  void ServeChanges(const HttpRequest& request,
+                    const std::shared_ptr<HttpResponder>& responder);
   // What another node says or asks of a group.
   void ServeStandstill(const StandstillNotice& notice,
                        HttpResponder& responder);
@@ -107,12 +110,15 @@
   void Execute(const GatewayActions& actions);
   void Execute(const CallGatewayStore& action);
   void Execute(const AskNodeSnapshot& action);
+  void Execute(const AskNodeChanges& action);
+  void Execute(const AnswerChanges& action);
   void Execute(const TellNode& action);
   void Execute(const AskProgress& action);
   void Execute(const SendGroupOrder& action);
   void Execute(const ProbeEngine& action);
   void Execute(const MoveForward& action);
   void Execute(const ForgetConnections& action);
+  static HttpCallOptions Within(Duration limit);
   Time Now() const { return parts_.clock(); }
 
   GatewayRuntimeSettings settings_;
@@ -126,6 +132,10 @@
   std::unordered_map<GatewayListener, std::unique_ptr<HttpServer>> servers_;
   std::unordered_map<GatewayListener, std::string> ips_;
   std::unordered_map<ForwardId, std::shared_ptr<ForwardExchange>> exchanges_;
+  // Other nodes that wait for changes.
+  std::unordered_map<ChangeQuestionId, std::shared_ptr<HttpResponder>>
+      questions_;
+  ChangeQuestionId last_question_;
   // Of the limits in force for callers.
   ConfigurationVersion limits_version_;
   StoreBeliefObserver store_belief_{LogStoreBelief};
