--- a/tests/programs/whole_path_test.cc
+++ b/tests/programs/whole_path_test.cc
@@ -438,13 +438,6 @@
   EXPECT_GT(CountClosings(node, group), closings);
 }
 
-// Symptom: callers are refused while the key-value service is down, or a
-// contract change that was refused comes into force, or never can again.
-// Sequence of events: the service answers nothing until the node's lease has
-// lapsed, callers go on asking, an operator changes a contract and sends the
-// same change again after the outage.
-// Cause: serving that hangs on the node's lease, or a change that is taken for
-// made, or for lost, without a word from the service.
 // Symptom: the node ends when its settings file changes. Sequence: SIGHUP.
 // Cause: nothing took the signal, and its default ends the process.
 TEST_F(WholePathTest, AReloadIsNoEnd) {
@@ -458,6 +451,13 @@
   EXPECT_FALSE(fleet_.HasEnded("n1"));
 }
 
+// Symptom: callers are refused while the key-value service is down, or a
+// contract change that was refused comes into force, or never can again.
+// Sequence of events: the service answers nothing until the node's lease has
+// lapsed, callers go on asking, an operator changes a contract and sends the
+// same change again after the outage.
+// Cause: serving that hangs on the node's lease, or a change that is taken for
+// made, or for lost, without a word from the service.
 TEST_F(WholePathTest, ANodeServesOnThroughAStoreOutage) {
   const Node node = StartNode("n1");
   ASSERT_NO_FATAL_FAILURE(WaitUntilServing(node));
