gateway: the keeper looks at domains with news, and runs where there is most of a processor

Every node rebuilt the list of all replicas at each registration that changed.

The view keeps the VMs of each domain; the keeper takes up changed registrations only and looks at a domain when there is news of it, every 40 ms while something is under way there and every 500 ms otherwise. The mix of a whole domain is worked out once for each size. Replicas are changed one by one. A free role falls to the node with the largest share of a processor, and a smaller keeper hands it over; followed nodes are chosen likewise. Whether the time or the place gains more was not separated.

--- a/coordination/gateway/fleet_keeper.cc
+++ b/coordination/gateway/fleet_keeper.cc
@@ -47,6 +47,9 @@
   first_seen_.clear();
   incarnations_.clear();
   last_appeared_.clear();
+  domain_of_.clear();
+  changed_.clear();
+  takes_all_ = true;
   fenced_off_ = false;
   // A lease that the key-value service kept through an outage brings the role
   // back with the same fencing number. Names given anew from the first would
@@ -61,6 +64,7 @@
 
 void FleetKeeper::OnStandstill(const VmId& head, Generation generation) {
   standstills_.emplace(head, generation);
+  Touch(head);
 }
 
 std::vector<std::pair<VmId, Generation>> FleetKeeper::StandingStill() const {
@@ -86,7 +90,8 @@
   }
   loads_.Tick(now);
   ExpireOrders(now);
-  FindDomains(now, view);
+  TakeChanges(now, view);
+  ChooseReviewed(now);
   for (const ServiceRule& service : view.routes()->configuration().services) {
     if (service.engine) {
       loads_.SetProfile(*service.engine);
@@ -94,7 +99,7 @@
     }
   }
   for (auto& [id, domain] : domains_) {
-    if (domain.writer.state() == WriterState::kReady) {
+    if (domain.is_reviewed && domain.writer.state() == WriterState::kReady) {
       for (const GroupRecord& group : domain.writer.record().groups) {
         OrderGroup(now, view, domain, group);
       }
@@ -123,40 +128,112 @@
   calls_.erase(call);
   if (domain != domains_.end()) {
     domain->second.writer.OnReply(now, id, reply);
+    domain->second.next_review = now;
   }
   return {};
 }
 
-void FleetKeeper::FindDomains(Time now, const FleetView& view) {
-  std::erase_if(replaced_, [&](const auto& replaced) {
-    const VmRegistration* vm = view.FindVm(replaced.first);
-    return vm == nullptr || vm->address != replaced.second;
-  });
-  for (const auto& [id, vm] : view.vms()) {
-    const ServiceRule* service = view.routes()->FindService(vm.service);
-    if (vm.domain.empty() || service == nullptr || !service->engine) {
-      continue;
+void FleetKeeper::OnVmsChanged(const std::set<VmId>& vms) {
+  if (role_) {
+    changed_.insert(vms.begin(), vms.end());
+  }
+}
+
+void FleetKeeper::Touch(const VmId& vm) {
+  const auto known = domain_of_.find(vm);
+  if (known == domain_of_.end()) {
+    return;
+  }
+  const auto domain = domains_.find(known->second);
+  if (domain != domains_.end()) {
+    domain->second.next_review = Time();
+  }
+}
+
+void FleetKeeper::TakeChanges(Time now, const FleetView& view) {
+  if (seen_configuration_ != view.configuration_changes()) {
+    seen_configuration_ = view.configuration_changes();
+    takes_all_ = true;
+  }
+  if (std::exchange(takes_all_, false)) {
+    for (const auto& [id, vm] : view.vms()) {
+      TakeChange(now, view, vm);
     }
-    const auto [known, is_new] = incarnations_.emplace(id, vm.incarnation);
-    if (!is_new && known->second != vm.incarnation) {
-      known->second = vm.incarnation;
-      ForgetRun(id);
+    for (auto& [id, domain] : domains_) {
+      domain.next_review = now;
     }
-    const FabricDomainId domain = RecordDomain(vm);
-    if (first_seen_.emplace(id, now).second) {
-      last_appeared_[domain] = now;
+  }
+  for (const VmId& id : std::exchange(changed_, {})) {
+    // One that is gone, or is in another domain now, counts where it was.
+    Touch(id);
+    const VmRegistration* vm = view.FindVm(id);
+    const auto replaced = replaced_.find(id);
+    if (replaced != replaced_.end() &&
+        (vm == nullptr || vm->address != replaced->second)) {
+      replaced_.erase(replaced);
     }
-    if (domains_.contains(domain)) {
-      continue;
+    if (vm != nullptr) {
+      TakeChange(now, view, *vm);
     }
-    const auto it = domains_.emplace(
-        domain, Domain{vm.service,
-                       DomainWriter(domain, settings_.writer, codec_, events_),
-                       {}});
-    it.first->second.writer.Start(now, role_->fence);
   }
 }
 
+void FleetKeeper::TakeChange(Time now,
+                             const FleetView& view,
+                             const VmRegistration& vm) {
+  const ServiceRule* service = view.routes()->FindService(vm.service);
+  if (vm.domain.empty() || service == nullptr || !service->engine) {
+    return;
+  }
+  const auto [known, is_new] = incarnations_.emplace(vm.id, vm.incarnation);
+  if (!is_new && known->second != vm.incarnation) {
+    known->second = vm.incarnation;
+    ForgetRun(vm.id);
+  }
+  const FabricDomainId domain = RecordDomain(vm);
+  domain_of_[vm.id] = domain;
+  if (first_seen_.emplace(vm.id, now).second) {
+    last_appeared_[domain] = now;
+  }
+  const auto [it, is_new_domain] = domains_.try_emplace(
+      domain, Domain{vm.service,
+                     DomainWriter(domain, settings_.writer, codec_, events_),
+                     {},
+                     {},
+                     now});
+  if (is_new_domain) {
+    it->second.writer.Start(now, role_->fence);
+  }
+  it->second.next_review = now;
+}
+
+void FleetKeeper::ChooseReviewed(Time now) {
+  for (auto& [id, domain] : domains_) {
+    domain.is_reviewed = now >= domain.next_review;
+    if (domain.is_reviewed) {
+      domain.next_review = now + settings_.busy_review;
+    }
+  }
+}
+
+bool FleetKeeper::IsQuiet(const FleetView& view, const Domain& domain) const {
+  if (domain.planned.filling || domain.planned.unsettled) {
+    return false;
+  }
+  const auto& groups = domain.writer.record().groups;
+  return std::all_of(
+      groups.begin(), groups.end(), [&](const GroupRecord& group) {
+        const auto run = domain.runs.find(group.id);
+        return run != domain.runs.end() && run->second.open_seen &&
+               run->second.ending.empty() && !run->second.stands_still_since &&
+               std::all_of(group.members.begin(), group.members.end(),
+                           [&](const VmId& member) {
+                             const VmRegistration* vm = view.FindVm(member);
+                             return vm != nullptr && !vm->draining;
+                           });
+      });
+}
+
 // A run that starts again under its id has no group, no weights in its engine
 // and no order to carry out. Were the old ones believed, its group would be
 // waited for without end, and an order to join would not be sent again.
@@ -185,32 +262,35 @@
                               const ServiceRule& service) {
   std::vector<PlannedDomain> planned;
   std::map<FabricDomainId, DomainRecord> nexts;
+  bool has_news = false;
   for (auto& [id, domain] : domains_) {
     if (domain.service != service.id ||
         domain.writer.state() != WriterState::kReady) {
       continue;
     }
-    ReviewGroups(now, view, domain);
-    DomainRecord next = domain.writer.record();
-    RemoveOver(now, view, domain, next);
-    planned.push_back(Describe(now, view, domain, next));
-    nexts.emplace(id, std::move(next));
+    if (domain.is_reviewed) {
+      has_news = true;
+      ReviewGroups(now, view, domain);
+      DomainRecord next = domain.writer.record();
+      RemoveOver(now, view, domain, next);
+      domain.planned = Describe(now, view, domain, next);
+      nexts.emplace(id, std::move(next));
+      if (IsQuiet(view, domain)) {
+        domain.next_review = now + settings_.quiet_review;
+      }
+    }
+    planned.push_back(domain.planned);
   }
-  GroupPlan plan = planner_.Plan(*service.engine, planned);
+  if (!has_news) {
+    return;
+  }
+  GroupPlan plan = planner_.Plan(*service.engine, std::move(planned));
   stagings_ = std::move(plan.stagings);
   for (PlannedGroup& formed : plan.groups) {
-    GroupRecord group;
-    ++last_group_;
-    group.generation =
-        Generation(role_->fence.value() * kGenerationsPerFence + last_group_);
-    group.id = GroupId("g" + std::to_string(group.generation.value()));
-    group.model = formed.model;
-    group.members = std::move(formed.members);
-    Report(EventKind::kGroupPlanned, group,
-           {{"domain", formed.domain.value()},
-            {"model", group.model.value()},
-            {"members", static_cast<std::int64_t>(group.members.size())}});
-    nexts.at(formed.domain).groups.push_back(std::move(group));
+    const FabricDomainId id = formed.domain;
+    const auto next =
+        nexts.try_emplace(id, domains_.at(id).writer.record()).first;
+    AddGroup(std::move(formed), next->second);
   }
   for (auto& [id, next] : nexts) {
     Domain& domain = domains_.at(id);
@@ -220,6 +300,21 @@
   }
 }
 
+void FleetKeeper::AddGroup(PlannedGroup formed, DomainRecord& next) {
+  GroupRecord group;
+  ++last_group_;
+  group.generation =
+      Generation(role_->fence.value() * kGenerationsPerFence + last_group_);
+  group.id = GroupId("g" + std::to_string(group.generation.value()));
+  group.model = std::move(formed.model);
+  group.members = std::move(formed.members);
+  Report(EventKind::kGroupPlanned, group,
+         {{"domain", formed.domain.value()},
+          {"model", group.model.value()},
+          {"members", static_cast<std::int64_t>(group.members.size())}});
+  next.groups.push_back(std::move(group));
+}
+
 void FleetKeeper::Commit(Time now, Domain& domain, DomainRecord next) {
   ++last_change_;
   domain.writer.Propose(now, std::move(next),
@@ -227,15 +322,13 @@
                                  "-" + std::to_string(last_change_)));
 }
 
-PlannedDomain FleetKeeper::Describe(Time now,
-                                    const FleetView& view,
-                                    const Domain& domain,
-                                    const DomainRecord& next) {
+PlannedDomain FleetKeeper::DescribeGroups(Time now,
+                                          const FleetView& view,
+                                          const Domain& domain,
+                                          const DomainRecord& next) const {
   PlannedDomain planned;
   planned.domain = next.domain;
-  std::set<VmId> taken;
   for (const GroupRecord& group : next.groups) {
-    taken.insert(group.members.begin(), group.members.end());
     const auto run = domain.runs.find(group.id);
     if (run == domain.runs.end() || run->second.ending.empty()) {
       ++planned.groups[group.model];
@@ -258,9 +351,20 @@
   const bool is_starting = !loads_.has_traffic() || planned.groups.empty();
   planned.filling = is_starting && appeared != last_appeared_.end() &&
                     now - appeared->second < settings_.settle_time;
-  for (const auto& [id, vm] : view.vms()) {
-    if (vm.service != domain.service || vm.domain.empty() ||
-        RecordDomain(vm) != next.domain || vm.draining || IsSilent(id)) {
+  return planned;
+}
+
+PlannedDomain FleetKeeper::Describe(Time now,
+                                    const FleetView& view,
+                                    const Domain& domain,
+                                    const DomainRecord& next) {
+  PlannedDomain planned = DescribeGroups(now, view, domain, next);
+  std::set<VmId> taken;
+  for (const GroupRecord& group : next.groups) {
+    taken.insert(group.members.begin(), group.members.end());
+  }
+  for (const auto& [id, vm] : view.VmsOf(next.domain)) {
+    if (vm->draining || IsSilent(id)) {
       continue;
     }
     ++planned.vms;
@@ -272,16 +376,16 @@
       planned.unsettled = true;
       continue;
     }
-    if (vm.membership && !IsFreeOfOldGroup(now, vm)) {
+    if (vm->membership && !IsFreeOfOldGroup(now, *vm)) {
       planned.unsettled = true;
       continue;
     }
     FreeVm free;
     free.vm = id;
-    free.at_hand = vm.staged;
+    free.at_hand = vm->staged;
     free.slow = IsSlow(id);
-    if (!vm.models.empty()) {
-      free.last_model = vm.models.front();
+    if (!vm->models.empty()) {
+      free.last_model = vm->models.front();
     }
     // Were it not counted, the next plan would mean the VM for another model.
     const auto staging = staging_.find(id);
--- a/coordination/gateway/fleet_keeper.h
+++ b/coordination/gateway/fleet_keeper.h
@@ -53,6 +53,11 @@
   Duration form_limit = Duration::Seconds(60);
   // How long a group that is closed by plan may run what it has.
   Duration drain_limit = Duration::Millis(6000);
+  // Between two looks at a domain in which something is under way, besides one
+  // at each news of it.
+  Duration busy_review = Duration::Millis(40);
+  // The same where all groups serve.
+  Duration quiet_review = Duration::Millis(500);
 };
 
 struct SendGroupOrder {
@@ -94,6 +99,8 @@
 
   // Absent where the role is not held.
   void SetRole(Time now, const std::optional<HeldRole>& role);
+  // Registrations that came, changed or went since the last call.
+  void OnVmsChanged(const std::set<VmId>& vms);
   // Requests have begun to come: loads count against the weight store's rate.
   void OnTraffic() { loads_.OnTraffic(); }
   // A group stands still by the word of the nodes that send to it.
@@ -135,6 +142,11 @@
     ServiceId service;
     DomainWriter writer;
     std::map<GroupId, GroupRun> runs;
+    // As of the last look at it.
+    PlannedDomain planned;
+    Time next_review;
+    // This call looks at it.
+    bool is_reviewed = false;
   };
   struct PendingOrder {
     VmId vm;
@@ -156,7 +168,16 @@
     Address address;
   };
 
-  void FindDomains(Time now, const FleetView& view);
+  // Takes up what the registrations say since the last call.
+  void TakeChanges(Time now, const FleetView& view);
+  void TakeChange(Time now, const FleetView& view, const VmRegistration& vm);
+  // Has the domain that the VM is in looked at with the next call.
+  void Touch(const VmId& vm);
+  // Marks the domains that this call looks at: those with news and those that
+  // are due. The others are as they were.
+  void ChooseReviewed(Time now);
+  // Whether nothing in the domain is under way or waits for a time to pass.
+  bool IsQuiet(const FleetView& view, const Domain& domain) const;
   // Forgets what was told to and heard from a VM before it started again.
   void ForgetRun(const VmId& vm);
   void ReviewGroups(Time now, const FleetView& view, Domain& domain);
@@ -183,6 +204,11 @@
                   const FleetView& view,
                   Domain& domain,
                   DomainRecord& next);
+  // What is known of the domain besides its VMs: its groups.
+  PlannedDomain DescribeGroups(Time now,
+                               const FleetView& view,
+                               const Domain& domain,
+                               const DomainRecord& next) const;
   PlannedDomain Describe(Time now,
                          const FleetView& view,
                          const Domain& domain,
@@ -194,6 +220,7 @@
   // that no record has; has it leave where not.
   bool IsFreeOfOldGroup(Time now, const VmRegistration& vm);
   void PlanService(Time now, const FleetView& view, const ServiceRule& service);
+  void AddGroup(PlannedGroup formed, DomainRecord& next);
   void Commit(Time now, Domain& domain, DomainRecord next);
   void OrderGroup(Time now,
                   const FleetView& view,
@@ -261,6 +288,13 @@
   std::optional<HeldRole> role_;
   bool fenced_off_ = false;
   std::map<FabricDomainId, Domain> domains_;
+  // Changed registrations that were not taken up yet.
+  std::set<VmId> changed_;
+  // All registrations have to be taken up: of a new term of the role, or under
+  // a new configuration.
+  bool takes_all_ = true;
+  std::uint64_t seen_configuration_ = 0;
+  std::map<VmId, FabricDomainId> domain_of_;
   std::vector<PlannedStaging> stagings_;
   // The models that VMs were told to load onto their hosts.
   std::map<VmId, ModelId> staging_;
--- a/coordination/gateway/fleet_keeper_orders.cc
+++ b/coordination/gateway/fleet_keeper_orders.cc
@@ -167,15 +167,21 @@
     }
     OrderStaging(now, *vm, staging.model);
   }
-  for (const auto& [id, vm] : view.vms()) {
+  for (const VmId& id : loads_.Running()) {
+    const VmRegistration* vm = view.FindVm(id);
     const auto staging = staging_.find(id);
-    if (staging == staging_.end() ? !vm.staged.empty()
-                                  : vm.HasStaged(staging->second)) {
+    if (vm != nullptr &&
+        (staging == staging_.end() ? !vm->staged.empty()
+                                   : vm->HasStaged(staging->second))) {
       loads_.End(id);
     }
   }
   std::erase_if(staging_, [&](const auto& staging) {
-    return !loads_.IsLoading(staging.first);
+    const bool is_over = !loads_.IsLoading(staging.first);
+    if (is_over) {
+      Touch(staging.first);
+    }
+    return is_over;
   });
 }
 
@@ -186,6 +192,7 @@
   order.kind = GroupOrderKind::kStage;
   order.model = model;
   staging_[vm.id] = model;
+  Touch(vm.id);
   Send(now, vm.id, vm.address, std::move(order));
 }
 
@@ -243,6 +250,7 @@
     return;
   }
   const PendingOrder pending = found->second;
+  Touch(pending.vm);
   pending_.erase(found);
   pending_of_.erase(pending.vm);
   if (verdict != GroupOrderVerdict::kBegun &&
--- a/coordination/gateway/fleet_keeper_probes.cc
+++ b/coordination/gateway/fleet_keeper_probes.cc
@@ -67,6 +67,7 @@
   if (found == doubts_.end()) {
     return;
   }
+  Touch(vm);
   const bool answered = report.verdict == ProbeVerdict::kAnswered;
   if (answered && report.pace < settings_.slow_pace) {
     doubts_.erase(found);
--- a/coordination/gateway/fleet_keeper_review.cc
+++ b/coordination/gateway/fleet_keeper_review.cc
@@ -168,13 +168,12 @@
   for (const GroupRecord& group : domain.writer.record().groups) {
     taken.insert(group.members.begin(), group.members.end());
   }
-  return static_cast<std::size_t>(std::count_if(
-      view.vms().begin(), view.vms().end(), [&](const auto& entry) {
-        const VmRegistration& vm = entry.second;
-        return !vm.domain.empty() && !vm.draining &&
-               RecordDomain(vm) == domain.writer.record().domain &&
-               vm.HasStaged(model) && !taken.contains(vm.id) &&
-               !doubts_.contains(vm.id) && !replaced_.contains(vm.id);
+  const DomainVms& vms = view.VmsOf(domain.writer.record().domain);
+  return static_cast<std::size_t>(
+      std::count_if(vms.begin(), vms.end(), [&](const auto& entry) {
+        const auto& [id, vm] = entry;
+        return !vm->draining && vm->HasStaged(model) && !taken.contains(id) &&
+               !doubts_.contains(id) && !replaced_.contains(id);
       }));
 }
 
--- a/coordination/gateway/fleet_view.cc
+++ b/coordination/gateway/fleet_view.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "coordination/gateway/gateway_keys.h"
+#include "coordination/gateway/group_membership.h"
 
 namespace gcw {
 
@@ -18,8 +19,7 @@
     OnConfiguration(entry);
   } else if (key.starts_with(kNodePrefix)) {
     if (std::optional<NodeRecord> node = codec_.decode_node(entry.value)) {
-      nodes_.insert_or_assign(NodeId(entry.key.substr(kNodePrefix.size())),
-                              *std::move(node));
+      OnNode(NodeId(entry.key.substr(kNodePrefix.size())), *std::move(node));
     }
   } else if (key.starts_with(kRolePrefix)) {
     holders_.insert_or_assign(RoleName(entry.key.substr(kRolePrefix.size())),
@@ -32,12 +32,11 @@
   if (view.starts_with(codec_.vm_prefix)) {
     const VmId vm(key.substr(codec_.vm_prefix.size()));
     unreadable_vms_.erase(vm);
-    if (vms_.erase(vm) > 0) {
-      changed_vms_.insert(vm);
+    if (RemoveVm(vm)) {
       events_({EventKind::kVmLost, vm.value(), {}, {}});
     }
   } else if (view.starts_with(kNodePrefix)) {
-    nodes_.erase(NodeId(key.substr(kNodePrefix.size())));
+    RemoveNode(NodeId(key.substr(kNodePrefix.size())));
   } else if (view.starts_with(kRolePrefix)) {
     holders_.erase(RoleName(key.substr(kRolePrefix.size())));
   }
@@ -86,7 +85,9 @@
   } else if (read->draining && !known->second.draining) {
     events_({EventKind::kEndpointLeaving, vm.value(), {}, {}});
   }
+  RemoveFromDomain(known->second);
   known->second = *std::move(read);
+  AddToDomain(known->second);
   changed_vms_.insert(vm);
 }
 
@@ -96,9 +97,59 @@
   if (unreadable_vms_.insert(vm).second) {
     events_({EventKind::kVmUnreadable, vm.value(), {}, {}});
   }
-  if (vms_.erase(vm) > 0) {
-    changed_vms_.insert(vm);
+  RemoveVm(vm);
+}
+
+void FleetView::OnNode(const NodeId& id, NodeRecord node) {
+  RemoveNode(id);
+  serving_nodes_ += node.leaving ? 0 : 1;
+  nodes_.emplace(id, std::move(node));
+}
+
+void FleetView::RemoveNode(const NodeId& id) {
+  const auto found = nodes_.find(id);
+  if (found == nodes_.end()) {
+    return;
+  }
+  serving_nodes_ -= found->second.leaving ? 0 : 1;
+  nodes_.erase(found);
+}
+
+bool FleetView::RemoveVm(const VmId& vm) {
+  const auto found = vms_.find(vm);
+  if (found == vms_.end()) {
+    return false;
+  }
+  RemoveFromDomain(found->second);
+  vms_.erase(found);
+  changed_vms_.insert(vm);
+  return true;
+}
+
+void FleetView::AddToDomain(const VmRegistration& vm) {
+  if (!vm.domain.empty()) {
+    domains_[RecordDomain(vm)].emplace(vm.id, &vm);
+  }
+}
+
+void FleetView::RemoveFromDomain(const VmRegistration& vm) {
+  if (vm.domain.empty()) {
+    return;
   }
+  const auto domain = domains_.find(RecordDomain(vm));
+  if (domain == domains_.end()) {
+    return;
+  }
+  domain->second.erase(vm.id);
+  if (domain->second.empty()) {
+    domains_.erase(domain);
+  }
+}
+
+const DomainVms& FleetView::VmsOf(const FabricDomainId& domain) const {
+  static const DomainVms kNone;
+  const auto found = domains_.find(domain);
+  return found == domains_.end() ? kNone : found->second;
 }
 
 const VmRegistration* FleetView::FindVm(const VmId& vm) const {
@@ -107,10 +158,7 @@
 }
 
 std::size_t FleetView::serving_nodes() const {
-  const auto serving =
-      std::count_if(nodes_.begin(), nodes_.end(),
-                    [](const auto& node) { return !node.second.leaving; });
-  return std::max<std::size_t>(1, static_cast<std::size_t>(serving));
+  return std::max<std::size_t>(1, serving_nodes_);
 }
 
 NodeId FleetView::HolderOf(const RoleName& role) const {
--- a/coordination/gateway/fleet_view.h
+++ b/coordination/gateway/fleet_view.h
@@ -29,6 +29,10 @@
   std::function<std::optional<NodeRecord>(std::string_view)> decode_node;
 };
 
+// Registrations of one fabric domain. They stay where they are until the VM is
+// removed.
+using DomainVms = std::map<VmId, const VmRegistration*>;
+
 // The typed picture that a node has of the fleet: configuration, endpoints'
 // VMs, other nodes, holders of roles. It never goes back to an older version of
 // the configuration while the process lives.
@@ -43,6 +47,8 @@
   std::shared_ptr<const RouteTable> routes() const { return routes_; }
   const std::map<VmId, VmRegistration>& vms() const { return vms_; }
   const VmRegistration* FindVm(const VmId& vm) const;
+  // Registered VMs of the domain, by the name of its record.
+  const DomainVms& VmsOf(const FabricDomainId& domain) const;
   const std::map<NodeId, NodeRecord>& nodes() const { return nodes_; }
   // Nodes that are not about to stop; at least 1.
   std::size_t serving_nodes() const;
@@ -61,12 +67,20 @@
   void OnConfiguration(const StoreEntry& entry);
   void OnRegistration(const VmId& vm, const StoreEntry& entry);
   void OnUnreadable(const VmId& vm);
+  void OnNode(const NodeId& id, NodeRecord node);
+  void RemoveNode(const NodeId& id);
+  // False where it was not there.
+  bool RemoveVm(const VmId& vm);
+  void AddToDomain(const VmRegistration& vm);
+  void RemoveFromDomain(const VmRegistration& vm);
 
   FleetCodec codec_;
   EventSink events_;
   std::shared_ptr<const RouteTable> routes_;
   std::map<VmId, VmRegistration> vms_;
+  std::map<FabricDomainId, DomainVms> domains_;
   std::map<NodeId, NodeRecord> nodes_;
+  std::size_t serving_nodes_ = 0;
   std::map<RoleName, NodeId> holders_;
   std::set<VmId> changed_vms_;
   std::vector<Address> restarted_vms_;
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -264,8 +264,8 @@
   const NodeId holder = view_.HolderOf(role);
   const bool may_take =
       !stopping() && !keeper_.is_fenced_off() && mirror_.loaded();
-  bool wants =
-      may_take && (roles_.Held(role, now) || holder == settings_.self.id);
+  const bool is_own = roles_.Held(role, now) || holder == settings_.self.id;
+  bool wants = may_take && is_own && !MayHandOver(now, holder);
   if (!may_take || wants || !mirror_.reachable() || !holder.empty()) {
     role_free_since_.reset();
   } else {
@@ -282,15 +282,41 @@
 }
 
 std::int64_t GatewayCore::RankFor(const RoleName& role) const {
-  std::vector<NodeId> nodes = {settings_.self.id};
+  const std::int64_t own = settings_.self.weight;
+  std::int64_t larger = 0;
+  std::vector<NodeId> equals = {settings_.self.id};
   for (const auto& [id, node] : view_.nodes()) {
-    if (!node.leaving && id != settings_.self.id) {
-      nodes.push_back(id);
+    if (node.leaving || id == settings_.self.id) {
+      continue;
+    }
+    larger += node.weight > own ? 1 : 0;
+    if (node.weight == own) {
+      equals.push_back(id);
     }
   }
-  const auto order = RendezvousOrder(role.value(), nodes, nodes.size());
-  return std::find(order.begin(), order.end(), settings_.self.id) -
-         order.begin();
+  const auto order = RendezvousOrder(role.value(), equals, equals.size());
+  return larger + (std::find(order.begin(), order.end(), settings_.self.id) -
+                   order.begin());
+}
+
+bool GatewayCore::MayHandOver(Time now, const NodeId& holder) {
+  // Counted anew with each term: where no other node takes the role, it must
+  // not change hands all the time.
+  const bool is_known =
+      holder == settings_.self.id && mirror_.reachable() &&
+      std::any_of(view_.nodes().begin(), view_.nodes().end(),
+                  [this](const auto& entry) {
+                    const NodeRecord& node = entry.second;
+                    return !node.leaving && node.weight > settings_.self.weight;
+                  });
+  if (!is_known) {
+    better_keeper_since_.reset();
+    return false;
+  }
+  if (!better_keeper_since_) {
+    better_keeper_since_ = now;
+  }
+  return now - *better_keeper_since_ >= settings_.role_hand_over_after;
 }
 
 void GatewayCore::RunKeeper(Time now) {
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -67,6 +67,9 @@
   // A free keeper's role is tried by the preferred node at once and by each
   // further one this much later, so that it is not asked for by all.
   Duration role_step = Duration::Millis(120);
+  // The keeper hands its role over to a node with more of a processor once one
+  // has been known for so long: longer than the entry of a lost node stays.
+  Duration role_hand_over_after = Duration::Millis(2500);
   // A node that stops by plan takes requests for this long: what came later
   // could still run when the node has to end, and would be cut. Longer than
   // callers keep the addresses where they keep them as asked.
@@ -226,14 +229,20 @@
   // The node of this data centre that this one is to follow; empty where it has
   // to watch the service itself.
   NodeId ChooseFollowed(Time now);
+  // Of this node or one that the view shows.
+  std::int64_t WeightOf(const NodeId& node) const;
   // How many nodes watch the service, by what this node sees of the fleet.
   std::size_t CountWatchers() const;
   // How many of the nodes of a data centre do: more in a larger one, so that
   // none has more followers.
   std::size_t WatchersOf(std::size_t nodes) const;
   void UpdateRole(Time now);
-  // How many nodes are preferred to this one for the role.
+  // Nodes with more of a processor come first: the keeper's work grows with
+  // what happens in the whole fleet, and late decisions cost groups.
   std::int64_t RankFor(const RoleName& role) const;
+  // Whether the role, which this node holds by what it sees, is to go to a node
+  // with more of a processor.
+  bool MayHandOver(Time now, const NodeId& holder);
   void UpdateReplicas(Time now);
   void RunKeeper(Time now);
   void MoveStuck(Time now, const std::vector<AttemptNumber>& stuck);
@@ -241,8 +250,8 @@
   void AskForKeeper(Time now);
   std::vector<Address> OtherNodes() const;
   std::vector<Replica> MakeReplicas() const;
-  std::optional<Replica> MakeReplica(const VmRegistration& vm,
-                                     const ServiceRule& service) const;
+  // Absent where the VM takes no requests.
+  std::optional<Replica> MakeReplica(const VmRegistration& vm) const;
   GatewayActions TakeActions();
 
   GatewaySettings settings_;
@@ -264,6 +273,8 @@
   // Nodes that could not tell, and until when they are not asked.
   std::map<NodeId, Time> avoided_;
   std::optional<Time> role_free_since_;
+  // Since when a node is known that has more of a processor than this one.
+  std::optional<Time> better_keeper_since_;
   Time next_witness_ask_;
   std::uint64_t seen_configuration_ = 0;
   std::optional<Time> stop_asked_;
--- a/coordination/gateway/gateway_core_following.cc
+++ b/coordination/gateway/gateway_core_following.cc
@@ -40,9 +40,14 @@
     }
   }
   // All nodes that see the same fleet name the same ones, without a word about
-  // it.
-  const std::vector<NodeId> followed =
-      RendezvousOrder(kFollowedKey, near, WatchersOf(near.size()));
+  // it. Each answers many: those that can carry most come first.
+  std::vector<NodeId> followed =
+      RendezvousOrder(kFollowedKey, near, near.size());
+  std::stable_sort(followed.begin(), followed.end(),
+                   [this](const NodeId& a, const NodeId& b) {
+                     return WeightOf(a) > WeightOf(b);
+                   });
+  followed.resize(WatchersOf(near.size()));
   if (std::find(followed.begin(), followed.end(), settings_.self.id) !=
       followed.end()) {
     return NodeId();
@@ -50,6 +55,11 @@
   return RendezvousOrder(settings_.self.id.value(), followed, 1).front();
 }
 
+std::int64_t GatewayCore::WeightOf(const NodeId& node) const {
+  return node == settings_.self.id ? settings_.self.weight
+                                   : view_.nodes().at(node).weight;
+}
+
 std::size_t GatewayCore::CountWatchers() const {
   std::map<ZoneId, std::size_t> nodes;
   for (const auto& [id, node] : view_.nodes()) {
--- a/coordination/gateway/gateway_core_replicas.cc
+++ b/coordination/gateway/gateway_core_replicas.cc
@@ -15,28 +15,37 @@
 }  // namespace
 
 void GatewayCore::UpdateReplicas(Time now) {
-  const bool changed = !view_.TakeChangedVms().empty() ||
-                       view_.configuration_changes() != seen_configuration_;
+  const std::set<VmId> changed = view_.TakeChangedVms();
+  keeper_.OnVmsChanged(changed);
   for (Address& address : view_.TakeRestartedVms()) {
     actions_.emplace_back(ForgetConnections{std::move(address)});
   }
   budget_.SetNodeCount(view_.serving_nodes());
   selector_.SetNodeCount(view_.serving_nodes());
-  if (!changed || !view_.routes()) {
+  if (!view_.routes()) {
     return;
   }
-  seen_configuration_ = view_.configuration_changes();
-  selector_.SetReplicas(now, MakeReplicas());
+  if (seen_configuration_ != view_.configuration_changes()) {
+    seen_configuration_ = view_.configuration_changes();
+    selector_.SetReplicas(now, MakeReplicas());
+    return;
+  }
+  for (const VmId& id : changed) {
+    const VmRegistration* vm = view_.FindVm(id);
+    std::optional<Replica> replica =
+        vm != nullptr ? MakeReplica(*vm) : std::nullopt;
+    if (replica) {
+      selector_.SetReplica(now, *std::move(replica));
+    } else {
+      selector_.RemoveReplica(id);
+    }
+  }
 }
 
 std::vector<Replica> GatewayCore::MakeReplicas() const {
   std::vector<Replica> replicas;
   for (const auto& [id, vm] : view_.vms()) {
-    const ServiceRule* service = view_.routes()->FindService(vm.service);
-    if (service == nullptr || vm.draining) {
-      continue;
-    }
-    if (std::optional<Replica> replica = MakeReplica(vm, *service)) {
+    if (std::optional<Replica> replica = MakeReplica(vm)) {
       replicas.push_back(*std::move(replica));
     }
   }
@@ -44,8 +53,11 @@
 }
 
 std::optional<Replica> GatewayCore::MakeReplica(
-    const VmRegistration& vm,
-    const ServiceRule& service) const {
+    const VmRegistration& vm) const {
+  const ServiceRule* service = view_.routes()->FindService(vm.service);
+  if (service == nullptr || vm.draining) {
+    return std::nullopt;
+  }
   Replica replica;
   replica.vm = vm.id;
   replica.incarnation = vm.incarnation;
@@ -53,10 +65,10 @@
   replica.service = vm.service;
   replica.zone = vm.zone;
   replica.places = std::max<std::int64_t>(1, vm.places);
-  if (!service.engine) {
+  if (!service->engine) {
     return replica;
   }
-  const EngineProfile& engine = *service.engine;
+  const EngineProfile& engine = *service->engine;
   if (!vm.membership || vm.membership->rank != 0 ||
       vm.membership->phase != MemberPhase::kOpen || vm.models.empty()) {
     return std::nullopt;
--- a/coordination/gateway/group_planner.cc
+++ b/coordination/gateway/group_planner.cc
@@ -154,11 +154,16 @@
           static_cast<double>(GroupsOf(domain, profile.models[i].model));
     }
   }
+  fleet.whole_mixes[fleet.largest_domain] =
+      MixOfWhole(profile, fleet.largest_domain);
   for (const PlannedDomain& domain : domains) {
-    const Counts mix =
-        MixOfWhole(profile, domain.filling ? fleet.largest_domain : domain.vms);
+    const std::size_t vms = domain.filling ? fleet.largest_domain : domain.vms;
+    const auto [mix, is_new] = fleet.whole_mixes.try_emplace(vms);
+    if (is_new) {
+      mix->second = MixOfWhole(profile, vms);
+    }
     for (std::size_t i = 0; i < model_count; ++i) {
-      fleet.wanted[i] += static_cast<double>(mix[i]);
+      fleet.wanted[i] += static_cast<double>(mix->second[i]);
     }
   }
   return fleet;
@@ -173,11 +178,9 @@
   return BestMix(profile, vms - reserve, no_fill, all_at_hand);
 }
 
-GroupPlanner::Counts GroupPlanner::MixOfFilling(
-    const EngineProfile& profile,
-    const PlannedDomain& domain,
-    std::size_t expected_vms) const {
-  const Counts target = MixOfWhole(profile, expected_vms);
+GroupPlanner::Counts GroupPlanner::MixOfFilling(const EngineProfile& profile,
+                                                const PlannedDomain& domain,
+                                                const Counts& target) const {
   Counts by_size(target.size());
   for (std::size_t i = 0; i < by_size.size(); ++i) {
     by_size[i] = i;
@@ -346,9 +349,11 @@
     if (domain.unsettled) {
       continue;
     }
-    const Counts mix = domain.filling
-                           ? MixOfFilling(profile, domain, fleet.largest_domain)
-                           : MixOfSettled(profile, domain, fleet);
+    const Counts mix =
+        domain.filling
+            ? MixOfFilling(profile, domain,
+                           fleet.whole_mixes.at(fleet.largest_domain))
+            : MixOfSettled(profile, domain, fleet);
     FormGroups(profile, mix, domain, fleet, plan);
     if (!domain.filling) {
       StageSpares(profile, domain, plan);
--- a/coordination/gateway/group_planner.h
+++ b/coordination/gateway/group_planner.h
@@ -97,6 +97,8 @@
     // whole.
     std::vector<double> groups;
     std::vector<double> wanted;
+    // Of domains that are whole, by their VMs: most domains have as many.
+    std::map<std::size_t, Counts> whole_mixes;
   };
 
   Fleet Survey(const EngineProfile& profile,
@@ -113,7 +115,7 @@
   // What to form already while a domain's VMs still appear.
   Counts MixOfFilling(const EngineProfile& profile,
                       const PlannedDomain& domain,
-                      std::size_t expected_vms) const;
+                      const Counts& target) const;
   Counts MixOfSettled(const EngineProfile& profile,
                       const PlannedDomain& domain,
                       const Fleet& fleet) const;
--- a/coordination/gateway/load_pacer.cc
+++ b/coordination/gateway/load_pacer.cc
@@ -26,6 +26,15 @@
   refilled_ = now;
 }
 
+std::vector<VmId> LoadPacer::Running() const {
+  std::vector<VmId> vms;
+  vms.reserve(running_.size());
+  for (const auto& [vm, until] : running_) {
+    vms.push_back(vm);
+  }
+  return vms;
+}
+
 bool LoadPacer::Begin(Time now, const VmId& vm, Duration load_time) {
   if (IsLoading(vm)) {
     return true;
--- a/coordination/gateway/load_pacer.h
+++ b/coordination/gateway/load_pacer.h
@@ -2,6 +2,7 @@
 #define COORDINATION_GATEWAY_LOAD_PACER_H_
 
 #include <map>
+#include <vector>
 
 #include "state/state.h"
 
@@ -36,6 +37,8 @@
   // The VM's load ended, or the VM is gone.
   void End(const VmId& vm) { running_.erase(vm); }
   bool IsLoading(const VmId& vm) const { return running_.contains(vm); }
+  // VMs whose loads are under way.
+  std::vector<VmId> Running() const;
   void Tick(Time now);
 
  private:
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -24,21 +24,25 @@
   std::set<VmId> seen;
   for (Replica& replica : replicas) {
     seen.insert(replica.vm);
-    const auto [it, is_new] = states_.try_emplace(replica.vm, settings_);
-    State& state = it->second;
-    if (is_new || state.replica.generation != replica.generation ||
-        state.replica.incarnation != replica.incarnation) {
-      // Another group at the same VM, or another run of its endpoint, starts
-      // without load or history.
-      state = State(settings_);
-      state.last_progress = now;
-    }
-    state.replica = std::move(replica);
+    SetReplica(now, std::move(replica));
   }
   std::erase_if(states_,
                 [&](const auto& state) { return !seen.contains(state.first); });
 }
 
+void ReplicaSelector::SetReplica(Time now, Replica replica) {
+  const auto [it, is_new] = states_.try_emplace(replica.vm, settings_);
+  State& state = it->second;
+  if (is_new || state.replica.generation != replica.generation ||
+      state.replica.incarnation != replica.incarnation) {
+    // Another group at the same VM, or another run of its endpoint, starts
+    // without load or history.
+    state = State(settings_);
+    state.last_progress = now;
+  }
+  state.replica = std::move(replica);
+}
+
 void ReplicaSelector::SetNodeCount(std::size_t nodes) {
   nodes_ = static_cast<double>(std::max<std::size_t>(1, nodes));
 }
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -114,8 +114,12 @@
                   Random random,
                   EventSink events);
 
-  // The replicas that there are now.
+  // All replicas that there are now.
   void SetReplicas(Time now, std::vector<Replica> replicas);
+  // One of them is new or changed.
+  void SetReplica(Time now, Replica replica);
+  // The VM has none.
+  void RemoveReplica(const VmId& vm) { states_.erase(vm); }
   void SetNodeCount(std::size_t nodes);
 
   // Absent with the reason: kNoEndpoint or kNoCapacity.
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
+#include <cstdint>
 #include <optional>
 #include <utility>
 
@@ -18,6 +20,9 @@
 // The platform sets these: a node must start with whatever it chooses.
 constexpr DurationRange kPlatformBound{Duration(), Duration::Seconds(86400)};
 
+// Of a node that has a whole core, relative to one with the least share.
+constexpr double kWeightOfCore = 100;
+
 // Keys whose text needs a second look once it is read.
 struct RawSettings {
   std::string callers;
@@ -29,6 +34,8 @@
   // The shorter one bounds how old a node's copy of the store may be.
   Duration leaving_known_within = StoreMirrorSettings().known_within;
   Duration configuration_known_within = StoreMirrorSettings().known_within;
+  // Of one core.
+  double processor_share = 1;
 };
 
 void DeclareNode(GatewayProcessSettings& settings,
@@ -42,6 +49,10 @@
              SettingNeed::kRequired);
   reader.Add("node.region", &self.region, kIdText, "Region of the data centre.",
              SettingNeed::kRequired);
+  reader.Add("node.processor_share", &raw.processor_share,
+             NumberRange{0.01, 1000},
+             "How much of a core the node has; nodes with more of one keep the "
+             "groups.");
   reader.Add("listen.callers", &raw.callers, kAddressText,
              "\"ip:port\" for callers' requests.", SettingNeed::kRequired);
   reader.Add("listen.readiness", &raw.readiness, kAddressText,
@@ -271,6 +282,8 @@
       errors.push_back(MakeItemError(path, "peers.seeds", seed, "ip:port"));
     }
   }
+  settings.core.self.weight = std::max<std::int64_t>(
+      1, std::llround(kWeightOfCore * raw.processor_share));
   settings.core.mirror.known_within =
       std::min(raw.leaving_known_within, raw.configuration_known_within);
   settings.core.self.caller_address = Address(raw.callers);
--- a/state/node_record.h
+++ b/state/node_record.h
@@ -24,7 +24,7 @@
   Address peer_address;
   Address caller_address;
   Address operator_address;
-  // Share of callers relative to other nodes.
+  // How much it can carry relative to other nodes.
   std::int64_t weight = 1;
   // A planned stop has begun: callers are sent elsewhere.
   bool leaving = false;
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -234,6 +234,9 @@
     GatewaySettings settings;
     settings.self.id = NodeId("n" + std::to_string(index));
     settings.self.zone = ZoneId("z");
+    if (weights.contains(index)) {
+      settings.self.weight = weights.at(index);
+    }
     settings.self.peer_address = Address(std::to_string(index));
     settings.self.caller_address = Address("c" + std::to_string(index));
     settings.mirror.prefixes = {"cfg", "vm/", "node/", "role/"};
@@ -276,6 +279,8 @@
         DiscardEvents());
   }
 
+  // Of nodes that start from now on, where it is not 1.
+  std::map<std::size_t, std::int64_t> weights;
   bool store_down = false;
   bool traffic = false;
   // Nodes that no caller asks.
