gateway: a start reads an overview first, and the rest when the store's link is free

After the loss of all 295 nodes each read all keys, about 1,200 in three pages: the store's link of 1,000 Mbit/s was full for 2.4 s, and the nodes knew no configuration for as long.

The keeper leaves an overview under one key, at most every two seconds and where it has changed: endpoints that take requests and addresses of nodes, without members, spares and weights. A start reads it with the configuration in one call, serves by it, and reads the rest within three seconds at random. It is not passed on to followers. What the full read does not show is dropped; retry budgets count the nodes of the overview.

--- a/coordination/gateway/fleet_view.cc
+++ b/coordination/gateway/fleet_view.cc
@@ -17,6 +17,10 @@
   if (std::exchange(learned_, true)) {
     return;
   }
+  overview_nodes_.clear();
+  for (const VmId& vm : std::exchange(provisional_vms_, {})) {
+    RemoveVm(vm);
+  }
   events_({EventKind::kFleetLearned,
            {},
            {},
@@ -33,6 +37,8 @@
     OnRegistration(VmId(entry.key.substr(codec_.vm_prefix.size())), entry);
   } else if (key == codec_.configuration_key) {
     OnConfiguration(entry);
+  } else if (key == codec_.overview_key) {
+    OnOverview(entry);
   } else if (key.starts_with(kNodePrefix)) {
     if (std::optional<NodeRecord> node = codec_.decode_node(entry.value)) {
       OnNode(NodeId(entry.key.substr(kNodePrefix.size())), *std::move(node));
@@ -78,6 +84,24 @@
   ++configuration_changes_;
 }
 
+void FleetView::OnOverview(const StoreEntry& entry) {
+  if (learned_) {
+    return;
+  }
+  std::optional<FleetOverview> overview = codec_.decode_overview(entry.value);
+  if (!overview) {
+    return;
+  }
+  overview_nodes_ = std::move(overview->nodes);
+  for (VmRegistration& endpoint : overview->endpoints) {
+    const VmId vm = endpoint.id;
+    if (vms_.emplace(vm, std::move(endpoint)).second) {
+      provisional_vms_.insert(vm);
+      changed_vms_.insert(vm);
+    }
+  }
+}
+
 void FleetView::OnRegistration(const VmId& vm, const StoreEntry& entry) {
   std::optional<VmRegistration> read =
       codec_.decode_registration(vm, entry.value);
@@ -86,6 +110,7 @@
     return;
   }
   unreadable_vms_.erase(vm);
+  provisional_vms_.erase(vm);
   const auto [known, is_new] = vms_.try_emplace(vm);
   if (!is_new && known->second == *read) {
     return;
@@ -176,7 +201,19 @@
 }
 
 std::size_t FleetView::serving_nodes() const {
-  return std::max<std::size_t>(1, serving_nodes_);
+  return std::max({std::size_t{1}, serving_nodes_, overview_nodes_.size()});
+}
+
+std::map<NodeId, Address> FleetView::CallerAddresses() const {
+  std::map<NodeId, Address> addresses = overview_nodes_;
+  for (const auto& [id, node] : nodes_) {
+    if (node.leaving) {
+      addresses.erase(id);
+    } else {
+      addresses.insert_or_assign(id, node.caller_address);
+    }
+  }
+  return addresses;
 }
 
 NodeId FleetView::HolderOf(const RoleName& role) const {
--- a/coordination/gateway/fleet_view.h
+++ b/coordination/gateway/fleet_view.h
@@ -21,12 +21,15 @@
   std::string configuration_key;
   // Followed by the VM's id.
   std::string vm_prefix;
-  // Both absent where the text is not understood; `on_fault` has told why.
+  // Empty where none is kept.
+  std::string overview_key;
+  // Absent where the text is not understood; the reason is logged.
   std::function<std::optional<FleetConfiguration>(std::string_view)>
       decode_configuration;
   std::function<std::optional<VmRegistration>(const VmId&, std::string_view)>
       decode_registration;
   std::function<std::optional<NodeRecord>(std::string_view)> decode_node;
+  std::function<std::optional<FleetOverview>(std::string_view)> decode_overview;
 };
 
 // Registrations of one fabric domain. They stay where they are until the VM is
@@ -40,7 +43,8 @@
  public:
   FleetView(FleetCodec codec, EventSink events);
 
-  // Until all that there is has been learned, VMs are not told of one by one.
+  // All that there is has been learned. Before, VMs are not told of one by one,
+  // and an overview stands in for what is still to come.
   void OnLearned(Revision revision);
   void OnPut(Time now, const StoreEntry& entry);
   void OnDeleted(Time now, const std::string& key);
@@ -54,6 +58,9 @@
   const std::map<NodeId, NodeRecord>& nodes() const { return nodes_; }
   // Nodes that are not about to stop; at least 1.
   std::size_t serving_nodes() const;
+  // Where callers reach the nodes that are not about to stop.
+  std::map<NodeId, Address> CallerAddresses() const;
+  bool has_overview() const { return !overview_nodes_.empty(); }
   // Empty where nobody holds the role.
   NodeId HolderOf(const RoleName& role) const;
 
@@ -67,6 +74,7 @@
 
  private:
   void OnConfiguration(const StoreEntry& entry);
+  void OnOverview(const StoreEntry& entry);
   void OnRegistration(const VmId& vm, const StoreEntry& entry);
   void OnUnreadable(const VmId& vm);
   void OnNode(const NodeId& id, NodeRecord node);
@@ -84,6 +92,9 @@
   std::map<NodeId, NodeRecord> nodes_;
   std::size_t serving_nodes_ = 0;
   bool learned_ = false;
+  // Known by an overview only: VMs, and the nodes of that overview.
+  std::set<VmId> provisional_vms_;
+  std::map<NodeId, Address> overview_nodes_;
   std::map<RoleName, NodeId> holders_;
   std::set<VmId> changed_vms_;
   std::vector<Address> restarted_vms_;
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -46,7 +46,8 @@
                           settings_.self.id.value(),
                           {},
                           {{"revision", mirror_.revision().value()}}});
-               }}),
+               },
+               [this] { return view_.routes() && view_.has_overview(); }}),
       lease_(MakeLease(settings_, codecs, random_, events_)),
       roles_(RoleLeases::Builder()
                  .SetSettings(settings_.roles)
@@ -62,6 +63,9 @@
             return selector_.LastProgress(head, generation);
           },
           events_),
+      overview_(settings_.overview,
+                codecs.fleet.overview_key,
+                codecs.encode_overview),
       selector_(settings_.selector, settings_.self.zone, random_, events_),
       budget_(settings_.retries),
       desk_(settings_.requests, &selector_, &budget_, random_, events_) {}
@@ -94,6 +98,7 @@
     }
   }
   RunKeeper(now);
+  WriteOverview(now);
   AskForKeeper(now);
   return TakeActions();
 }
@@ -119,6 +124,9 @@
       Apply(keeper_.OnStoreReply(now, id, reply));
       RunKeeper(now);
       break;
+    case GatewayModule::kOverview:
+      overview_.OnStoreReply(id, reply);
+      break;
   }
   return TakeActions();
 }
@@ -240,16 +248,16 @@
   if (!stopping()) {
     addresses.push_back(settings_.self.caller_address);
   }
-  const auto& nodes = view_.nodes();
+  const std::map<NodeId, Address> nodes = view_.CallerAddresses();
   auto next = nodes.upper_bound(settings_.self.id);
   for (std::size_t i = 0;
        i < nodes.size() && addresses.size() < settings_.most_entries; ++i) {
     if (next == nodes.end()) {
       next = nodes.begin();
     }
-    const auto& [id, node] = *next++;
-    if (!node.leaving && id != settings_.self.id) {
-      addresses.push_back(node.caller_address);
+    const auto& [id, address] = *next++;
+    if (id != settings_.self.id) {
+      addresses.push_back(address);
     }
   }
   return addresses;
@@ -329,6 +337,28 @@
   }
 }
 
+void GatewayCore::WriteOverview(Time now) {
+  if (!is_keeper(now) || !view_.routes()) {
+    return;
+  }
+  if (std::optional<StoreRequest> request =
+          overview_.Tick(now, [this] { return DescribeFleet(); })) {
+    actions_.emplace_back(
+        CallGatewayStore{GatewayModule::kOverview, *std::move(request)});
+  }
+}
+
+FleetOverview GatewayCore::DescribeFleet() const {
+  FleetOverview overview;
+  for (const auto& [id, vm] : view_.vms()) {
+    if (MakeReplica(vm)) {
+      overview.endpoints.push_back(vm);
+    }
+  }
+  overview.nodes = view_.CallerAddresses();
+  return overview;
+}
+
 void GatewayCore::MoveStuck(Time now, const std::vector<AttemptNumber>& stuck) {
   for (const ForwardId id : desk_.MovableOf(now, stuck)) {
     actions_.emplace_back(MoveForward{id});
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -13,6 +13,7 @@
 #include "coordination/gateway/fleet_view.h"
 #include "coordination/gateway/forward_desk.h"
 #include "coordination/gateway/gateway_keys.h"
+#include "coordination/gateway/overview_writer.h"
 #include "coordination/gateway/replica_selector.h"
 #include "coordination/gateway/shared_retry_budget.h"
 #include "coordination/gateway/store_mirror.h"
@@ -48,6 +49,7 @@
   RoleLeasesSettings roles = RoleSettings();
   StoreMirrorSettings mirror;
   FleetKeeperSettings keeper;
+  OverviewWriterSettings overview;
   ReplicaSelectorSettings selector;
   SharedRetryBudgetSettings retries;
   ForwardDeskSettings requests;
@@ -96,7 +98,7 @@
 };
 
 // The part of the core that asked the key-value service.
-enum class GatewayModule { kMirror, kLease, kRoles, kKeeper };
+enum class GatewayModule { kMirror, kLease, kRoles, kKeeper, kOverview };
 
 struct CallGatewayStore {
   GatewayModule module = GatewayModule::kMirror;
@@ -161,6 +163,8 @@
     FleetCodec fleet;
     DomainRecordCodec domain_record;
     std::function<std::string(const NodeRecord&)> encode_node;
+    // Unused where the fleet's codec names no key for it.
+    std::function<std::string(const FleetOverview&)> encode_overview;
   };
 
   GatewayCore(GatewaySettings settings,
@@ -257,6 +261,8 @@
   bool MayHandOver(Time now, const NodeId& holder);
   void UpdateReplicas(Time now);
   void RunKeeper(Time now);
+  void WriteOverview(Time now);
+  FleetOverview DescribeFleet() const;
   void MoveStuck(Time now, const std::vector<AttemptNumber>& stuck);
   void AskWitnesses(const StandstillNotice& group);
   void AskForKeeper(Time now);
@@ -276,6 +282,7 @@
   NodeLease lease_;
   RoleLeases roles_;
   FleetKeeper keeper_;
+  OverviewWriter overview_;
   ReplicaSelector selector_;
   SharedRetryBudget budget_;
   ForwardDesk desk_;
--- a/coordination/gateway/gateway_keys.h
+++ b/coordination/gateway/gateway_keys.h
@@ -9,6 +9,9 @@
 inline constexpr std::string_view kNodePrefix = "node/";
 inline constexpr std::string_view kRolePrefix = "role/";
 
+// What a node that starts needs first, written by whoever holds the role.
+inline constexpr std::string_view kOverviewKey = "overview";
+
 // The one role: whoever holds it decides which VMs form which replica group.
 inline constexpr std::string_view kKeeperRole = "keeper/fleet";
 
--- /dev/null
+++ b/coordination/gateway/overview_writer.cc
@@ -0,0 +1,41 @@
+#include "coordination/gateway/overview_writer.h"
+
+#include <utility>
+
+namespace gcw {
+
+OverviewWriter::OverviewWriter(OverviewWriterSettings settings,
+                               std::string key,
+                               Encode encode)
+    : settings_(settings), key_(std::move(key)), encode_(std::move(encode)) {}
+
+std::optional<StoreRequest> OverviewWriter::Tick(Time now,
+                                                 const Describe& describe) {
+  if (key_.empty() || now < next_write_) {
+    return std::nullopt;
+  }
+  next_write_ = now + settings_.interval;
+  proposed_ = encode_(describe());
+  if (proposed_ == written_) {
+    return std::nullopt;
+  }
+  ++last_call_;
+  return StoreRequest{last_call_,
+                      StorePut{key_, proposed_, revision_, LeaseId()}};
+}
+
+// A write without an answer is settled by the next one: its condition fails and
+// shows the key as it is.
+void OverviewWriter::OnStoreReply(StoreCallId id, const StoreReply& reply) {
+  if (id != last_call_) {
+    return;
+  }
+  if (const auto* written = std::get_if<StoreWritten>(&reply)) {
+    revision_ = written->revision;
+    written_ = proposed_;
+  } else if (const auto* conflict = std::get_if<StoreConflict>(&reply)) {
+    revision_ = conflict->current ? conflict->current->revision : Revision();
+  }
+}
+
+}  // namespace gcw
--- a/coordination/gateway/store_mirror.cc
+++ b/coordination/gateway/store_mirror.cc
@@ -12,7 +12,8 @@
       random_(std::move(random)),
       hooks_(std::move(hooks)),
       backoff_(settings_.backoff),
-      feed_(settings_.most_kept_changes) {}
+      feed_(settings_.most_kept_changes),
+      reads_first_(!settings_.first_prefix.empty()) {}
 
 std::vector<StoreMirrorAction> StoreMirror::Tick(Time now) {
   RemoveHeld(now);
@@ -84,7 +85,8 @@
     return std::nullopt;
   }
   if (phase_ == Phase::kReading) {
-    return StoreRange{settings_.prefixes[reading_], page_after_};
+    return reads_first_ ? StoreRange{settings_.first_prefix}
+                        : StoreRange{settings_.prefixes[reading_], page_after_};
   }
   const Duration interval = WatchInterval();
   next_call_ = now + interval;
@@ -191,6 +193,10 @@
     page_seen_.insert(entry.key);
     Put(now, entry);
   }
+  if (std::exchange(reads_first_, false)) {
+    OnFirstRead(now);
+    return;
+  }
   round_revision_ = round_revision_ ? std::min(*round_revision_, reply.revision)
                                     : reply.revision;
   if (reply.more && !reply.entries.empty()) {
@@ -211,6 +217,17 @@
   loaded_ = true;
 }
 
+void StoreMirror::OnFirstRead(Time now) {
+  page_seen_.clear();
+  if (hooks_.is_enough && hooks_.is_enough()) {
+    const auto spread = static_cast<std::uint64_t>(
+        std::max<std::int64_t>(1, settings_.read_spread.millis()));
+    next_call_ =
+        now +
+        Duration::Millis(static_cast<std::int64_t>(DrawBelow(random_, spread)));
+  }
+}
+
 void StoreMirror::OnWatch(Time now, const StoreWatchReply& reply) {
   if (reply.compacted) {
     StartReading(now);
@@ -231,7 +248,15 @@
   for (const StoreDeletion& deletion : deleted) {
     Delete(now, deletion.key, deletion.revision);
   }
-  feed_.Add(changed, deleted);
+  if (settings_.unshared_key.empty()) {
+    feed_.Add(changed, deleted);
+  } else {
+    std::vector<StoreEntry> shared = changed;
+    std::erase_if(shared, [this](const StoreEntry& entry) {
+      return entry.key == settings_.unshared_key;
+    });
+    feed_.Add(shared, deleted);
+  }
   revision_ = std::max(revision_, revision);
 }
 
--- a/coordination/gateway/store_mirror.h
+++ b/coordination/gateway/store_mirror.h
@@ -27,6 +27,14 @@
 struct StoreMirrorSettings {
   // Families of keys that are read whole at the start and after lost history.
   std::vector<std::string> prefixes;
+  // Keys that are read before all others at a start; empty where none are.
+  std::string first_prefix;
+  // Where these are enough to serve by, the others are read within so long, at
+  // random: after a loss of all nodes, all registrations for every one of them
+  // take seconds to leave the service.
+  Duration read_spread = Duration::Seconds(3);
+  // A key that only nodes that start need: it is not passed on to followers.
+  std::string unshared_key;
   // Covers all of them; one waiting call instead of one a family.
   std::string watch_prefix;
   // Keys whose removal right after an outage of the service may be undone by
@@ -112,6 +120,9 @@
     std::function<void(Time, const std::string& key)> on_deleted;
     // The service answers again, or no longer does.
     std::function<void(bool reachable)> on_reachable;
+    // Whether what was read first is enough to serve by; absent where it never
+    // is.
+    std::function<bool()> is_enough = {};
   };
 
   StoreMirror(StoreMirrorSettings settings, Random random, Hooks hooks);
@@ -174,6 +185,7 @@
   void OnAnswered(Time now);
   void OnFailed(Time now, Duration least_wait);
   void OnRange(Time now, const StoreRangeReply& reply);
+  void OnFirstRead(Time now);
   void OnWatch(Time now, const StoreWatchReply& reply);
   void StartReading(Time now);
   void Put(Time now, const StoreEntry& entry);
@@ -209,6 +221,7 @@
   Revision revision_;
 
   Phase phase_ = Phase::kReading;
+  bool reads_first_ = false;
   std::size_t reading_ = 0;
   std::string page_after_;
   std::set<std::string> page_seen_;
--- a/programs/gcw_gateway/gateway_process.cc
+++ b/programs/gcw_gateway/gateway_process.cc
@@ -54,6 +54,7 @@
     return std::move(ValueOf(decoded));
   };
   codecs.encode_node = EncodeNodeRecord;
+  codecs.encode_overview = EncodeFleetOverview;
   return codecs;
 }
 
--- a/protocol/protocol.h
+++ b/protocol/protocol.h
@@ -19,6 +19,7 @@
 #include "protocol/error_json.h"
 #include "protocol/event_cutter.h"
 #include "protocol/event_field_json.h"
+#include "protocol/fleet_overview_json.h"
 #include "protocol/hex.h"
 #include "protocol/json_reader.h"
 #include "protocol/json_writer.h"
--- /dev/null
+++ b/state/fleet_overview.h
@@ -0,0 +1,25 @@
+#ifndef STATE_FLEET_OVERVIEW_H_
+#define STATE_FLEET_OVERVIEW_H_
+
+#include <map>
+#include <vector>
+
+#include "core/core.h"
+#include "state/vm_registration.h"
+
+namespace gcw {
+
+// What a node needs in order to serve, much smaller than all registrations.
+struct FleetOverview {
+  // Plain services and the first members of open groups. Only what routing
+  // needs is filled in.
+  std::vector<VmRegistration> endpoints;
+  // Where callers reach the nodes.
+  std::map<NodeId, Address> nodes;
+
+  friend bool operator==(const FleetOverview&, const FleetOverview&) = default;
+};
+
+}  // namespace gcw
+
+#endif  // STATE_FLEET_OVERVIEW_H_
--- a/state/state.h
+++ b/state/state.h
@@ -12,6 +12,7 @@
 #include "state/engine_order.h"
 #include "state/engine_status.h"
 #include "state/fleet_configuration.h"
+#include "state/fleet_overview.h"
 #include "state/group_order.h"
 #include "state/load_report.h"
 #include "state/node_record.h"
--- a/tests/protocol/record_json_test.cc
+++ b/tests/protocol/record_json_test.cc
@@ -126,6 +126,30 @@
   EXPECT_EQ(ErrorOf(entry), (CodecError{CodecErrorKind::kMissing, "contract"}));
 }
 
+// Of a registration only what routing needs is passed on.
+TEST(RecordJsonTest, FleetOverviewsComeBackWhole) {
+  VmRegistration engine;
+  engine.id = VmId("i-1");
+  engine.incarnation = Incarnation(7);
+  engine.service = ServiceId("llm");
+  engine.address = Address("10.0.0.1:80");
+  engine.zone = ZoneId("z");
+  engine.places = 13;
+  engine.models = {ModelId("m")};
+  engine.membership =
+      GroupMembership{GroupId("g"), Generation(4), 0, MemberPhase::kOpen};
+  VmRegistration plain = engine;
+  plain.id = VmId("i-2");
+  plain.models.clear();
+  plain.membership.reset();
+  FleetOverview overview;
+  overview.endpoints = {engine, plain};
+  overview.nodes = {{NodeId("n1"), Address("10.0.1.1:81")}};
+  const auto decoded = DecodeFleetOverview(EncodeFleetOverview(overview));
+  ASSERT_TRUE(IsOk(decoded));
+  EXPECT_EQ(ValueOf(decoded), overview);
+}
+
 TEST(RecordJsonTest, UnknownFieldsAreIgnored) {
   const auto decoded = DecodeContract(
       R"({"id":"a","customer":"b","tier":"paid","requests_per_second":1.5,)"
