keeper: plans the domains with news only, and bounds the reviews of busy ones

One order's answer had all domains copied and planned anew, and each domain with something under way was reviewed every 40 ms: with 81 domains 2,000 reviews a second.

Now the planner gets the domains that this call reviews; the others count only for how many groups the fleet has. Stagings are kept by domain. Reviews without news are at most 200 a second over all domains; with up to 8 busy domains each is reviewed every 40 ms as before.

--- a/coordination/gateway/fleet_keeper.cc
+++ b/coordination/gateway/fleet_keeper.cc
@@ -11,6 +11,7 @@
 // Generations of one keeper lie between its fencing number and the next
 // possible one, so that every later keeper's are higher.
 constexpr std::int64_t kGenerationsPerFence = 4096;
+constexpr double kMillisPerSecond = 1000;
 
 }  // namespace
 
@@ -33,11 +34,11 @@
   }
   // Whatever was known belongs to another term of the role.
   domains_.clear();
+  busy_domains_ = 0;
   pending_.clear();
   pending_of_.clear();
   last_orders_.clear();
   calls_.clear();
-  stagings_.clear();
   staging_.clear();
   refused_staging_.clear();
   doubts_.clear();
@@ -200,6 +201,7 @@
                      DomainWriter(domain, settings_.writer, codec_, events_),
                      {},
                      {},
+                     {},
                      now});
   if (is_new_domain) {
     it->second.writer.Start(now, role_->fence);
@@ -207,11 +209,18 @@
   it->second.next_review = now;
 }
 
+// The more domains are busy, the less often each is looked at without news: a
+// keeper that is late repeats orders, and so makes more work for itself.
 void FleetKeeper::ChooseReviewed(Time now) {
+  const Duration busy_review =
+      std::max(settings_.busy_review,
+               Duration::Millis(static_cast<std::int64_t>(
+                   kMillisPerSecond * static_cast<double>(busy_domains_) /
+                   settings_.busy_reviews_per_second)));
   for (auto& [id, domain] : domains_) {
     domain.is_reviewed = now >= domain.next_review;
     if (domain.is_reviewed) {
-      domain.next_review = now + settings_.busy_review;
+      domain.next_review = now + busy_review;
     }
   }
 }
@@ -270,20 +279,24 @@
   if (nexts.empty()) {
     return;
   }
-  std::vector<PlannedDomain> planned;
-  for (const auto& [id, domain] : domains_) {
-    if (domain.service == service.id &&
-        domain.writer.state() == WriterState::kReady) {
-      planned.push_back(domain.planned);
+  std::vector<PlannedDomain> reviewed;
+  std::vector<const PlannedDomain*> others;
+  for (auto& [id, domain] : domains_) {
+    if (nexts.contains(id)) {
+      reviewed.push_back(domain.planned);
+      domain.stagings.clear();
+    } else if (domain.service == service.id &&
+               domain.writer.state() == WriterState::kReady) {
+      others.push_back(&domain.planned);
     }
   }
-  GroupPlan plan = planner_.Plan(*service.engine, std::move(planned));
-  stagings_ = std::move(plan.stagings);
+  GroupPlan plan = planner_.Plan(*service.engine, std::move(reviewed), others);
+  for (PlannedStaging& staging : plan.stagings) {
+    domains_.at(staging.domain).stagings.push_back(std::move(staging));
+  }
   for (PlannedGroup& formed : plan.groups) {
-    const FabricDomainId id = formed.domain;
-    const auto next =
-        nexts.try_emplace(id, domains_.at(id).writer.record()).first;
-    AddGroup(std::move(formed), next->second);
+    DomainRecord& next = nexts.at(formed.domain);
+    AddGroup(std::move(formed), next);
   }
   for (auto& [id, next] : nexts) {
     Domain& domain = domains_.at(id);
@@ -300,9 +313,14 @@
   DomainRecord next = domain.writer.record();
   RemoveOver(now, view, domain, next);
   domain.planned = Describe(now, view, domain, next);
-  if (IsQuiet(view, domain)) {
+  const bool is_quiet = IsQuiet(view, domain);
+  if (is_quiet) {
     domain.next_review = now + settings_.quiet_review;
   }
+  if (domain.is_busy == is_quiet) {
+    domain.is_busy = !is_quiet;
+    busy_domains_ += is_quiet ? -1 : 1;
+  }
   return next;
 }
 
--- a/coordination/gateway/fleet_keeper.h
+++ b/coordination/gateway/fleet_keeper.h
@@ -53,10 +53,13 @@
   Duration form_limit = Duration::Seconds(60);
   // How long a group that is closed by plan may run what it has.
   Duration drain_limit = Duration::Millis(6000);
-  // Between two looks at a domain in which something is under way, besides one
-  // at each news of it.
+  // Review interval of a domain in which something is under way; news of a
+  // domain has it reviewed at once.
   Duration busy_review = Duration::Millis(40);
-  // The same where all groups serve.
+  // Such reviews of all domains together: with more busy domains the interval
+  // grows, so that the keeper's work does not outgrow its processor.
+  double busy_reviews_per_second = 200;
+  // Review interval of a domain whose groups all serve.
   Duration quiet_review = Duration::Millis(500);
 };
 
@@ -142,11 +145,14 @@
     ServiceId service;
     DomainWriter writer;
     std::map<GroupId, GroupRun> runs;
-    // As of the last look at it.
+    // State at the last review, and the loads that it planned.
     PlannedDomain planned;
+    std::vector<PlannedStaging> stagings;
     Time next_review;
-    // This call looks at it.
+    // Reviewed by the present call.
     bool is_reviewed = false;
+    // Something is under way, or waits for a time to pass.
+    bool is_busy = false;
   };
   struct PendingOrder {
     VmId vm;
@@ -251,6 +257,9 @@
                        const VmRegistration& vm,
                        const ModelProfile& model);
   void OrderStagings(Time now, const FleetView& view);
+  void OrderPlannedStaging(Time now,
+                           const FleetView& view,
+                           const PlannedStaging& staging);
   void OrderStaging(Time now, const VmRegistration& vm, const ModelId& model);
   void ProbeDoubted(Time now, const FleetView& view);
   // Has the VM probed at once.
@@ -300,7 +309,8 @@
   bool takes_all_ = true;
   std::uint64_t seen_configuration_ = 0;
   std::map<VmId, FabricDomainId> domain_of_;
-  std::vector<PlannedStaging> stagings_;
+  // Domains in which something is under way.
+  std::int64_t busy_domains_ = 0;
   // The models that VMs were told to load onto their hosts.
   std::map<VmId, ModelId> staging_;
   // VMs that refused to: they load as they join.
--- a/coordination/gateway/fleet_keeper_orders.cc
+++ b/coordination/gateway/fleet_keeper_orders.cc
@@ -154,18 +154,10 @@
 }
 
 void FleetKeeper::OrderStagings(Time now, const FleetView& view) {
-  for (const PlannedStaging& staging : stagings_) {
-    const VmRegistration* vm = view.FindVm(staging.vm);
-    if (vm == nullptr || vm->HasStaged(staging.model) ||
-        !MayOrder(now, staging.vm, GroupOrderKind::kStage, GroupId())) {
-      continue;
-    }
-    const ModelProfile* profile = ProfileOf(view, vm->service, staging.model);
-    if (profile == nullptr || loads_.IsLoading(staging.vm) ||
-        !loads_.Begin(now, staging.vm, profile->load_time)) {
-      continue;
+  for (const auto& [id, domain] : domains_) {
+    for (const PlannedStaging& staging : domain.stagings) {
+      OrderPlannedStaging(now, view, staging);
     }
-    OrderStaging(now, *vm, staging.model);
   }
   for (const VmId& id : loads_.Running()) {
     const VmRegistration* vm = view.FindVm(id);
@@ -185,6 +177,22 @@
   });
 }
 
+void FleetKeeper::OrderPlannedStaging(Time now,
+                                      const FleetView& view,
+                                      const PlannedStaging& staging) {
+  const VmRegistration* vm = view.FindVm(staging.vm);
+  if (vm == nullptr || vm->HasStaged(staging.model) ||
+      !MayOrder(now, staging.vm, GroupOrderKind::kStage, GroupId())) {
+    return;
+  }
+  const ModelProfile* profile = ProfileOf(view, vm->service, staging.model);
+  if (profile == nullptr || loads_.IsLoading(staging.vm) ||
+      !loads_.Begin(now, staging.vm, profile->load_time)) {
+    return;
+  }
+  OrderStaging(now, *vm, staging.model);
+}
+
 void FleetKeeper::OrderStaging(Time now,
                                const VmRegistration& vm,
                                const ModelId& model) {
--- a/coordination/gateway/group_planner.cc
+++ b/coordination/gateway/group_planner.cc
@@ -143,7 +143,7 @@
 
 GroupPlanner::Fleet GroupPlanner::Survey(
     const EngineProfile& profile,
-    const std::vector<PlannedDomain>& domains) const {
+    const std::vector<const PlannedDomain*>& domains) const {
   const std::size_t model_count = profile.models.size();
   Fleet fleet;
   fleet.groups.assign(model_count, 0);
@@ -153,18 +153,19 @@
   for (const ModelProfile& model : profile.models) {
     fleet.largest_domain += model.group_size;
   }
-  for (const PlannedDomain& domain : domains) {
-    fleet.vms += static_cast<double>(domain.vms);
-    fleet.largest_domain = std::max(fleet.largest_domain, domain.vms);
+  for (const PlannedDomain* domain : domains) {
+    fleet.vms += static_cast<double>(domain->vms);
+    fleet.largest_domain = std::max(fleet.largest_domain, domain->vms);
     for (std::size_t i = 0; i < model_count; ++i) {
       fleet.groups[i] +=
-          static_cast<double>(GroupsOf(domain, profile.models[i].model));
+          static_cast<double>(GroupsOf(*domain, profile.models[i].model));
     }
   }
   fleet.whole_mixes[fleet.largest_domain] =
       MixOfWhole(profile, fleet.largest_domain);
-  for (const PlannedDomain& domain : domains) {
-    const std::size_t vms = domain.filling ? fleet.largest_domain : domain.vms;
+  for (const PlannedDomain* domain : domains) {
+    const std::size_t vms =
+        domain->filling ? fleet.largest_domain : domain->vms;
     const auto [mix, is_new] = fleet.whole_mixes.try_emplace(vms);
     if (is_new) {
       mix->second = MixOfWhole(profile, vms);
@@ -301,7 +302,8 @@
       }
     }
     ++spares[most];
-    plan.stagings.push_back({vm->vm, profile.models[most].model});
+    plan.stagings.push_back(
+        {domain.domain, vm->vm, profile.models[most].model});
   }
   if (empty.empty()) {
     RestageSpare(profile, domain, spares, plan);
@@ -337,14 +339,20 @@
     }
   }
   if (best != nullptr) {
-    plan.stagings.push_back({best->vm, wanted});
+    plan.stagings.push_back({domain.domain, best->vm, wanted});
   }
 }
 
-GroupPlan GroupPlanner::Plan(const EngineProfile& profile,
-                             std::vector<PlannedDomain> domains) const {
+GroupPlan GroupPlanner::Plan(
+    const EngineProfile& profile,
+    std::vector<PlannedDomain> domains,
+    const std::vector<const PlannedDomain*>& others) const {
   GroupPlan plan;
-  Fleet fleet = Survey(profile, domains);
+  std::vector<const PlannedDomain*> all = others;
+  for (const PlannedDomain& domain : domains) {
+    all.push_back(&domain);
+  }
+  Fleet fleet = Survey(profile, all);
   if (fleet.vms <= 0 || profile.models.empty()) {
     return plan;
   }
--- a/coordination/gateway/group_planner.h
+++ b/coordination/gateway/group_planner.h
@@ -66,6 +66,7 @@
 };
 
 struct PlannedStaging {
+  FabricDomainId domain;
   VmId vm;
   ModelId model;
 };
@@ -82,8 +83,11 @@
  public:
   explicit GroupPlanner(GroupPlannerSettings settings) : settings_(settings) {}
 
+  // Plans `domains`. `others` stay as they are and count only for how many
+  // groups the fleet has: planning costs in proportion to what changed.
   GroupPlan Plan(const EngineProfile& profile,
-                 std::vector<PlannedDomain> domains) const;
+                 std::vector<PlannedDomain> domains,
+                 const std::vector<const PlannedDomain*>& others = {}) const;
 
  private:
   // Numbers of groups, or of VMs, by model in the profile's order.
@@ -102,7 +106,7 @@
   };
 
   Fleet Survey(const EngineProfile& profile,
-               const std::vector<PlannedDomain>& domains) const;
+               const std::vector<const PlannedDomain*>& domains) const;
   // What a domain with that many VMs would have if they were all free.
   Counts MixOfWhole(const EngineProfile& profile, std::size_t vms) const;
   // How many groups of each model so many VMs would best form, when the fleet
