keeper: a model short of groups takes VMs of one that has plenty

A domain of 37 holds one large group (16 VMs) and five small ones (4).

Now, three decisions without input or output: - GroupPlanner::FindRegrouping: groups of a smaller model are given up for one of a larger model where the fleet gains more than the interruption costs, and only where every member can join without a load. VMs freed so form that group first. Per domain at most one such change in 6 s; a new group is left to serve as long. - StageStandby: hosts of VMs in small groups hold a larger model's weights where the domain has three such groups; their engines keep their own model, so its copy on the host helps nobody.

--- a/coordination/gateway/fleet_keeper.cc
+++ b/coordination/gateway/fleet_keeper.cc
@@ -24,7 +24,8 @@
       last_progress_(std::move(last_progress)),
       events_(std::move(events)),
       planner_(settings.planner),
-      loads_(settings.loads) {}
+      loads_(settings.loads),
+      demand_(settings.demand) {}
 
 void FleetKeeper::SetRole(Time now, const std::optional<HeldRole>& role) {
   const bool is_same = role_ && role && role_->fence == role->fence;
@@ -42,6 +43,7 @@
   staging_.clear();
   refused_staging_.clear();
   doubts_.clear();
+  demand_asked_.clear();
   replaced_.clear();
   ended_.clear();
   left_.clear();
@@ -108,6 +110,7 @@
   }
   OrderStagings(now, view);
   ProbeDoubted(now, view);
+  ProbeDemand(now, view);
   for (auto& [id, domain] : domains_) {
     if (std::optional<StoreCall> call = domain.writer.Tick(now)) {
       ++last_call_;
@@ -202,6 +205,8 @@
                      {},
                      {},
                      {},
+                     {},
+                     {},
                      now});
   if (is_new_domain) {
     it->second.writer.Start(now, role_->fence);
@@ -290,11 +295,16 @@
       others.push_back(&domain.planned);
     }
   }
-  GroupPlan plan = planner_.Plan(*service.engine, std::move(reviewed), others);
+  GroupPlan plan = planner_.Plan(demand_.ApplyTo(*service.engine),
+                                 std::move(reviewed), others);
   for (PlannedStaging& staging : plan.stagings) {
     domains_.at(staging.domain).stagings.push_back(std::move(staging));
   }
+  for (const Regrouping& change : plan.regroupings) {
+    GiveUpGroups(now, change);
+  }
   for (PlannedGroup& formed : plan.groups) {
+    domains_.at(formed.domain).regroups_for = ModelId();
     DomainRecord& next = nexts.at(formed.domain);
     AddGroup(std::move(formed), next);
   }
@@ -312,6 +322,10 @@
   ReviewGroups(now, view, domain);
   DomainRecord next = domain.writer.record();
   RemoveOver(now, view, domain, next);
+  if (now >= domain.next_regroup) {
+    // Too few of the freed VMs are left.
+    domain.regroups_for = ModelId();
+  }
   domain.planned = Describe(now, view, domain, next);
   const bool is_quiet = IsQuiet(view, domain);
   if (is_quiet) {
@@ -356,6 +370,14 @@
     const auto run = domain.runs.find(group.id);
     if (run == domain.runs.end() || run->second.ending.empty()) {
       ++planned.groups[group.model];
+      if (run != domain.runs.end() && run->second.open_seen) {
+        planned.standing.push_back(
+            DescribeStanding(now, view, group, run->second));
+      }
+      continue;
+    }
+    if (run->second.is_regrouped) {
+      planned.unsettled = true;
       continue;
     }
     PlannedDomain::Ending& ending = planned.ending[group.model];
@@ -369,6 +391,8 @@
       planned.unsettled = true;
     }
   }
+  planned.regroups_for = domain.regroups_for;
+  planned.may_regroup = loads_.has_traffic() && now >= domain.next_regroup;
   const auto appeared = last_appeared_.find(next.domain);
   // A VM that comes while the domain serves is a spare, or the one that a
   // repair waits for: there is nothing to wait for before it loads its weights.
@@ -404,21 +428,66 @@
       planned.unsettled = true;
       continue;
     }
-    FreeVm free;
-    free.vm = id;
-    free.at_hand = vm->staged;
-    free.slow = IsSlow(id);
-    if (!vm->models.empty()) {
-      free.last_model = vm->models.front();
+    planned.free.push_back(DescribeVm(*vm));
+  }
+  return planned;
+}
+
+FreeVm FleetKeeper::DescribeVm(const VmRegistration& vm) const {
+  FreeVm described;
+  described.vm = vm.id;
+  described.at_hand = vm.staged;
+  described.slow = IsSlow(vm.id);
+  if (!vm.models.empty()) {
+    described.last_model = vm.models.front();
+  }
+  // Were it not counted, the next plan would mean the VM for another model.
+  const auto staging = staging_.find(vm.id);
+  if (staging != staging_.end()) {
+    described.loading = staging->second;
+  }
+  return described;
+}
+
+StandingGroup FleetKeeper::DescribeStanding(Time now,
+                                            const FleetView& view,
+                                            const GroupRecord& group,
+                                            const GroupRun& run) const {
+  StandingGroup standing;
+  standing.id = group.id;
+  standing.model = group.model;
+  // One that was formed just now is left to serve; those of earlier keepers
+  // have served for longer than this one knows them.
+  const bool is_own =
+      group.generation.value() > role_->fence.value() * kGenerationsPerFence;
+  standing.may_be_given_up =
+      !is_own || now - run.since >= settings_.regroup_interval;
+  for (const VmId& member : group.members) {
+    const VmRegistration* vm = view.FindVm(member);
+    if (vm != nullptr && !vm->draining && !IsSilent(member)) {
+      standing.members.push_back(DescribeVm(*vm));
     }
-    // Were it not counted, the next plan would mean the VM for another model.
-    const auto staging = staging_.find(id);
-    if (staging != staging_.end()) {
-      free.loading = staging->second;
+  }
+  return standing;
+}
+
+void FleetKeeper::GiveUpGroups(Time now, const Regrouping& change) {
+  Domain& domain = domains_.at(change.domain);
+  domain.regroups_for = change.model;
+  domain.next_regroup = now + settings_.regroup_interval;
+  domain.next_review = now;
+  for (const GroupRecord& group : domain.writer.record().groups) {
+    if (std::find(change.given_up.begin(), change.given_up.end(), group.id) ==
+        change.given_up.end()) {
+      continue;
     }
-    planned.free.push_back(std::move(free));
+    GroupRun& run = domain.runs[group.id];
+    run.ending = "regrouped:" + change.model.value();
+    run.ending_since = now;
+    run.ends_by_plan = true;
+    run.is_regrouped = true;
+    Report(EventKind::kGroupClosed, group, {{"reason", run.ending}});
   }
-  return planned;
 }
 
 std::size_t FleetKeeper::CountUnusable(const FleetView& view,
--- a/coordination/gateway/fleet_keeper.h
+++ b/coordination/gateway/fleet_keeper.h
@@ -14,6 +14,7 @@
 #include "coordination/gateway/fleet_view.h"
 #include "coordination/gateway/group_planner.h"
 #include "coordination/gateway/load_pacer.h"
+#include "coordination/gateway/model_demand.h"
 #include "coordination/groups/domain_writer.h"
 #include "coordination/groups/order_sender.h"
 #include "coordination/roles/role_leases.h"
@@ -25,6 +26,12 @@
   WriterSettings writer = {Duration::Millis(1500), Duration::Millis(300)};
   GroupPlannerSettings planner;
   LoadPacerSettings loads;
+  ModelDemandSettings demand;
+  // Between two groups that are asked for their load. One group at a time: the
+  // estimate gets no dearer with the fleet.
+  Duration demand_interval = Duration::Millis(100);
+  // Domains that are searched for such a group in one turn.
+  std::size_t demand_tries = 8;
   // No order leaves with less than this left of the role's lease: it must have
   // arrived, or its connection been given up, before another node may hold it.
   Duration order_margin = Duration::Millis(500);
@@ -53,6 +60,11 @@
   Duration form_limit = Duration::Seconds(60);
   // How long a group that is closed by plan may run what it has.
   Duration drain_limit = Duration::Millis(6000);
+  // A group that is given up for another model's may run what it has for so
+  // long: the VMs of both serve nobody new meanwhile.
+  Duration regroup_drain_limit = Duration::Millis(1500);
+  // Between two such changes of one domain.
+  Duration regroup_interval = Duration::Millis(6000);
   // Review interval of a domain in which something is under way; news of a
   // domain has it reviewed at once.
   Duration busy_review = Duration::Millis(40);
@@ -136,6 +148,8 @@
     std::string ending;
     Time ending_since;
     bool ends_by_plan = false;
+    // Its VMs are wanted for a group of another model.
+    bool is_regrouped = false;
     // Since when nodes say that it stands still.
     std::optional<Time> stands_still_since;
     // Members whose engines said that they left.
@@ -148,6 +162,10 @@
     // State at the last review, and the loads that it planned.
     PlannedDomain planned;
     std::vector<PlannedStaging> stagings;
+    // The model that given-up groups' VMs are to serve; empty while none is
+    // awaited.
+    ModelId regroups_for;
+    Time next_regroup;
     Time next_review;
     // Reviewed by the present call.
     bool is_reviewed = false;
@@ -228,6 +246,13 @@
   // that no record has; has it leave where not.
   bool IsFreeOfOldGroup(Time now, const VmRegistration& vm);
   void PlanService(Time now, const FleetView& view, const ServiceRule& service);
+  void GiveUpGroups(Time now, const Regrouping& change);
+  // The VM as the planner knows it.
+  FreeVm DescribeVm(const VmRegistration& vm) const;
+  StandingGroup DescribeStanding(Time now,
+                                 const FleetView& view,
+                                 const GroupRecord& group,
+                                 const GroupRun& run) const;
   // Finds out what became of the domain's groups and which VMs are free; the
   // record without the groups that are over.
   DomainRecord Review(Time now, const FleetView& view, Domain& domain);
@@ -262,6 +287,13 @@
                            const PlannedStaging& staging);
   void OrderStaging(Time now, const VmRegistration& vm, const ModelId& model);
   void ProbeDoubted(Time now, const FleetView& view);
+  // Asks one serving group for its load, by turns over models and domains.
+  void ProbeDemand(Time now, const FleetView& view);
+  // The first member of a group of the model that serves in the domain; null
+  // where there is none.
+  const VmRegistration* DrawServing(const FleetView& view,
+                                    const Domain& domain,
+                                    const ModelId& model);
   // Has the VM probed at once.
   void Doubtful(Time now, const VmId& vm, const Address& address);
   bool IsSilent(const VmId& vm) const;
@@ -299,6 +331,11 @@
   EventSink events_;
   GroupPlanner planner_;
   LoadPacer loads_;
+  ModelDemand demand_;
+  Time next_demand_probe_;
+  std::size_t demand_turn_ = 0;
+  // The model of each group that was asked for its load.
+  std::map<VmId, std::pair<ModelId, double>> demand_asked_;
   std::optional<HeldRole> role_;
   bool fenced_off_ = false;
   std::map<FabricDomainId, Domain> domains_;
--- a/coordination/gateway/fleet_keeper_orders.cc
+++ b/coordination/gateway/fleet_keeper_orders.cc
@@ -121,7 +121,8 @@
   const bool let_finish =
       run.ends_by_plan &&
       (phase == MemberPhase::kOpen || phase == MemberPhase::kClosing) &&
-      now - run.ending_since < settings_.drain_limit;
+      now - run.ending_since < (run.is_regrouped ? settings_.regroup_drain_limit
+                                                 : settings_.drain_limit);
   if (!let_finish) {
     OrderLeave(now, view, group, run, head);
     return;
@@ -187,7 +188,10 @@
   }
   const ModelProfile* profile = ProfileOf(view, vm->service, staging.model);
   if (profile == nullptr || loads_.IsLoading(staging.vm) ||
-      !loads_.Begin(now, staging.vm, profile->load_time)) {
+      !loads_.Begin(now, staging.vm, profile->load_time,
+                    staging.purpose == StagingPurpose::kStandby
+                        ? LoadNeed::kStandby
+                        : LoadNeed::kNow)) {
     return;
   }
   OrderStaging(now, *vm, staging.model);
--- a/coordination/gateway/fleet_keeper_probes.cc
+++ b/coordination/gateway/fleet_keeper_probes.cc
@@ -60,9 +60,62 @@
   }
 }
 
+const VmRegistration* FleetKeeper::DrawServing(const FleetView& view,
+                                               const Domain& domain,
+                                               const ModelId& model) {
+  const auto& groups = domain.writer.record().groups;
+  for (std::size_t i = 0; i < groups.size(); ++i) {
+    const GroupRecord& group = groups[(demand_turn_ + i) % groups.size()];
+    const VmRegistration* head = view.FindVm(group.members.front());
+    if (group.model == model && head != nullptr && IsOpen(view, group) &&
+        !doubts_.contains(head->id)) {
+      return head;
+    }
+  }
+  return nullptr;
+}
+
+void FleetKeeper::ProbeDemand(Time now, const FleetView& view) {
+  if (!loads_.has_traffic() || now < next_demand_probe_ || domains_.empty()) {
+    return;
+  }
+  next_demand_probe_ = now + settings_.demand_interval;
+  for (std::size_t tried = 0; tried < settings_.demand_tries; ++tried) {
+    ++demand_turn_;
+    auto domain = domains_.begin();
+    std::advance(domain, demand_turn_ % domains_.size());
+    const ServiceRule* service =
+        view.routes()->FindService(domain->second.service);
+    if (service == nullptr || !service->engine ||
+        service->engine->models.size() < 2) {
+      continue;
+    }
+    const auto& models = service->engine->models;
+    // The models take turns once all domains had theirs.
+    const ModelId& model =
+        models[demand_turn_ / domains_.size() % models.size()].model;
+    const VmRegistration* head = DrawServing(view, domain->second, model);
+    if (head != nullptr) {
+      demand_asked_[head->id] = {
+          model, static_cast<double>(service->engine->batch_limit)};
+      actions_.emplace_back(
+          ProbeEngine{head->id, head->address, settings_.probe_timeout});
+      return;
+    }
+  }
+}
+
 void FleetKeeper::OnProbeReply(Time now,
                                const VmId& vm,
                                const ProbeReport& report) {
+  const auto asked = demand_asked_.find(vm);
+  if (asked != demand_asked_.end()) {
+    const auto [model, places] = asked->second;
+    demand_asked_.erase(asked);
+    if (report.verdict == ProbeVerdict::kAnswered) {
+      demand_.OnFill(now, model, static_cast<double>(report.requests) / places);
+    }
+  }
   const auto found = doubts_.find(vm);
   if (found == doubts_.end()) {
     return;
--- a/coordination/gateway/fleet_keeper_review.cc
+++ b/coordination/gateway/fleet_keeper_review.cc
@@ -31,7 +31,8 @@
       }
       run.joined.insert(member);
       const MemberPhase phase = vm->membership->phase;
-      if (phase != MemberPhase::kJoining) {
+      // A load onto its host goes on while it serves.
+      if (phase != MemberPhase::kJoining && !staging_.contains(member)) {
         loads_.End(member);
       }
       if (phase == MemberPhase::kOpen && !run.open_seen) {
@@ -185,7 +186,9 @@
         const VmRegistration* vm = view.FindVm(member);
         return vm != nullptr && !vm->HasAtHand(group.model);
       }));
-  return loading > 0 && CountFreeWith(view, domain, group.model) >= loading;
+  // VMs of given-up groups are meant for another model.
+  return loading > 0 && domain.regroups_for.empty() &&
+         CountFreeWith(view, domain, group.model) >= loading;
 }
 
 bool FleetKeeper::HasLeft(const FleetView& view,
--- a/coordination/gateway/group_planner.cc
+++ b/coordination/gateway/group_planner.cc
@@ -92,6 +92,37 @@
   return members;
 }
 
+// Worth of so many groups of the model in a fleet of so many VMs.
+double WorthOfGroups(const ModelProfile& model, double groups, double vms) {
+  const double share = ShareOf(model);
+  return WorthOf(
+      share, groups * static_cast<double>(model.group_size) / (share * vms));
+}
+
+std::size_t CountReady(const std::vector<FreeVm>& vms, const ModelId& model) {
+  return static_cast<std::size_t>(std::count_if(
+      vms.begin(), vms.end(),
+      [&](const FreeVm& vm) { return !vm.slow && CanTakeUp(vm, model); }));
+}
+
+// Groups of the model, those whose members can take up `wanted` first.
+std::vector<const StandingGroup*> DonorsOf(const PlannedDomain& domain,
+                                           const ModelId& model,
+                                           const ModelId& wanted) {
+  std::vector<const StandingGroup*> donors;
+  for (const StandingGroup& group : domain.standing) {
+    if (group.model == model && group.may_be_given_up) {
+      donors.push_back(&group);
+    }
+  }
+  std::stable_sort(donors.begin(), donors.end(),
+                   [&](const StandingGroup* a, const StandingGroup* b) {
+                     return CountReady(a->members, wanted) >
+                            CountReady(b->members, wanted);
+                   });
+  return donors;
+}
+
 }  // namespace
 
 GroupPlanner::Counts GroupPlanner::BestMix(const EngineProfile& profile,
@@ -147,6 +178,7 @@
   const std::size_t model_count = profile.models.size();
   Fleet fleet;
   fleet.groups.assign(model_count, 0);
+  fleet.awaited.assign(model_count, 0);
   fleet.wanted.assign(model_count, 0);
   // One group of each model is the least to expect of a domain.
   fleet.largest_domain = settings_.reserve_per_domain;
@@ -157,8 +189,15 @@
     fleet.vms += static_cast<double>(domain->vms);
     fleet.largest_domain = std::max(fleet.largest_domain, domain->vms);
     for (std::size_t i = 0; i < model_count; ++i) {
-      fleet.groups[i] +=
-          static_cast<double>(GroupsOf(*domain, profile.models[i].model));
+      const ModelId& model = profile.models[i].model;
+      fleet.groups[i] += static_cast<double>(GroupsOf(*domain, model));
+      const auto ending = domain->ending.find(model);
+      if (domain->regroups_for == model) {
+        fleet.awaited[i] += 1;
+      } else if (ending != domain->ending.end() &&
+                 domain->regroups_for.empty()) {
+        fleet.awaited[i] += static_cast<double>(ending->second.groups);
+      }
     }
   }
   fleet.whole_mixes[fleet.largest_domain] =
@@ -256,21 +295,206 @@
           (left < settings_.reserve_per_domain || !domain.ending.empty())) {
         continue;
       }
-      std::stable_sort(domain.free.begin(), domain.free.end(),
-                       [&](const FreeVm& a, const FreeVm& b) {
-                         return EffortOf(a, model.model) <
-                                EffortOf(b, model.model);
-                       });
-      PlannedGroup group{domain.domain, model.model, {}};
-      const auto end =
-          domain.free.begin() + static_cast<std::ptrdiff_t>(model.group_size);
-      for (auto it = domain.free.begin(); it != end; ++it) {
-        group.members.push_back(it->vm);
+      FormGroup(profile, i, domain, fleet, plan);
+    }
+  }
+}
+
+void GroupPlanner::FormGroup(const EngineProfile& profile,
+                             std::size_t model_index,
+                             PlannedDomain& domain,
+                             Fleet& fleet,
+                             GroupPlan& plan) {
+  const ModelProfile& model = profile.models[model_index];
+  std::stable_sort(domain.free.begin(), domain.free.end(),
+                   [&](const FreeVm& a, const FreeVm& b) {
+                     return EffortOf(a, model.model) < EffortOf(b, model.model);
+                   });
+  PlannedGroup group{domain.domain, model.model, {}};
+  const auto end =
+      domain.free.begin() + static_cast<std::ptrdiff_t>(model.group_size);
+  for (auto it = domain.free.begin(); it != end; ++it) {
+    group.members.push_back(it->vm);
+  }
+  domain.free.erase(domain.free.begin(), end);
+  ++domain.groups[model.model];
+  ++fleet.groups[model_index];
+  plan.groups.push_back(std::move(group));
+}
+
+void GroupPlanner::FormAwaited(const EngineProfile& profile,
+                               PlannedDomain& domain,
+                               Fleet& fleet,
+                               GroupPlan& plan) {
+  for (std::size_t i = 0; i < profile.models.size(); ++i) {
+    const ModelProfile& model = profile.models[i];
+    if (domain.regroups_for == model.model &&
+        domain.free.size() >= model.group_size) {
+      FormGroup(profile, i, domain, fleet, plan);
+      return;
+    }
+  }
+}
+
+// A domain whose large group lost a member has too few free VMs for another
+// one; small groups formed of them would leave the large model without groups
+// for good, while the small one has plenty. The gain is weighed over the whole
+// fleet, against the time that the given-up groups' VMs serve nobody.
+std::optional<Regrouping> GroupPlanner::FindRegrouping(
+    const EngineProfile& profile,
+    const PlannedDomain& domain,
+    const Fleet& fleet) const {
+  // VMs of a group that ends will be free in a moment.
+  if (!domain.may_regroup || domain.filling || !domain.ending.empty() ||
+      !domain.regroups_for.empty()) {
+    return std::nullopt;
+  }
+  std::optional<Regrouping> best;
+  double best_gain = 0;
+  for (std::size_t to = 0; to < profile.models.size(); ++to) {
+    for (std::size_t from = 0; from < profile.models.size(); ++from) {
+      // Smaller groups find room in what is left anyway.
+      if (profile.models[to].group_size <= profile.models[from].group_size) {
+        continue;
+      }
+      const RegroupingChoice choice =
+          WeighRegrouping(profile, domain, fleet, from, to);
+      if (choice.gain > best_gain) {
+        best_gain = choice.gain;
+        best = Regrouping{domain.domain, profile.models[to].model,
+                          profile.models[from].model, choice.given_up};
       }
-      domain.free.erase(domain.free.begin(), end);
-      ++domain.groups[model.model];
-      ++fleet.groups[i];
-      plan.groups.push_back(std::move(group));
+    }
+  }
+  return best;
+}
+
+GroupPlanner::RegroupingChoice GroupPlanner::WeighRegrouping(
+    const EngineProfile& profile,
+    const PlannedDomain& domain,
+    const Fleet& fleet,
+    std::size_t from,
+    std::size_t to) const {
+  const ModelProfile& wanted = profile.models[to];
+  const ModelProfile& donor = profile.models[from];
+  const std::size_t free = domain.free.size();
+  RegroupingChoice choice;
+  std::size_t ready = CountReady(domain.free, wanted.model);
+  std::size_t vms = free;
+  for (const StandingGroup* group :
+       DonorsOf(domain, donor.model, wanted.model)) {
+    if (ready >= wanted.group_size) {
+      break;
+    }
+    ready += CountReady(group->members, wanted.model);
+    vms += group->members.size();
+    choice.given_up.push_back(group->id);
+  }
+  if (ready < wanted.group_size || choice.given_up.empty()) {
+    return choice;
+  }
+  const auto groups_of = [](std::size_t count, const ModelProfile& model) {
+    const std::size_t whole = count / model.group_size;
+    return static_cast<double>(whole);
+  };
+  const double have_to = fleet.groups[to] + fleet.awaited[to];
+  const double have_from = fleet.groups[from] + fleet.awaited[from];
+  const double given_up = static_cast<double>(choice.given_up.size());
+  const double stands =
+      WorthOfGroups(wanted, have_to, fleet.vms) +
+      WorthOfGroups(donor, have_from + groups_of(free, donor), fleet.vms);
+  const double regrouped =
+      WorthOfGroups(wanted, have_to + 1, fleet.vms) +
+      WorthOfGroups(
+          donor,
+          have_from - given_up + groups_of(vms - wanted.group_size, donor),
+          fleet.vms);
+  const double interrupted =
+      WorthOfGroups(donor, have_from, fleet.vms) -
+      WorthOfGroups(donor, have_from - given_up, fleet.vms);
+  choice.gain = regrouped - stands -
+                interrupted *
+                    static_cast<double>(settings_.regroup_time.millis()) /
+                    static_cast<double>(settings_.expected_life.millis());
+  return choice;
+}
+
+// Other domains must not do the same for the same shortage.
+void GroupPlanner::Count(const EngineProfile& profile,
+                         const Regrouping& change,
+                         Fleet& fleet) {
+  for (std::size_t i = 0; i < profile.models.size(); ++i) {
+    if (profile.models[i].model == change.model) {
+      fleet.awaited[i] += 1;
+    } else if (profile.models[i].model == change.given_up_model) {
+      fleet.groups[i] -= static_cast<double>(change.given_up.size());
+    }
+  }
+}
+
+namespace {
+
+// The model with the fewest holders for its size among those with larger groups
+// than `than`; null where there is none.
+const ModelProfile* ScarcestLarger(
+    const EngineProfile& profile,
+    const ModelProfile& than,
+    const std::map<ModelId, std::size_t>& holders) {
+  const auto scarcity = [&](const ModelProfile& model) {
+    return static_cast<double>(holders.at(model.model)) /
+           static_cast<double>(model.group_size);
+  };
+  const ModelProfile* scarcest = nullptr;
+  for (const ModelProfile& model : profile.models) {
+    if (model.group_size > than.group_size &&
+        (scarcest == nullptr || scarcity(model) < scarcity(*scarcest))) {
+      scarcest = &model;
+    }
+  }
+  return scarcest;
+}
+
+}  // namespace
+
+// What an engine runs it takes up again without its host, so a host that holds
+// the same weights helps nobody. Members of large groups keep theirs: small
+// groups formed at once of what a lost large one leaves would take its place.
+void GroupPlanner::StageStandby(const EngineProfile& profile,
+                                const PlannedDomain& domain,
+                                GroupPlan& plan) const {
+  std::map<ModelId, std::size_t> holders;
+  std::map<ModelId, const ModelProfile*> profiles;
+  for (const ModelProfile& model : profile.models) {
+    profiles[model.model] = &model;
+    holders[model.model] = 0;
+  }
+  for (const StandingGroup& group : domain.standing) {
+    for (const FreeVm& vm : group.members) {
+      for (auto& [model, count] : holders) {
+        count += HasAtHand(vm, model) ? 1 : 0;
+      }
+    }
+  }
+  for (const StandingGroup& group : domain.standing) {
+    const auto own = profiles.find(group.model);
+    if (own == profiles.end() ||
+        static_cast<std::int64_t>(GroupsOf(domain, group.model)) <
+            settings_.min_standby_groups) {
+      continue;
+    }
+    for (const FreeVm& vm : group.members) {
+      const bool holds_another = std::any_of(
+          vm.at_hand.begin(), vm.at_hand.end(),
+          [&](const ModelId& model) { return model != group.model; });
+      const ModelProfile* scarcest =
+          ScarcestLarger(profile, *own->second, holders);
+      if (holds_another || !vm.loading.empty() || vm.slow ||
+          scarcest == nullptr) {
+        continue;
+      }
+      ++holders[scarcest->model];
+      plan.stagings.push_back(
+          {domain.domain, vm.vm, scarcest->model, StagingPurpose::kStandby});
     }
   }
 }
@@ -365,6 +589,13 @@
     if (domain.unsettled) {
       continue;
     }
+    if (std::optional<Regrouping> found =
+            FindRegrouping(profile, domain, fleet)) {
+      Count(profile, *found, fleet);
+      plan.regroupings.push_back(*std::move(found));
+      continue;
+    }
+    FormAwaited(profile, domain, fleet, plan);
     const Counts mix =
         domain.filling
             ? MixOfFilling(profile, domain,
@@ -373,6 +604,7 @@
     FormGroups(profile, mix, domain, fleet, plan);
     if (!domain.filling) {
       StageSpares(profile, domain, plan);
+      StageStandby(profile, domain, plan);
     }
   }
   return plan;
--- a/coordination/gateway/group_planner.h
+++ b/coordination/gateway/group_planner.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "state/state.h"
@@ -20,6 +21,13 @@
   // down for this many times as long for want of a spare. The load takes their
   // place for its time, so a small gain is none.
   double least_restage_gain = 2;
+  // How long the VMs of a given-up group serve nobody until the next group
+  // opens.
+  Duration regroup_time = Duration::Seconds(4);
+  // Hosts of VMs that serve get a larger model's weights where the domain has
+  // so many groups of theirs; with fewer, giving one up costs more than the
+  // wait for a load.
+  std::int64_t min_standby_groups = 3;
 };
 
 // A VM that a group may be formed of.
@@ -35,6 +43,14 @@
   bool slow = false;
 };
 
+// A group that serves, with what its members could take up instead.
+struct StandingGroup {
+  GroupId id;
+  ModelId model;
+  std::vector<FreeVm> members;
+  bool may_be_given_up = true;
+};
+
 // What is known of one fabric domain.
 struct PlannedDomain {
   // Groups of a model that end and are to be formed again.
@@ -49,6 +65,11 @@
   // VMs in groups that are or will be whole, by model.
   std::map<ModelId, std::size_t> groups;
   std::map<ModelId, Ending> ending;
+  std::vector<StandingGroup> standing;
+  // The model that VMs of given-up groups were freed for; may be empty.
+  ModelId regroups_for;
+  // Groups that serve may be given up for those of another model.
+  bool may_regroup = false;
   // All VMs that live, in groups or not.
   std::size_t vms = 0;
   // VMs still appear, as after a start of the whole fleet.
@@ -65,15 +86,33 @@
   std::vector<VmId> members;
 };
 
+enum class StagingPurpose {
+  // A spare gets the weights that a repair would need.
+  kSpare,
+  // The host of a VM that serves gets a larger model's weights, so that the VM
+  // can join a group of it without a load.
+  kStandby,
+};
+
 struct PlannedStaging {
   FabricDomainId domain;
   VmId vm;
   ModelId model;
+  StagingPurpose purpose = StagingPurpose::kSpare;
+};
+
+// Groups of one domain that are to be given up for those of another model.
+struct Regrouping {
+  FabricDomainId domain;
+  ModelId model;
+  ModelId given_up_model;
+  std::vector<GroupId> given_up;
 };
 
 struct GroupPlan {
   std::vector<PlannedGroup> groups;
   std::vector<PlannedStaging> stagings;
+  std::vector<Regrouping> regroupings;
 };
 
 // Decides which groups to form of VMs that are free, over all domains of one
@@ -100,6 +139,8 @@
     // Groups that there are, and that there would be if every domain were
     // whole.
     std::vector<double> groups;
+    // Groups that end and are about to be formed again.
+    std::vector<double> awaited;
     std::vector<double> wanted;
     // Of domains that are whole, by their VMs: most domains have as many.
     std::map<std::size_t, Counts> whole_mixes;
@@ -128,6 +169,41 @@
                   PlannedDomain& domain,
                   Fleet& fleet,
                   GroupPlan& plan) const;
+  static void FormGroup(const EngineProfile& profile,
+                        std::size_t model_index,
+                        PlannedDomain& domain,
+                        Fleet& fleet,
+                        GroupPlan& plan);
+  // Forms the group that the domain's VMs were freed for.
+  static void FormAwaited(const EngineProfile& profile,
+                          PlannedDomain& domain,
+                          Fleet& fleet,
+                          GroupPlan& plan);
+  // What it takes to form a group of one model by giving up some of another.
+  struct RegroupingChoice {
+    std::vector<GroupId> given_up;
+    // Part of the fleet's worth, less the interruption; not above zero where
+    // it does not pay.
+    double gain = 0;
+  };
+  RegroupingChoice WeighRegrouping(const EngineProfile& profile,
+                                   const PlannedDomain& domain,
+                                   const Fleet& fleet,
+                                   std::size_t from,
+                                   std::size_t to) const;
+  // The regrouping that serves the fleet most beyond its cost; absent where
+  // none does.
+  std::optional<Regrouping> FindRegrouping(const EngineProfile& profile,
+                                           const PlannedDomain& domain,
+                                           const Fleet& fleet) const;
+  // Counts the regrouping as carried out.
+  static void Count(const EngineProfile& profile,
+                    const Regrouping& change,
+                    Fleet& fleet);
+  // Gives the hosts of VMs that serve the weights of a larger model.
+  void StageStandby(const EngineProfile& profile,
+                    const PlannedDomain& domain,
+                    GroupPlan& plan) const;
   // Has one spare load other weights where those are missed far more.
   void RestageSpare(const EngineProfile& profile,
                     const PlannedDomain& domain,
--- a/coordination/gateway/load_pacer.cc
+++ b/coordination/gateway/load_pacer.cc
@@ -35,12 +35,20 @@
   return vms;
 }
 
-bool LoadPacer::Begin(Time now, const VmId& vm, Duration load_time) {
+bool LoadPacer::Begin(Time now,
+                      const VmId& vm,
+                      Duration load_time,
+                      LoadNeed need) {
   if (IsLoading(vm)) {
     return true;
   }
   if (has_traffic_) {
-    if (static_cast<double>(running_.size()) >= at_once_ || balance_ < 1) {
+    const bool is_standby = need == LoadNeed::kStandby;
+    const double at_once =
+        is_standby ? at_once_ * settings_.max_standby_share : at_once_;
+    const double least_balance = is_standby ? settings_.burst : 1;
+    if (static_cast<double>(running_.size()) >= at_once ||
+        balance_ < least_balance) {
       return false;
     }
     balance_ -= 1;
--- a/coordination/gateway/load_pacer.h
+++ b/coordination/gateway/load_pacer.h
@@ -19,6 +19,15 @@
   double most_at_once = 1.25;
   // A load that has shown no result by this multiple of its time is over.
   double patience = 3;
+  // Part of the loads at once beyond which no standby load begins.
+  double max_standby_share = 0.5;
+};
+
+enum class LoadNeed {
+  // A group or a spare waits for it.
+  kNow,
+  // Begins only where it holds up no load that is needed now.
+  kStandby,
 };
 
 // Spreads loads from the weight store over time: starts beyond its rate are
@@ -33,7 +42,10 @@
   bool has_traffic() const { return has_traffic_; }
 
   // Whether a load on that VM may begin now; notes it where so.
-  bool Begin(Time now, const VmId& vm, Duration load_time);
+  bool Begin(Time now,
+             const VmId& vm,
+             Duration load_time,
+             LoadNeed need = LoadNeed::kNow);
   // The VM's load ended, or the VM is gone.
   void End(const VmId& vm) { running_.erase(vm); }
   bool IsLoading(const VmId& vm) const { return running_.contains(vm); }
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -203,6 +203,38 @@
   reader.Add("groups.load_rate_share", &keeper.loads.rate_share,
              NumberRange{0.01, 1},
              "Part of the weight store's rate that is used.");
+  reader.Add("groups.busy_reviews_per_second", &keeper.busy_reviews_per_second,
+             NumberRange{1, 10000},
+             "Reviews a second, over all domains, of those in which something "
+             "is under way.");
+}
+
+void DeclareRegrouping(GatewayProcessSettings& settings,
+                       SettingsReader& reader) {
+  FleetKeeperSettings& keeper = settings.core.keeper;
+  reader.Add("groups.min_standby_groups", &keeper.planner.min_standby_groups,
+             IntegerRange{1, 1000000},
+             "In a domain with so many groups of a model, their hosts get a "
+             "larger model's weights.");
+  reader.Add("groups.standby_load_share", &keeper.loads.max_standby_share,
+             NumberRange{0, 1},
+             "Part of the loads at once beyond which no such load begins.");
+  reader.Add("groups.regroup_time_ms", &keeper.planner.regroup_time,
+             {Duration::Millis(10), Duration::Seconds(3600)},
+             "How long VMs of a group that is given up for another model's are "
+             "expected to serve nobody; the longer, the fewer are.");
+  reader.Add("groups.regroup_interval_ms", &keeper.regroup_interval, kShortSpan,
+             "Time between two such changes of one domain.");
+  reader.Add("groups.regroup_drain_limit_ms", &keeper.regroup_drain_limit,
+             kShortSpan, "How long such a group may run what it has.");
+  reader.Add("groups.demand_interval_ms", &keeper.demand_interval, kShortSpan,
+             "Time between two groups that are asked for their load.");
+  reader.Add("groups.demand_memory_ms", &keeper.demand.memory, kShortSpan,
+             "Time constant of the mean load of a model's groups.");
+  reader.Add("groups.shortage_fill", &keeper.demand.shortage_fill,
+             NumberRange{0.01, 1000},
+             "Mean load, as a multiple of an engine's places, above which a "
+             "model's share of the VMs grows.");
 }
 
 void DeclareLogging(GatewayProcessSettings& settings, SettingsReader& reader) {
@@ -230,6 +262,7 @@
   DeclareStore(settings, raw, reader);
   DeclareRequests(settings, reader);
   DeclareGroups(settings, reader);
+  DeclareRegrouping(settings, reader);
   DeclareLogging(settings, reader);
 }
 
--- a/state/group_order.h
+++ b/state/group_order.h
@@ -74,6 +74,8 @@
   ProbeVerdict verdict = ProbeVerdict::kUnreachable;
   // Factor on the engine's times; 1 where it works as it should.
   double pace = 1;
+  // Requests that it runs or that wait there.
+  std::int64_t requests = 0;
 };
 
 std::string_view GroupOrderVerdictName(GroupOrderVerdict verdict);
--- a/tests/platform/platform_wire_test.cc
+++ b/tests/platform/platform_wire_test.cc
@@ -322,5 +322,20 @@
   DecodeBase64(text);
 }
 
+TEST(GroupOrderWireTest, ReadsAnEnginesPaceAndRequests) {
+  const ProbeReport report = ReadProbeAnswer(
+      {200, {}, R"({"pace":2.5,"active":12,"queued":3,"busy":false})"});
+  EXPECT_EQ(report.verdict, ProbeVerdict::kAnswered);
+  EXPECT_DOUBLE_EQ(report.pace, 2.5);
+  EXPECT_EQ(report.requests, 15);
+}
+
+TEST(GroupOrderWireTest, AnAnswerThatCannotBeReadIsStillASignOfLife) {
+  const ProbeReport report = ReadProbeAnswer({200, {}, R"({"active":"many"})"});
+  EXPECT_EQ(report.verdict, ProbeVerdict::kAnswered);
+  EXPECT_DOUBLE_EQ(report.pace, 1);
+  EXPECT_EQ(report.requests, 0);
+}
+
 }  // namespace
 }  // namespace gcw
