planner: regrouping in a file of its own; the field's words for two measures

What both files measure VMs and groups by is in planner_measures.h. EffortOf is StartupCost, NeedOf is ExpectedDowntime.

--- a/coordination/gateway/group_planner.cc
+++ b/coordination/gateway/group_planner.cc
@@ -4,22 +4,11 @@
 #include <cmath>
 #include <utility>
 
+#include "coordination/gateway/planner_measures.h"
+
 namespace gcw {
 namespace {
 
-// A model with no work yet still gets a group where there is room.
-constexpr double kLeastShare = 0.01;
-
-bool HasAtHand(const FreeVm& vm, const ModelId& model) {
-  return std::find(vm.at_hand.begin(), vm.at_hand.end(), model) !=
-         vm.at_hand.end();
-}
-
-// Whether the VM can join a group of the model without a load.
-bool CanTakeUp(const FreeVm& vm, const ModelId& model) {
-  return vm.last_model == model || HasAtHand(vm, model);
-}
-
 // Whether the VM can join a group of the model without a further load, once the
 // one under way has ended.
 bool WillTakeUp(const FreeVm& vm, const ModelId& model) {
@@ -28,8 +17,8 @@
 }
 
 // How fast the VM can take up the model; lower is faster.
-int EffortOf(const FreeVm& vm, const ModelId& model) {
-  enum Effort { kLast, kAtHand, kLoading, kEmpty, kOtherWeights, kSlow };
+int StartupCost(const FreeVm& vm, const ModelId& model) {
+  enum Cost { kLast, kAtHand, kLoading, kEmpty, kOtherWeights, kSlow };
   if (vm.slow) {
     return kSlow;
   }
@@ -46,29 +35,14 @@
   return vm.at_hand.empty() && vm.loading.empty() ? kEmpty : kOtherWeights;
 }
 
-double ShareOf(const ModelProfile& model) {
-  return std::max(kLeastShare, model.work_share);
-}
-
-// Worth of having `fill` times the VMs that a model's part of the work calls
-// for: each further group of one model is worth less than the one before.
-double WorthOf(double share, double fill) {
-  return share * (1 - std::exp(-fill));
-}
-
-std::size_t GroupsOf(const PlannedDomain& domain, const ModelId& model) {
-  const auto found = domain.groups.find(model);
-  return found == domain.groups.end() ? 0 : found->second;
-}
-
 // Expected time that groups are down for want of the spare that would be the
 // next of its model: by how likely they lose a member, and how long a load
 // takes. Squared: the second spare helps only after a second loss. A group that
 // ends counts on: its place is waited for, the load better begins before it has
 // run what it has.
-double NeedOf(const PlannedDomain& domain,
-              const ModelProfile& model,
-              std::size_t spares) {
+double ExpectedDowntime(const PlannedDomain& domain,
+                        const ModelProfile& model,
+                        std::size_t spares) {
   constexpr double kWithoutGroups = 0.1;
   constexpr double kAwaited = 0.25;
   const auto found = domain.ending.find(model.model);
@@ -92,37 +66,6 @@
   return members;
 }
 
-// Worth of so many groups of the model in a fleet of so many VMs.
-double WorthOfGroups(const ModelProfile& model, double groups, double vms) {
-  const double share = ShareOf(model);
-  return WorthOf(
-      share, groups * static_cast<double>(model.group_size) / (share * vms));
-}
-
-std::size_t CountReady(const std::vector<FreeVm>& vms, const ModelId& model) {
-  return static_cast<std::size_t>(std::count_if(
-      vms.begin(), vms.end(),
-      [&](const FreeVm& vm) { return !vm.slow && CanTakeUp(vm, model); }));
-}
-
-// Groups of the model, those whose members can take up `wanted` first.
-std::vector<const StandingGroup*> DonorsOf(const PlannedDomain& domain,
-                                           const ModelId& model,
-                                           const ModelId& wanted) {
-  std::vector<const StandingGroup*> donors;
-  for (const StandingGroup& group : domain.standing) {
-    if (group.model == model && group.may_be_given_up) {
-      donors.push_back(&group);
-    }
-  }
-  std::stable_sort(donors.begin(), donors.end(),
-                   [&](const StandingGroup* a, const StandingGroup* b) {
-                     return CountReady(a->members, wanted) >
-                            CountReady(b->members, wanted);
-                   });
-  return donors;
-}
-
 }  // namespace
 
 GroupPlanner::Counts GroupPlanner::BestMix(const EngineProfile& profile,
@@ -308,7 +251,8 @@
   const ModelProfile& model = profile.models[model_index];
   std::stable_sort(domain.free.begin(), domain.free.end(),
                    [&](const FreeVm& a, const FreeVm& b) {
-                     return EffortOf(a, model.model) < EffortOf(b, model.model);
+                     return StartupCost(a, model.model) <
+                            StartupCost(b, model.model);
                    });
   PlannedGroup group{domain.domain, model.model, {}};
   const auto end =
@@ -322,183 +266,6 @@
   plan.groups.push_back(std::move(group));
 }
 
-void GroupPlanner::FormAwaited(const EngineProfile& profile,
-                               PlannedDomain& domain,
-                               Fleet& fleet,
-                               GroupPlan& plan) {
-  for (std::size_t i = 0; i < profile.models.size(); ++i) {
-    const ModelProfile& model = profile.models[i];
-    if (domain.regroups_for == model.model &&
-        domain.free.size() >= model.group_size) {
-      FormGroup(profile, i, domain, fleet, plan);
-      return;
-    }
-  }
-}
-
-// A domain whose large group lost a member has too few free VMs for another
-// one; small groups formed of them would leave the large model without groups
-// for good, while the small one has plenty. The gain is weighed over the whole
-// fleet, against the time that the given-up groups' VMs serve nobody.
-std::optional<Regrouping> GroupPlanner::FindRegrouping(
-    const EngineProfile& profile,
-    const PlannedDomain& domain,
-    const Fleet& fleet) const {
-  // VMs of a group that ends will be free in a moment.
-  if (!domain.may_regroup || domain.filling || !domain.ending.empty() ||
-      !domain.regroups_for.empty()) {
-    return std::nullopt;
-  }
-  std::optional<Regrouping> best;
-  double best_gain = 0;
-  for (std::size_t to = 0; to < profile.models.size(); ++to) {
-    for (std::size_t from = 0; from < profile.models.size(); ++from) {
-      // Smaller groups find room in what is left anyway.
-      if (profile.models[to].group_size <= profile.models[from].group_size) {
-        continue;
-      }
-      const RegroupingChoice choice =
-          WeighRegrouping(profile, domain, fleet, from, to);
-      if (choice.gain > best_gain) {
-        best_gain = choice.gain;
-        best = Regrouping{domain.domain, profile.models[to].model,
-                          profile.models[from].model, choice.given_up};
-      }
-    }
-  }
-  return best;
-}
-
-GroupPlanner::RegroupingChoice GroupPlanner::WeighRegrouping(
-    const EngineProfile& profile,
-    const PlannedDomain& domain,
-    const Fleet& fleet,
-    std::size_t from,
-    std::size_t to) const {
-  const ModelProfile& wanted = profile.models[to];
-  const ModelProfile& donor = profile.models[from];
-  const std::size_t free = domain.free.size();
-  RegroupingChoice choice;
-  std::size_t ready = CountReady(domain.free, wanted.model);
-  std::size_t vms = free;
-  for (const StandingGroup* group :
-       DonorsOf(domain, donor.model, wanted.model)) {
-    if (ready >= wanted.group_size) {
-      break;
-    }
-    ready += CountReady(group->members, wanted.model);
-    vms += group->members.size();
-    choice.given_up.push_back(group->id);
-  }
-  if (ready < wanted.group_size || choice.given_up.empty()) {
-    return choice;
-  }
-  const auto groups_of = [](std::size_t count, const ModelProfile& model) {
-    const std::size_t whole = count / model.group_size;
-    return static_cast<double>(whole);
-  };
-  const double have_to = fleet.groups[to] + fleet.awaited[to];
-  const double have_from = fleet.groups[from] + fleet.awaited[from];
-  const double given_up = static_cast<double>(choice.given_up.size());
-  const double stands =
-      WorthOfGroups(wanted, have_to, fleet.vms) +
-      WorthOfGroups(donor, have_from + groups_of(free, donor), fleet.vms);
-  const double regrouped =
-      WorthOfGroups(wanted, have_to + 1, fleet.vms) +
-      WorthOfGroups(
-          donor,
-          have_from - given_up + groups_of(vms - wanted.group_size, donor),
-          fleet.vms);
-  const double interrupted =
-      WorthOfGroups(donor, have_from, fleet.vms) -
-      WorthOfGroups(donor, have_from - given_up, fleet.vms);
-  choice.gain = regrouped - stands -
-                interrupted *
-                    static_cast<double>(settings_.regroup_time.millis()) /
-                    static_cast<double>(settings_.expected_life.millis());
-  return choice;
-}
-
-// Other domains must not do the same for the same shortage.
-void GroupPlanner::Count(const EngineProfile& profile,
-                         const Regrouping& change,
-                         Fleet& fleet) {
-  for (std::size_t i = 0; i < profile.models.size(); ++i) {
-    if (profile.models[i].model == change.model) {
-      fleet.awaited[i] += 1;
-    } else if (profile.models[i].model == change.given_up_model) {
-      fleet.groups[i] -= static_cast<double>(change.given_up.size());
-    }
-  }
-}
-
-namespace {
-
-// The model with the fewest holders for its size among those with larger groups
-// than `than`; null where there is none.
-const ModelProfile* ScarcestLarger(
-    const EngineProfile& profile,
-    const ModelProfile& than,
-    const std::map<ModelId, std::size_t>& holders) {
-  const auto scarcity = [&](const ModelProfile& model) {
-    return static_cast<double>(holders.at(model.model)) /
-           static_cast<double>(model.group_size);
-  };
-  const ModelProfile* scarcest = nullptr;
-  for (const ModelProfile& model : profile.models) {
-    if (model.group_size > than.group_size &&
-        (scarcest == nullptr || scarcity(model) < scarcity(*scarcest))) {
-      scarcest = &model;
-    }
-  }
-  return scarcest;
-}
-
-}  // namespace
-
-// What an engine runs it takes up again without its host, so a host that holds
-// the same weights helps nobody. Members of large groups keep theirs: small
-// groups formed at once of what a lost large one leaves would take its place.
-void GroupPlanner::StageStandby(const EngineProfile& profile,
-                                const PlannedDomain& domain,
-                                GroupPlan& plan) const {
-  std::map<ModelId, std::size_t> holders;
-  std::map<ModelId, const ModelProfile*> profiles;
-  for (const ModelProfile& model : profile.models) {
-    profiles[model.model] = &model;
-    holders[model.model] = 0;
-  }
-  for (const StandingGroup& group : domain.standing) {
-    for (const FreeVm& vm : group.members) {
-      for (auto& [model, count] : holders) {
-        count += HasAtHand(vm, model) ? 1 : 0;
-      }
-    }
-  }
-  for (const StandingGroup& group : domain.standing) {
-    const auto own = profiles.find(group.model);
-    if (own == profiles.end() ||
-        static_cast<std::int64_t>(GroupsOf(domain, group.model)) <
-            settings_.min_standby_groups) {
-      continue;
-    }
-    for (const FreeVm& vm : group.members) {
-      const bool holds_another = std::any_of(
-          vm.at_hand.begin(), vm.at_hand.end(),
-          [&](const ModelId& model) { return model != group.model; });
-      const ModelProfile* scarcest =
-          ScarcestLarger(profile, *own->second, holders);
-      if (holds_another || !vm.loading.empty() || vm.slow ||
-          scarcest == nullptr) {
-        continue;
-      }
-      ++holders[scarcest->model];
-      plan.stagings.push_back(
-          {domain.domain, vm.vm, scarcest->model, StagingPurpose::kStandby});
-    }
-  }
-}
-
 void GroupPlanner::StageSpares(const EngineProfile& profile,
                                const PlannedDomain& domain,
                                GroupPlan& plan) const {
@@ -520,8 +287,8 @@
   for (const FreeVm* vm : empty) {
     std::size_t most = 0;
     for (std::size_t i = 1; i < model_count; ++i) {
-      if (NeedOf(domain, profile.models[i], spares[i]) >
-          NeedOf(domain, profile.models[most], spares[most])) {
+      if (ExpectedDowntime(domain, profile.models[i], spares[i]) >
+          ExpectedDowntime(domain, profile.models[most], spares[most])) {
         most = i;
       }
     }
@@ -550,10 +317,11 @@
         continue;
       }
       const double loss =
-          NeedOf(domain, profile.models[from], spares[from] - 1);
+          ExpectedDowntime(domain, profile.models[from], spares[from] - 1);
       for (std::size_t to = 0; to < spares.size(); ++to) {
-        const double gain = NeedOf(domain, profile.models[to], spares[to]) /
-                            std::max(1.0, loss);
+        const double gain =
+            ExpectedDowntime(domain, profile.models[to], spares[to]) /
+            std::max(1.0, loss);
         if (to != from && gain > best_gain) {
           best = &vm;
           wanted = profile.models[to].model;
@@ -591,7 +359,7 @@
     }
     if (std::optional<Regrouping> found =
             FindRegrouping(profile, domain, fleet)) {
-      Count(profile, *found, fleet);
+      CountAsDone(profile, *found, fleet);
       plan.regroupings.push_back(*std::move(found));
       continue;
     }
--- a/coordination/gateway/group_planner.h
+++ b/coordination/gateway/group_planner.h
@@ -197,9 +197,9 @@
                                            const PlannedDomain& domain,
                                            const Fleet& fleet) const;
   // Counts the regrouping as carried out.
-  static void Count(const EngineProfile& profile,
-                    const Regrouping& change,
-                    Fleet& fleet);
+  static void CountAsDone(const EngineProfile& profile,
+                          const Regrouping& change,
+                          Fleet& fleet);
   // Gives the hosts of VMs that serve the weights of a larger model.
   void StageStandby(const EngineProfile& profile,
                     const PlannedDomain& domain,
