planner: half of a group's members are free before others are given up for it

Now the free VMs have to cover half of the wanted group: what is left of one that lost a member does.

Test: RegroupingTest.ADomainIsNotTurnedOverForAModelThatIsShort.

--- a/coordination/gateway/group_planner.h
+++ b/coordination/gateway/group_planner.h
@@ -24,6 +24,10 @@
   // How long the VMs of a given-up group serve nobody until the next group
   // opens.
   Duration regroup_time = Duration::Seconds(4);
+  // Part of a group's members that have to be free already before others are
+  // given up for it: the rest of a group that lost a member has them, and a
+  // whole domain is not turned over for a shortage that passes.
+  double min_free_part = 0.5;
   // Hosts of VMs that serve get a larger model's weights where the domain has
   // so many groups of theirs; with fewer, giving one up costs more than the
   // wait for a load.
--- a/coordination/gateway/group_planner_regrouping.cc
+++ b/coordination/gateway/group_planner_regrouping.cc
@@ -146,6 +146,10 @@
   const std::size_t free = domain.free.size();
   RegroupingChoice choice;
   std::size_t ready = CountReady(domain.free, wanted.model);
+  if (static_cast<double>(ready) <
+      settings_.min_free_part * static_cast<double>(wanted.group_size)) {
+    return choice;
+  }
   std::size_t vms = free;
   for (const StandingGroup* group :
        DonorsOf(domain, donor.model, wanted.model)) {
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -219,6 +219,10 @@
   reader.Add("groups.standby_load_share", &keeper.loads.max_standby_share,
              NumberRange{0, 1},
              "Part of the loads at once beyond which no such load begins.");
+  reader.Add("groups.min_free_part", &keeper.planner.min_free_part,
+             NumberRange{0, 1},
+             "Part of a group's members that have to be free before groups of "
+             "another model are given up for it.");
   reader.Add("groups.regroup_time_ms", &keeper.planner.regroup_time,
              {Duration::Millis(10), Duration::Seconds(3600)},
              "How long VMs of a group that is given up for another model's are "
--- a/tests/coordination/gateway/regrouping_test.cc
+++ b/tests/coordination/gateway/regrouping_test.cc
@@ -106,6 +106,14 @@
   EXPECT_TRUE(GroupPlanner({}).Plan(Profile(), domains).regroupings.empty());
 }
 
+// Guards against domains that are turned over for a shortage of some seconds,
+// after which the other model is short.
+TEST(RegroupingTest, ADomainIsNotTurnedOverForAModelThatIsShort) {
+  EXPECT_TRUE(GroupPlanner({})
+                  .Plan(Profile(), {Domain("a", 0, 8, 3), Domain("b", 0, 8, 3)})
+                  .regroupings.empty());
+}
+
 TEST(RegroupingTest, NothingIsGivenUpBeforeAllVmsOfAnEndedGroupAreFree) {
   PlannedDomain domain = Domain("a", 0, 5, 10);
   domain.ending = {{kLarge, {1, 2}}};
