gateway: events and a gauge for limits that endpoints name

Callers saw nothing; the users' record shows endpoints in need that got five to twelve requests a second after they had named 1.6 and 2.7.

Logs and metrics could not tell whether a node had heard of a limit and exceeded it, or had never read it. What an endpoint says of itself in an answer is now one type, EndpointReport, decoded once in platform/ and handed to the decisions. EndpointLimits notes a limit, when it was heard and when it ended, and reports both; nothing is decided on it yet. A value that is no number neither sets nor lifts a limit.

--- a/bench/gateway_deferral_bench.cc
+++ b/bench/gateway_deferral_bench.cc
@@ -229,9 +229,10 @@
       *begun = true;
       Node& node = *nodes_[request.node];
       const LoadReport load = engine.Load();
-      node.controller.OnLoad(
-          events_.time(), id,
-          {load.running_requests, load.queued_requests, load.batch_limit});
+      EndpointReport report;
+      report.load = {load.running_requests, load.queued_requests,
+                     load.batch_limit};
+      node.controller.OnReport(events_.time(), id, report);
       node.controller.OnProgress(events_.time(), id);
       const bool in_time =
           events_.now() - request.arrived <= MicrosFromMillis(kObjectiveMillis);
--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -16,6 +16,8 @@
 #include "coordination/configuration/record_changes.h"
 #include "coordination/gateway/change_feed.h"
 #include "coordination/gateway/deferral_policy.h"
+#include "coordination/gateway/endpoint_limits.h"
+#include "coordination/gateway/endpoint_report.h"
 #include "coordination/gateway/fleet_controller.h"
 #include "coordination/gateway/fleet_view.h"
 #include "coordination/gateway/forward_controller.h"
--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -352,12 +352,12 @@
   }
 }
 
-void ForwardController::OnLoad(Time now,
-                               ForwardId id,
-                               const LoadReading& load) {
+void ForwardController::OnReport(Time now,
+                                 ForwardId id,
+                                 const EndpointReport& report) {
   const auto found = open_requests_.find(id);
   if (found != open_requests_.end()) {
-    selector_->OnLoad(now, found->second.vm, load);
+    selector_->OnReport(now, found->second.attempt, report);
   }
 }
 
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/gateway/deferral_policy.h"
+#include "coordination/gateway/endpoint_report.h"
 #include "coordination/gateway/forward_request.h"
 #include "coordination/gateway/replica_selector.h"
 #include "coordination/gateway/shared_retry_budget.h"
@@ -55,7 +56,8 @@
   // removes the request.
   ForwardStep OnEnded(Time now, ForwardId id, const ForwardEnd& end);
   void OnProgress(Time now, ForwardId id);
-  void OnLoad(Time now, ForwardId id, const LoadReading& load);
+  // The endpoint of the current attempt reports about itself.
+  void OnReport(Time now, ForwardId id, const EndpointReport& report);
   void OnCallerGone(Time now, ForwardId id);
 
   // Returns the requests among the `stalled` attempts that another endpoint
--- a/coordination/gateway/forward_request.h
+++ b/coordination/gateway/forward_request.h
@@ -113,13 +113,6 @@
   bool is_client_error = false;
 };
 
-// Load that an endpoint reports in an answer.
-struct LoadReading {
-  std::int64_t running = 0;
-  std::int64_t waiting = 0;
-  std::int64_t slots = 0;
-};
-
 }  // namespace gcw
 
 #endif  // COORDINATION_GATEWAY_FORWARD_REQUEST_H_
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -220,8 +220,8 @@
   ForwardAdmission OnArrived(Time now, ForwardRequest request);
   ForwardStep OnEnded(Time now, ForwardId id, const ForwardEnd& end);
   void OnProgress(Time now, ForwardId id) { forwards_.OnProgress(now, id); }
-  void OnLoad(Time now, ForwardId id, const LoadReading& load) {
-    forwards_.OnLoad(now, id, load);
+  void OnReport(Time now, ForwardId id, const EndpointReport& report) {
+    forwards_.OnReport(now, id, report);
   }
   void OnCallerGone(Time now, ForwardId id) { forwards_.OnCallerGone(now, id); }
 
@@ -237,6 +237,9 @@
   // Whether a planned stop is complete, so that the process may end.
   bool is_drain_complete(Time now) const;
   std::size_t open_requests() const { return forwards_.open_requests(); }
+  std::size_t limited_endpoints() const {
+    return selector_.limited_endpoints();
+  }
   const FleetView& view() const { return view_; }
   const StoreMirror& mirror() const { return mirror_; }
   bool is_controller(Time now) const;
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -18,7 +18,8 @@
     : settings_(settings),
       zone_(std::move(zone)),
       random_(std::move(random)),
-      events_(std::move(events)) {}
+      events_(std::move(events)),
+      limits_(events_) {}
 
 void ReplicaSelector::SetReplicas(Time now, std::vector<Replica> replicas) {
   std::set<VmId> seen;
@@ -213,6 +214,20 @@
   }
 }
 
+void ReplicaSelector::OnReport(Time now,
+                               AttemptNumber attempt,
+                               const EndpointReport& report) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const Attempt& source = found->second;
+  if (report.load) {
+    OnLoad(now, source.vm, *report.load);
+  }
+  limits_.OnReport(now, {source.vm, source.incarnation}, source.sent, report);
+}
+
 void ReplicaSelector::OnProgress(Time now, AttemptNumber attempt) {
   const auto found = attempts_.find(attempt);
   if (found == attempts_.end()) {
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -8,6 +8,8 @@
 #include <span>
 #include <vector>
 
+#include "coordination/gateway/endpoint_limits.h"
+#include "coordination/gateway/endpoint_report.h"
 #include "coordination/gateway/forward_request.h"
 #include "coordination/routing/failure_backoff.h"
 #include "state/state.h"
@@ -135,6 +137,8 @@
                        TokenCount prompt_tokens,
                        bool streams);
   void OnLoad(Time now, const VmId& vm, const LoadReading& load);
+  // The endpoint of the attempt reports about itself.
+  void OnReport(Time now, AttemptNumber attempt, const EndpointReport& report);
   // A part of the answer arrived.
   void OnProgress(Time now, AttemptNumber attempt);
   void OnEnded(Time now, AttemptNumber attempt, ForwardEndKind end);
@@ -166,6 +170,8 @@
   // Time at which this node, or another node that reported it, last received
   // anything from the group; `Time()` if none did.
   Time LastProgress(const VmId& vm, Generation generation) const;
+  // Number of endpoints that name a limit on their requests.
+  std::size_t limited_endpoints() const { return limits_.size(); }
 
  private:
   struct State {
@@ -243,6 +249,7 @@
   Random random_;
   EventSink events_;
   double node_count_ = 1;
+  EndpointLimits limits_;
   std::map<VmId, State> states_;
   std::map<AttemptNumber, Attempt> attempts_;
   AttemptNumber last_attempt_;
--- a/core/core.h
+++ b/core/core.h
@@ -12,6 +12,7 @@
 #include "core/hybrid_clock.h"
 #include "core/ids.h"
 #include "core/random.h"
+#include "core/request_rate.h"
 #include "core/result.h"
 #include "core/strong_id.h"
 
--- a/core/event.cc
+++ b/core/event.cc
@@ -71,6 +71,10 @@
       return "endpoint_restored";
     case EventKind::kEndpointLeaving:
       return "endpoint_leaving";
+    case EventKind::kEndpointLimitNamed:
+      return "endpoint_limit_named";
+    case EventKind::kEndpointLimitLifted:
+      return "endpoint_limit_lifted";
     case EventKind::kFingerprintBlocked:
       return "fingerprint_blocked";
     case EventKind::kFingerprintUnblocked:
--- a/core/event.h
+++ b/core/event.h
@@ -50,6 +50,8 @@
   kEndpointEjected,
   kEndpointRestored,
   kEndpointLeaving,
+  kEndpointLimitNamed,
+  kEndpointLimitLifted,
   kFingerprintBlocked,
   kFingerprintUnblocked,
   kOnceClaimed,
--- a/tests/coordination/gateway/overload_test.cc
+++ b/tests/coordination/gateway/overload_test.cc
@@ -209,10 +209,10 @@
   void StartStream(const Group& group, Request& request) {
     request.started = true;
     ForwardController& controller = nodes_[request.node]->controller;
-    controller.OnLoad(
-        now_, request.id,
-        {static_cast<std::int64_t>(group.running.size()),
-         static_cast<std::int64_t>(group.waiting.size()), kSlots});
+    EndpointReport report;
+    report.load = {static_cast<std::int64_t>(group.running.size()),
+                   static_cast<std::int64_t>(group.waiting.size()), kSlots};
+    controller.OnReport(now_, request.id, report);
     controller.OnProgress(now_, request.id);
     in_time_ += now_ - request.asked <= kObjective ? 1 : 0;
   }
--- a/tests/platform/platform_wire_test.cc
+++ b/tests/platform/platform_wire_test.cc
@@ -222,7 +222,7 @@
                     ""};
   const AnswerHead good = ReadEndpointAnswer(head, RequestId("q1"));
   EXPECT_TRUE(good.matches_request && good.has_proof && !good.is_not_executed);
-  EXPECT_EQ(good.load->slots, 8);
+  EXPECT_EQ(good.report.load->slots, 8);
   EXPECT_FALSE(ReadEndpointAnswer(head, RequestId("q2")).matches_request);
   head.headers.push_back({"Content-Encoding", "gzip"});
   EXPECT_TRUE(ReadEndpointAnswer(head, RequestId("q1")).has_content_coding);
@@ -236,10 +236,32 @@
   EXPECT_FALSE(ReadEndpointAnswer(failed, RequestId("q1")).is_not_executed);
 }
 
+TEST(EndpointWireTest, ReadsTheLimitThatAnEndpointNames) {
+  const HttpResponse head{
+      200, {{"X-Replica-Signature", "s"}, {"Server-Limit", "2.7"}}, ""};
+  const EndpointReport named = ReadEndpointAnswer(head, RequestId()).report;
+  EXPECT_EQ(named.rate_limit, RequestRate::PerSecond(2.7));
+  EXPECT_TRUE(named.is_signed);
+  const EndpointReport silent =
+      ReadEndpointAnswer({200, {}, ""}, RequestId()).report;
+  EXPECT_FALSE(silent.rate_limit || silent.has_unreadable_limit);
+}
+
+// Guards against a limit that is dropped because the endpoint sent one value
+// that is no number.
+TEST(EndpointWireTest, AnUnreadableLimitIsNotTheEndOfALimit) {
+  for (const char* text : {"-1", "nan", "inf", "2,7", "2.7/s", "x"}) {
+    const HttpResponse head{200, {{"Server-Limit", text}}, ""};
+    const EndpointReport report = ReadEndpointAnswer(head, RequestId()).report;
+    EXPECT_FALSE(report.rate_limit.has_value()) << text;
+    EXPECT_TRUE(report.has_unreadable_limit) << text;
+  }
+}
+
 TEST(EndpointWireTest, AMalformedLoadIsAbsent) {
   for (const char* text : {"", "3", "3,0", "a,b,c", "3;0;8"}) {
     const HttpResponse head{200, {{"X-Replica-Load", text}}, ""};
-    EXPECT_FALSE(ReadEndpointAnswer(head, RequestId()).load.has_value())
+    EXPECT_FALSE(ReadEndpointAnswer(head, RequestId()).report.load.has_value())
         << text;
   }
 }
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -119,8 +119,11 @@
   attempt_.head = head;
   attempt_.has_head = true;
   attempt_.answer = parts_.dialect->read_answer(head, request_id_);
-  if (attempt_.answer.load) {
-    parts_.core->OnLoad(parts_.clock(), id_, *attempt_.answer.load);
+  // Any other answer may come from another VM, or from this one at an earlier
+  // time.
+  if (!attempt_.answer.is_misdirected &&
+      (attempt_.answer.matches_request || attempt_.answer.is_not_executed)) {
+    parts_.core->OnReport(parts_.clock(), id_, attempt_.answer.report);
   }
   const bool is_good =
       attempt_.answer.matches_request && attempt_.answer.has_proof &&
--- a/transport/gateway/gateway_dialect.h
+++ b/transport/gateway/gateway_dialect.h
@@ -28,7 +28,8 @@
   bool has_content_coding = false;
   // The VM that the endpoint names as the cause of a failure; may be empty.
   VmId at_fault;
-  std::optional<LoadReading> load;
+  // What the endpoint says of itself.
+  EndpointReport report;
 };
 
 // Hooks that encode and decode the platform's formats of requests and answers,
--- a/transport/gateway/gateway_metrics.cc
+++ b/transport/gateway/gateway_metrics.cc
@@ -14,6 +14,13 @@
   return metrics.AddCounter(std::move(spec)).With({});
 }
 
+Gauge& AddUnlabeledGauge(Metrics& metrics, std::string name, std::string help) {
+  MetricSpec spec;
+  spec.name = std::move(name);
+  spec.help = std::move(help);
+  return metrics.AddGauge(std::move(spec)).With({});
+}
+
 CounterFamily& AddEventFamily(Metrics& metrics) {
   MetricSpec spec;
   spec.name = "gcw_events_total";
@@ -67,7 +74,11 @@
                                  "Orders sent to engines.")),
       probes(AddUnlabeledCounter(metrics_,
                                  "gcw_probes_total",
-                                 "Probes sent to engines.")) {}
+                                 "Probes sent to engines.")),
+      limited_endpoints(AddUnlabeledGauge(
+          metrics_,
+          "gcw_limited_endpoints",
+          "Endpoints that name a limit on the requests of all nodes.")) {}
 
 void GatewayMetrics::CountEvent(const TimelineEvent& event) {
   events_.With({std::string(EventKindName(event.draft.kind))}).Add();
--- a/transport/gateway/gateway_metrics.h
+++ b/transport/gateway/gateway_metrics.h
@@ -33,6 +33,7 @@
   Counter& store_failures;
   Counter& orders;
   Counter& probes;
+  Gauge& limited_endpoints;
 };
 
 }  // namespace gcw
