tests: nodes go on sending requests to an endpoint that names a limit

Reproduces the first matter of the issue without the users' bench: GatewayWorld plays engines whose answers name a limit, LimitRule checks the users' rule from what the engines see.

--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -12,6 +12,7 @@
 
 #include "coordination/coordination.h"
 #include "tests/support/fake_store.h"
+#include "tests/support/limit_rule.h"
 #include "tests/support/simulated_engines.h"
 
 namespace gcw {
@@ -82,7 +83,7 @@
         }
       }
       ExpireRegistrations();
-      if (traffic && (now_.millis() / kStep.millis()) % 10 == 0) {
+      if (traffic && now_.millis() % request_interval.millis() == 0) {
         SendRequests();
       }
       if ((now_.millis() / kStep.millis()) % 5 == 0) {
@@ -204,6 +205,17 @@
     engine_simulation_.Restart(vm, Incarnation(now_.millis()));
     Publish(engines_.at(vm));
   }
+  // The engine's answers name this limit from now on, or none.
+  void NameLimit(const VmId& vm, std::optional<double> per_second) {
+    engines_.at(vm).rate_limit = per_second;
+    limit_rule_.OnNamed(now_, vm, per_second);
+  }
+  const LimitRule& limit_rule() const { return limit_rule_; }
+  // Number of requests that reached the engine.
+  int Arrivals(const VmId& vm) const {
+    const auto found = arrivals_.find(vm);
+    return found == arrivals_.end() ? 0 : found->second;
+  }
   // Writes an entry as another client of the store.
   void WriteStoreEntry(const std::string& key, const std::string& value) {
     Put(key, value);
@@ -227,6 +239,7 @@
     nodes_[index].alive = false;
     nodes_[index].core.reset();
     ++nodes_[index].run;
+    limit_rule_.Excuse(index);
     std::erase_if(streams_, [&](const Stream& s) { return s.node == index; });
   }
   void StartNode(std::size_t index) {
@@ -285,6 +298,9 @@
   std::map<std::size_t, std::int64_t> weights;
   bool store_down = false;
   bool traffic = false;
+  // Interval at which each node gets a request for each model.
+  Duration request_interval = Duration::Millis(100);
+  int refused_requests = 0;
   // Nodes that get no requests.
   std::set<std::size_t> idle_nodes;
   // Streams that completed, and those that were cut off or never answered.
@@ -560,6 +576,7 @@
     }
     const ForwardStep step = nodes_[index].core->OnEnded(now_, stream->id, end);
     if (const auto* send = std::get_if<SendForward>(&step)) {
+      OnArrival(index, send->vm);
       stream->vm = send->vm;
       stream->group = engine_simulation_.GroupAt(send->vm);
     } else {
@@ -626,9 +643,12 @@
         const ForwardAdmission admission =
             nodes_[i].core->OnArrived(now_, std::move(request));
         if (const auto* send = std::get_if<SendForward>(&admission.step)) {
+          OnArrival(i, send->vm);
           streams_.push_back({i, admission.id, send->vm,
                               engine_simulation_.GroupAt(send->vm), 0,
                               nodes_[i].run});
+        } else {
+          ++refused_requests;
         }
       }
     }
@@ -649,6 +669,9 @@
         continue;
       }
       GatewayCore& core = *nodes_[stream.node].core;
+      if (stream.events == 0) {
+        Report(stream, engine);
+      }
       core.OnProgress(now_, stream.id);
       constexpr int kEventsPerStream = 20;
       if (++stream.events < kEventsPerStream) {
@@ -664,8 +687,26 @@
     }
   }
 
+  void OnArrival(std::size_t node, const VmId& vm) {
+    ++arrivals_[vm];
+    limit_rule_.OnArrival(now_, vm, node);
+  }
+
+  // The head of the answer reaches the node.
+  void Report(const Stream& stream, const Engine& engine) {
+    EndpointReport report;
+    report.is_signed = true;
+    if (engine.rate_limit) {
+      report.rate_limit = RequestRate::PerSecond(*engine.rate_limit);
+      limit_rule_.OnTold(now_, stream.vm, stream.node);
+    }
+    nodes_[stream.node].core->OnReport(now_, stream.id, report);
+  }
+
   Random random_;
   Time now_ = Time::FromMillis(1000000);
+  LimitRule limit_rule_;
+  std::map<VmId, int> arrivals_;
   FakeStore store_;
   FleetConfiguration configuration_;
   std::vector<VmRegistration> registrations_;
--- a/tests/support/simulated_engines.h
+++ b/tests/support/simulated_engines.h
@@ -35,6 +35,8 @@
     FencingToken seen_fence;
     // Slowdown factor; a slow engine emits events only rarely.
     double slowdown = 1;
+    // The limit that its answers name, in requests per second.
+    std::optional<double> rate_limit;
     Time unreachable_since;
     std::vector<VmId> group_members;
     std::int64_t joins = 0;
