--- a/programs/gcw_standin/platform_engine.cc
+++ b/programs/gcw_standin/platform_engine.cc
@@ -81,8 +81,10 @@
   } else if (path == kOrderPath) {
     HandleOrder(request, *responder);
   } else if (settings_.engine) {
+    limit_meter_.OnRequest(standin_server_.now());
     StreamAnswer(request, responder);
   } else {
+    limit_meter_.OnRequest(standin_server_.now());
     ++runs_;
     responder->Respond({kOk, AnswerHeaders(request), "done: " + request.body});
   }
@@ -225,12 +227,17 @@
 
 std::vector<HttpHeader> PlatformEngine::AnswerHeaders(
     const HttpRequest& request) const {
-  return {
+  std::vector<HttpHeader> headers = {
       {std::string(kAttemptIdHeader), request.Header(kAttemptIdHeader)},
       {std::string(kProofHeader), "proof-" + settings_.registration.id.value()},
       {std::string(kLoadHeader),
        std::to_string(running_) + ",0," +
            std::to_string(settings_.registration.slots)}};
+  if (const auto& limit = limit_meter_.limit()) {
+    headers.push_back(
+        {std::string(kRateLimitHeader), std::to_string(limit->per_second())});
+  }
+  return headers;
 }
 
 void PlatformEngine::StreamAnswer(
--- a/programs/gcw_standin/platform_engine.h
+++ b/programs/gcw_standin/platform_engine.h
@@ -3,11 +3,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "platform/platform.h"
+#include "programs/gcw_standin/limit_meter.h"
 #include "programs/gcw_standin/standin_server.h"
 
 namespace gcw {
@@ -46,6 +48,11 @@
   const VmRegistration& registration() const { return settings_.registration; }
   const std::vector<VmId>& members() const { return members_; }
   bool alive() const { return server_ != nullptr; }
+  // The endpoint's answers name this limit from now on, or none.
+  void SetLimit(std::optional<RequestRate> limit) {
+    limit_meter_.SetLimit(standin_server_.now(), limit);
+  }
+  const LimitMeter& limit_meter() const { return limit_meter_; }
   // Number of requests that started to run.
   std::int64_t runs() const { return runs_; }
 
@@ -79,6 +86,7 @@
   FencingToken last_fence_;
   std::int64_t running_ = 0;
   std::int64_t runs_ = 0;
+  LimitMeter limit_meter_;
 };
 
 }  // namespace gcw
--- a/programs/gcw_standin/platform_http_frontend.cc
+++ b/programs/gcw_standin/platform_http_frontend.cc
@@ -13,6 +13,7 @@
 // The platform removes a registration after three missed heartbeats.
 constexpr Duration kRegistrationTimeout = Duration::Millis(3600);
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 
 bool IsWrite(const HttpRequest& request) {
@@ -127,9 +128,51 @@
     responder.Respond({kOk, {}, boost::json::serialize(runs)});
     return;
   }
+  if (path == "/standin/limit") {
+    responder.Respond({SetLimit(request), {}, {}});
+    return;
+  }
+  if (path == "/standin/limits") {
+    responder.Respond({kOk, {}, DescribeLimits()});
+    return;
+  }
   responder.Respond({kNotFound, {}, {}});
 }
 
+int PlatformHttpFrontend::SetLimit(const HttpRequest& request) {
+  const auto found = engines_.find(VmId(QueryValue(request.target, "vm")));
+  if (found == engines_.end()) {
+    return kNotFound;
+  }
+  const std::string text = QueryValue(request.target, "per_s");
+  std::optional<RequestRate> limit;
+  if (!text.empty()) {
+    double per_second = 0;
+    const auto read =
+        std::from_chars(text.data(), text.data() + text.size(), per_second);
+    if (read.ec != std::errc()) {
+      return kBadRequest;
+    }
+    limit = RequestRate::PerSecond(per_second);
+  }
+  found->second->SetLimit(limit);
+  return kOk;
+}
+
+std::string PlatformHttpFrontend::DescribeLimits() const {
+  boost::json::object limits;
+  for (const auto& [id, engine] : engines_) {
+    const LimitMeter& meter = engine->limit_meter();
+    if (meter.limit()) {
+      limits[id.value()] =
+          boost::json::object{{"per_s", meter.limit()->per_second()},
+                              {"checked", meter.checked()},
+                              {"excess", meter.excess()}};
+    }
+  }
+  return boost::json::serialize(limits);
+}
+
 void PlatformHttpFrontend::WriteNextConfiguration(const HttpRequest& request) {
   ++options_.version;
   const std::string key = QueryValue(request.target, "key");
--- a/programs/gcw_standin/platform_http_frontend.h
+++ b/programs/gcw_standin/platform_http_frontend.h
@@ -30,7 +30,9 @@
 // `POST /standin/kill?vm=ID` stops an endpoint without notice.
 // `POST /standin/configure?max_body_bytes=N` or `?key=KEY` writes the next
 // version of the document. `GET /standin/runs` returns how many requests each
-// endpoint has started.
+// endpoint has started. `POST /standin/limit?vm=ID&per_s=N` makes an endpoint
+// name a limit in its answers, or none without `per_s`, and `GET
+// /standin/limits` returns how well the limits were kept.
 class PlatformHttpFrontend {
  public:
   PlatformHttpFrontend(StandinServer& server,
@@ -49,6 +51,9 @@
   void Register(const PlatformEngine& engine);
   void Remove(const VmId& vm);
   void WriteNextConfiguration(const HttpRequest& request);
+  // Returns the status of the answer.
+  int SetLimit(const HttpRequest& request);
+  std::string DescribeLimits() const;
   void Write(const std::string& key, const std::string& value);
   bool HasAllMembers(const PlatformEngine& first_member) const;
 
