--- a/tests/protocol/mirror_json_test.cc
+++ b/tests/protocol/mirror_json_test.cc
@@ -50,5 +50,34 @@
       R"("lapse_left_ms":0})")));
 }
 
+TEST(LimitNoticeJsonTest, KeepsALimitAndItsEnd) {
+  LimitNotice notice;
+  notice.endpoint = {VmId("vm-1"), Incarnation(7), ZoneId("z")};
+  notice.rate = RequestRate::PerSecond(2.7);
+  notice.age = Duration::Millis(40);
+  for (const bool in_force : {true, false}) {
+    if (!in_force) {
+      notice.rate.reset();
+    }
+    const auto decoded = DecodeLimitNotice(EncodeLimitNotice(notice));
+    ASSERT_TRUE(IsOk(decoded));
+    EXPECT_EQ(ValueOf(decoded).endpoint.vm, notice.endpoint.vm);
+    EXPECT_EQ(ValueOf(decoded).endpoint.incarnation, Incarnation(7));
+    EXPECT_EQ(ValueOf(decoded).endpoint.zone, ZoneId("z"));
+    EXPECT_EQ(ValueOf(decoded).rate, notice.rate);
+    EXPECT_EQ(ValueOf(decoded).age, notice.age);
+  }
+}
+
+TEST(LimitNoticeJsonTest, RejectsMalformedNotices) {
+  for (
+      const char* text :
+      {"", "{}", R"({"vm":"a","incarnation":1,"zone":"z"})",
+       R"({"vm":"a","incarnation":1,"zone":"z","age_ms":1,"limit_per_s":-1})",
+       R"({"vm":"a","incarnation":1,"zone":"z","age_ms":1,"limit_per_s":"x"})"}) {
+    EXPECT_FALSE(IsOk(DecodeLimitNotice(text))) << text;
+  }
+}
+
 }  // namespace
 }  // namespace gcw
