gateway: events and a gauge for endpoints that ask for no more requests

No log line said whether the pause was heard.

A pause after a refusal and the announcement of an end are now part of EndpointReport, decoded in platform/.

--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -16,6 +16,7 @@
 #include "coordination/configuration/record_changes.h"
 #include "coordination/gateway/change_feed.h"
 #include "coordination/gateway/deferral_policy.h"
+#include "coordination/gateway/endpoint_holds.h"
 #include "coordination/gateway/endpoint_limits.h"
 #include "coordination/gateway/endpoint_report.h"
 #include "coordination/gateway/fleet_controller.h"
--- a/coordination/gateway/endpoint_limits.h
+++ b/coordination/gateway/endpoint_limits.h
@@ -45,13 +45,6 @@
   Duration lifted_ttl = Duration::Seconds(10);
 };
 
-// One run of an endpoint. What it says of itself ends with the run.
-struct EndpointRun {
-  VmId vm;
-  Incarnation incarnation;
-  ZoneId zone;
-};
-
 // Message between nodes: what an endpoint said of its limit.
 struct LimitNotice {
   EndpointRun endpoint;
--- a/coordination/gateway/endpoint_report.h
+++ b/coordination/gateway/endpoint_report.h
@@ -26,6 +26,17 @@
   std::optional<RequestRate> rate_limit;
   // The answer names a limit that cannot be read, so the last one stands.
   bool has_unreadable_limit = false;
+  // The endpoint refused the request and accepts none of this node for so long.
+  std::optional<Duration> cooldown;
+  // The endpoint is about to stop.
+  bool is_leaving = false;
+};
+
+// One run of an endpoint. What it says of itself ends with the run.
+struct EndpointRun {
+  VmId vm;
+  Incarnation incarnation;
+  ZoneId zone;
 };
 
 }  // namespace gcw
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -251,6 +251,7 @@
   std::size_t limited_endpoints() const {
     return selector_.limited_endpoints();
   }
+  std::size_t held_endpoints() const { return selector_.held_endpoints(); }
   const FleetView& view() const { return view_; }
   const StoreMirror& mirror() const { return mirror_; }
   bool is_controller(Time now) const;
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -19,7 +19,8 @@
       zone_(std::move(zone)),
       random_(std::move(random)),
       events_(std::move(events)),
-      limits_(settings.limits, random_, events_) {}
+      limits_(settings.limits, random_, events_),
+      holds_(events_) {}
 
 void ReplicaSelector::SetReplicas(Time now, std::vector<Replica> replicas) {
   std::set<VmId> seen;
@@ -254,8 +255,9 @@
   }
   const State* state = Find(source.vm);
   const ZoneId zone = state == nullptr ? ZoneId() : state->replica.zone;
-  limits_.OnReport(now, {source.vm, source.incarnation, zone}, source.sent,
-                   report);
+  const EndpointRun endpoint = {source.vm, source.incarnation, zone};
+  limits_.OnReport(now, endpoint, source.sent, report);
+  holds_.OnReport(now, endpoint, report);
 }
 
 void ReplicaSelector::OnProgress(Time now, AttemptNumber attempt) {
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "coordination/gateway/endpoint_holds.h"
 #include "coordination/gateway/endpoint_limits.h"
 #include "coordination/gateway/endpoint_report.h"
 #include "coordination/gateway/forward_request.h"
@@ -195,6 +196,8 @@
   bool IsLimited(const VmId& vm) const { return limits_.IsLimited(vm); }
   // Number of endpoints that name a limit on their requests.
   std::size_t limited_endpoints() const { return limits_.size(); }
+  // Number of endpoints that asked this node for no more requests.
+  std::size_t held_endpoints() const { return holds_.size(); }
 
  private:
   struct State {
@@ -282,6 +285,7 @@
   EventSink events_;
   double node_count_ = 1;
   EndpointLimits limits_;
+  EndpointHolds holds_;
   std::map<VmId, State> states_;
   std::map<AttemptNumber, Attempt> attempts_;
   AttemptNumber last_attempt_;
--- a/coordination/gateway/replica_selector_stall.cc
+++ b/coordination/gateway/replica_selector_stall.cc
@@ -30,6 +30,7 @@
 
 std::vector<AttemptNumber> ReplicaSelector::Tick(Time now) {
   limits_.Tick(now);
+  holds_.Tick(now);
   const std::set<VmId> silent = FindSilent(now);
   std::vector<AttemptNumber> stalled;
   for (auto& [vm, state] : states_) {
--- a/core/event.cc
+++ b/core/event.cc
@@ -71,6 +71,8 @@
       return "endpoint_restored";
     case EventKind::kEndpointLeaving:
       return "endpoint_leaving";
+    case EventKind::kEndpointCooldown:
+      return "endpoint_cooldown";
     case EventKind::kEndpointLimitNamed:
       return "endpoint_limit_named";
     case EventKind::kEndpointLimitLifted:
--- a/core/event.h
+++ b/core/event.h
@@ -50,6 +50,7 @@
   kEndpointEjected,
   kEndpointRestored,
   kEndpointLeaving,
+  kEndpointCooldown,
   kEndpointLimitNamed,
   kEndpointLimitLifted,
   kFingerprintBlocked,
--- a/tests/platform/platform_wire_test.cc
+++ b/tests/platform/platform_wire_test.cc
@@ -258,6 +258,26 @@
   }
 }
 
+TEST(EndpointWireTest, ReadsCooldownsOfRefusalsAndLeavingEndpoints) {
+  const auto report = [](int status, std::vector<HttpHeader> headers) {
+    return ReadEndpointAnswer({status, std::move(headers), ""}, RequestId())
+        .report;
+  };
+  EXPECT_EQ(report(503, {{"Retry-After", "3"}}).cooldown, Duration::Seconds(3));
+  EXPECT_EQ(report(503, {{"Retry-After", "0.25"}}).cooldown,
+            Duration::Millis(250));
+  EXPECT_EQ(report(429, {{"Retry-After", "1e12"}}).cooldown,
+            Duration::Seconds(86400));
+  EXPECT_FALSE(report(200, {{"Retry-After", "3"}}).cooldown);
+  for (const char* text : {"", "-1", "soon", "Thu, 03 Dec 2026 16:00:00 GMT"}) {
+    EXPECT_FALSE(report(503, {{"Retry-After", text}}).cooldown) << text;
+  }
+  EXPECT_TRUE(report(200, {{"Server-Leaving", "1"}}).is_leaving);
+  EXPECT_TRUE(report(503, {{"Server-Leaving", "1"}}).is_leaving);
+  EXPECT_FALSE(report(200, {{"Server-Leaving", "0"}}).is_leaving);
+  EXPECT_FALSE(report(200, {}).is_leaving);
+}
+
 TEST(EndpointWireTest, AMalformedLoadIsAbsent) {
   for (const char* text : {"", "3", "3,0", "a,b,c", "3;0;8"}) {
     const HttpResponse head{200, {{"X-Replica-Load", text}}, ""};
--- a/transport/gateway/gateway_metrics.cc
+++ b/transport/gateway/gateway_metrics.cc
@@ -78,7 +78,11 @@
       limited_endpoints(AddUnlabeledGauge(
           metrics_,
           "gcw_limited_endpoints",
-          "Endpoints that name a limit on the requests of all nodes.")) {}
+          "Endpoints that name a limit on the requests of all nodes.")),
+      held_endpoints(AddUnlabeledGauge(
+          metrics_,
+          "gcw_held_endpoints",
+          "Endpoints that asked this node for no more requests.")) {}
 
 void GatewayMetrics::CountEvent(const TimelineEvent& event) {
   events_.With({std::string(EventKindName(event.draft.kind))}).Add();
--- a/transport/gateway/gateway_metrics.h
+++ b/transport/gateway/gateway_metrics.h
@@ -34,6 +34,7 @@
   Counter& orders;
   Counter& probes;
   Gauge& limited_endpoints;
+  Gauge& held_endpoints;
 };
 
 }  // namespace gcw
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -128,6 +128,8 @@
   Execute(parts_.core->Tick(Now()));
   parts_.metrics->limited_endpoints.Set(
       static_cast<std::int64_t>(parts_.core->limited_endpoints()));
+  parts_.metrics->held_endpoints.Set(
+      static_cast<std::int64_t>(parts_.core->held_endpoints()));
   ApplyCallerLimits();
   if (!parts_.core->is_drain_complete(Now())) {
     stop_completed_at_.reset();
