--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -12,6 +12,7 @@
 
 #include "coordination/coordination.h"
 #include "tests/support/fake_store.h"
+#include "tests/support/hold_rule.h"
 #include "tests/support/limit_rule.h"
 #include "tests/support/simulated_engines.h"
 
@@ -214,6 +215,7 @@
     limit_rule_.OnNamed(now_, vm, per_second);
   }
   const LimitRule& limit_rule() const { return limit_rule_; }
+  const HoldRule& hold_rule() const { return hold_rule_; }
   // Number of requests that reached the engine.
   int Arrivals(const VmId& vm) const {
     const auto found = arrivals_.find(vm);
@@ -244,12 +246,14 @@
   void SetFrozen(std::size_t index, bool frozen) {
     nodes_[index].frozen = frozen;
     limit_rule_.Excuse(index);
+    hold_rule_.Excuse(index);
   }
   void KillNode(std::size_t index) {
     nodes_[index].alive = false;
     nodes_[index].core.reset();
     ++nodes_[index].run;
     limit_rule_.Excuse(index);
+    hold_rule_.Excuse(index);
     std::erase_if(streams_, [&](const Stream& s) { return s.node == index; });
   }
   void StartNode(std::size_t index) {
@@ -669,19 +673,43 @@
         request.prompt_tokens = TokenCount(500);
         const ForwardAdmission admission =
             nodes_[i].core->OnArrived(now_, std::move(request));
-        if (const auto* send = std::get_if<SendForward>(&admission.step)) {
-          OnArrival(i, send->vm);
-          streams_.push_back({i, admission.id, send->vm,
-                              engine_simulation_.GroupAt(send->vm), 0,
-                              nodes_[i].run});
-        } else if (const auto* refused =
-                       std::get_if<ForwardRefused>(&admission.step)) {
-          refusals.push_back(*refused);
-        }
+        Take(i, admission.id, admission.step);
       }
     }
   }
 
+  // Takes a step for a request whose answer has not begun.
+  void Take(std::size_t node, ForwardId id, const ForwardStep& step) {
+    if (const auto* refused = std::get_if<ForwardRefused>(&step)) {
+      refusals.push_back(*refused);
+    }
+    const auto* send = std::get_if<SendForward>(&step);
+    if (send == nullptr) {
+      return;
+    }
+    const VmId vm = send->vm;
+    OnArrival(node, vm);
+    if (!engines_.at(vm).cooldown) {
+      streams_.push_back(
+          {node, id, vm, engine_simulation_.GroupAt(vm), 0, nodes_[node].run});
+      return;
+    }
+    const Duration cooldown = *engines_.at(vm).cooldown;
+    hold_rule_.OnCooldown(now_, vm, node, cooldown);
+    Schedule(kNetworkDelay, [this, node, id, cooldown, run = nodes_[node].run] {
+      if (!IsRunning(node) || nodes_[node].run != run) {
+        return;
+      }
+      GatewayCore& core = *nodes_[node].core;
+      EndpointReport report;
+      report.cooldown = cooldown;
+      core.OnReport(now_, id, report);
+      ForwardEnd end;
+      end.kind = ForwardEndKind::kNotRun;
+      Take(node, id, core.OnEnded(now_, id, end));
+    });
+  }
+
   // Each call moves a stream on by an event if its group is whole and its VM is
   // reachable, and does nothing otherwise.
   void AdvanceStreams() {
@@ -718,6 +746,7 @@
   void OnArrival(std::size_t node, const VmId& vm) {
     ++arrivals_[vm];
     limit_rule_.OnArrival(now_, vm, node);
+    hold_rule_.OnArrival(now_, vm, node);
   }
 
   // The head of the answer reaches the node.
@@ -728,12 +757,17 @@
       report.rate_limit = RequestRate::PerSecond(*engine.rate_limit);
       limit_rule_.OnTold(now_, stream.vm, stream.node);
     }
+    if (engine.says_leaving) {
+      report.is_leaving = true;
+      hold_rule_.OnLeaving(now_, stream.vm, stream.node);
+    }
     nodes_[stream.node].core->OnReport(now_, stream.id, report);
   }
 
   Random random_;
   Time now_ = Time::FromMillis(1000000);
   LimitRule limit_rule_;
+  HoldRule hold_rule_;
   std::map<VmId, int> arrivals_;
   FakeStore store_;
   FleetConfiguration configuration_;
--- a/tests/support/simulated_engines.h
+++ b/tests/support/simulated_engines.h
@@ -37,6 +37,10 @@
     double slowdown = 1;
     // The limit that its answers name, in requests per second.
     std::optional<double> rate_limit;
+    // If set, it refuses all requests and asks their nodes for this cooldown.
+    std::optional<Duration> cooldown;
+    // Its answers say that it is about to stop.
+    bool says_leaving = false;
     Time unreachable_since;
     std::vector<VmId> group_members;
     std::int64_t joins = 0;
