gateway: endpoints that ask for no more requests get none

Callers lost a try to an endpoint that had said it was overloaded, and endpoints in trouble got more of what troubled them: three requests of a node within the 3 s for which the endpoint had asked it for rest, where two are allowed.

Cause: the refusal was read as a failure and the pause in it was not read, so the node's backoff (0.3 s, doubled) tried the endpoint again. An endpoint's word that it leaves was not read either. Ruled out: retries of other requests (the record shows first attempts) and a change of the registration (none in between).

A held endpoint gets no request, retry, resumed stream or load probe of this node, until its pause is over or, if it leaves, for the rest of its run. Where all endpoints are held the request is refused at once as endpoint_cooldown; the caller is told the end of the first pause, within 0.5 and 3 s, since another node may not have been asked for one.

EndpointHoldTest failed with 3, 9 and 60 nodes in both cases and passes; its four further tests pass too.

--- a/coordination/gateway/endpoint_holds.h
+++ b/coordination/gateway/endpoint_holds.h
@@ -26,6 +26,7 @@
   std::optional<Time> NextSend(Time now,
                                const VmId& vm,
                                Incarnation incarnation) const;
+  bool IsHeld(const VmId& vm) const { return holds_.contains(vm); }
   // Number of endpoints that get no requests now.
   std::size_t size() const { return holds_.size(); }
 
--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -345,21 +345,31 @@
                                        const OpenRequest& open_request,
                                        RefusalKind kind) {
   if (kind == RefusalKind::kEndpointLimit) {
-    const ReplicaDemand demand = MakeDemand(open_request);
-    RetryAfterPlanner& returns =
-        limited_returns_
-            .try_emplace({demand.service, demand.model},
-                         settings_.limited_returns, random_)
-            .first->second;
-    // Callers return to any node, so each node plans for its part of the rate.
-    returns.SetReturnRate(selector_->LimitedRate(demand).per_second() /
-                          node_count_);
-    return returns.Plan(now, kind);
+    return LimitedReturn(now, MakeDemand(open_request));
+  }
+  Duration delay = settings_.retry_after;
+  if (kind == RefusalKind::kEndpointCooldown) {
+    const Duration cooldown =
+        selector_->FirstCooldownEnd(now, MakeDemand(open_request)) - now;
+    delay = std::clamp(cooldown, delay, settings_.limited_returns.max_delay);
   }
   const double factor =
       1 + settings_.retry_jitter * (2 * DrawUnit(random_) - 1);
-  return Duration::Millis(static_cast<std::int64_t>(
-      static_cast<double>(settings_.retry_after.millis()) * factor));
+  return Duration::Millis(
+      static_cast<std::int64_t>(static_cast<double>(delay.millis()) * factor));
+}
+
+Duration ForwardController::LimitedReturn(Time now,
+                                          const ReplicaDemand& demand) {
+  RetryAfterPlanner& returns =
+      limited_returns_
+          .try_emplace({demand.service, demand.model},
+                       settings_.limited_returns, random_)
+          .first->second;
+  // Callers return to any node, so each node plans for its part of the rate.
+  returns.SetReturnRate(selector_->LimitedRate(demand).per_second() /
+                        node_count_);
+  return returns.Plan(now, RefusalKind::kEndpointLimit);
 }
 
 void ForwardController::OnProgress(Time now, ForwardId id) {
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -140,6 +140,8 @@
   Duration RetryAfter(Time now,
                       const OpenRequest& open_request,
                       RefusalKind kind);
+  // Returns when a caller should return to endpoints that are at their limits.
+  Duration LimitedReturn(Time now, const ReplicaDemand& demand);
   ServiceId ChooseService(const RouteRule& route);
   void EmitEvent(EventKind kind,
                  const OpenRequest& open_request,
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -62,7 +62,9 @@
           [this](const VmId& head, Generation generation) {
             return selector_.LastProgress(head, generation);
           },
-          [this](const VmId& vm) { return !selector_.IsLimited(vm); },
+          [this](const VmId& vm) {
+            return !selector_.IsLimited(vm) && !selector_.IsHeld(vm);
+          },
           events_),
       overview_(settings_.overview,
                 codecs.fleet.overview_key,
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -135,6 +135,10 @@
         !IsUsable(now, state)) {
       continue;
     }
+    if (!holds_.MaySend(now, vm, replica.incarnation)) {
+      found.any_held = true;
+      continue;
+    }
     if (!limits_.MaySend(now, vm, replica.incarnation)) {
       found.any_limited = true;
       continue;
@@ -193,8 +197,11 @@
   if (candidates.any_usable) {
     return RefusalKind::kNoCapacity;
   }
-  return candidates.any_limited ? RefusalKind::kEndpointLimit
-                                : RefusalKind::kNoEndpoint;
+  if (candidates.any_limited) {
+    return RefusalKind::kEndpointLimit;
+  }
+  return candidates.any_held ? RefusalKind::kEndpointCooldown
+                             : RefusalKind::kNoEndpoint;
 }
 
 RequestRate ReplicaSelector::LimitedRate(const ReplicaDemand& demand) const {
@@ -208,6 +215,23 @@
   return RequestRate::PerSecond(rate);
 }
 
+Time ReplicaSelector::FirstCooldownEnd(Time now,
+                                       const ReplicaDemand& demand) const {
+  std::optional<Time> first;
+  for (const auto& [vm, state] : states_) {
+    const Replica& replica = state.replica;
+    if (replica.service != demand.service || replica.model != demand.model) {
+      continue;
+    }
+    const std::optional<Time> next =
+        holds_.NextSend(now, vm, replica.incarnation);
+    if (next && (!first || *next < *first)) {
+      first = next;
+    }
+  }
+  return first.value_or(now);
+}
+
 AttemptNumber ReplicaSelector::OnSent(Time now,
                                       const VmId& vm,
                                       TokenCount prompt_tokens,
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -135,8 +135,8 @@
   // Sets whether this node's view of the fleet is up to date.
   void SetViewCurrent(bool current) { limits_.SetViewCurrent(current); }
 
-  // Returns kNoEndpoint, kNoCapacity or kEndpointLimit if no replica can take
-  // the request.
+  // Returns kNoEndpoint, kNoCapacity, kEndpointLimit or kEndpointCooldown if no
+  // replica can take the request.
   Result<ReplicaChoice, RefusalKind> Choose(
       Time now,
       const ReplicaDemand& demand,
@@ -146,6 +146,10 @@
   // replicas that name a limit and could run the request.
   RequestRate LimitedRate(const ReplicaDemand& demand) const;
 
+  // Returns when the first cooldown of a replica that could run the request
+  // ends; `now` if none has one.
+  Time FirstCooldownEnd(Time now, const ReplicaDemand& demand) const;
+
   AttemptNumber OnSent(Time now,
                        const VmId& vm,
                        TokenCount prompt_tokens,
@@ -196,6 +200,8 @@
   bool IsLimited(const VmId& vm) const { return limits_.IsLimited(vm); }
   // Number of endpoints that name a limit on their requests.
   std::size_t limited_endpoints() const { return limits_.size(); }
+  // Whether the endpoint asked this node for no more requests.
+  bool IsHeld(const VmId& vm) const { return holds_.IsHeld(vm); }
   // Number of endpoints that asked this node for no more requests.
   std::size_t held_endpoints() const { return holds_.size(); }
 
@@ -247,6 +253,8 @@
     bool any_usable = false;
     // True if there is a replica whose limit leaves this node no request now.
     bool any_limited = false;
+    // True if there is a replica that asked this node for no more requests.
+    bool any_held = false;
   };
 
   Candidates FindCandidates(Time now,
--- a/coordination/requests/request.cc
+++ b/coordination/requests/request.cc
@@ -50,6 +50,8 @@
       return "endpoint_refused";
     case RefusalKind::kEndpointLimit:
       return "endpoint_limit";
+    case RefusalKind::kEndpointCooldown:
+      return "endpoint_cooldown";
   }
   return "unknown";
 }
--- a/coordination/requests/request.h
+++ b/coordination/requests/request.h
@@ -83,6 +83,8 @@
   kEndpointRefused,
   // Every endpoint that could run it has as many requests as its limit allows.
   kEndpointLimit,
+  // Every endpoint that could run it asked this node for a pause.
+  kEndpointCooldown,
 };
 
 std::string_view RefusalKindName(RefusalKind kind);
--- a/coordination/requests/retry_after.cc
+++ b/coordination/requests/retry_after.cc
@@ -23,6 +23,7 @@
     case RefusalKind::kOnceInProgress:
     case RefusalKind::kEndpointRefused:
     case RefusalKind::kEndpointLimit:
+    case RefusalKind::kEndpointCooldown:
       return true;
     case RefusalKind::kUnknownKey:
     case RefusalKind::kContractNotValid:
--- a/tests/coordination/gateway/endpoint_hold_test.cc
+++ b/tests/coordination/gateway/endpoint_hold_test.cc
@@ -54,5 +54,60 @@
   }
 }
 
+TEST(EndpointHoldTest, AnEndpointIsUsedAgainAfterItsCooldown) {
+  HoldWorld world(3);
+  const VmId head = world.OpenHead("small");
+  world.engine(head).cooldown = Duration::Seconds(2);
+  world.Run(Duration::Seconds(3));
+  world.engine(head).cooldown.reset();
+  world.Run(Duration::Seconds(4));
+  EXPECT_GT(world.ArrivalsWithin(head, Duration::Seconds(1)), 5);
+}
+
+// Guards against a hold of an endpoint's earlier run that is kept up against
+// the next one.
+TEST(EndpointHoldTest, AHoldEndsWithTheRunOfTheEndpoint) {
+  EndpointHolds holds(DiscardEvents());
+  const Time now = Time::FromMillis(1000000);
+  EndpointReport report;
+  report.is_leaving = true;
+  report.cooldown = Duration::Seconds(60);
+  const VmId vm("a");
+  holds.OnReport(now, {vm, Incarnation(1), ZoneId("z")}, report);
+  EXPECT_FALSE(holds.MaySend(now, vm, Incarnation(1)));
+  EXPECT_TRUE(holds.MaySend(now, vm, Incarnation(2)));
+}
+
+TEST(EndpointHoldTest, AShorterCooldownDoesNotCutALongerOne) {
+  EndpointHolds holds(DiscardEvents());
+  const Time now = Time::FromMillis(1000000);
+  const EndpointRun endpoint{VmId("a"), Incarnation(1), ZoneId("z")};
+  EndpointReport report;
+  report.cooldown = Duration::Seconds(5);
+  holds.OnReport(now, endpoint, report);
+  report.cooldown = Duration::Seconds(1);
+  holds.OnReport(now, endpoint, report);
+  EXPECT_EQ(holds.NextSend(now, endpoint.vm, endpoint.incarnation),
+            now + Duration::Seconds(5));
+}
+
+// Guards against callers that wait for endpoints that want no requests.
+TEST(EndpointHoldTest, CallersAreRefusedAtOnceDuringAllCooldowns) {
+  HoldWorld world(3);
+  for (auto& [id, engine] : world.engines()) {
+    engine.cooldown = Duration::Seconds(10);
+  }
+  world.Run(Duration::Seconds(2));
+  world.refusals.clear();
+  world.Run(Duration::Seconds(1));
+  ASSERT_GT(world.refusals.size(), 20U);
+  for (const ForwardRefused& refused : world.refusals) {
+    EXPECT_EQ(refused.kind, RefusalKind::kEndpointCooldown);
+    EXPECT_GT(refused.retry_after, Duration::Seconds(1));
+    EXPECT_LT(refused.retry_after, Duration::Seconds(5));
+  }
+  EXPECT_EQ(world.FirstViolation(), "");
+}
+
 }  // namespace
 }  // namespace gcw
--- a/transport/refusal_http.cc
+++ b/transport/refusal_http.cc
@@ -50,6 +50,7 @@
     case RefusalKind::kOnceUnavailable:
     case RefusalKind::kEndpointRefused:
     case RefusalKind::kEndpointLimit:
+    case RefusalKind::kEndpointCooldown:
       return kUnavailable;
   }
   return kUnavailable;
@@ -105,6 +106,8 @@
       return "The endpoint refused it. Not run.";
     case RefusalKind::kEndpointLimit:
       return "The endpoints take no more requests now. Not run.";
+    case RefusalKind::kEndpointCooldown:
+      return "The endpoints are overloaded. Not run.";
   }
   return "Not run.";
 }
