--- a/programs/gcw_standin/platform_engine.cc
+++ b/programs/gcw_standin/platform_engine.cc
@@ -80,14 +80,31 @@
     responder->Respond({kOk, {{"Content-Type", "application/json"}}, "{}"});
   } else if (path == kOrderPath) {
     HandleOrder(request, *responder);
-  } else if (settings_.engine) {
-    limit_meter_.OnRequest(standin_server_.now());
-    StreamAnswer(request, responder);
   } else {
-    limit_meter_.OnRequest(standin_server_.now());
-    ++runs_;
-    responder->Respond({kOk, AnswerHeaders(request), "done: " + request.body});
+    HandleWork(request, responder);
+  }
+}
+
+void PlatformEngine::HandleWork(
+    const HttpRequest& request,
+    const std::shared_ptr<HttpResponder>& responder) {
+  ++arrivals_;
+  limit_meter_.OnRequest(standin_server_.now());
+  if (cooldown_) {
+    responder->Respond(
+        {kUnavailable,
+         {{std::string(kNotRunHeader), "1"},
+          {std::string(kRetryAfterHeader),
+           std::to_string(static_cast<double>(cooldown_->millis()) / 1000)}},
+         {}});
+    return;
   }
+  if (settings_.engine) {
+    StreamAnswer(request, responder);
+    return;
+  }
+  ++runs_;
+  responder->Respond({kOk, AnswerHeaders(request), "done: " + request.body});
 }
 
 void PlatformEngine::HandleOrder(const HttpRequest& request,
@@ -237,6 +254,9 @@
     headers.push_back(
         {std::string(kRateLimitHeader), std::to_string(limit->per_second())});
   }
+  if (is_leaving_) {
+    headers.push_back({std::string(kLeavingHeader), "1"});
+  }
   return headers;
 }
 
--- a/programs/gcw_standin/platform_engine.h
+++ b/programs/gcw_standin/platform_engine.h
@@ -53,12 +53,21 @@
     limit_meter_.SetLimit(standin_server_.now(), limit);
   }
   const LimitMeter& limit_meter() const { return limit_meter_; }
+  // The endpoint refuses requests and asks for this cooldown from now on, or
+  // accepts them.
+  void SetCooldown(std::optional<Duration> cooldown) { cooldown_ = cooldown; }
+  // The endpoint's answers say from now on that it is about to stop.
+  void AnnounceEnd() { is_leaving_ = true; }
+  // Number of requests that arrived, whether they ran or not.
+  std::int64_t arrivals() const { return arrivals_; }
   // Number of requests that started to run.
   std::int64_t runs() const { return runs_; }
 
  private:
   void Handle(const HttpRequest& request,
               const std::shared_ptr<HttpResponder>& responder);
+  void HandleWork(const HttpRequest& request,
+                  const std::shared_ptr<HttpResponder>& responder);
   void HandleOrder(const HttpRequest& request, HttpResponder& responder);
   int Join(const boost::json::object& order);
   int Open(const boost::json::object& order);
@@ -86,7 +95,10 @@
   FencingToken last_fence_;
   std::int64_t running_ = 0;
   std::int64_t runs_ = 0;
+  std::int64_t arrivals_ = 0;
   LimitMeter limit_meter_;
+  std::optional<Duration> cooldown_;
+  bool is_leaving_ = false;
 };
 
 }  // namespace gcw
--- a/programs/gcw_standin/platform_http_frontend.cc
+++ b/programs/gcw_standin/platform_http_frontend.cc
@@ -132,6 +132,22 @@
     responder.Respond({SetLimit(request), {}, {}});
     return;
   }
+  if (path == "/standin/cooldown") {
+    responder.Respond({SetCooldown(request), {}, {}});
+    return;
+  }
+  if (path == "/standin/leaving") {
+    responder.Respond({AnnounceEnd(request), {}, {}});
+    return;
+  }
+  if (path == "/standin/arrivals") {
+    boost::json::object arrivals;
+    for (const auto& [id, engine] : engines_) {
+      arrivals[id.value()] = engine->arrivals();
+    }
+    responder.Respond({kOk, {}, boost::json::serialize(arrivals)});
+    return;
+  }
   if (path == "/standin/limits") {
     responder.Respond({kOk, {}, DescribeLimits()});
     return;
@@ -139,9 +155,14 @@
   responder.Respond({kNotFound, {}, {}});
 }
 
-int PlatformHttpFrontend::SetLimit(const HttpRequest& request) {
+PlatformEngine* PlatformHttpFrontend::FindEngine(const HttpRequest& request) {
   const auto found = engines_.find(VmId(QueryValue(request.target, "vm")));
-  if (found == engines_.end()) {
+  return found == engines_.end() ? nullptr : found->second.get();
+}
+
+int PlatformHttpFrontend::SetLimit(const HttpRequest& request) {
+  PlatformEngine* engine = FindEngine(request);
+  if (engine == nullptr) {
     return kNotFound;
   }
   const std::string text = QueryValue(request.target, "per_s");
@@ -155,7 +176,36 @@
     }
     limit = RequestRate::PerSecond(per_second);
   }
-  found->second->SetLimit(limit);
+  engine->SetLimit(limit);
+  return kOk;
+}
+
+int PlatformHttpFrontend::SetCooldown(const HttpRequest& request) {
+  PlatformEngine* engine = FindEngine(request);
+  if (engine == nullptr) {
+    return kNotFound;
+  }
+  const std::string text = QueryValue(request.target, "ms");
+  std::optional<Duration> cooldown;
+  if (!text.empty()) {
+    std::int64_t millis = 0;
+    const auto read =
+        std::from_chars(text.data(), text.data() + text.size(), millis);
+    if (read.ec != std::errc()) {
+      return kBadRequest;
+    }
+    cooldown = Duration::Millis(millis);
+  }
+  engine->SetCooldown(cooldown);
+  return kOk;
+}
+
+int PlatformHttpFrontend::AnnounceEnd(const HttpRequest& request) {
+  PlatformEngine* engine = FindEngine(request);
+  if (engine == nullptr) {
+    return kNotFound;
+  }
+  engine->AnnounceEnd();
   return kOk;
 }
 
--- a/programs/gcw_standin/platform_http_frontend.h
+++ b/programs/gcw_standin/platform_http_frontend.h
@@ -32,7 +32,11 @@
 // version of the document. `GET /standin/runs` returns how many requests each
 // endpoint has started. `POST /standin/limit?vm=ID&per_s=N` makes an endpoint
 // name a limit in its answers, or none without `per_s`, and `GET
-// /standin/limits` returns how well the limits were kept.
+// /standin/limits` returns how well the limits were kept. `POST
+// /standin/cooldown?vm=ID&ms=N` makes an endpoint refuse requests and ask for
+// that cooldown, or accept them without `ms`; `POST /standin/leaving?vm=ID`
+// makes its answers say that it is about to stop. `GET /standin/arrivals`
+// returns how many requests reached each endpoint.
 class PlatformHttpFrontend {
  public:
   PlatformHttpFrontend(StandinServer& server,
@@ -53,6 +57,10 @@
   void WriteNextConfiguration(const HttpRequest& request);
   // Returns the status of the answer.
   int SetLimit(const HttpRequest& request);
+  int SetCooldown(const HttpRequest& request);
+  int AnnounceEnd(const HttpRequest& request);
+  // Returns null if the request names no endpoint.
+  PlatformEngine* FindEngine(const HttpRequest& request);
   std::string DescribeLimits() const;
   void Write(const std::string& key, const std::string& value);
   bool HasAllMembers(const PlatformEngine& first_member) const;
