tests: a seed on which an idempotency key runs twice under an outage lease

OnceRandomTest.NeverTwiceWithOutageLease failed once when coordination_tests was run by hand, without CTest's fixed seed. It fails each time.

--- a/tests/coordination/at_most_once/once_random_test.cc
+++ b/tests/coordination/at_most_once/once_random_test.cc
@@ -125,6 +125,33 @@
   RunRandomFaults(AnyWorld(Duration::Seconds(*rc::gen::element(6, 30))));
 }
 
+// Guards against a key that runs twice while its shard changes hands among
+// cuts, pauses and false suspicions. Found by the property above.
+TEST(OnceRandomSeedTest, NeverTwiceWithOutageLeaseAndSeed221916180060) {
+  OnceWorldSettings settings;
+  settings.nodes = kNodes;
+  settings.seed = 221916180060;
+  settings.recent_key_count = 500;
+  settings.owner.shard_count = 8;
+  settings.client.shard_count = 8;
+  settings.owner.outage_lease = Duration::Seconds(30);
+  OnceWorld world(settings);
+  world.network().faults().duplication_rate = 0.2;
+  world.network().faults().max_delay = Duration::Millis(300);
+  world.store().faults().request_loss_rate = 0.1;
+  world.store().faults().stale_read_rate = 0.3;
+  world.store().faults().max_delay = Duration::Millis(1500);
+  const std::vector<Fault> faults = {
+      {2, 1, 3, 25}, {1, 0, 0, 4}, {4, 0, 0, 15}, {4, 0, 1, 21}, {3, 2, 3, 7},
+      {3, 1, 0, 3},  {4, 1, 1, 3}, {4, 2, 0, 16}, {1, 1, 2, 1},  {1, 1, 0, 3}};
+  for (const Fault& fault : faults) {
+    world.Run(Duration::Seconds(fault.wait));
+    Inject(world, fault);
+  }
+  world.Run(Duration::Seconds(20));
+  EXPECT_EQ(world.violation(), "");
+}
+
 // The same, with senders that stall between the last check and the first byte.
 RC_GTEST_PROP(OnceRandomTest, NeverTwiceWithStalledSenders, ()) {
   OnceWorldSettings settings = AnyWorld(Duration());
