gateway: a late answer of an endpoint's earlier run changes nothing for the next

Read in review: a notice or an answer of an earlier run that arrives after the next run spoke would have replaced what the next run says of its limit or pause. Older incarnations are now ignored; both cases are tests.

--- a/coordination/gateway/endpoint_holds.cc
+++ b/coordination/gateway/endpoint_holds.cc
@@ -21,6 +21,9 @@
     return;
   }
   Hold& hold = holds_[endpoint.vm];
+  if (endpoint.incarnation < hold.incarnation) {
+    return;
+  }
   if (hold.incarnation != endpoint.incarnation) {
     hold = Hold();
     hold.incarnation = endpoint.incarnation;
--- a/coordination/gateway/endpoint_limits.cc
+++ b/coordination/gateway/endpoint_limits.cc
@@ -76,6 +76,11 @@
                          std::optional<RequestRate> rate,
                          Time heard,
                          std::string_view source) {
+  const auto known = limits_.find(endpoint.vm);
+  if (known != limits_.end() &&
+      endpoint.incarnation < known->second.endpoint.incarnation) {
+    return;
+  }
   const auto [it, is_new] = limits_.try_emplace(endpoint.vm);
   Limit& limit = it->second;
   const bool is_other_run =
--- a/tests/coordination/gateway/endpoint_hold_test.cc
+++ b/tests/coordination/gateway/endpoint_hold_test.cc
@@ -76,6 +76,13 @@
   holds.OnReport(now, {vm, Incarnation(1), ZoneId("z")}, report);
   EXPECT_FALSE(holds.MaySend(now, vm, Incarnation(1)));
   EXPECT_TRUE(holds.MaySend(now, vm, Incarnation(2)));
+  // A late answer of the earlier run changes nothing for the next one.
+  report.is_leaving = false;
+  holds.OnReport(now, {vm, Incarnation(2), ZoneId("z")}, report);
+  report.cooldown = Duration::Seconds(600);
+  holds.OnReport(now, {vm, Incarnation(1), ZoneId("z")}, report);
+  EXPECT_EQ(holds.NextSend(now, vm, Incarnation(2)),
+            now + Duration::Seconds(60));
 }
 
 TEST(EndpointHoldTest, AShorterCooldownDoesNotCutALongerOne) {
--- a/tests/coordination/gateway/endpoint_limit_test.cc
+++ b/tests/coordination/gateway/endpoint_limit_test.cc
@@ -127,6 +127,19 @@
   }
 }
 
+// Guards against a notice of an endpoint's earlier run that arrives late and
+// replaces the limit of the next one.
+TEST(EndpointLimitTest, ANoticeOfAnEarlierRunChangesNothing) {
+  EndpointLimits limits({}, SeededRandom(1), DiscardEvents());
+  const Time now = Time::FromMillis(1000000);
+  const VmId vm("a");
+  const RequestRate rate = RequestRate::PerSecond(2);
+  limits.OnNotice(now, {{vm, Incarnation(2), ZoneId("z")}, rate, Duration()});
+  const Time later = now + Duration::Millis(10);
+  limits.OnNotice(later, {{vm, Incarnation(1), ZoneId("z")}, {}, Duration()});
+  EXPECT_FALSE(limits.MaySend(later, vm, Incarnation(2)));
+}
+
 // Guards against a limit that is forgotten when the endpoint's registration
 // lapses or its group is formed again while its process goes on.
 TEST(EndpointLimitTest, ALimitOutlastsALapsedRegistration) {
