gateway: settings name the fields that they set

The lease of a gateway, the backoff of a replica and the delays of callers beyond all limits were lists of durations without names.

--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -33,8 +33,9 @@
   // The order of return where all endpoints of a model are at their limits:
   // callers are spread over the time in which these take them. Callers wait for
   // a third of the time that they have left at most.
-  RetryAfterSettings limited_returns = {Duration::Millis(300),
-                                        Duration::Seconds(3), 0.25, 1, 0.1};
+  RetryAfterSettings limited_returns = {.min_delay = Duration::Millis(300),
+                                        .max_delay = Duration::Seconds(3),
+                                        .min_return_rate = 0.1};
   DeferralPolicySettings deferral;
 };
 
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -39,14 +39,15 @@
   NodeRecord self;
   // Peer addresses from the settings. Some may be stale.
   std::vector<Address> seeds;
-  NodeLeaseSettings lease = {Duration::Millis(1800),
-                             Duration::Millis(500),
-                             Duration::Millis(300),
-                             Duration::Millis(700),
-                             {Duration::Millis(150), Duration::Millis(800)},
-                             Duration::Millis(6000),
-                             Duration::Millis(2000),
-                             Duration::Millis(2500)};
+  NodeLeaseSettings lease = {.time_to_live = Duration::Millis(1800),
+                             .renew_interval = Duration::Millis(500),
+                             .margin = Duration::Millis(300),
+                             .call_timeout = Duration::Millis(700),
+                             .backoff = {.initial = Duration::Millis(150),
+                                         .maximum = Duration::Millis(800)},
+                             .relaxed_time_to_live = Duration::Millis(6000),
+                             .relaxed_renew_interval = Duration::Millis(2000),
+                             .relaxed_backoff = Duration::Millis(2500)};
   RoleLeasesSettings roles = DefaultRoleSettings();
   StoreMirrorSettings mirror;
   FleetControllerSettings controller;
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -69,8 +69,9 @@
   // A load report is used for this long.
   Duration load_report_ttl = Duration::Millis(2500);
   EndpointLimitSettings limits;
-  FailureBackoffSettings backoff = {Duration::Millis(300), Duration::Seconds(3),
-                                    Duration::Seconds(2)};
+  FailureBackoffSettings backoff = {.initial_backoff = Duration::Millis(300),
+                                    .max_backoff = Duration::Seconds(3),
+                                    .trial_timeout = Duration::Seconds(2)};
 };
 
 // A target of requests: a replica group, addressed at its first member, or a
