gateway: limits of endpoints that are gone are forgotten

Read in review: nothing removed the limit of an endpoint that never came back, so a node's memory grew with each. A limit still outlasts a lapsed registration and a new group of the same process. ALimitOfAnAbsentEndpointIsForgottenAfterAWhile is the test; the end of a limit that this node never knew is no longer reported.

--- a/coordination/gateway/endpoint_holds.h
+++ b/coordination/gateway/endpoint_holds.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 
 #include "coordination/gateway/endpoint_report.h"
 #include "core/core.h"
--- a/coordination/gateway/endpoint_limits.cc
+++ b/coordination/gateway/endpoint_limits.cc
@@ -101,7 +101,8 @@
   } else if (changed && rate) {
     UpdateSenders(now, limit);
   }
-  if (changed) {
+  const bool is_news = changed && (rate || !is_new);
+  if (is_news) {
     EmitEvent(now, limit, source);
     ScheduleNotice(limit);
   }
@@ -253,10 +254,13 @@
   }
 }
 
-void EndpointLimits::Tick(Time now) {
+void EndpointLimits::Tick(Time now,
+                          const std::function<bool(const VmId&)>& is_present) {
   std::erase_if(limits_, [&](const auto& entry) {
-    return !entry.second.rate && !entry.second.must_notify &&
-           now - entry.second.heard >= settings_.lifted_ttl;
+    const Limit& limit = entry.second;
+    const Duration age = now - limit.heard;
+    return limit.rate ? age >= settings_.absent_ttl && !is_present(entry.first)
+                      : age >= settings_.lifted_ttl && !limit.must_notify;
   });
   for (auto& [vm, limit] : limits_) {
     if (now >= limit.trial_at + settings_.trial_window) {
--- a/coordination/gateway/endpoint_limits.h
+++ b/coordination/gateway/endpoint_limits.h
@@ -3,8 +3,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "coordination/gateway/endpoint_report.h"
@@ -43,6 +45,9 @@
   Duration notice_interval = Duration::Seconds(1);
   // A lifted limit is remembered this long, to recognize older notices of it.
   Duration lifted_ttl = Duration::Seconds(10);
+  // The limit of an endpoint that takes no requests is remembered this long. It
+  // belongs to the process and outlasts a lapsed registration or a new group.
+  Duration absent_ttl = Duration::Seconds(600);
 };
 
 // Message between nodes: what an endpoint said of its limit.
@@ -83,7 +88,8 @@
   void OnNotice(Time now, const LimitNotice& notice);
   // A request was sent to the endpoint.
   void OnSent(Time now, const VmId& vm);
-  void Tick(Time now);
+  // `is_present` tells whether the endpoint takes requests.
+  void Tick(Time now, const std::function<bool(const VmId&)>& is_present);
 
   // Whether this node may send the endpoint one more request.
   bool MaySend(Time now, const VmId& vm, Incarnation incarnation) const;
@@ -95,8 +101,6 @@
   std::size_t size() const;
   // Returns what other nodes should be told.
   std::vector<LimitNotice> TakeNotices(Time now);
-  // Forgets the endpoint, which is gone.
-  void Forget(const VmId& vm) { limits_.erase(vm); }
 
  private:
   struct Limit {
--- a/coordination/gateway/replica_selector_stall.cc
+++ b/coordination/gateway/replica_selector_stall.cc
@@ -29,7 +29,7 @@
 }
 
 std::vector<AttemptNumber> ReplicaSelector::Tick(Time now) {
-  limits_.Tick(now);
+  limits_.Tick(now, [this](const VmId& vm) { return states_.contains(vm); });
   holds_.Tick(now);
   const std::set<VmId> silent = FindSilent(now);
   std::vector<AttemptNumber> stalled;
--- a/tests/coordination/gateway/endpoint_limit_test.cc
+++ b/tests/coordination/gateway/endpoint_limit_test.cc
@@ -140,6 +140,23 @@
   EXPECT_FALSE(limits.MaySend(later, vm, Incarnation(2)));
 }
 
+// Guards against limits of endpoints that are gone for good filling the memory.
+TEST(EndpointLimitTest, ALimitOfAnAbsentEndpointIsForgottenAfterAWhile) {
+  EndpointLimits limits({}, SeededRandom(1), DiscardEvents());
+  const Time now = Time::FromMillis(1000000);
+  for (const char* vm : {"present", "absent"}) {
+    limits.OnNotice(now, {{VmId(vm), Incarnation(1), ZoneId("z")},
+                          RequestRate::PerSecond(2),
+                          Duration()});
+  }
+  const auto is_present = [](const VmId& vm) { return vm == VmId("present"); };
+  limits.Tick(now + Duration::Seconds(500), is_present);
+  EXPECT_EQ(limits.size(), 2U);
+  limits.Tick(now + Duration::Seconds(700), is_present);
+  EXPECT_EQ(limits.size(), 1U);
+  EXPECT_TRUE(limits.IsLimited(VmId("present")));
+}
+
 // Guards against a limit that is forgotten when the endpoint's registration
 // lapses or its group is formed again while its process goes on.
 TEST(EndpointLimitTest, ALimitOutlastsALapsedRegistration) {
