--- a/tests/programs/gateway_limit_test.cc
+++ b/tests/programs/gateway_limit_test.cc
@@ -35,7 +35,9 @@
   std::atomic<bool> stop = false;
   std::atomic<int> served = 0;
   std::atomic<int> wrong = 0;
-  for (int i = 0; i < 4; ++i) {
+  constexpr int kCallers = 4;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] {
       while (!stop) {
         const HttpResponse answer =
