gateway: events for crashed endpoints and the fingerprints of requests

A node that loses a connection in the middle of an answer now checks the endpoint with a new connection, at most twice a second, and emits endpoint_crashed with the requests that may have ended it: those without an event so far, or with events for less than half a second. Events of requests carry the fingerprint of host, method, target, body and customer.

--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -15,6 +15,8 @@
 #include "coordination/configuration/config_sync.h"
 #include "coordination/configuration/record_changes.h"
 #include "coordination/gateway/change_feed.h"
+#include "coordination/gateway/crash_detector.h"
+#include "coordination/gateway/crash_guard.h"
 #include "coordination/gateway/deferral_policy.h"
 #include "coordination/gateway/endpoint_holds.h"
 #include "coordination/gateway/endpoint_limits.h"
--- /dev/null
+++ b/coordination/gateway/crash_detector.cc
@@ -0,0 +1,117 @@
+#include "coordination/gateway/crash_detector.h"
+
+#include <utility>
+
+namespace gcw {
+namespace {
+
+constexpr std::string_view kConnectionRefused = "connection_refused";
+constexpr std::string_view kAddressReassigned = "address_reassigned";
+constexpr std::string_view kRegistrationLost = "registration_lost";
+constexpr std::string_view kRestarted = "restarted";
+
+}  // namespace
+
+CrashDetector::CrashDetector(CrashDetectorSettings settings)
+    : settings_(settings) {}
+
+void CrashDetector::OnBroken(Time now, const BrokenAttempt& attempt) {
+  const auto [it, is_new] = breaks_.try_emplace(attempt.endpoint.vm);
+  Break& broken = it->second;
+  if (!is_new &&
+      broken.crash.endpoint.incarnation != attempt.endpoint.incarnation) {
+    broken = Break();
+  }
+  broken.crash.endpoint = attempt.endpoint;
+  broken.address = attempt.address;
+  broken.last_broken = now;
+  ++broken.crash.broken_attempts;
+  if (attempt.suspect) {
+    broken.crash.suspects.insert(*attempt.suspect);
+  }
+  if (broken.is_crashed) {
+    Confirm(broken, broken.crash.evidence);
+    return;
+  }
+  broken.must_check = true;
+  Check(now, broken);
+}
+
+void CrashDetector::Check(Time now, Break& broken) {
+  if (broken.is_checking || !broken.must_check ||
+      (broken.last_check != Time() &&
+       now - broken.last_check < settings_.check_interval)) {
+    return;
+  }
+  broken.is_checking = true;
+  broken.must_check = false;
+  broken.last_check = now;
+  checks_.push_back(
+      {broken.crash.endpoint.vm, broken.address, settings_.check_timeout});
+}
+
+void CrashDetector::OnCheckReply(Time now, const VmId& vm, ProbeResult result) {
+  const auto found = breaks_.find(vm);
+  if (found == breaks_.end() || !found->second.is_checking) {
+    return;
+  }
+  Break& broken = found->second;
+  broken.is_checking = false;
+  switch (result) {
+    case ProbeResult::kRefused:
+      Confirm(broken, kConnectionRefused);
+      return;
+    case ProbeResult::kWrongVm:
+      Confirm(broken, kAddressReassigned);
+      return;
+    case ProbeResult::kAnswered:
+    case ProbeResult::kConnected:
+      // Attempts that broke after the check was sent need another one.
+      if (broken.must_check) {
+        Check(now, broken);
+      } else {
+        breaks_.erase(found);
+      }
+      return;
+    case ProbeResult::kUnreachable:
+      return;
+  }
+}
+
+void CrashDetector::OnRegistration(Time /*now*/,
+                                   const VmId& vm,
+                                   std::optional<Incarnation> run) {
+  const auto found = breaks_.find(vm);
+  if (found == breaks_.end() || found->second.is_crashed ||
+      run == found->second.crash.endpoint.incarnation) {
+    return;
+  }
+  Confirm(found->second, run ? kRestarted : kRegistrationLost);
+}
+
+void CrashDetector::Confirm(Break& broken, std::string_view evidence) {
+  broken.is_crashed = true;
+  broken.crash.evidence = evidence;
+  crashes_.push_back(broken.crash);
+}
+
+void CrashDetector::Tick(Time now) {
+  std::erase_if(breaks_, [&](const auto& entry) {
+    return now - entry.second.last_broken >= settings_.memory;
+  });
+  for (auto& [vm, broken] : breaks_) {
+    if (!broken.is_crashed) {
+      Check(now, broken);
+    }
+  }
+}
+
+std::vector<CheckEndpoint> CrashDetector::TakeChecks() {
+  return std::exchange(checks_, {});
+}
+
+std::vector<EndpointCrash> CrashDetector::TakeCrashes() {
+  return std::exchange(crashes_, {});
+}
+
+}  // namespace gcw
--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -1,18 +1,23 @@
 #include "coordination/gateway/forward_controller.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
+#include "coordination/stable_hash.h"
+
 namespace gcw {
 
 ForwardController::ForwardController(ForwardControllerSettings settings,
                                      ReplicaSelector* selector,
                                      SharedRetryBudget* budget,
+                                     CrashGuard* crash_guard,
                                      Random random,
                                      EventSink events)
     : settings_(settings),
       selector_(selector),
       budget_(budget),
+      crash_guard_(crash_guard),
       random_(std::move(random)),
       events_(std::move(events)),
       deferral_policy_(settings.deferral) {}
@@ -58,6 +63,7 @@
     open_request.customer = customer->customer;
     open_request.rank = customer->rank.value_or(open_request.rank);
   }
+  open_request.fingerprint = MakeFingerprint(open_request);
   open_request.deadline =
       now + std::min(open_request.request.caller_timeout.value_or(
                          open_request.route->time_limit),
@@ -114,7 +120,9 @@
     return ErrorOf(choice);
   }
   const Replica& replica = ValueOf(choice).replica;
-  open_request.vm = replica.vm;
+  open_request.endpoint = {replica.vm, replica.incarnation, replica.zone};
+  open_request.address = replica.address;
+  open_request.first_event.reset();
   open_request.attempt =
       selector_->OnSent(now, replica.vm, open_request.request.prompt_tokens,
                         open_request.route->streams);
@@ -134,6 +142,15 @@
   return send;
 }
 
+Fingerprint ForwardController::MakeFingerprint(
+    const OpenRequest& open_request) {
+  const std::string text =
+      std::to_string(open_request.request.content.value()) + "\n" +
+      open_request.customer.value();
+  return Fingerprint(
+      static_cast<std::int64_t>(StableHash(text) & kFingerprintMask));
+}
+
 bool ForwardController::HasModels(const OpenRequest& open_request) {
   const ServiceRule* service =
       open_request.routes->FindService(open_request.service);
@@ -168,6 +185,23 @@
   }
 }
 
+void ForwardController::ReportBreak(Time now,
+                                    const OpenRequest& open_request,
+                                    const ForwardEnd& end) {
+  if (end.kind != ForwardEndKind::kConnectionBroken ||
+      !end.closed_by_endpoint) {
+    return;
+  }
+  const bool is_harmless =
+      open_request.first_event &&
+      now - *open_request.first_event >= crash_guard_->proof_time();
+  BrokenAttempt broken = {open_request.endpoint, open_request.address, {}};
+  if (!is_harmless) {
+    broken.suspect = open_request.fingerprint;
+  }
+  crash_guard_->OnBroken(now, broken);
+}
+
 ForwardStep ForwardController::OnEnded(Time now,
                                        ForwardId id,
                                        const ForwardEnd& end) {
@@ -177,9 +211,10 @@
   }
   OpenRequest& open_request = found->second;
   selector_->OnEnded(now, open_request.attempt, end.kind);
+  ReportBreak(now, open_request, end);
   by_attempt_.erase(open_request.attempt);
-  open_request.excluded.push_back(open_request.vm);
-  if (!end.at_fault.empty() && end.at_fault != open_request.vm) {
+  open_request.excluded.push_back(open_request.endpoint.vm);
+  if (!end.at_fault.empty() && end.at_fault != open_request.endpoint.vm) {
     open_request.excluded.push_back(end.at_fault);
   }
   ForwardStep step = NextStep(now, open_request, end);
@@ -291,7 +326,7 @@
   }
   EmitEvent(EventKind::kRequestRetried, open_request,
             {{"after", std::string(ForwardEndKindName(end.kind))},
-             {"vm", open_request.vm.value()},
+             {"vm", open_request.endpoint.vm.value()},
              {"sends", open_request.sends},
              {"resume_after", resume.value_or(-1)}});
   return send;
@@ -305,7 +340,7 @@
     EmitEvent(EventKind::kRequestOutcomeUnknown, open_request,
               {{"end", std::string(ForwardEndKindName(end.kind))},
                {"reason", std::string(RefusalKindName(reason))},
-               {"vm", open_request.vm.value()},
+               {"vm", open_request.endpoint.vm.value()},
                {"sends", open_request.sends},
                {"answer", std::string("cut")}});
     return ForwardTruncated{};
@@ -316,7 +351,7 @@
   EmitEvent(EventKind::kRequestOutcomeUnknown, open_request,
             {{"end", std::string(ForwardEndKindName(end.kind))},
              {"reason", std::string(RefusalKindName(reason))},
-             {"vm", open_request.vm.value()},
+             {"vm", open_request.endpoint.vm.value()},
              {"sends", open_request.sends},
              {"waited_ms", (now - open_request.arrived).millis()}});
   return ForwardOutcomeUnknown{end.kind == ForwardEndKind::kDeadlineExceeded};
@@ -377,6 +412,9 @@
   if (found != open_requests_.end()) {
     RecordStart(now, found->second);
     found->second.last_event = now;
+    if (!found->second.first_event) {
+      found->second.first_event = now;
+    }
     selector_->OnProgress(now, found->second.attempt);
   }
 }
@@ -415,7 +453,7 @@
         open_request.route->retry_policy != RetryPolicy::kNever &&
         open_request.possible_runs + 1 < open_request.route->max_attempts &&
         now + settings_.min_time_left < open_request.deadline;
-    const std::vector<VmId> excluded = {open_request.vm};
+    const std::vector<VmId> excluded = {open_request.endpoint.vm};
     if (may_repeat &&
         IsOk(selector_->Choose(now, MakeDemand(open_request), excluded))) {
       movable.push_back(found->second);
@@ -432,6 +470,7 @@
     fields.push_back(
         {"version", open_request.routes->configuration().version.value()});
   }
+  fields.push_back({"fingerprint", open_request.fingerprint.value()});
   events_({kind, open_request.request.id.value(), {}, std::move(fields)});
 }
 
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "coordination/gateway/crash_guard.h"
 #include "coordination/gateway/deferral_policy.h"
 #include "coordination/gateway/endpoint_report.h"
 #include "coordination/gateway/forward_request.h"
@@ -53,6 +54,7 @@
   ForwardController(ForwardControllerSettings settings,
                     ReplicaSelector* selector,
                     SharedRetryBudget* budget,
+                    CrashGuard* crash_guard,
                     Random random,
                     EventSink events);
 
@@ -84,13 +86,18 @@
     const RouteRule* route = nullptr;
     ServiceId service;
     CustomerId customer;
+    // Of the request's content and its customer.
+    Fingerprint fingerprint;
     Time arrived;
     Time deadline;
     // Time of the last events that the caller received.
     Time last_event;
     std::vector<VmId> excluded;
-    VmId vm;
+    EndpointRun endpoint;
+    Address address;
     AttemptNumber attempt;
+    // Time of the first event of the current attempt.
+    std::optional<Time> first_event;
     std::int64_t sends = 0;
     // Number of sends that may have been executed.
     std::int64_t possible_runs = 0;
@@ -105,8 +112,13 @@
 
   // True if the service's endpoints run models.
   static bool HasModels(const OpenRequest& open_request);
+  static Fingerprint MakeFingerprint(const OpenRequest& open_request);
   static ReplicaDemand MakeDemand(const OpenRequest& open_request);
   void RecordStart(Time now, OpenRequest& open_request);
+  // Tells the crash guard of an attempt that may have broken with its endpoint.
+  void ReportBreak(Time now,
+                   const OpenRequest& open_request,
+                   const ForwardEnd& end);
   // Tells the deferral policy that the request no longer waits to start.
   void StopWaiting(OpenRequest& open_request);
   ForwardStep Admit(Time now, OpenRequest& open_request);
@@ -151,6 +163,7 @@
   ForwardControllerSettings settings_;
   ReplicaSelector* selector_;
   SharedRetryBudget* budget_;
+  CrashGuard* crash_guard_;
   Random random_;
   EventSink events_;
   DeferralPolicy deferral_policy_;
--- a/coordination/gateway/forward_request.h
+++ b/coordination/gateway/forward_request.h
@@ -33,6 +33,9 @@
   TokenCount max_generated_tokens;
   // Last event of the stream that the caller already has.
   std::optional<std::int64_t> resume_after;
+  // Hash of host, method, target and body. A caller's next attempt and a
+  // resumed stream have the same.
+  Fingerprint content;
 };
 
 // Step: the request is sent to this endpoint.
@@ -105,6 +108,8 @@
   ForwardEndKind kind = ForwardEndKind::kConnectionBroken;
   // The VM that the endpoint says is at fault; empty if it names none.
   VmId at_fault;
+  // The endpoint closed the connection before the end of its answer.
+  bool closed_by_endpoint = false;
   // The caller has received bytes of the answer.
   bool delivered = false;
   // Last complete event that the caller has received.
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -71,7 +71,20 @@
                 codecs.encode_overview),
       selector_(settings_.selector, settings_.self.zone, random_, events_),
       budget_(settings_.retries),
-      forwards_(settings_.requests, &selector_, &budget_, random_, events_) {}
+      crash_guard_(
+          settings_.crashes,
+          [this](const EndpointRun& run) {
+            const VmRegistration* vm = view_.FindVm(run.vm);
+            return vm != nullptr && !vm->draining &&
+                   vm->incarnation == run.incarnation;
+          },
+          events_),
+      forwards_(settings_.requests,
+                &selector_,
+                &budget_,
+                &crash_guard_,
+                random_,
+                events_) {}
 
 Duration GatewayCore::InitialReadSpread() const {
   if (!view_.routes() || !view_.has_overview()) {
@@ -109,6 +122,7 @@
     }
   }
   NotifyLimits(now);
+  crash_guard_.Tick(now);
   RunController(now);
   WriteOverview(now);
   QueryWitnessesForController(now);
@@ -220,6 +234,13 @@
   return TakeActions();
 }
 
+GatewayActions GatewayCore::OnCheckReply(Time now,
+                                         const VmId& vm,
+                                         ProbeResult result) {
+  crash_guard_.OnCheckReply(now, vm, result);
+  return TakeActions();
+}
+
 void GatewayCore::OnStopRequested(Time now) {
   if (stop_requested_at_) {
     return;
@@ -469,6 +490,9 @@
 }
 
 GatewayActions GatewayCore::TakeActions() {
+  for (CheckEndpoint& check : crash_guard_.TakeChecks()) {
+    actions_.emplace_back(std::move(check));
+  }
   return std::exchange(actions_, {});
 }
 
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/gateway/crash_guard.h"
 #include "coordination/gateway/fleet_controller.h"
 #include "coordination/gateway/fleet_view.h"
 #include "coordination/gateway/forward_controller.h"
@@ -54,6 +55,7 @@
   OverviewWriterSettings overview;
   ReplicaSelectorSettings selector;
   SharedRetryBudgetSettings retries;
+  CrashGuardSettings crashes;
   ForwardControllerSettings requests;
   // How long callers may cache the list of addresses; some cache it three times
   // as long. While all nodes are down a look-up blocks for a second, so the
@@ -169,6 +171,7 @@
                                    NotifyNode,
                                    RequestGroupProgress,
                                    NotifyLimit,
+                                   CheckEndpoint,
                                    SendGroupOrder,
                                    ProbeEngine,
                                    FailOverForward,
@@ -227,8 +230,13 @@
   GatewayActions OnProbeReply(Time now,
                               const VmId& vm,
                               const ProbeReport& report);
+  // The endpoint's process accepted or refused a new connection.
+  GatewayActions OnCheckReply(Time now, const VmId& vm, ProbeResult result);
   void OnStopRequested(Time now);
 
+  // Returns the actions that events of requests, which return a step, led to.
+  GatewayActions TakeActions();
+
   ForwardAdmission OnArrived(Time now, ForwardRequest request);
   ForwardStep OnEnded(Time now, ForwardId id, const ForwardEnd& end);
   void OnProgress(Time now, ForwardId id) { forwards_.OnProgress(now, id); }
@@ -316,7 +324,6 @@
   std::vector<Replica> MakeReplicas() const;
   // Absent if the VM accepts no requests.
   std::optional<Replica> MakeReplica(const VmRegistration& vm) const;
-  GatewayActions TakeActions();
 
   GatewaySettings settings_;
   Random random_;
@@ -329,6 +336,7 @@
   OverviewWriter overview_;
   ReplicaSelector selector_;
   SharedRetryBudget budget_;
+  CrashGuard crash_guard_;
   ForwardController forwards_;
 
   // When the fleet was known for the first time.
--- a/coordination/gateway/gateway_core_replicas.cc
+++ b/coordination/gateway/gateway_core_replicas.cc
@@ -20,6 +20,11 @@
   }
   const std::set<VmId> changed = view_.TakeChangedVms();
   controller_.OnVmsChanged(changed);
+  for (const VmId& id : changed) {
+    const VmRegistration* vm = view_.FindVm(id);
+    crash_guard_.OnRegistration(
+        now, id, vm != nullptr ? std::optional(vm->incarnation) : std::nullopt);
+  }
   for (Address& address : view_.TakeRestartedAddresses()) {
     actions_.emplace_back(DropPooledConnections{std::move(address)});
   }
--- a/core/event.cc
+++ b/core/event.cc
@@ -71,6 +71,8 @@
       return "endpoint_restored";
     case EventKind::kEndpointLeaving:
       return "endpoint_leaving";
+    case EventKind::kEndpointCrashed:
+      return "endpoint_crashed";
     case EventKind::kEndpointCooldown:
       return "endpoint_cooldown";
     case EventKind::kEndpointLimitNamed:
--- a/core/event.h
+++ b/core/event.h
@@ -51,6 +51,7 @@
   kEndpointRestored,
   kEndpointLeaving,
   kEndpointCooldown,
+  kEndpointCrashed,
   kEndpointLimitNamed,
   kEndpointLimitLifted,
   kFingerprintBlocked,
--- a/core/ids.h
+++ b/core/ids.h
@@ -54,6 +54,9 @@
 using Rank = StrongNumber<struct RankTag>;
 // Hash of a request's content, equal if the request is sent again.
 using Fingerprint = StrongNumber<struct FingerprintTag>;
+// Keeps fingerprints positive and within the 53 bits that all codecs can
+// represent.
+inline constexpr std::uint64_t kFingerprintMask = (std::uint64_t{1} << 52) - 1;
 
 }  // namespace gcw
 
--- a/tests/coordination/gateway/forward_controller_test.cc
+++ b/tests/coordination/gateway/forward_controller_test.cc
@@ -45,6 +45,7 @@
         controller_({},
                     &selector_,
                     &budget_,
+                    &crash_guard_,
                     SeededRandom(2),
                     [this](const EventDraft& event) {
                       events_.push_back(event.kind);
@@ -88,6 +89,9 @@
   std::vector<EventKind> events_;
   ReplicaSelector selector_;
   SharedRetryBudget budget_;
+  CrashGuard crash_guard_{{},
+                          [](const EndpointRun&) { return true; },
+                          DiscardEvents()};
   ForwardController controller_;
 };
 
@@ -373,8 +377,10 @@
                            SeededRandom(*rc::gen::inRange(1, 100000)),
                            DiscardEvents());
   SharedRetryBudget budget({0.2, 100, Duration::Seconds(10), 0.8});
-  ForwardController controller({}, &selector, &budget, SeededRandom(3),
-                               DiscardEvents());
+  CrashGuard crash_guard(
+      {}, [](const EndpointRun&) { return true; }, DiscardEvents());
+  ForwardController controller({}, &selector, &budget, &crash_guard,
+                               SeededRandom(3), DiscardEvents());
   std::vector<Replica> replicas;
   for (int i = 0; i < *rc::gen::inRange(1, 6); ++i) {
     Replica replica;
--- a/tests/coordination/gateway/overload_test.cc
+++ b/tests/coordination/gateway/overload_test.cc
@@ -81,9 +81,17 @@
     Node(const ZoneId& zone, const Random& random)
         : selector({}, zone, random, DiscardEvents()),
           budget({0.2, 136, Duration::Seconds(10), 0.8}),
-          controller({}, &selector, &budget, random, DiscardEvents()) {}
+          controller({},
+                     &selector,
+                     &budget,
+                     &crash_guard,
+                     random,
+                     DiscardEvents()) {}
     ReplicaSelector selector;
     SharedRetryBudget budget;
+    CrashGuard crash_guard{{},
+                           [](const EndpointRun&) { return true; },
+                           DiscardEvents()};
     ForwardController controller;
   };
   struct Request {
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -25,6 +25,8 @@
   static constexpr Duration kNetworkDelay = Duration::Millis(2);
   static constexpr Duration kHeartbeat = Duration::Millis(1200);
   static constexpr Duration kRegistrationTtl = Duration::Millis(3600);
+  // The background traffic's requests all differ, and have contents above this.
+  static constexpr std::int64_t kFirstOwnContent = 1000000;
 
   using Engine = SimulatedEngines::Engine;
   struct Node {
@@ -40,9 +42,20 @@
     std::int64_t store_renewals = 0;
     int run = 0;
   };
+  // One attempt of a caller.
+  struct SimulatedRequest {
+    std::string model;
+    Fingerprint content;
+    // The engine that begins to run it crashes.
+    bool crashes = false;
+    // Number of the caller's attempts before this one.
+    int earlier_attempts = 0;
+    Time arrived;
+  };
   struct Stream {
     std::size_t node;
     ForwardId id;
+    SimulatedRequest request;
     VmId vm;
     GroupId group;
     int events = 0;
@@ -203,6 +216,20 @@
     engines_.at(vm).self.draining = true;
     Publish(engines_.at(vm));
   }
+  // The engine's process ends and closes its connections. It restarts under its
+  // id after a while.
+  void Crash(const VmId& vm) {
+    Kill(vm);
+    engines_.at(vm).refuses_connections = true;
+    for (const Stream& stream : streams_) {
+      if (stream.vm == vm) {
+        Schedule(kNetworkDelay, [this, node = stream.node, id = stream.id, vm] {
+          BreakStream(node, id, vm);
+        });
+      }
+    }
+    Schedule(restart_delay, [this, vm] { Restart(vm); });
+  }
   // Crashes the engine and restarts it under its id at once.
   void Restart(const VmId& vm) {
     limit_rule_.OnNamed(now_, vm, std::nullopt);
@@ -308,6 +335,22 @@
         DiscardEvents());
   }
 
+  // A caller's attempt arrives at the node.
+  void Send(std::size_t node, SimulatedRequest simulated) {
+    simulated.arrived = now_;
+    ForwardRequest request;
+    request.id = RequestId("q" + std::to_string(++last_request_id_));
+    request.host = "h";
+    request.path = "/m/x";
+    request.model = ModelId(simulated.model);
+    request.prompt_tokens = TokenCount(500);
+    request.content = simulated.content;
+    const ForwardAdmission admission =
+        nodes_[node].core->OnArrived(now_, std::move(request));
+    Take(node, admission.id, simulated, admission.step);
+    Execute(node, nodes_[node].core->TakeActions());
+  }
+
   // Weights, other than 1, of nodes that start from now on.
   std::map<std::size_t, std::int64_t> weights;
   bool store_down = false;
@@ -325,7 +368,19 @@
   int progress_requests = 0;
   int change_requests = 0;
   int limit_notices = 0;
+  int endpoint_checks = 0;
   bool lose_limit_notices = false;
+  Duration restart_delay = Duration::Seconds(3);
+  // A request reached an engine.
+  std::function<void(const SimulatedRequest&, std::size_t node, const VmId&)>
+      on_arrival = [](const auto&, std::size_t, const VmId&) {};
+  // An engine crashed because it ran the request.
+  std::function<void(const SimulatedRequest&, const VmId&)> on_crash =
+      [](const auto&, const VmId&) {};
+  // The caller got its final answer.
+  std::function<
+      void(const SimulatedRequest&, std::size_t node, const ForwardStep&)>
+      on_final = [](const auto&, std::size_t, const ForwardStep&) {};
   // Requests for a snapshot of all keys.
   int snapshot_requests = 0;
   int role_reads = 0;
@@ -607,13 +662,56 @@
     }
     const ForwardStep step = nodes_[index].core->OnEnded(now_, stream->id, end);
     if (const auto* send = std::get_if<SendForward>(&step)) {
-      OnArrival(index, send->vm);
+      OnArrival(index, stream->request, send->vm);
       stream->vm = send->vm;
       stream->group = engine_simulation_.GroupAt(send->vm);
     } else {
       ++lost_streams;
+      const SimulatedRequest request = stream->request;
       streams_.erase(stream);
+      on_final(request, index, step);
+    }
+  }
+
+  // The connection of a stream closes before the end of its answer.
+  void BreakStream(std::size_t index, ForwardId id, const VmId& vm) {
+    const auto stream =
+        std::find_if(streams_.begin(), streams_.end(), [&](const Stream& s) {
+          return s.node == index && s.id == id && s.vm == vm;
+        });
+    if (stream == streams_.end() || !IsRunning(index)) {
+      return;
     }
+    const Stream broken = *stream;
+    streams_.erase(stream);
+    ForwardEnd end;
+    end.kind = ForwardEndKind::kConnectionBroken;
+    end.closed_by_endpoint = true;
+    end.delivered = broken.events > 0;
+    if (end.delivered) {
+      end.last_event = broken.events;
+    }
+    GatewayCore& core = *nodes_[index].core;
+    const ForwardStep step = core.OnEnded(now_, id, end);
+    Take(index, id, broken.request, step, broken.events);
+    Execute(index, core.TakeActions());
+  }
+
+  void Perform(std::size_t index, const CheckEndpoint& check) {
+    const int run = nodes_[index].run;
+    const Engine& engine = engines_.at(check.vm);
+    const bool is_reachable =
+        !engine.node_cut && (engine.alive || engine.refuses_connections);
+    const ProbeResult result = !is_reachable  ? ProbeResult::kUnreachable
+                               : engine.alive ? ProbeResult::kAnswered
+                                              : ProbeResult::kRefused;
+    ++endpoint_checks;
+    Schedule(is_reachable ? kNetworkDelay * 2 : check.timeout,
+             [this, index, run, check, result] {
+               RunAtNode(index, run, [&](GatewayCore& core) {
+                 return core.OnCheckReply(now_, check.vm, result);
+               });
+             });
   }
 
   void Perform(std::size_t index, const ProbeEngine& probe) {
@@ -665,62 +763,86 @@
         continue;
       }
       for (const char* model : {"large", "small"}) {
-        ForwardRequest request;
-        request.id = RequestId("q" + std::to_string(++last_request_id_));
-        request.host = "h";
-        request.path = "/m/x";
-        request.model = ModelId(model);
-        request.prompt_tokens = TokenCount(500);
-        const ForwardAdmission admission =
-            nodes_[i].core->OnArrived(now_, std::move(request));
-        Take(i, admission.id, admission.step);
+        SimulatedRequest request;
+        request.model = model;
+        request.content = Fingerprint(kFirstOwnContent + ++last_content_);
+        Send(i, request);
       }
     }
   }
 
   // Takes a step for a request whose answer has not begun.
-  void Take(std::size_t node, ForwardId id, const ForwardStep& step) {
+  void Take(std::size_t node,
+            ForwardId id,
+            const SimulatedRequest& request,
+            const ForwardStep& step,
+            int events = 0) {
     if (const auto* refused = std::get_if<ForwardRefused>(&step)) {
       refusals.push_back(*refused);
     }
     const auto* send = std::get_if<SendForward>(&step);
     if (send == nullptr) {
+      on_final(request, node, step);
       return;
     }
     const VmId vm = send->vm;
-    OnArrival(node, vm);
+    if (!engines_.at(vm).alive && engines_.at(vm).refuses_connections) {
+      Schedule(kNetworkDelay * 2,
+               [this, node, id, request, events, run = nodes_[node].run] {
+                 OnConnectionRefused(node, run, id, request, events);
+               });
+      return;
+    }
+    OnArrival(node, request, vm);
     if (!engines_.at(vm).cooldown) {
-      streams_.push_back(
-          {node, id, vm, engine_simulation_.GroupAt(vm), 0, nodes_[node].run});
+      streams_.push_back({node, id, request, vm, engine_simulation_.GroupAt(vm),
+                          events, nodes_[node].run});
       return;
     }
     const Duration cooldown = *engines_.at(vm).cooldown;
     hold_rule_.OnCooldown(now_, vm, node, cooldown);
-    Schedule(kNetworkDelay, [this, node, id, cooldown, run = nodes_[node].run] {
-      if (!IsRunning(node) || nodes_[node].run != run) {
-        return;
-      }
-      GatewayCore& core = *nodes_[node].core;
-      EndpointReport report;
-      report.cooldown = cooldown;
-      core.OnReport(now_, id, report);
-      ForwardEnd end;
-      end.kind = ForwardEndKind::kNotRun;
-      Take(node, id, core.OnEnded(now_, id, end));
-    });
+    Schedule(kNetworkDelay,
+             [this, node, id, request, cooldown, run = nodes_[node].run] {
+               if (!IsRunning(node) || nodes_[node].run != run) {
+                 return;
+               }
+               GatewayCore& core = *nodes_[node].core;
+               EndpointReport report;
+               report.cooldown = cooldown;
+               core.OnReport(now_, id, report);
+               ForwardEnd end;
+               end.kind = ForwardEndKind::kNotRun;
+               Take(node, id, request, core.OnEnded(now_, id, end));
+             });
+  }
+
+  void OnConnectionRefused(std::size_t node,
+                           int run,
+                           ForwardId id,
+                           const SimulatedRequest& request,
+                           int events) {
+    if (!IsRunning(node) || nodes_[node].run != run) {
+      return;
+    }
+    GatewayCore& core = *nodes_[node].core;
+    ForwardEnd end;
+    end.kind = ForwardEndKind::kNothingSent;
+    end.delivered = events > 0;
+    if (end.delivered) {
+      end.last_event = events;
+    }
+    Take(node, id, request, core.OnEnded(now_, id, end), events);
+    Execute(node, core.TakeActions());
   }
 
   // Each call moves a stream on by an event if its group is whole and its VM is
   // reachable, and does nothing otherwise.
   void AdvanceStreams() {
+    CrashEngines();
     for (auto it = streams_.begin(); it != streams_.end();) {
       Stream& stream = *it;
       const Engine& engine = engines_.at(stream.vm);
-      const bool makes_progress =
-          engine.alive && !engine.node_cut && engine.self.membership &&
-          engine.self.membership->group == stream.group &&
-          engine_simulation_.HasAllMembers(engine);
-      if (!makes_progress) {
+      if (!MakesProgress(stream)) {
         ++it;
         continue;
       }
@@ -737,13 +859,43 @@
       ForwardEnd end;
       end.kind = ForwardEndKind::kSucceeded;
       end.delivered = true;
-      core.OnEnded(now_, stream.id, end);
+      const ForwardStep step = core.OnEnded(now_, stream.id, end);
       ++completed_streams;
+      const SimulatedRequest request = stream.request;
+      const std::size_t node = stream.node;
       it = streams_.erase(it);
+      on_final(request, node, step);
+    }
+  }
+
+  // Ends the engines that begin to run a request that crashes them.
+  void CrashEngines() {
+    std::vector<std::pair<SimulatedRequest, VmId>> crashes;
+    for (const Stream& stream : streams_) {
+      if (stream.request.crashes && MakesProgress(stream)) {
+        crashes.emplace_back(stream.request, stream.vm);
+      }
     }
+    for (const auto& [request, vm] : crashes) {
+      if (engines_.at(vm).alive) {
+        Crash(vm);
+        on_crash(request, vm);
+      }
+    }
+  }
+
+  // Whether the stream's group is whole and reachable.
+  bool MakesProgress(const Stream& stream) const {
+    const Engine& engine = engines_.at(stream.vm);
+    return engine.alive && !engine.node_cut && engine.self.membership &&
+           engine.self.membership->group == stream.group &&
+           engine_simulation_.HasAllMembers(engine);
   }
 
-  void OnArrival(std::size_t node, const VmId& vm) {
+  void OnArrival(std::size_t node,
+                 const SimulatedRequest& request,
+                 const VmId& vm) {
+    on_arrival(request, node, vm);
     ++arrivals_[vm];
     limit_rule_.OnArrival(now_, vm, node);
     hold_rule_.OnArrival(now_, vm, node);
@@ -793,6 +945,7 @@
   std::map<ChangesRequestId, PendingChangesRequest> pending_changes_requests_;
   std::int64_t last_changes_request_ = 0;
   std::int64_t last_request_id_ = 0;
+  std::int64_t last_content_ = 0;
 };
 
 }  // namespace gcw
--- a/tests/support/simulated_engines.h
+++ b/tests/support/simulated_engines.h
@@ -23,6 +23,8 @@
     bool alive = true;
     // Another run has its address; only its registration is left.
     bool replaced = false;
+    // Its process is gone while its VM runs.
+    bool refuses_connections = false;
     // Cut off from the key-value service.
     bool store_cut = false;
     // Cut off from the nodes as well.
--- a/transport/caller_service.cc
+++ b/transport/caller_service.cc
@@ -73,17 +73,6 @@
   return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
 
-Fingerprint ComputeFingerprint(std::string_view first,
-                               std::string_view second) {
-  std::string text(first);
-  text.push_back('\n');
-  text.append(second);
-  // Keeps the value positive and within the 53 bits that the codecs can
-  // represent.
-  constexpr std::uint64_t kMask = (std::uint64_t{1} << 52) - 1;
-  return Fingerprint(static_cast<std::int64_t>(Xxh3Hash(text) & kMask));
-}
-
 }  // namespace
 
 CallerService::CallerService(CallerServiceSettings settings,
@@ -143,7 +132,7 @@
   profile.prompt_tokens = EstimatePromptTokens(prompt);
   profile.max_generated_tokens = chat.max_tokens;
   profile.prefix_blocks = PrefixBlocks(prompt);
-  profile.fingerprint = ComputeFingerprint(chat.model.value(), prompt);
+  profile.fingerprint = ComputeFingerprint({chat.model.value(), prompt});
   profile.repeatable = profile.idempotency_key.empty();
   ChatReceiver::Request receiver_request{profile.id, target, request.body,
                                          profile.prompt_tokens, chat.stream};
@@ -185,7 +174,7 @@
   RequestProfile& profile = arrived.profile;
   profile.target = ServiceTarget{ServiceId(name)};
   profile.fingerprint =
-      ComputeFingerprint(request.method + " " + request.target, request.body);
+      ComputeFingerprint({request.method + " " + request.target, request.body});
   profile.repeatable =
       IsSafeMethod(request.method) && profile.idempotency_key.empty();
   request.target = std::move(target);
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -201,9 +201,13 @@
     EndAttempt(ForwardEndKind::kNothingSent);
     return;
   }
-  EndAttempt(failure.kind == HttpFailureKind::kProgressTimeout
-                 ? ForwardEndKind::kSilent
-                 : ForwardEndKind::kConnectionBroken);
+  if (failure.kind == HttpFailureKind::kProgressTimeout) {
+    EndAttempt(ForwardEndKind::kSilent);
+    return;
+  }
+  EndAttempt(ForwardEndKind::kConnectionBroken,
+             failure.kind == HttpFailureKind::kConnectionReset ||
+                 failure.kind == HttpFailureKind::kTruncated);
 }
 
 void ForwardExchange::EndStalledAttempt() {
@@ -212,7 +216,7 @@
   }
 }
 
-void ForwardExchange::EndAttempt(ForwardEndKind kind) {
+void ForwardExchange::EndAttempt(ForwardEndKind kind, bool closed_by_endpoint) {
   // Invalidates pending callbacks of this attempt.
   ++attempt_number_;
   if (attempt_.call) {
@@ -222,11 +226,13 @@
   ForwardEnd end;
   end.kind = kind;
   end.at_fault = attempt_.answer.at_fault;
+  end.closed_by_endpoint = closed_by_endpoint;
   end.delivered = stream_started_;
   end.last_event = last_event_;
   end.is_client_error =
       attempt_.has_head && IsClientError(attempt_.head.status);
   PerformStep(parts_.core->OnEnded(parts_.clock(), id_, end));
+  parts_.run_actions();
 }
 
 void ForwardExchange::RespondWithAnswer() {
--- a/transport/gateway/forward_exchange.h
+++ b/transport/gateway/forward_exchange.h
@@ -62,6 +62,8 @@
     const GatewayDialect* dialect = nullptr;
     HttpClient* endpoints = nullptr;
     Clock clock;
+    // Performs what the core asks for after an event of the request.
+    std::function<void()> run_actions;
     // Called once when the exchange has finished.
     std::function<void(const ForwardSummary&)> on_finished;
   };
@@ -99,7 +101,7 @@
   void OnBody(std::string_view chunk);
   void OnEnd();
   void OnFailure(const HttpFailure& failure);
-  void EndAttempt(ForwardEndKind kind);
+  void EndAttempt(ForwardEndKind kind, bool closed_by_endpoint = false);
   void RespondWithAnswer();
   void ForwardEvents(std::string_view events);
   void Respond(HttpResponse response, ForwardOutcome outcome);
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -176,6 +176,7 @@
   parts.dialect = &parts_.dialect;
   parts.endpoints = &endpoint_client_;
   parts.clock = parts_.clock;
+  parts.run_actions = [this] { Execute(parts_.core->TakeActions()); };
   parts.on_finished = [this](const ForwardSummary& summary) {
     parts_.metrics->RecordRequest(summary);
     parts_.report(
@@ -286,6 +287,22 @@
       });
 }
 
+void GatewayRuntime::Execute(const CheckEndpoint& action) {
+  parts_.metrics->probes.Add();
+  HttpCallOptions options = OptionsWithTimeout(action.timeout);
+  // Only a new connection shows whether the process is gone.
+  options.reuse_connection = false;
+  engine_client_.Fetch(
+      action.address, parts_.dialect.make_probe_request(action.vm), options,
+      [this, vm = action.vm](const Result<HttpResponse, HttpFailure>& answer) {
+        const ProbeResult result =
+            IsOk(answer)
+                ? parts_.dialect.read_probe_report(ValueOf(answer)).result
+                : ProbeVerdictFor(ErrorOf(answer));
+        Execute(parts_.core->OnCheckReply(Now(), vm, result));
+      });
+}
+
 void GatewayRuntime::Execute(const DropPooledConnections& action) {
   endpoint_client_.CloseIdleConnections(action.address);
   engine_client_.CloseIdleConnections(action.address);
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -118,6 +118,7 @@
   void Execute(const NotifyLimit& action);
   void Execute(const SendGroupOrder& action);
   void Execute(const ProbeEngine& action);
+  void Execute(const CheckEndpoint& action);
   void Execute(const FailOverForward& action);
   void Execute(const DropPooledConnections& action);
   static HttpCallOptions OptionsWithTimeout(Duration limit);
