tests: a request that crashes endpoints is sent to more of them each time it comes again

CrashGuardTest plays such callers against engines that end when they begin to run the request, with 3, 9, 60 and 300 nodes, and checks the users' rule: three seconds after the third crash it may reach endpoints three times more.

--- a/programs/gcw_standin/platform_engine.cc
+++ b/programs/gcw_standin/platform_engine.cc
@@ -104,9 +104,23 @@
     return;
   }
   ++runs_;
+  if (must_crash_(request)) {
+    Crash(responder);
+    return;
+  }
   responder->Respond({kOk, AnswerHeaders(request), "done: " + request.body});
 }
 
+void PlatformEngine::Crash(const std::shared_ptr<HttpResponder>& responder) {
+  standin_server_.RunAfter(settings_.event_interval, [this, responder](Time) {
+    responder->Abort();
+    if (alive()) {
+      Kill();
+      on_crash_();
+    }
+  });
+}
+
 void PlatformEngine::HandleOrder(const HttpRequest& request,
                                  HttpResponder& responder) {
   boost::json::error_code error;
@@ -277,6 +291,10 @@
   std::from_chars(last.data(), last.data() + last.size(), first);
   ++running_;
   ++runs_;
+  if (must_crash_(request)) {
+    Crash(responder);
+    return;
+  }
   std::vector<HttpHeader> headers = AnswerHeaders(request);
   headers.push_back({"Content-Type", "text/event-stream"});
   responder->StartStream(kOk, std::move(headers));
--- a/programs/gcw_standin/platform_engine.h
+++ b/programs/gcw_standin/platform_engine.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "platform/platform.h"
@@ -33,6 +34,8 @@
   // Returns whether all members of the group are alive and have joined it.
   using GroupPredicate =
       std::function<bool(const PlatformEngine& first_member)>;
+  // Returns whether the endpoint crashes as it begins to run the request.
+  using CrashPredicate = std::function<bool(const HttpRequest&)>;
   // Called when the registration of the endpoint has changed.
   using ChangeCallback = std::function<void(const PlatformEngine&)>;
 
@@ -41,6 +44,12 @@
                  GroupPredicate has_all_members,
                  ChangeCallback on_change);
 
+  // Sets which requests crash the endpoint, and what is called after it has.
+  void SetCrashes(CrashPredicate must_crash, std::function<void()> on_crash) {
+    must_crash_ = std::move(must_crash);
+    on_crash_ = std::move(on_crash);
+  }
+
   bool Listen(const std::string& ip);
   // Closes all connections and stops listening.
   void Kill();
@@ -68,6 +77,8 @@
               const std::shared_ptr<HttpResponder>& responder);
   void HandleWork(const HttpRequest& request,
                   const std::shared_ptr<HttpResponder>& responder);
+  // Crashes a moment after the request has begun to run.
+  void Crash(const std::shared_ptr<HttpResponder>& responder);
   void HandleOrder(const HttpRequest& request, HttpResponder& responder);
   int Join(const boost::json::object& order);
   int Open(const boost::json::object& order);
@@ -89,6 +100,8 @@
   Settings settings_;
   GroupPredicate has_all_members_;
   ChangeCallback on_change_;
+  CrashPredicate must_crash_ = [](const HttpRequest&) { return false; };
+  std::function<void()> on_crash_ = [] {};
   std::unique_ptr<HttpServer> server_;
   std::vector<VmId> members_;
   Generation last_generation_;
--- a/programs/gcw_standin/platform_http_frontend.cc
+++ b/programs/gcw_standin/platform_http_frontend.cc
@@ -64,6 +64,11 @@
       },
       [this](const PlatformEngine& changed) { Register(changed); });
   PlatformEngine& added = *created;
+  added.SetCrashes(
+      [this](const HttpRequest& request) {
+        return crashing_bodies_.contains(request.body);
+      },
+      [this, registration] { OnCrash(registration); });
   engines_[registration.id] = std::move(created);
   if (!added.Listen(settings_.ip)) {
     engines_.erase(registration.id);
@@ -148,6 +153,18 @@
     responder.Respond({kOk, {}, boost::json::serialize(arrivals)});
     return;
   }
+  if (path == "/standin/crash_on") {
+    crashing_bodies_.insert(QueryValue(request.target, "body"));
+    responder.Respond({kOk, {}, {}});
+    return;
+  }
+  if (path == "/standin/crashes") {
+    responder.Respond(
+        {kOk,
+         {},
+         boost::json::serialize(boost::json::object{{"count", crashes_}})});
+    return;
+  }
   if (path == "/standin/limits") {
     responder.Respond({kOk, {}, DescribeLimits()});
     return;
@@ -209,6 +226,20 @@
   return kOk;
 }
 
+void PlatformHttpFrontend::OnCrash(const VmRegistration& crashed) {
+  constexpr Duration kRestartDelay = Duration::Seconds(1);
+  ++crashes_;
+  server_.RunAfter(kRegistrationTimeout,
+                   [this, vm = crashed.id](Time) { Remove(vm); });
+  VmRegistration next = crashed;
+  next.id = VmId(crashed.id.value() + "-" + std::to_string(crashes_));
+  server_.RunAfter(kRestartDelay, [this, next](Time) {
+    AddEngine(next, next.domain.empty()
+                        ? std::nullopt
+                        : std::optional(StandinEngineProfile()));
+  });
+}
+
 std::string PlatformHttpFrontend::DescribeLimits() const {
   boost::json::object limits;
   for (const auto& [id, engine] : engines_) {
--- a/programs/gcw_standin/platform_http_frontend.h
+++ b/programs/gcw_standin/platform_http_frontend.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "programs/gcw_standin/platform_documents.h"
@@ -36,7 +37,11 @@
 // /standin/cooldown?vm=ID&ms=N` makes an endpoint refuse requests and ask for
 // that cooldown, or accept them without `ms`; `POST /standin/leaving?vm=ID`
 // makes its answers say that it is about to stop. `GET /standin/arrivals`
-// returns how many requests reached each endpoint.
+// returns how many requests reached each endpoint. `POST
+// /standin/crash_on?body=TEXT` makes every endpoint that begins to run a
+// request with that body crash, and `GET /standin/crashes` returns how many
+// have; another endpoint under another id takes the place of each after a
+// second.
 class PlatformHttpFrontend {
  public:
   PlatformHttpFrontend(StandinServer& server,
@@ -59,6 +64,7 @@
   int SetLimit(const HttpRequest& request);
   int SetCooldown(const HttpRequest& request);
   int AnnounceEnd(const HttpRequest& request);
+  void OnCrash(const VmRegistration& crashed);
   // Returns null if the request names no endpoint.
   PlatformEngine* FindEngine(const HttpRequest& request);
   std::string DescribeLimits() const;
@@ -76,6 +82,9 @@
   };
   std::map<Ticket, PendingCall> pending_calls_;
   std::map<VmId, std::unique_ptr<PlatformEngine>> engines_;
+  // Bodies of requests that crash endpoints.
+  std::set<std::string> crashing_bodies_;
+  std::int64_t crashes_ = 0;
   std::map<std::string, Revision> revisions_;
 };
 
--- /dev/null
+++ b/tests/support/crash_world.h
@@ -0,0 +1,133 @@
+#ifndef TESTS_SUPPORT_CRASH_WORLD_H_
+#define TESTS_SUPPORT_CRASH_WORLD_H_
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coordination/coordination.h"
+#include "tests/support/crash_rule.h"
+#include "tests/support/gateway_world.h"
+
+namespace gcw {
+
+// A fleet whose callers also send requests that crash the engines that begin to
+// run them.
+class CrashWorld : public GatewayWorld {
+ public:
+  explicit CrashWorld(std::size_t nodes, std::uint64_t seed = 7)
+      : GatewayWorld(nodes, 6, 11, seed), random_(SeededRandom(seed)) {
+    on_arrival = [this](const SimulatedRequest& request, std::size_t node,
+                        const VmId&) {
+      if (IsInTouch(node)) {
+        rule_.OnArrival(now(), request.content);
+      }
+    };
+    on_crash = [this](const SimulatedRequest& request, const VmId&) {
+      rule_.OnCrash(now(), request.content);
+    };
+    on_final = [this](const SimulatedRequest& request, std::size_t,
+                      const ForwardStep& step) { OnFinal(request, step); };
+    EXPECT_TRUE(RunUntil(Duration::Seconds(14), [this] {
+      return open_groups("large") >= 6 && open_groups("small") >= 6;
+    }));
+    request_interval = Duration::Millis(static_cast<std::int64_t>(nodes) * 10);
+    traffic = true;
+    Run(Duration::Seconds(2));
+  }
+
+  // A caller sends the request through a random node.
+  void SendFromCaller(Fingerprint content, bool crashes) {
+    SimulatedRequest request;
+    request.model = "small";
+    request.content = content;
+    request.crashes = crashes;
+    SendToRandomNode(request);
+  }
+  // Callers send copies of a crashing request at the same moment.
+  void SendCrashing(Fingerprint content, int copies = 1) {
+    for (int i = 0; i < copies; ++i) {
+      SendFromCaller(content, true);
+    }
+  }
+
+  // A node that was restarted, frozen or cut off is in touch again some time
+  // after the last of these.
+  void Disturb(std::size_t node) { disturbed_[node] = now(); }
+  // The same for a disturbance of the key-value service, which all nodes need.
+  void DisturbAll() { all_disturbed_ = now(); }
+
+  const CrashRule& rule() const { return rule_; }
+  std::string FirstViolation() const { return rule_.FirstViolation(); }
+  // Number of requests that crash nothing and were refused as crashing ones.
+  int healthy_blocked() const { return healthy_blocked_; }
+  int blocked() const { return blocked_; }
+  int healthy_served() const { return healthy_served_; }
+  // The longest time from a healthy request's arrival to its refusal.
+  Duration longest_refusal() const { return longest_refusal_; }
+
+ private:
+  bool IsInTouch(std::size_t index) {
+    const auto is_calm = [this](Time disturbed) {
+      return now() > disturbed + CrashRule::kReaction;
+    };
+    const auto found = disturbed_.find(index);
+    return is_calm(all_disturbed_) && !store_down &&
+           (found == disturbed_.end() || is_calm(found->second)) &&
+           !node(index).store_cut && !node(index).store_rejects;
+  }
+
+  void SendToRandomNode(const SimulatedRequest& request) {
+    std::vector<std::size_t> running;
+    for (std::size_t i = 0; i < node_count(); ++i) {
+      if (IsRunning(i)) {
+        running.push_back(i);
+      }
+    }
+    if (!running.empty()) {
+      Send(running[DrawBelow(random_, running.size())], request);
+    }
+  }
+
+  // Callers try again once: at once after a failure, and after the delay that
+  // they are told after a refusal if it is short.
+  void OnFinal(const SimulatedRequest& request, const ForwardStep& step) {
+    const auto* refused = std::get_if<ForwardRefused>(&step);
+    const bool is_blocked =
+        refused != nullptr && refused->kind == RefusalKind::kFingerprintBlocked;
+    blocked_ += is_blocked ? 1 : 0;
+    if (!request.crashes) {
+      healthy_blocked_ += is_blocked ? 1 : 0;
+      healthy_served_ += std::holds_alternative<PassAnswer>(step) ? 1 : 0;
+    }
+    if (refused != nullptr) {
+      longest_refusal_ = std::max(longest_refusal_, now() - request.arrived);
+    }
+    constexpr Duration kPatience = Duration::Seconds(2);
+    const Duration wait =
+        refused != nullptr ? refused->retry_after : Duration::Millis(10);
+    if (std::holds_alternative<PassAnswer>(step) ||
+        request.earlier_attempts > 0 || wait > kPatience) {
+      return;
+    }
+    SimulatedRequest again = request;
+    ++again.earlier_attempts;
+    Schedule(wait, [this, again] { SendToRandomNode(again); });
+  }
+
+  Random random_;
+  CrashRule rule_;
+  std::map<std::size_t, Time> disturbed_;
+  Time all_disturbed_;
+  int healthy_blocked_ = 0;
+  int blocked_ = 0;
+  int healthy_served_ = 0;
+  Duration longest_refusal_;
+};
+
+}  // namespace gcw
+
+#endif  // TESTS_SUPPORT_CRASH_WORLD_H_
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -385,6 +385,11 @@
   int snapshot_requests = 0;
   int role_reads = 0;
 
+ protected:
+  void Schedule(Duration delay, std::function<void()> run) {
+    queue_.emplace(now_ + delay, std::move(run));
+  }
+
  private:
   void MakeConfiguration() {
     EngineProfile profile;
@@ -450,10 +455,6 @@
     }
   }
 
-  void Schedule(Duration delay, std::function<void()> run) {
-    queue_.emplace(now_ + delay, std::move(run));
-  }
-
   void RunDueEvents() {
     while (!queue_.empty() && queue_.begin()->first <= now_) {
       const auto run = std::move(queue_.begin()->second);
