--- /dev/null
+++ b/coordination/gateway/crash_evidence.cc
@@ -0,0 +1,207 @@
+#include "coordination/gateway/crash_evidence.h"
+
+#include <algorithm>
+
+namespace gcw {
+namespace {
+
+constexpr Duration kExpiryInterval = Duration::Seconds(1);
+
+}  // namespace
+
+CrashEvidence::CrashEvidence(CrashEvidenceSettings settings)
+    : settings_(settings) {}
+
+bool CrashEvidence::AddCrash(Time now,
+                             Fingerprint fingerprint,
+                             const CrashId& crash) {
+  return AddCrashAt(now, fingerprint, crash, {now, true});
+}
+
+void CrashEvidence::AddUnconfirmedCrash(Time now,
+                                        Fingerprint fingerprint,
+                                        const CrashId& crash) {
+  if (CountCrashes(now, fingerprint) > 0) {
+    AddCrashAt(now, fingerprint, crash, {now, false});
+  }
+}
+
+bool CrashEvidence::MarkHarmless(Time now, Fingerprint fingerprint) {
+  return MarkHarmlessAt(now, fingerprint, now);
+}
+
+bool CrashEvidence::Counts(Time now,
+                           const Request& request,
+                           const Crash& crash) const {
+  if (request.harmless_at && crash.at <= *request.harmless_at) {
+    return false;
+  }
+  return crash.is_confirmed || now - crash.at < settings_.unconfirmed_ttl;
+}
+
+bool CrashEvidence::AddCrashAt(Time now,
+                               Fingerprint fingerprint,
+                               const CrashId& id,
+                               Crash crash) {
+  Request& request = FindOrAdd(now, fingerprint);
+  const auto known = request.crashes.find(id);
+  if (known != request.crashes.end()) {
+    if (known->second.is_confirmed || !crash.is_confirmed) {
+      return false;
+    }
+    known->second.is_confirmed = true;
+  } else {
+    if (request.crashes.size() >= settings_.max_crashes) {
+      std::erase_if(request.crashes, [&](const auto& each) {
+        return !Counts(now, request, each.second);
+      });
+    }
+    if (request.crashes.size() >= settings_.max_crashes) {
+      return false;
+    }
+    request.crashes.emplace(id, crash);
+  }
+  if (!Counts(now, request, request.crashes.at(id))) {
+    return false;
+  }
+  OnNews(now, fingerprint, request);
+  return true;
+}
+
+// The proof of a request without crashes is kept too, because notices of
+// earlier crashes may still arrive.
+bool CrashEvidence::MarkHarmlessAt(Time now, Fingerprint fingerprint, Time at) {
+  Request& request = FindOrAdd(now, fingerprint);
+  const bool was_harmless = IsHarmless(now, fingerprint);
+  request.harmless_at = std::max(request.harmless_at.value_or(at), at);
+  if (was_harmless || !IsHarmless(now, fingerprint)) {
+    return false;
+  }
+  OnNews(now, fingerprint, request);
+  return true;
+}
+
+std::vector<Fingerprint> CrashEvidence::OnNotices(
+    Time now,
+    const std::vector<CrashNotice>& notices) {
+  std::vector<Fingerprint> changed;
+  for (const CrashNotice& notice : notices) {
+    bool is_news = false;
+    if (notice.harmless_for) {
+      is_news =
+          MarkHarmlessAt(now, notice.fingerprint, now - *notice.harmless_for);
+    }
+    for (const auto& [id, report] : notice.crashes) {
+      is_news |= AddCrashAt(now, notice.fingerprint, id,
+                            {now - report.age, report.is_confirmed});
+    }
+    if (is_news) {
+      changed.push_back(notice.fingerprint);
+    }
+  }
+  return changed;
+}
+
+CrashEvidence::Request& CrashEvidence::FindOrAdd(Time now,
+                                                 Fingerprint fingerprint) {
+  const auto found = requests_.find(fingerprint);
+  if (found != requests_.end()) {
+    return found->second;
+  }
+  if (requests_.size() >= settings_.max_requests) {
+    DropOldest();
+  }
+  Request& added = requests_[fingerprint];
+  added.last_news = now;
+  return added;
+}
+
+void CrashEvidence::OnNews(Time now,
+                           Fingerprint fingerprint,
+                           Request& request) {
+  request.last_news = now;
+  news_.insert(fingerprint);
+}
+
+void CrashEvidence::DropOldest() {
+  const auto oldest = std::min_element(
+      requests_.begin(), requests_.end(), [](const auto& a, const auto& b) {
+        return a.second.last_news < b.second.last_news;
+      });
+  news_.erase(oldest->first);
+  requests_.erase(oldest);
+}
+
+void CrashEvidence::Tick(Time now) {
+  if (now < next_expiry_) {
+    return;
+  }
+  next_expiry_ = now + kExpiryInterval;
+  std::erase_if(requests_, [&](const auto& entry) {
+    const bool is_old = now - entry.second.last_news >= settings_.ttl;
+    if (is_old) {
+      news_.erase(entry.first);
+    }
+    return is_old;
+  });
+}
+
+std::set<CrashId> CrashEvidence::Crashes(Time now,
+                                         Fingerprint fingerprint) const {
+  std::set<CrashId> crashes;
+  const auto found = requests_.find(fingerprint);
+  if (found == requests_.end()) {
+    return crashes;
+  }
+  for (const auto& [id, crash] : found->second.crashes) {
+    if (Counts(now, found->second, crash)) {
+      crashes.insert(id);
+    }
+  }
+  return crashes;
+}
+
+std::size_t CrashEvidence::CountCrashes(Time now,
+                                        Fingerprint fingerprint) const {
+  return requests_.contains(fingerprint) ? Crashes(now, fingerprint).size() : 0;
+}
+
+bool CrashEvidence::Knows(Fingerprint fingerprint, const CrashId& crash) const {
+  const auto found = requests_.find(fingerprint);
+  return found != requests_.end() && found->second.crashes.contains(crash);
+}
+
+bool CrashEvidence::IsHarmless(Time now, Fingerprint fingerprint) const {
+  const auto found = requests_.find(fingerprint);
+  return found != requests_.end() && found->second.harmless_at &&
+         Crashes(now, fingerprint).empty();
+}
+
+std::size_t CrashEvidence::CountSuspects(Time now) const {
+  return static_cast<std::size_t>(std::count_if(
+      requests_.begin(), requests_.end(), [this, now](const auto& entry) {
+        return CountCrashes(now, entry.first) > 0;
+      }));
+}
+
+std::vector<CrashNotice> CrashEvidence::TakeNotices(Time now) {
+  std::vector<CrashNotice> notices;
+  while (!news_.empty() && notices.size() < settings_.max_notices) {
+    const Fingerprint fingerprint = *news_.begin();
+    news_.erase(news_.begin());
+    const Request& request = requests_.at(fingerprint);
+    CrashNotice notice;
+    notice.fingerprint = fingerprint;
+    for (const auto& [id, crash] : request.crashes) {
+      notice.crashes.emplace(id,
+                             CrashReport{now - crash.at, crash.is_confirmed});
+    }
+    if (request.harmless_at) {
+      notice.harmless_for = now - *request.harmless_at;
+    }
+    notices.push_back(std::move(notice));
+  }
+  return notices;
+}
+
+}  // namespace gcw
--- /dev/null
+++ b/coordination/gateway/crash_evidence.h
@@ -0,0 +1,109 @@
+#ifndef COORDINATION_GATEWAY_CRASH_EVIDENCE_H_
+#define COORDINATION_GATEWAY_CRASH_EVIDENCE_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "state/state.h"
+
+namespace gcw {
+
+struct CrashEvidenceSettings {
+  // Evidence is forgotten this long after the last news of the request.
+  Duration ttl = Duration::Seconds(1800);
+  // Bounds the memory. The request that was least recently news is dropped.
+  std::size_t max_requests = 4096;
+  // Further crashes of a request are not listed.
+  std::size_t max_crashes = 8;
+  // A crash that is not confirmed counts for this long: by then the endpoint's
+  // process has been found gone or alive.
+  Duration unconfirmed_ttl = Duration::Seconds(1);
+  // Maximum number of requests in one message to other nodes.
+  std::size_t max_notices = 64;
+};
+
+struct CrashReport {
+  // The time that has passed since the crash.
+  Duration age;
+  // False if only a connection is known to have broken.
+  bool is_confirmed = true;
+};
+
+// Message between nodes: the endpoints that crashed while they ran a request,
+// and since when it is known to be harmless, if it is.
+struct CrashNotice {
+  Fingerprint fingerprint;
+  std::map<CrashId, CrashReport> crashes;
+  std::optional<Duration> harmless_for;
+};
+
+// Counts, over all nodes, the endpoints that crashed while they ran a request.
+// A run of the request that does not crash its endpoint clears the crashes
+// before it. Crashes are sets and times are maxima, so that notices may be
+// lost, repeated and reordered.
+class CrashEvidence {
+ public:
+  explicit CrashEvidence(CrashEvidenceSettings settings);
+
+  // Each returns whether this is news.
+  bool AddCrash(Time now, Fingerprint fingerprint, const CrashId& crash);
+  // The endpoint may have crashed. Other nodes are told only if the request is
+  // suspected already, since connections break for other reasons too.
+  void AddUnconfirmedCrash(Time now,
+                           Fingerprint fingerprint,
+                           const CrashId& crash);
+  bool MarkHarmless(Time now, Fingerprint fingerprint);
+  // Returns the requests of which it is news.
+  std::vector<Fingerprint> OnNotices(Time now,
+                                     const std::vector<CrashNotice>& notices);
+  void Tick(Time now);
+
+  // The crashes since the request was last known to be harmless.
+  std::set<CrashId> Crashes(Time now, Fingerprint fingerprint) const;
+  std::size_t CountCrashes(Time now, Fingerprint fingerprint) const;
+  // Whether the crash was counted, even if it is cleared.
+  bool Knows(Fingerprint fingerprint, const CrashId& crash) const;
+  // Whether the request is known to be harmless, with no crash since.
+  bool IsHarmless(Time now, Fingerprint fingerprint) const;
+  // Number of requests with crashes.
+  std::size_t CountSuspects(Time now) const;
+
+  // Returns what other nodes should be told, at most one message.
+  std::vector<CrashNotice> TakeNotices(Time now);
+
+ private:
+  struct Crash {
+    Time at;
+    bool is_confirmed = false;
+  };
+  struct Request {
+    // Crashes that are cleared stay, because they may be reported once more.
+    std::map<CrashId, Crash> crashes;
+    std::optional<Time> harmless_at;
+    Time last_news;
+  };
+
+  bool AddCrashAt(Time now,
+                  Fingerprint fingerprint,
+                  const CrashId& id,
+                  Crash crash);
+  bool MarkHarmlessAt(Time now, Fingerprint fingerprint, Time at);
+  bool Counts(Time now, const Request& request, const Crash& crash) const;
+  Request& FindOrAdd(Time now, Fingerprint fingerprint);
+  void OnNews(Time now, Fingerprint fingerprint, Request& request);
+  void DropOldest();
+
+  CrashEvidenceSettings settings_;
+  std::unordered_map<Fingerprint, Request> requests_;
+  // Requests that other nodes have not been told of.
+  std::set<Fingerprint> news_;
+  Time next_expiry_;
+};
+
+}  // namespace gcw
+
+#endif  // COORDINATION_GATEWAY_CRASH_EVIDENCE_H_
--- a/coordination/gateway/crash_guard.h
+++ b/coordination/gateway/crash_guard.h
@@ -1,11 +1,19 @@
 #ifndef COORDINATION_GATEWAY_CRASH_GUARD_H_
 #define COORDINATION_GATEWAY_CRASH_GUARD_H_
 
+#include <cstddef>
 #include <functional>
+#include <map>
 #include <optional>
+#include <set>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "coordination/gateway/crash_detector.h"
+#include "coordination/gateway/crash_evidence.h"
+#include "coordination/gateway/crash_records.h"
+#include "coordination/gateway/forward_request.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -14,10 +22,52 @@
   // A request that has streamed events for this long does not crash the
   // endpoint that runs it.
   Duration proof_time = Duration::Millis(500);
+  // Number of crashes from which a request is recorded in the key-value
+  // service.
+  std::size_t recorded_crashes = 2;
+  // Number of crashes from which a request runs only as a trial.
+  std::size_t trial_crashes = 3;
+  // A request waits this long for its trial to be granted, or for the trial of
+  // another copy to end.
+  Duration max_wait = Duration::Millis(300);
+  // Further requests are refused instead of waiting.
+  std::size_t max_waiting = 64;
+  // Delay that callers are told while another copy is tried out.
+  Duration trial_retry_after = Duration::Seconds(1);
   CrashDetectorSettings detector;
+  CrashEvidenceSettings evidence;
+  CrashRecordsSettings records;
 };
 
-// Recognizes requests that crash endpoints.
+enum class CrashVerdict {
+  kAllowed,
+  // The request has to wait for a trial.
+  kNeedsTrial,
+  kBlocked,
+};
+
+// The wait of a request is over.
+struct CrashDecision {
+  ForwardId id;
+  bool may_run = false;
+  bool is_trial = false;
+};
+
+// A request that is refused, for operators.
+struct CrashBlock {
+  Fingerprint fingerprint;
+  CrashRecord record;
+  Duration remaining;
+};
+
+// Recognizes requests that crash endpoints whenever and wherever they come
+// again, so that each of them takes down only a few endpoints of the fleet.
+//
+// All requests that may have ended an endpoint are suspects. A run of a suspect
+// that does not crash its endpoint clears it. After three crashes a suspect
+// runs only as a trial, one copy at a time in the whole fleet. If that crashes
+// its endpoint too, the request is blocked for a while, and then tried out
+// again.
 class CrashGuard {
  public:
   // Whether the run is registered and has not announced its end. What breaks
@@ -26,24 +76,90 @@
 
   CrashGuard(CrashGuardSettings settings,
              IsExpectedToRun is_expected_to_run,
+             CrashRecordCodec codec,
+             const Random& random,
              EventSink events);
 
+  // Requests -----------------------------------------------------------------
+
+  CrashVerdict Judge(Time now, Fingerprint fingerprint) const;
+  // The request waits for a decision. Returns false if too many do.
+  bool Wait(Time now, ForwardId id, Fingerprint fingerprint);
+  void OnWaitCancelled(ForwardId id) { waiting_.erase(id); }
+  // A trial was sent to the endpoint.
+  void OnTrialSent(Fingerprint fingerprint, const EndpointRun& endpoint);
   void OnBroken(Time now, const BrokenAttempt& attempt);
+  // A run of the request did not crash its endpoint.
+  void OnHarmless(Time now, Fingerprint fingerprint);
+  // Returns when a refused caller should return.
+  Duration RetryAfter(Time now, Fingerprint fingerprint) const;
+  // Returns the event that blocked the request, or an empty id.
+  EventId BlockEvent(Fingerprint fingerprint) const;
+
+  // Endpoints, other nodes and the key-value service -------------------------
+
   void OnCheckReply(Time now, const VmId& vm, ProbeResult result);
   // The VM's registration changed. `run` is absent if it was removed.
   void OnRegistration(Time now, const VmId& vm, std::optional<Incarnation> run);
+  void OnNotices(Time now, const std::vector<CrashNotice>& notices);
+  void OnRecordPut(Time now, const StoreEntry& entry);
+  void OnRecordDeleted(Time now, const std::string& key);
+  void OnStoreReply(Time now, StoreCallId id, const StoreReply& reply);
   void Tick(Time now);
+  // Called by the one node that tidies up.
+  void RemoveExpired(Time now) { records_.RemoveExpired(now); }
+
+  // Operators ----------------------------------------------------------------
+
+  // Returns false if nothing is known of the request.
+  bool Lift(Time now, Fingerprint fingerprint);
+  std::vector<CrashBlock> Blocks(Time now) const;
+  std::size_t blocked_requests(Time now) const {
+    return records_.Blocked(now).size();
+  }
+  std::size_t suspected_requests(Time now) const {
+    return evidence_.CountSuspects(now);
+  }
 
   Duration proof_time() const { return settings_.proof_time; }
   std::vector<CheckEndpoint> TakeChecks() { return detector_.TakeChecks(); }
+  std::vector<CrashNotice> TakeNotices(Time now) {
+    return evidence_.TakeNotices(now);
+  }
+  std::vector<StoreRequest> TakeStoreRequests() {
+    return records_.TakeRequests();
+  }
+  std::vector<CrashDecision> TakeDecisions();
 
  private:
-  void HandleCrashes();
+  struct Waiting {
+    Fingerprint fingerprint;
+    Time deadline;
+  };
+
+  // The crashes that count against the request, from all nodes and its record.
+  std::set<CrashId> KnownCrashes(Time now, Fingerprint fingerprint) const;
+  void HandleCrashes(Time now);
+  void OnSuspectCrash(Time now, Fingerprint fingerprint, const CrashId& crash);
+  // Decides on the waiting copies of the request.
+  void Review(Time now, Fingerprint fingerprint);
+  void Decide(ForwardId id, bool may_run, bool is_trial);
+  // Reports the begin and the end of a block.
+  void ReportBlock(Time now, Fingerprint fingerprint);
+  void Clear(Time now, Fingerprint fingerprint, std::string_view reason);
 
   CrashGuardSettings settings_;
   IsExpectedToRun is_expected_to_run_;
   EventSink events_;
   CrashDetector detector_;
+  CrashEvidence evidence_;
+  CrashRecords records_;
+  std::map<ForwardId, Waiting> waiting_;
+  // The endpoints at which this node's trials run.
+  std::map<Fingerprint, CrashId> trials_;
+  // The blocks that were reported, with their events.
+  std::map<Fingerprint, EventId> reported_blocks_;
+  std::vector<CrashDecision> decisions_;
 };
 
 }  // namespace gcw
--- /dev/null
+++ b/coordination/gateway/crash_records.cc
@@ -0,0 +1,345 @@
+#include "coordination/gateway/crash_records.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "coordination/gateway/gateway_keys.h"
+
+namespace gcw {
+
+CrashRecords::CrashRecords(CrashRecordsSettings settings,
+                           CrashRecordCodec codec,
+                           std::int64_t self)
+    : settings_(settings), codec_(std::move(codec)), self_(self) {}
+
+std::string CrashRecords::KeyOf(Fingerprint fingerprint) {
+  return std::string(kCrashRecordPrefix) + std::to_string(fingerprint.value());
+}
+
+std::optional<Fingerprint> CrashRecords::FingerprintOf(std::string_view key) {
+  key.remove_prefix(std::min(key.size(), kCrashRecordPrefix.size()));
+  std::int64_t value = 0;
+  const auto read = std::from_chars(key.data(), key.data() + key.size(), value);
+  if (read.ec != std::errc() || read.ptr != key.data() + key.size()) {
+    return std::nullopt;
+  }
+  return Fingerprint(value);
+}
+
+// Reading ---------------------------------------------------------------------
+
+std::optional<Fingerprint> CrashRecords::OnPut(Time now,
+                                               const StoreEntry& entry) {
+  const std::optional<Fingerprint> fingerprint = FingerprintOf(entry.key);
+  if (!fingerprint) {
+    return std::nullopt;
+  }
+  const auto known = records_.find(*fingerprint);
+  if (known != records_.end() && entry.revision <= known->second.revision) {
+    return std::nullopt;
+  }
+  Adopt(now, *fingerprint, entry);
+  return fingerprint;
+}
+
+void CrashRecords::Adopt(Time now,
+                         Fingerprint fingerprint,
+                         const StoreEntry& entry) {
+  held_trials_.erase(fingerprint);
+  std::optional<CrashRecord> record = codec_.decode(entry.value);
+  // A record that cannot be read restricts nothing, and its key is written anew
+  // when the next crash is recorded.
+  records_[fingerprint] = {std::move(record).value_or(CrashRecord()),
+                           entry.revision, now};
+  ReleaseUnusedTrial(fingerprint);
+}
+
+void CrashRecords::ReleaseUnusedTrial(Fingerprint fingerprint) {
+  CrashRecord record = *Find(fingerprint);
+  if (!record.trial_is_open || record.trial_holder != self_ ||
+      IsWriting(fingerprint)) {
+    return;
+  }
+  --record.trials;
+  record.trial_is_open = false;
+  Put(fingerprint, Purpose::kRecord, std::move(record));
+}
+
+std::optional<Fingerprint> CrashRecords::OnDeleted(const std::string& key) {
+  const std::optional<Fingerprint> fingerprint = FingerprintOf(key);
+  if (!fingerprint || records_.erase(*fingerprint) == 0) {
+    return std::nullopt;
+  }
+  held_trials_.erase(*fingerprint);
+  retries_.erase(*fingerprint);
+  return fingerprint;
+}
+
+const CrashRecord* CrashRecords::Find(Fingerprint fingerprint) const {
+  const auto found = records_.find(fingerprint);
+  return found == records_.end() ? nullptr : &found->second.record;
+}
+
+CrashRecords::State CrashRecords::StateOf(Time now,
+                                          Fingerprint fingerprint) const {
+  const auto found = records_.find(fingerprint);
+  if (found == records_.end()) {
+    return State::kOpen;
+  }
+  if (BlockedFor(now, fingerprint) > Duration()) {
+    return State::kBlocked;
+  }
+  const Known& known = found->second;
+  if (known.record.trial_is_open && now - known.seen < settings_.trial_ttl) {
+    return State::kTrialRuns;
+  }
+  const bool needs_trial =
+      known.record.failed_trials > 0 || known.record.trials > 0;
+  return needs_trial ? State::kNeedsTrial : State::kOpen;
+}
+
+Duration CrashRecords::BlockedFor(Time now, Fingerprint fingerprint) const {
+  const auto found = records_.find(fingerprint);
+  if (found == records_.end()) {
+    return Duration();
+  }
+  const Known& known = found->second;
+  const CrashRecord& record = known.record;
+  // Nodes whose clocks differ must not block for longer than any block lasts.
+  Duration left =
+      std::min(record.blocked_until - now, settings_.max_block_time);
+  const bool is_undecided = record.trial_is_open &&
+                            record.trials >= settings_.max_open_trials &&
+                            now - known.seen >= settings_.trial_ttl;
+  if (is_undecided) {
+    left = std::max(left, known.seen + settings_.block_time - now);
+  }
+  return std::max(left, Duration());
+}
+
+std::vector<Fingerprint> CrashRecords::Blocked(Time now) const {
+  std::vector<Fingerprint> blocked;
+  for (const auto& [fingerprint, known] : records_) {
+    if (BlockedFor(now, fingerprint) > Duration()) {
+      blocked.push_back(fingerprint);
+    }
+  }
+  return blocked;
+}
+
+std::vector<Fingerprint> CrashRecords::All() const {
+  std::vector<Fingerprint> all;
+  for (const auto& [fingerprint, known] : records_) {
+    all.push_back(fingerprint);
+  }
+  return all;
+}
+
+// Writing ---------------------------------------------------------------------
+
+void CrashRecords::Record(Time /*now*/,
+                          Fingerprint fingerprint,
+                          const std::set<CrashId>& crashes) {
+  if (records_.contains(fingerprint) || IsWriting(fingerprint) ||
+      records_.size() >= settings_.max_records) {
+    return;
+  }
+  CrashRecord record;
+  record.crashes = crashes;
+  Put(fingerprint, Purpose::kRecord, std::move(record));
+}
+
+bool CrashRecords::RequestTrial(Time now,
+                                Fingerprint fingerprint,
+                                const std::set<CrashId>& crashes) {
+  const State state = StateOf(now, fingerprint);
+  if (IsWriting(fingerprint) || state == State::kBlocked ||
+      state == State::kTrialRuns) {
+    return false;
+  }
+  CrashRecord record;
+  if (const CrashRecord* known = Find(fingerprint)) {
+    record = *known;
+  }
+  record.crashes.insert(crashes.begin(), crashes.end());
+  // A block without a result of its trials is over.
+  if (record.trials >= settings_.max_open_trials) {
+    record.trials = 0;
+  }
+  ++record.trials;
+  record.trial_is_open = true;
+  record.trial_holder = self_;
+  Put(fingerprint, Purpose::kTrial, std::move(record));
+  return true;
+}
+
+void CrashRecords::OnTrialFailed(Time now,
+                                 Fingerprint fingerprint,
+                                 const std::set<CrashId>& crashes) {
+  const CrashRecord* known = Find(fingerprint);
+  if (known == nullptr || !HoldsTrial(fingerprint)) {
+    return;
+  }
+  CrashRecord record = *known;
+  record.crashes.insert(crashes.begin(), crashes.end());
+  record.trials = 0;
+  record.trial_is_open = false;
+  ++record.failed_trials;
+  record.blocked_until = now + BlockTime(record.failed_trials);
+  Put(fingerprint, Purpose::kFailedTrial, std::move(record));
+}
+
+Duration CrashRecords::BlockTime(std::int64_t failed_trials) const {
+  Duration time = settings_.block_time;
+  for (std::int64_t i = 1; i < failed_trials && time < settings_.max_block_time;
+       ++i) {
+    time = time * 2;
+  }
+  return std::min(time, settings_.max_block_time);
+}
+
+void CrashRecords::Remove(Time /*now*/, Fingerprint fingerprint) {
+  retries_.erase(fingerprint);
+  const auto found = records_.find(fingerprint);
+  if (found == records_.end()) {
+    return;
+  }
+  const auto write = writes_.find(fingerprint);
+  if (write != writes_.end() && write->second.purpose == Purpose::kRemove) {
+    return;
+  }
+  held_trials_.erase(fingerprint);
+  ++last_call_;
+  writes_[fingerprint] = {last_call_, Purpose::kRemove, {}};
+  requests_.push_back(
+      {last_call_, StoreDelete{KeyOf(fingerprint), found->second.revision}});
+}
+
+void CrashRecords::RemoveExpired(Time now) {
+  for (const auto& [fingerprint, known] : records_) {
+    if (now - known.seen >= settings_.record_ttl &&
+        now >= known.record.blocked_until) {
+      Remove(now, fingerprint);
+    }
+  }
+}
+
+void CrashRecords::Put(Fingerprint fingerprint,
+                       Purpose purpose,
+                       CrashRecord proposed) {
+  const auto found = records_.find(fingerprint);
+  const Revision expected =
+      found == records_.end() ? Revision() : found->second.revision;
+  ++last_call_;
+  requests_.push_back(
+      {last_call_, StorePut{KeyOf(fingerprint), codec_.encode(proposed),
+                            expected, LeaseId()}});
+  retries_.erase(fingerprint);
+  writes_[fingerprint] = {last_call_, purpose, std::move(proposed)};
+}
+
+std::optional<Fingerprint> CrashRecords::OnStoreReply(Time now,
+                                                      StoreCallId id,
+                                                      const StoreReply& reply) {
+  const auto found =
+      std::find_if(writes_.begin(), writes_.end(),
+                   [id](const auto& entry) { return entry.second.call == id; });
+  if (found == writes_.end()) {
+    return std::nullopt;
+  }
+  const Fingerprint fingerprint = found->first;
+  const Write write = std::move(found->second);
+  writes_.erase(found);
+  if (const auto* written = std::get_if<StoreWritten>(&reply)) {
+    OnWritten(now, fingerprint, write, written->revision);
+  } else if (const auto* conflict = std::get_if<StoreConflict>(&reply)) {
+    OnConflict(now, fingerprint, write, *conflict);
+  } else {
+    RetryLater(now, fingerprint, write);
+  }
+  return fingerprint;
+}
+
+void CrashRecords::OnWritten(Time now,
+                             Fingerprint fingerprint,
+                             const Write& write,
+                             Revision revision) {
+  if (write.purpose == Purpose::kRemove) {
+    records_.erase(fingerprint);
+    return;
+  }
+  records_[fingerprint] = {write.proposed, revision, now};
+  if (write.purpose == Purpose::kTrial) {
+    held_trials_.insert(fingerprint);
+  } else {
+    held_trials_.erase(fingerprint);
+  }
+}
+
+void CrashRecords::OnConflict(Time now,
+                              Fingerprint fingerprint,
+                              const Write& write,
+                              const StoreConflict& conflict) {
+  const bool held_trial = HoldsTrial(fingerprint);
+  if (!conflict.current) {
+    held_trials_.erase(fingerprint);
+    records_.erase(fingerprint);
+    return;
+  }
+  const auto known = records_.find(fingerprint);
+  if (known == records_.end() ||
+      conflict.current->revision > known->second.revision) {
+    Adopt(now, fingerprint, *conflict.current);
+  }
+  // The result of a trial, and a proof, hold whatever was written meanwhile.
+  if (write.purpose == Purpose::kRemove) {
+    Remove(now, fingerprint);
+  } else if (write.purpose == Purpose::kFailedTrial && held_trial &&
+             Find(fingerprint)->trial_is_open) {
+    held_trials_.insert(fingerprint);
+    OnTrialFailed(now, fingerprint, write.proposed.crashes);
+  }
+}
+
+// A trial that may have been granted is not used: its request has been answered
+// by the time this is known.
+void CrashRecords::RetryLater(Time now,
+                              Fingerprint fingerprint,
+                              const Write& write) {
+  if (write.purpose != Purpose::kTrial) {
+    retries_[fingerprint] = {write.purpose, write.proposed.crashes,
+                             now + settings_.retry_delay};
+  }
+}
+
+void CrashRecords::Tick(Time now) {
+  std::vector<std::pair<Fingerprint, Retry>> due;
+  for (const auto& [fingerprint, retry] : retries_) {
+    if (now >= retry.at && !IsWriting(fingerprint)) {
+      due.emplace_back(fingerprint, retry);
+    }
+  }
+  for (const auto& [fingerprint, retry] : due) {
+    retries_.erase(fingerprint);
+    switch (retry.purpose) {
+      case Purpose::kRecord:
+        Record(now, fingerprint, retry.crashes);
+        break;
+      case Purpose::kFailedTrial:
+        OnTrialFailed(now, fingerprint, retry.crashes);
+        break;
+      case Purpose::kRemove:
+        Remove(now, fingerprint);
+        break;
+      case Purpose::kTrial:
+        break;
+    }
+  }
+}
+
+std::vector<StoreRequest> CrashRecords::TakeRequests() {
+  return std::exchange(requests_, {});
+}
+
+}  // namespace gcw
--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -31,15 +31,27 @@
   open_request.request = std::move(request);
   open_request.routes = std::move(routes);
   open_request.arrived = now;
-  ForwardStep step = Admit(now, open_request);
+  ForwardStep step = Admit(now, last_id_, open_request);
+  Track(last_id_, std::move(open_request), step);
+  return {last_id_, std::move(step)};
+}
+
+void ForwardController::Track(ForwardId id,
+                              OpenRequest open_request,
+                              const ForwardStep& step) {
   if (std::holds_alternative<SendForward>(step)) {
-    by_attempt_[open_request.attempt] = last_id_;
-    open_requests_.emplace(last_id_, std::move(open_request));
+    by_attempt_[open_request.attempt] = id;
+    open_requests_.insert_or_assign(id, std::move(open_request));
+  } else if (std::holds_alternative<AwaitDecision>(step)) {
+    open_requests_.insert_or_assign(id, std::move(open_request));
+  } else {
+    open_requests_.erase(id);
   }
-  return {last_id_, std::move(step)};
 }
 
-ForwardStep ForwardController::Admit(Time now, OpenRequest& open_request) {
+ForwardStep ForwardController::Admit(Time now,
+                                     ForwardId id,
+                                     OpenRequest& open_request) {
   // A node without a configuration cannot tell an unknown route or key from one
   // that it has not received yet.
   if (!open_request.routes) {
@@ -78,6 +90,51 @@
                                         open_request.route->latency_objective);
   }
   budget_->OnRequest(now, open_request.service);
+  switch (crash_guard_->Judge(now, open_request.fingerprint)) {
+    case CrashVerdict::kBlocked:
+      return Refuse(now, open_request, RefusalKind::kFingerprintBlocked);
+    case CrashVerdict::kNeedsTrial:
+      return WaitForDecision(now, id, open_request);
+    case CrashVerdict::kAllowed:
+      break;
+  }
+  return DispatchFirst(now, open_request);
+}
+
+ForwardStep ForwardController::WaitForDecision(
+    Time now,
+    ForwardId id,
+    const OpenRequest& open_request) {
+  // A request that no endpoint can take need not wait.
+  const Result<ReplicaChoice, RefusalKind> choice =
+      selector_->Choose(now, MakeDemand(open_request), {});
+  if (!IsOk(choice)) {
+    return Refuse(now, open_request, ErrorOf(choice));
+  }
+  if (!crash_guard_->Wait(now, id, open_request.fingerprint)) {
+    return Refuse(now, open_request, RefusalKind::kFingerprintBlocked);
+  }
+  return AwaitDecision{};
+}
+
+ForwardStep ForwardController::OnDecision(Time now,
+                                          const CrashDecision& decision) {
+  const auto found = open_requests_.find(decision.id);
+  if (found == open_requests_.end()) {
+    return ForwardTruncated{};
+  }
+  OpenRequest open_request = std::move(found->second);
+  open_request.is_trial = decision.is_trial;
+  ForwardStep step =
+      decision.may_run
+          ? DispatchFirst(now, open_request)
+          : Refuse(now, open_request, RefusalKind::kFingerprintBlocked);
+  Track(decision.id, std::move(open_request), step);
+  return step;
+}
+
+ForwardStep ForwardController::DispatchFirst(Time now,
+                                             OpenRequest& open_request) {
   Result<SendForward, RefusalKind> send =
       Dispatch(now, open_request, open_request.request.resume_after);
   if (!IsOk(send)) {
@@ -127,6 +184,9 @@
       selector_->OnSent(now, replica.vm, open_request.request.prompt_tokens,
                         open_request.route->streams);
   ++open_request.sends;
+  if (open_request.is_trial) {
+    crash_guard_->OnTrialSent(open_request.fingerprint, open_request.endpoint);
+  }
   SendForward send;
   send.vm = replica.vm;
   send.address = replica.address;
@@ -185,6 +245,13 @@
   }
 }
 
+bool ForwardController::IsProvenHarmless(
+    Time now,
+    const OpenRequest& open_request) const {
+  return open_request.first_event &&
+         now - *open_request.first_event >= crash_guard_->proof_time();
+}
+
 void ForwardController::ReportBreak(Time now,
                                     const OpenRequest& open_request,
                                     const ForwardEnd& end) {
@@ -192,11 +259,8 @@
       !end.closed_by_endpoint) {
     return;
   }
-  const bool is_harmless =
-      open_request.first_event &&
-      now - *open_request.first_event >= crash_guard_->proof_time();
   BrokenAttempt broken = {open_request.endpoint, open_request.address, {}};
-  if (!is_harmless) {
+  if (!IsProvenHarmless(now, open_request)) {
     broken.suspect = open_request.fingerprint;
   }
   crash_guard_->OnBroken(now, broken);
@@ -232,9 +296,11 @@
                                         const ForwardEnd& end) {
   switch (end.kind) {
     case ForwardEndKind::kSucceeded:
+      crash_guard_->OnHarmless(now, open_request.fingerprint);
       return PassAnswer{};
     case ForwardEndKind::kEndpointFailed: {
       ++open_request.possible_runs;
+      crash_guard_->OnHarmless(now, open_request.fingerprint);
       if (end.is_client_error || !MayRunAgain(now, open_request, end)) {
         return PassAnswer{};
       }
@@ -302,6 +368,16 @@
   if (now + settings_.min_time_left >= open_request.deadline) {
     return RefusalKind::kDeadline;
   }
+  // A trial is one attempt, and any other request stops after the crash that
+  // makes trials necessary.
+  const bool may_send =
+      open_request.is_trial
+          ? !may_have_reached_endpoint
+          : crash_guard_->Judge(now, open_request.fingerprint) ==
+                CrashVerdict::kAllowed;
+  if (!may_send) {
+    return RefusalKind::kFingerprintBlocked;
+  }
   const std::optional<std::int64_t> resume =
       end.delivered ? end.last_event : open_request.request.resume_after;
   if (end.delivered) {
@@ -379,6 +455,9 @@
 Duration ForwardController::RetryAfter(Time now,
                                        const OpenRequest& open_request,
                                        RefusalKind kind) {
+  if (kind == RefusalKind::kFingerprintBlocked) {
+    return crash_guard_->RetryAfter(now, open_request.fingerprint);
+  }
   if (kind == RefusalKind::kEndpointLimit) {
     return LimitedReturn(now, MakeDemand(open_request));
   }
@@ -412,8 +491,12 @@
   if (found != open_requests_.end()) {
     RecordStart(now, found->second);
     found->second.last_event = now;
-    if (!found->second.first_event) {
-      found->second.first_event = now;
+    OpenRequest& open_request = found->second;
+    if (!open_request.first_event) {
+      open_request.first_event = now;
+    }
+    if (IsProvenHarmless(now, open_request)) {
+      crash_guard_->OnHarmless(now, open_request.fingerprint);
     }
     selector_->OnProgress(now, found->second.attempt);
   }
@@ -434,6 +517,7 @@
     return;
   }
   StopWaiting(found->second);
+  crash_guard_->OnWaitCancelled(id);
   selector_->OnCancelled(found->second.attempt);
   by_attempt_.erase(found->second.attempt);
   open_requests_.erase(found);
@@ -471,7 +555,10 @@
         {"version", open_request.routes->configuration().version.value()});
   }
   fields.push_back({"fingerprint", open_request.fingerprint.value()});
-  events_({kind, open_request.request.id.value(), {}, std::move(fields)});
+  const EventId cause = kind == EventKind::kRequestRefused
+                            ? crash_guard_->BlockEvent(open_request.fingerprint)
+                            : EventId();
+  events_({kind, open_request.request.id.value(), cause, std::move(fields)});
 }
 
 }  // namespace gcw
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -69,6 +69,8 @@
   // The endpoint of the current attempt reports about itself.
   void OnReport(Time now, ForwardId id, const EndpointReport& report);
   void OnCallerGone(Time now, ForwardId id);
+  // The request need not wait any longer. Returns its next step.
+  ForwardStep OnDecision(Time now, const CrashDecision& decision);
 
   // Returns the requests among the `stalled` attempts that another endpoint
   // could continue. The caller should end their attempts as kSilent.
@@ -105,6 +107,8 @@
     Rank rank;
     Urgency urgency = Urgency::kOnTime;
     bool has_started = false;
+    // The attempt shows whether the request crashes endpoints.
+    bool is_trial = false;
     // The deferral policy counts this request among the prioritized ones that
     // wait to start.
     bool is_waiting = false;
@@ -115,13 +119,22 @@
   static Fingerprint MakeFingerprint(const OpenRequest& open_request);
   static ReplicaDemand MakeDemand(const OpenRequest& open_request);
   void RecordStart(Time now, OpenRequest& open_request);
+  // Whether the current attempt shows that the request crashes no endpoint.
+  bool IsProvenHarmless(Time now, const OpenRequest& open_request) const;
   // Tells the crash guard of an attempt that may have broken with its endpoint.
   void ReportBreak(Time now,
                    const OpenRequest& open_request,
                    const ForwardEnd& end);
   // Tells the deferral policy that the request no longer waits to start.
   void StopWaiting(OpenRequest& open_request);
-  ForwardStep Admit(Time now, OpenRequest& open_request);
+  ForwardStep Admit(Time now, ForwardId id, OpenRequest& open_request);
+  // Sends the request for the first time.
+  ForwardStep DispatchFirst(Time now, OpenRequest& open_request);
+  ForwardStep WaitForDecision(Time now,
+                              ForwardId id,
+                              const OpenRequest& open_request);
+  // Keeps the request if it goes on, and removes it otherwise.
+  void Track(ForwardId id, OpenRequest open_request, const ForwardStep& step);
   // Returns the next attempt, or the reason why no endpoint can take it.
   Result<SendForward, RefusalKind> Dispatch(Time now,
                                             OpenRequest& open_request,
--- a/coordination/gateway/forward_request.h
+++ b/coordination/gateway/forward_request.h
@@ -57,6 +57,10 @@
   std::optional<Precedence> precedence;
 };
 
+// Step: the request waits, and the next step follows without an event of the
+// request.
+struct AwaitDecision {};
+
 // Step: the caller gets the endpoint's answer unchanged.
 struct PassAnswer {};
 
@@ -77,6 +81,7 @@
 struct ForwardTruncated {};
 
 using ForwardStep = std::variant<SendForward,
+                                 AwaitDecision,
                                  PassAnswer,
                                  ForwardRefused,
                                  ForwardOutcomeUnknown,
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -35,10 +35,18 @@
       mirror_(settings_.mirror,
               random_,
               {[this](Time now, const StoreEntry& entry) {
-                 view_.OnPut(now, entry);
+                 if (entry.key.starts_with(kCrashRecordPrefix)) {
+                   crash_guard_.OnRecordPut(now, entry);
+                 } else {
+                   view_.OnPut(now, entry);
+                 }
                },
                [this](Time now, const std::string& key) {
-                 view_.OnDeleted(now, key);
+                 if (key.starts_with(kCrashRecordPrefix)) {
+                   crash_guard_.OnRecordDeleted(now, key);
+                 } else {
+                   view_.OnDeleted(now, key);
+                 }
                },
                [this](bool reachable) {
                  events_({reachable ? EventKind::kStoreReachable
@@ -78,6 +86,8 @@
             return vm != nullptr && !vm->draining &&
                    vm->incarnation == run.incarnation;
           },
+          codecs.crash_record,
+          random_,
           events_),
       forwards_(settings_.requests,
                 &selector_,
@@ -123,6 +133,7 @@
   }
   NotifyLimits(now);
   crash_guard_.Tick(now);
+  RunCrashGuard(now);
   RunController(now);
   WriteOverview(now);
   QueryWitnessesForController(now);
@@ -153,15 +164,18 @@
     case GatewayModule::kOverview:
       overview_.OnStoreReply(id, reply);
       break;
+    case GatewayModule::kCrashGuard:
+      crash_guard_.OnStoreReply(now, id, reply);
+      break;
   }
-  return TakeActions();
+  return TakeRequestActions(now);
 }
 
 GatewayActions GatewayCore::OnSnapshot(Time now,
                                        const MirrorSnapshot& snapshot) {
   mirror_.OnPeerSnapshot(now, snapshot);
   UpdateReplicas(now);
-  return TakeActions();
+  return TakeRequestActions(now);
 }
 
 GatewayActions GatewayCore::OnStallNotice(Time now, const StallNotice& notice) {
@@ -174,7 +188,7 @@
 
 void GatewayCore::NotifyLimits(Time now) {
   for (const LimitNotice& notice : selector_.TakeLimitNotices(now)) {
-    for (Address& address : DrawOtherNodes(settings_.limit_notice_fanout)) {
+    for (Address& address : DrawOtherNodes(settings_.notice_fanout)) {
       actions_.emplace_back(NotifyLimit{std::move(address), notice});
     }
   }
@@ -238,9 +252,41 @@
                                          const VmId& vm,
                                          ProbeResult result) {
   crash_guard_.OnCheckReply(now, vm, result);
+  return TakeRequestActions(now);
+}
+
+GatewayActions GatewayCore::OnCrashNotices(
+    Time now,
+    const std::vector<CrashNotice>& notices) {
+  crash_guard_.OnNotices(now, notices);
+  return TakeRequestActions(now);
+}
+
+GatewayActions GatewayCore::TakeRequestActions(Time now) {
+  RunCrashGuard(now);
   return TakeActions();
 }
 
+void GatewayCore::RunCrashGuard(Time now) {
+  for (CheckEndpoint& check : crash_guard_.TakeChecks()) {
+    actions_.emplace_back(std::move(check));
+  }
+  for (StoreRequest& request : crash_guard_.TakeStoreRequests()) {
+    actions_.emplace_back(
+        CallGatewayStore{GatewayModule::kCrashGuard, std::move(request)});
+  }
+  const std::vector<CrashNotice> notices = crash_guard_.TakeNotices(now);
+  if (!notices.empty()) {
+    for (Address& address : DrawOtherNodes(settings_.notice_fanout)) {
+      actions_.emplace_back(NotifyCrashes{std::move(address), notices});
+    }
+  }
+  for (const CrashDecision& decision : crash_guard_.TakeDecisions()) {
+    actions_.emplace_back(
+        ContinueForward{decision.id, forwards_.OnDecision(now, decision)});
+  }
+}
+
 void GatewayCore::OnStopRequested(Time now) {
   if (stop_requested_at_) {
     return;
@@ -383,6 +429,7 @@
   controller_.SetRole(now, held);
   if (held) {
     Apply(controller_.Tick(now, view_));
+    crash_guard_.RemoveExpired(now);
   }
 }
 
@@ -490,9 +537,6 @@
 }
 
 GatewayActions GatewayCore::TakeActions() {
-  for (CheckEndpoint& check : crash_guard_.TakeChecks()) {
-    actions_.emplace_back(std::move(check));
-  }
   return std::exchange(actions_, {});
 }
 
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -73,9 +73,10 @@
   // that is in use.
   std::size_t max_stall_witnesses = 8;
   // Number of other nodes, drawn at random, that a node tells what is new of an
-  // endpoint's limit. These pass it on, so that all hear of it after a few
-  // rounds and no node sends more in a larger fleet.
-  std::size_t limit_notice_fanout = 4;
+  // endpoint's limit or of a request that crashes endpoints. These pass it on,
+  // so that all hear of it after a few rounds and no node sends more in a
+  // larger fleet.
+  std::size_t notice_fanout = 4;
   // Interval at which the controller repeats that question until it has
   // decided.
   Duration witness_query_interval = Duration::Millis(250);
@@ -115,7 +116,14 @@
 };
 
 // The part of the core that called the key-value service.
-enum class GatewayModule { kMirror, kLease, kRoles, kController, kOverview };
+enum class GatewayModule {
+  kMirror,
+  kLease,
+  kRoles,
+  kController,
+  kOverview,
+  kCrashGuard
+};
 
 struct CallGatewayStore {
   GatewayModule module = GatewayModule::kMirror;
@@ -153,6 +161,16 @@
   Address address;
   LimitNotice notice;
 };
+// Tells the node at the address of requests that crash endpoints.
+struct NotifyCrashes {
+  Address address;
+  std::vector<CrashNotice> notices;
+};
+// Performs the next step of a request that waited.
+struct ContinueForward {
+  ForwardId id;
+  ForwardStep step;
+};
 // Ends the request's attempt as kSilent, so that another endpoint can take over
 // the request.
 struct FailOverForward {
@@ -172,6 +190,8 @@
                                    RequestGroupProgress,
                                    NotifyLimit,
                                    CheckEndpoint,
+                                   NotifyCrashes,
+                                   ContinueForward,
                                    SendGroupOrder,
                                    ProbeEngine,
                                    FailOverForward,
@@ -188,6 +208,7 @@
   struct Codecs {
     FleetCodec fleet;
     DomainRecordCodec domain_record;
+    CrashRecordCodec crash_record;
     std::function<std::string(const NodeRecord&)> encode_node;
     // Unused if `fleet.overview_key` is empty.
     std::function<std::string(const FleetOverview&)> encode_overview;
@@ -232,10 +253,27 @@
                               const ProbeReport& report);
   // The endpoint's process accepted or refused a new connection.
   GatewayActions OnCheckReply(Time now, const VmId& vm, ProbeResult result);
+  GatewayActions OnCrashNotices(Time now,
+                                const std::vector<CrashNotice>& notices);
   void OnStopRequested(Time now);
 
   // Returns the actions that events of requests, which return a step, led to.
-  GatewayActions TakeActions();
+  GatewayActions TakeRequestActions(Time now);
+
+  // Requests under which endpoints crashed, and how long they stay blocked.
+  std::vector<CrashBlock> CrashBlocks(Time now) const {
+    return crash_guard_.Blocks(now);
+  }
+  // Allows a request that was blocked; returns false if nothing is known of it.
+  bool LiftCrashBlock(Time now, Fingerprint fingerprint) {
+    return crash_guard_.Lift(now, fingerprint);
+  }
+  std::size_t blocked_requests(Time now) const {
+    return crash_guard_.blocked_requests(now);
+  }
+  std::size_t suspected_requests(Time now) const {
+    return crash_guard_.suspected_requests(now);
+  }
 
   ForwardAdmission OnArrived(Time now, ForwardRequest request);
   ForwardStep OnEnded(Time now, ForwardId id, const ForwardEnd& end);
@@ -306,6 +344,8 @@
   // Returns the time over which a starting node may spread the reading of the
   // keys that it does not read first. Zero if it needs them at once.
   Duration InitialReadSpread() const;
+  // Takes the actions of the crash guard.
+  void RunCrashGuard(Time now);
   void WriteOverview(Time now);
   FleetOverview DescribeFleet() const;
   void FailOverStalledAttempts(
@@ -324,6 +364,7 @@
   std::vector<Replica> MakeReplicas() const;
   // Absent if the VM accepts no requests.
   std::optional<Replica> MakeReplica(const VmRegistration& vm) const;
+  GatewayActions TakeActions();
 
   GatewaySettings settings_;
   Random random_;
--- a/coordination/gateway/gateway_core_following.cc
+++ b/coordination/gateway/gateway_core_following.cc
@@ -124,7 +124,7 @@
   Apply(mirror_.OnPeerChanges(now, id, changes));
   UpdateReplicas(now);
   RunController(now);
-  return TakeActions();
+  return TakeRequestActions(now);
 }
 
 void GatewayCore::Apply(const RequestPeerChanges& request) {
--- a/coordination/gateway/gateway_keys.h
+++ b/coordination/gateway/gateway_keys.h
@@ -13,6 +13,11 @@
 // role writes it.
 inline constexpr std::string_view kOverviewKey = "overview";
 
+// Records of requests under which endpoints crashed. The fingerprint follows.
+// The prefix begins like the keys that a starting node reads first, so that it
+// knows them before it serves requests.
+inline constexpr std::string_view kCrashRecordPrefix = "offender/";
+
 // The only role: its holder decides which VMs form which replica group.
 inline constexpr std::string_view kControllerRole = "keeper/fleet";
 
--- a/core/event.cc
+++ b/core/event.cc
@@ -79,6 +79,10 @@
       return "endpoint_limit_named";
     case EventKind::kEndpointLimitLifted:
       return "endpoint_limit_lifted";
+    case EventKind::kFingerprintSuspected:
+      return "fingerprint_suspected";
+    case EventKind::kFingerprintTried:
+      return "fingerprint_tried";
     case EventKind::kFingerprintBlocked:
       return "fingerprint_blocked";
     case EventKind::kFingerprintUnblocked:
--- a/core/event.h
+++ b/core/event.h
@@ -54,6 +54,8 @@
   kEndpointCrashed,
   kEndpointLimitNamed,
   kEndpointLimitLifted,
+  kFingerprintSuspected,
+  kFingerprintTried,
   kFingerprintBlocked,
   kFingerprintUnblocked,
   kOnceClaimed,
--- a/programs/gcw_gateway/gateway_process.cc
+++ b/programs/gcw_gateway/gateway_process.cc
@@ -53,6 +53,18 @@
     }
     return std::move(ValueOf(decoded));
   };
+  codecs.crash_record.encode = EncodeCrashRecord;
+  codecs.crash_record.decode =
+      [](std::string_view text) -> std::optional<CrashRecord> {
+    Decoded<CrashRecord> decoded = DecodeCrashRecord(text);
+    if (!IsOk(decoded)) {
+      LogEvent(LogSeverity::kError, "store_value_malformed",
+               {{"what", std::string("crash_record")},
+                {"field", ErrorOf(decoded).field}});
+      return std::nullopt;
+    }
+    return std::move(ValueOf(decoded));
+  };
   codecs.encode_node = EncodeNodeRecord;
   codecs.encode_overview = EncodeFleetOverview;
   return codecs;
--- a/programs/gcwctl/command_line.cc
+++ b/programs/gcwctl/command_line.cc
@@ -27,6 +27,7 @@
     "  contract create|show|list|change|withdraw\n"
     "  model    create|show|list|change|withdraw\n"
     "  status   node list|drain   group list|show|drain   limits\n"
+    "  block list|lift\n"
     "  change show REVISION   timeline   why SUBJECT\n\n"
     "Exit codes: 0 success, 2 invalid command line or file, 3 no node "
     "answered,\n"
@@ -79,6 +80,16 @@
        "gcwctl limits\n\nPrints this node's share of each active contract. "
        "`is_floor` is true if no\nowner granted a share "
        "recently.\n\nExample:\n  gcwctl limits\n"},
+      {"block",
+       "gcwctl block list\ngcwctl block lift FINGERPRINT\n\n"
+       "Lists requests under which endpoints of a gateway crashed, with the "
+       "VMs, and how\n"
+       "long each is still refused; 0 means that it may run. `lift` allows a "
+       "request at\n"
+       "all nodes and forgets its crashes. Events of requests name the "
+       "fingerprint.\n\n"
+       "Example:\n  gcwctl --node 127.0.0.1:8229 block lift "
+       "842259138472618\n"},
       {"change",
        "gcwctl change show REVISION\n\nPrints on which nodes the revision is "
        "in "
--- a/programs/gcwctl/commands.cc
+++ b/programs/gcwctl/commands.cc
@@ -65,6 +65,9 @@
   if (verb == "limits") {
     return ShowLimits();
   }
+  if (verb == "block") {
+    return RunBlock();
+  }
   if (verb == "change") {
     return ShowChange();
   }
@@ -226,6 +229,36 @@
   return ExitCode::kDone;
 }
 
+ExitCode Commands::RunBlock() {
+  OperatorAnswer answer;
+  ExitCode failure = ExitCode::kUnreachable;
+  if (Argument(1) == "lift" && !Argument(2).empty()) {
+    if (!Call("POST", "/v1/blocks/lift?fingerprint=" + EscapeQuery(Argument(2)),
+              "", answer, failure)) {
+      return failure;
+    }
+    if (answer.status != kStatusOk) {
+      return ReportRefusal(answer);
+    }
+    out_ << Argument(2) << ": lifted; the other nodes follow within seconds\n";
+    return ExitCode::kDone;
+  }
+  if (Argument(1) != "list") {
+    return PrintUsage();
+  }
+  if (!FetchPage("/v1/blocks", answer, failure)) {
+    return failure;
+  }
+  if (line_.json) {
+    out_ << json::serialize(answer.body) << '\n';
+    return ExitCode::kDone;
+  }
+  PrintTable(FieldList(answer.body, "blocks"),
+             {"fingerprint", "blocked_ms", "failed_trials", "crashed_vms"},
+             out_);
+  return ExitCode::kDone;
+}
+
 ExitCode Commands::ShowChange() {
   if (Argument(1) != "show" || Argument(2).empty()) {
     return PrintUsage();
--- a/programs/gcwctl/commands.h
+++ b/programs/gcwctl/commands.h
@@ -53,6 +53,7 @@
   ExitCode RunGroup();
   ExitCode ShowGroups(const std::string& id);
   ExitCode ShowLimits();
+  ExitCode RunBlock();
   ExitCode ShowChange();
   ExitCode ShowTimeline();
   ExitCode ShowWhy();
--- /dev/null
+++ b/protocol/crash_json.cc
@@ -0,0 +1,112 @@
+#include "protocol/crash_json.h"
+
+#include <utility>
+
+#include "protocol/json_reader.h"
+#include "protocol/json_writer.h"
+
+namespace gcw {
+namespace {
+
+boost::json::object CrashToJson(const CrashId& crash) {
+  return {{"vm", ToJson(crash.vm)}, {"incarnation", ToJson(crash.incarnation)}};
+}
+
+CrashId ReadCrash(JsonReader& reader) {
+  return {reader.TextId<VmId>("vm"),
+          reader.CountOf<Incarnation>("incarnation")};
+}
+
+boost::json::object NoticeToJson(const CrashNotice& notice) {
+  boost::json::array crashes;
+  for (const auto& [crash, report] : notice.crashes) {
+    boost::json::object encoded = CrashToJson(crash);
+    encoded["age_ms"] = report.age.millis();
+    encoded["confirmed"] = report.is_confirmed;
+    crashes.push_back(std::move(encoded));
+  }
+  boost::json::object encoded{{"fingerprint", ToJson(notice.fingerprint)},
+                              {"crashes", std::move(crashes)}};
+  if (notice.harmless_for) {
+    encoded["harmless_ms"] = notice.harmless_for->millis();
+  }
+  return encoded;
+}
+
+CrashNotice ReadNotice(JsonReader& reader) {
+  CrashNotice notice;
+  notice.fingerprint = reader.CountOf<Fingerprint>("fingerprint");
+  const auto crashes = reader.List("crashes", [](JsonReader& item) {
+    return std::pair(ReadCrash(item), CrashReport{item.DurationMillis("age_ms"),
+                                                  item.Bool("confirmed")});
+  });
+  notice.crashes.insert(crashes.begin(), crashes.end());
+  if (reader.IsPresent("harmless_ms")) {
+    notice.harmless_for = reader.DurationMillis("harmless_ms");
+  }
+  return notice;
+}
+
+}  // namespace
+
+std::string EncodeCrashRecord(const CrashRecord& record) {
+  boost::json::array crashes;
+  for (const CrashId& crash : record.crashes) {
+    crashes.push_back(CrashToJson(crash));
+  }
+  return boost::json::serialize(
+      boost::json::object{{"crashes", std::move(crashes)},
+                          {"trials", record.trials},
+                          {"trial_is_open", record.trial_is_open},
+                          {"trial_holder", record.trial_holder},
+                          {"failed_trials", record.failed_trials},
+                          {"blocked_until_ms", record.blocked_until.millis()}});
+}
+
+Decoded<CrashRecord> DecodeCrashRecord(std::string_view text) {
+  return DecodeJson(text, [](JsonReader& reader) {
+    CrashRecord record;
+    const auto crashes = reader.List("crashes", ReadCrash);
+    record.crashes.insert(crashes.begin(), crashes.end());
+    record.trials = reader.Count("trials");
+    record.trial_is_open = reader.Bool("trial_is_open");
+    record.trial_holder = reader.Count("trial_holder");
+    record.failed_trials = reader.Count("failed_trials");
+    record.blocked_until = reader.TimeMillis("blocked_until_ms");
+    return record;
+  });
+}
+
+std::string EncodeCrashNotices(const std::vector<CrashNotice>& notices) {
+  boost::json::array encoded;
+  for (const CrashNotice& notice : notices) {
+    encoded.push_back(NoticeToJson(notice));
+  }
+  return boost::json::serialize(
+      boost::json::object{{"requests", std::move(encoded)}});
+}
+
+Decoded<std::vector<CrashNotice>> DecodeCrashNotices(std::string_view text) {
+  return DecodeJson(text, [](JsonReader& reader) {
+    return reader.List("requests", ReadNotice);
+  });
+}
+
+std::string EncodeCrashBlocks(const std::vector<CrashBlock>& blocks) {
+  boost::json::array encoded;
+  for (const CrashBlock& block : blocks) {
+    boost::json::array vms;
+    for (const CrashId& crash : block.record.crashes) {
+      vms.push_back(ToJson(crash.vm));
+    }
+    encoded.push_back(
+        boost::json::object{{"fingerprint", ToJson(block.fingerprint)},
+                            {"crashed_vms", std::move(vms)},
+                            {"failed_trials", block.record.failed_trials},
+                            {"blocked_ms", block.remaining.millis()}});
+  }
+  return boost::json::serialize(
+      boost::json::object{{"blocks", std::move(encoded)}});
+}
+
+}  // namespace gcw
--- a/protocol/protocol.h
+++ b/protocol/protocol.h
@@ -13,6 +13,7 @@
 #include "protocol/codec_error.h"
 #include "protocol/config_record_json.h"
 #include "protocol/contract_json.h"
+#include "protocol/crash_json.h"
 #include "protocol/desired_model_json.h"
 #include "protocol/domain_record_json.h"
 #include "protocol/engine_headers.h"
--- a/state/state.h
+++ b/state/state.h
@@ -8,6 +8,7 @@
 #include "state/config_store.h"
 #include "state/contract.h"
 #include "state/contract_entry.h"
+#include "state/crash_record.h"
 #include "state/desired_model.h"
 #include "state/domain_record.h"
 #include "state/endpoint.h"
--- a/tests/coordination/gateway/crash_guard_test.cc
+++ b/tests/coordination/gateway/crash_guard_test.cc
@@ -30,5 +30,19 @@
   }
 }
 
+// Guards against copies of a crashing request that arrive at the same moment at
+// different nodes and are each taken for the first one.
+TEST(CrashGuardTest, CopiesAtOnceAreKnownAgainAtEveryNode) {
+  for (const std::size_t nodes : kFleetSizes) {
+    CrashWorld world(nodes);
+    for (int i = 0; i < 5; ++i) {
+      world.SendCrashing(kCrashing, 4);
+      world.Run(Duration::Seconds(6));
+    }
+    EXPECT_EQ(world.FirstViolation(), "") << nodes << " nodes";
+    EXPECT_EQ(world.healthy_blocked(), 0) << nodes << " nodes";
+  }
+}
+
 }  // namespace
 }  // namespace gcw
--- a/tests/coordination/gateway/forward_controller_test.cc
+++ b/tests/coordination/gateway/forward_controller_test.cc
@@ -91,6 +91,8 @@
   SharedRetryBudget budget_;
   CrashGuard crash_guard_{{},
                           [](const EndpointRun&) { return true; },
+                          {},
+                          SeededRandom(4),
                           DiscardEvents()};
   ForwardController controller_;
 };
@@ -378,7 +380,8 @@
                            DiscardEvents());
   SharedRetryBudget budget({0.2, 100, Duration::Seconds(10), 0.8});
   CrashGuard crash_guard(
-      {}, [](const EndpointRun&) { return true; }, DiscardEvents());
+      {}, [](const EndpointRun&) { return true; }, {}, SeededRandom(4),
+      DiscardEvents());
   ForwardController controller({}, &selector, &budget, &crash_guard,
                                SeededRandom(3), DiscardEvents());
   std::vector<Replica> replicas;
--- a/tests/coordination/gateway/overload_test.cc
+++ b/tests/coordination/gateway/overload_test.cc
@@ -91,6 +91,8 @@
     SharedRetryBudget budget;
     CrashGuard crash_guard{{},
                            [](const EndpointRun&) { return true; },
+                           {},
+                           SeededRandom(4),
                            DiscardEvents()};
     ForwardController controller;
   };
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -282,6 +282,8 @@
     limit_rule_.Excuse(index);
     hold_rule_.Excuse(index);
     std::erase_if(streams_, [&](const Stream& s) { return s.node == index; });
+    std::erase_if(waiting_,
+                  [&](const auto& each) { return each.first.first == index; });
   }
   void StartNode(std::size_t index) {
     Node& node = nodes_[index];
@@ -295,7 +297,8 @@
     }
     settings.self.peer_address = Address(std::to_string(index));
     settings.self.caller_address = Address("c" + std::to_string(index));
-    settings.mirror.prefixes = {"cfg", "vm/", "node/", "role/"};
+    settings.mirror.prefixes = {"cfg", "vm/", "node/", "role/",
+                                std::string(kCrashRecordPrefix)};
     settings.mirror.expiring_prefixes = {"vm/", "node/"};
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
       settings.seeds.emplace_back(std::to_string(i));
@@ -326,6 +329,14 @@
       return std::optional<DomainRecord>(
           domain_records_.at(std::stoul(std::string(text))));
     };
+    codecs.crash_record.encode = [this](const CrashRecord& record) {
+      crash_records_.push_back(record);
+      return std::to_string(crash_records_.size() - 1);
+    };
+    codecs.crash_record.decode = [this](std::string_view text) {
+      return std::optional<CrashRecord>(
+          crash_records_.at(std::stoul(std::string(text))));
+    };
     codecs.encode_node = [this](const NodeRecord& record) {
       node_records_.push_back(record);
       return std::to_string(node_records_.size() - 1);
@@ -348,7 +359,7 @@
     const ForwardAdmission admission =
         nodes_[node].core->OnArrived(now_, std::move(request));
     Take(node, admission.id, simulated, admission.step);
-    Execute(node, nodes_[node].core->TakeActions());
+    Execute(node, nodes_[node].core->TakeRequestActions(now_));
   }
 
   // Weights, other than 1, of nodes that start from now on.
@@ -369,6 +380,8 @@
   int change_requests = 0;
   int limit_notices = 0;
   int endpoint_checks = 0;
+  int crash_notices = 0;
+  bool lose_crash_notices = false;
   bool lose_limit_notices = false;
   Duration restart_delay = Duration::Seconds(3);
   // A request reached an engine.
@@ -695,7 +708,31 @@
     GatewayCore& core = *nodes_[index].core;
     const ForwardStep step = core.OnEnded(now_, id, end);
     Take(index, id, broken.request, step, broken.events);
-    Execute(index, core.TakeActions());
+    Execute(index, core.TakeRequestActions(now_));
+  }
+
+  void Perform(std::size_t /*index*/, const NotifyCrashes& tell) {
+    const std::size_t other = std::stoul(tell.address.value());
+    const int run = nodes_[other].run;
+    ++crash_notices;
+    if (lose_crash_notices) {
+      return;
+    }
+    Schedule(kNetworkDelay, [this, other, run, tell] {
+      RunAtNode(other, run, [&](GatewayCore& core) {
+        return core.OnCrashNotices(now_, tell.notices);
+      });
+    });
+  }
+
+  void Perform(std::size_t index, const ContinueForward& next) {
+    const auto found = waiting_.find({index, next.id});
+    if (found == waiting_.end()) {
+      return;
+    }
+    const SimulatedRequest request = found->second;
+    waiting_.erase(found);
+    Take(index, next.id, request, next.step);
   }
 
   void Perform(std::size_t index, const CheckEndpoint& check) {
@@ -782,6 +819,10 @@
       refusals.push_back(*refused);
     }
     const auto* send = std::get_if<SendForward>(&step);
+    if (std::holds_alternative<AwaitDecision>(step)) {
+      waiting_[{node, id}] = request;
+      return;
+    }
     if (send == nullptr) {
       on_final(request, node, step);
       return;
@@ -833,7 +874,7 @@
       end.last_event = events;
     }
     Take(node, id, request, core.OnEnded(now_, id, end), events);
-    Execute(node, core.TakeActions());
+    Execute(node, core.TakeRequestActions(now_));
   }
 
   // Each call moves a stream on by an event if its group is whole and its VM is
@@ -927,6 +968,7 @@
   std::vector<VmRegistration> registrations_;
   std::vector<NodeRecord> node_records_;
   std::vector<DomainRecord> domain_records_;
+  std::vector<CrashRecord> crash_records_;
   SimulatedEngines engine_simulation_{
       [this](const Engine& engine) { Publish(engine); },
       [this](Duration delay, std::function<void()> run) {
@@ -937,6 +979,8 @@
   std::vector<Watch> watches_;
   std::multimap<Time, std::function<void()>> queue_;
   std::vector<Stream> streams_;
+  // Requests that wait for their next step.
+  std::map<std::pair<std::size_t, ForwardId>, SimulatedRequest> waiting_;
   // A follower's pending request.
   struct PendingChangesRequest {
     std::size_t node;
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -64,6 +64,8 @@
 void ForwardExchange::PerformStep(const ForwardStep& step) {
   if (const auto* send = std::get_if<SendForward>(&step)) {
     StartAttempt(*send);
+  } else if (std::holds_alternative<AwaitDecision>(step)) {
+    return;
   } else if (std::holds_alternative<PassAnswer>(step)) {
     RespondWithAnswer();
   } else if (const auto* refused = std::get_if<ForwardRefused>(&step)) {
@@ -216,6 +218,12 @@
   }
 }
 
+void ForwardExchange::Continue(const ForwardStep& step) {
+  if (!finished_) {
+    PerformStep(step);
+  }
+}
+
 void ForwardExchange::EndAttempt(ForwardEndKind kind, bool closed_by_endpoint) {
   // Invalidates pending callbacks of this attempt.
   ++attempt_number_;
--- a/transport/gateway/forward_exchange.h
+++ b/transport/gateway/forward_exchange.h
@@ -80,6 +80,8 @@
   // Ends the current attempt as stalled, so that the core may choose another
   // endpoint.
   void EndStalledAttempt();
+  // Performs the step that ends the request's wait.
+  void Continue(const ForwardStep& step);
 
  private:
   // The state of the current attempt.
--- a/transport/gateway/gateway_metrics.cc
+++ b/transport/gateway/gateway_metrics.cc
@@ -37,6 +37,14 @@
   return metrics.AddCounter(std::move(spec));
 }
 
+CounterFamily& AddRefusalFamily(Metrics& metrics) {
+  MetricSpec spec;
+  spec.name = "gcw_refusals_total";
+  spec.help = "Requests that were refused, by reason.";
+  spec.label_names = {"reason"};
+  return metrics.AddCounter(std::move(spec));
+}
+
 DistributionFamily& AddLatencyFamily(Metrics& metrics,
                                      std::string name,
                                      std::string help) {
@@ -52,6 +60,7 @@
 GatewayMetrics::GatewayMetrics()
     : events_(AddEventFamily(metrics_)),
       outcomes_(AddOutcomeFamily(metrics_)),
+      refusals_(AddRefusalFamily(metrics_)),
       first_byte_times_(
           AddLatencyFamily(metrics_,
                            "gcw_first_byte_ms",
@@ -82,10 +91,26 @@
       held_endpoints(AddUnlabeledGauge(
           metrics_,
           "gcw_held_endpoints",
-          "Endpoints that asked this node for no more requests.")) {}
+          "Endpoints that asked this node for no more requests.")),
+      blocked_requests(AddUnlabeledGauge(
+          metrics_,
+          "gcw_blocked_fingerprints",
+          "Requests that are refused because they crashed endpoints.")),
+      suspected_requests(
+          AddUnlabeledGauge(metrics_,
+                            "gcw_suspected_fingerprints",
+                            "Requests that may have crashed an endpoint.")) {}
 
 void GatewayMetrics::CountEvent(const TimelineEvent& event) {
   events_.With({std::string(EventKindName(event.draft.kind))}).Add();
+  if (event.draft.kind != EventKind::kRequestRefused) {
+    return;
+  }
+  for (const EventField& field : event.draft.fields) {
+    if (field.name == "reason") {
+      refusals_.With({std::get<std::string>(field.value)}).Add();
+    }
+  }
 }
 
 void GatewayMetrics::RecordRequest(const ForwardSummary& summary) {
--- a/transport/gateway/gateway_metrics.h
+++ b/transport/gateway/gateway_metrics.h
@@ -24,6 +24,7 @@
   Metrics metrics_;
   CounterFamily& events_;
   CounterFamily& outcomes_;
+  CounterFamily& refusals_;
   DistributionFamily& first_byte_times_;
   DistributionFamily& total_times_;
 
@@ -35,6 +36,8 @@
   Counter& probes;
   Gauge& limited_endpoints;
   Gauge& held_endpoints;
+  Gauge& blocked_requests;
+  Gauge& suspected_requests;
 };
 
 }  // namespace gcw
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -176,7 +176,9 @@
   parts.dialect = &parts_.dialect;
   parts.endpoints = &endpoint_client_;
   parts.clock = parts_.clock;
-  parts.run_actions = [this] { Execute(parts_.core->TakeActions()); };
+  parts.run_actions = [this] {
+    Execute(parts_.core->TakeRequestActions(Now()));
+  };
   parts.on_finished = [this](const ForwardSummary& summary) {
     parts_.metrics->RecordRequest(summary);
     parts_.report(
@@ -199,6 +201,7 @@
     return;
   }
   exchanges_[id] = std::move(exchange);
+  Execute(parts_.core->TakeRequestActions(Now()));
 }
 
 void GatewayRuntime::ServeReadiness(
@@ -219,6 +222,10 @@
 
 void GatewayRuntime::ServeMetrics(
     const std::shared_ptr<HttpResponder>& responder) {
+  parts_.metrics->blocked_requests.Set(
+      static_cast<std::int64_t>(parts_.core->blocked_requests(Now())));
+  parts_.metrics->suspected_requests.Set(
+      static_cast<std::int64_t>(parts_.core->suspected_requests(Now())));
   responder->Respond({kOk,
                       {{"Content-Type", "text/plain; version=0.0.4"}},
                       parts_.metrics->Expose()});
@@ -308,6 +315,14 @@
   engine_client_.CloseIdleConnections(action.address);
 }
 
+void GatewayRuntime::Execute(const ContinueForward& action) {
+  const auto found = exchanges_.find(action.id);
+  if (found != exchanges_.end()) {
+    const std::shared_ptr<ForwardExchange> exchange = found->second;
+    exchange->Continue(action.step);
+  }
+}
+
 void GatewayRuntime::Execute(const FailOverForward& action) {
   const auto found = exchanges_.find(action.id);
   if (found != exchanges_.end()) {
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -106,6 +106,9 @@
   void ServeStallNotice(const StallNotice& notice, HttpResponder& responder);
   void ServeProgressQuery(const StallNotice& group, HttpResponder& responder);
   void ServeLimitNotice(const HttpRequest& request, HttpResponder& responder);
+  void ServeCrashNotices(const HttpRequest& request, HttpResponder& responder);
+  void ServeBlocks(HttpResponder& responder);
+  void ServeBlockLift(const HttpRequest& request, HttpResponder& responder);
   void ServeMetrics(const std::shared_ptr<HttpResponder>& responder);
 
   void Execute(const GatewayActions& actions);
@@ -118,7 +121,9 @@
   void Execute(const NotifyLimit& action);
   void Execute(const SendGroupOrder& action);
   void Execute(const ProbeEngine& action);
+  void Execute(const NotifyCrashes& action);
   void Execute(const CheckEndpoint& action);
+  void Execute(const ContinueForward& action);
   void Execute(const FailOverForward& action);
   void Execute(const DropPooledConnections& action);
   static HttpCallOptions OptionsWithTimeout(Duration limit);
--- a/transport/gateway/gateway_runtime_peers.cc
+++ b/transport/gateway/gateway_runtime_peers.cc
@@ -6,6 +6,7 @@
 
 #include "protocol/protocol.h"
 #include "transport/gateway/gateway_runtime.h"
+#include "transport/http_error.h"
 #include "transport/json_log.h"
 #include "transport/query_string.h"
 
@@ -17,6 +18,10 @@
 constexpr std::string_view kStallPath = "/v1/standstill";
 constexpr std::string_view kProgressPath = "/v1/progress";
 constexpr std::string_view kLimitPath = "/v1/endpoint_limit";
+constexpr std::string_view kCrashPath = "/v1/crash_notice";
+constexpr std::string_view kBlocksPath = "/v1/blocks";
+constexpr std::string_view kBlockLiftPath = "/v1/blocks/lift";
+constexpr std::string_view kFingerprintParameter = "fingerprint";
 constexpr std::string_view kNewerThanParameter = "newer_than";
 constexpr std::string_view kWaitParameter = "wait_ms";
 constexpr int kOk = 200;
@@ -57,6 +62,18 @@
     ServeLimitNotice(request, *responder);
     return;
   }
+  if (path == kCrashPath) {
+    ServeCrashNotices(request, *responder);
+    return;
+  }
+  if (path == kBlocksPath) {
+    ServeBlocks(*responder);
+    return;
+  }
+  if (path == kBlockLiftPath && request.method == "POST") {
+    ServeBlockLift(request, *responder);
+    return;
+  }
   if (path != kStallPath && path != kProgressPath) {
     responder->Respond({kNotFound, {}, {}});
     return;
@@ -131,6 +148,39 @@
   Execute(parts_.core->OnLimitNotice(Now(), ValueOf(notice)));
 }
 
+void GatewayRuntime::ServeCrashNotices(const HttpRequest& request,
+                                       HttpResponder& responder) {
+  const auto notices = DecodeCrashNotices(request.body);
+  if (!IsOk(notices)) {
+    LogEvent(LogSeverity::kWarning, "peer_message_malformed",
+             {{"field", ErrorOf(notices).field}});
+    responder.Respond({kBadRequest, {}, {}});
+    return;
+  }
+  responder.Respond({kNoContent, {}, {}});
+  Execute(parts_.core->OnCrashNotices(Now(), ValueOf(notices)));
+}
+
+void GatewayRuntime::ServeBlocks(HttpResponder& responder) {
+  responder.Respond({kOk,
+                     {{"Content-Type", "application/json"}},
+                     EncodeCrashBlocks(parts_.core->CrashBlocks(Now()))});
+}
+
+void GatewayRuntime::ServeBlockLift(const HttpRequest& request,
+                                    HttpResponder& responder) {
+  const Fingerprint fingerprint(
+      IntegerParameter(request.target, kFingerprintParameter));
+  if (!parts_.core->LiftCrashBlock(Now(), fingerprint)) {
+    responder.Respond(MakeErrorResponse(
+        kNotFound, "unknown_fingerprint",
+        "No endpoint is known to have crashed under this request."));
+    return;
+  }
+  responder.Respond({kOk, {{"Content-Type", "application/json"}}, "{}"});
+  Execute(parts_.core->TakeRequestActions(Now()));
+}
+
 void GatewayRuntime::Execute(const RequestNodeSnapshot& action) {
   HttpRequest request{"GET",
                       std::string(kMirrorPath) + "?" +
@@ -225,6 +275,18 @@
                      [](const Result<HttpResponse, HttpFailure>&) {});
 }
 
+void GatewayRuntime::Execute(const NotifyCrashes& action) {
+  HttpRequest request{"POST",
+                      std::string(kCrashPath),
+                      {{"Content-Type", "application/json"}},
+                      EncodeCrashNotices(action.notices)};
+  // Several nodes pass each notice on, and the key-value service tells the
+  // nodes that miss all of them.
+  peer_client_.Fetch(action.address, std::move(request),
+                     OptionsWithTimeout(settings_.peer_timeout),
+                     [](const Result<HttpResponse, HttpFailure>&) {});
+}
+
 void GatewayRuntime::Execute(const RequestGroupProgress& action) {
   HttpRequest request{"POST",
                       std::string(kProgressPath),
