gateway: crashes are cleared by name, and a trial outlives other writes of its record

A property test of the evidence failed: a notice that arrives late carries ages that are too small, so a late proof cleared crashes after it. The state of each crash, named by the run of its endpoint, now only advances, and no times are compared between nodes.

A test of the records failed: a node that added a crash to the record made the holder of the open trial give it back, and its result was lost. The holder now keeps the trial as long as the record names it.

--- a/coordination/gateway/crash_evidence.cc
+++ b/coordination/gateway/crash_evidence.cc
@@ -15,46 +15,58 @@
 bool CrashEvidence::AddCrash(Time now,
                              Fingerprint fingerprint,
                              const CrashId& crash) {
-  return AddCrashAt(now, fingerprint, crash, {now, true, true});
+  return Advance(now, fingerprint, crash, {CrashState::kConfirmed, now, true});
 }
 
 void CrashEvidence::AddUnconfirmedCrash(Time now,
                                         Fingerprint fingerprint,
                                         const CrashId& crash) {
   if (CountCrashes(now, fingerprint) > 0) {
-    AddCrashAt(now, fingerprint, crash, {now, false, true});
+    Advance(now, fingerprint, crash, {CrashState::kUnconfirmed, now, true});
   }
 }
 
-bool CrashEvidence::MarkHarmless(Time now, Fingerprint fingerprint) {
-  return MarkHarmlessAt(now, fingerprint, now);
+bool CrashEvidence::MarkHarmless(Time now,
+                                 Fingerprint fingerprint,
+                                 const std::set<CrashId>& recorded) {
+  std::set<CrashId> crashes = Crashes(now, fingerprint);
+  crashes.insert(recorded.begin(), recorded.end());
+  bool is_news = false;
+  for (const CrashId& crash : crashes) {
+    is_news |=
+        Advance(now, fingerprint, crash, {CrashState::kCleared, now, false});
+  }
+  return is_news;
 }
 
-bool CrashEvidence::Counts(Time now,
-                           const Request& request,
-                           const Crash& crash) const {
-  if (request.harmless_at && crash.at <= *request.harmless_at) {
-    return false;
+bool CrashEvidence::Counts(Time now, const Crash& crash) const {
+  switch (crash.state) {
+    case CrashState::kUnconfirmed:
+      return now - crash.at < settings_.unconfirmed_ttl;
+    case CrashState::kConfirmed:
+      return true;
+    case CrashState::kCleared:
+      return false;
   }
-  return crash.is_confirmed || now - crash.at < settings_.unconfirmed_ttl;
+  return false;
 }
 
-bool CrashEvidence::AddCrashAt(Time now,
-                               Fingerprint fingerprint,
-                               const CrashId& id,
-                               Crash crash) {
+bool CrashEvidence::Advance(Time now,
+                            Fingerprint fingerprint,
+                            const CrashId& id,
+                            const Crash& crash) {
   Request& request = FindOrAdd(now, fingerprint);
   const auto known = request.crashes.find(id);
   if (known != request.crashes.end()) {
-    if (known->second.is_confirmed || !crash.is_confirmed) {
+    if (crash.state <= known->second.state) {
       return false;
     }
-    known->second.is_confirmed = true;
+    known->second.state = crash.state;
     known->second.is_own |= crash.is_own;
   } else {
     if (request.crashes.size() >= settings_.max_crashes) {
       std::erase_if(request.crashes, [&](const auto& each) {
-        return !Counts(now, request, each.second);
+        return !Counts(now, each.second);
       });
     }
     if (request.crashes.size() >= settings_.max_crashes) {
@@ -62,23 +74,7 @@
     }
     request.crashes.emplace(id, crash);
   }
-  if (!Counts(now, request, request.crashes.at(id))) {
-    return false;
-  }
-  OnNews(now, fingerprint, request);
-  return true;
-}
-
-// The proof of a request without crashes is kept too, because notices of
-// earlier crashes may still arrive.
-bool CrashEvidence::MarkHarmlessAt(Time now, Fingerprint fingerprint, Time at) {
-  Request& request = FindOrAdd(now, fingerprint);
-  const bool was_harmless = IsHarmless(now, fingerprint);
-  request.harmless_at = std::max(request.harmless_at.value_or(at), at);
-  if (was_harmless || !IsHarmless(now, fingerprint)) {
-    return false;
-  }
-  OnNews(now, fingerprint, request);
+  OnNews(now, fingerprint);
   return true;
 }
 
@@ -88,13 +84,9 @@
   std::vector<Fingerprint> changed;
   for (const CrashNotice& notice : notices) {
     bool is_news = false;
-    if (notice.harmless_for) {
-      is_news =
-          MarkHarmlessAt(now, notice.fingerprint, now - *notice.harmless_for);
-    }
     for (const auto& [id, report] : notice.crashes) {
-      is_news |= AddCrashAt(now, notice.fingerprint, id,
-                            {now - report.age, report.is_confirmed, false});
+      is_news |= Advance(now, notice.fingerprint, id,
+                         {report.state, now - report.age, false});
     }
     if (is_news) {
       changed.push_back(notice.fingerprint);
@@ -117,10 +109,8 @@
   return added;
 }
 
-void CrashEvidence::OnNews(Time now,
-                           Fingerprint fingerprint,
-                           Request& request) {
-  request.last_news = now;
+void CrashEvidence::OnNews(Time now, Fingerprint fingerprint) {
+  requests_.at(fingerprint).last_news = now;
   news_.insert(fingerprint);
   if (CountCrashes(now, fingerprint) >= settings_.urgent_crashes) {
     has_urgent_news_ = true;
@@ -168,7 +158,7 @@
     return crashes;
   }
   for (const auto& [id, crash] : found->second.crashes) {
-    if (Counts(now, found->second, crash)) {
+    if (Counts(now, crash)) {
       crashes.insert(id);
     }
   }
@@ -180,7 +170,7 @@
   std::set<CrashId> crashes = Crashes(now, fingerprint);
   std::erase_if(crashes, [&](const CrashId& id) {
     const Crash& crash = requests_.at(fingerprint).crashes.at(id);
-    return !crash.is_own || !crash.is_confirmed;
+    return !crash.is_own || crash.state != CrashState::kConfirmed;
   });
   return crashes;
 }
@@ -197,8 +187,11 @@
 
 bool CrashEvidence::IsHarmless(Time now, Fingerprint fingerprint) const {
   const auto found = requests_.find(fingerprint);
-  return found != requests_.end() && found->second.harmless_at &&
-         Crashes(now, fingerprint).empty();
+  return found != requests_.end() && Crashes(now, fingerprint).empty() &&
+         std::any_of(found->second.crashes.begin(), found->second.crashes.end(),
+                     [](const auto& crash) {
+                       return crash.second.state == CrashState::kCleared;
+                     });
 }
 
 std::size_t CrashEvidence::CountSuspects(Time now) const {
@@ -222,11 +215,7 @@
     CrashNotice notice;
     notice.fingerprint = fingerprint;
     for (const auto& [id, crash] : request.crashes) {
-      notice.crashes.emplace(id,
-                             CrashReport{now - crash.at, crash.is_confirmed});
-    }
-    if (request.harmless_at) {
-      notice.harmless_for = now - *request.harmless_at;
+      notice.crashes.emplace(id, CrashReport{crash.state, now - crash.at});
     }
     notices.push_back(std::move(notice));
   }
--- a/coordination/gateway/crash_evidence.h
+++ b/coordination/gateway/crash_evidence.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -34,19 +33,26 @@
   std::size_t max_notices = 64;
 };
 
+// What is known of a crash, in the order in which it becomes known.
+enum class CrashState {
+  // A connection broke. The crash counts for a short time.
+  kUnconfirmed,
+  // The endpoint's process ended.
+  kConfirmed,
+  // A later run of the request did not crash its endpoint.
+  kCleared,
+};
+
 struct CrashReport {
+  CrashState state = CrashState::kConfirmed;
   // The time that has passed since the crash.
   Duration age;
-  // False if only a connection is known to have broken.
-  bool is_confirmed = true;
 };
 
-// Message between nodes: the endpoints that crashed while they ran a request,
-// and since when it is known to be harmless, if it is.
+// Message between nodes: the endpoints that crashed while they ran a request.
 struct CrashNotice {
   Fingerprint fingerprint;
   std::map<CrashId, CrashReport> crashes;
-  std::optional<Duration> harmless_for;
 };
 
 // Counts, over all nodes, the endpoints that crashed while they ran a request.
@@ -65,7 +71,10 @@
   void AddUnconfirmedCrash(Time now,
                            Fingerprint fingerprint,
                            const CrashId& crash);
-  bool MarkHarmless(Time now, Fingerprint fingerprint);
+  // `recorded` are crashes that this node knows from the request's record.
+  bool MarkHarmless(Time now,
+                    Fingerprint fingerprint,
+                    const std::set<CrashId>& recorded);
   // Returns the requests of which it is news.
   std::vector<Fingerprint> OnNotices(Time now,
                                      const std::vector<CrashNotice>& notices);
@@ -78,7 +87,7 @@
   std::set<CrashId> OwnCrashes(Time now, Fingerprint fingerprint) const;
   // Whether the crash was counted, even if it is cleared.
   bool Knows(Fingerprint fingerprint, const CrashId& crash) const;
-  // Whether the request is known to be harmless, with no crash since.
+  // Whether all crashes are cleared.
   bool IsHarmless(Time now, Fingerprint fingerprint) const;
   // Number of requests with crashes.
   std::size_t CountSuspects(Time now) const;
@@ -88,26 +97,25 @@
 
  private:
   struct Crash {
+    CrashState state = CrashState::kUnconfirmed;
     Time at;
-    bool is_confirmed = false;
     // This node noticed it itself.
     bool is_own = false;
   };
   struct Request {
     // Crashes that are cleared stay, because they may be reported once more.
     std::map<CrashId, Crash> crashes;
-    std::optional<Time> harmless_at;
     Time last_news;
   };
 
-  bool AddCrashAt(Time now,
-                  Fingerprint fingerprint,
-                  const CrashId& id,
-                  Crash crash);
-  bool MarkHarmlessAt(Time now, Fingerprint fingerprint, Time at);
-  bool Counts(Time now, const Request& request, const Crash& crash) const;
+  // Returns whether the state advanced.
+  bool Advance(Time now,
+               Fingerprint fingerprint,
+               const CrashId& id,
+               const Crash& crash);
+  bool Counts(Time now, const Crash& crash) const;
   Request& FindOrAdd(Time now, Fingerprint fingerprint);
-  void OnNews(Time now, Fingerprint fingerprint, Request& request);
+  void OnNews(Time now, Fingerprint fingerprint);
   void DropOldest();
 
   CrashEvidenceSettings settings_;
--- a/coordination/gateway/crash_guard.cc
+++ b/coordination/gateway/crash_guard.cc
@@ -163,7 +163,10 @@
                        Fingerprint fingerprint,
                        std::string_view reason) {
   const bool was_restricted = Judge(now, fingerprint) != CrashVerdict::kAllowed;
-  evidence_.MarkHarmless(now, fingerprint);
+  const CrashRecord* record = records_.Find(fingerprint);
+  evidence_.MarkHarmless(
+      now, fingerprint,
+      record == nullptr ? std::set<CrashId>() : record->crashes);
   records_.Remove(now, fingerprint);
   trials_.erase(fingerprint);
   if (was_restricted) {
--- a/coordination/gateway/crash_records.cc
+++ b/coordination/gateway/crash_records.cc
@@ -46,21 +46,21 @@
 void CrashRecords::Adopt(Time now,
                          Fingerprint fingerprint,
                          const StoreEntry& entry) {
-  held_trials_.erase(fingerprint);
-  std::optional<CrashRecord> record = codec_.decode(entry.value);
+  std::optional<CrashRecord> decoded = codec_.decode(entry.value);
   // A record that cannot be read restricts nothing, and its key is written anew
   // when the next crash is recorded.
-  records_[fingerprint] = {std::move(record).value_or(CrashRecord()),
-                           entry.revision, now};
-  ReleaseUnusedTrial(fingerprint);
+  const CrashRecord record = std::move(decoded).value_or(CrashRecord());
+  records_[fingerprint] = {record, entry.revision, now};
+  if (!record.trial_is_open || record.trial_holder != self_) {
+    held_trials_.erase(fingerprint);
+  } else if (!HoldsTrial(fingerprint) && !IsWriting(fingerprint)) {
+    ReleaseTrial(fingerprint);
+  }
 }
 
-void CrashRecords::ReleaseUnusedTrial(Fingerprint fingerprint) {
+// The service granted the trial without this node's knowledge.
+void CrashRecords::ReleaseTrial(Fingerprint fingerprint) {
   CrashRecord record = *Find(fingerprint);
-  if (!record.trial_is_open || record.trial_holder != self_ ||
-      IsWriting(fingerprint)) {
-    return;
-  }
   --record.trials;
   record.trial_is_open = false;
   Put(fingerprint, Purpose::kRecord, std::move(record));
@@ -289,7 +289,6 @@
                               Fingerprint fingerprint,
                               const Write& write,
                               const StoreConflict& conflict) {
-  const bool held_trial = HoldsTrial(fingerprint);
   if (!conflict.current) {
     held_trials_.erase(fingerprint);
     records_.erase(fingerprint);
@@ -303,9 +302,7 @@
   // The result of a trial, and a proof, hold whatever was written meanwhile.
   if (write.purpose == Purpose::kRemove) {
     Remove(now, fingerprint);
-  } else if (write.purpose == Purpose::kFailedTrial && held_trial &&
-             Find(fingerprint)->trial_is_open) {
-    held_trials_.insert(fingerprint);
+  } else if (write.purpose == Purpose::kFailedTrial) {
     OnTrialFailed(now, fingerprint, write.proposed.crashes);
   }
 }
--- a/coordination/gateway/crash_records.h
+++ b/coordination/gateway/crash_records.h
@@ -137,8 +137,8 @@
                   Fingerprint fingerprint,
                   const Write& write,
                   const StoreConflict& conflict);
-  // Gives back a trial that the service granted without this node's knowledge.
-  void ReleaseUnusedTrial(Fingerprint fingerprint);
+  // Gives back a trial that is not used.
+  void ReleaseTrial(Fingerprint fingerprint);
   void RetryLater(Time now, Fingerprint fingerprint, const Write& write);
   Duration BlockTime(std::int64_t failed_trials) const;
 
--- a/programs/gcw_standin/platform_http_frontend.cc
+++ b/programs/gcw_standin/platform_http_frontend.cc
@@ -158,6 +158,11 @@
     responder.Respond({kOk, {}, {}});
     return;
   }
+  if (path == "/standin/crash_off") {
+    crashing_bodies_.clear();
+    responder.Respond({kOk, {}, {}});
+    return;
+  }
   if (path == "/standin/crashes") {
     responder.Respond(
         {kOk,
--- a/programs/gcw_standin/platform_http_frontend.h
+++ b/programs/gcw_standin/platform_http_frontend.h
@@ -39,7 +39,8 @@
 // makes its answers say that it is about to stop. `GET /standin/arrivals`
 // returns how many requests reached each endpoint. `POST
 // /standin/crash_on?body=TEXT` makes every endpoint that begins to run a
-// request with that body crash, and `GET /standin/crashes` returns how many
+// request with that body crash, `POST /standin/crash_off` ends that for all
+// bodies, and `GET /standin/crashes` returns how many
 // have; another endpoint under another id takes the place of each after a
 // second.
 class PlatformHttpFrontend {
--- a/protocol/crash_json.cc
+++ b/protocol/crash_json.cc
@@ -8,6 +8,12 @@
 namespace gcw {
 namespace {
 
+constexpr ChoiceNames<CrashState, 3> kStates{{
+    {CrashState::kUnconfirmed, "unconfirmed"},
+    {CrashState::kConfirmed, "confirmed"},
+    {CrashState::kCleared, "cleared"},
+}};
+
 boost::json::object CrashToJson(const CrashId& crash) {
   return {{"vm", ToJson(crash.vm)}, {"incarnation", ToJson(crash.incarnation)}};
 }
@@ -22,28 +28,22 @@
   for (const auto& [crash, report] : notice.crashes) {
     boost::json::object encoded = CrashToJson(crash);
     encoded["age_ms"] = report.age.millis();
-    encoded["confirmed"] = report.is_confirmed;
+    encoded["state"] = ChoiceToJson(report.state, kStates);
     crashes.push_back(std::move(encoded));
   }
-  boost::json::object encoded{{"fingerprint", ToJson(notice.fingerprint)},
-                              {"crashes", std::move(crashes)}};
-  if (notice.harmless_for) {
-    encoded["harmless_ms"] = notice.harmless_for->millis();
-  }
-  return encoded;
+  return {{"fingerprint", ToJson(notice.fingerprint)},
+          {"crashes", std::move(crashes)}};
 }
 
 CrashNotice ReadNotice(JsonReader& reader) {
   CrashNotice notice;
   notice.fingerprint = reader.CountOf<Fingerprint>("fingerprint");
   const auto crashes = reader.List("crashes", [](JsonReader& item) {
-    return std::pair(ReadCrash(item), CrashReport{item.DurationMillis("age_ms"),
-                                                  item.Bool("confirmed")});
+    return std::pair(ReadCrash(item),
+                     CrashReport{item.Enum("state", kStates),
+                                 item.DurationMillis("age_ms")});
   });
   notice.crashes.insert(crashes.begin(), crashes.end());
-  if (reader.IsPresent("harmless_ms")) {
-    notice.harmless_for = reader.DurationMillis("harmless_ms");
-  }
   return notice;
 }
 
--- a/tests/coordination/gateway/crash_guard_test.cc
+++ b/tests/coordination/gateway/crash_guard_test.cc
@@ -34,8 +34,8 @@
   }
 }
 
-// Guards against callers that come back before the nodes have told each other of
-// the last crash.
+// Guards against callers that come back before the nodes have told each other
+// of the last crash.
 TEST(CrashGuardTest, ACallerThatReturnsAtOnceTakesDownOneEndpointMore) {
   for (const std::size_t nodes : kFleetSizes) {
     CrashWorld world(nodes);
--- a/tests/platform/platform_wire_test.cc
+++ b/tests/platform/platform_wire_test.cc
@@ -141,6 +141,37 @@
   EXPECT_EQ(read.caller_timeout, Duration::Seconds(8));
 }
 
+// Guards against a request that is not recognized when its caller tries again
+// or resumes its stream, and against one that is taken for another.
+TEST(RequestWireTest, TheContentIsTheSameForEachAttemptAndDiffersForOthers) {
+  const HttpRequest request{
+      "POST", "/a/b", {{"Host", "h.example"}, {"X-Attempt-Id", "q1"}}, "body"};
+  HttpRequest again = request;
+  again.headers = {{"Host", "H.example:80"},
+                   {"X-Attempt-Id", "q2"},
+                   {"Last-Event-Id", "7"},
+                   {"X-Deadline-Ms", "100"}};
+  const Fingerprint content = ReadCallerRequest(request).content;
+  EXPECT_EQ(ReadCallerRequest(again).content, content);
+  for (int part = 0; part < 4; ++part) {
+    HttpRequest other = request;
+    switch (part) {
+      case 0:
+        other.method = "PUT";
+        break;
+      case 1:
+        other.target = "/a/c";
+        break;
+      case 2:
+        other.body = "other";
+        break;
+      default:
+        other.headers[0].value = "other.example";
+    }
+    EXPECT_NE(ReadCallerRequest(other).content, content) << part;
+  }
+}
+
 TEST(RequestWireTest, NonNumericHeadersCountAsAbsent) {
   HttpRequest request{"GET",
                       "/",
--- a/tests/programs/gateway_crash_test.cc
+++ b/tests/programs/gateway_crash_test.cc
@@ -1,7 +1,11 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <csignal>
+#include <sstream>
 #include <string>
 
+#include "programs/gcwctl/event_log_reader.h"
 #include "tests/support/gateway_path.h"
 
 namespace gcw {
@@ -28,6 +32,13 @@
            answer.body == RefusalMessage(RefusalKind::kFingerprintBlocked);
   }
 
+  boost::json::array Blocks(const Address& node) {
+    return boost::json::parse(Get(node, "/v1/blocks").body)
+        .as_object()
+        .at("blocks")
+        .as_array();
+  }
+
   std::int64_t CountCrashes() {
     return boost::json::parse(Get(store_, "/standin/crashes").body)
         .as_object()
@@ -51,5 +62,64 @@
       [&] { return SendRequest(first_.callers, "safe").status == 200; }));
 }
 
+// Guards against a block that is lost with the processes that know of it.
+TEST_F(GatewayCrashTest, ABlockOutlivesAllProcesses) {
+  ASSERT_TRUE(ServesBothModels());
+  Call(store_, {"POST", "/standin/crash_on?body=crashing", {}, {}});
+  ASSERT_TRUE(IsRefusedInTheEnd());
+  const std::int64_t crashes = CountCrashes();
+  fleet_.Signal("gw-1", SIGKILL);
+  fleet_.Signal("gw-2", SIGKILL);
+  const ProcessFleet::GatewayAddresses third =
+      fleet_.StartGateway("gw-3", store_);
+  ASSERT_TRUE(fleet_.WaitUntil(
+      [&] { return SendRequest(third.callers, "safe").status == 200; }));
+  EXPECT_TRUE(IsRefusedAsCrashing(third.callers));
+  EXPECT_EQ(CountCrashes(), crashes);
+}
+
+// A caller asks why its request is refused, and operators allow it again.
+TEST_F(GatewayCrashTest, ABlockIsExplainedAndLifted) {
+  ASSERT_TRUE(ServesBothModels());
+  Call(store_, {"POST", "/standin/crash_on?body=crashing", {}, {}});
+  ASSERT_TRUE(IsRefusedInTheEnd());
+  ASSERT_TRUE(fleet_.WaitUntil([&] {
+    return Blocks(first_.peers).size() == 1 &&
+           IsRefusedAsCrashing(first_.callers);
+  }));
+  const boost::json::object block = Blocks(first_.peers).front().as_object();
+  EXPECT_GT(block.at("blocked_ms").as_int64(), 500000);
+  EXPECT_GE(block.at("crashed_vms").as_array().size(), 3U);
+  const std::string fingerprint =
+      std::to_string(block.at("fingerprint").as_int64());
+
+  const std::string request = "q" + std::to_string(last_request_.load());
+  TimelineDecoder decoder;
+  EventLogReader reader(&decoder);
+  std::istringstream log(fleet_.TakeOutput("gw-1"));
+  const Explanation why = ExplainSubject(reader.Read(log), request);
+  EXPECT_TRUE(std::any_of(
+      why.events.begin(), why.events.end(), [&](const ExplainedEvent& event) {
+        return event.event.draft.kind == EventKind::kFingerprintBlocked &&
+               event.event.draft.subject == fingerprint;
+      }));
+
+  Call(store_, {"POST", "/standin/crash_off", {}, {}});
+  const auto lifted =
+      Call(second_.peers,
+           {"POST", "/v1/blocks/lift?fingerprint=" + fingerprint, {}, {}});
+  ASSERT_TRUE(IsOk(lifted));
+  EXPECT_EQ(ValueOf(lifted).status, 200);
+  EXPECT_TRUE(fleet_.WaitUntil([&] {
+    return SendRequest(first_.callers, "safe", "standin-key", kCrashing)
+                   .status == 200 &&
+           Blocks(first_.peers).empty() && Blocks(second_.peers).empty();
+  }));
+  const auto unknown =
+      Call(second_.peers, {"POST", "/v1/blocks/lift?fingerprint=1", {}, {}});
+  ASSERT_TRUE(IsOk(unknown));
+  EXPECT_EQ(ValueOf(unknown).status, 404);
+}
+
 }  // namespace
 }  // namespace gcw
--- /dev/null
+++ b/tests/protocol/crash_json_test.cc
@@ -0,0 +1,61 @@
+#include <gtest/gtest.h>
+
+#include "protocol/protocol.h"
+
+namespace gcw {
+namespace {
+
+TEST(CrashJsonTest, KeepsARecord) {
+  CrashRecord record;
+  record.crashes = {{VmId("a"), Incarnation(7)}, {VmId("b"), Incarnation()}};
+  record.trials = 1;
+  record.trial_is_open = true;
+  record.trial_holder = 4503599627370495;
+  record.failed_trials = 2;
+  record.blocked_until = Time::FromMillis(1800000000000);
+  const auto read = DecodeCrashRecord(EncodeCrashRecord(record));
+  ASSERT_TRUE(IsOk(read));
+  EXPECT_EQ(ValueOf(read), record);
+}
+
+TEST(CrashJsonTest, KeepsNotices) {
+  CrashNotice crashed;
+  crashed.fingerprint = Fingerprint(4503599627370495);
+  crashed.crashes = {
+      {{VmId("a"), Incarnation(7)},
+       {CrashState::kConfirmed, Duration::Millis(40)}},
+      {{VmId("b"), Incarnation(8)}, {CrashState::kUnconfirmed, Duration()}}};
+  CrashNotice harmless;
+  harmless.fingerprint = Fingerprint(1);
+  harmless.crashes = {{{VmId("c"), Incarnation(9)},
+                       {CrashState::kCleared, Duration::Seconds(3)}}};
+  const auto read = DecodeCrashNotices(EncodeCrashNotices({crashed, harmless}));
+  ASSERT_TRUE(IsOk(read));
+  ASSERT_EQ(ValueOf(read).size(), 2U);
+  const CrashNotice& first = ValueOf(read)[0];
+  EXPECT_EQ(first.fingerprint, crashed.fingerprint);
+  ASSERT_EQ(first.crashes.size(), 2U);
+  const CrashReport& confirmed = first.crashes.at({VmId("a"), Incarnation(7)});
+  EXPECT_EQ(confirmed.age, Duration::Millis(40));
+  EXPECT_EQ(confirmed.state, CrashState::kConfirmed);
+  EXPECT_EQ(first.crashes.at({VmId("b"), Incarnation(8)}).state,
+            CrashState::kUnconfirmed);
+  EXPECT_EQ(ValueOf(read)[1].crashes.begin()->second.state,
+            CrashState::kCleared);
+}
+
+// Guards against a message of another program that blocks requests.
+TEST(CrashJsonTest, RejectsMalformedMessages) {
+  for (const char* text :
+       {"", "{}", "[]", R"({"requests":[{}]})",
+        R"({"requests":[{"fingerprint":-1,"crashes":[]}]})",
+        R"({"requests":[{"fingerprint":1,"crashes":[{"vm":"a"}]}]})",
+        R"({"requests":[{"fingerprint":1,"crashes":[{"vm":"a",)"
+        R"("incarnation":1,"age_ms":-5,"state":"confirmed"}]}]})"}) {
+    EXPECT_FALSE(IsOk(DecodeCrashNotices(text))) << text;
+    EXPECT_FALSE(IsOk(DecodeCrashRecord(text))) << text;
+  }
+}
+
+}  // namespace
+}  // namespace gcw
--- a/tests/support/crash_world.h
+++ b/tests/support/crash_world.h
@@ -18,8 +18,10 @@
 // run them.
 class CrashWorld : public GatewayWorld {
  public:
-  explicit CrashWorld(std::size_t nodes, std::uint64_t seed = 7)
-      : GatewayWorld(nodes, 6, 11, seed), random_(SeededRandom(seed)) {
+  explicit CrashWorld(std::size_t nodes,
+                      std::uint64_t seed = 7,
+                      std::size_t domains = 6)
+      : GatewayWorld(nodes, domains, 11, seed), random_(SeededRandom(seed)) {
     on_arrival = [this](const SimulatedRequest& request, std::size_t node,
                         const VmId&) {
       if (IsInTouch(node)) {
@@ -34,8 +36,8 @@
     on_decided = [this](const SimulatedRequest& request) {
       longest_wait_ = std::max(longest_wait_, now() - request.arrived);
     };
-    EXPECT_TRUE(RunUntil(Duration::Seconds(14), [this] {
-      return open_groups("large") >= 6 && open_groups("small") >= 6;
+    EXPECT_TRUE(RunUntil(Duration::Seconds(14), [this, domains] {
+      return open_groups("large") >= domains && open_groups("small") >= domains;
     }));
     request_interval = Duration::Millis(static_cast<std::int64_t>(nodes) * 10);
     traffic = true;
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -60,6 +60,7 @@
     GroupId group;
     int events = 0;
     int run = 0;
+    Time sent = {};
   };
 
   GatewayWorld(std::size_t nodes,
@@ -382,6 +383,8 @@
   int crash_notices = 0;
   bool lose_crash_notices = false;
   bool lose_limit_notices = false;
+  // Time that a request waits at an engine before it begins to run.
+  Duration queue_delay;
   Duration restart_delay = Duration::Seconds(3);
   // A request reached an engine.
   std::function<void(const SimulatedRequest&, std::size_t node, const VmId&)>
@@ -687,6 +690,7 @@
     if (const auto* send = std::get_if<SendForward>(&step)) {
       OnArrival(index, stream->request, send->vm);
       stream->vm = send->vm;
+      stream->sent = now_;
       stream->group = engine_simulation_.GroupAt(send->vm);
     } else {
       ++lost_streams;
@@ -848,7 +852,7 @@
     OnArrival(node, request, vm);
     if (!engines_.at(vm).cooldown) {
       streams_.push_back({node, id, request, vm, engine_simulation_.GroupAt(vm),
-                          events, nodes_[node].run});
+                          events, nodes_[node].run, now_});
       return;
     }
     const Duration cooldown = *engines_.at(vm).cooldown;
@@ -939,7 +943,8 @@
   // Whether the stream's group is whole and reachable.
   bool MakesProgress(const Stream& stream) const {
     const Engine& engine = engines_.at(stream.vm);
-    return engine.alive && !engine.node_cut && engine.self.membership &&
+    return now_ >= stream.sent + queue_delay && engine.alive &&
+           !engine.node_cut && engine.self.membership &&
            engine.self.membership->group == stream.group &&
            engine_simulation_.HasAllMembers(engine);
   }
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -209,6 +209,7 @@
     Address entries;
     Address readiness;
     Address metrics;
+    Address peers;
   };
 
   // Starts `gcw-gateway` for the platform whose store is at the address
@@ -227,7 +228,8 @@
         id, "gcw-gateway", {"--settings", folder_.File(id + ".toml").string()});
     const boost::json::object& fields = line.at("fields").as_object();
     return {AddressIn(fields, "callers"), AddressIn(fields, "entries"),
-            AddressIn(fields, "readiness"), AddressIn(fields, "metrics")};
+            AddressIn(fields, "readiness"), AddressIn(fields, "metrics"),
+            AddressIn(fields, "peers")};
   }
 
   bool HasEnded(const std::string& name) const {
