--- a/coordination/gateway/crash_guard.cc
+++ b/coordination/gateway/crash_guard.cc
@@ -64,9 +64,12 @@
     case CrashRecords::State::kOpen:
       break;
   }
-  return KnownCrashes(now, fingerprint).size() >= settings_.trial_crashes
-             ? CrashVerdict::kNeedsTrial
-             : CrashVerdict::kAllowed;
+  return MustBeTried(KnownCrashes(now, fingerprint)) ? CrashVerdict::kNeedsTrial
+                                                     : CrashVerdict::kAllowed;
+}
+
+bool CrashGuard::MustBeTried(const std::set<CrashId>& crashes) const {
+  return std::ssize(crashes) >= settings_.trial_crashes;
 }
 
 std::set<CrashId> CrashGuard::KnownCrashes(Time now,
@@ -233,7 +236,7 @@
     return;
   }
   RecordOwnCrashes(now, fingerprint);
-  if (crashes.size() == settings_.trial_crashes) {
+  if (std::ssize(crashes) == settings_.trial_crashes) {
     events_({EventKind::kFingerprintSuspected,
              std::to_string(fingerprint.value()),
              {},
@@ -246,7 +249,7 @@
 // Only nodes that noticed a crash write it, so that a record has few writers.
 void CrashGuard::RecordOwnCrashes(Time now, Fingerprint fingerprint) {
   const std::set<CrashId> crashes = KnownCrashes(now, fingerprint);
-  if (crashes.size() >= settings_.recorded_crashes &&
+  if (std::ssize(crashes) >= settings_.recorded_crashes &&
       !evidence_.OwnCrashes(now, fingerprint).empty()) {
     records_.Record(now, fingerprint, crashes);
   }
--- a/coordination/gateway/crash_guard.h
+++ b/coordination/gateway/crash_guard.h
@@ -2,6 +2,7 @@
 #define COORDINATION_GATEWAY_CRASH_GUARD_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -24,9 +25,9 @@
   Duration proof_time = Duration::Millis(500);
   // Number of crashes from which a request is recorded in the key-value
   // service.
-  std::size_t recorded_crashes = 2;
+  std::int64_t recorded_crashes = 2;
   // Number of crashes from which a request runs only as a trial.
-  std::size_t trial_crashes = 3;
+  std::int64_t trial_crashes = 3;
   // A request waits this long for its trial to be granted, or for the trial of
   // another copy to end.
   Duration max_wait = Duration::Millis(250);
@@ -139,6 +140,7 @@
 
   // The crashes that count against the request, from all nodes and its record.
   std::set<CrashId> KnownCrashes(Time now, Fingerprint fingerprint) const;
+  bool MustBeTried(const std::set<CrashId>& crashes) const;
   void HandleCrashes(Time now);
   // Adds the crashes that this node noticed to the request's record.
   void RecordOwnCrashes(Time now, Fingerprint fingerprint);
--- a/coordination/gateway/endpoint_holds.cc
+++ b/coordination/gateway/endpoint_holds.cc
@@ -71,6 +71,11 @@
   return hold == nullptr || (!hold->is_leaving && now >= hold->cooldown_ends);
 }
 
+bool EndpointHolds::IsLeaving(const EndpointRun& endpoint) const {
+  const Hold* hold = Find(endpoint.vm, endpoint.incarnation);
+  return hold != nullptr && hold->is_leaving;
+}
+
 std::optional<Time> EndpointHolds::NextSend(Time now,
                                             const VmId& vm,
                                             Incarnation incarnation) const {
--- a/coordination/gateway/endpoint_holds.h
+++ b/coordination/gateway/endpoint_holds.h
@@ -27,6 +27,8 @@
   std::optional<Time> NextSend(Time now,
                                const VmId& vm,
                                Incarnation incarnation) const;
+  // Whether the endpoint said that it is about to stop.
+  bool IsLeaving(const EndpointRun& endpoint) const;
   bool IsHeld(const VmId& vm) const { return holds_.contains(vm); }
   // Number of endpoints that get no requests now.
   std::size_t size() const { return holds_.size(); }
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -84,7 +84,8 @@
           [this](const EndpointRun& run) {
             const VmRegistration* vm = view_.FindVm(run.vm);
             return vm != nullptr && !vm->draining &&
-                   vm->incarnation == run.incarnation;
+                   vm->incarnation == run.incarnation &&
+                   !selector_.IsLeaving(run);
           },
           codecs.crash_record,
           random_,
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -201,6 +201,10 @@
   bool IsLimited(const VmId& vm) const { return limits_.IsLimited(vm); }
   // Number of endpoints that name a limit on their requests.
   std::size_t limited_endpoints() const { return limits_.size(); }
+  // Whether the endpoint said in an answer that it is about to stop.
+  bool IsLeaving(const EndpointRun& endpoint) const {
+    return holds_.IsLeaving(endpoint);
+  }
   // Whether the endpoint asked this node for no more requests.
   bool IsHeld(const VmId& vm) const { return holds_.IsHeld(vm); }
   // Number of endpoints that asked this node for no more requests.
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -18,6 +18,8 @@
 constexpr ListRange kAnyList{0, 64};
 constexpr DurationRange kShortDuration{Duration::Millis(10),
                                        Duration::Seconds(60)};
+constexpr DurationRange kBlockDuration{Duration::Seconds(1),
+                                       Duration::Seconds(86400)};
 // The range of settings that the platform sets. A node must start with any
 // value that the platform chooses.
 constexpr DurationRange kPlatformDuration{Duration(), Duration::Seconds(86400)};
@@ -199,6 +201,21 @@
              &selector.limits.stale_view_fraction, NumberRange{0.05, 1},
              "Like routing.endpoint_limit_use, at a node that cannot reach the "
              "key-value service.");
+  CrashGuardSettings& crashes = settings.core.crashes;
+  reader.Add("crashes.proof_ms", &crashes.proof_time, kShortDuration,
+             "A request that has streamed events for this long is not "
+             "suspected if its endpoint crashes.");
+  reader.Add("crashes.trial_after", &crashes.trial_crashes,
+             IntegerRange{2, 1000},
+             "Number of endpoints that crash under a request before it may run "
+             "only at one endpoint of the fleet at a time, to be tried out.");
+  reader.Add("crashes.wait_ms", &crashes.max_wait, kShortDuration,
+             "Time for which such a request waits for its turn.");
+  reader.Add("crashes.block_ms", &crashes.records.block_time, kBlockDuration,
+             "Time for which a request is refused after it crashed the "
+             "endpoint that tried it out; doubled each further time.");
+  reader.Add("crashes.longest_block_ms", &crashes.records.max_block_time,
+             kBlockDuration, "Maximum of that time.");
   DeferralPolicySettings& deferral = settings.core.requests.deferral;
   reader.Add("deferral.window_part", &deferral.window_fraction,
              NumberRange{0.1, 10},
--- a/tests/coordination/gateway/crash_guard_test.cc
+++ b/tests/coordination/gateway/crash_guard_test.cc
@@ -191,6 +191,26 @@
   EXPECT_EQ(world.healthy_blocked(), 0);
 }
 
+// Guards against requests that are suspected because a planned end cut them
+// off.
+TEST(CrashGuardTest, AnAnnouncedEndAccusesNoRequest) {
+  for (const bool in_registration : {true, false}) {
+    CrashWorld world(3);
+    const VmId head = world.OpenHead("small");
+    if (in_registration) {
+      world.Drain(head);
+    } else {
+      world.engine(head).says_leaving = true;
+    }
+    world.Run(Duration::Millis(600));
+    world.Crash(head);
+    world.Run(Duration::Seconds(1));
+    for (std::size_t i = 0; i < world.node_count(); ++i) {
+      EXPECT_EQ(world.node(i).core->suspected_requests(world.now()), 0U);
+    }
+  }
+}
+
 // Guards against an endpoint that is reset often and checked for each request.
 TEST(CrashGuardTest, AnEndpointIsCheckedAtMostTwiceASecondByEachNode) {
   CrashWorld world(3);
