at most once: a claim that is given back to two owners is not granted twice

Once n1 is back it reports 'not run' to whoever it takes for the owner: to n3 at 15.700 s and, unacknowledged, to n2 at 16.040 s. n2 still grants under its lease and gives the key to r259; n3 gives it to r212. Both ran at 16.370 s.

Cause: at a takeover from an owner with a lease, entries already given back count as 'may have run', since that owner may grant them again unheard. A loaded claim that is given back later is the same case and became free. It now counts as 'may have run' too.

Callers pay with more 'an earlier send may have run' after an unplanned takeover, only where an outage lease is set.

--- a/coordination/at_most_once/once_shard.cc
+++ b/coordination/at_most_once/once_shard.cc
@@ -122,7 +122,9 @@
   std::visit(Overloaded{
                  [&](const OnceNotRun&) {
                    if (open) {
-                     claimed.state = OnceClaimState::kNotRun;
+                     claimed.state = claimed.may_be_granted_elsewhere
+                                         ? OnceClaimState::kMayHaveRun
+                                         : OnceClaimState::kNotRun;
                    }
                  },
                  [&](const OnceAnswered& answered) {
@@ -230,6 +232,7 @@
     if (claimed.state == OnceClaimState::kNotRun) {
       claimed.state = OnceClaimState::kMayHaveRun;
     }
+    claimed.may_be_granted_elsewhere = true;
   }
 }
 
--- a/coordination/at_most_once/once_shard.h
+++ b/coordination/at_most_once/once_shard.h
@@ -73,7 +73,8 @@
   // Called if claims that are not in the loaded journal may have been granted
   // until `last_grant`. Until one window after it, keys without an entry are
   // refused. Entries that were given back become `kMayHaveRun`, because they
-  // may have been claimed again.
+  // may have been claimed again, and so do loaded claims that are given back
+  // later.
   void RefuseUnknownKeys(Time last_grant);
   bool refuses_unknown_keys(Time now) const;
 
@@ -90,6 +91,9 @@
     OnceClaimState state = OnceClaimState::kClaimed;
     Time claimed_at;
     Duration max_run_duration;
+    // If the holder gives the claim back, an earlier owner may have granted the
+    // key again.
+    bool may_be_granted_elsewhere = false;
     // Version of the shard at which the holder was recorded.
     std::int64_t version = 0;
     std::optional<OnceAnswer> answer;
--- a/tests/coordination/at_most_once/once_failure_test.cc
+++ b/tests/coordination/at_most_once/once_failure_test.cc
@@ -274,6 +274,26 @@
   EXPECT_TRUE(std::holds_alternative<OnceReplayed>(*verdict));
 }
 
+// Guards against a key that runs twice because its claim is given back to two
+// owners: the earlier one still grants under its outage lease.
+TEST(OnceShardTest, AClaimGivenBackToTheNextOwnerIsNotGrantedAgainUnderALease) {
+  const Time now = Time::FromMillis(1000000);
+  OnceClaimRequest request;
+  request.claim = OnceClaimId("second");
+  request.key = IdempotencyKey("key");
+  for (const bool may_miss_claims : {false, true}) {
+    OnceShard shard(OnceShardSettings{});
+    shard.Load(now, {{request.key, request.fingerprint, OnceClaimId("first"),
+                      OnceClaimState::kClaimed}});
+    if (may_miss_claims) {
+      shard.RefuseUnknownKeys(now + Duration::Seconds(30));
+    }
+    shard.Finish(now, {OnceClaimId("first"), request.key, OnceNotRun{}});
+    const OnceShardDecision decision = shard.Claim(now, request);
+    EXPECT_EQ(std::holds_alternative<OnceRecorded>(decision), !may_miss_claims);
+  }
+}
+
 RC_GTEST_PROP(OnceJournalTest,
               ReadsBackWhatItWrote,
               (const std::string& change)) {
