--- a/bench/gateway_deferral_bench.cc
+++ b/bench/gateway_deferral_bench.cc
@@ -97,12 +97,24 @@
          const Random& random)
         : selector(selector_settings, ZoneId("z"), random, DiscardEvents()),
           budget({0.2, 300, Duration::Seconds(10), 0.8}),
-          controller(settings, &selector, &budget, random, DiscardEvents()) {
+          crash_guard(
+              {},
+              [](const EndpointRun&) { return true; },
+              {},
+              random,
+              DiscardEvents()),
+          controller(settings,
+                     &selector,
+                     &budget,
+                     &crash_guard,
+                     random,
+                     DiscardEvents()) {
       selector.SetNodeCount(nodes);
       budget.SetNodeCount(nodes);
     }
     ReplicaSelector selector;
     SharedRetryBudget budget;
+    CrashGuard crash_guard;
     ForwardController controller;
   };
   struct Request {
