gateway: a trial that the store did not grant is not asked for again at once

Copies of a suspect that arrive while the key-value service turns a node away each asked for a trial anew: one call for each copy, all refused, at a time when calls are scarce. Found by reading.

A node now waits for the retry delay, 1 s, before it asks again; copies are refused in between. At most 256 records are kept, so that a starting node reads them in one page of the service.

CrashRecordsTest.ARefusedTrialIsNotAskedForAgainAtOnce is new and passes; it was not run on the code before. CrashJsonTest checks the same malformed messages; the longest has a name, because the linter takes joined literals in a list for a missing comma.

--- a/coordination/gateway/crash_records.cc
+++ b/coordination/gateway/crash_records.cc
@@ -160,7 +160,7 @@
                                 const std::set<CrashId>& crashes) {
   const State state = StateOf(now, fingerprint);
   if (IsWriting(fingerprint) || state == State::kBlocked ||
-      state == State::kTrialRuns) {
+      state == State::kTrialRuns || trial_retries_.contains(fingerprint)) {
     return false;
   }
   CrashRecord record;
@@ -312,7 +312,9 @@
 void CrashRecords::RetryLater(Time now,
                               Fingerprint fingerprint,
                               const Write& write) {
-  if (write.purpose != Purpose::kTrial) {
+  if (write.purpose == Purpose::kTrial) {
+    trial_retries_[fingerprint] = now + settings_.retry_delay;
+  } else {
     retries_[fingerprint] = {write.purpose, write.proposed.crashes,
                              now + settings_.retry_delay};
   }
@@ -325,6 +327,8 @@
       due.emplace_back(fingerprint, retry);
     }
   }
+  std::erase_if(trial_retries_,
+                [now](const auto& retry) { return now >= retry.second; });
   for (const auto& [fingerprint, retry] : due) {
     retries_.erase(fingerprint);
     switch (retry.purpose) {
--- a/coordination/gateway/crash_records.h
+++ b/coordination/gateway/crash_records.h
@@ -30,8 +30,9 @@
   Duration record_ttl = Duration::Seconds(24L * 3600);
   Duration untried_record_ttl = Duration::Seconds(1800);
   // No further requests are recorded.
-  std::size_t max_records = 512;
-  // Delay before a write that the service did not confirm is repeated.
+  std::size_t max_records = 256;
+  // Delay before a write that the service did not confirm is repeated, and
+  // before another trial of the request is asked for.
   Duration retry_delay = Duration::Seconds(1);
 };
 
@@ -151,6 +152,8 @@
   std::set<Fingerprint> held_trials_;
   StoreCallId last_call_;
   std::vector<StoreRequest> requests_;
+  // When a trial may be asked for again after the service did not grant one.
+  std::map<Fingerprint, Time> trial_retries_;
 };
 
 }  // namespace gcw
--- a/tests/coordination/gateway/crash_records_test.cc
+++ b/tests/coordination/gateway/crash_records_test.cc
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/coordination.h"
@@ -71,17 +73,20 @@
 
  private:
   StoreReply Execute(const StoreCall& call) {
-    const Revision current = entry_ ? entry_->revision : Revision();
-    const auto* put = std::get_if<StorePut>(&call);
-    const auto* remove = std::get_if<StoreDelete>(&call);
-    if ((put != nullptr ? put->expected : remove->expected) != current) {
+    if (const auto* put = std::get_if<StorePut>(&call)) {
+      return Replace(put->expected, StoreEntry{put->key, put->value, {}, {}});
+    }
+    return Replace(std::get<StoreDelete>(call).expected, std::nullopt);
+  }
+
+  StoreReply Replace(Revision expected, std::optional<StoreEntry> entry) {
+    if (expected != (entry_ ? entry_->revision : Revision())) {
       return StoreConflict{entry_};
     }
     ++revision_;
-    if (put != nullptr) {
-      entry_ = StoreEntry{put->key, put->value, revision_, LeaseId()};
-    } else {
-      entry_.reset();
+    entry_ = std::move(entry);
+    if (entry_) {
+      entry_->revision = revision_;
     }
     return StoreWritten{revision_};
   }
@@ -127,9 +132,24 @@
     Answer(first_);
     Show(second_);
     EXPECT_EQ(second_.StateOf(now_, kRequest), State::kOpen);
+    now_ = now_ + CrashRecordsSettings().retry_delay;
+    first_.Tick(now_);
   }
 }
 
+// Guards against a call for each of many copies while the service turns this
+// node away.
+TEST_F(CrashRecordsTest, ARefusedTrialIsNotAskedForAgainAtOnce) {
+  first_.RequestTrial(now_, kRequest, Crashes(3));
+  for (const StoreRequest& request : first_.TakeRequests()) {
+    first_.OnStoreReply(now_, request.id, StoreRefused{});
+  }
+  EXPECT_FALSE(first_.RequestTrial(now_, kRequest, Crashes(3)));
+  now_ = now_ + CrashRecordsSettings().retry_delay;
+  first_.Tick(now_);
+  EXPECT_TRUE(first_.RequestTrial(now_, kRequest, Crashes(3)));
+}
+
 // Guards against trials without end of a request whose trials bring no result.
 TEST_F(CrashRecordsTest, TrialsWithoutAResultEndInABlock) {
   const CrashRecordsSettings settings;
--- a/tests/protocol/crash_json_test.cc
+++ b/tests/protocol/crash_json_test.cc
@@ -46,12 +46,16 @@
 
 // Guards against a message of another program that blocks requests.
 TEST(CrashJsonTest, RejectsMalformedMessages) {
-  for (const char* text :
-       {"", "{}", "[]", R"({"requests":[{}]})",
-        R"({"requests":[{"fingerprint":-1,"crashes":[]}]})",
-        R"({"requests":[{"fingerprint":1,"crashes":[{"vm":"a"}]}]})",
-        R"({"requests":[{"fingerprint":1,"crashes":[{"vm":"a",)"
-        R"("incarnation":1,"age_ms":-5,"state":"confirmed"}]}]})"}) {
+  const std::string negative_age =
+      R"({"requests":[{"fingerprint":1,"crashes":[{"vm":"a","incarnation":1,)"
+      R"("age_ms":-5,"state":"confirmed"}]}]})";
+  for (const std::string& text :
+       {std::string(), std::string("{}"), std::string("[]"),
+        std::string(R"({"requests":[{}]})"),
+        std::string(R"({"requests":[{"fingerprint":-1,"crashes":[]}]})"),
+        std::string(
+            R"({"requests":[{"fingerprint":1,"crashes":[{"vm":"a"}]}]})"),
+        negative_age}) {
     EXPECT_FALSE(IsOk(DecodeCrashNotices(text))) << text;
     EXPECT_FALSE(IsOk(DecodeCrashRecord(text))) << text;
   }
