gateway: a trial that reaches no endpoint is given back

Trace (logs of both processes): three crashes; gw-1 is granted the trial and sends it to desk-1-2 and, as nothing was sent, to desk-0-1, both gone some milliseconds before. The request is refused with nothing sent, and the trial stays open for 10 s. All copies at all nodes are refused meanwhile; after a second such trial the request would be blocked for 10 minutes, though no trial ran. That hits healthy requests most: endpoints are gone just when suspects are tried out.

The forward controller now tells the crash guard when a trial ends before anything reached an endpoint, when no endpoint is left to choose, and when its caller has gone before it was sent. A copy that waits at the same node takes the trial over, else it is returned in the record. A trial that an endpoint refused is spent as before, because the users' rule counts what reaches endpoints.

--- a/coordination/gateway/crash_guard.cc
+++ b/coordination/gateway/crash_guard.cc
@@ -107,13 +107,13 @@
   for (const ForwardId id : copies) {
     const CrashVerdict verdict = Judge(now, fingerprint);
     if (verdict != CrashVerdict::kNeedsTrial) {
-      Decide(id, verdict == CrashVerdict::kAllowed, false);
+      Decide(id, fingerprint, verdict == CrashVerdict::kAllowed, false);
     } else if (records_.HoldsTrial(fingerprint) &&
                !trials_.contains(fingerprint)) {
       trials_.emplace(fingerprint, CrashId());
-      Decide(id, true, true);
+      Decide(id, fingerprint, true, true);
     } else if (now >= waiting_.at(id).deadline) {
-      Decide(id, false, false);
+      Decide(id, fingerprint, false, false);
     } else if (records_.RequestTrial(now, fingerprint,
                                      KnownCrashes(now, fingerprint))) {
       trials_.erase(fingerprint);
@@ -121,9 +121,12 @@
   }
 }
 
-void CrashGuard::Decide(ForwardId id, bool may_run, bool is_trial) {
+void CrashGuard::Decide(ForwardId id,
+                        Fingerprint fingerprint,
+                        bool may_run,
+                        bool is_trial) {
   waiting_.erase(id);
-  decisions_.push_back({id, may_run, is_trial});
+  decisions_.push_back({id, fingerprint, may_run, is_trial});
 }
 
 std::vector<CrashDecision> CrashGuard::TakeDecisions() {
@@ -139,6 +142,15 @@
            {{"vm", endpoint.vm.value()}}});
 }
 
+void CrashGuard::OnTrialUnused(Time now, Fingerprint fingerprint) {
+  trials_.erase(fingerprint);
+  // A copy that waits here takes the trial over.
+  Review(now, fingerprint);
+  if (!trials_.contains(fingerprint)) {
+    records_.ReturnTrial(fingerprint);
+  }
+}
+
 void CrashGuard::OnBroken(Time now, const BrokenAttempt& attempt) {
   if (!is_expected_to_run_(attempt.endpoint)) {
     return;
--- a/coordination/gateway/crash_guard.h
+++ b/coordination/gateway/crash_guard.h
@@ -50,6 +50,7 @@
 // The wait of a request is over.
 struct CrashDecision {
   ForwardId id;
+  Fingerprint fingerprint;
   bool may_run = false;
   bool is_trial = false;
 };
@@ -89,6 +90,8 @@
   void OnWaitCancelled(ForwardId id) { waiting_.erase(id); }
   // A trial was sent to the endpoint.
   void OnTrialSent(Fingerprint fingerprint, const EndpointRun& endpoint);
+  // The trial that this node holds ended before anything reached an endpoint.
+  void OnTrialUnused(Time now, Fingerprint fingerprint);
   void OnBroken(Time now, const BrokenAttempt& attempt);
   // A run of the request did not crash its endpoint.
   void OnHarmless(Time now, Fingerprint fingerprint);
@@ -147,7 +150,10 @@
   void OnSuspectCrash(Time now, Fingerprint fingerprint, const CrashId& crash);
   // Decides on the waiting copies of the request.
   void Review(Time now, Fingerprint fingerprint);
-  void Decide(ForwardId id, bool may_run, bool is_trial);
+  void Decide(ForwardId id,
+              Fingerprint fingerprint,
+              bool may_run,
+              bool is_trial);
   // Reports the begin and the end of a block.
   void ReportBlock(Time now, Fingerprint fingerprint);
   void Clear(Time now, Fingerprint fingerprint, std::string_view reason);
--- a/coordination/gateway/crash_records.cc
+++ b/coordination/gateway/crash_records.cc
@@ -54,11 +54,11 @@
   if (!record.trial_is_open || record.trial_holder != self_) {
     held_trials_.erase(fingerprint);
   } else if (!HoldsTrial(fingerprint) && !IsWriting(fingerprint)) {
+    // The service granted the trial without this node's knowledge.
     ReleaseTrial(fingerprint);
   }
 }
 
-// The service granted the trial without this node's knowledge.
 void CrashRecords::ReleaseTrial(Fingerprint fingerprint) {
   CrashRecord record = *Find(fingerprint);
   --record.trials;
@@ -179,6 +179,12 @@
   return true;
 }
 
+void CrashRecords::ReturnTrial(Fingerprint fingerprint) {
+  if (held_trials_.erase(fingerprint) > 0) {
+    ReleaseTrial(fingerprint);
+  }
+}
+
 void CrashRecords::OnTrialFailed(Time now,
                                  Fingerprint fingerprint,
                                  const std::set<CrashId>& crashes) {
@@ -321,14 +327,14 @@
 }
 
 void CrashRecords::Tick(Time now) {
+  std::erase_if(trial_retries_,
+                [now](const auto& retry) { return now >= retry.second; });
   std::vector<std::pair<Fingerprint, Retry>> due;
   for (const auto& [fingerprint, retry] : retries_) {
     if (now >= retry.at && !IsWriting(fingerprint)) {
       due.emplace_back(fingerprint, retry);
     }
   }
-  std::erase_if(trial_retries_,
-                [now](const auto& retry) { return now >= retry.second; });
   for (const auto& [fingerprint, retry] : due) {
     retries_.erase(fingerprint);
     switch (retry.purpose) {
--- a/coordination/gateway/crash_records.h
+++ b/coordination/gateway/crash_records.h
@@ -79,6 +79,8 @@
   bool RequestTrial(Time now,
                     Fingerprint fingerprint,
                     const std::set<CrashId>& crashes);
+  // Allows others to try the request out, if this node holds the trial.
+  void ReturnTrial(Fingerprint fingerprint);
   // The trial that this node holds crashed its endpoint.
   void OnTrialFailed(Time now,
                      Fingerprint fingerprint,
@@ -138,7 +140,7 @@
                   Fingerprint fingerprint,
                   const Write& write,
                   const StoreConflict& conflict);
-  // Gives back a trial that is not used.
+  // Writes that the recorded trial was not used.
   void ReleaseTrial(Fingerprint fingerprint);
   void RetryLater(Time now, Fingerprint fingerprint, const Write& write);
   Duration BlockTime(std::int64_t failed_trials) const;
@@ -150,10 +152,10 @@
   std::map<Fingerprint, Write> writes_;
   std::map<Fingerprint, Retry> retries_;
   std::set<Fingerprint> held_trials_;
-  StoreCallId last_call_;
-  std::vector<StoreRequest> requests_;
   // When a trial may be asked for again after the service did not grant one.
   std::map<Fingerprint, Time> trial_retries_;
+  StoreCallId last_call_;
+  std::vector<StoreRequest> requests_;
 };
 
 }  // namespace gcw
--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -121,6 +121,9 @@
                                           const CrashDecision& decision) {
   const auto found = open_requests_.find(decision.id);
   if (found == open_requests_.end()) {
+    if (decision.is_trial) {
+      crash_guard_->OnTrialUnused(now, decision.fingerprint);
+    }
     return ForwardTruncated{};
   }
   OpenRequest open_request = std::move(found->second);
@@ -129,6 +132,9 @@
       decision.may_run
           ? DispatchFirst(now, open_request)
           : Refuse(now, open_request, RefusalKind::kFingerprintBlocked);
+  if (decision.is_trial && !std::holds_alternative<SendForward>(step)) {
+    crash_guard_->OnTrialUnused(now, decision.fingerprint);
+  }
   Track(decision.id, std::move(open_request), step);
   return step;
 }
@@ -276,6 +282,8 @@
   OpenRequest& open_request = found->second;
   selector_->OnEnded(now, open_request.attempt, end.kind);
   ReportBreak(now, open_request, end);
+  open_request.has_reached_endpoint |=
+      end.kind != ForwardEndKind::kNothingSent;
   by_attempt_.erase(open_request.attempt);
   open_request.excluded.push_back(open_request.endpoint.vm);
   if (!end.at_fault.empty() && end.at_fault != open_request.endpoint.vm) {
@@ -287,6 +295,9 @@
     return step;
   }
   StopWaiting(open_request);
+  if (open_request.is_trial && !open_request.has_reached_endpoint) {
+    crash_guard_->OnTrialUnused(now, open_request.fingerprint);
+  }
   open_requests_.erase(found);
   return step;
 }
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -109,6 +109,7 @@
     bool has_started = false;
     // The attempt shows whether the request crashes endpoints.
     bool is_trial = false;
+    bool has_reached_endpoint = false;
     // The deferral policy counts this request among the prioritized ones that
     // wait to start.
     bool is_waiting = false;
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -269,6 +269,14 @@
 }
 
 void GatewayCore::RunCrashGuard(Time now) {
+  // A trial that no endpoint takes is passed on to the next copy that waits.
+  for (auto decisions = crash_guard_.TakeDecisions(); !decisions.empty();
+       decisions = crash_guard_.TakeDecisions()) {
+    for (const CrashDecision& decision : decisions) {
+      actions_.emplace_back(
+          ContinueForward{decision.id, forwards_.OnDecision(now, decision)});
+    }
+  }
   for (CheckEndpoint& check : crash_guard_.TakeChecks()) {
     actions_.emplace_back(std::move(check));
   }
@@ -282,10 +290,6 @@
       actions_.emplace_back(NotifyCrashes{std::move(address), notices});
     }
   }
-  for (const CrashDecision& decision : crash_guard_.TakeDecisions()) {
-    actions_.emplace_back(
-        ContinueForward{decision.id, forwards_.OnDecision(now, decision)});
-  }
 }
 
 void GatewayCore::OnStopRequested(Time now) {
--- a/tests/coordination/gateway/crash_guard_test.cc
+++ b/tests/coordination/gateway/crash_guard_test.cc
@@ -170,6 +170,30 @@
   }
 }
 
+// Guards against a healthy request that is refused for seconds because the
+// endpoints that its trial was sent to were gone.
+TEST(CrashGuardTest, ATrialThatReachesNoEndpointIsGivenBack) {
+  for (const std::size_t nodes : kFleetSizes) {
+    CrashWorld world(nodes);
+    // Callers do not come back, so that nobody tries the request out.
+    world.return_delay = Duration::Seconds(5);
+    for (int i = 0; i < 5 && world.rule().crashes(kCrashing) < 3; ++i) {
+      world.SendCrashing(kCrashing);
+      world.Run(Duration::Millis(600));
+    }
+    ASSERT_EQ(world.rule().crashes(kCrashing), 3U) << nodes << " nodes";
+    world.engines_listen = false;
+    world.SendFromCaller(kCrashing, false);
+    world.Run(Duration::Millis(200));
+    world.engines_listen = true;
+    world.Run(Duration::Seconds(3));
+    world.SendFromCaller(kCrashing, false);
+    world.Run(Duration::Seconds(2));
+    EXPECT_EQ(world.healthy_blocked(), 0) << nodes << " nodes";
+    EXPECT_LE(world.longest_wait(), kLongestWait) << nodes << " nodes";
+  }
+}
+
 // Guards against endpoints that are cut off from nodes, or whose connections
 // are only reset, being taken for crashed ones.
 TEST(CrashGuardTest, ResetConnectionsAndCutEndpointsAccuseNoRequest) {
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -383,6 +383,8 @@
   int crash_notices = 0;
   bool lose_crash_notices = false;
   bool lose_limit_notices = false;
+  // Whether engines accept new connections for requests.
+  bool engines_listen = true;
   // Time that a request waits at an engine before it begins to run.
   Duration queue_delay;
   Duration restart_delay = Duration::Seconds(3);
@@ -842,7 +844,8 @@
       return;
     }
     const VmId vm = send->vm;
-    if (!engines_.at(vm).alive && engines_.at(vm).refuses_connections) {
+    const Engine& engine = engines_.at(vm);
+    if (!engines_listen || (!engine.alive && engine.refuses_connections)) {
       Schedule(kNetworkDelay * 2,
                [this, node, id, request, events, run = nodes_[node].run] {
                  OnConnectionRefused(node, run, id, request, events);
