gateway: copies of a healthy request wait while one of them is tried out

Three endpoints may crash under a popular healthy request within moments. Its next copy is then tried out, which takes until it has streamed for half a second; the other copies were refused after 250 ms and told to return in a second, though they were only beside a crasher. The stated bound of 300 ms left this out.

Found while the test of unused trials was traced. Two ways: a shorter proof, which would clear requests that crash an engine later than the 60 to 120 ms seen in the incident; a longer wait. Copies now wait 1,050 ms in all while a trial runs, and 250 ms otherwise; a crash of the trial still ends their wait at once. At most 64 requests wait at a node, as before.

New setting crashes.trial_wait_ms.

--- a/coordination/gateway/crash_guard.cc
+++ b/coordination/gateway/crash_guard.cc
@@ -91,13 +91,26 @@
   if (waiting_.size() >= settings_.max_waiting) {
     return false;
   }
-  waiting_[id] = {fingerprint, now + settings_.max_wait};
+  waiting_[id] = {fingerprint, now, now + settings_.max_wait};
   Review(now, fingerprint);
   return true;
 }
 
+void CrashGuard::ExtendWaits(Time now, Fingerprint fingerprint) {
+  if (records_.StateOf(now, fingerprint) != CrashRecords::State::kTrialRuns) {
+    return;
+  }
+  for (auto& [id, waiting] : waiting_) {
+    if (waiting.fingerprint == fingerprint) {
+      waiting.deadline = std::min(now + settings_.max_wait,
+                                  waiting.started + settings_.max_trial_wait);
+    }
+  }
+}
+
 void CrashGuard::Review(Time now, Fingerprint fingerprint) {
   ReportBlock(now, fingerprint);
+  ExtendWaits(now, fingerprint);
   std::vector<ForwardId> copies;
   for (const auto& [id, waiting] : waiting_) {
     if (waiting.fingerprint == fingerprint) {
--- a/coordination/gateway/crash_guard.h
+++ b/coordination/gateway/crash_guard.h
@@ -28,9 +28,12 @@
   std::int64_t recorded_crashes = 2;
   // Number of crashes from which a request runs only as a trial.
   std::int64_t trial_crashes = 3;
-  // A request waits this long for its trial to be granted, or for the trial of
-  // another copy to end.
+  // A request waits this long for its trial to be granted.
   Duration max_wait = Duration::Millis(250);
+  // A request waits this long in all if another copy is tried out meanwhile.
+  // Longer than the proof time, so that copies of a harmless request are not
+  // refused.
+  Duration max_trial_wait = Duration::Millis(1050);
   // Further requests are refused instead of waiting.
   std::size_t max_waiting = 64;
   // Delay that callers are told while another copy is tried out.
@@ -138,6 +141,7 @@
  private:
   struct Waiting {
     Fingerprint fingerprint;
+    Time started;
     Time deadline;
   };
 
@@ -148,6 +152,8 @@
   // Adds the crashes that this node noticed to the request's record.
   void RecordOwnCrashes(Time now, Fingerprint fingerprint);
   void OnSuspectCrash(Time now, Fingerprint fingerprint, const CrashId& crash);
+  // A copy that waits while another is tried out has until later.
+  void ExtendWaits(Time now, Fingerprint fingerprint);
   // Decides on the waiting copies of the request.
   void Review(Time now, Fingerprint fingerprint);
   void Decide(ForwardId id,
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -211,6 +211,9 @@
              "only at one endpoint of the fleet at a time, to be tried out.");
   reader.Add("crashes.wait_ms", &crashes.max_wait, kShortDuration,
              "Time for which such a request waits for its turn.");
+  reader.Add("crashes.trial_wait_ms", &crashes.max_trial_wait, kShortDuration,
+             "Time for which it waits in all if another copy of it is tried "
+             "out meanwhile.");
   reader.Add("crashes.block_ms", &crashes.records.block_time, kBlockDuration,
              "Time for which a request is refused after it crashed the "
              "endpoint that tried it out; doubled each further time.");
--- a/tests/coordination/gateway/crash_guard_test.cc
+++ b/tests/coordination/gateway/crash_guard_test.cc
@@ -13,9 +13,23 @@
 constexpr std::size_t kFleetSizes[] = {3, 9, 60, 300};
 // The longest time that a request may wait for its trial.
 constexpr Duration kLongestWait = Duration::Millis(300);
+// The same, with the time for which it may wait while another copy is tried out.
+constexpr Duration kLongestWaitBesideTrial = Duration::Millis(1100);
 constexpr Fingerprint kCrashing(1);
 constexpr Fingerprint kOtherCrashing(2);
 
+// Three endpoints crash under the request, and nobody tries it out, because
+// callers do not come back.
+void MakeSuspect(CrashWorld& world) {
+  world.return_delay = Duration::Seconds(5);
+  for (int i = 0; i < 5 && world.rule().crashes(kCrashing) < 3; ++i) {
+    world.SendCrashing(kCrashing);
+    world.Run(Duration::Millis(600));
+  }
+  ASSERT_EQ(world.rule().crashes(kCrashing), 3U)
+      << world.node_count() << " nodes";
+}
+
 // Guards against a request that crashes endpoints and is sent to more of them
 // each time it comes again.
 TEST(CrashGuardTest, ACrashingRequestIsKnownAgainAtEveryNode) {
@@ -175,13 +189,7 @@
 TEST(CrashGuardTest, ATrialThatReachesNoEndpointIsGivenBack) {
   for (const std::size_t nodes : kFleetSizes) {
     CrashWorld world(nodes);
-    // Callers do not come back, so that nobody tries the request out.
-    world.return_delay = Duration::Seconds(5);
-    for (int i = 0; i < 5 && world.rule().crashes(kCrashing) < 3; ++i) {
-      world.SendCrashing(kCrashing);
-      world.Run(Duration::Millis(600));
-    }
-    ASSERT_EQ(world.rule().crashes(kCrashing), 3U) << nodes << " nodes";
+    MakeSuspect(world);
     world.engines_listen = false;
     world.SendFromCaller(kCrashing, false);
     world.Run(Duration::Millis(200));
@@ -194,6 +202,27 @@
   }
 }
 
+// Guards against copies of a healthy request that are refused while one of them
+// is tried out.
+TEST(CrashGuardTest, CopiesOfAHealthyRequestWaitForItsTrial) {
+  for (const std::size_t nodes : kFleetSizes) {
+    CrashWorld world(nodes);
+    MakeSuspect(world);
+    const int served = world.healthy_served();
+    constexpr int kCopies = 20;
+    for (int i = 0; i < kCopies; ++i) {
+      world.SendFromCaller(kCrashing, false);
+      world.Run(Duration::Millis(20));
+    }
+    world.traffic = false;
+    world.Run(Duration::Seconds(3));
+    EXPECT_EQ(world.healthy_blocked(), 0) << nodes << " nodes";
+    EXPECT_GE(world.healthy_served() - served, kCopies) << nodes << " nodes";
+    EXPECT_LE(world.longest_wait(), kLongestWaitBesideTrial)
+        << nodes << " nodes";
+  }
+}
+
 // Guards against endpoints that are cut off from nodes, or whose connections
 // are only reset, being taken for crashed ones.
 TEST(CrashGuardTest, ResetConnectionsAndCutEndpointsAccuseNoRequest) {
