gateway: a check that only connects does not clear a crashed endpoint

Trace: gw-1's trial breaks at desk-1-2, and no endpoint_crashed follows; in an earlier trace two of four breaks have none. The check connected to the ending process, whose listener closes some moments after its connections, got no answer and counted as a sign of life. So a crash was missed, the trial had no result, and of a request's crashes fewer were known than happened.

Only an answer shows now that the process lives. A check that connects without one decides nothing and is made again half a second later, three times at most, since a full endpoint resets connections too.

CrashDetectorTest: two of three tests failed before and pass now.

--- a/coordination/gateway/crash_detector.cc
+++ b/coordination/gateway/crash_detector.cc
@@ -33,6 +33,7 @@
     Confirm(broken, broken.crash.evidence);
     return;
   }
+  broken.checks = 0;
   broken.must_check = true;
   Check(now, broken);
 }
@@ -45,6 +46,7 @@
   }
   broken.is_checking = true;
   broken.must_check = false;
+  ++broken.checks;
   broken.last_check = now;
   checks_.push_back(
       {broken.crash.endpoint.vm, broken.address, settings_.check_timeout});
@@ -64,8 +66,11 @@
     case ProbeResult::kWrongVm:
       Confirm(broken, kAddressReassigned);
       return;
-    case ProbeResult::kAnswered:
     case ProbeResult::kConnected:
+      broken.must_check |= broken.checks < settings_.max_checks;
+      Check(now, broken);
+      return;
+    case ProbeResult::kAnswered:
       // Attempts that broke after the check was sent need another one.
       if (broken.must_check) {
         Check(now, broken);
--- a/coordination/gateway/crash_detector.h
+++ b/coordination/gateway/crash_detector.h
@@ -19,6 +19,9 @@
   // Minimum interval between two checks of an endpoint, because an endpoint may
   // break off many answers and live.
   Duration check_interval = Duration::Millis(500);
+  // Maximum number of checks after an attempt broke. A process that is ending
+  // may still accept a connection, and one that is overloaded may reset it.
+  int max_checks = 3;
   // A broken attempt is remembered this long. A crashed endpoint that did not
   // answer the check is known by its registration, which lapses in this time.
   Duration memory = Duration::Seconds(10);
@@ -75,7 +78,9 @@
     Time last_check;
     // The last check is not answered yet.
     bool is_checking = false;
-    // Attempts broke after the last check was sent.
+    // Number of checks since the last attempt broke.
+    int checks = 0;
+    // Attempts broke after the last check was sent, or it decided nothing.
     bool must_check = false;
     bool is_crashed = false;
   };
