gateway: each node that restricts a request tells the evidence

Only the nodes that noticed a crash themselves logged fingerprint_suspected, and a request that was refused while another copy was tried out had no cause, so gcwctl why showed nothing for it.

A node tells it once, when it first restricts the request, and the refusal names it as its cause; a block still goes first. What was told is forgotten with the evidence.

CrashGuardTest.EachNodeThatRestrictsARequestTellsTheEvidence is new (it needs the new accessor, so it was not run on the code before). GatewayCrashTest.ABlockIsExplainedAndLifted waits for the block itself before it checks it: a refusal alone may come before the trial's result, as OPERATIONS says.

--- a/coordination/gateway/crash_guard.cc
+++ b/coordination/gateway/crash_guard.cc
@@ -91,6 +91,7 @@
   if (waiting_.size() >= settings_.max_waiting) {
     return false;
   }
+  ReportSuspicion(now, fingerprint);
   waiting_[id] = {fingerprint, now, now + settings_.max_wait};
   Review(now, fingerprint);
   return true;
@@ -197,6 +198,7 @@
       record == nullptr ? std::set<CrashId>() : record->crashes);
   records_.Remove(now, fingerprint);
   trials_.erase(fingerprint);
+  reported_suspicions_.erase(fingerprint);
   if (was_restricted) {
     events_({EventKind::kFingerprintUnblocked,
              std::to_string(fingerprint.value()),
@@ -211,9 +213,14 @@
                   settings_.trial_retry_after);
 }
 
-EventId CrashGuard::BlockEvent(Fingerprint fingerprint) const {
-  const auto found = reported_blocks_.find(fingerprint);
-  return found == reported_blocks_.end() ? EventId() : found->second;
+EventId CrashGuard::CauseOfRefusal(Fingerprint fingerprint) const {
+  for (const auto* reported : {&reported_blocks_, &reported_suspicions_}) {
+    const auto found = reported->find(fingerprint);
+    if (found != reported->end()) {
+      return found->second;
+    }
+  }
+  return EventId();
 }
 
 // Crashes ---------------------------------------------------------------------
@@ -261,16 +268,31 @@
     return;
   }
   RecordOwnCrashes(now, fingerprint);
-  if (std::ssize(crashes) == settings_.trial_crashes) {
-    events_({EventKind::kFingerprintSuspected,
-             std::to_string(fingerprint.value()),
-             {},
-             {{"crashes", static_cast<std::int64_t>(crashes.size())},
-              {"vms", ListCrashes(crashes)}}});
+  if (MustBeTried(crashes)) {
+    ReportSuspicion(now, fingerprint);
   }
   Review(now, fingerprint);
 }
 
+void CrashGuard::ReportSuspicion(Time now, Fingerprint fingerprint) {
+  if (reported_suspicions_.contains(fingerprint)) {
+    return;
+  }
+  const std::set<CrashId> crashes = KnownCrashes(now, fingerprint);
+  reported_suspicions_[fingerprint] =
+      events_({EventKind::kFingerprintSuspected,
+               std::to_string(fingerprint.value()),
+               {},
+               {{"crashes", static_cast<std::int64_t>(crashes.size())},
+                {"vms", ListCrashes(crashes)}}});
+}
+
+void CrashGuard::ForgetSuspicions(Time now) {
+  std::erase_if(reported_suspicions_, [&](const auto& reported) {
+    return Judge(now, reported.first) == CrashVerdict::kAllowed;
+  });
+}
+
 // Only nodes that noticed a crash write it, so that a record has few writers.
 void CrashGuard::RecordOwnCrashes(Time now, Fingerprint fingerprint) {
   const std::set<CrashId> crashes = KnownCrashes(now, fingerprint);
@@ -342,6 +364,7 @@
   detector_.Tick(now);
   evidence_.Tick(now);
   records_.Tick(now);
+  ForgetSuspicions(now);
   std::set<Fingerprint> due;
   for (const auto& [id, waiting] : waiting_) {
     due.insert(waiting.fingerprint);
--- a/coordination/gateway/crash_guard.h
+++ b/coordination/gateway/crash_guard.h
@@ -100,8 +100,8 @@
   void OnHarmless(Time now, Fingerprint fingerprint);
   // Returns when a refused caller should return.
   Duration RetryAfter(Time now, Fingerprint fingerprint) const;
-  // Returns the event that blocked the request, or an empty id.
-  EventId BlockEvent(Fingerprint fingerprint) const;
+  // Returns the event that tells why the request is refused, or an empty id.
+  EventId CauseOfRefusal(Fingerprint fingerprint) const;
 
   // Endpoints, other nodes and the key-value service -------------------------
 
@@ -160,6 +160,10 @@
               Fingerprint fingerprint,
               bool may_run,
               bool is_trial);
+  // Reports that the request runs only as a trial from now on.
+  void ReportSuspicion(Time now, Fingerprint fingerprint);
+  // Forgets reported requests whose evidence has expired.
+  void ForgetSuspicions(Time now);
   // Reports the begin and the end of a block.
   void ReportBlock(Time now, Fingerprint fingerprint);
   void Clear(Time now, Fingerprint fingerprint, std::string_view reason);
@@ -173,7 +177,9 @@
   std::map<ForwardId, Waiting> waiting_;
   // The endpoints at which this node's trials run.
   std::map<Fingerprint, CrashId> trials_;
-  // The blocks that were reported, with their events.
+  // The suspicions that were reported, with their events.
+  std::map<Fingerprint, EventId> reported_suspicions_;
+  // The same of blocks.
   std::map<Fingerprint, EventId> reported_blocks_;
   std::vector<CrashDecision> decisions_;
 };
--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -282,8 +282,7 @@
   OpenRequest& open_request = found->second;
   selector_->OnEnded(now, open_request.attempt, end.kind);
   ReportBreak(now, open_request, end);
-  open_request.has_reached_endpoint |=
-      end.kind != ForwardEndKind::kNothingSent;
+  open_request.has_reached_endpoint |= end.kind != ForwardEndKind::kNothingSent;
   by_attempt_.erase(open_request.attempt);
   open_request.excluded.push_back(open_request.endpoint.vm);
   if (!end.at_fault.empty() && end.at_fault != open_request.endpoint.vm) {
@@ -566,9 +565,10 @@
         {"version", open_request.routes->configuration().version.value()});
   }
   fields.push_back({"fingerprint", open_request.fingerprint.value()});
-  const EventId cause = kind == EventKind::kRequestRefused
-                            ? crash_guard_->BlockEvent(open_request.fingerprint)
-                            : EventId();
+  const EventId cause =
+      kind == EventKind::kRequestRefused
+          ? crash_guard_->CauseOfRefusal(open_request.fingerprint)
+          : EventId();
   events_({kind, open_request.request.id.value(), cause, std::move(fields)});
 }
 
--- a/tests/coordination/gateway/crash_guard_test.cc
+++ b/tests/coordination/gateway/crash_guard_test.cc
@@ -13,7 +13,8 @@
 constexpr std::size_t kFleetSizes[] = {3, 9, 60, 300};
 // The longest time that a request may wait for its trial.
 constexpr Duration kLongestWait = Duration::Millis(300);
-// The same, with the time for which it may wait while another copy is tried out.
+// The same, with the time for which it may wait while another copy is tried
+// out.
 constexpr Duration kLongestWaitBesideTrial = Duration::Millis(1100);
 constexpr Fingerprint kCrashing(1);
 constexpr Fingerprint kOtherCrashing(2);
@@ -223,6 +224,33 @@
   }
 }
 
+// Guards against a refusal that its node's log does not explain, because other
+// nodes noticed the crashes.
+TEST(CrashGuardTest, EachNodeThatRestrictsARequestTellsTheEvidence) {
+  std::vector<EventDraft> told;
+  CrashGuard guard(
+      {}, [](const EndpointRun&) { return true; },
+      {[](const CrashRecord&) { return std::string(); }, {}}, SeededRandom(1),
+      [&told](EventDraft event) {
+        told.push_back(std::move(event));
+        return EventId("e1");
+      });
+  CrashNotice notice = {kCrashing, {}};
+  for (const char* vm : {"a", "b", "c"}) {
+    notice.crashes[{VmId(vm), Incarnation(1)}] = {CrashState::kConfirmed, {}};
+  }
+  const Time now = Time::FromMillis(1000000);
+  guard.OnNotices(now, {notice});
+  ASSERT_EQ(guard.Judge(now, kCrashing), CrashVerdict::kNeedsTrial);
+  for (const std::int64_t id : {1, 2}) {
+    EXPECT_TRUE(guard.Wait(now, ForwardId(id), kCrashing));
+  }
+  ASSERT_EQ(told.size(), 1U);
+  EXPECT_EQ(told.front().kind, EventKind::kFingerprintSuspected);
+  EXPECT_EQ(told.front().subject, std::to_string(kCrashing.value()));
+  EXPECT_EQ(guard.CauseOfRefusal(kCrashing), EventId("e1"));
+}
+
 // Guards against endpoints that are cut off from nodes, or whose connections
 // are only reset, being taken for crashed ones.
 TEST(CrashGuardTest, ResetConnectionsAndCutEndpointsAccuseNoRequest) {
--- a/tests/programs/gateway_crash_test.cc
+++ b/tests/programs/gateway_crash_test.cc
@@ -83,8 +83,11 @@
   ASSERT_TRUE(ServesBothModels());
   Call(store_, {"POST", "/standin/crash_on?body=crashing", {}, {}});
   ASSERT_TRUE(IsRefusedInTheEnd());
+  // Before the trial's result, the request is refused without a block.
   ASSERT_TRUE(fleet_.WaitUntil([&] {
-    return Blocks(first_.peers).size() == 1 &&
+    const boost::json::array blocks = Blocks(first_.peers);
+    return blocks.size() == 1 &&
+           blocks.front().as_object().at("blocked_ms").as_int64() > 0 &&
            IsRefusedAsCrashing(first_.callers);
   }));
   const boost::json::object block = Blocks(first_.peers).front().as_object();
