tests: the detector's settings have an initializer

clang-tidy compiles with clang, which takes a const member of a class without a constructor only with an initializer; gcc takes it without. No check changes.

--- a/tests/coordination/gateway/crash_detector_test.cc
+++ b/tests/coordination/gateway/crash_detector_test.cc
@@ -20,7 +20,7 @@
   void Reply(ProbeResult result) { detector_.OnCheckReply(now_, vm_, result); }
 
   const VmId vm_ = VmId("v");
-  const CrashDetectorSettings settings_;
+  const CrashDetectorSettings settings_{};
   Time now_ = Time::FromMillis(1000000);
   CrashDetector detector_{settings_};
 };
