--- a/tests/coordination/gateway/crash_guard_test.cc
+++ b/tests/coordination/gateway/crash_guard_test.cc
@@ -343,6 +343,56 @@
   }
 }
 
+// Guards against evidence that is lost because no node that has it is alive
+// once the key-value service is back. Found by the property below.
+TEST(CrashGuardSeedTest, ALossOfAllNodesInAnOutageForgetsNoCrashingRequest) {
+  CrashWorld world(2, 0);
+  world.store_down = true;
+  world.DisturbAll();
+  world.Run(Duration::Seconds(1));
+  world.SendCrashing(kCrashing);
+  world.Run(Duration::Seconds(1));
+  world.RestartAllNodes();
+  world.Run(Duration::Seconds(1));
+  world.store_down = false;
+  world.DisturbAll();
+  world.Run(Duration::Seconds(8));
+  world.SendCrashing(kCrashing, 2);
+  world.Run(Duration::Seconds(1));
+  EXPECT_EQ(world.FirstViolation(), "");
+}
+
+// Guards against evidence that only a node has that the key-value service turns
+// away, and that no node hears of which starts later. Found by the property
+// below.
+TEST(CrashGuardSeedTest, ANodeThatStartsInAnOutageHearsOfCrashingRequests) {
+  CrashWorld world(2, 94);
+  const auto disturb = [&world](std::size_t node) {
+    world.Disturb(node);
+    world.Run(Duration::Seconds(1));
+  };
+  world.store_down = true;
+  world.DisturbAll();
+  world.Run(Duration::Seconds(1));
+  world.SendCrashing(kCrashing);
+  world.Run(Duration::Seconds(1));
+  world.KillNode(0);
+  disturb(0);
+  world.node(1).store_rejects = true;
+  disturb(1);
+  world.store_down = false;
+  world.DisturbAll();
+  world.Run(Duration::Seconds(1));
+  world.StartNode(0);
+  disturb(0);
+  world.Run(Duration::Seconds(1));
+  world.KillNode(1);
+  disturb(1);
+  world.SendCrashing(kCrashing, 2);
+  world.Run(Duration::Seconds(1));
+  EXPECT_EQ(world.FirstViolation(), "");
+}
+
 // Any series of crashing requests, lost nodes, freezes and outages.
 RC_GTEST_PROP(CrashGuardProperty, KnownRequestsReachFewEndpoints, ()) {
   const auto nodes = *rc::gen::inRange<std::size_t>(2, 12);
