--- a/tests/coordination/gateway/crash_guard_test.cc
+++ b/tests/coordination/gateway/crash_guard_test.cc
@@ -362,6 +362,31 @@
   EXPECT_EQ(world.FirstViolation(), "");
 }
 
+// The same, with a second loss of all nodes right after the outage, before the
+// records are written.
+TEST(CrashGuardSeedTest, ALossOfAllNodesRightAfterAnOutageForgetsNoRequest) {
+  CrashWorld world(6, 0);
+  world.SendCrashing(kOtherCrashing);
+  world.Run(Duration::Seconds(5));
+  world.store_down = true;
+  world.DisturbAll();
+  world.Run(Duration::Seconds(4));
+  world.SendCrashing(kCrashing);
+  world.Run(Duration::Seconds(1));
+  world.RestartAllNodes();
+  world.Run(Duration::Seconds(1));
+  world.SendCrashing(kCrashing, 2);
+  world.Run(Duration::Seconds(1));
+  world.store_down = false;
+  world.DisturbAll();
+  world.Run(Duration::Seconds(1));
+  world.RestartAllNodes();
+  world.Run(Duration::Seconds(4));
+  world.SendCrashing(kCrashing, 2);
+  world.Run(Duration::Seconds(1));
+  EXPECT_EQ(world.FirstViolation(), "");
+}
+
 // Guards against evidence that only a node has that the key-value service turns
 // away, and that no node hears of which starts later. Found by the property
 // below.
