--- a/coordination/gateway/crash_guard.h
+++ b/coordination/gateway/crash_guard.h
@@ -152,7 +152,7 @@
   // Adds the crashes that this node noticed to the request's record.
   void RecordOwnCrashes(Time now, Fingerprint fingerprint);
   void OnSuspectCrash(Time now, Fingerprint fingerprint, const CrashId& crash);
-  // A copy that waits while another is tried out has until later.
+  // Moves the deadlines of copies that wait while another copy is tried out.
   void ExtendWaits(Time now, Fingerprint fingerprint);
   // Decides on the waiting copies of the request.
   void Review(Time now, Fingerprint fingerprint);
@@ -179,7 +179,7 @@
   std::map<Fingerprint, CrashId> trials_;
   // The suspicions that were reported, with their events.
   std::map<Fingerprint, EventId> reported_suspicions_;
-  // The same of blocks.
+  // The blocks that were reported, with their events.
   std::map<Fingerprint, EventId> reported_blocks_;
   std::vector<CrashDecision> decisions_;
 };
