tests: a node cut from all endpoints refuses what other nodes could send

GatewayWorld learns paths between nodes and engines that go silent, are reset or refuse new connections, idle connections, and callers that leave.

--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -14,6 +14,7 @@
 #include "tests/support/fake_store.h"
 #include "tests/support/hold_rule.h"
 #include "tests/support/limit_rule.h"
+#include "tests/support/path_faults.h"
 #include "tests/support/simulated_engines.h"
 
 namespace gcw {
@@ -23,6 +24,7 @@
  public:
   static constexpr Duration kStep = Duration::Millis(10);
   static constexpr Duration kNetworkDelay = Duration::Millis(2);
+  static constexpr Duration kConnectTimeout = Duration::Millis(350);
   static constexpr Duration kHeartbeat = Duration::Millis(1200);
   static constexpr Duration kRegistrationTtl = Duration::Millis(3600);
   // The background traffic's requests all differ, and have contents above this.
@@ -61,6 +63,8 @@
     int events = 0;
     int run = 0;
     Time sent = {};
+    // Time of the last event, or of the send if there was none.
+    Time last_event = {};
   };
 
   GatewayWorld(std::size_t nodes,
@@ -225,6 +229,26 @@
     BreakStreamsAt(vm);
     Schedule(restart_delay, [this, vm] { Restart(vm); });
   }
+  // The path from the node to the engine fails in this way from now on.
+  void SetPath(std::size_t node, const VmId& vm, PathFault fault) {
+    paths_.Set(node, vm, fault);
+    if (fault != PathFault::kReset) {
+      return;
+    }
+    for (const Stream& stream : streams_) {
+      if (stream.node == node && stream.vm == vm) {
+        Schedule(kNetworkDelay, [this, node, id = stream.id, vm] {
+          BreakStream(node, id, vm);
+        });
+      }
+    }
+  }
+  // The same for the paths to all engines.
+  void SetPaths(std::size_t node, PathFault fault) {
+    for (const auto& [vm, engine] : engines_) {
+      SetPath(node, vm, fault);
+    }
+  }
   // The connections to the engine break, and its process goes on.
   void ResetConnections(const VmId& vm) { BreakStreamsAt(vm); }
   // Crashes the engine and restarts it under its id at once.
@@ -370,6 +394,8 @@
   Duration request_interval = Duration::Millis(100);
   // Answers to refused requests, in order.
   std::vector<ForwardRefused> refusals;
+  // If set, callers leave after this long without an event of their stream.
+  std::optional<Duration> caller_patience;
   // Nodes that get no requests.
   std::set<std::size_t> idle_nodes;
   // Streams that completed, and those that were cut off or never answered.
@@ -398,6 +424,9 @@
   std::function<
       void(const SimulatedRequest&, std::size_t node, const ForwardStep&)>
       on_final = [](const auto&, std::size_t, const ForwardStep&) {};
+  // The caller left without a final answer.
+  std::function<void(const SimulatedRequest&, std::size_t node)> on_left =
+      [](const auto&, std::size_t) {};
   // Requests for a snapshot of all keys.
   int snapshot_requests = 0;
   int role_reads = 0;
@@ -689,16 +718,13 @@
       end.last_event = stream->events;
     }
     const ForwardStep step = nodes_[index].core->OnEnded(now_, stream->id, end);
+    const Stream moved = *stream;
+    streams_.erase(stream);
     if (const auto* send = std::get_if<SendForward>(&step)) {
-      OnArrival(index, stream->request, send->vm);
-      stream->vm = send->vm;
-      stream->sent = now_;
-      stream->group = engine_simulation_.GroupAt(send->vm);
+      SendAttempt(index, move.id, moved.request, *send, moved.events);
     } else {
       ++lost_streams;
-      const SimulatedRequest request = stream->request;
-      streams_.erase(stream);
-      on_final(request, index, step);
+      on_final(moved.request, index, step);
     }
   }
 
@@ -754,11 +780,13 @@
   void Perform(std::size_t index, const CheckEndpoint& check) {
     const int run = nodes_[index].run;
     const Engine& engine = engines_.at(check.vm);
-    const bool is_reachable =
-        !engine.node_cut && (engine.alive || engine.refuses_connections);
-    const ProbeResult result = !is_reachable  ? ProbeResult::kUnreachable
-                               : engine.alive ? ProbeResult::kAnswered
-                                              : ProbeResult::kRefused;
+    const PathFault fault = paths_.Of(index, check.vm);
+    const bool is_reachable = !engine.node_cut && fault != PathFault::kSilent &&
+                              (engine.alive || engine.refuses_connections);
+    const ProbeResult result = !is_reachable ? ProbeResult::kUnreachable
+                               : engine.alive && fault == PathFault::kNone
+                                   ? ProbeResult::kAnswered
+                                   : ProbeResult::kRefused;
     ++endpoint_checks;
     Schedule(is_reachable ? kNetworkDelay * 2 : check.timeout,
              [this, index, run, check, result] {
@@ -771,16 +799,21 @@
   void Perform(std::size_t index, const ProbeEngine& probe) {
     const int run = nodes_[index].run;
     const Engine& engine = engines_.at(probe.vm);
-    const bool answers = engine.alive && !engine.node_cut;
-    Schedule(answers ? kNetworkDelay * 2 : probe.timeout, [this, index, run,
-                                                           probe, answers] {
-      RunAtNode(index, run, [&](GatewayCore& core) {
-        return core.OnProbeReply(
-            now_, probe.vm,
-            {answers ? ProbeResult::kAnswered : ProbeResult::kUnreachable,
-             engines_.at(probe.vm).slowdown});
-      });
-    });
+    const PathFault fault = paths_.Of(index, probe.vm);
+    const bool is_refused =
+        fault == PathFault::kReset || fault == PathFault::kNewRefused;
+    const bool answers =
+        engine.alive && !engine.node_cut && fault == PathFault::kNone;
+    const ProbeResult result = answers      ? ProbeResult::kAnswered
+                               : is_refused ? ProbeResult::kRefused
+                                            : ProbeResult::kUnreachable;
+    Schedule(answers || is_refused ? kNetworkDelay * 2 : probe.timeout,
+             [this, index, run, probe, result] {
+               RunAtNode(index, run, [&](GatewayCore& core) {
+                 return core.OnProbeReply(
+                     now_, probe.vm, {result, engines_.at(probe.vm).slowdown});
+               });
+             });
   }
 
   void Perform(std::size_t index, const SendGroupOrder& send) {
@@ -792,7 +825,8 @@
       });
     };
     const Engine& engine = engines_.at(send.vm);
-    if (!engine.alive || engine.node_cut) {
+    if (!engine.alive || engine.node_cut ||
+        paths_.Of(index, send.vm) != PathFault::kNone) {
       Schedule(send.timeout,
                [answer] { answer(GroupOrderResult::kUnreachable); });
       return;
@@ -843,19 +877,37 @@
       on_final(request, node, step);
       return;
     }
-    const VmId vm = send->vm;
+    SendAttempt(node, id, request, *send, events);
+  }
+
+  void SendAttempt(std::size_t node,
+                   ForwardId id,
+                   const SimulatedRequest& request,
+                   const SendForward& send,
+                   int events) {
+    const VmId vm = send.vm;
     const Engine& engine = engines_.at(vm);
-    if (!engines_listen || (!engine.alive && engine.refuses_connections)) {
-      Schedule(kNetworkDelay * 2,
+    const PathFault fault = paths_.Of(node, vm);
+    const bool is_new = send.fresh_connection || !paths_.TakeIdle(node, vm);
+    const bool is_refused =
+        !engines_listen || (!engine.alive && engine.refuses_connections) ||
+        (is_new &&
+         (fault == PathFault::kReset || fault == PathFault::kNewRefused));
+    const bool times_out = is_new && fault == PathFault::kSilent;
+    if (is_refused || times_out) {
+      Schedule(is_refused ? kNetworkDelay * 2 : kConnectTimeout,
                [this, node, id, request, events, run = nodes_[node].run] {
                  OnConnectionRefused(node, run, id, request, events);
                });
       return;
     }
-    OnArrival(node, request, vm);
-    if (!engines_.at(vm).cooldown) {
+    const bool arrives = paths_.PassesBytes(node, vm);
+    if (arrives) {
+      OnArrival(node, request, vm);
+    }
+    if (!arrives || !engines_.at(vm).cooldown) {
       streams_.push_back({node, id, request, vm, engine_simulation_.GroupAt(vm),
-                          events, nodes_[node].run, now_});
+                          events, nodes_[node].run, now_, now_});
       return;
     }
     const Duration cooldown = *engines_.at(vm).cooldown;
@@ -898,6 +950,7 @@
   // reachable, and does nothing otherwise.
   void AdvanceStreams() {
     CrashEngines();
+    LetCallersLeave();
     for (auto it = streams_.begin(); it != streams_.end();) {
       Stream& stream = *it;
       const Engine& engine = engines_.at(stream.vm);
@@ -910,6 +963,7 @@
         Report(stream, engine);
       }
       core.OnProgress(now_, stream.id);
+      stream.last_event = now_;
       constexpr int kEventsPerStream = 20;
       if (++stream.events < kEventsPerStream) {
         ++it;
@@ -920,6 +974,7 @@
       end.delivered = true;
       const ForwardStep step = core.OnEnded(now_, stream.id, end);
       ++completed_streams;
+      paths_.AddIdle(stream.node, stream.vm);
       const SimulatedRequest request = stream.request;
       const std::size_t node = stream.node;
       it = streams_.erase(it);
@@ -927,6 +982,22 @@
     }
   }
 
+  // Callers abandon streams that have been silent for too long.
+  void LetCallersLeave() {
+    if (!caller_patience) {
+      return;
+    }
+    std::erase_if(streams_, [&](const Stream& stream) {
+      if (now_ - stream.last_event <= *caller_patience ||
+          !IsRunning(stream.node)) {
+        return false;
+      }
+      nodes_[stream.node].core->OnCallerGone(now_, stream.id);
+      on_left(stream.request, stream.node);
+      return true;
+    });
+  }
+
   // Ends the engines that begin to run a request that crashes them.
   void CrashEngines() {
     std::vector<std::pair<SimulatedRequest, VmId>> crashes;
@@ -947,7 +1018,8 @@
   bool MakesProgress(const Stream& stream) const {
     const Engine& engine = engines_.at(stream.vm);
     return now_ >= stream.sent + queue_delay && engine.alive &&
-           !engine.node_cut && engine.self.membership &&
+           !engine.node_cut && paths_.PassesBytes(stream.node, stream.vm) &&
+           engine.self.membership &&
            engine.self.membership->group == stream.group &&
            engine_simulation_.HasAllMembers(engine);
   }
@@ -980,6 +1052,7 @@
   Time now_ = Time::FromMillis(1000000);
   LimitRule limit_rule_;
   HoldRule hold_rule_;
+  PathFaults paths_;
   std::map<VmId, int> arrivals_;
   FakeStore store_;
   FleetConfiguration configuration_;
--- /dev/null
+++ b/tests/support/partition_world.h
@@ -0,0 +1,85 @@
+#ifndef TESTS_SUPPORT_PARTITION_WORLD_H_
+#define TESTS_SUPPORT_PARTITION_WORLD_H_
+
+#include <gtest/gtest.h>
+
+#include <cstddef>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "coordination/coordination.h"
+#include "tests/support/gateway_world.h"
+#include "tests/support/recover_rule.h"
+
+namespace gcw {
+
+// A fleet whose nodes lose their paths to the engines while callers, the store
+// and the other nodes still reach them.
+class PartitionWorld : public GatewayWorld {
+ public:
+  explicit PartitionWorld(std::size_t nodes,
+                          std::uint64_t seed = 7,
+                          std::size_t domains = 4)
+      : GatewayWorld(nodes, domains, 11, seed) {
+    on_final = [this](const SimulatedRequest& request, std::size_t node,
+                      const ForwardStep& step) {
+      Count(request, node, std::holds_alternative<PassAnswer>(step));
+    };
+    on_left = [this](const SimulatedRequest& request, std::size_t node) {
+      Count(request, node, false);
+    };
+    EXPECT_TRUE(RunUntil(Duration::Seconds(14), [this, domains] {
+      return open_groups("large") >= domains && open_groups("small") >= domains;
+    }));
+    // The fleet gets as many requests at any size.
+    request_interval = Duration::Millis(
+        std::max<std::int64_t>(50, static_cast<std::int64_t>(nodes) * 10));
+    caller_patience = Duration::Seconds(2);
+    traffic = true;
+    Run(Duration::Seconds(3));
+  }
+
+  // The nodes lose all paths to engines for the time.
+  void CutFor(Duration time,
+              const std::set<std::size_t>& nodes,
+              PathFault fault) {
+    rule_.OnCut(now(), nodes);
+    for (const std::size_t node : nodes) {
+      SetPaths(node, fault);
+    }
+    Run(time);
+    for (const std::size_t node : nodes) {
+      SetPaths(node, PathFault::kNone);
+    }
+    rule_.OnHealed(now());
+  }
+
+  // Lets all requests end that were sent so far.
+  void Settle() { Run(Duration::Seconds(6)); }
+
+  RecoverRule& rule() { return rule_; }
+
+  static std::set<std::size_t> FirstNodes(std::size_t count) {
+    std::set<std::size_t> nodes;
+    for (std::size_t i = 0; i < count; ++i) {
+      nodes.insert(i);
+    }
+    return nodes;
+  }
+
+ private:
+  void Count(const SimulatedRequest& request,
+             std::size_t node,
+             bool is_served) {
+    if (request.earlier_attempts == 0) {
+      rule_.OnFinal(node, request.arrived, is_served);
+    }
+  }
+
+  RecoverRule rule_;
+};
+
+}  // namespace gcw
+
+#endif  // TESTS_SUPPORT_PARTITION_WORLD_H_
