--- a/bench/gateway_deferral_bench.cc
+++ b/bench/gateway_deferral_bench.cc
@@ -104,9 +104,11 @@
               random,
               DiscardEvents()),
           controller(settings,
-                     &selector,
-                     &budget,
-                     &crash_guard,
+                     {.selector = &selector,
+                      .budget = &budget,
+                      .crash_guard = &crash_guard,
+                      .relays = &relays,
+                      .reachability = &reachability},
                      random,
                      DiscardEvents()) {
       selector.SetNodeCount(nodes);
@@ -115,6 +117,8 @@
     ReplicaSelector selector;
     SharedRetryBudget budget;
     CrashGuard crash_guard;
+    RelaySelector relays{{}, ZoneId("z"), SeededRandom(5)};
+    ReachabilityMonitor reachability{{}, DiscardEvents()};
     ForwardController controller;
   };
   struct Request {
--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -31,6 +31,8 @@
 #include "coordination/gateway/gateway_keys.h"
 #include "coordination/gateway/group_planner.h"
 #include "coordination/gateway/load_pacer.h"
+#include "coordination/gateway/reachability_monitor.h"
+#include "coordination/gateway/relay_selector.h"
 #include "coordination/gateway/replica_selector.h"
 #include "coordination/gateway/shared_retry_budget.h"
 #include "coordination/gateway/store_mirror.h"
--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -9,15 +9,15 @@
 namespace gcw {
 
 ForwardController::ForwardController(ForwardControllerSettings settings,
-                                     ReplicaSelector* selector,
-                                     SharedRetryBudget* budget,
-                                     CrashGuard* crash_guard,
+                                     const Parts& parts,
                                      Random random,
                                      EventSink events)
     : settings_(settings),
-      selector_(selector),
-      budget_(budget),
-      crash_guard_(crash_guard),
+      selector_(parts.selector),
+      budget_(parts.budget),
+      crash_guard_(parts.crash_guard),
+      relays_(parts.relays),
+      reachability_(parts.reachability),
       random_(std::move(random)),
       events_(std::move(events)),
       deferral_policy_(settings.deferral) {}
@@ -31,6 +31,10 @@
   open_request.request = std::move(request);
   open_request.routes = std::move(routes);
   open_request.arrived = now;
+  if (const auto& terms = open_request.request.relay) {
+    open_request.arrived = now - terms->age;
+    open_request.excluded = terms->excluded;
+  }
   ForwardStep step = Admit(now, last_id_, open_request);
   Track(last_id_, std::move(open_request), step);
   return {last_id_, std::move(step)};
@@ -39,14 +43,32 @@
 void ForwardController::Track(ForwardId id,
                               OpenRequest open_request,
                               const ForwardStep& step) {
+  const bool is_open = std::holds_alternative<SendForward>(step) ||
+                       std::holds_alternative<RelayForward>(step) ||
+                       std::holds_alternative<AwaitDecision>(step);
+  if (!is_open) {
+    Remove(id);
+    return;
+  }
   if (std::holds_alternative<SendForward>(step)) {
     by_attempt_[open_request.attempt] = id;
-    open_requests_.insert_or_assign(id, std::move(open_request));
-  } else if (std::holds_alternative<AwaitDecision>(step)) {
-    open_requests_.insert_or_assign(id, std::move(open_request));
-  } else {
-    open_requests_.erase(id);
+  } else if (std::holds_alternative<RelayForward>(step)) {
+    relayed_.insert(id);
+  }
+  const bool is_accepted_relay = open_request.request.relay.has_value();
+  const bool is_new =
+      open_requests_.insert_or_assign(id, std::move(open_request)).second;
+  accepted_relays_ += is_new && is_accepted_relay ? 1 : 0;
+}
+
+void ForwardController::Remove(ForwardId id) {
+  const auto found = open_requests_.find(id);
+  if (found == open_requests_.end()) {
+    return;
   }
+  EndRelay(id, found->second);
+  accepted_relays_ -= found->second.request.relay ? 1 : 0;
+  open_requests_.erase(found);
 }
 
 ForwardStep ForwardController::Admit(Time now,
@@ -81,15 +103,24 @@
                          open_request.route->time_limit),
                      open_request.route->time_limit);
   open_request.service = ChooseService(*open_request.route);
+  open_request.max_runs = open_request.route->max_attempts;
+  const std::optional<RelayTerms>& relay = open_request.request.relay;
+  if (relay) {
+    open_request.max_runs = std::min(open_request.max_runs, relay->max_runs);
+  }
   if (HasModels(open_request)) {
     open_request.urgency =
-        open_request.request.resume_after
+        relay && relay->urgency ? *relay->urgency
+        : open_request.request.resume_after
             ? Urgency::kDeferred
             : deferral_policy_.Classify(now, open_request.service,
                                         open_request.request.model,
                                         open_request.route->latency_objective);
   }
-  budget_->OnRequest(now, open_request.service);
+  // The node that a relayed request arrived at has counted it.
+  if (!relay) {
+    budget_->OnRequest(now, open_request.service);
+  }
   switch (crash_guard_->Judge(now, open_request.fingerprint)) {
     case CrashVerdict::kBlocked:
       return Refuse(now, open_request, RefusalKind::kFingerprintBlocked);
@@ -101,13 +132,19 @@
   return DispatchFirst(now, open_request);
 }
 
-ForwardStep ForwardController::WaitForDecision(
-    Time now,
-    ForwardId id,
-    const OpenRequest& open_request) {
-  // A request that no endpoint can take need not wait.
+ForwardStep ForwardController::WaitForDecision(Time now,
+                                               ForwardId id,
+                                               OpenRequest& open_request) {
+  // A request that no endpoint can take need not wait. Another node decides for
+  // itself.
   const Result<ReplicaChoice, RefusalKind> choice =
       selector_->Choose(now, MakeDemand(open_request), {});
+  if (!IsOk(choice) || reachability_->is_cut()) {
+    if (auto relay =
+            Relay(now, open_request, open_request.request.resume_after)) {
+      return *std::move(relay);
+    }
+  }
   if (!IsOk(choice)) {
     return Refuse(now, open_request, ErrorOf(choice));
   }
@@ -141,17 +178,19 @@
 
 ForwardStep ForwardController::DispatchFirst(Time now,
                                              OpenRequest& open_request) {
-  Result<SendForward, RefusalKind> send =
-      Dispatch(now, open_request, open_request.request.resume_after);
-  if (!IsOk(send)) {
-    return Refuse(now, open_request, ErrorOf(send));
-  }
-  if (HasModels(open_request) && open_request.urgency == Urgency::kOnTime) {
+  Result<ForwardStep, RefusalKind> step =
+      Place(now, open_request, open_request.request.resume_after,
+            reachability_->is_cut());
+  if (!IsOk(step)) {
+    return Refuse(now, open_request, ErrorOf(step));
+  }
+  if (std::holds_alternative<SendForward>(ValueOf(step)) &&
+      HasModels(open_request) && open_request.urgency == Urgency::kOnTime) {
     open_request.is_waiting = true;
     deferral_policy_.OnWaitStarted(open_request.service,
                                    open_request.request.model);
   }
-  return std::move(ValueOf(send));
+  return std::move(ValueOf(step));
 }
 
 ServiceId ForwardController::ChooseService(const RouteRule& route) {
@@ -280,15 +319,9 @@
     return ForwardTruncated{};
   }
   OpenRequest& open_request = found->second;
-  selector_->OnEnded(now, open_request.attempt, end.kind);
-  ReportBreak(now, open_request, end);
-  open_request.has_reached_endpoint |= end.kind != ForwardEndKind::kNothingSent;
-  by_attempt_.erase(open_request.attempt);
-  open_request.excluded.push_back(open_request.endpoint.vm);
-  if (!end.at_fault.empty() && end.at_fault != open_request.endpoint.vm) {
-    open_request.excluded.push_back(end.at_fault);
-  }
-  ForwardStep step = NextStep(now, open_request, end);
+  ForwardStep step = open_request.relay_node
+                         ? OnRelayEnded(now, id, open_request, end)
+                         : OnAttemptEnded(now, open_request, end);
   if (std::holds_alternative<SendForward>(step)) {
     by_attempt_[open_request.attempt] = id;
     return step;
@@ -297,10 +330,50 @@
   if (open_request.is_trial && !open_request.has_reached_endpoint) {
     crash_guard_->OnTrialUnused(now, open_request.fingerprint);
   }
-  open_requests_.erase(found);
+  if (std::holds_alternative<RelayForward>(step)) {
+    open_request.is_trial = false;
+    relayed_.insert(id);
+    return step;
+  }
+  Remove(id);
   return step;
 }
 
+ForwardStep ForwardController::OnAttemptEnded(Time now,
+                                              OpenRequest& open_request,
+                                              const ForwardEnd& end) {
+  selector_->OnEnded(now, open_request.attempt, end.kind);
+  ReportReachability(now, open_request, end);
+  ReportBreak(now, open_request, end);
+  open_request.has_reached_endpoint |= end.kind != ForwardEndKind::kNothingSent;
+  by_attempt_.erase(open_request.attempt);
+  open_request.excluded.push_back(open_request.endpoint.vm);
+  if (!end.at_fault.empty() && end.at_fault != open_request.endpoint.vm) {
+    open_request.excluded.push_back(end.at_fault);
+  }
+  return NextStep(now, open_request, end);
+}
+
+void ForwardController::ReportReachability(Time now,
+                                           const OpenRequest& open_request,
+                                           const ForwardEnd& end) {
+  switch (end.kind) {
+    case ForwardEndKind::kSucceeded:
+    case ForwardEndKind::kEndpointFailed:
+    case ForwardEndKind::kNotRun:
+    case ForwardEndKind::kOtherVm:
+      reachability_->OnContact(now);
+      return;
+    case ForwardEndKind::kNothingSent:
+    case ForwardEndKind::kConnectionBroken:
+    case ForwardEndKind::kSilent:
+      reachability_->OnFailure(now, open_request.endpoint.vm);
+      return;
+    case ForwardEndKind::kDeadlineExceeded:
+      return;
+  }
+}
+
 ForwardStep ForwardController::NextStep(Time now,
                                         OpenRequest& open_request,
                                         const ForwardEnd& end) {
@@ -316,10 +389,10 @@
       }
       // If no other endpoint is available, the failure itself is the most
       // accurate answer.
-      Result<SendForward, RefusalKind> send =
+      Result<ForwardStep, RefusalKind> retry =
           Retry(now, open_request, end, true);
-      return IsOk(send) ? ForwardStep(std::move(ValueOf(send)))
-                        : ForwardStep(PassAnswer{});
+      return IsOk(retry) ? std::move(ValueOf(retry))
+                         : ForwardStep(PassAnswer{});
     }
     case ForwardEndKind::kNotRun:
     case ForwardEndKind::kOtherVm:
@@ -343,19 +416,19 @@
                                              OpenRequest& open_request,
                                              const ForwardEnd& end,
                                              bool may_have_reached_endpoint) {
-  Result<SendForward, RefusalKind> send =
+  Result<ForwardStep, RefusalKind> retry =
       Retry(now, open_request, end, may_have_reached_endpoint);
-  if (!IsOk(send)) {
-    return GiveUp(now, open_request, end, ErrorOf(send));
+  if (!IsOk(retry)) {
+    return GiveUp(now, open_request, end, ErrorOf(retry));
   }
-  return std::move(ValueOf(send));
+  return std::move(ValueOf(retry));
 }
 
 bool ForwardController::MayRunAgain(Time now,
                                     const OpenRequest& open_request,
                                     const ForwardEnd& end) const {
   if (open_request.route->retry_policy == RetryPolicy::kNever ||
-      open_request.possible_runs >= open_request.route->max_attempts ||
+      open_request.possible_runs >= open_request.max_runs ||
       now + settings_.min_time_left >= open_request.deadline) {
     return false;
   }
@@ -364,7 +437,7 @@
           end.last_event);
 }
 
-Result<SendForward, RefusalKind> ForwardController::Retry(
+Result<ForwardStep, RefusalKind> ForwardController::Retry(
     Time now,
     OpenRequest& open_request,
     const ForwardEnd& end,
@@ -372,7 +445,9 @@
   const bool refused = end.kind == ForwardEndKind::kNotRun ||
                        end.kind == ForwardEndKind::kOtherVm ||
                        end.kind == ForwardEndKind::kNothingSent;
-  if (refused && ++open_request.refusals > settings_.max_refusals) {
+  const bool has_failed_often =
+      refused && ++open_request.refusals > settings_.max_refusals;
+  if (has_failed_often && end.kind != ForwardEndKind::kNothingSent) {
     return RefusalKind::kEndpointRefused;
   }
   if (now + settings_.min_time_left >= open_request.deadline) {
@@ -399,15 +474,30 @@
              open_request.route->latency_objective) {
     open_request.urgency = Urgency::kDeferred;
   }
-  Result<SendForward, RefusalKind> send = Dispatch(now, open_request, resume);
-  if (!IsOk(send)) {
-    return ErrorOf(send);
+  Result<ForwardStep, RefusalKind> step = RefusalKind::kEndpointRefused;
+  if (!has_failed_often) {
+    // Each further endpoint that is out of reach costs the timeout of a new
+    // connection.
+    const bool prefers_relay =
+        reachability_->is_cut() || (end.kind == ForwardEndKind::kNothingSent &&
+                                    reachability_->is_suspected());
+    step = Place(now, open_request, resume, prefers_relay);
+  } else if (auto relay = Relay(now, open_request, resume)) {
+    step = ForwardStep(*std::move(relay));
+  }
+  if (!IsOk(step)) {
+    return ErrorOf(step);
   }
   // A retry counts against the budget only if the attempt before it may have
   // reached an endpoint.
   if (may_have_reached_endpoint &&
       !budget_->TrySpend(now, open_request.service)) {
-    selector_->OnCancelled(open_request.attempt);
+    if (std::holds_alternative<SendForward>(ValueOf(step))) {
+      selector_->OnCancelled(open_request.attempt);
+    } else {
+      relays_->OnEnded(*open_request.relay_node);
+      open_request.relay_node.reset();
+    }
     return RefusalKind::kRetryBudget;
   }
   EmitEvent(EventKind::kRequestRetried, open_request,
@@ -415,7 +505,7 @@
              {"vm", open_request.endpoint.vm.value()},
              {"sends", open_request.sends},
              {"resume_after", resume.value_or(-1)}});
-  return send;
+  return step;
 }
 
 ForwardStep ForwardController::GiveUp(Time now,
@@ -508,7 +598,10 @@
     if (IsProvenHarmless(now, open_request)) {
       crash_guard_->OnHarmless(now, open_request.fingerprint);
     }
-    selector_->OnProgress(now, found->second.attempt);
+    if (!open_request.relay_node) {
+      reachability_->OnContact(now);
+      selector_->OnProgress(now, found->second.attempt);
+    }
   }
 }
 
@@ -517,6 +610,7 @@
                                  const EndpointReport& report) {
   const auto found = open_requests_.find(id);
   if (found != open_requests_.end()) {
+    reachability_->OnContact(now);
     selector_->OnReport(now, found->second.attempt, report);
   }
 }
@@ -528,9 +622,11 @@
   }
   StopWaiting(found->second);
   crash_guard_->OnWaitCancelled(id);
-  selector_->OnCancelled(found->second.attempt);
-  by_attempt_.erase(found->second.attempt);
-  open_requests_.erase(found);
+  if (!found->second.relay_node) {
+    selector_->OnCancelled(found->second.attempt);
+    by_attempt_.erase(found->second.attempt);
+  }
+  Remove(id);
 }
 
 std::vector<ForwardId> ForwardController::FindMovable(
@@ -545,11 +641,12 @@
     const OpenRequest& open_request = open_requests_.at(found->second);
     const bool may_repeat =
         open_request.route->retry_policy != RetryPolicy::kNever &&
-        open_request.possible_runs + 1 < open_request.route->max_attempts &&
+        open_request.possible_runs + 1 < open_request.max_runs &&
         now + settings_.min_time_left < open_request.deadline;
     const std::vector<VmId> excluded = {open_request.endpoint.vm};
     if (may_repeat &&
-        IsOk(selector_->Choose(now, MakeDemand(open_request), excluded))) {
+        (FindRelay(now, open_request) ||
+         IsOk(selector_->Choose(now, MakeDemand(open_request), excluded)))) {
       movable.push_back(found->second);
     }
   }
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -5,6 +5,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -13,6 +15,8 @@
 #include "coordination/gateway/deferral_policy.h"
 #include "coordination/gateway/endpoint_report.h"
 #include "coordination/gateway/forward_request.h"
+#include "coordination/gateway/reachability_monitor.h"
+#include "coordination/gateway/relay_selector.h"
 #include "coordination/gateway/replica_selector.h"
 #include "coordination/gateway/shared_retry_budget.h"
 #include "coordination/requests/retry_after.h"
@@ -38,6 +42,11 @@
                                         .max_delay = Duration::Seconds(3),
                                         .min_return_rate = 0.1};
   DeferralPolicySettings deferral;
+  // Number of other nodes that one request may be passed on to.
+  std::size_t max_relays = 2;
+  // A request that was passed on is taken back if nothing of its answer arrives
+  // for this long and the other node does not answer questions either.
+  Duration relay_silence_timeout = Duration::Millis(1000);
 };
 
 // The id of an arrived request and the first step to take for it.
@@ -50,11 +59,17 @@
 // attempts to exactly one final step.
 class ForwardController {
  public:
-  // The pointers must outlive this object.
+  // What it decides with. The objects must outlive the controller.
+  struct Parts {
+    ReplicaSelector* selector = nullptr;
+    SharedRetryBudget* budget = nullptr;
+    CrashGuard* crash_guard = nullptr;
+    RelaySelector* relays = nullptr;
+    ReachabilityMonitor* reachability = nullptr;
+  };
+
   ForwardController(ForwardControllerSettings settings,
-                    ReplicaSelector* selector,
-                    SharedRetryBudget* budget,
-                    CrashGuard* crash_guard,
+                    const Parts& parts,
                     Random random,
                     EventSink events);
 
@@ -68,6 +83,11 @@
   void OnProgress(Time now, ForwardId id);
   // The endpoint of the current attempt reports about itself.
   void OnReport(Time now, ForwardId id, const EndpointReport& report);
+  // The same for an answer that came through another node.
+  void OnRelayedReport(Time now,
+                       ForwardId id,
+                       const VmId& endpoint,
+                       const EndpointReport& report);
   void OnCallerGone(Time now, ForwardId id);
   // The request need not wait any longer. Returns its next step.
   ForwardStep OnDecision(Time now, const CrashDecision& decision);
@@ -77,9 +97,17 @@
   std::vector<ForwardId> FindMovable(Time now,
                                      const std::vector<AttemptNumber>& stalled);
 
+  // Returns the requests whose answers another node seems to have lost. The
+  // caller should end their attempts as kSilent.
+  std::vector<ForwardId> FindLostRelays(Time now) const;
+
   void SetNodeCount(std::size_t nodes);
 
   std::size_t open_requests() const { return open_requests_.size(); }
+  // Number of open requests that were passed on to other nodes.
+  std::size_t relayed_requests() const { return relayed_.size(); }
+  // Number of open requests that other nodes passed on to this one.
+  std::size_t accepted_relays() const { return accepted_relays_; }
 
  private:
   struct OpenRequest {
@@ -110,6 +138,15 @@
     // The attempt shows whether the request crashes endpoints.
     bool is_trial = false;
     bool has_reached_endpoint = false;
+    // The node that the request is passed on to now.
+    std::optional<Address> relay_node;
+    // All nodes that it was passed on to.
+    std::vector<Address> relays;
+    Time relayed_at;
+    // Number of endpoints that `relay_node` may send it to.
+    std::int64_t relay_runs = 0;
+    // Number of endpoints that may run it.
+    std::int64_t max_runs = 1;
     // The deferral policy counts this request among the prioritized ones that
     // wait to start.
     bool is_waiting = false;
@@ -129,11 +166,39 @@
   // Tells the deferral policy that the request no longer waits to start.
   void StopWaiting(OpenRequest& open_request);
   ForwardStep Admit(Time now, ForwardId id, OpenRequest& open_request);
+  // Sends the request to an endpoint, or through another node if this node
+  // reaches none. Returns the reason if neither is possible.
+  Result<ForwardStep, RefusalKind> Place(Time now,
+                                         OpenRequest& open_request,
+                                         std::optional<std::int64_t> resume,
+                                         bool prefers_relay);
+  // Passes the request on to another node if one reaches endpoints that this
+  // node does not.
+  std::optional<RelayForward> Relay(Time now,
+                                    OpenRequest& open_request,
+                                    std::optional<std::int64_t> resume);
+  // The request no longer runs through another node.
+  void EndRelay(ForwardId id, OpenRequest& open_request);
+  ForwardStep OnAttemptEnded(Time now,
+                             OpenRequest& open_request,
+                             const ForwardEnd& end);
+  ForwardStep OnRelayEnded(Time now,
+                           ForwardId id,
+                           OpenRequest& open_request,
+                           const ForwardEnd& end);
   // Sends the request for the first time.
   ForwardStep DispatchFirst(Time now, OpenRequest& open_request);
   ForwardStep WaitForDecision(Time now,
                               ForwardId id,
-                              const OpenRequest& open_request);
+                              OpenRequest& open_request);
+  void Remove(ForwardId id);
+  // Tells the reachability monitor how an attempt ended.
+  void ReportReachability(Time now,
+                          const OpenRequest& open_request,
+                          const ForwardEnd& end);
+  // Returns a node that the request may be passed on to.
+  std::optional<Address> FindRelay(Time now,
+                                   const OpenRequest& open_request) const;
   // Keeps the request if it goes on, and removes it otherwise.
   void Track(ForwardId id, OpenRequest open_request, const ForwardStep& step);
   // Returns the next attempt, or the reason why no endpoint can take it.
@@ -146,7 +211,7 @@
   // Returns the next attempt, or the reason why there is none.
   // `may_have_reached_endpoint` is true if the attempt that ended may have
   // reached its endpoint.
-  Result<SendForward, RefusalKind> Retry(Time now,
+  Result<ForwardStep, RefusalKind> Retry(Time now,
                                          OpenRequest& open_request,
                                          const ForwardEnd& end,
                                          bool may_have_reached_endpoint);
@@ -178,6 +243,8 @@
   ReplicaSelector* selector_;
   SharedRetryBudget* budget_;
   CrashGuard* crash_guard_;
+  RelaySelector* relays_;
+  ReachabilityMonitor* reachability_;
   Random random_;
   EventSink events_;
   DeferralPolicy deferral_policy_;
@@ -187,6 +254,9 @@
   double node_count_ = 1;
   std::unordered_map<ForwardId, OpenRequest> open_requests_;
   std::map<AttemptNumber, ForwardId> by_attempt_;
+  // Requests that were passed on to other nodes.
+  std::set<ForwardId> relayed_;
+  std::size_t accepted_relays_ = 0;
   ForwardId last_id_;
 };
 
--- a/coordination/gateway/forward_request.h
+++ b/coordination/gateway/forward_request.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "coordination/gateway/urgency.h"
 #include "coordination/requests/request.h"
@@ -15,6 +16,20 @@
 // Identifies an open request within one run of a node.
 using ForwardId = StrongNumber<struct ForwardIdTag>;
 
+// What a node says about a request that it passes on to another node.
+struct RelayTerms {
+  // Number of endpoints that may run the request.
+  std::int64_t max_runs = 1;
+  // Time since the request arrived at the first node.
+  Duration age;
+  // Urgency of a request that has been sent before; absent if it has not.
+  std::optional<Urgency> urgency;
+  // Endpoints that the first node has tried.
+  std::vector<VmId> excluded;
+
+  friend bool operator==(const RelayTerms&, const RelayTerms&) = default;
+};
+
 // The fields of an unchanged forwarded request that the forwarding decisions
 // depend on.
 struct ForwardRequest {
@@ -36,6 +51,8 @@
   // Hash of host, method, target and body. A caller's next attempt and a
   // resumed stream have the same.
   Fingerprint content;
+  // Set if another node passed the request on.
+  std::optional<RelayTerms> relay;
 };
 
 // Step: the request is sent to this endpoint.
@@ -57,6 +74,18 @@
   std::optional<Precedence> precedence;
 };
 
+// Step: the request is passed on to another node, which sends it to an
+// endpoint.
+struct RelayForward {
+  Address node;
+  Duration time_left;
+  // As in SendForward.
+  std::optional<std::int64_t> resume_after;
+  bool fresh_connection = false;
+  bool streams = false;
+  RelayTerms terms;
+};
+
 // Step: the request waits, and the next step follows without an event of the
 // request.
 struct AwaitDecision {};
@@ -81,6 +110,7 @@
 struct ForwardTruncated {};
 
 using ForwardStep = std::variant<SendForward,
+                                 RelayForward,
                                  AwaitDecision,
                                  PassAnswer,
                                  ForwardRefused,
@@ -121,6 +151,8 @@
   std::optional<std::int64_t> last_event;
   // The failure was caused by the request, so it is passed on and not retried.
   bool is_client_error = false;
+  // Why the node refused that the request was passed on to.
+  std::optional<RefusalKind> refusal;
 };
 
 }  // namespace gcw
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -90,10 +90,14 @@
           codecs.crash_record,
           random_,
           events_),
+      relays_(settings_.relays, settings_.self.zone, random_),
+      reachability_(settings_.reachability, events_),
       forwards_(settings_.requests,
-                &selector_,
-                &budget_,
-                &crash_guard_,
+                {.selector = &selector_,
+                 .budget = &budget_,
+                 .crash_guard = &crash_guard_,
+                 .relays = &relays_,
+                 .reachability = &reachability_},
                 random_,
                 events_) {}
 
@@ -121,6 +125,7 @@
   Apply(GatewayModule::kLease, lease_.Tick(now));
   UpdateRole(now);
   UpdateReplicas(now);
+  UpdateReachability(now);
   FailOverStalledAttempts(now, selector_.Tick(now));
   for (const Replica& replica : selector_.TakeSuspectedStalls()) {
     QueryStallWitnesses({replica.vm, replica.generation});
@@ -253,6 +258,9 @@
                                          const VmId& vm,
                                          ProbeResult result) {
   crash_guard_.OnCheckReply(now, vm, result);
+  const bool was_cut = reachability_.is_cut();
+  reachability_.OnCheckReply(now, vm, result);
+  OnReachabilityChanged(now, was_cut);
   return TakeRequestActions(now);
 }
 
@@ -322,13 +330,12 @@
       stop_requested_at_ &&
       now - *stop_requested_at_ >= settings_.drain_accept_period;
   if (must_refuse) {
-    events_(
-        {EventKind::kRequestRefused,
-         request.id.value(),
-         {},
-         {{"reason", std::string(RefusalKindName(RefusalKind::kDraining))}}});
-    return {ForwardId(), ForwardRefused{RefusalKind::kDraining,
-                                        settings_.requests.retry_after}};
+    return RefuseArrival(request, RefusalKind::kDraining);
+  }
+  if (request.relay) {
+    if (const auto refusal = FindRelayRefusal(now)) {
+      return RefuseArrival(request, *refusal);
+    }
   }
   return forwards_.OnArrived(now, std::move(request), view_.routes());
 }
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -15,6 +15,8 @@
 #include "coordination/gateway/forward_controller.h"
 #include "coordination/gateway/gateway_keys.h"
 #include "coordination/gateway/overview_writer.h"
+#include "coordination/gateway/reachability_monitor.h"
+#include "coordination/gateway/relay_selector.h"
 #include "coordination/gateway/replica_selector.h"
 #include "coordination/gateway/shared_retry_budget.h"
 #include "coordination/gateway/store_mirror.h"
@@ -57,6 +59,15 @@
   SharedRetryBudgetSettings retries;
   CrashGuardSettings crashes;
   ForwardControllerSettings requests;
+  ReachabilityMonitorSettings reachability;
+  RelaySelectorSettings relays;
+  // Maximum number of open requests that other nodes have passed on to this
+  // one. It bounds the memory where few nodes reach the endpoints.
+  std::size_t max_accepted_relays = 512;
+  // A node whose tick comes this late has too little processor time for its own
+  // callers, and accepts no requests of other nodes for `relay_pause`.
+  Duration max_tick_delay = Duration::Millis(300);
+  Duration relay_pause = Duration::Millis(500);
   // How long callers may cache the list of addresses; some cache it three times
   // as long. While all nodes are down a look-up blocks for a second, so the
   // less often callers look up, the fewer of them come back a second late. This
@@ -166,6 +177,10 @@
   Address address;
   std::vector<CrashNotice> notices;
 };
+// Asks the node at the address which endpoints it reaches.
+struct QueryReach {
+  Address address;
+};
 // Performs the next step of a request that waited.
 struct ContinueForward {
   ForwardId id;
@@ -191,6 +206,7 @@
                                    NotifyLimit,
                                    CheckEndpoint,
                                    NotifyCrashes,
+                                   QueryReach,
                                    ContinueForward,
                                    SendGroupOrder,
                                    ProbeEngine,
@@ -255,6 +271,12 @@
   GatewayActions OnCheckReply(Time now, const VmId& vm, ProbeResult result);
   GatewayActions OnCrashNotices(Time now,
                                 const std::vector<CrashNotice>& notices);
+  // Returns which endpoints this node reaches, for the reply to another node.
+  ReachReport Reach(Time now) const;
+  // The node at the address replies to QueryReach.
+  GatewayActions OnReachReport(Time now,
+                               const Address& node,
+                               const ReachReport& report);
   void OnStopRequested(Time now);
 
   // Returns the actions that events of requests, which return a step, led to.
@@ -281,6 +303,13 @@
   void OnReport(Time now, ForwardId id, const EndpointReport& report) {
     forwards_.OnReport(now, id, report);
   }
+  // The endpoint reports in an answer that came through another node.
+  void OnRelayedReport(Time now,
+                       ForwardId id,
+                       const VmId& endpoint,
+                       const EndpointReport& report) {
+    forwards_.OnRelayedReport(now, id, endpoint, report);
+  }
   void OnCallerGone(Time now, ForwardId id) { forwards_.OnCallerGone(now, id); }
 
   // Addresses for callers: this node's, then those of the nodes that follow it
@@ -299,6 +328,12 @@
     return selector_.limited_endpoints();
   }
   std::size_t held_endpoints() const { return selector_.held_endpoints(); }
+  // Whether this node has lost its paths to all endpoints.
+  bool is_cut() const { return reachability_.is_cut(); }
+  // Number of open requests that run through other nodes, and of those that
+  // other nodes passed on to this one.
+  std::size_t relayed_requests() const { return forwards_.relayed_requests(); }
+  std::size_t accepted_relays() const { return forwards_.accepted_relays(); }
   const FleetView& view() const { return view_; }
   const StoreMirror& mirror() const { return mirror_; }
   bool is_controller(Time now) const;
@@ -354,6 +389,14 @@
   void QueryStallWitnesses(const StallNotice& group);
   void QueryWitnessesForController(Time now);
   void NotifyLimits(Time now);
+  // Checks whether this node reaches the endpoints, and asks other nodes.
+  void UpdateReachability(Time now);
+  void OnReachabilityChanged(Time now, bool was_cut);
+  // Why this node accepts no requests of other nodes; absent if it does.
+  std::optional<RefusalKind> FindRelayRefusal(Time now) const;
+  ForwardAdmission RefuseArrival(const ForwardRequest& request,
+                                 RefusalKind kind);
+  ZoneId ZoneOf(const Address& node) const;
   // Tells the selector which nodes accept requests.
   void UpdateNodes(Time now);
   std::vector<Address> OtherNodeAddresses() const;
@@ -378,6 +421,8 @@
   ReplicaSelector selector_;
   SharedRetryBudget budget_;
   CrashGuard crash_guard_;
+  RelaySelector relays_;
+  ReachabilityMonitor reachability_;
   ForwardController forwards_;
 
   // When the fleet was known for the first time.
@@ -395,6 +440,9 @@
   Time next_witness_query_;
   std::uint64_t applied_configuration_changes_ = 0;
   std::uint64_t applied_node_changes_ = 0;
+  std::optional<Time> last_tick_;
+  // Until when this node accepts no requests of other nodes.
+  Time relay_pause_until_;
   std::optional<Time> stop_requested_at_;
   bool traffic_seen_ = false;
   GatewayActions actions_;
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -277,6 +277,9 @@
   if (report.load) {
     OnLoad(now, source.vm, *report.load);
   }
+  if (State* state = FindTarget(source)) {
+    state->last_contact = now;
+  }
   const State* state = Find(source.vm);
   const ZoneId zone = state == nullptr ? ZoneId() : state->replica.zone;
   const EndpointRun endpoint = {source.vm, source.incarnation, zone};
@@ -284,6 +287,20 @@
   holds_.OnReport(now, endpoint, report);
 }
 
+void ReplicaSelector::OnRelayedReport(Time now,
+                                      const VmId& vm,
+                                      Time sent,
+                                      const EndpointReport& report) {
+  const State* state = Find(vm);
+  if (state == nullptr) {
+    return;
+  }
+  const EndpointRun endpoint = {vm, state->replica.incarnation,
+                                state->replica.zone};
+  limits_.OnReport(now, endpoint, sent, report);
+  holds_.OnReport(now, endpoint, report);
+}
+
 void ReplicaSelector::OnProgress(Time now, AttemptNumber attempt) {
   const auto found = attempts_.find(attempt);
   if (found == attempts_.end()) {
@@ -300,6 +317,7 @@
   }
   state->last_progress = now;
   state->last_event = now;
+  state->last_contact = now;
   if (!is_first) {
     state->event_interval_ms =
         state->event_interval_ms == 0
@@ -346,14 +364,17 @@
   }
   switch (end) {
     case ForwardEndKind::kSucceeded:
+      state->last_contact = now;
       state->backoff.OnSucceeded();
       return;
-    case ForwardEndKind::kEndpointFailed:
-    case ForwardEndKind::kNotRun:
-    case ForwardEndKind::kOtherVm:
     case ForwardEndKind::kNothingSent:
     case ForwardEndKind::kConnectionBroken:
-    case ForwardEndKind::kSilent: {
+    case ForwardEndKind::kSilent:
+      RecordFailure(now, *state);
+      [[fallthrough]];
+    case ForwardEndKind::kEndpointFailed:
+    case ForwardEndKind::kNotRun:
+    case ForwardEndKind::kOtherVm: {
       const bool was_open = state->backoff.AllowsRequest(now);
       state->backoff.OnFailed(now);
       if (was_open) {
@@ -371,6 +392,73 @@
   }
 }
 
+void ReplicaSelector::RecordFailure(Time now, State& state) const {
+  if (!state.failing_since ||
+      now - state.last_failure >= settings_.failure_gap) {
+    state.failing_since = now;
+  }
+  state.last_failure = now;
+}
+
+std::optional<Time> ReplicaSelector::FailingSince(
+    Time now,
+    const ReplicaDemand& demand) const {
+  std::optional<Time> since;
+  for (const auto& [vm, state] : states_) {
+    const Replica& replica = state.replica;
+    if (replica.service == demand.service && replica.model == demand.model &&
+        state.failing_since &&
+        now - state.last_failure < settings_.failure_gap) {
+      since = std::max(since.value_or(Time()), *state.failing_since);
+    }
+  }
+  return since;
+}
+
+std::vector<ServiceReach> ReplicaSelector::Reach(Time now) const {
+  std::map<std::pair<ServiceId, ModelId>, ServiceReach> reached;
+  for (const auto& [vm, state] : states_) {
+    if (state.last_contact == Time()) {
+      continue;
+    }
+    const Replica& replica = state.replica;
+    const Duration age = now - state.last_contact;
+    const auto [it, is_new] = reached.try_emplace(
+        {replica.service, replica.model},
+        ServiceReach{replica.service, replica.model, 0, age});
+    it->second.contact_age = std::min(it->second.contact_age, age);
+    it->second.usable += IsUsable(now, state) ? 1 : 0;
+  }
+  std::vector<ServiceReach> services;
+  for (auto& [key, reach] : reached) {
+    services.push_back(std::move(reach));
+  }
+  return services;
+}
+
+std::vector<Replica> ReplicaSelector::DrawReplicas(std::size_t count) const {
+  std::vector<const Replica*> all;
+  all.reserve(states_.size());
+  for (const auto& [vm, state] : states_) {
+    all.push_back(&state.replica);
+  }
+  std::vector<Replica> drawn;
+  for (std::size_t i = 0; i < std::min(count, all.size()); ++i) {
+    std::swap(all[i], all[i + DrawBelow(random_, all.size() - i)]);
+    drawn.push_back(*all[i]);
+  }
+  return drawn;
+}
+
+std::vector<AttemptNumber> ReplicaSelector::RunningAttempts() const {
+  std::vector<AttemptNumber> running;
+  running.reserve(attempts_.size());
+  for (const auto& [number, attempt] : attempts_) {
+    running.push_back(number);
+  }
+  return running;
+}
+
 void ReplicaSelector::OnCancelled(AttemptNumber attempt) {
   const auto found = attempts_.find(attempt);
   if (found == attempts_.end()) {
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -13,6 +13,7 @@
 #include "coordination/gateway/endpoint_limits.h"
 #include "coordination/gateway/endpoint_report.h"
 #include "coordination/gateway/forward_request.h"
+#include "coordination/gateway/relay_selector.h"
 #include "coordination/routing/failure_backoff.h"
 #include "state/state.h"
 
@@ -66,6 +67,10 @@
   double max_fill_deferred = 0.85;
   // The same limit at engines for requests that go before the deferred ones.
   double max_fill_prioritized = 2.2;
+  // Failures of a replica that are further apart than this are unrelated.
+  // Longer than the backoff, so that a replica that fails each trial counts as
+  // failing throughout.
+  Duration failure_gap = Duration::Seconds(4);
   // A load report is used for this long.
   Duration load_report_ttl = Duration::Millis(2500);
   EndpointLimitSettings limits;
@@ -151,6 +156,23 @@
   // ends; `now` if none has one.
   Time FirstCooldownEnd(Time now, const ReplicaDemand& demand) const;
 
+  // Returns since when all replicas fail that could run the request and have
+  // failed of late: the latest of their first failures. Absent if none failed.
+  std::optional<Time> FailingSince(Time now, const ReplicaDemand& demand) const;
+
+  // Returns what this node reaches, for other nodes.
+  std::vector<ServiceReach> Reach(Time now) const;
+
+  // Returns at most `count` replicas, drawn at random.
+  std::vector<Replica> DrawReplicas(std::size_t count) const;
+  std::size_t size() const { return states_.size(); }
+
+  // Whether streams run and no endpoint has sent anything for too long, if
+  // `last_contact` is the last time that one did.
+  bool AwaitsAnswers(Time now, Time last_contact) const;
+  // Returns the attempts that run.
+  std::vector<AttemptNumber> RunningAttempts() const;
+
   AttemptNumber OnSent(Time now,
                        const VmId& vm,
                        TokenCount prompt_tokens,
@@ -158,6 +180,12 @@
   void OnLoad(Time now, const VmId& vm, const LoadReading& load);
   // The endpoint of the attempt reports about itself.
   void OnReport(Time now, AttemptNumber attempt, const EndpointReport& report);
+  // The endpoint reports about itself in an answer that came through another
+  // node to a request of `sent`.
+  void OnRelayedReport(Time now,
+                       const VmId& vm,
+                       Time sent,
+                       const EndpointReport& report);
   // A part of the answer arrived.
   void OnProgress(Time now, AttemptNumber attempt);
   void OnEnded(Time now, AttemptNumber attempt, ForwardEndKind end);
@@ -234,6 +262,11 @@
     // Moving average of the time between two events of a stream; 0 until known.
     double event_interval_ms = 0;
     std::optional<Time> stalled_until;
+    // Time of the last bytes that this node received from the replica.
+    Time last_contact;
+    // The current series of failures.
+    std::optional<Time> failing_since;
+    Time last_failure;
   };
   struct Attempt {
     VmId vm;
@@ -284,6 +317,7 @@
   double ExpectedWait(Time now,
                       const State& state,
                       const ReplicaDemand& demand) const;
+  void RecordFailure(Time now, State& state) const;
   void RemoveLoad(const Attempt& attempt);
   // Returns the replicas whose running streams from this node have all been
   // silent for too long.
--- a/coordination/gateway/replica_selector_stall.cc
+++ b/coordination/gateway/replica_selector_stall.cc
@@ -28,6 +28,18 @@
   return silent;
 }
 
+bool ReplicaSelector::AwaitsAnswers(Time now, Time last_contact) const {
+  return std::any_of(
+      attempts_.begin(), attempts_.end(), [&](const auto& entry) {
+        const Attempt& attempt = entry.second;
+        const Time last =
+            std::max(attempt.progress.value_or(attempt.sent), last_contact);
+        return attempt.streams &&
+               now - last > (attempt.progress ? settings_.stall_timeout
+                                              : settings_.first_event_timeout);
+      });
+}
+
 std::vector<AttemptNumber> ReplicaSelector::Tick(Time now) {
   limits_.Tick(now, [this](const VmId& vm) { return states_.contains(vm); });
   holds_.Tick(now);
--- a/coordination/requests/request.cc
+++ b/coordination/requests/request.cc
@@ -1,6 +1,11 @@
 #include "coordination/requests/request.h"
 
 namespace gcw {
+namespace {
+
+constexpr std::string_view kUnknownKind = "unknown";
+
+}  // namespace
 
 std::string_view RefusalKindName(RefusalKind kind) {
   switch (kind) {
@@ -53,7 +58,25 @@
     case RefusalKind::kEndpointCooldown:
       return "endpoint_cooldown";
   }
-  return "unknown";
+  return kUnknownKind;
+}
+
+std::optional<RefusalKind> RefusalKindFromName(std::string_view name) {
+  if (name == kUnknownKind) {
+    return std::nullopt;
+  }
+  // Kinds are numbered from 0 without gaps; numbers after the last kind have no
+  // name.
+  for (int number = 0;; ++number) {
+    const auto kind = static_cast<RefusalKind>(number);
+    const std::string_view kind_name = RefusalKindName(kind);
+    if (kind_name == name) {
+      return kind;
+    }
+    if (kind_name == kUnknownKind) {
+      return std::nullopt;
+    }
+  }
 }
 
 }  // namespace gcw
--- a/coordination/requests/request.h
+++ b/coordination/requests/request.h
@@ -2,6 +2,7 @@
 #define COORDINATION_REQUESTS_REQUEST_H_
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -89,6 +90,9 @@
 
 std::string_view RefusalKindName(RefusalKind kind);
 
+// Returns the kind of that name, or nothing if there is none.
+std::optional<RefusalKind> RefusalKindFromName(std::string_view name);
+
 // The final answer to a request that was not run.
 struct Refusal {
   RefusalKind kind = RefusalKind::kNoCapacity;
--- a/core/event.cc
+++ b/core/event.cc
@@ -55,6 +55,8 @@
       return "request_refused";
     case EventKind::kRequestDispatched:
       return "request_dispatched";
+    case EventKind::kRequestRelayed:
+      return "request_relayed";
     case EventKind::kRequestRetried:
       return "request_retried";
     case EventKind::kRequestFinished:
@@ -71,6 +73,10 @@
       return "endpoint_restored";
     case EventKind::kEndpointLeaving:
       return "endpoint_leaving";
+    case EventKind::kEndpointsUnreachable:
+      return "endpoints_unreachable";
+    case EventKind::kEndpointsReachable:
+      return "endpoints_reachable";
     case EventKind::kEndpointCrashed:
       return "endpoint_crashed";
     case EventKind::kEndpointCooldown:
--- a/protocol/protocol.h
+++ b/protocol/protocol.h
@@ -32,6 +32,7 @@
 #include "protocol/peer_message.h"
 #include "protocol/prefix_blocks.h"
 #include "protocol/reference_answer.h"
+#include "protocol/relay_json.h"
 #include "protocol/request_fingerprint.h"
 #include "protocol/sse_event_splitter.h"
 #include "protocol/sse_parser.h"
--- a/tests/coordination/gateway/forward_controller_test.cc
+++ b/tests/coordination/gateway/forward_controller_test.cc
@@ -42,10 +42,14 @@
   ForwardControllerTest()
       : selector_({}, ZoneId("z"), SeededRandom(1), DiscardEvents()),
         budget_({0.2, 100, Duration::Seconds(10), 0.8}),
+        relays_({}, ZoneId("z"), SeededRandom(3)),
+        reachability_({}, DiscardEvents()),
         controller_({},
-                    &selector_,
-                    &budget_,
-                    &crash_guard_,
+                    {.selector = &selector_,
+                     .budget = &budget_,
+                     .crash_guard = &crash_guard_,
+                     .relays = &relays_,
+                     .reachability = &reachability_},
                     SeededRandom(2),
                     [this](const EventDraft& event) {
                       events_.push_back(event.kind);
@@ -94,6 +98,8 @@
                           {},
                           SeededRandom(4),
                           DiscardEvents()};
+  RelaySelector relays_;
+  ReachabilityMonitor reachability_;
   ForwardController controller_;
 };
 
@@ -382,7 +388,14 @@
   CrashGuard crash_guard(
       {}, [](const EndpointRun&) { return true; }, {}, SeededRandom(4),
       DiscardEvents());
-  ForwardController controller({}, &selector, &budget, &crash_guard,
+  RelaySelector relays({}, ZoneId("z"), SeededRandom(5));
+  ReachabilityMonitor reachability({}, DiscardEvents());
+  ForwardController controller({},
+                               {.selector = &selector,
+                                .budget = &budget,
+                                .crash_guard = &crash_guard,
+                                .relays = &relays,
+                                .reachability = &reachability},
                                SeededRandom(3), DiscardEvents());
   std::vector<Replica> replicas;
   for (int i = 0; i < *rc::gen::inRange(1, 6); ++i) {
--- a/tests/coordination/gateway/overload_test.cc
+++ b/tests/coordination/gateway/overload_test.cc
@@ -82,9 +82,11 @@
         : selector({}, zone, random, DiscardEvents()),
           budget({0.2, 136, Duration::Seconds(10), 0.8}),
           controller({},
-                     &selector,
-                     &budget,
-                     &crash_guard,
+                     {.selector = &selector,
+                      .budget = &budget,
+                      .crash_guard = &crash_guard,
+                      .relays = &relays,
+                      .reachability = &reachability},
                      random,
                      DiscardEvents()) {}
     ReplicaSelector selector;
@@ -94,6 +96,8 @@
                            {},
                            SeededRandom(4),
                            DiscardEvents()};
+    RelaySelector relays{{}, ZoneId("z"), SeededRandom(5)};
+    ReachabilityMonitor reachability{{}, DiscardEvents()};
     ForwardController controller;
   };
   struct Request {
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -44,6 +44,12 @@
     std::int64_t store_renewals = 0;
     int run = 0;
   };
+  // The node that passed a request on to another node.
+  struct RelaySource {
+    std::size_t node;
+    int run;
+    ForwardId id;
+  };
   // One attempt of a caller.
   struct SimulatedRequest {
     std::string model;
@@ -53,6 +59,7 @@
     // Number of the caller's attempts before this one.
     int earlier_attempts = 0;
     Time arrived;
+    std::optional<RelaySource> relayed_by;
   };
   struct Stream {
     std::size_t node;
@@ -303,6 +310,7 @@
     limit_rule_.Excuse(index);
     hold_rule_.Excuse(index);
     std::erase_if(streams_, [&](const Stream& s) { return s.node == index; });
+    OnNodeLost(index);
     std::erase_if(waiting_,
                   [&](const auto& each) { return each.first.first == index; });
   }
@@ -370,15 +378,8 @@
   // A caller's attempt arrives at the node.
   void Send(std::size_t node, SimulatedRequest simulated) {
     simulated.arrived = now_;
-    ForwardRequest request;
-    request.id = RequestId("q" + std::to_string(++last_request_id_));
-    request.host = "h";
-    request.path = "/m/x";
-    request.model = ModelId(simulated.model);
-    request.prompt_tokens = TokenCount(500);
-    request.content = simulated.content;
     const ForwardAdmission admission =
-        nodes_[node].core->OnArrived(now_, std::move(request));
+        nodes_[node].core->OnArrived(now_, MakeRequest(simulated));
     Take(node, admission.id, simulated, admission.step);
     Execute(node, nodes_[node].core->TakeRequestActions(now_));
   }
@@ -406,6 +407,8 @@
   int change_requests = 0;
   int limit_notices = 0;
   int endpoint_checks = 0;
+  int reach_queries = 0;
+  int relayed_requests = 0;
   int crash_notices = 0;
   bool lose_crash_notices = false;
   bool lose_limit_notices = false;
@@ -708,6 +711,7 @@
         streams_.begin(), streams_.end(),
         [&](const Stream& s) { return s.node == index && s.id == move.id; });
     if (stream == streams_.end()) {
+      AbandonRelay(index, move.id, ForwardEndKind::kSilent);
       return;
     }
     ++failed_over_streams;
@@ -720,12 +724,11 @@
     const ForwardStep step = nodes_[index].core->OnEnded(now_, stream->id, end);
     const Stream moved = *stream;
     streams_.erase(stream);
-    if (const auto* send = std::get_if<SendForward>(&step)) {
-      SendAttempt(index, move.id, moved.request, *send, moved.events);
-    } else {
-      ++lost_streams;
-      on_final(moved.request, index, step);
-    }
+    lost_streams += std::holds_alternative<SendForward>(step) ||
+                            std::holds_alternative<RelayForward>(step)
+                        ? 0
+                        : 1;
+    Take(index, move.id, moved.request, step, moved.events);
   }
 
   // The connection of a stream closes before the end of its answer.
@@ -766,6 +769,22 @@
     });
   }
 
+  void Perform(std::size_t index, const QueryReach& ask) {
+    const std::size_t other = std::stoul(ask.address.value());
+    ++reach_queries;
+    Schedule(kNetworkDelay, [this, index, run = nodes_[index].run, other, ask] {
+      if (!IsRunning(other)) {
+        return;
+      }
+      const ReachReport report = nodes_[other].core->Reach(now_);
+      Schedule(kNetworkDelay, [this, index, run, ask, report] {
+        RunAtNode(index, run, [&](GatewayCore& core) {
+          return core.OnReachReport(now_, ask.address, report);
+        });
+      });
+    });
+  }
+
   void Perform(std::size_t index, const ContinueForward& next) {
     const auto found = waiting_.find({index, next.id});
     if (found == waiting_.end()) {
@@ -873,8 +892,12 @@
       waiting_[{node, id}] = request;
       return;
     }
+    if (const auto* relay = std::get_if<RelayForward>(&step)) {
+      PassOn(node, id, request, *relay, events);
+      return;
+    }
     if (send == nullptr) {
-      on_final(request, node, step);
+      Finish(request, node, step);
       return;
     }
     SendAttempt(node, id, request, *send, events);
@@ -965,7 +988,13 @@
       core.OnProgress(now_, stream.id);
       stream.last_event = now_;
       constexpr int kEventsPerStream = 20;
-      if (++stream.events < kEventsPerStream) {
+      ++stream.events;
+      if (stream.request.relayed_by) {
+        Schedule(kNetworkDelay,
+                 [this, source = *stream.request.relayed_by,
+                  events = stream.events] { OnRelayedEvent(source, events); });
+      }
+      if (stream.events < kEventsPerStream) {
         ++it;
         continue;
       }
@@ -978,8 +1007,154 @@
       const SimulatedRequest request = stream.request;
       const std::size_t node = stream.node;
       it = streams_.erase(it);
+      Finish(request, node, step);
+    }
+  }
+
+  ForwardRequest MakeRequest(const SimulatedRequest& simulated) {
+    ForwardRequest request;
+    request.id = RequestId("q" + std::to_string(++last_request_id_));
+    request.host = "h";
+    request.path = "/m/x";
+    request.model = ModelId(simulated.model);
+    request.prompt_tokens = TokenCount(500);
+    request.content = simulated.content;
+    return request;
+  }
+
+  // Passes the request on to another node, which handles it like a caller's.
+  void PassOn(std::size_t node,
+              ForwardId id,
+              const SimulatedRequest& request,
+              const RelayForward& relay,
+              int events) {
+    const std::size_t other = std::stoul(relay.node.value());
+    const RelaySource source{node, nodes_[node].run, id};
+    ++relayed_requests;
+    relays_[{node, id}] = {request, events, other, now_};
+    Schedule(kNetworkDelay, [this, source, other, request, relay, events] {
+      if (!nodes_[other].alive) {
+        ForwardEnd end;
+        end.kind = ForwardEndKind::kNothingSent;
+        EndRelay(source, end);
+        return;
+      }
+      if (nodes_[other].frozen || !relays_.contains({source.node, source.id})) {
+        return;
+      }
+      SimulatedRequest passed = request;
+      passed.relayed_by = source;
+      ForwardRequest forwarded = MakeRequest(request);
+      forwarded.caller_timeout = relay.time_left;
+      forwarded.resume_after = relay.resume_after;
+      forwarded.relay = relay.terms;
+      GatewayCore& core = *nodes_[other].core;
+      const ForwardAdmission admission =
+          core.OnArrived(now_, std::move(forwarded));
+      Take(other, admission.id, passed, admission.step, events);
+      Execute(other, core.TakeRequestActions(now_));
+    });
+  }
+
+  // The request got its final answer at the node.
+  void Finish(const SimulatedRequest& request,
+              std::size_t node,
+              const ForwardStep& step) {
+    if (!request.relayed_by) {
       on_final(request, node, step);
+      return;
     }
+    ForwardEnd end;
+    end.kind = ForwardEndKind::kConnectionBroken;
+    if (const auto* refused = std::get_if<ForwardRefused>(&step)) {
+      end.kind = ForwardEndKind::kNotRun;
+      end.refusal = refused->kind;
+    } else if (std::holds_alternative<PassAnswer>(step)) {
+      end.kind = ForwardEndKind::kSucceeded;
+    }
+    Schedule(kNetworkDelay, [this, source = *request.relayed_by, end] {
+      EndRelay(source, end);
+    });
+  }
+
+  void EndRelay(const RelaySource& source, ForwardEnd end) {
+    const auto found = relays_.find({source.node, source.id});
+    if (found == relays_.end() || !IsRunning(source.node) ||
+        nodes_[source.node].run != source.run) {
+      return;
+    }
+    const Relay relay = found->second;
+    relays_.erase(found);
+    end.delivered = relay.events > 0;
+    if (end.delivered) {
+      end.last_event = relay.events;
+    }
+    GatewayCore& core = *nodes_[source.node].core;
+    const ForwardStep step = core.OnEnded(now_, source.id, end);
+    Take(source.node, source.id, relay.request, step, relay.events);
+    Execute(source.node, core.TakeRequestActions(now_));
+  }
+
+  // The first node closes its connection to the other one.
+  void CancelAtOther(const RelaySource& source) {
+    std::erase_if(streams_, [&](const Stream& stream) {
+      const auto& by = stream.request.relayed_by;
+      if (!by || by->node != source.node || by->id != source.id ||
+          by->run != source.run) {
+        return false;
+      }
+      if (IsRunning(stream.node)) {
+        nodes_[stream.node].core->OnCallerGone(now_, stream.id);
+      }
+      return true;
+    });
+  }
+
+  void AbandonRelay(std::size_t node, ForwardId id, ForwardEndKind kind) {
+    if (!relays_.contains({node, id})) {
+      return;
+    }
+    const RelaySource source{node, nodes_[node].run, id};
+    CancelAtOther(source);
+    ForwardEnd end;
+    end.kind = kind;
+    EndRelay(source, end);
+  }
+
+  // Connections between the lost node and others close.
+  void OnNodeLost(std::size_t index) {
+    std::vector<RelaySource> broken;
+    std::vector<RelaySource> own;
+    for (const auto& [key, relay] : relays_) {
+      if (key.first == index) {
+        own.push_back({key.first, nodes_[index].run - 1, key.second});
+      } else if (relay.other == index) {
+        broken.push_back({key.first, nodes_[key.first].run, key.second});
+      }
+    }
+    for (const RelaySource& source : own) {
+      CancelAtOther(source);
+      relays_.erase({source.node, source.id});
+    }
+    for (const RelaySource& source : broken) {
+      Schedule(kNetworkDelay, [this, source] {
+        ForwardEnd end;
+        end.kind = ForwardEndKind::kConnectionBroken;
+        EndRelay(source, end);
+      });
+    }
+  }
+
+  // An event of a relayed stream reaches the first node.
+  void OnRelayedEvent(const RelaySource& source, int events) {
+    const auto found = relays_.find({source.node, source.id});
+    if (found == relays_.end() || !IsRunning(source.node) ||
+        nodes_[source.node].run != source.run) {
+      return;
+    }
+    found->second.events = events;
+    found->second.last_event = now_;
+    nodes_[source.node].core->OnProgress(now_, source.id);
   }
 
   // Callers abandon streams that have been silent for too long.
@@ -989,13 +1164,26 @@
     }
     std::erase_if(streams_, [&](const Stream& stream) {
       if (now_ - stream.last_event <= *caller_patience ||
-          !IsRunning(stream.node)) {
+          !IsRunning(stream.node) || stream.request.relayed_by) {
         return false;
       }
       nodes_[stream.node].core->OnCallerGone(now_, stream.id);
       on_left(stream.request, stream.node);
       return true;
     });
+    std::vector<RelaySource> left;
+    for (const auto& [key, relay] : relays_) {
+      if (now_ - relay.last_event > *caller_patience && IsRunning(key.first)) {
+        left.push_back({key.first, nodes_[key.first].run, key.second});
+      }
+    }
+    for (const RelaySource& source : left) {
+      const Relay relay = relays_.at({source.node, source.id});
+      relays_.erase({source.node, source.id});
+      CancelAtOther(source);
+      nodes_[source.node].core->OnCallerGone(now_, source.id);
+      on_left(relay.request, source.node);
+    }
   }
 
   // Ends the engines that begin to run a request that crashes them.
@@ -1046,6 +1234,10 @@
       hold_rule_.OnLeaving(now_, stream.vm, stream.node);
     }
     nodes_[stream.node].core->OnReport(now_, stream.id, report);
+    if (const auto& by = stream.request.relayed_by;
+        by && IsRunning(by->node) && nodes_[by->node].run == by->run) {
+      nodes_[by->node].core->OnRelayedReport(now_, by->id, stream.vm, report);
+    }
   }
 
   Random random_;
@@ -1070,6 +1262,14 @@
   std::vector<Watch> watches_;
   std::multimap<Time, std::function<void()>> queue_;
   std::vector<Stream> streams_;
+  // Requests that nodes have passed on to others.
+  struct Relay {
+    SimulatedRequest request;
+    int events = 0;
+    std::size_t other = 0;
+    Time last_event;
+  };
+  std::map<std::pair<std::size_t, ForwardId>, Relay> relays_;
   // Requests that wait for their next step.
   std::map<std::pair<std::size_t, ForwardId>, SimulatedRequest> waiting_;
   // A follower's pending request.
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "protocol/protocol.h"
+
 namespace gcw {
 namespace {
 
@@ -9,6 +11,7 @@
 constexpr int kFirstRedirect = 300;
 constexpr int kFirstClientError = 400;
 constexpr int kFirstServerError = 500;
+constexpr int kUnavailable = 503;
 
 bool IsSuccess(int status) {
   return status >= kFirstSuccess && status < kFirstRedirect;
@@ -47,6 +50,7 @@
 
 ForwardId ForwardExchange::Start() {
   ForwardRequest request = parts_.dialect->read_request(request_);
+  request.relay = relay_terms_;
   request_id_ = request.id;
   arrived_ = parts_.clock();
   ForwardAdmission started =
@@ -64,13 +68,19 @@
 void ForwardExchange::PerformStep(const ForwardStep& step) {
   if (const auto* send = std::get_if<SendForward>(&step)) {
     StartAttempt(*send);
+  } else if (const auto* relay = std::get_if<RelayForward>(&step)) {
+    StartRelay(*relay);
   } else if (std::holds_alternative<AwaitDecision>(step)) {
     return;
   } else if (std::holds_alternative<PassAnswer>(step)) {
     RespondWithAnswer();
   } else if (const auto* refused = std::get_if<ForwardRefused>(&step)) {
-    Respond(parts_.dialect->make_refused_response(*refused),
-            ForwardOutcome::kRefused);
+    HttpResponse response = parts_.dialect->make_refused_response(*refused);
+    if (relay_terms_) {
+      response.headers.push_back({std::string(kRelayRefusalHeader),
+                                  std::string(RefusalKindName(refused->kind))});
+    }
+    Respond(std::move(response), ForwardOutcome::kRefused);
   } else if (const auto* unknown = std::get_if<ForwardOutcomeUnknown>(&step)) {
     Respond(parts_.dialect->make_unknown_outcome_response(*unknown),
             ForwardOutcome::kUnknown);
@@ -82,9 +92,9 @@
 
 void ForwardExchange::StartAttempt(const SendForward& send) {
   attempt_ = Attempt();
-  attempt_.send = send;
-  const int number = ++attempt_number_;
-  ++attempts_;
+  attempt_.vm = send.vm;
+  attempt_.streams = send.streams;
+  attempt_.resume_after = send.resume_after;
   HttpCallOptions options;
   options.connect_timeout = settings_.connect_timeout;
   options.deadline = send.time_left;
@@ -93,6 +103,34 @@
                                  : settings_.service_idle_timeout;
   options.reuse_connection = !send.fresh_connection;
   options.accept_unframed = true;
+  BeginExchange(*parts_.endpoints, send.address,
+                parts_.dialect->make_attempt_request(request_, send), options);
+}
+
+void ForwardExchange::StartRelay(const RelayForward& relay) {
+  attempt_ = Attempt();
+  attempt_.is_relayed = true;
+  attempt_.streams = relay.streams;
+  attempt_.resume_after = relay.resume_after;
+  HttpCallOptions options;
+  options.connect_timeout = settings_.connect_timeout;
+  options.deadline = relay.time_left;
+  // The other node watches its endpoint, and the core watches the other node.
+  options.progress_timeout = relay.time_left;
+  options.reuse_connection = !relay.fresh_connection;
+  HttpRequest request = parts_.dialect->make_relay_request(request_, relay);
+  RemoveRelayHeaders(request.headers);
+  request.headers.push_back(
+      {std::string(kRelayHeader), EncodeRelayTerms(relay.terms)});
+  BeginExchange(*parts_.peers, relay.node, std::move(request), options);
+}
+
+void ForwardExchange::BeginExchange(HttpClient& client,
+                                    const Address& address,
+                                    HttpRequest request,
+                                    const HttpCallOptions& options) {
+  const int number = ++attempt_number_;
+  ++attempts_;
   HttpCallHandlers handlers;
   const auto if_current = [weak = weak_from_this(), number](auto run) {
     const auto self = weak.lock();
@@ -112,9 +150,8 @@
   handlers.on_failure = [if_current](const HttpFailure& failure) {
     if_current([&](ForwardExchange& self) { self.OnFailure(failure); });
   };
-  attempt_.call = parts_.endpoints->Send(
-      send.address, parts_.dialect->make_attempt_request(request_, send),
-      options, std::move(handlers));
+  attempt_.call =
+      client.Send(address, std::move(request), options, std::move(handlers));
 }
 
 void ForwardExchange::OnHead(const HttpResponse& head) {
@@ -123,9 +160,19 @@
   attempt_.answer = parts_.dialect->read_answer(head, request_id_);
   // Any other answer may come from another VM, or from this one at an earlier
   // time.
-  if (!attempt_.answer.is_misdirected &&
-      (attempt_.answer.matches_request || attempt_.answer.is_not_executed)) {
+  if (attempt_.is_relayed) {
+    attempt_.relay_answer = ReadRelayAnswer(head);
+    RemoveRelayHeaders(attempt_.head.headers);
+    attempt_.vm = attempt_.relay_answer.endpoint;
+  }
+  const bool is_from_endpoint =
+      !attempt_.answer.is_misdirected &&
+      (attempt_.answer.matches_request || attempt_.answer.is_not_executed);
+  if (is_from_endpoint && !attempt_.is_relayed) {
     parts_.core->OnReport(parts_.clock(), id_, attempt_.answer.report);
+  } else if (is_from_endpoint && !attempt_.vm.empty()) {
+    parts_.core->OnRelayedReport(parts_.clock(), id_, attempt_.vm,
+                                 attempt_.answer.report);
   }
   const bool is_good =
       attempt_.answer.matches_request && attempt_.answer.has_proof &&
@@ -133,13 +180,13 @@
   // A stream that has begun can be continued only with the events of another
   // run of the request. Any other answer that may come from a run breaks it.
   if (stream_started_ && !is_good && !attempt_.answer.is_not_executed &&
-      !attempt_.answer.is_misdirected) {
+      !attempt_.answer.is_misdirected && !attempt_.relay_answer.refusal) {
     EndAttempt(ForwardEndKind::kConnectionBroken);
     return;
   }
-  if (is_good && attempt_.send.streams) {
+  if (is_good && attempt_.streams) {
     attempt_.streams_events = true;
-    attempt_.splitter.emplace(attempt_.send.resume_after);
+    attempt_.splitter.emplace(attempt_.resume_after);
   }
 }
 
@@ -166,7 +213,7 @@
   if (!stream_started_) {
     stream_started_ = true;
     first_byte_ = parts_.clock();
-    responder_->StartStream(attempt_.head.status, attempt_.head.headers);
+    responder_->StartStream(attempt_.head.status, TakeAnswerHeaders());
   }
   responder_->Write(std::string(events));
   last_event_ = attempt_.splitter->last_id();
@@ -174,6 +221,14 @@
 
 void ForwardExchange::OnEnd() {
   const AnswerHead& answer = attempt_.answer;
+  // A node that refuses without a reason did not read the request: it has too
+  // many connections.
+  if (attempt_.is_relayed &&
+      (attempt_.relay_answer.refusal ||
+       (attempt_.head.status == kUnavailable && !answer.has_proof))) {
+    EndAttempt(ForwardEndKind::kNotRun);
+    return;
+  }
   if (answer.is_misdirected) {
     EndAttempt(ForwardEndKind::kOtherVm);
     return;
@@ -239,10 +294,19 @@
   end.last_event = last_event_;
   end.is_client_error =
       attempt_.has_head && IsClientError(attempt_.head.status);
+  end.refusal = attempt_.relay_answer.refusal;
   PerformStep(parts_.core->OnEnded(parts_.clock(), id_, end));
   parts_.run_actions();
 }
 
+std::vector<HttpHeader> ForwardExchange::TakeAnswerHeaders() {
+  std::vector<HttpHeader> headers = std::move(attempt_.head.headers);
+  if (relay_terms_) {
+    headers.push_back({std::string(kRelayEndpointHeader), attempt_.vm.value()});
+  }
+  return headers;
+}
+
 void ForwardExchange::RespondWithAnswer() {
   if (stream_started_) {
     responder_->Finish();
@@ -251,7 +315,7 @@
   }
   HttpResponse response;
   response.status = attempt_.head.status;
-  response.headers = std::move(attempt_.head.headers);
+  response.headers = TakeAnswerHeaders();
   response.body = std::move(attempt_.buffered_body);
   Respond(std::move(response), ForwardOutcome::kAnswered);
 }
@@ -284,7 +348,7 @@
   summary.request = request_id_;
   summary.outcome = outcome;
   summary.status = status;
-  summary.vm = attempt_.send.vm;
+  summary.vm = attempt_.vm;
   summary.attempts = attempts_;
   summary.time_to_first_byte = first_byte_.value_or(now) - arrived_;
   summary.total_time = now - arrived_;
--- a/transport/gateway/forward_exchange.h
+++ b/transport/gateway/forward_exchange.h
@@ -9,6 +9,7 @@
 #include "coordination/coordination.h"
 #include "protocol/protocol.h"
 #include "transport/gateway/gateway_dialect.h"
+#include "transport/gateway/relay_headers.h"
 #include "transport/http_client.h"
 
 namespace gcw {
@@ -61,6 +62,7 @@
     GatewayCore* core = nullptr;
     const GatewayDialect* dialect = nullptr;
     HttpClient* endpoints = nullptr;
+    HttpClient* peers = nullptr;
     Clock clock;
     // Performs what the core asks for after an event of the request.
     std::function<void()> run_actions;
@@ -73,6 +75,9 @@
                   HttpRequest request,
                   std::shared_ptr<HttpResponder> responder);
 
+  // Set before the start if another node passed the request on.
+  void SetRelayTerms(RelayTerms terms) { relay_terms_ = std::move(terms); }
+
   // Passes the request to the core, performs the first step and returns the id
   // that the core assigned.
   ForwardId Start();
@@ -87,7 +92,13 @@
   // The state of the current attempt.
   struct Attempt {
     std::shared_ptr<HttpCall> call;
-    SendForward send;
+    // The endpoint; empty if the request is passed on to another node.
+    VmId vm;
+    bool is_relayed = false;
+    bool streams = false;
+    std::optional<std::int64_t> resume_after;
+    // What the other node's answer says.
+    RelayAnswer relay_answer;
     HttpResponse head;
     AnswerHead answer;
     bool has_head = false;
@@ -99,6 +110,14 @@
 
   void PerformStep(const ForwardStep& step);
   void StartAttempt(const SendForward& send);
+  // Passes the request on to another node.
+  void StartRelay(const RelayForward& relay);
+  void BeginExchange(HttpClient& client,
+                     const Address& address,
+                     HttpRequest request,
+                     const HttpCallOptions& options);
+  // Returns the answer's headers for the caller.
+  std::vector<HttpHeader> TakeAnswerHeaders();
   void OnHead(const HttpResponse& head);
   void OnBody(std::string_view chunk);
   void OnEnd();
@@ -114,6 +133,7 @@
   const Parts parts_;
   HttpRequest request_;
   RequestId request_id_;
+  std::optional<RelayTerms> relay_terms_;
   std::shared_ptr<HttpResponder> responder_;
   ForwardId id_;
   Attempt attempt_;
--- a/transport/gateway/gateway_dialect.h
+++ b/transport/gateway/gateway_dialect.h
@@ -46,6 +46,9 @@
   // Messages exchanged with endpoints.
   std::function<HttpRequest(const HttpRequest& original, const SendForward&)>
       make_attempt_request;
+  // Makes the request that another node gets in the caller's place.
+  std::function<HttpRequest(const HttpRequest& original, const RelayForward&)>
+      make_relay_request;
   std::function<AnswerHead(const HttpResponse& head, const RequestId&)>
       read_answer;
   std::function<HttpRequest(const VmId&, const GroupOrder&)> make_order_request;
--- a/transport/gateway/gateway_metrics.cc
+++ b/transport/gateway/gateway_metrics.cc
@@ -99,7 +99,19 @@
       suspected_requests(
           AddUnlabeledGauge(metrics_,
                             "gcw_suspected_fingerprints",
-                            "Requests that may have crashed an endpoint.")) {}
+                            "Requests that may have crashed an endpoint.")),
+      endpoints_unreachable(AddUnlabeledGauge(
+          metrics_,
+          "gcw_endpoints_unreachable",
+          "1 while this node reaches no endpoint although other nodes do.")),
+      relayed_requests(
+          AddUnlabeledGauge(metrics_,
+                            "gcw_relayed_requests",
+                            "Open requests that run through another node.")),
+      accepted_relays(AddUnlabeledGauge(
+          metrics_,
+          "gcw_accepted_relays",
+          "Open requests that other nodes passed on to this one.")) {}
 
 void GatewayMetrics::CountEvent(const TimelineEvent& event) {
   events_.With({std::string(EventKindName(event.draft.kind))}).Add();
--- a/transport/gateway/gateway_metrics.h
+++ b/transport/gateway/gateway_metrics.h
@@ -38,6 +38,9 @@
   Gauge& held_endpoints;
   Gauge& blocked_requests;
   Gauge& suspected_requests;
+  Gauge& endpoints_unreachable;
+  Gauge& relayed_requests;
+  Gauge& accepted_relays;
 };
 
 }  // namespace gcw
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -1,5 +1,6 @@
 #include "transport/gateway/gateway_runtime.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "transport/json_log.h"
@@ -10,6 +11,8 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr std::size_t kMaxOtherConnections = 512;
+// Each open request of another node has a connection of its own.
+constexpr std::size_t kMaxPeerConnections = 1024;
 
 ProbeResult ProbeVerdictFor(const HttpFailure& failure) {
   if (failure.kind == HttpFailureKind::kConnectRefused) {
@@ -66,10 +69,10 @@
                kMaxOtherConnections,
                ignore_request(&GatewayRuntime::ServeEntries, this), error) &&
       ListenOn(
-          GatewayListener::kPeers, settings_.peers, kMaxOtherConnections,
-          [this](const HttpRequest& request,
+          GatewayListener::kPeers, settings_.peers, kMaxPeerConnections,
+          [this](HttpRequest request,
                  const std::shared_ptr<HttpResponder>& responder) {
-            ServePeer(request, responder);
+            ServePeer(std::move(request), responder);
           },
           error);
   if (all_listening && !settings_.metrics.ip.empty()) {
@@ -130,6 +133,11 @@
       static_cast<std::int64_t>(parts_.core->limited_endpoints()));
   parts_.metrics->held_endpoints.Set(
       static_cast<std::int64_t>(parts_.core->held_endpoints()));
+  parts_.metrics->endpoints_unreachable.Set(parts_.core->is_cut() ? 1 : 0);
+  parts_.metrics->relayed_requests.Set(
+      static_cast<std::int64_t>(parts_.core->relayed_requests()));
+  parts_.metrics->accepted_relays.Set(
+      static_cast<std::int64_t>(parts_.core->accepted_relays()));
   ApplyCallerLimits();
   if (!parts_.core->is_drain_complete(Now())) {
     stop_completed_at_.reset();
@@ -158,6 +166,17 @@
       ->SetRequestLimits({static_cast<std::size_t>(limits.max_header_bytes),
                           static_cast<std::size_t>(limits.max_body_bytes),
                           limits.header_timeout, limits.idle_timeout});
+  // Requests of other nodes have a few more headers than their callers sent.
+  constexpr std::size_t kAddedHeaderBytes = 4096;
+  const HttpServerLimits peer_limits;
+  servers_.at(GatewayListener::kPeers)
+      ->SetRequestLimits(
+          {std::max(peer_limits.max_header_bytes,
+                    static_cast<std::size_t>(limits.max_header_bytes) +
+                        kAddedHeaderBytes),
+           std::max(peer_limits.max_body_bytes,
+                    static_cast<std::size_t>(limits.max_body_bytes)),
+           peer_limits.header_timeout, peer_limits.idle_timeout});
 }
 
 void GatewayRuntime::BeginStop() {
@@ -171,10 +190,18 @@
 void GatewayRuntime::ServeCaller(
     HttpRequest request,
     const std::shared_ptr<HttpResponder>& responder) {
+  parts_.metrics->requests.Add();
+  Forward(std::move(request), std::nullopt, responder);
+}
+
+void GatewayRuntime::Forward(HttpRequest request,
+                             std::optional<RelayTerms> terms,
+                             const std::shared_ptr<HttpResponder>& responder) {
   ForwardExchange::Parts parts;
   parts.core = parts_.core;
   parts.dialect = &parts_.dialect;
   parts.endpoints = &endpoint_client_;
+  parts.peers = &peer_client_;
   parts.clock = parts_.clock;
   parts.run_actions = [this] {
     Execute(parts_.core->TakeRequestActions(Now()));
@@ -195,7 +222,9 @@
   };
   auto exchange = std::make_shared<ForwardExchange>(
       settings_.exchange, std::move(parts), std::move(request), responder);
-  parts_.metrics->requests.Add();
+  if (terms) {
+    exchange->SetRelayTerms(*std::move(terms));
+  }
   const ForwardId id = exchange->Start();
   if (exchange->is_finished()) {
     return;
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -93,9 +93,16 @@
                 std::optional<GatewayListenError>& error);
   void ServeCaller(HttpRequest request,
                    const std::shared_ptr<HttpResponder>& responder);
+  // Serves a request that another node passes on.
+  void ServeRelayed(HttpRequest request,
+                    const std::shared_ptr<HttpResponder>& responder);
+  // Forwards a request. `terms` are set if another node passes it on.
+  void Forward(HttpRequest request,
+               std::optional<RelayTerms> terms,
+               const std::shared_ptr<HttpResponder>& responder);
   void ServeReadiness(const std::shared_ptr<HttpResponder>& responder);
   void ServeEntries(const std::shared_ptr<HttpResponder>& responder);
-  void ServePeer(const HttpRequest& request,
+  void ServePeer(HttpRequest request,
                  const std::shared_ptr<HttpResponder>& responder);
   void ServeMirror(const HttpRequest& request, HttpResponder& responder);
   // Long poll: responds when something has changed or the wait has expired.
@@ -107,6 +114,7 @@
   void ServeProgressQuery(const StallNotice& group, HttpResponder& responder);
   void ServeLimitNotice(const HttpRequest& request, HttpResponder& responder);
   void ServeCrashNotices(const HttpRequest& request, HttpResponder& responder);
+  void ServeReachQuery(HttpResponder& responder);
   void ServeBlocks(HttpResponder& responder);
   void ServeBlockLift(const HttpRequest& request, HttpResponder& responder);
   void ServeMetrics(const std::shared_ptr<HttpResponder>& responder);
@@ -122,6 +130,7 @@
   void Execute(const SendGroupOrder& action);
   void Execute(const ProbeEngine& action);
   void Execute(const NotifyCrashes& action);
+  void Execute(const QueryReach& action);
   void Execute(const CheckEndpoint& action);
   void Execute(const ContinueForward& action);
   void Execute(const FailOverForward& action);
--- a/transport/gateway/gateway_runtime_peers.cc
+++ b/transport/gateway/gateway_runtime_peers.cc
@@ -19,6 +19,7 @@
 constexpr std::string_view kProgressPath = "/v1/progress";
 constexpr std::string_view kLimitPath = "/v1/endpoint_limit";
 constexpr std::string_view kCrashPath = "/v1/crash_notice";
+constexpr std::string_view kReachPath = "/v1/reach";
 constexpr std::string_view kBlocksPath = "/v1/blocks";
 constexpr std::string_view kBlockLiftPath = "/v1/blocks/lift";
 constexpr std::string_view kFingerprintParameter = "fingerprint";
@@ -46,8 +47,12 @@
 }  // namespace
 
 void GatewayRuntime::ServePeer(
-    const HttpRequest& request,
+    HttpRequest request,
     const std::shared_ptr<HttpResponder>& responder) {
+  if (!request.Header(kRelayHeader).empty()) {
+    ServeRelayed(std::move(request), responder);
+    return;
+  }
   const std::string_view target = request.target;
   const std::string_view path = target.substr(0, target.find('?'));
   if (path == kMirrorPath) {
@@ -66,6 +71,10 @@
     ServeCrashNotices(request, *responder);
     return;
   }
+  if (path == kReachPath) {
+    ServeReachQuery(*responder);
+    return;
+  }
   if (path == kBlocksPath) {
     ServeBlocks(*responder);
     return;
@@ -161,6 +170,26 @@
   Execute(parts_.core->OnCrashNotices(Now(), ValueOf(notices)));
 }
 
+void GatewayRuntime::ServeRelayed(
+    HttpRequest request,
+    const std::shared_ptr<HttpResponder>& responder) {
+  auto terms = DecodeRelayTerms(request.Header(kRelayHeader));
+  if (!IsOk(terms)) {
+    LogEvent(LogSeverity::kWarning, "peer_message_malformed",
+             {{"field", ErrorOf(terms).field}});
+    responder->Respond({kBadRequest, {}, {}});
+    return;
+  }
+  RemoveRelayHeaders(request.headers);
+  Forward(std::move(request), std::move(ValueOf(terms)), responder);
+}
+
+void GatewayRuntime::ServeReachQuery(HttpResponder& responder) {
+  responder.Respond({kOk,
+                     {{"Content-Type", "application/json"}},
+                     EncodeReachReport(parts_.core->Reach(Now()))});
+}
+
 void GatewayRuntime::ServeBlocks(HttpResponder& responder) {
   responder.Respond({kOk,
                      {{"Content-Type", "application/json"}},
@@ -287,6 +316,25 @@
                      [](const Result<HttpResponse, HttpFailure>&) {});
 }
 
+void GatewayRuntime::Execute(const QueryReach& action) {
+  peer_client_.Fetch(
+      action.address, {"GET", std::string(kReachPath), {}, {}},
+      OptionsWithTimeout(settings_.peer_timeout),
+      [this,
+       node = action.address](const Result<HttpResponse, HttpFailure>& answer) {
+        if (!IsOk(answer) || ValueOf(answer).status != kOk) {
+          return;
+        }
+        const auto report = DecodeReachReport(ValueOf(answer).body);
+        if (!IsOk(report)) {
+          LogEvent(LogSeverity::kWarning, "peer_message_malformed",
+                   {{"field", ErrorOf(report).field}});
+          return;
+        }
+        Execute(parts_.core->OnReachReport(Now(), node, ValueOf(report)));
+      });
+}
+
 void GatewayRuntime::Execute(const RequestGroupProgress& action) {
   HttpRequest request{"POST",
                       std::string(kProgressPath),
--- a/transport/log_rate_limiter.cc
+++ b/transport/log_rate_limiter.cc
@@ -20,6 +20,7 @@
     case EventKind::kRequestAdmitted:
     case EventKind::kRequestQueued:
     case EventKind::kRequestDispatched:
+    case EventKind::kRequestRelayed:
     case EventKind::kRequestFinished:
     case EventKind::kRequestCancelled:
     case EventKind::kOnceClaimed:
--- a/transport/transport.h
+++ b/transport/transport.h
@@ -13,6 +13,7 @@
 #include "transport/gateway/gateway_dialect.h"
 #include "transport/gateway/gateway_metrics.h"
 #include "transport/gateway/gateway_runtime.h"
+#include "transport/gateway/relay_headers.h"
 #include "transport/http_client.h"
 #include "transport/http_error.h"
 #include "transport/http_server.h"
