--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -238,8 +238,11 @@
   send.customer = open_request.customer;
   send.time_left = open_request.deadline - now;
   send.resume_after = resume;
+  // A stream that was lost once must not hang on an idle connection that has
+  // died unnoticed too.
   send.fresh_connection =
-      open_request.route->retry_policy == RetryPolicy::kNever;
+      open_request.route->retry_policy == RetryPolicy::kNever ||
+      (open_request.route->streams && open_request.possible_runs > 0);
   send.streams = open_request.route->streams;
   if (HasModels(open_request)) {
     send.precedence = Precedence{open_request.rank, open_request.urgency};
--- a/coordination/gateway/forward_controller_relays.cc
+++ b/coordination/gateway/forward_controller_relays.cc
@@ -59,10 +59,15 @@
       now + settings_.min_time_left >= open_request.deadline) {
     return std::nullopt;
   }
+  // Another node would wait for a trial of its own.
+  if (open_request.is_trial && !reachability_->is_cut()) {
+    return std::nullopt;
+  }
   const ReplicaDemand demand = MakeDemand(open_request);
-  const std::optional<Time> failing_since =
-      reachability_->is_cut() ? reachability_->last_contact()
-                              : selector_->FailingSince(now, demand);
+  std::optional<Time> failing_since = selector_->FailingSince(now, demand);
+  if (!failing_since && reachability_->is_cut()) {
+    failing_since = reachability_->last_contact();
+  }
   if (!failing_since) {
     return std::nullopt;
   }
--- a/coordination/gateway/gateway_core_relays.cc
+++ b/coordination/gateway/gateway_core_relays.cc
@@ -16,11 +16,17 @@
   reachability_.Tick(now,
                      selector_.AwaitsAnswers(now, reachability_.last_contact()),
                      selector_.size());
-  for (const Replica& replica :
-       selector_.DrawReplicas(reachability_.TakeChecks(now))) {
-    reachability_.OnCheckSent(replica.vm);
-    actions_.emplace_back(CheckEndpoint{replica.vm, replica.address,
-                                        reachability_.check_timeout()});
+  if (const std::size_t count = reachability_.TakeChecks(now); count > 0) {
+    std::set<VmId> checked;
+    for (const Replica& replica : selector_.DrawReplicas(count)) {
+      checked.insert(replica.vm);
+      actions_.emplace_back(
+          CheckEndpoint{.purpose = CheckPurpose::kReach,
+                        .vm = replica.vm,
+                        .address = replica.address,
+                        .timeout = reachability_.check_timeout()});
+    }
+    reachability_.OnChecksSent(std::move(checked));
   }
   if (relays_.TakeQuery(now, reachability_.is_suspected())) {
     std::vector<Address> nodes = relays_.TakeNodesToAsk();
@@ -68,6 +74,7 @@
 // until the paths are back.
 void GatewayCore::OnReachabilityChanged(Time now, bool was_cut) {
   if (reachability_.is_cut() && !was_cut) {
+    crash_guard_.OnPathsLost();
     FailOverStalledAttempts(now, selector_.RunningAttempts());
   }
 }
--- a/coordination/gateway/reachability_monitor.cc
+++ b/coordination/gateway/reachability_monitor.cc
@@ -44,7 +44,6 @@
 void ReachabilityMonitor::Tick(Time now,
                                bool is_silent,
                                std::size_t endpoints) {
-  endpoints_ = endpoints;
   std::erase_if(failures_, [&](const auto& failure) {
     return now - failure.second >= settings_.failure_ttl;
   });
@@ -52,7 +51,7 @@
       std::min(settings_.suspicious_failures, endpoints);
   is_suspected_ =
       endpoints > 0 && (is_silent || failures_.size() >= suspicious);
-  if (!is_suspected_) {
+  if (!is_suspected()) {
     next_round_ = Time();
   }
 }
@@ -65,10 +64,14 @@
   return settings_.checks_per_round;
 }
 
+void ReachabilityMonitor::OnChecksSent(std::set<VmId> vms) {
+  round_size_ = vms.size();
+  pending_checks_ = std::move(vms);
+}
+
 void ReachabilityMonitor::Review(Time now) {
-  if (is_cut() ||
-      failed_checks_.size() < std::min(settings_.checks_per_round,
-                                       std::max<std::size_t>(1, endpoints_)) ||
+  if (is_cut() || round_size_ == 0 || !pending_checks_.empty() ||
+      failed_checks_.size() < round_size_ ||
       last_peer_contact_ < last_contact_ + settings_.min_contact_lead) {
     return;
   }
--- a/coordination/gateway/reachability_monitor.h
+++ b/coordination/gateway/reachability_monitor.h
@@ -16,9 +16,10 @@
   // Timeout of a check, which is a new connection to an endpoint.
   Duration check_timeout = Duration::Millis(250);
   // Interval between two rounds of checks while the node is suspected or cut.
-  Duration check_interval = Duration::Millis(250);
-  // Number of endpoints, drawn at random, in one round. All of them, or all
-  // that there are, must fail before the node counts as cut.
+  // Longer than the timeout, so that a round ends before the next begins.
+  Duration check_interval = Duration::Millis(300);
+  // Number of endpoints, drawn at random, in one round. All of them must fail
+  // before the node counts as cut.
   std::size_t checks_per_round = 4;
   // Number of distinct endpoints that must fail before the node is suspected:
   // one endpoint fails for reasons of its own.
@@ -50,8 +51,8 @@
 
   // Returns the number of endpoints to check now, or 0.
   std::size_t TakeChecks(Time now);
-  // A check was sent.
-  void OnCheckSent(const VmId& vm) { pending_checks_.insert(vm); }
+  // These endpoints are checked.
+  void OnChecksSent(std::set<VmId> vms);
 
   // Whether the node has lost its paths to all endpoints.
   bool is_cut() const { return cut_since_.has_value(); }
@@ -73,7 +74,8 @@
   std::set<VmId> pending_checks_;
   // Endpoints whose checks failed since the last contact.
   std::set<VmId> failed_checks_;
-  std::size_t endpoints_ = 0;
+  // Number of checks in the last round.
+  std::size_t round_size_ = 0;
   Time next_round_;
   bool is_suspected_ = false;
   std::optional<Time> cut_since_;
