gateway: a path that only one node has lost is no crash of the endpoint

A refused check was taken for the end of the process.

A refused check now counts for a second and is told as such. The endpoint of a trial is confirmed at once, and a trial whose failure is not yet written is not taken over by a copy. A record counts where the confirmation was missed.

--- a/coordination/gateway/crash_detector.cc
+++ b/coordination/gateway/crash_detector.cc
@@ -48,8 +48,10 @@
   broken.must_check = false;
   ++broken.checks;
   broken.last_check = now;
-  checks_.push_back(
-      {broken.crash.endpoint.vm, broken.address, settings_.check_timeout});
+  checks_.push_back({.purpose = CheckPurpose::kCrash,
+                     .vm = broken.crash.endpoint.vm,
+                     .address = broken.address,
+                     .timeout = settings_.check_timeout});
 }
 
 void CrashDetector::OnCheckReply(Time now, const VmId& vm, ProbeResult result) {
@@ -61,7 +63,10 @@
   broken.is_checking = false;
   switch (result) {
     case ProbeResult::kRefused:
-      Confirm(broken, kConnectionRefused);
+      if (!broken.refused_at) {
+        broken.refused_at = now;
+      }
+      refusals_.push_back(broken.crash);
       return;
     case ProbeResult::kWrongVm:
       Confirm(broken, kAddressReassigned);
@@ -72,6 +77,8 @@
       return;
     case ProbeResult::kAnswered:
       // Attempts that broke after the check was sent need another one.
+      broken.refused_at.reset();
+      broken.asked_at.reset();
       if (broken.must_check) {
         Check(now, broken);
       } else {
@@ -100,7 +107,66 @@
   crashes_.push_back(broken.crash);
 }
 
-void CrashDetector::Tick(Time now) {
+void CrashDetector::OnContactElsewhere(const VmId& vm, Time contact) {
+  const auto found = breaks_.find(vm);
+  if (found != breaks_.end() && !found->second.is_crashed &&
+      contact >= found->second.last_broken + settings_.contact_margin) {
+    breaks_.erase(found);
+  }
+}
+
+bool CrashDetector::IsUndecided(const VmId& vm) const {
+  const auto found = breaks_.find(vm);
+  return found != breaks_.end() && !found->second.is_crashed &&
+         found->second.refused_at.has_value();
+}
+
+void CrashDetector::ConfirmRefused(const VmId& vm) {
+  const auto found = breaks_.find(vm);
+  if (found != breaks_.end() && !found->second.is_crashed) {
+    Confirm(found->second, kConnectionRefused);
+  }
+}
+
+void CrashDetector::DropUnconfirmed() {
+  std::erase_if(breaks_,
+                [](const auto& entry) { return !entry.second.is_crashed; });
+}
+
+void CrashDetector::ReviewRefused(Time now, bool paths_in_doubt) {
+  std::size_t asked = 0;
+  for (const auto& [vm, broken] : breaks_) {
+    asked += broken.asked_at && !broken.is_crashed ? 1 : 0;
+  }
+  for (auto& [vm, broken] : breaks_) {
+    if (broken.is_crashed || !broken.refused_at) {
+      continue;
+    }
+    if (!broken.asked_at) {
+      const bool may_ask =
+          now - *broken.refused_at >= settings_.witness_delay &&
+          asked < settings_.max_witness_queries;
+      if (may_ask) {
+        ++asked;
+        broken.asked_at = now;
+        witness_queries_.push_back(vm);
+      }
+    } else if (now - *broken.asked_at >= settings_.witness_timeout &&
+               !paths_in_doubt) {
+      Confirm(broken, kConnectionRefused);
+    }
+  }
+}
+
+std::vector<EndpointCrash> CrashDetector::TakeRefusals() {
+  return std::exchange(refusals_, {});
+}
+
+std::vector<VmId> CrashDetector::TakeWitnessQueries() {
+  return std::exchange(witness_queries_, {});
+}
+
+void CrashDetector::Tick(Time now, bool paths_in_doubt) {
   std::erase_if(breaks_, [&](const auto& entry) {
     return now - entry.second.last_broken >= settings_.memory;
   });
@@ -109,6 +175,7 @@
       Check(now, broken);
     }
   }
+  ReviewRefused(now, paths_in_doubt);
 }
 
 std::vector<CheckEndpoint> CrashDetector::TakeChecks() {
--- a/coordination/gateway/crash_evidence.cc
+++ b/coordination/gateway/crash_evidence.cc
@@ -26,6 +26,13 @@
   }
 }
 
+bool CrashEvidence::AddLikelyCrash(Time now,
+                                   Fingerprint fingerprint,
+                                   const CrashId& crash) {
+  return Advance(now, fingerprint, crash,
+                 {CrashState::kUnconfirmed, now, true});
+}
+
 bool CrashEvidence::MarkHarmless(Time now,
                                  Fingerprint fingerprint,
                                  const std::set<CrashId>& recorded) {
@@ -182,7 +189,13 @@
 
 bool CrashEvidence::Knows(Fingerprint fingerprint, const CrashId& crash) const {
   const auto found = requests_.find(fingerprint);
-  return found != requests_.end() && found->second.crashes.contains(crash);
+  if (found == requests_.end()) {
+    return false;
+  }
+  // The confirmation of a crash may have been missed.
+  const auto known = found->second.crashes.find(crash);
+  return known != found->second.crashes.end() &&
+         known->second.state != CrashState::kUnconfirmed;
 }
 
 bool CrashEvidence::IsHarmless(Time now, Fingerprint fingerprint) const {
--- a/coordination/gateway/crash_evidence.h
+++ b/coordination/gateway/crash_evidence.h
@@ -71,6 +71,9 @@
   void AddUnconfirmedCrash(Time now,
                            Fingerprint fingerprint,
                            const CrashId& crash);
+  // The same for an endpoint that refuses connections: the crash is likely, so
+  // other nodes are told.
+  bool AddLikelyCrash(Time now, Fingerprint fingerprint, const CrashId& crash);
   // `recorded` are crashes that this node knows from the request's record.
   bool MarkHarmless(Time now,
                     Fingerprint fingerprint,
--- a/coordination/gateway/crash_guard.cc
+++ b/coordination/gateway/crash_guard.cc
@@ -128,13 +128,19 @@
       Decide(id, fingerprint, true, true);
     } else if (now >= waiting_.at(id).deadline) {
       Decide(id, fingerprint, false, false);
-    } else if (records_.RequestTrial(now, fingerprint,
+    } else if (!IsTrialUndecided(fingerprint) &&
+               records_.RequestTrial(now, fingerprint,
                                      KnownCrashes(now, fingerprint))) {
       trials_.erase(fingerprint);
     }
   }
 }
 
+bool CrashGuard::IsTrialUndecided(Fingerprint fingerprint) const {
+  const auto trial = trials_.find(fingerprint);
+  return trial != trials_.end() && detector_.IsUndecided(trial->second.vm);
+}
+
 void CrashGuard::Decide(ForwardId id,
                         Fingerprint fingerprint,
                         bool may_run,
@@ -238,6 +244,7 @@
 }
 
 void CrashGuard::HandleCrashes(Time now) {
+  HandleRefusals(now);
   for (const EndpointCrash& crash : detector_.TakeCrashes()) {
     events_({EventKind::kEndpointCrashed,
              crash.endpoint.vm.value(),
@@ -254,6 +261,25 @@
   }
 }
 
+void CrashGuard::HandleRefusals(Time now) {
+  for (const EndpointCrash& refusal : detector_.TakeRefusals()) {
+    const CrashId crash = {refusal.endpoint.vm, refusal.endpoint.incarnation};
+    for (const Fingerprint suspect : refusal.suspects) {
+      const auto trial = trials_.find(suspect);
+      // The endpoint of a trial crashed under a request that had crashed
+      // others. The next copy must not be tried out before the trial counts.
+      if (trial != trials_.end() && trial->second == crash &&
+          !paths_in_doubt_) {
+        detector_.ConfirmRefused(crash.vm);
+        continue;
+      }
+      if (evidence_.AddLikelyCrash(now, suspect, crash)) {
+        Review(now, suspect);
+      }
+    }
+  }
+}
+
 void CrashGuard::OnSuspectCrash(Time now,
                                 Fingerprint fingerprint,
                                 const CrashId& crash) {
@@ -261,7 +287,9 @@
   const std::set<CrashId> crashes = KnownCrashes(now, fingerprint);
   const auto trial = trials_.find(fingerprint);
   if (trial != trials_.end() && trial->second == crash) {
-    trials_.erase(trial);
+    // The trial stays until its failure is written, so that no copy takes it
+    // over.
+    trial->second = CrashId();
     records_.OnTrialFailed(now, fingerprint, crashes);
   }
   if (!is_news) {
@@ -360,8 +388,10 @@
                 {"blocked_ms", remaining.millis()}}});
 }
 
-void CrashGuard::Tick(Time now) {
-  detector_.Tick(now);
+void CrashGuard::Tick(Time now, bool paths_in_doubt) {
+  paths_in_doubt_ = paths_in_doubt;
+  detector_.Tick(now, paths_in_doubt);
+  HandleCrashes(now);
   evidence_.Tick(now);
   records_.Tick(now);
   ForgetSuspicions(now);
--- a/coordination/gateway/crash_guard.h
+++ b/coordination/gateway/crash_guard.h
@@ -106,13 +106,21 @@
   // Endpoints, other nodes and the key-value service -------------------------
 
   void OnCheckReply(Time now, const VmId& vm, ProbeResult result);
+  // Another node heard from the endpoint at this time.
+  void OnContactElsewhere(const VmId& vm, Time contact) {
+    detector_.OnContactElsewhere(vm, contact);
+  }
+  // This node has lost its paths to the endpoints.
+  void OnPathsLost() { detector_.DropUnconfirmed(); }
   // The VM's registration changed. `run` is absent if it was removed.
   void OnRegistration(Time now, const VmId& vm, std::optional<Incarnation> run);
   void OnNotices(Time now, const std::vector<CrashNotice>& notices);
   void OnRecordPut(Time now, const StoreEntry& entry);
   void OnRecordDeleted(Time now, const std::string& key);
   void OnStoreReply(Time now, StoreCallId id, const StoreReply& reply);
-  void Tick(Time now);
+  // `paths_in_doubt` is true while this node may have lost its paths to
+  // endpoints.
+  void Tick(Time now, bool paths_in_doubt);
   // Called by the one node that tidies up.
   void RemoveExpired(Time now) { records_.RemoveExpired(now); }
 
@@ -130,6 +138,11 @@
 
   Duration proof_time() const { return settings_.proof_time; }
   std::vector<CheckEndpoint> TakeChecks() { return detector_.TakeChecks(); }
+  // Returns the endpoints of which other nodes are to be asked whether they
+  // still hear from them.
+  std::vector<VmId> TakeWitnessQueries() {
+    return detector_.TakeWitnessQueries();
+  }
   std::vector<CrashNotice> TakeNotices(Time now) {
     return evidence_.TakeNotices(now);
   }
@@ -149,11 +162,15 @@
   std::set<CrashId> KnownCrashes(Time now, Fingerprint fingerprint) const;
   bool MustBeTried(const std::set<CrashId>& crashes) const;
   void HandleCrashes(Time now);
+  // Endpoints refused a check. They count as crashed for a short time.
+  void HandleRefusals(Time now);
   // Adds the crashes that this node noticed to the request's record.
   void RecordOwnCrashes(Time now, Fingerprint fingerprint);
   void OnSuspectCrash(Time now, Fingerprint fingerprint, const CrashId& crash);
   // Moves the deadlines of copies that wait while another copy is tried out.
   void ExtendWaits(Time now, Fingerprint fingerprint);
+  // Whether the endpoint of this node's trial may have crashed.
+  bool IsTrialUndecided(Fingerprint fingerprint) const;
   // Decides on the waiting copies of the request.
   void Review(Time now, Fingerprint fingerprint);
   void Decide(ForwardId id,
@@ -182,6 +199,7 @@
   // The blocks that were reported, with their events.
   std::map<Fingerprint, EventId> reported_blocks_;
   std::vector<CrashDecision> decisions_;
+  bool paths_in_doubt_ = false;
 };
 
 }  // namespace gcw
