tests: the endpoint proxies end on the thread that runs them

Answers of the store and accepted connections could reach the proxies while the test's thread destroyed them, since the processes go on asking until the fleet is gone. Found by reading; both tests of GatewayPartitionTest pass.

--- a/tests/support/endpoint_proxies.h
+++ b/tests/support/endpoint_proxies.h
@@ -36,6 +36,22 @@
     server_ = std::move(ValueOf(listening));
   }
 
+  // Handlers that are still queued find the proxies gone.
+  ~EndpointProxies() {
+    RunAndWait([this] {
+      alive_.reset();
+      server_.reset();
+      proxies_.clear();
+      for (const std::weak_ptr<Session>& weak : sessions_) {
+        if (const auto session = weak.lock()) {
+          session->Close();
+        }
+      }
+    });
+  }
+  EndpointProxies(const EndpointProxies&) = delete;
+  EndpointProxies& operator=(const EndpointProxies&) = delete;
+
   Address store_address() const {
     return Address("127.0.0.1:" + std::to_string(server_->port()));
   }
@@ -145,8 +161,9 @@
     options.deadline = Duration::Seconds(40);
     options.progress_timeout = options.deadline;
     client_.Fetch(store_, std::move(request), options,
-                  [this, responder](Result<HttpResponse, HttpFailure> answer) {
-                    if (!IsOk(answer)) {
+                  [this, alive = std::weak_ptr(alive_),
+                   responder](Result<HttpResponse, HttpFailure> answer) {
+                    if (alive.expired() || !IsOk(answer)) {
                       responder->Respond({503, {}, {}});
                       return;
                     }
@@ -218,15 +235,16 @@
 
   void Accept(Proxy& proxy) {
     auto session = std::make_shared<Session>(context_);
-    proxy.acceptor.async_accept(session->near,
-                                [this, &proxy, session](auto error) {
-                                  if (error) {
-                                    return;
-                                  }
-                                  sessions_.push_back(session);
-                                  session->Start(proxy.target);
-                                  Accept(proxy);
-                                });
+    proxy.acceptor.async_accept(
+        session->near,
+        [this, alive = std::weak_ptr(alive_), &proxy, session](auto error) {
+          if (error || alive.expired()) {
+            return;
+          }
+          sessions_.push_back(session);
+          session->Start(proxy.target);
+          Accept(proxy);
+        });
   }
 
   boost::asio::io_context& context_;
@@ -236,6 +254,7 @@
   std::map<std::string, std::unique_ptr<Proxy>> proxies_;
   std::vector<std::weak_ptr<Session>> sessions_;
   bool is_cut_ = false;
+  std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
 }  // namespace gcw
