--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -220,6 +220,11 @@
   return demand;
 }
 
+Duration ForwardController::SilenceOf(Time now,
+                                      const OpenRequest& open_request) {
+  return now - std::max(open_request.sent, open_request.last_event);
+}
+
 void ForwardController::RecordStart(Time now, OpenRequest& open_request) {
   StopWaiting(open_request);
   if (!open_request.has_started && HasModels(open_request)) {
@@ -399,6 +404,8 @@
              open_request.route->latency_objective) {
     open_request.urgency = Urgency::kDeferred;
   }
+  const VmId failed = open_request.endpoint.vm;
+  const Duration silence = SilenceOf(now, open_request);
   Result<ForwardStep, RefusalKind> step = RefusalKind::kEndpointRefused;
   if (!has_failed_often) {
     // Each further endpoint that is out of reach costs the timeout of a new
@@ -428,6 +435,8 @@
   EmitEvent(EventKind::kRequestRetried, open_request,
             {{"after", std::string(ForwardEndKindName(end.kind))},
              {"vm", open_request.endpoint.vm.value()},
+             {"failed_vm", failed.value()},
+             {"silent_ms", silence.millis()},
              {"sends", open_request.sends},
              {"resume_after", resume.value_or(-1)}});
   return step;
@@ -442,7 +451,9 @@
               {{"end", std::string(ForwardEndKindName(end.kind))},
                {"reason", std::string(RefusalKindName(reason))},
                {"vm", open_request.endpoint.vm.value()},
+               {"silent_ms", SilenceOf(now, open_request).millis()},
                {"sends", open_request.sends},
+               {"runs", open_request.possible_runs},
                {"answer", std::string("cut")}});
     return ForwardTruncated{};
   }
@@ -453,7 +464,9 @@
             {{"end", std::string(ForwardEndKindName(end.kind))},
              {"reason", std::string(RefusalKindName(reason))},
              {"vm", open_request.endpoint.vm.value()},
+             {"silent_ms", SilenceOf(now, open_request).millis()},
              {"sends", open_request.sends},
+             {"runs", open_request.possible_runs},
              {"waited_ms", (now - open_request.arrived).millis()}});
   return ForwardOutcomeUnknown{end.kind == ForwardEndKind::kDeadlineExceeded};
 }
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -167,6 +167,8 @@
   // the suspect.
   std::optional<Fingerprint> KeepApart(Time now,
                                        OpenRequest& open_request) const;
+  // Time since the current attempt was sent or last delivered an event.
+  static Duration SilenceOf(Time now, const OpenRequest& open_request);
   static ReplicaDemand MakeDemand(const OpenRequest& open_request);
   void RecordStart(Time now, OpenRequest& open_request);
   // Whether the current attempt shows that the request crashes no endpoint.
