tests: pauses of endpoints in the simulated world, and a test of their answers

SilenceWorld pauses replicas for a second or two, in two ways: only their streams pause, or their processes are stopped and answer no probe, check or order. Attempts end at their time limits there, and an engine that left its group answers that it did not run what waits, and closes its streams.

SilenceRule checks that a request at a sound endpoint ends whole or by its own time limit, that no group of sound members is closed, that no request runs more often than its route allows, and that no event is missing or repeated.

--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -74,6 +74,7 @@
     Time sent = {};
     // Time of the last event, or of the send if there was none.
     Time last_event = {};
+    Time deadline = {};
   };
 
   GatewayWorld(std::size_t nodes,
@@ -137,6 +138,7 @@
 
   Engine& engine(const VmId& vm) { return engines_.at(vm); }
   std::map<VmId, Engine>& engines() { return engines_; }
+  const std::map<VmId, Engine>& engines() const { return engines_; }
   Node& node(std::size_t index) { return nodes_.at(index); }
   std::size_t node_count() const { return nodes_.size(); }
   FakeStore& store() { return store_; }
@@ -374,7 +376,19 @@
     };
     node.core = std::make_unique<GatewayCore>(
         settings, std::move(codecs), SeededRandom(DrawBelow(random_, 1000000)),
-        DiscardEvents());
+        [this](const EventDraft& event) {
+          on_node_event(event);
+          return EventId();
+        });
+  }
+
+  // Publishes the next version of the configuration.
+  void ChangeConfiguration(
+      const std::function<void(FleetConfiguration&)>& change) {
+    change(configuration_);
+    configuration_.version =
+        ConfigurationVersion(configuration_.version.value() + 1);
+    Put("cfg", "0");
   }
 
   // A caller's attempt arrives at the node.
@@ -437,6 +451,11 @@
   // The caller left without a final answer.
   std::function<void(const SimulatedRequest&, std::size_t node)> on_left =
       [](const auto&, std::size_t) {};
+  // The caller got the event of this number from this endpoint.
+  std::function<void(const SimulatedRequest&, const VmId&, int event)>
+      on_delivered = [](const auto&, const VmId&, int) {};
+  // A node reported an event.
+  std::function<void(const EventDraft&)> on_node_event = [](const auto&) {};
   // Requests for a snapshot of all keys.
   int snapshot_requests = 0;
   int role_reads = 0;
@@ -740,8 +759,12 @@
     Take(index, move.id, moved.request, step, moved.events);
   }
 
+ protected:
   // The connection of a stream closes before the end of its answer.
-  void BreakStream(std::size_t index, ForwardId id, const VmId& vm) {
+  void BreakStream(std::size_t index,
+                   ForwardId id,
+                   const VmId& vm,
+                   ForwardEndKind kind = ForwardEndKind::kConnectionBroken) {
     const auto stream =
         std::find_if(streams_.begin(), streams_.end(), [&](const Stream& s) {
           return s.node == index && s.id == id && s.vm == vm;
@@ -752,8 +775,8 @@
     const Stream broken = *stream;
     streams_.erase(stream);
     ForwardEnd end;
-    end.kind = ForwardEndKind::kConnectionBroken;
-    end.closed_by_endpoint = true;
+    end.kind = kind;
+    end.closed_by_endpoint = kind == ForwardEndKind::kConnectionBroken;
     end.delivered = broken.events > 0;
     if (end.delivered) {
       end.last_event = broken.events;
@@ -764,6 +787,7 @@
     Execute(index, core.TakeRequestActions(now_));
   }
 
+ private:
   void Perform(std::size_t /*index*/, const NotifyCrashes& tell) {
     const std::size_t other = std::stoul(tell.address.value());
     const int run = nodes_[other].run;
@@ -805,18 +829,29 @@
     Take(index, next.id, request, next.step);
   }
 
+  // Time until the engine's process answers again.
+  Duration StopTime(const Engine& engine) const {
+    return engine.alive && engine.is_stopped_in_pause
+               ? std::max(Duration(), engine.paused_until - now_)
+               : Duration();
+  }
+
   void Perform(std::size_t index, const CheckEndpoint& check) {
     const int run = nodes_[index].run;
     const Engine& engine = engines_.at(check.vm);
     const PathFault fault = paths_.Of(index, check.vm);
     const bool is_reachable = !engine.node_cut && fault != PathFault::kSilent &&
                               (engine.alive || engine.refuses_connections);
+    const bool is_stopped = StopTime(engine) > check.timeout;
     const ProbeResult result = !is_reachable ? ProbeResult::kUnreachable
+                               : is_stopped  ? ProbeResult::kConnected
                                : engine.alive && fault == PathFault::kNone
                                    ? ProbeResult::kAnswered
                                    : ProbeResult::kRefused;
     ++endpoint_checks;
-    Schedule(is_reachable ? kNetworkDelay * 2 : check.timeout,
+    Schedule(is_reachable
+                 ? std::min(StopTime(engine) + kNetworkDelay * 2, check.timeout)
+                 : check.timeout,
              [this, index, run, check, result] {
                RunAtNode(index, run, [&](GatewayCore& core) {
                  return core.OnCheckReply(now_, check, result);
@@ -832,10 +867,14 @@
         fault == PathFault::kReset || fault == PathFault::kNewRefused;
     const bool answers =
         engine.alive && !engine.node_cut && fault == PathFault::kNone;
-    const ProbeResult result = answers      ? ProbeResult::kAnswered
+    const bool is_stopped = answers && StopTime(engine) > probe.timeout;
+    const ProbeResult result = is_stopped   ? ProbeResult::kConnected
+                               : answers    ? ProbeResult::kAnswered
                                : is_refused ? ProbeResult::kRefused
                                             : ProbeResult::kUnreachable;
-    Schedule(answers || is_refused ? kNetworkDelay * 2 : probe.timeout,
+    Schedule(answers || is_refused
+                 ? std::min(StopTime(engine) + kNetworkDelay * 2, probe.timeout)
+                 : probe.timeout,
              [this, index, run, probe, result] {
                RunAtNode(index, run, [&](GatewayCore& core) {
                  return core.OnProbeReply(
@@ -859,9 +898,10 @@
                [answer] { answer(GroupOrderResult::kUnreachable); });
       return;
     }
-    if (engine.order_delay > Duration()) {
+    const Duration delay = std::max(engine.order_delay, StopTime(engine));
+    if (delay > Duration()) {
       Schedule(send.timeout, [answer] { answer(GroupOrderResult::kNoAnswer); });
-      Schedule(engine.order_delay, [this, send] {
+      Schedule(delay, [this, send] {
         engine_simulation_.Apply(send.vm, send.order, traffic);
       });
       return;
@@ -940,7 +980,8 @@
     }
     if (!arrives || !engines_.at(vm).cooldown) {
       streams_.push_back({node, id, request, vm, engine_simulation_.GroupAt(vm),
-                          events, nodes_[node].run, now_, now_});
+                          events, nodes_[node].run, now_, now_,
+                          now_ + send.time_left});
       return;
     }
     const Duration cooldown = *engines_.at(vm).cooldown;
@@ -1001,9 +1042,12 @@
       constexpr int kEventsPerStream = 20;
       ++stream.events;
       if (stream.request.relayed_by) {
-        Schedule(kNetworkDelay,
-                 [this, source = *stream.request.relayed_by,
-                  events = stream.events] { OnRelayedEvent(source, events); });
+        Schedule(kNetworkDelay, [this, source = *stream.request.relayed_by,
+                                 vm = stream.vm, events = stream.events] {
+          OnRelayedEvent(source, vm, events);
+        });
+      } else {
+        on_delivered(stream.request, stream.vm, stream.events);
       }
       if (stream.events < kEventsPerStream) {
         ++it;
@@ -1158,7 +1202,7 @@
   }
 
   // An event of a relayed stream reaches the first node.
-  void OnRelayedEvent(const RelaySource& source, int events) {
+  void OnRelayedEvent(const RelaySource& source, const VmId& vm, int events) {
     const auto found = relays_.find({source.node, source.id});
     if (found == relays_.end() || !IsRunning(source.node) ||
         nodes_[source.node].run != source.run) {
@@ -1166,6 +1210,7 @@
     }
     found->second.events = events;
     found->second.last_event = now_;
+    on_delivered(found->second.request, vm, events);
     nodes_[source.node].core->OnProgress(now_, source.id);
   }
 
@@ -1218,7 +1263,8 @@
   bool MakesProgress(const Stream& stream) const {
     const Engine& engine = engines_.at(stream.vm);
     return now_ >= stream.sent + queue_delay && engine.alive &&
-           !engine.node_cut && paths_.PassesBytes(stream.node, stream.vm) &&
+           !engine_simulation_.IsPaused(engine, now_) && !engine.node_cut &&
+           paths_.PassesBytes(stream.node, stream.vm) &&
            engine.self.membership &&
            engine.self.membership->group == stream.group &&
            engine_simulation_.HasAllMembers(engine);
@@ -1273,7 +1319,11 @@
   std::vector<Node> nodes_;
   std::vector<Watch> watches_;
   std::multimap<Time, std::function<void()>> queue_;
+
+ protected:
   std::vector<Stream> streams_;
+
+ private:
   // Requests that nodes have passed on to others.
   struct Relay {
     SimulatedRequest request;
--- a/tests/support/simulated_engines.h
+++ b/tests/support/simulated_engines.h
@@ -43,6 +43,10 @@
     std::optional<Duration> cooldown;
     // Its answers say that it is about to stop.
     bool says_leaving = false;
+    // Its streams are silent until this time.
+    Time paused_until;
+    // While it is paused it accepts connections and answers nothing.
+    bool is_stopped_in_pause = false;
     Time unreachable_since;
     std::vector<VmId> group_members;
     std::int64_t joins = 0;
@@ -132,6 +136,14 @@
                        });
   }
 
+  // Whether a member of the group is paused, which silences its streams.
+  bool IsPaused(const Engine& head, Time now) const {
+    return std::any_of(head.group_members.begin(), head.group_members.end(),
+                       [&](const VmId& member) {
+                         return now < engines_.at(member).paused_until;
+                       });
+  }
+
   GroupId GroupAt(const VmId& vm) const {
     const auto& membership = engines_.at(vm).self.membership;
     return membership ? membership->group : GroupId();
