tests: requests of lost groups beside silent ones, and a third kind of pause

SilenceWorld's nodes now send in turn: with all at the same moment, a fleet of 300 had no stream open most of the time. A third kind of pause accepts no new connections either, as a stopped process whose backlog is full, so that path checks find it unreachable. The rule counts what reaches an endpoint after its path is back, and events after the final answer.

--- a/tests/coordination/gateway/silence_test.cc
+++ b/tests/coordination/gateway/silence_test.cc
@@ -22,12 +22,23 @@
   PauseMode mode = PauseMode::kStreams;
 };
 
+std::string NameOf(PauseMode mode) {
+  switch (mode) {
+    case PauseMode::kStreams:
+      return "silent";
+    case PauseMode::kProcess:
+      return "stopped";
+    case PauseMode::kFullBacklog:
+      return "stopped, with a full backlog,";
+  }
+  return "unknown";
+}
+
 std::string Describe(std::size_t nodes, const Silence& silence) {
   return std::to_string(nodes) + " nodes, " +
          std::to_string(static_cast<int>(silence.share * 100)) +
-         " % of the replicas " +
-         (silence.mode == PauseMode::kProcess ? "stopped" : "silent") +
-         " for " + std::to_string(silence.time.millis()) + " ms";
+         " % of the replicas " + NameOf(silence.mode) + " for " +
+         std::to_string(silence.time.millis()) + " ms";
 }
 
 // Pauses replicas while the configuration changes.
@@ -57,15 +68,14 @@
 void ExpectWholeAnswers(std::size_t nodes, const Silence& silence) {
   SilenceWorld world(nodes);
   const std::set<GroupId> groups = world.OpenGroups();
-  world.rule().Start();
+  world.StartRule();
   world.Run(Duration::Seconds(1));
   PauseBesideChange(world, silence, Duration::Seconds(6));
   PauseBesideChange(world, silence, Duration::Seconds(8));
   ExpectSound(world, groups, Describe(nodes, silence));
 }
 
-// Guards against answers that are cut, and groups that are closed, because
-// sound replicas are silent for a while.
+// Guards against answers cut and groups closed because sound replicas pause.
 TEST(SilenceTest, AnswersOfSilentReplicasEndWhole) {
   for (const double share : kShares) {
     for (const Duration time : kPauses) {
@@ -74,8 +84,7 @@
   }
 }
 
-// Guards against the same where the engines' processes are stopped, so that
-// probes and checks are not answered either.
+// Guards against the same where probes and checks are not answered either.
 TEST(SilenceTest, AnswersOfStoppedReplicasEndWhole) {
   for (const double share : kShares) {
     for (const Duration time : kPauses) {
@@ -84,6 +93,15 @@
   }
 }
 
+// Guards against a check of the path that ends attempts without a witness.
+TEST(SilenceTest, AnswersOfReplicasWithFullBacklogsEndWhole) {
+  for (const double share : kShares) {
+    for (const Duration time : kPauses) {
+      ExpectWholeAnswers(7, {share, time, PauseMode::kFullBacklog});
+    }
+  }
+}
+
 TEST(SilenceTest, AnswersOfSilentReplicasEndWholeInAMediumFleet) {
   for (const PauseMode mode : kModes) {
     ExpectWholeAnswers(60, {1.0, kPauses[1], mode});
@@ -105,7 +123,7 @@
   SilenceWorld world(nodes);
   const std::set<GroupId> groups = world.OpenGroups();
   world.FillUp();
-  world.rule().Start();
+  world.StartRule();
   world.Run(Duration::Seconds(1));
   const int refused = world.CountReason("no_capacity");
   PauseBesideChange(world, silence, Duration::Seconds(6));
@@ -114,8 +132,7 @@
   ExpectSound(world, groups, Describe(nodes, silence) + ", full");
 }
 
-// Guards against an attempt that is ended before it is known that another
-// endpoint has room for the request.
+// Guards against an attempt that ends before another endpoint has room.
 TEST(SilenceTest, AnswersOfSilentReplicasEndWholeAtFullLoad) {
   for (const PauseMode mode : kModes) {
     for (const double share : kShares) {
@@ -135,15 +152,14 @@
     const int refused = world.CountReason("retry_budget");
     world.SpendRetries();
     EXPECT_GT(world.CountReason("retry_budget"), refused);
-    world.rule().Start();
+    world.StartRule();
     world.Run(Duration::Seconds(1));
     PauseBesideChange(world, silence, limit);
   }
   ExpectSound(world, groups, Describe(nodes, silence) + ", no retries");
 }
 
-// Guards against an attempt that is ended before it is known that the retry
-// budget allows another one.
+// Guards against an attempt that ends before the retry budget allows another.
 TEST(SilenceTest, AnswersOfSilentReplicasEndWholeWithoutRetries) {
   for (const std::size_t nodes : {7UL, 60UL}) {
     for (const PauseMode mode : kModes) {
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -428,6 +428,8 @@
   int crash_notices = 0;
   bool lose_crash_notices = false;
   bool lose_limit_notices = false;
+  // Whether new connections to engines that were killed time out.
+  bool lost_machines_time_out = false;
   // Whether engines accept new connections for requests.
   bool engines_listen = true;
   // Time that a request waits at an engine before it begins to run.
@@ -966,7 +968,9 @@
         !engines_listen || (!engine.alive && engine.refuses_connections) ||
         (is_new &&
          (fault == PathFault::kReset || fault == PathFault::kNewRefused));
-    const bool times_out = is_new && fault == PathFault::kSilent;
+    const bool is_lost =
+        lost_machines_time_out && !engine.alive && !engine.refuses_connections;
+    const bool times_out = is_new && (fault == PathFault::kSilent || is_lost);
     if (is_refused || times_out) {
       Schedule(is_refused ? kNetworkDelay * 2 : kConnectTimeout,
                [this, node, id, request, events, run = nodes_[node].run] {
--- a/tests/support/silence_rule.h
+++ b/tests/support/silence_rule.h
@@ -2,6 +2,9 @@
 #define TESTS_SUPPORT_SILENCE_RULE_H_
 
 #include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -17,53 +20,55 @@
 // lost.
 class SilenceRule {
  public:
-  explicit SilenceRule(int events_per_answer)
-      : events_per_answer_(events_per_answer) {}
+  // The requests' route allows `max_runs`.
+  SilenceRule(int events_per_answer, std::size_t max_runs)
+      : events_per_answer_(events_per_answer), max_runs_(max_runs) {}
 
-  // Requests that arrive from now on count.
-  void Start() {
+  // Requests of larger contents than this one count.
+  void Start(Fingerprint last) {
     open_.clear();
-    is_active_ = true;
-  }
-  void Stop() {
-    open_.clear();
-    is_active_ = false;
+    last_ignored_ = last;
   }
+  void Stop() { Start(Fingerprint(std::numeric_limits<std::int64_t>::max())); }
   // Violations are described relative to this time.
   void OnPause(Time now) { paused_at_ = now; }
 
-  // The request reached an endpoint of the group. Its route allows `max_runs`.
-  void OnArrival(Fingerprint content, const GroupId& group, int max_runs) {
-    if (!is_active_) {
-      return;
-    }
-    Request& request = open_[content];
-    request.groups.push_back(group);
-    if (++request.runs > max_runs) {
-      extra_runs_.push_back(content);
+  // The request reached an endpoint of the group.
+  void OnArrival(Fingerprint content, const GroupId& group) {
+    if (IsCounted(content)) {
+      AddRun(content, open_[content], group);
     }
   }
   // The endpoint stated that it did not run the request.
-  void OnNotRun(Fingerprint content) {
-    if (Request* request = Find(content)) {
-      --request->runs;
-      request->groups.pop_back();
+  void OnNotRun(Fingerprint content, const GroupId& group) {
+    const auto found = open_.find(content);
+    if (found != open_.end()) {
+      std::erase(found->second.groups, group);
     }
   }
-  void OnDelivered(Fingerprint content, int event) {
-    Request* request = Find(content);
-    if (request == nullptr) {
+  // The caller got an event of an endpoint of the group.
+  void OnDelivered(Fingerprint content, const GroupId& group, int event) {
+    if (!IsCounted(content)) {
       return;
     }
-    if (event != request->last_event + 1) {
-      wrong_events_.push_back(content);
+    if (ended_.contains(content)) {
+      wrong_events_.insert(content);
+      return;
+    }
+    Request& request = open_[content];
+    if (event != request.last_event + 1) {
+      wrong_events_.insert(content);
+    }
+    request.last_event = event;
+    // The request reached the endpoint after the path to it was back.
+    if (std::count(request.groups.begin(), request.groups.end(), group) == 0) {
+      AddRun(content, request, group);
     }
-    request->last_event = event;
   }
   // An attempt of the request reached the request's time limit.
   void OnTimedOut(Fingerprint content) {
-    if (Request* request = Find(content)) {
-      request->is_timed_out = true;
+    if (IsCounted(content) && !ended_.contains(content)) {
+      open_[content].is_timed_out = true;
     }
   }
   // `cause` is what the node reports of an answer that is cut.
@@ -71,27 +76,32 @@
                Fingerprint content,
                const ForwardStep& step,
                const std::string& cause) {
-    const Request* request = Find(content);
-    if (request == nullptr) {
+    const auto found = open_.find(content);
+    if (found == open_.end()) {
       return;
     }
+    const Request& request = found->second;
     if (std::holds_alternative<PassAnswer>(step)) {
       ++whole_;
-      if (request->last_event != events_per_answer_) {
-        wrong_events_.push_back(content);
+      if (request.last_event != events_per_answer_) {
+        wrong_events_.insert(content);
       }
     } else if ((std::holds_alternative<ForwardTruncated>(step) ||
                 std::holds_alternative<ForwardOutcomeUnknown>(step)) &&
-               !request->is_timed_out && RunsAtSoundGroup(*request)) {
+               !request.is_timed_out && RunsAtSoundGroup(request)) {
       if (cut_.empty()) {
         first_cut_ = SincePause(now);
       }
       ++cut_[cause];
     }
-    open_.erase(content);
+    OnLeft(content);
   }
   // The caller left before the end of its answer.
-  void OnLeft(Fingerprint content) { open_.erase(content); }
+  void OnLeft(Fingerprint content) {
+    if (open_.erase(content) > 0) {
+      ended_.insert(content);
+    }
+  }
 
   // A member of the group is lost.
   void OnGroupLost(const GroupId& group) { lost_groups_.insert(group); }
@@ -129,23 +139,24 @@
   int whole() const { return whole_; }
   // Number of requests that reached an endpoint and have not ended.
   std::size_t open() const { return open_.size(); }
-  bool IsOpen(Fingerprint content) const { return open_.contains(content); }
   bool IsLost(const GroupId& group) const {
     return lost_groups_.contains(group);
   }
 
  private:
   struct Request {
-    // Groups of the endpoints that it reached.
+    // Groups of the endpoints that it reached, one for each run.
     std::vector<GroupId> groups;
-    int runs = 0;
     int last_event = 0;
     bool is_timed_out = false;
   };
 
-  Request* Find(Fingerprint content) {
-    const auto found = open_.find(content);
-    return found == open_.end() ? nullptr : &found->second;
+  bool IsCounted(Fingerprint content) const { return content > last_ignored_; }
+  void AddRun(Fingerprint content, Request& request, const GroupId& group) {
+    request.groups.push_back(group);
+    if (request.groups.size() > max_runs_) {
+      extra_runs_.insert(content);
+    }
   }
   // Closing a sound group is a violation of its own.
   bool RunsAtSoundGroup(const Request& request) const {
@@ -159,17 +170,19 @@
   std::string SincePause(Time now) const {
     return "+" + std::to_string((now - paused_at_).millis()) + " ms";
   }
-  static std::string Count(const std::vector<Fingerprint>& requests) {
+  static std::string Count(const std::set<Fingerprint>& requests) {
     return requests.empty()
                ? ""
                : std::to_string(requests.size()) + ", first request " +
-                     std::to_string(requests.front().value());
+                     std::to_string(requests.begin()->value());
   }
 
   int events_per_answer_;
-  bool is_active_ = false;
+  std::size_t max_runs_;
+  Fingerprint last_ignored_{std::numeric_limits<std::int64_t>::max()};
   Time paused_at_;
   std::map<Fingerprint, Request> open_;
+  std::set<Fingerprint> ended_;
   std::set<GroupId> lost_groups_;
   std::set<GroupId> closed_groups_;
   int whole_ = 0;
@@ -178,8 +191,8 @@
   std::string first_cut_;
   // Number of closed groups by reason and time.
   std::map<std::string, int> closed_;
-  std::vector<Fingerprint> extra_runs_;
-  std::vector<Fingerprint> wrong_events_;
+  std::set<Fingerprint> extra_runs_;
+  std::set<Fingerprint> wrong_events_;
 };
 
 }  // namespace gcw
--- a/tests/support/silence_world.h
+++ b/tests/support/silence_world.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -25,6 +26,8 @@
   kStreams,
   // Its process is stopped: connections are accepted, nothing is answered.
   kProcess,
+  // The same, and its queue of new connections is full.
+  kFullBacklog,
 };
 
 // A fleet whose engines fall silent for a while and go on, or are lost without
@@ -32,8 +35,6 @@
 // refuse what still waits there and close its streams.
 class SilenceWorld : public GatewayWorld {
  public:
-  static constexpr int kMaxRuns = 2;
-
   explicit SilenceWorld(std::size_t nodes,
                         std::uint64_t seed = 7,
                         std::size_t domains = 5)
@@ -41,15 +42,21 @@
         random_(SeededRandom(seed + 1)) {
     on_arrival = [this](const SimulatedRequest& request, std::size_t,
                         const VmId& vm) {
-      rule_.OnArrival(request.content, GroupOf(vm), kMaxRuns);
+      rule_.OnArrival(request.content, GroupOf(vm));
+      if (rule_.IsLost(GroupOf(vm))) {
+        sent_to_lost_groups_.insert(request.content);
+      }
     };
-    on_delivered = [this](const SimulatedRequest& request, const VmId&,
+    on_delivered = [this](const SimulatedRequest& request, const VmId& vm,
                           int event) {
-      rule_.OnDelivered(request.content, event);
+      rule_.OnDelivered(request.content, GroupOf(vm), event);
     };
     on_final = [this](const SimulatedRequest& request, std::size_t,
                       const ForwardStep& step) {
       rule_.OnFinal(now(), request.content, step, last_outcome_);
+      if (std::holds_alternative<PassAnswer>(step)) {
+        served_.insert(request.content);
+      }
     };
     on_left = [this](const SimulatedRequest& request, std::size_t) {
       rule_.OnLeft(request.content);
@@ -60,6 +67,11 @@
       return open_groups("large") >= domains && open_groups("small") >= domains;
     }));
     ReviewStreams();
+    lost_machines_time_out = true;
+    for (std::size_t node = 0; node < nodes; ++node) {
+      idle_nodes.insert(node);
+    }
+    SendTraffic();
     // The fleet gets as many requests at any size.
     request_interval = Duration::Millis(
         std::max<std::int64_t>(50, static_cast<std::int64_t>(nodes) * 10));
@@ -67,6 +79,9 @@
     Run(Duration::Seconds(3));
   }
 
+  // The rule counts the requests that are sent from now on.
+  void StartRule() { rule_.Start(Fingerprint(last_content_)); }
+
   // Pauses this share of the replicas, drawn at random.
   void Pause(double share, Duration time, PauseMode mode) {
     std::vector<VmId> heads = OpenHeads();
@@ -83,20 +98,40 @@
     for (const VmId& member : GroupMembersOf(head)) {
       Engine& paused = engine(member);
       paused.paused_until = now() + time;
-      paused.is_stopped_in_pause = mode == PauseMode::kProcess;
+      paused.is_stopped_in_pause = mode != PauseMode::kStreams;
+      if (mode == PauseMode::kFullBacklog) {
+        SetPathsTo(member, PathFault::kSilent);
+        Schedule(time,
+                 [this, member] { SetPathsTo(member, PathFault::kNone); });
+      }
     }
   }
 
   // The VM is lost for good, and nobody is told.
   void Lose(const VmId& vm) {
-    rule_.OnGroupLost(GroupOf(vm));
+    LoseGroup(GroupOf(vm));
     Kill(vm);
   }
-  // The engine's process ends, which closes its connections.
+  // The engine's process ends, which closes its connections. It starts again
+  // without its group.
   void LoseProcess(const VmId& vm) {
-    rule_.OnGroupLost(GroupOf(vm));
+    LoseGroup(GroupOf(vm));
     Crash(vm);
   }
+  // The engine's process stops for good.
+  void Hang(const VmId& vm) {
+    LoseGroup(GroupOf(vm));
+    engine(vm).paused_until = now() + Duration::Seconds(3600);
+    engine(vm).is_stopped_in_pause = true;
+  }
+  // All VMs of the domain are lost for good.
+  void LoseDomain(const std::string& domain) {
+    for (const auto& [vm, engine] : engines()) {
+      if (engine.self.domain == FabricDomainId(domain)) {
+        Lose(vm);
+      }
+    }
+  }
 
   // Leaves the nodes hardly any room for a request that is moved.
   void FillUp() {
@@ -155,15 +190,27 @@
     return groups;
   }
 
-  // Requests that run, or wait, at the engine.
-  std::vector<Fingerprint> RequestsAt(const VmId& vm) const {
-    std::vector<Fingerprint> requests;
-    for (const Stream& stream : streams_) {
-      if (stream.vm == vm) {
-        requests.push_back(stream.request.content);
-      }
+  // Requests that ran, or waited, at groups as these lost a member.
+  const std::set<Fingerprint>& requests_at_lost_groups() const {
+    return at_lost_groups_;
+  }
+  // Requests that reached groups after these had lost a member.
+  const std::set<Fingerprint>& requests_sent_to_lost_groups() const {
+    return sent_to_lost_groups_;
+  }
+  // Returns how many of the requests were not served; empty if all were.
+  std::string Unserved(const std::set<Fingerprint>& requests) const {
+    std::size_t left = 0;
+    std::size_t unserved = 0;
+    for (const Fingerprint content : requests) {
+      left += left_.contains(content) ? 1 : 0;
+      unserved += served_.contains(content) ? 0 : 1;
     }
-    return requests;
+    return unserved == 0 ? ""
+                         : std::to_string(unserved) + " of " +
+                               std::to_string(requests.size()) +
+                               " not served, callers of " +
+                               std::to_string(left) + " left";
   }
 
   // Number of events of requests that name this reason.
@@ -172,12 +219,11 @@
     return found == reasons_.end() ? 0 : found->second;
   }
 
-  bool HasLeft(Fingerprint content) const { return left_.contains(content); }
-  std::size_t callers_left() const { return left_.size(); }
   SilenceRule& rule() { return rule_; }
 
  private:
   static constexpr int kEventsPerAnswer = 20;
+  static constexpr std::size_t kMaxRuns = 2;
   static constexpr Duration kReviewInterval = Duration::Millis(50);
 
   GroupId GroupOf(const VmId& vm) const {
@@ -185,6 +231,25 @@
     return membership ? membership->group : GroupId();
   }
 
+  void SetPathsTo(const VmId& vm, PathFault fault) {
+    for (std::size_t node = 0; node < node_count(); ++node) {
+      SetPath(node, vm, fault);
+    }
+  }
+
+  // A member of the group is lost.
+  void LoseGroup(const GroupId& group) {
+    if (group.empty()) {
+      return;
+    }
+    rule_.OnGroupLost(group);
+    for (const Stream& stream : streams_) {
+      if (stream.group == group) {
+        at_lost_groups_.insert(stream.request.content);
+      }
+    }
+  }
+
   static std::string FieldOf(const EventDraft& event, std::string_view name) {
     for (const EventField& field : event.fields) {
       if (field.name == name) {
@@ -212,6 +277,27 @@
     }
   }
 
+  // Each node sends requests at the interval, and no two nodes of a small fleet
+  // at the same moment.
+  void SendTraffic() {
+    Schedule(kStep, [this] { SendTraffic(); });
+    if (!traffic) {
+      return;
+    }
+    const auto turns =
+        static_cast<std::size_t>(request_interval.millis() / kStep.millis());
+    const auto turn =
+        static_cast<std::size_t>(now().millis() / kStep.millis()) % turns;
+    for (std::size_t node = turn; node < node_count(); node += turns) {
+      for (const char* model : {"large", "small"}) {
+        SimulatedRequest request;
+        request.model = model;
+        request.content = Fingerprint(++last_content_);
+        Send(node, request);
+      }
+    }
+  }
+
   // Ends attempts at their time limits, and those at engines that left the
   // group.
   void ReviewStreams() {
@@ -239,7 +325,7 @@
       if (ending.kind == ForwardEndKind::kDeadlineExceeded) {
         rule_.OnTimedOut(content);
       } else if (ending.kind == ForwardEndKind::kOtherVm) {
-        rule_.OnNotRun(content);
+        rule_.OnNotRun(content, ending.stream.group);
       }
       BreakStream(ending.stream.node, ending.stream.id, ending.stream.vm,
                   ending.kind);
@@ -248,11 +334,16 @@
   }
 
   Random random_;
-  SilenceRule rule_{kEventsPerAnswer};
+  std::int64_t last_content_ = kFirstOwnContent;
+  SilenceRule rule_{kEventsPerAnswer, kMaxRuns};
   std::map<std::string, int> reasons_;
   // How the last request ended whose outcome is unknown to its caller.
   std::string last_outcome_;
+  // Requests whose callers left, and those with a whole answer.
   std::set<Fingerprint> left_;
+  std::set<Fingerprint> served_;
+  std::set<Fingerprint> at_lost_groups_;
+  std::set<Fingerprint> sent_to_lost_groups_;
 };
 
 }  // namespace gcw
