tests: silent replicas of 300 nodes at full load and without retries

Full, 60 % silent: 920 answers cut, 29231 whole, most with 'silent, no_capacity'. Without retries, all stopped: 400 cut, 1004 whole, 'silent, retry_budget', and all 10 groups closed as 'member_silent' 1.0 s after each pause began.

--- a/tests/coordination/gateway/silence_test.cc
+++ b/tests/coordination/gateway/silence_test.cc
@@ -142,6 +142,10 @@
   }
 }
 
+TEST(SilenceTest, AnswersOfSilentReplicasEndWholeAtFullLoadInALargeFleet) {
+  ExpectWholeAnswersAtFullLoad(300, {0.6, kPauses[1], PauseMode::kStreams});
+}
+
 // Pauses replicas while the nodes may send no retries.
 void ExpectWholeAnswersWithoutRetries(std::size_t nodes,
                                       const Silence& silence) {
@@ -159,6 +163,10 @@
   ExpectSound(world, groups, Describe(nodes, silence) + ", no retries");
 }
 
+TEST(SilenceTest, AnswersOfSilentReplicasEndWholeWithoutRetriesInALargeFleet) {
+  ExpectWholeAnswersWithoutRetries(300, {1.0, kPauses[1], PauseMode::kProcess});
+}
+
 // Guards against an attempt that ends before the retry budget allows another.
 TEST(SilenceTest, AnswersOfSilentReplicasEndWholeWithoutRetries) {
   for (const std::size_t nodes : {7UL, 60UL}) {
--- a/tests/support/silence_world.h
+++ b/tests/support/silence_world.h
@@ -135,10 +135,12 @@
 
   // Leaves the nodes hardly any room for a request that is moved.
   void FillUp() {
-    ChangeConfiguration([](FleetConfiguration& configuration) {
-      configuration.services.front().engine->batch_limit = 4;
+    // Fewer requests fill a large fleet if its engines have fewer slots.
+    const bool is_large = node_count() > 100;
+    ChangeConfiguration([is_large](FleetConfiguration& configuration) {
+      configuration.services.front().engine->batch_limit = is_large ? 2 : 4;
     });
-    request_interval = Duration::Millis(100);
+    request_interval = Duration::Millis(is_large ? 200 : 100);
     Run(Duration::Seconds(3));
   }
 
