standin: endpoints of the platform run in processes of their own

`gcw-standin platform` holds the store and all endpoints in one process, so that a test could kill an endpoint but not stop one: a signal would have stopped the store too. `gcw-standin endpoint` runs one PlatformEngine and registers with the platform's stand-in over `POST /standin/register`, every 1.2 s; a registration lapses after 3.6 s as before. The first member of a group calls the other members at each pass, in place of the look into the shared process, so that a stopped or killed member holds the group's streams up.

--- a/programs/gcw_standin/commands.cc
+++ b/programs/gcw_standin/commands.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "programs/gcw_standin/command_line.h"
+#include "programs/gcw_standin/endpoint_http_frontend.h"
 #include "programs/gcw_standin/engine_http_frontend.h"
 #include "programs/gcw_standin/platform_http_frontend.h"
 #include "programs/gcw_standin/service_http_frontend.h"
@@ -164,6 +165,57 @@
   return description;
 }
 
+EndpointHttpFrontend::Settings EndpointSettings(const ParsedCommand& parsed) {
+  EndpointHttpFrontend::Settings settings;
+  settings.platform = Address(Get<std::string>(parsed, "platform"));
+  settings.ip = parsed.common.ip;
+  PlatformEngine::Settings& engine = settings.engine;
+  engine.event_interval = GetMillis(parsed, "event-ms");
+  engine.events = Get<int>(parsed, "events");
+  engine.time_scale = Get<double>(parsed, "time-scale");
+  VmRegistration& registration = engine.registration;
+  registration.id = VmId(Get<std::string>(parsed, "vm"));
+  registration.zone = ZoneId("zone-1");
+  registration.domain = FabricDomainId(Get<std::string>(parsed, "domain"));
+  if (registration.domain.empty()) {
+    registration.service = ServiceId("desk");
+    registration.slots = 6;
+    return settings;
+  }
+  registration.service = ServiceId("llm");
+  engine.engine = StandinEngineProfile();
+  registration.slots = engine.engine->batch_limit;
+  return settings;
+}
+
+int RunEndpoint(const ParsedCommand& parsed) {
+  const EndpointHttpFrontend::Settings settings = EndpointSettings(parsed);
+  if (settings.engine.event_interval <= Duration()) {
+    std::cerr << "gcw-standin endpoint: --event-ms must be positive\n";
+    return kExitUsage;
+  }
+  return Serve("endpoint", parsed.common, [&](StandinServer& server) {
+    return std::make_unique<EndpointHttpFrontend>(server, settings);
+  });
+}
+
+Description EndpointOptions() {
+  const PlatformEngine::Settings engine;
+  Description description("One endpoint of the users' platform");
+  description.add_options()("vm", options::value<std::string>()->required(),
+                            "id of the VM")(
+      "platform", options::value<std::string>()->required(),
+      "IP:PORT of the platform's stand-in")(
+      "domain", Default(std::string()),
+      "fabric domain of a model engine; if empty, the endpoint is a process of "
+      "the plain service")("event-ms", Default(engine.event_interval.millis()),
+                           "milliseconds between two events of a stream")(
+      "events", Default(engine.events), "events of a stream")(
+      "time-scale", Default(engine.time_scale),
+      "factor by which load and warm-up times are multiplied");
+  return description;
+}
+
 int RunWeights(const ParsedCommand& parsed) {
   const auto rate = Get<std::int64_t>(parsed, "bytes-per-s");
   if (rate <= 0) {
@@ -280,6 +332,8 @@
      "  gcw-standin vmlist --port 7002 --vms vms.json --fault lag_ms=3000\n"},
     {"platform", PlatformOptions, RunPlatform,
      "  gcw-standin platform --port 7005 --domains 2 --vms 11\n"},
+    {"endpoint", EndpointOptions, RunEndpoint,
+     "  gcw-standin endpoint --vm vm-1 --platform 127.0.0.1:7005 --domain d\n"},
     {"weights", WeightsOptions, RunWeights,
      "  gcw-standin weights --port 7003 --bytes-per-s 500000000\n"},
     {"engine", EngineOptions, RunEngine,
--- a/programs/gcw_standin/platform_engine.cc
+++ b/programs/gcw_standin/platform_engine.cc
@@ -80,6 +80,8 @@
     responder->Respond({kOk, {{"Content-Type", "application/json"}}, "{}"});
   } else if (path == kOrderPath) {
     HandleOrder(request, *responder);
+  } else if (path == kPassPath) {
+    HandlePass(request, *responder);
   } else {
     HandleWork(request, responder);
   }
@@ -121,6 +123,14 @@
   });
 }
 
+void PlatformEngine::HandlePass(const HttpRequest& request,
+                                HttpResponder& responder) const {
+  const auto& membership = settings_.registration.membership;
+  const bool is_member = membership && membership->group.value() ==
+                                           QueryValue(request.target, "group");
+  responder.Respond({is_member ? kOk : kConflict, {}, {}});
+}
+
 void PlatformEngine::HandleOrder(const HttpRequest& request,
                                  HttpResponder& responder) {
   boost::json::error_code error;
--- a/programs/gcw_standin/platform_engine.h
+++ b/programs/gcw_standin/platform_engine.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,10 @@
 
 namespace gcw {
 
+// Path of the calls that the first member of a group makes to the others at a
+// forward pass. The query names the group.
+inline constexpr std::string_view kPassPath = "/standin/pass";
+
 // One endpoint of the users' platform: either a VM that carries out group
 // orders and streams answers as the first member of an open group, or a process
 // of a plain service. It does not simulate batches, memory, forward passes (an
@@ -79,6 +84,7 @@
                   const std::shared_ptr<HttpResponder>& responder);
   // Crashes a moment after the request has begun to run.
   void Crash(const std::shared_ptr<HttpResponder>& responder);
+  void HandlePass(const HttpRequest& request, HttpResponder& responder) const;
   void HandleOrder(const HttpRequest& request, HttpResponder& responder);
   int Join(const boost::json::object& order);
   int Open(const boost::json::object& order);
--- a/programs/gcw_standin/platform_http_frontend.cc
+++ b/programs/gcw_standin/platform_http_frontend.cc
@@ -54,8 +54,10 @@
     registration.slots = 6;
     AddEngine(registration, std::nullopt);
   }
-  server_.RunEvery(kTickInterval,
-                   [this](Time now) { Deliver(store_.Tick(now)); });
+  server_.RunEvery(kTickInterval, [this](Time now) {
+    Deliver(store_.Tick(now));
+    RemoveExpiredRemotes(now);
+  });
 }
 
 void PlatformHttpFrontend::AddEngine(const VmRegistration& registration,
@@ -125,6 +127,11 @@
       return;
     }
   }
+  if (path == "/standin/register") {
+    const int status = RegisterRemote(request);
+    responder.Respond({status, {}, DescribeRemoteAddresses()});
+    return;
+  }
   if (path == "/standin/configure") {
     WriteNextConfiguration(request);
     responder.Respond({kOk, {}, {}});
@@ -308,6 +315,43 @@
         EncodeRegistrationEntry(engine.registration()));
 }
 
+int PlatformHttpFrontend::RegisterRemote(const HttpRequest& request) {
+  const std::string vm = QueryValue(request.target, "vm");
+  boost::json::error_code error;
+  const boost::json::value value = boost::json::parse(request.body, error);
+  if (vm.empty() || error || !value.is_object() ||
+      !value.as_object().contains("address")) {
+    return kBadRequest;
+  }
+  RemoteEndpoint& endpoint = remote_endpoints_[VmId(vm)];
+  endpoint.last_heard = server_.now();
+  endpoint.address = value.as_object().at("address").as_string();
+  if (endpoint.entry != request.body) {
+    endpoint.entry = request.body;
+    Write(std::string(kVmPrefix) + vm, request.body);
+  }
+  return kOk;
+}
+
+void PlatformHttpFrontend::RemoveExpiredRemotes(Time now) {
+  std::erase_if(remote_endpoints_, [this, now](const auto& entry) {
+    const bool has_expired =
+        now - entry.second.last_heard > kRegistrationTimeout;
+    if (has_expired) {
+      Remove(entry.first);
+    }
+    return has_expired;
+  });
+}
+
+std::string PlatformHttpFrontend::DescribeRemoteAddresses() const {
+  boost::json::object addresses;
+  for (const auto& [vm, endpoint] : remote_endpoints_) {
+    addresses[vm.value()] = endpoint.address;
+  }
+  return boost::json::serialize(addresses);
+}
+
 void PlatformHttpFrontend::Write(const std::string& key,
                                  const std::string& value) {
   const StorePut put{key, value, revisions_[key], LeaseId()};
--- a/programs/gcw_standin/platform_http_frontend.h
+++ b/programs/gcw_standin/platform_http_frontend.h
@@ -28,7 +28,10 @@
 // or addresses that are reused. Injected faults apply to the store, not to the
 // endpoints.
 //
-// `POST /standin/kill?vm=ID` stops an endpoint without notice.
+// `POST /standin/register?vm=ID` with an entry as its body registers an
+// endpoint that runs in a process of its own, until it has not been repeated
+// for 3.6 s; the answer lists the addresses of all endpoints that are
+// registered so. `POST /standin/kill?vm=ID` stops an endpoint without notice.
 // `POST /standin/configure?max_body_bytes=N` or `?key=KEY` writes the next
 // version of the document. `GET /standin/runs` returns how many requests each
 // endpoint has started. `POST /standin/limit?vm=ID&per_s=N` makes an endpoint
@@ -59,6 +62,10 @@
   void AddEngine(const VmRegistration& registration,
                  std::optional<EngineProfile> engine);
   void Register(const PlatformEngine& engine);
+  // Returns the status of the answer.
+  int RegisterRemote(const HttpRequest& request);
+  void RemoveExpiredRemotes(Time now);
+  std::string DescribeRemoteAddresses() const;
   void Remove(const VmId& vm);
   void WriteNextConfiguration(const HttpRequest& request);
   // Returns the status of the answer.
@@ -84,6 +91,13 @@
   };
   std::map<Ticket, PendingCall> pending_calls_;
   std::map<VmId, std::unique_ptr<PlatformEngine>> engines_;
+  // An endpoint that runs in a process of its own.
+  struct RemoteEndpoint {
+    std::string entry;
+    std::string address;
+    Time last_heard;
+  };
+  std::map<VmId, RemoteEndpoint> remote_endpoints_;
   // Bodies of requests that crash endpoints.
   std::set<std::string> crashing_bodies_;
   std::set<std::string> crashing_parts_;
