--- a/tests/support/gateway_path.h
+++ b/tests/support/gateway_path.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -22,8 +23,13 @@
  protected:
   static constexpr Duration kCallTimeout = Duration::Seconds(10);
 
-  GatewayPathTest() : client_(context_), thread_([this] { context_.run(); }) {
-    store_ = fleet_.StartStandin("platform", {"platform", "--domains", "1"});
+  // `options` are those of the platform's stand-in.
+  explicit GatewayPathTest(
+      const std::vector<std::string>& options = {"--domains", "1"})
+      : client_(context_), thread_([this] { context_.run(); }) {
+    std::vector<std::string> arguments = {"platform"};
+    arguments.insert(arguments.end(), options.begin(), options.end());
+    store_ = fleet_.StartStandin("platform", arguments);
     first_ = fleet_.StartGateway("gw-1", store_);
     second_ = fleet_.StartGateway("gw-2", store_);
   }
