standin: an endpoint in its own process can ask for a cooldown

`POST /standin/cooldown?ms=N` at the endpoint's control address, as the platform's stand-in has it for its own endpoints: a group that refuses what is moved to it.

--- a/programs/gcw_standin/endpoint_http_frontend.cc
+++ b/programs/gcw_standin/endpoint_http_frontend.cc
@@ -1,6 +1,8 @@
 #include "programs/gcw_standin/endpoint_http_frontend.h"
 
+#include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include <boost/json.hpp>
@@ -47,8 +49,18 @@
 }
 
 void EndpointHttpFrontend::Handle(const HttpRequest& request,
-                                  HttpResponder& responder) const {
-  if (TargetPath(request.target) != "/standin/runs") {
+                                  HttpResponder& responder) {
+  const std::string_view path = TargetPath(request.target);
+  if (path == "/standin/cooldown") {
+    std::optional<Duration> cooldown;
+    if (const auto millis = QueryNumber(request.target, "ms")) {
+      cooldown = Duration::Millis(*millis);
+    }
+    engine_.SetCooldown(cooldown);
+    responder.Respond({kOk, {}, {}});
+    return;
+  }
+  if (path != "/standin/runs") {
     responder.Respond(NotFoundResponse());
     return;
   }
--- a/programs/gcw_standin/endpoint_http_frontend.h
+++ b/programs/gcw_standin/endpoint_http_frontend.h
@@ -14,7 +14,9 @@
 // registers with a `PlatformHttpFrontend`. Unlike the endpoints that run there,
 // it can be stopped, continued and killed by signals.
 //
-// `GET /standin/runs` returns how many requests it has started.
+// `GET /standin/runs` returns how many requests it has started. `POST
+// /standin/cooldown?ms=N` makes it refuse requests and ask for that cooldown,
+// or accept them without `ms`.
 class EndpointHttpFrontend {
  public:
   struct Settings {
@@ -29,7 +31,7 @@
   StandinServer::Hooks MakeHooks();
 
  private:
-  void Handle(const HttpRequest& request, HttpResponder& responder) const;
+  void Handle(const HttpRequest& request, HttpResponder& responder);
   // Sends the registration. A change while a call is in progress is sent after
   // it, so that an older registration never replaces a newer one.
   void Register();
