gateway: an open group ends only on evidence that a member is lost

Callers saw streams cut at sound groups about a second after a member's process paused (`group_closed`, `member_silent`).

Cause: a single failed probe of one member dissolved its group, whether the process was gone, the VM unreachable, a packet lost (a SYN is sent again after 1 s, the probe waits 200 ms) or the process only silent. And each further report of a node sent another probe at once, which started the 320 ms for witnesses over: with a report each 80 ms, a member that refused connections was never given up.

Change: a member that accepts the connection and answers nothing does not end an open group. One that is out of reach does so after two failed probes in a row, 250 ms apart; one that refuses, or whose address another VM has, after one as before. Witnesses and planning are unchanged: a member in doubt joins no new group. A failed load probe no longer counts as the answer to a probe of the member's health.

--- a/coordination/gateway/fleet_controller.h
+++ b/coordination/gateway/fleet_controller.h
@@ -45,7 +45,13 @@
   Duration probe_timeout = Duration::Millis(200);
   // Interval between two probes of a VM that is unresponsive or slow.
   Duration probe_interval = Duration::Millis(1000);
-  // A member that does not answer a probe is given up this long after the probe
+  // Minimum interval between two probes of a VM. The second failure in a row is
+  // sought this soon, so that one lost packet does not decide.
+  Duration probe_retry_interval = Duration::Millis(250);
+  // Number of probes in a row that must fail to connect before a member of an
+  // open group counts as lost.
+  int min_unreachable_probes = 2;
+  // A member that is found lost is given up this long after the last probe
   // was sent, unless its group has made progress since: then only this node has
   // lost its path to the member. Other nodes tell of progress meanwhile.
   Duration witness_time = Duration::Millis(320);
@@ -212,6 +218,11 @@
     Time probed_at;
     // When the last probe was sent that got no answer.
     Time failed_at;
+    // How the last probe failed, and the number of probes in a row that failed,
+    // in any way and without a connection.
+    ProbeResult failure = ProbeResult::kConnected;
+    int failed_probes = 0;
+    int unreachable_probes = 0;
     Address address;
   };
 
@@ -310,6 +321,13 @@
                            const PlannedStaging& staging);
   void OrderStaging(Time now, const VmRegistration& vm, const ModelId& model);
   void ProbeSuspects(Time now, const FleetView& view);
+  // Records that a probe of the VM's health got no answer.
+  void RecordFailedProbe(const VmId& vm, Suspect& suspect, ProbeResult failure);
+  // Reports that the VM is not put into any group, or only as the last choice.
+  void ReportQuarantine(const VmId& vm, const ProbeReport& report);
+  // Whether the next probe is due soon, because a single failure decides
+  // nothing.
+  bool NeedsAnotherProbe(const Suspect& suspect) const;
   // Asks one serving group for its load, round-robin over models and domains.
   void ProbeDemand(Time now, const FleetView& view);
   // Returns the first member of a group of the model that serves in the domain,
@@ -317,11 +335,12 @@
   const VmRegistration* FindServingHead(const FleetView& view,
                                         const Domain& domain,
                                         const ModelId& model);
-  // Marks the VM's health as in doubt, so that it is probed at once.
+  // Marks the VM's health as in doubt, so that it is probed as soon as
+  // possible.
   void SuspectVm(Time now, const VmId& vm, const Address& address);
   bool IsUnresponsive(const VmId& vm) const;
   // Whether a serving group's member that does not answer this node may be
-  // alive.
+  // alive: it is only silent, or other nodes see its group make progress.
   bool MayBeAlive(Time now, const GroupRecord& group, const VmId& member) const;
   bool IsSlow(const VmId& vm) const;
   // Whether the VM's health is in doubt and no probe has settled it yet.
--- a/coordination/gateway/fleet_controller_probes.cc
+++ b/coordination/gateway/fleet_controller_probes.cc
@@ -14,8 +14,13 @@
                                 const Address& address) {
   Suspect& suspect = suspects_[vm];
   suspect.address = address;
-  if (!suspect.probe_pending) {
-    suspect.next_probe = now;
+  // A failure that decides is followed by the time for witnesses, which another
+  // probe would start over.
+  const bool is_decided =
+      suspect.is_unresponsive && !NeedsAnotherProbe(suspect);
+  if (!suspect.probe_pending && !is_decided) {
+    suspect.next_probe =
+        std::max(now, suspect.probed_at + settings_.probe_retry_interval);
   }
 }
 
@@ -43,10 +48,36 @@
   if (replaced_vms_.contains(member) || found == suspects_.end()) {
     return false;
   }
-  const Time failed = found->second.failed_at;
-  return now - failed < settings_.witness_time ||
+  const Suspect& suspect = found->second;
+  // A paused process accepts connections and answers nothing. Its group
+  // continues after the pause, or its engine reports that it broke.
+  if (suspect.failure == ProbeResult::kConnected) {
+    return true;
+  }
+  if (NeedsAnotherProbe(suspect)) {
+    return true;
+  }
+  return now - suspect.failed_at < settings_.witness_time ||
          last_progress_(group.members.front(), group.generation) >=
-             failed + settings_.progress_margin;
+             suspect.failed_at + settings_.progress_margin;
+}
+
+bool FleetController::NeedsAnotherProbe(const Suspect& suspect) const {
+  if (!suspect.is_unresponsive) {
+    return false;
+  }
+  switch (suspect.failure) {
+    case ProbeResult::kConnected:
+      // A process that is ending may still accept a connection.
+      return suspect.failed_probes < 2;
+    case ProbeResult::kUnreachable:
+      return suspect.unreachable_probes < settings_.min_unreachable_probes;
+    case ProbeResult::kAnswered:
+    case ProbeResult::kWrongVm:
+    case ProbeResult::kRefused:
+      return false;
+  }
+  return false;
 }
 
 bool FleetController::IsSlow(const VmId& vm) const {
@@ -126,40 +157,69 @@
 void FleetController::OnProbeReply(Time now,
                                    const VmId& vm,
                                    const ProbeReport& report) {
+  const bool answered = report.result == ProbeResult::kAnswered;
   const auto asked = pending_demand_probes_.find(vm);
-  if (asked != pending_demand_probes_.end()) {
+  const bool was_load_probe = asked != pending_demand_probes_.end();
+  if (was_load_probe) {
     const auto [model, capacity] = asked->second;
     pending_demand_probes_.erase(asked);
-    if (report.result == ProbeResult::kAnswered) {
+    if (answered) {
       model_demand_.OnUtilization(
           now, model, static_cast<double>(report.requests) / capacity);
     }
   }
   const auto found = suspects_.find(vm);
-  if (found == suspects_.end()) {
+  // A load probe that failed was sent before the VM's health was in doubt, or
+  // together with the probe that decides.
+  if (found == suspects_.end() || (was_load_probe && !answered)) {
     return;
   }
   ScheduleReview(vm);
-  const bool answered = report.result == ProbeResult::kAnswered;
   if (answered && report.slowdown < settings_.slowdown_threshold) {
     suspects_.erase(found);
     return;
   }
   Suspect& suspect = found->second;
+  suspect.probe_pending = false;
   if (!answered) {
-    suspect.failed_at = suspect.probed_at;
+    RecordFailedProbe(vm, suspect, report.result);
+  } else {
+    if (!suspect.is_slow) {
+      ReportQuarantine(vm, report);
+    }
+    suspect.is_unresponsive = false;
+    suspect.is_slow = true;
+    suspect.failed_probes = 0;
+    suspect.unreachable_probes = 0;
   }
-  if (suspect.is_unresponsive != !answered || suspect.is_slow != answered) {
-    events_({EventKind::kVmQuarantined,
-             vm.value(),
-             {},
-             {{"probe", std::string(ProbeResultName(report.result))},
-              {"pace", report.slowdown}}});
+  suspect.next_probe =
+      NeedsAnotherProbe(suspect)
+          ? std::max(now, suspect.probed_at + settings_.probe_retry_interval)
+          : now + settings_.probe_interval;
+}
+
+void FleetController::RecordFailedProbe(const VmId& vm,
+                                        Suspect& suspect,
+                                        ProbeResult failure) {
+  if (!suspect.is_unresponsive || suspect.failure != failure) {
+    ReportQuarantine(vm, {failure, 1});
   }
-  suspect.is_unresponsive = !answered;
-  suspect.is_slow = answered;
-  suspect.probe_pending = false;
-  suspect.next_probe = now + settings_.probe_interval;
+  suspect.failed_at = suspect.probed_at;
+  suspect.failure = failure;
+  ++suspect.failed_probes;
+  suspect.unreachable_probes =
+      failure == ProbeResult::kUnreachable ? suspect.unreachable_probes + 1 : 0;
+  suspect.is_unresponsive = true;
+  suspect.is_slow = false;
+}
+
+void FleetController::ReportQuarantine(const VmId& vm,
+                                       const ProbeReport& report) {
+  events_({EventKind::kVmQuarantined,
+           vm.value(),
+           {},
+           {{"probe", std::string(ProbeResultName(report.result))},
+            {"pace", report.slowdown}}});
 }
 
 }  // namespace gcw
--- a/tests/coordination/gateway/fleet_silence_test.cc
+++ b/tests/coordination/gateway/fleet_silence_test.cc
@@ -50,7 +50,7 @@
             {},
             MakeRecordCodec(),
             [this](const VmId& head, Generation) { return LastProgress(head); },
-            [](const VmId&) { return false; },
+            [](const VmId&) { return true; },
             [this](const EventDraft& event) { return Record(event); }) {
     view_.OnPut(now_, Entry("cfg", "0"));
     for (int i = 0; i < kVms; ++i) {
@@ -141,6 +141,17 @@
     controller_.OnHeadUnreachable(head_, HeadGeneration());
   }
 
+  // All engines answer, and the VMs form another group.
+  void Recover() {
+    probe_results_.clear();
+    Resume();
+    Run(Duration::Seconds(40));
+    head_ = FindHead();
+    ASSERT_FALSE(head_.empty());
+    closed_.clear();
+    probes_.clear();
+  }
+
   Time now_ = Time::FromMillis(1000000);
   // The first member of the group that the tests are about.
   VmId head_;
@@ -332,14 +343,7 @@
     EXPECT_EQ(closed_.front().reason, "member_silent:" + member.value());
     EXPECT_LT(closed_.front().at - lost, kCallerPatience * 2 / 3)
         << ProbeResultName(result);
-    // The rest of the group and the spares form another one.
-    probe_results_.clear();
-    Resume();
-    Run(Duration::Seconds(40));
-    head_ = FindHead();
-    ASSERT_FALSE(head_.empty());
-    closed_.clear();
-    probes_.clear();
+    Recover();
   }
 }
 
@@ -362,6 +366,26 @@
   EXPECT_LE(sent[1] - sent[0], Duration::Millis(350));
 }
 
+// Guards against a loss that is never concluded, because each further report
+// starts the wait for witnesses again.
+TEST_F(FleetSilenceTest, FurtherReportsDoNotDelayTheVerdict) {
+  for (const ProbeResult result :
+       {ProbeResult::kUnreachable, ProbeResult::kRefused}) {
+    const Time lost = now_;
+    Silence();
+    probe_results_[Members()[3]] = result;
+    ReportUnreachableHead();
+    for (int i = 0; i < 20 && closed_.empty(); ++i) {
+      Run(Duration::Millis(80));
+      controller_.OnHeadUnreachable(head_, HeadGeneration());
+    }
+    ASSERT_EQ(closed_.size(), 1U) << ProbeResultName(result);
+    EXPECT_LT(closed_.front().at - lost, kCallerPatience * 2 / 3)
+        << ProbeResultName(result);
+    Recover();
+  }
+}
+
 // Guards against a process that accepts a last connection as it ends and is
 // then taken for paused.
 TEST_F(FleetSilenceTest, AMemberThatEndsWhileItIsProbedIsFoundLostSoon) {
