gateway: the end of a group is logged with what is known of its members

`group_closed` named the reason only, so a log could not tell a group whose member was silent from one that made no progress with all members well, nor how long it had been silent. New fields: `silent_ms` (since the last progress that this node or a witness saw, -1 if none), `stalled_ms` (since the first report, -1 if there is none) and `quarantined` (members in doubt with their last probe's result, such as `vm3:refused,vm5:slow`).

--- a/coordination/gateway/fleet_controller.cc
+++ b/coordination/gateway/fleet_controller.cc
@@ -522,8 +522,7 @@
     status.end_started = now;
     status.is_planned_end = true;
     status.is_regrouped = true;
-    ReportGroupEvent(EventKind::kGroupClosed, group,
-                     {{"reason", status.end_reason}});
+    ReportGroupClosed(now, group, status);
   }
 }
 
--- a/coordination/gateway/fleet_controller.h
+++ b/coordination/gateway/fleet_controller.h
@@ -372,6 +372,13 @@
   const ModelProfile* FindModelProfile(const FleetView& view,
                                        const ServiceId& service,
                                        const ModelId& model) const;
+  // Reports that the group ends, with what is known of its members' health.
+  void ReportGroupClosed(Time now,
+                         const GroupRecord& group,
+                         const GroupStatus& status);
+  // Lists the members that are in quarantine, with the results of their last
+  // probes.
+  std::string DescribeQuarantine(const GroupRecord& group) const;
   void ReportGroupEvent(EventKind kind,
                         const GroupRecord& group,
                         std::vector<EventField> fields);
--- a/coordination/gateway/fleet_controller_review.cc
+++ b/coordination/gateway/fleet_controller_review.cc
@@ -65,14 +65,43 @@
     if (!status.is_planned_end && !status.stalled_since) {
       SuspectMembers(now, group, status);
     }
-    ReportGroupEvent(EventKind::kGroupClosed, group,
-                     {{"reason", status.end_reason}});
+    ReportGroupClosed(now, group, status);
   }
   std::erase_if(domain.group_statuses, [&](const auto& status) {
     return !recorded.contains(status.first);
   });
 }
 
+void FleetController::ReportGroupClosed(Time now,
+                                        const GroupRecord& group,
+                                        const GroupStatus& status) {
+  const Time progress = last_progress_(group.members.front(), group.generation);
+  ReportGroupEvent(
+      EventKind::kGroupClosed, group,
+      {{"reason", status.end_reason},
+       {"silent_ms", progress == Time() ? -1 : (now - progress).millis()},
+       {"stalled_ms",
+        status.stalled_since ? (now - *status.stalled_since).millis() : -1},
+       {"quarantined", DescribeQuarantine(group)}});
+}
+
+std::string FleetController::DescribeQuarantine(
+    const GroupRecord& group) const {
+  std::string text;
+  for (const VmId& member : group.members) {
+    const auto found = suspects_.find(member);
+    if (found == suspects_.end() || AwaitsProbeVerdict(member)) {
+      continue;
+    }
+    text += text.empty() ? "" : ",";
+    text += member.value() + ":" +
+            (found->second.is_slow
+                 ? "slow"
+                 : std::string(ProbeResultName(found->second.failure)));
+  }
+  return text;
+}
+
 bool FleetController::IsOpen(const FleetView& view, const GroupRecord& group) {
   const VmRegistration* head = view.FindVm(group.members.front());
   return head != nullptr && IsMemberOf(*head, group) &&
