gateway: members in doubt are probed on new connections

A probe could go over an idle connection. To a VM without power it is then written into the kernel's buffer and times out as `connected`, the result of a paused process: such a member would never be found unreachable now that silence alone ends no group.

Probes of a VM's health open a new connection, as the crash and path checks do. Load probes of serving groups still reuse one.

Evidence: FleetSilenceTest.DoubtfulMembersAreProbedOnNewConnections (0 instead of 6 probes without the change). The transport's part is compiled, not played.

--- a/coordination/gateway/fleet_controller.h
+++ b/coordination/gateway/fleet_controller.h
@@ -103,6 +103,9 @@
   VmId vm;
   Address address;
   Duration timeout;
+  // Only a new connection shows that a VM is gone: what is sent on an idle one
+  // is lost without a sign.
+  bool reuse_connection = false;
 };
 
 using FleetControllerAction =
--- a/coordination/gateway/fleet_controller_probes.cc
+++ b/coordination/gateway/fleet_controller_probes.cc
@@ -101,8 +101,10 @@
     if (!suspect.probe_pending && now >= suspect.next_probe) {
       suspect.probe_pending = true;
       suspect.probed_at = now;
-      actions_.emplace_back(
-          ProbeEngine{it->first, suspect.address, settings_.probe_timeout});
+      actions_.emplace_back(ProbeEngine{.vm = it->first,
+                                        .address = suspect.address,
+                                        .timeout = settings_.probe_timeout,
+                                        .reuse_connection = false});
     }
     ++it;
   }
@@ -147,8 +149,10 @@
     if (head != nullptr) {
       pending_demand_probes_[head->id] = {
           model, static_cast<double>(service->engine->batch_limit)};
-      actions_.emplace_back(
-          ProbeEngine{head->id, head->address, settings_.probe_timeout});
+      actions_.emplace_back(ProbeEngine{.vm = head->id,
+                                        .address = head->address,
+                                        .timeout = settings_.probe_timeout,
+                                        .reuse_connection = true});
       return;
     }
   }
--- a/tests/coordination/gateway/fleet_silence_test.cc
+++ b/tests/coordination/gateway/fleet_silence_test.cc
@@ -35,6 +35,7 @@
   struct SentProbe {
     VmId vm;
     Time at;
+    bool reuse_connection;
   };
 
   FleetSilenceTest()
@@ -199,7 +200,7 @@
   }
 
   void Perform(const ProbeEngine& probe) {
-    probes_.push_back({probe.vm, now_});
+    probes_.push_back({probe.vm, now_, probe.reuse_connection});
     ProbeResult result = ProbeResult::kAnswered;
     if (const auto found = probe_results_.find(probe.vm);
         found != probe_results_.end()) {
@@ -416,5 +417,24 @@
   }
 }
 
+// Guards against a VM without power that seems to be alive because its probe
+// was sent on an idle connection.
+TEST_F(FleetSilenceTest, DoubtfulMembersAreProbedOnNewConnections) {
+  Run(Duration::Seconds(2));
+  ASSERT_FALSE(probes_.empty());
+  for (const SentProbe& probe : probes_) {
+    EXPECT_TRUE(probe.reuse_connection) << probe.vm.value();
+  }
+  probes_.clear();
+  Silence();
+  ReportStall();
+  Run(Duration::Millis(40));
+  int probes = 0;
+  for (const SentProbe& probe : probes_) {
+    probes += probe.reuse_connection ? 0 : 1;
+  }
+  EXPECT_EQ(probes, 6);
+}
+
 }  // namespace
 }  // namespace gcw
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -318,9 +318,10 @@
 
 void GatewayRuntime::Execute(const ProbeEngine& action) {
   parts_.metrics->probes.Add();
+  HttpCallOptions options = EndpointOptions(action.timeout);
+  options.reuse_connection = action.reuse_connection;
   engine_client_.Fetch(
-      action.address, parts_.dialect.make_probe_request(action.vm),
-      EndpointOptions(action.timeout),
+      action.address, parts_.dialect.make_probe_request(action.vm), options,
       [this, vm = action.vm](const Result<HttpResponse, HttpFailure>& answer) {
         const ProbeReport report =
             IsOk(answer) ? parts_.dialect.read_probe_report(ValueOf(answer))
