gateway: a stalled group is closed only after its callers have left

Cause: the verdict made itself true. Nodes that report a group as stalled leave it alone, so it can show no progress, and 1.5 s later it was dissolved although all members answered: 2040 ms after the silence began in FleetSilenceTest, when callers, who stay for 2 s, had just left or still waited.

Change: `stall_timeout` is 3 s, so that the group is closed 3.5 s after its silence began. No caller waits there then, and the engine itself reports `broken` after 4 s. Progress that a node or a witness sees after the report still drops the report.

Evidence: ASilentGroupIsNotClosedBeforeItsCallersLeave and AStallThatLastsEndsTheGroup failed before (2040 ms); ProgressEndsAStallAlsoIfNodesLeaveTheGroupAlone passed.

--- a/coordination/gateway/fleet_controller.h
+++ b/coordination/gateway/fleet_controller.h
@@ -60,9 +60,10 @@
   // An engine that reports at least this slowdown factor is slow. Its group
   // runs at the same pace and may therefore seem stalled.
   double slowdown_threshold = 1.8;
-  // How long a stalled group whose members all answer may take to make progress
-  // again before it is closed.
-  Duration stall_timeout = Duration::Millis(1500);
+  // How long a stalled group without a lost member may take to make progress
+  // again before it is closed. Callers leave sooner, so that no answer that may
+  // still arrive is cut off.
+  Duration stall_timeout = Duration::Millis(3000);
   // A group that made progress within this time has all its members, whatever
   // the registrations say: the loss of any member stops all its streams.
   Duration progress_ttl = Duration::Millis(1200);
--- a/tests/coordination/gateway/fleet_silence_test.cc
+++ b/tests/coordination/gateway/fleet_silence_test.cc
@@ -417,6 +417,56 @@
   }
 }
 
+// Guards against a sound group that is dissolved because nodes that found it
+// silent leave it alone: it can make no progress for them.
+TEST_F(FleetSilenceTest, ASilentGroupIsNotClosedBeforeItsCallersLeave) {
+  Silence();
+  ReportStall();
+  Run(kCallerPatience - kReportDelay + Duration::Millis(500));
+  ASSERT_TRUE(closed_.empty()) << closed_.front().reason;
+  Resume();
+  Run(Duration::Seconds(4));
+  EXPECT_TRUE(closed_.empty());
+  EXPECT_TRUE(IsOpen());
+}
+
+// Guards against a report of a stall that ends the group long after it made
+// progress again.
+TEST_F(FleetSilenceTest, ProgressEndsAStallAlsoIfNodesLeaveTheGroupAlone) {
+  Silence();
+  ReportStall();
+  Run(Duration::Millis(900));
+  // Another node had the group's last event.
+  Silence();
+  Run(Duration::Seconds(6));
+  EXPECT_TRUE(closed_.empty());
+}
+
+// Guards against a group that hangs for good although no member is lost.
+TEST_F(FleetSilenceTest, AStallThatLastsEndsTheGroup) {
+  for (const bool is_paused : {false, true}) {
+    const Time began = now_;
+    const VmId member = Members()[1];
+    Silence();
+    if (is_paused) {
+      probe_results_[member] = ProbeResult::kConnected;
+    }
+    ReportStall();
+    Run(Duration::Millis(3300));
+    ASSERT_EQ(closed_.size(), 1U) << is_paused;
+    const ClosedGroup closed = closed_.front();
+    EXPECT_EQ(closed.reason, "stands_still");
+    EXPECT_GT(closed.at - began, kCallerPatience * 3 / 2);
+    EXPECT_LT(closed.at - began, Duration::Millis(3700));
+    // Tells a group whose member is silent from one that only stands still.
+    EXPECT_EQ(std::get<std::string>(closed.fields.at("quarantined")),
+              is_paused ? member.value() + ":connected" : "");
+    EXPECT_EQ(std::get<std::int64_t>(closed.fields.at("silent_ms")),
+              (closed.at - began).millis());
+    Recover();
+  }
+}
+
 // Guards against a VM without power that seems to be alive because its probe
 // was sent on an idle connection.
 TEST_F(FleetSilenceTest, DoubtfulMembersAreProbedOnNewConnections) {
