gateway: members of a stalled group are probed once a second

The members of a group were probed once, at the first report of its stall. A member that was lost after that probe ended the group only with `stands_still`, and with the longer limit that would be 3.5 s after the silence began, more than callers stay.

Evidence: FleetSilenceTest.AMemberThatIsLostDuringAStallIsFoundLost failed before (`stands_still`, no member in doubt).

--- a/coordination/gateway/fleet_controller.h
+++ b/coordination/gateway/fleet_controller.h
@@ -182,6 +182,8 @@
     bool is_regrouped = false;
     // When nodes first reported the group as stalled; empty if it is not.
     std::optional<Time> stalled_since;
+    // When the members of a stalled group are probed again.
+    Time next_member_probe;
     // Members whose engines confirmed that they left.
     std::set<VmId> left_members;
   };
--- a/coordination/gateway/fleet_controller_review.cc
+++ b/coordination/gateway/fleet_controller_review.cc
@@ -50,6 +50,11 @@
     if (stalled_groups_.erase({head, group.generation}) > 0 &&
         !status.stalled_since) {
       status.stalled_since = now;
+      status.next_member_probe = now;
+    }
+    // A member may also be lost after the report.
+    if (status.stalled_since && now >= status.next_member_probe) {
+      status.next_member_probe = now + settings_.probe_interval;
       SuspectMembers(now, group, status);
     }
     if (unreachable_heads_.erase({head, group.generation}) > 0) {
--- a/tests/coordination/gateway/fleet_silence_test.cc
+++ b/tests/coordination/gateway/fleet_silence_test.cc
@@ -467,6 +467,21 @@
   }
 }
 
+// Guards against streams that wait at a member which is lost after its group
+// was found silent.
+TEST_F(FleetSilenceTest, AMemberThatIsLostDuringAStallIsFoundLost) {
+  const VmId member = Members()[3];
+  Silence();
+  ReportStall();
+  Run(Duration::Millis(600));
+  probe_results_[member] = ProbeResult::kRefused;
+  Run(Duration::Millis(1000));
+  ASSERT_EQ(closed_.size(), 1U);
+  EXPECT_EQ(closed_.front().reason, "member_silent:" + member.value());
+  EXPECT_EQ(std::get<std::string>(closed_.front().fields.at("quarantined")),
+            member.value() + ":refused");
+}
+
 // Guards against a VM without power that seems to be alive because its probe
 // was sent on an idle connection.
 TEST_F(FleetSilenceTest, DoubtfulMembersAreProbedOnNewConnections) {
