groups: a write without an answer is settled by another write

Callers of gcw-node saw a domain that stays one group short for good. Operators saw a controller that holds the role, writes nothing and orders nothing, while the record in the store frees the members of a group that its engines still run.

Traced: the controller of d1 writes the record that dissolves d1-1-1; the store commits it as revision 11, and the answer is lost. The read that follows comes from an old state (revision 10, the highest that the controller had seen, so that it is not taken for a rollback). The controller believes that the write did not happen. The group's VMs, which were paused, answer again, so by the old record nothing is left to do, and nothing is written that would show the conflict: 120 s later it still knows change 5 and the store holds 6. A read is no proof in another case too: the first write may still be under way.

A write without an answer is open until a higher revision is known. While it is open the record counts as not claimed: the reconciler writes it once more at the old revision, which takes effect, and then the first one can't, or fails and returns the record as it is; no order leaves before that.

Not mended: FleetController of gcw-gateway settles its record by the same plain read and does not look at IsClaimed. Seen in the code, not in a run.

--- a/coordination/groups/domain_writer.cc
+++ b/coordination/groups/domain_writer.cc
@@ -27,7 +27,8 @@
 }
 
 bool DomainWriter::IsClaimed() const {
-  return revision_ != Revision() && record_.writer_token == fence_;
+  return revision_ != Revision() && record_.writer_token == fence_ &&
+         !unsettled_;
 }
 
 bool DomainWriter::Propose(Time now, DomainRecord record, ChangeId change) {
@@ -50,8 +51,7 @@
 std::optional<StoreCall> DomainWriter::Tick(Time now) {
   if (pending_call_ && now - call_sent_ >= settings_.call_timeout) {
     pending_call_.reset();
-    // The write may have taken effect or may still do so; only a read tells.
-    ScheduleRead(now);
+    OnNoReply(now);
   }
   if (pending_call_ || !call_due_ || now < call_due_at_) {
     return std::nullopt;
@@ -84,8 +84,15 @@
     call_due_ = true;
     call_due_at_ = now + refused->retry_after;
   } else {
-    ScheduleRead(now + settings_.retry_interval);
+    OnNoReply(now + settings_.retry_interval);
+  }
+}
+
+void DomainWriter::OnNoReply(Time read_at) {
+  if (state_ == WriterState::kWriting) {
+    unsettled_ = revision_;
   }
+  ScheduleRead(read_at);
 }
 
 void DomainWriter::OnRange(Time now, const StoreRangeReply& reply) {
@@ -117,6 +124,7 @@
   }
   max_seen_revision_ = revision;
   revision_ = revision;
+  unsettled_.reset();
   record_ = proposed_;
   state_ = WriterState::kReady;
 }
@@ -137,6 +145,9 @@
   }
   max_seen_revision_ = std::max(max_seen_revision_, entry->revision);
   revision_ = entry->revision;
+  if (unsettled_ && revision_ > *unsettled_) {
+    unsettled_.reset();
+  }
   record_ = *record;
   state_ = record_.writer_token > fence_ ? WriterState::kSuperseded
                                          : WriterState::kReady;
--- a/coordination/groups/domain_writer.h
+++ b/coordination/groups/domain_writer.h
@@ -42,8 +42,9 @@
 };
 
 // Reads and writes the record of one domain by compare-and-swap. A write whose
-// reply is lost does not count as failed: the record is read back, and its
-// change id shows whether the write took effect.
+// reply is lost does not count as failed: the record is read back. If the read
+// does not show the write, it may be stale, or the write may still arrive, so
+// the record counts as unclaimed until another write settles it.
 class DomainWriter {
  public:
   DomainWriter(FabricDomainId domain,
@@ -70,8 +71,8 @@
   // The newest record known to be committed. Valid only after a read.
   const DomainRecord& record() const { return record_; }
   Revision revision() const { return revision_; }
-  // True if the committed record carries this controller's fencing token, so
-  // that earlier controllers can no longer write it.
+  // True if the committed record carries this controller's fencing token and no
+  // earlier write, of this controller or another, can still change it.
   bool IsClaimed() const;
   std::string key() const;
 
@@ -80,6 +81,8 @@
   void OnWritten(Time now, Revision revision);
   void Adopt(Time now, const std::optional<StoreEntry>& entry);
   void ScheduleRead(Time when);
+  // The pending call gets no reply.
+  void OnNoReply(Time read_at);
   bool IsBehind(const std::optional<StoreEntry>& entry) const;
 
   FabricDomainId domain_;
@@ -94,6 +97,9 @@
   // service was restored to an earlier state or that the read is stale.
   Revision max_seen_revision_;
   DomainRecord proposed_;
+  // The revision that a write without a reply expected. The write may have
+  // taken effect, or may still do so, until a higher revision is known.
+  std::optional<Revision> unsettled_;
   bool call_due_ = true;
   Time call_due_at_;
   std::optional<StoreCallId> pending_call_;
--- a/tests/coordination/groups/domain_writer_test.cc
+++ b/tests/coordination/groups/domain_writer_test.cc
@@ -91,6 +91,25 @@
   EXPECT_EQ(writer_.record().change, ChangeId("a"));
 }
 
+// Guards against a committed write that a stale read hides from its writer.
+TEST_F(DomainWriterTest, AWriteThatAReadDoesNotShowIsSettledByAnother) {
+  AnswerRead("a:5", 8, 9);
+  ASSERT_TRUE(writer_.IsClaimed());
+  ASSERT_TRUE(writer_.Propose(now_, writer_.record(), ChangeId("b")));
+  SendDueCall();
+  AdvanceTime(settings_.call_timeout);
+  AnswerRead("a:5", 8, 9);
+  EXPECT_EQ(writer_.state(), WriterState::kReady);
+  EXPECT_FALSE(writer_.IsClaimed());
+  ASSERT_TRUE(writer_.Propose(now_, writer_.record(), ChangeId("c")));
+  EXPECT_EQ(std::get<StorePut>(SendDueCall()).expected, Revision(8));
+  writer_.OnReply(
+      now_, id_,
+      StoreConflict{StoreEntry{"domain/d", "b:5", Revision(10), LeaseId()}});
+  EXPECT_TRUE(writer_.IsClaimed());
+  EXPECT_EQ(writer_.record().change, ChangeId("b"));
+}
+
 TEST_F(DomainWriterTest, StopsWhenSuperseded) {
   AnswerRead("a:4", 8, 9);
   ASSERT_TRUE(writer_.Propose(now_, writer_.record(), ChangeId("b")));
