gateway: members out of reach in most groups at once end no group

Stopped processes whose queues of new connections are full drop connections like VMs that are gone. SilenceTest.AnswersOfReplicasWithFullBacklogsEndWhole (pauses of 1.3 s and 2 s, all or 60 % of the replicas, also the queues of members full): all stalled groups closed as member_silent 1.26 s after the pause began, although two probes in a row had to fail.

Cause: two failures to connect, 250 ms apart, are evidence of one lost VM, not of most of them at once. While more than half of the open groups, and more than one, have a member out of reach, and for 1.5 s after, such a member does not end its group; its registration does when it expires. A refused connection or another VM at the address decides at once, as before.

The cost: after the loss of more than half of the groups at once, the others' repair waits for the registrations, about 2 s more (by the settings, not measured).

--- a/coordination/gateway/fleet_controller.cc
+++ b/coordination/gateway/fleet_controller.cc
@@ -113,6 +113,9 @@
   load_pacer_.Tick(now);
   ExpireOrders(now);
   ProcessVmChanges(now, view);
+  if (IsLossDoubtful()) {
+    loss_doubtful_until_ = now + settings_.loss_doubt_time;
+  }
   SelectDueDomains(now);
   for (const ServiceRule& service : view.routes()->configuration().services) {
     if (service.engine) {
--- a/coordination/gateway/fleet_controller.h
+++ b/coordination/gateway/fleet_controller.h
@@ -51,6 +51,9 @@
   // Number of probes in a row that must fail to connect before a member of an
   // open group counts as lost.
   int min_unreachable_probes = 2;
+  // After most groups were out of reach at once, none is given up for this long
+  // only because a member is still out of reach: they come back one by one.
+  Duration loss_doubt_time = Duration::Millis(1500);
   // A member that is found lost is given up this long after the last probe
   // was sent, unless its group has made progress since: then only this node has
   // lost its path to the member. Other nodes tell of progress meanwhile.
@@ -331,6 +334,10 @@
   void RecordFailedProbe(const VmId& vm, Suspect& suspect, ProbeResult failure);
   // Reports that the VM is not put into any group, or only as the last choice.
   void ReportQuarantine(const VmId& vm, const ProbeReport& report);
+  // Whether members out of reach in most groups at once are no evidence of
+  // losses: stopped processes whose queues of new connections are full look
+  // like lost VMs. Their registrations show which ones are gone.
+  bool IsLossDoubtful() const;
   // Whether the next probe is due soon, because a single failure decides
   // nothing.
   bool NeedsAnotherProbe(const Suspect& suspect) const;
@@ -429,6 +436,8 @@
   // The groups that VMs left by order.
   std::set<std::pair<VmId, GroupId>> left_groups_;
   std::map<VmId, Suspect> suspects_;
+  // Until when members out of reach do not end their groups.
+  Time loss_doubtful_until_;
   // VMs at whose address another run answered an order, with that address.
   std::map<VmId, Address> replaced_vms_;
   // When each VM first appeared.
--- a/coordination/gateway/fleet_controller_probes.cc
+++ b/coordination/gateway/fleet_controller_probes.cc
@@ -54,7 +54,9 @@
   if (suspect.failure == ProbeResult::kConnected) {
     return true;
   }
-  if (NeedsAnotherProbe(suspect)) {
+  if (NeedsAnotherProbe(suspect) ||
+      (now < loss_doubtful_until_ &&
+       suspect.failure == ProbeResult::kUnreachable)) {
     return true;
   }
   return now - suspect.failed_at < settings_.witness_time ||
@@ -62,6 +64,35 @@
              suspect.failed_at + settings_.progress_margin;
 }
 
+bool FleetController::IsLossDoubtful() const {
+  const bool any_unreachable =
+      std::any_of(suspects_.begin(), suspects_.end(), [](const auto& suspect) {
+        return suspect.second.unreachable_probes > 0;
+      });
+  if (!any_unreachable) {
+    return false;
+  }
+  std::size_t open_groups = 0;
+  std::size_t unreachable_groups = 0;
+  for (const auto& [id, domain] : domains_) {
+    for (const GroupRecord& group : domain.writer.record().groups) {
+      const auto status = domain.group_statuses.find(group.id);
+      if (status == domain.group_statuses.end() || !status->second.has_opened ||
+          !status->second.end_reason.empty()) {
+        continue;
+      }
+      ++open_groups;
+      unreachable_groups += std::any_of(
+          group.members.begin(), group.members.end(), [&](const VmId& member) {
+            const auto found = suspects_.find(member);
+            return found != suspects_.end() &&
+                   found->second.unreachable_probes > 0;
+          });
+    }
+  }
+  return unreachable_groups > 1 && 2 * unreachable_groups > open_groups;
+}
+
 bool FleetController::NeedsAnotherProbe(const Suspect& suspect) const {
   if (!suspect.is_unresponsive) {
     return false;
