--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -65,6 +65,7 @@
     return;
   }
   EndRelay(id, found->second);
+  CancelSecondAttempt(found->second);
   accepted_relays_ -= found->second.request.relay ? 1 : 0;
   open_requests_.erase(found);
 }
@@ -162,9 +163,11 @@
 Result<SendForward, RefusalKind> ForwardController::Dispatch(
     Time now,
     OpenRequest& open_request,
-    std::optional<std::int64_t> resume) {
+    std::optional<std::int64_t> resume,
+    std::optional<Time> heard_since) {
   ReplicaDemand demand = MakeDemand(open_request);
   demand.apart = KeepApart(now, open_request);
+  demand.heard_since = heard_since;
   const Result<ReplicaChoice, RefusalKind> choice =
       selector_->Choose(now, demand, open_request.excluded);
   if (!IsOk(choice)) {
@@ -249,6 +252,13 @@
     return ForwardTruncated{};
   }
   OpenRequest& open_request = found->second;
+  const bool has_failed = end.kind != ForwardEndKind::kSucceeded &&
+                          end.kind != ForwardEndKind::kDeadlineExceeded &&
+                          !end.is_client_error;
+  if (open_request.second && has_failed) {
+    return OnFirstAttemptFailed(now, id, open_request, end);
+  }
+  CancelSecondAttempt(open_request);
   ForwardStep step = open_request.relay_node
                          ? OnRelayEnded(now, id, open_request, end)
                          : OnAttemptEnded(now, open_request, end);
@@ -272,6 +282,13 @@
 ForwardStep ForwardController::OnAttemptEnded(Time now,
                                               OpenRequest& open_request,
                                               const ForwardEnd& end) {
+  RecordAttemptEnd(now, open_request, end);
+  return NextStep(now, open_request, end);
+}
+
+void ForwardController::RecordAttemptEnd(Time now,
+                                         OpenRequest& open_request,
+                                         const ForwardEnd& end) {
   selector_->OnEnded(now, open_request.attempt, end.kind);
   ReportReachability(now, open_request, end);
   ReportBreak(now, open_request, end);
@@ -281,7 +298,6 @@
   if (!end.at_fault.empty() && end.at_fault != open_request.endpoint.vm) {
     open_request.excluded.push_back(end.at_fault);
   }
-  return NextStep(now, open_request, end);
 }
 
 void ForwardController::ReportReachability(Time now,
@@ -395,15 +411,7 @@
   }
   const std::optional<std::int64_t> resume =
       end.delivered ? end.last_event : open_request.request.resume_after;
-  if (end.delivered) {
-    open_request.urgency =
-        now - open_request.last_event < open_request.route->event_gap_objective
-            ? Urgency::kResumed
-            : Urgency::kDeferred;
-  } else if (now - open_request.arrived >=
-             open_request.route->latency_objective) {
-    open_request.urgency = Urgency::kDeferred;
-  }
+  UpdateUrgency(now, open_request, end.delivered);
   const VmId failed = open_request.endpoint.vm;
   const Duration silence = SilenceOf(now, open_request);
   Result<ForwardStep, RefusalKind> step = RefusalKind::kEndpointRefused;
@@ -442,6 +450,20 @@
   return step;
 }
 
+void ForwardController::UpdateUrgency(Time now,
+                                      OpenRequest& open_request,
+                                      bool is_delivered) {
+  if (is_delivered) {
+    open_request.urgency =
+        now - open_request.last_event < open_request.route->event_gap_objective
+            ? Urgency::kResumed
+            : Urgency::kDeferred;
+  } else if (now - open_request.arrived >=
+             open_request.route->latency_objective) {
+    open_request.urgency = Urgency::kDeferred;
+  }
+}
+
 ForwardStep ForwardController::GiveUp(Time now,
                                       const OpenRequest& open_request,
                                       const ForwardEnd& end,
@@ -530,6 +552,7 @@
     RecordStart(now, found->second);
     found->second.last_event = now;
     OpenRequest& open_request = found->second;
+    CancelSecondAttempt(open_request);
     if (!open_request.first_event) {
       open_request.first_event = now;
     }
@@ -569,30 +592,6 @@
   Remove(id);
 }
 
-std::vector<ForwardId> ForwardController::FindMovable(
-    Time now,
-    const std::vector<AttemptNumber>& stalled) {
-  std::vector<ForwardId> movable;
-  for (const AttemptNumber attempt : stalled) {
-    const auto found = by_attempt_.find(attempt);
-    if (found == by_attempt_.end()) {
-      continue;
-    }
-    const OpenRequest& open_request = open_requests_.at(found->second);
-    const bool may_repeat =
-        open_request.route->retry_policy != RetryPolicy::kNever &&
-        open_request.possible_runs + 1 < open_request.max_runs &&
-        now + settings_.min_time_left < open_request.deadline;
-    const std::vector<VmId> excluded = {open_request.endpoint.vm};
-    if (may_repeat &&
-        (FindRelay(now, open_request) ||
-         IsOk(selector_->Choose(now, MakeDemand(open_request), excluded)))) {
-      movable.push_back(found->second);
-    }
-  }
-  return movable;
-}
-
 void ForwardController::EmitEvent(EventKind kind,
                                   const OpenRequest& open_request,
                                   std::vector<EventField> fields) {
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -47,6 +47,14 @@
   // A request that was passed on is taken back if nothing of its answer arrives
   // for this long and the other node does not answer questions either.
   Duration relay_silence_timeout = Duration::Millis(1000);
+  // A stream at an endpoint that seems stalled gets a second attempt at another
+  // endpoint after this long without an event. Callers leave after two seconds,
+  // and the second attempt has to read the prompt first.
+  Duration stream_hedge_delay = Duration::Millis(1000);
+  // The same if the endpoint does not accept new connections of this node.
+  Duration lost_path_hedge_delay = Duration::Millis(400);
+  // Interval between two tries to place a second attempt.
+  Duration hedge_retry_interval = Duration::Millis(100);
 };
 
 // The id of an arrived request and the first step to take for it.
@@ -92,14 +100,34 @@
   // The request need not wait any longer. Returns its next step.
   ForwardStep OnDecision(Time now, const CrashDecision& decision);
 
-  // Returns the requests among the `stalled` attempts that another endpoint
-  // could continue. The caller should end their attempts as kSilent.
-  std::vector<ForwardId> FindMovable(Time now,
-                                     const std::vector<AttemptNumber>& stalled);
+  // Returns the requests whose silent attempts may get a second attempt beside
+  // them.
+  std::vector<ForwardId> FindHedgeable(Time now);
+  // Starts a second attempt beside the first one, whose state is `silent`.
+  // Returns nothing, and changes nothing, if the second attempt lacks an
+  // endpoint, a run or a retry of the budget.
+  std::optional<SendForward> StartSecondAttempt(Time now,
+                                                ForwardId id,
+                                                const ForwardEnd& silent);
+  // The second attempt sent the first new event: it replaces the first attempt.
+  void OnSecondAttemptWon(Time now, ForwardId id);
+  // The second attempt failed, and the first one goes on.
+  void OnSecondAttemptEnded(Time now, ForwardId id, const ForwardEnd& end);
+  // The endpoint of the second attempt reports about itself.
+  void OnSecondAttemptReport(Time now,
+                             ForwardId id,
+                             const EndpointReport& report);
 
-  // Returns the requests whose answers another node seems to have lost. The
-  // caller should end their attempts as kSilent.
+  // Returns all requests that run at endpoints.
+  std::vector<ForwardId> RunningRequests() const;
+  // Returns the requests whose answers another node seems to have lost.
   std::vector<ForwardId> FindLostRelays(Time now) const;
+  // Replaces the attempt, whose state is `silent` and which is known to be
+  // lost. Returns nothing, and changes nothing, if no other attempt is possible
+  // now.
+  std::optional<ForwardStep> FailOver(Time now,
+                                      ForwardId id,
+                                      const ForwardEnd& silent);
 
   void SetNodeCount(std::size_t nodes);
 
@@ -110,6 +138,13 @@
   std::size_t accepted_relays() const { return accepted_relays_; }
 
  private:
+  // An attempt that runs beside the first one.
+  struct SecondAttempt {
+    EndpointRun endpoint;
+    Address address;
+    AttemptNumber number;
+    Time sent;
+  };
   struct OpenRequest {
     ForwardRequest request;
     std::shared_ptr<const RouteTable> routes;
@@ -135,6 +170,9 @@
     std::optional<Time> first_event;
     // The current attempt showed that the parts crash no endpoint.
     bool are_parts_proven = false;
+    std::optional<SecondAttempt> second;
+    // Earliest time of the next try to place a second attempt.
+    Time next_hedge;
     std::int64_t sends = 0;
     // Number of sends that may have been executed.
     std::int64_t possible_runs = 0;
@@ -228,12 +266,31 @@
   // Returns a node that the request may be passed on to.
   std::optional<Address> FindRelay(Time now,
                                    const OpenRequest& open_request) const;
+  // Whether a second attempt would be allowed and useful.
+  bool IsHedgeable(Time now, const OpenRequest& open_request) const;
+  // The second attempt takes the place of the first one.
+  void PromoteSecondAttempt(ForwardId id, OpenRequest& open_request);
+  // Abandons the second attempt, which may have run.
+  void CancelSecondAttempt(OpenRequest& open_request);
+  // The first attempt failed while the second one runs.
+  ForwardStep OnFirstAttemptFailed(Time now,
+                                   ForwardId id,
+                                   OpenRequest& open_request,
+                                   const ForwardEnd& end);
+  // Tells the parts that learn from attempts how the current one ended.
+  void RecordAttemptEnd(Time now,
+                        OpenRequest& open_request,
+                        const ForwardEnd& end);
   // Keeps the request if it goes on, and removes it otherwise.
   void Track(ForwardId id, OpenRequest open_request, const ForwardStep& step);
   // Returns the next attempt, or the reason why no endpoint can take it.
-  Result<SendForward, RefusalKind> Dispatch(Time now,
-                                            OpenRequest& open_request,
-                                            std::optional<std::int64_t> resume);
+  // `heard_since` is set for a second attempt: its endpoint should have sent
+  // something after that time.
+  Result<SendForward, RefusalKind> Dispatch(
+      Time now,
+      OpenRequest& open_request,
+      std::optional<std::int64_t> resume,
+      std::optional<Time> heard_since = std::nullopt);
   ForwardStep NextStep(Time now,
                        OpenRequest& open_request,
                        const ForwardEnd& end);
@@ -248,6 +305,11 @@
                             OpenRequest& open_request,
                             const ForwardEnd& end,
                             bool may_have_reached_endpoint);
+  // An attempt after the first is urgent as long as the caller's objectives can
+  // be met.
+  static void UpdateUrgency(Time now,
+                            OpenRequest& open_request,
+                            bool is_delivered);
   bool MayRunAgain(Time now,
                    const OpenRequest& open_request,
                    const ForwardEnd& end) const;
--- /dev/null
+++ b/coordination/gateway/forward_controller_hedges.cc
@@ -0,0 +1,240 @@
+// Second attempts beside silent ones, and attempts that replace lost ones.
+// Silence alone never ends an attempt: the endpoint may only have paused.
+
+#include <algorithm>
+#include <utility>
+
+#include "coordination/gateway/forward_controller.h"
+
+namespace gcw {
+
+bool ForwardController::IsHedgeable(Time now,
+                                    const OpenRequest& open_request) const {
+  const RetryPolicy policy = open_request.route->retry_policy;
+  const bool streams = open_request.route->streams;
+  // A trial shows whether the request crashes its endpoint, so it runs alone.
+  if (open_request.second || open_request.is_trial ||
+      policy == RetryPolicy::kNever || now < open_request.next_hedge ||
+      open_request.possible_runs + 1 >= open_request.max_runs ||
+      now + settings_.min_time_left >= open_request.deadline) {
+    return false;
+  }
+  const Duration silence = SilenceOf(now, open_request);
+  if (!streams) {
+    return false;
+  }
+  return (silence >= settings_.stream_hedge_delay &&
+          selector_->IsInDoubt(open_request.attempt)) ||
+         (silence >= settings_.lost_path_hedge_delay &&
+          selector_->IsPathLost(open_request.attempt));
+}
+
+std::vector<ForwardId> ForwardController::FindHedgeable(Time now) {
+  std::vector<ForwardId> hedgeable;
+  for (const auto& [attempt, id] : by_attempt_) {
+    OpenRequest& open_request = open_requests_.at(id);
+    if (IsHedgeable(now, open_request)) {
+      open_request.next_hedge = now + settings_.hedge_retry_interval;
+      hedgeable.push_back(id);
+    }
+  }
+  return hedgeable;
+}
+
+std::optional<SendForward> ForwardController::StartSecondAttempt(
+    Time now,
+    ForwardId id,
+    const ForwardEnd& silent) {
+  const auto found = open_requests_.find(id);
+  if (found == open_requests_.end() || found->second.second ||
+      found->second.relay_node) {
+    return std::nullopt;
+  }
+  OpenRequest& open_request = found->second;
+  OpenRequest next = open_request;
+  ++next.possible_runs;
+  next.excluded.push_back(open_request.endpoint.vm);
+  UpdateUrgency(now, next, silent.delivered);
+  if (!MayRunAgain(now, next, silent) ||
+      crash_guard_->Judge(now, next.suspects).verdict > CrashVerdict::kApart) {
+    return std::nullopt;
+  }
+  const std::optional<std::int64_t> resume =
+      silent.delivered ? silent.last_event : open_request.request.resume_after;
+  // An endpoint that fell silent at the same moment is heard just as late as
+  // this one, so only the second half of the silence counts.
+  const Time heard_since = now - SilenceOf(now, open_request) / 2;
+  Result<SendForward, RefusalKind> send =
+      Dispatch(now, next, resume, heard_since);
+  if (!IsOk(send)) {
+    return std::nullopt;
+  }
+  if (!budget_->TrySpend(now, open_request.service)) {
+    selector_->OnCancelled(next.attempt);
+    return std::nullopt;
+  }
+  open_request.sends = next.sends;
+  open_request.urgency = next.urgency;
+  open_request.second = {next.endpoint, next.address, next.attempt, now};
+  EmitEvent(EventKind::kRequestHedged, open_request,
+            {{"vm", next.endpoint.vm.value()},
+             {"silent_vm", open_request.endpoint.vm.value()},
+             {"silent_ms", SilenceOf(now, open_request).millis()},
+             {"sends", open_request.sends},
+             {"resume_after", resume.value_or(-1)}});
+  return std::move(ValueOf(send));
+}
+
+void ForwardController::PromoteSecondAttempt(ForwardId id,
+                                             OpenRequest& open_request) {
+  const SecondAttempt second = *std::exchange(open_request.second, {});
+  open_request.endpoint = second.endpoint;
+  open_request.address = second.address;
+  open_request.attempt = second.number;
+  open_request.sent = second.sent;
+  open_request.first_event.reset();
+  open_request.are_parts_proven = false;
+  by_attempt_[second.number] = id;
+}
+
+void ForwardController::CancelSecondAttempt(OpenRequest& open_request) {
+  if (open_request.second) {
+    selector_->OnCancelled(open_request.second->number);
+    open_request.second.reset();
+    ++open_request.possible_runs;
+  }
+}
+
+void ForwardController::OnSecondAttemptWon(Time now, ForwardId id) {
+  const auto found = open_requests_.find(id);
+  if (found == open_requests_.end() || !found->second.second) {
+    return;
+  }
+  OpenRequest& open_request = found->second;
+  const VmId silent = open_request.endpoint.vm;
+  const Duration silence = SilenceOf(now, open_request);
+  // The silent endpoint is not known to have failed: the selector has excluded
+  // it until it makes progress.
+  selector_->OnCancelled(open_request.attempt);
+  by_attempt_.erase(open_request.attempt);
+  open_request.excluded.push_back(silent);
+  ++open_request.possible_runs;
+  PromoteSecondAttempt(id, open_request);
+  EmitEvent(
+      EventKind::kRequestRetried, open_request,
+      {{"after", std::string(ForwardEndKindName(ForwardEndKind::kSilent))},
+       {"vm", open_request.endpoint.vm.value()},
+       {"failed_vm", silent.value()},
+       {"silent_ms", silence.millis()},
+       {"sends", open_request.sends}});
+}
+
+void ForwardController::OnSecondAttemptEnded(Time now,
+                                             ForwardId id,
+                                             const ForwardEnd& end) {
+  const auto found = open_requests_.find(id);
+  if (found == open_requests_.end() || !found->second.second) {
+    return;
+  }
+  OpenRequest& open_request = found->second;
+  OpenRequest second = open_request;
+  second.endpoint = open_request.second->endpoint;
+  second.address = open_request.second->address;
+  second.attempt = open_request.second->number;
+  second.first_event.reset();
+  second.are_parts_proven = false;
+  RecordAttemptEnd(now, second, end);
+  open_request.second.reset();
+  open_request.excluded = std::move(second.excluded);
+  open_request.has_reached_endpoint = second.has_reached_endpoint;
+  const bool is_run = end.kind != ForwardEndKind::kNotRun &&
+                      end.kind != ForwardEndKind::kOtherVm &&
+                      end.kind != ForwardEndKind::kNothingSent;
+  open_request.possible_runs += is_run ? 1 : 0;
+}
+
+void ForwardController::OnSecondAttemptReport(Time now,
+                                              ForwardId id,
+                                              const EndpointReport& report) {
+  const auto found = open_requests_.find(id);
+  if (found != open_requests_.end() && found->second.second) {
+    reachability_->OnContact(now);
+    selector_->OnReport(now, found->second.second->number, report);
+  }
+}
+
+ForwardStep ForwardController::OnFirstAttemptFailed(Time now,
+                                                    ForwardId id,
+                                                    OpenRequest& open_request,
+                                                    const ForwardEnd& end) {
+  const VmId failed = open_request.endpoint.vm;
+  const Duration silence = SilenceOf(now, open_request);
+  RecordAttemptEnd(now, open_request, end);
+  if (end.kind == ForwardEndKind::kEndpointFailed) {
+    ReportHarmless(now, open_request);
+  }
+  const bool is_run = end.kind != ForwardEndKind::kNotRun &&
+                      end.kind != ForwardEndKind::kOtherVm &&
+                      end.kind != ForwardEndKind::kNothingSent;
+  open_request.possible_runs += is_run ? 1 : 0;
+  PromoteSecondAttempt(id, open_request);
+  EmitEvent(EventKind::kRequestRetried, open_request,
+            {{"after", std::string(ForwardEndKindName(end.kind))},
+             {"vm", open_request.endpoint.vm.value()},
+             {"failed_vm", failed.value()},
+             {"silent_ms", silence.millis()},
+             {"sends", open_request.sends}});
+  return KeepSecondAttempt{};
+}
+
+std::vector<ForwardId> ForwardController::RunningRequests() const {
+  std::vector<ForwardId> running;
+  running.reserve(by_attempt_.size());
+  for (const auto& [attempt, id] : by_attempt_) {
+    running.push_back(id);
+  }
+  return running;
+}
+
+std::optional<ForwardStep>
+ForwardController::FailOver(Time now, ForwardId id, const ForwardEnd& silent) {
+  const auto found = open_requests_.find(id);
+  if (found == open_requests_.end()) {
+    return std::nullopt;
+  }
+  OpenRequest& open_request = found->second;
+  // Everything that the next attempt needs is taken before the running one is
+  // given up.
+  OpenRequest next = open_request;
+  next.second.reset();
+  next.relay_node.reset();
+  next.possible_runs += open_request.relay_node ? open_request.relay_runs
+                        : open_request.second   ? 2
+                                                : 1;
+  if (!open_request.relay_node) {
+    next.excluded.push_back(open_request.endpoint.vm);
+  }
+  if (!MayRunAgain(now, next, silent)) {
+    return std::nullopt;
+  }
+  Result<ForwardStep, RefusalKind> step = Retry(now, next, silent, true);
+  if (!IsOk(step)) {
+    return std::nullopt;
+  }
+  if (open_request.relay_node) {
+    relays_->OnFailed(now, *open_request.relay_node);
+    EndRelay(id, open_request);
+  } else {
+    CancelSecondAttempt(open_request);
+    RecordAttemptEnd(now, open_request, silent);
+  }
+  next.has_reached_endpoint = true;
+  if (std::holds_alternative<RelayForward>(ValueOf(step))) {
+    StopWaiting(next);
+    next.is_trial = false;
+  }
+  Track(id, std::move(next), ValueOf(step));
+  return std::move(ValueOf(step));
+}
+
+}  // namespace gcw
--- a/coordination/gateway/forward_request.h
+++ b/coordination/gateway/forward_request.h
@@ -92,6 +92,10 @@
 // request.
 struct AwaitDecision {};
 
+// Step: the first attempt has failed, and the second one, which runs already,
+// takes its place.
+struct KeepSecondAttempt {};
+
 // Step: the caller gets the endpoint's answer unchanged.
 struct PassAnswer {};
 
@@ -114,6 +118,7 @@
 using ForwardStep = std::variant<SendForward,
                                  RelayForward,
                                  AwaitDecision,
+                                 KeepSecondAttempt,
                                  PassAnswer,
                                  ForwardRefused,
                                  ForwardOutcomeUnknown,
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -127,7 +127,10 @@
   UpdateRole(now);
   UpdateReplicas(now);
   UpdateReachability(now);
-  FailOverStalledAttempts(now, selector_.Tick(now));
+  selector_.Tick(now);
+  for (const ForwardId id : forwards_.FindHedgeable(now)) {
+    actions_.emplace_back(HedgeForward{id});
+  }
   for (const Replica& replica : selector_.TakeSuspectedStalls()) {
     QueryStallWitnesses({replica.vm, replica.generation});
   }
@@ -192,8 +195,7 @@
     RunController(now);
     return TakeActions();
   }
-  FailOverStalledAttempts(
-      now, selector_.OnPeerStall(now, notice.head, notice.generation));
+  selector_.OnPeerStall(now, notice.head, notice.generation);
   controller_.OnGroupStalled(notice.head, notice.generation);
   RunController(now);
   return TakeActions();
@@ -274,11 +276,10 @@
       break;
     case CheckPurpose::kReach:
       reachability_.OnCheckReply(now, check.vm, result);
-      OnReachabilityChanged(now, was_cut);
+      OnReachabilityChanged(was_cut);
       break;
     case CheckPurpose::kPath:
-      FailOverStalledAttempts(now,
-                              selector_.OnPathCheck(now, check.vm, is_reached));
+      selector_.OnPathCheck(check.vm, is_reached);
       AnnounceStalls(now);
       break;
   }
@@ -515,14 +516,6 @@
   return overview;
 }
 
-void GatewayCore::FailOverStalledAttempts(
-    Time now,
-    const std::vector<AttemptNumber>& stalled_attempts) {
-  for (const ForwardId id : forwards_.FindMovable(now, stalled_attempts)) {
-    actions_.emplace_back(FailOverForward{id});
-  }
-}
-
 std::vector<Address> GatewayCore::OtherNodeAddresses() const {
   std::vector<Address> addresses;
   for (const auto& [id, node] : view_.nodes()) {
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -189,8 +189,13 @@
   ForwardId id;
   ForwardStep step;
 };
-// Ends the request's attempt as kSilent, so that another endpoint can take over
-// the request.
+// The request's attempt is silent: a second one may start beside it, see
+// GatewayCore::StartSecondAttempt.
+struct HedgeForward {
+  ForwardId id;
+};
+// The request's attempt is lost: another one may replace it, see
+// GatewayCore::FailOver.
 struct FailOverForward {
   ForwardId id;
 };
@@ -213,6 +218,7 @@
                                    ContinueForward,
                                    SendGroupOrder,
                                    ProbeEngine,
+                                   HedgeForward,
                                    FailOverForward,
                                    DropPooledConnections>;
 using GatewayActions = std::vector<GatewayAction>;
@@ -316,6 +322,28 @@
     forwards_.OnRelayedReport(now, id, endpoint, report);
   }
   void OnCallerGone(Time now, ForwardId id) { forwards_.OnCallerGone(now, id); }
+  // See ForwardController.
+  std::optional<SendForward> StartSecondAttempt(Time now,
+                                                ForwardId id,
+                                                const ForwardEnd& silent) {
+    return forwards_.StartSecondAttempt(now, id, silent);
+  }
+  void OnSecondAttemptWon(Time now, ForwardId id) {
+    forwards_.OnSecondAttemptWon(now, id);
+  }
+  void OnSecondAttemptEnded(Time now, ForwardId id, const ForwardEnd& end) {
+    forwards_.OnSecondAttemptEnded(now, id, end);
+  }
+  void OnSecondAttemptReport(Time now,
+                             ForwardId id,
+                             const EndpointReport& report) {
+    forwards_.OnSecondAttemptReport(now, id, report);
+  }
+  std::optional<ForwardStep> FailOver(Time now,
+                                      ForwardId id,
+                                      const ForwardEnd& silent) {
+    return forwards_.FailOver(now, id, silent);
+  }
 
   // Addresses for callers: this node's, then those of the nodes that follow it
   // in the order of their names. In a fleet with more nodes than one list
@@ -388,9 +416,6 @@
   void RunCrashGuard(Time now);
   void WriteOverview(Time now);
   FleetOverview DescribeFleet() const;
-  void FailOverStalledAttempts(
-      Time now,
-      const std::vector<AttemptNumber>& stalled_attempts);
   void QueryStallWitnesses(const StallNotice& group);
   // Tells other nodes of stalled groups, and the controller of groups whose
   // first members this node does not reach.
@@ -399,7 +424,7 @@
   void NotifyLimits(Time now);
   // Checks whether this node reaches the endpoints, and asks other nodes.
   void UpdateReachability(Time now);
-  void OnReachabilityChanged(Time now, bool was_cut);
+  void OnReachabilityChanged(bool was_cut);
   // Why this node accepts no requests of other nodes; absent if it does.
   std::optional<RefusalKind> FindRelayRefusal(Time now) const;
   ForwardAdmission RefuseArrival(const ForwardRequest& request,
--- a/coordination/gateway/gateway_core_relays.cc
+++ b/coordination/gateway/gateway_core_relays.cc
@@ -70,10 +70,12 @@
 
 // What runs at endpoints when the node finds itself cut off is lost, or hangs
 // until the paths are back.
-void GatewayCore::OnReachabilityChanged(Time now, bool was_cut) {
+void GatewayCore::OnReachabilityChanged(bool was_cut) {
   if (reachability_.is_cut() && !was_cut) {
     crash_guard_.OnPathsLost();
-    FailOverStalledAttempts(now, selector_.RunningAttempts());
+    for (const ForwardId id : forwards_.RunningRequests()) {
+      actions_.emplace_back(FailOverForward{id});
+    }
   }
 }
 
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -60,12 +60,22 @@
 
 ReplicaSelector::State* ReplicaSelector::FindTarget(const Attempt& attempt) {
   State* state = Find(attempt.vm);
-  return state != nullptr && state->replica.generation == attempt.generation &&
-                 state->replica.incarnation == attempt.incarnation
-             ? state
+  return state != nullptr && IsTarget(*state, attempt) ? state : nullptr;
+}
+
+const ReplicaSelector::State* ReplicaSelector::FindTarget(
+    const Attempt& attempt) const {
+  const auto found = states_.find(attempt.vm);
+  return found != states_.end() && IsTarget(found->second, attempt)
+             ? &found->second
              : nullptr;
 }
 
+bool ReplicaSelector::IsTarget(const State& state, const Attempt& attempt) {
+  return state.replica.generation == attempt.generation &&
+         state.replica.incarnation == attempt.incarnation;
+}
+
 double ReplicaSelector::MaxFill(const ReplicaDemand& demand) const {
   if (!demand.urgency) {
     return settings_.max_fill;
@@ -75,7 +85,7 @@
 }
 
 bool ReplicaSelector::IsUsable(Time now, const State& state) const {
-  if (state.stalled_until && now < *state.stalled_until) {
+  if (state.is_stalled && (state.in_flight > 0 || now < state.next_trial)) {
     return false;
   }
   return state.backoff.AllowsRequest(now);
@@ -213,6 +223,15 @@
     const ReplicaDemand& demand,
     std::span<const VmId> excluded) const {
   Candidates candidates = FindCandidates(now, demand, excluded);
+  if (demand.heard_since) {
+    Candidates heard = candidates;
+    KeepHeard(*demand.heard_since, heard);
+    const bool any_heard =
+        !heard.near.empty() || !heard.far.empty() || !heard.limited.empty();
+    if (any_heard || IsSilenceCommon(demand.service, *demand.heard_since)) {
+      candidates = std::move(heard);
+    }
+  }
   std::optional<ReplicaChoice> best;
   if (demand.apart) {
     best = ChooseApart(now, demand, candidates);
@@ -293,6 +312,7 @@
     attempt.generation = state->replica.generation;
     attempt.incarnation = state->replica.incarnation;
     state->backoff.OnSent(now);
+    state->next_trial = now + settings_.stall_trial_interval;
     ++state->in_flight;
     ++state->sent_since_report;
     state->pending_prompt_tokens += attempt.prompt_tokens;
@@ -376,8 +396,7 @@
     state->pending_prompt_tokens =
         std::max(0.0, state->pending_prompt_tokens - running.prompt_tokens);
   }
-  if (state->stalled_until) {
-    state->stalled_until.reset();
+  if (std::exchange(state->is_stalled, false)) {
     events_({EventKind::kEndpointRestored, running.vm.value(), {}, {}});
   }
 }
@@ -509,15 +528,6 @@
   return drawn;
 }
 
-std::vector<AttemptNumber> ReplicaSelector::RunningAttempts() const {
-  std::vector<AttemptNumber> running;
-  running.reserve(attempts_.size());
-  for (const auto& [number, attempt] : attempts_) {
-    running.push_back(number);
-  }
-  return running;
-}
-
 void ReplicaSelector::OnCancelled(AttemptNumber attempt) {
   const auto found = attempts_.find(attempt);
   if (found == attempts_.end()) {
--- a/coordination/gateway/replica_selector.h
+++ b/coordination/gateway/replica_selector.h
@@ -33,11 +33,14 @@
   // asks other nodes and waits this long for one that saw progress. Answers
   // take a few milliseconds within a region.
   Duration peer_confirmation_timeout = Duration::Millis(80);
+  // The path to an endpoint is checked after this long without a first event,
+  // so that its streams can begin elsewhere before callers leave.
+  Duration first_event_check_delay = Duration::Millis(1000);
   // Interval between two checks of an endpoint whose streams are silent here.
   Duration path_check_interval = Duration::Seconds(1);
-  // A stalled replica is excluded until it makes progress or this time has
-  // passed; by then its group has been repaired or dissolved.
-  Duration stalled_exclusion_time = Duration::Millis(6000);
+  // A stalled replica is excluded until it makes progress. If nothing that
+  // could show progress runs there, it gets one trial request in this interval.
+  Duration stall_trial_interval = Duration::Millis(1000);
   // Cost of a replica in another data centre, as expected wait. 20 ms instead
   // of 4 ms sends an eighth less between data centres (simulation with 9
   // nodes).
@@ -112,6 +115,9 @@
   // If set, all nodes choose the same replica for this part of prompts, as far
   // as it has room.
   std::optional<Fingerprint> apart;
+  // If set, only replicas count from which this node has received something
+  // after this time. Where silence is rare, others count too if there is none.
+  std::optional<Time> heard_since;
 };
 
 struct ReplicaChoice {
@@ -178,8 +184,12 @@
   // Whether streams run and no endpoint has sent anything for too long, if
   // `last_contact` is the last time that one did.
   bool AwaitsAnswers(Time now, Time last_contact) const;
-  // Returns the attempts that run.
-  std::vector<AttemptNumber> RunningAttempts() const;
+  // Whether the replica of the attempt seems stalled, or does not accept new
+  // connections of this node.
+  bool IsInDoubt(AttemptNumber attempt) const;
+  // Whether the silent replica of the attempt does not accept new connections
+  // of this node.
+  bool IsPathLost(AttemptNumber attempt) const;
 
   AttemptNumber OnSent(Time now,
                        const VmId& vm,
@@ -200,8 +210,8 @@
   // The attempt was abandoned: the caller left or the send was withdrawn.
   void OnCancelled(AttemptNumber attempt);
 
-  // Detects stalled replicas and returns the attempts that run at them.
-  std::vector<AttemptNumber> Tick(Time now);
+  // Detects stalled replicas.
+  void Tick(Time now);
   // Replicas suspected of being stalled since the last call. Other nodes may
   // have seen them make progress.
   std::vector<Replica> TakeSuspectedStalls();
@@ -210,19 +220,13 @@
                       const VmId& vm,
                       Generation generation,
                       Duration ago);
-  // Another node found the replica stalled. Returns the attempts that run at
-  // it.
-  std::vector<AttemptNumber> OnPeerStall(Time now,
-                                         const VmId& vm,
-                                         Generation generation);
+  // Another node found the replica stalled.
+  void OnPeerStall(Time now, const VmId& vm, Generation generation);
   // Replicas whose streams are silent at this node, to be checked by a new
   // connection: only this node may have lost its path to them.
   std::vector<Replica> TakePathChecks();
-  // The endpoint accepted a new connection of this node, or did not. Returns
-  // the attempts that hang because the path is lost.
-  std::vector<AttemptNumber> OnPathCheck(Time now,
-                                         const VmId& vm,
-                                         bool is_reached);
+  // The endpoint accepted a new connection of this node, or did not.
+  void OnPathCheck(const VmId& vm, bool is_reached);
   // Replicas found to be stalled since the last call, to be announced to other
   // nodes. Their endpoints accept new connections of this node.
   std::vector<Replica> TakeStalledReplicas();
@@ -283,7 +287,9 @@
     std::optional<Time> suspected_since;
     // Moving average of the time between two events of a stream; 0 until known.
     double event_interval_ms = 0;
-    std::optional<Time> stalled_until;
+    bool is_stalled = false;
+    // Earliest time of the next trial request of a stalled replica.
+    Time next_trial;
     // The stall is announced once it is known whether the endpoint accepts new
     // connections.
     bool awaits_announcement = false;
@@ -344,6 +350,9 @@
   State* Find(const VmId& vm);
   // Returns null if the attempt was sent to an earlier run or group of the VM.
   State* FindTarget(const Attempt& attempt);
+  const State* FindTarget(const Attempt& attempt) const;
+  // Whether the attempt was sent to this run and group of the VM.
+  static bool IsTarget(const State& state, const Attempt& attempt);
   double MaxFill(const ReplicaDemand& demand) const;
   bool IsUsable(Time now, const State& state) const;
   double ExpectedRequests(Time now, const State& state) const;
@@ -362,10 +371,13 @@
   void CheckPaths(Time now, const std::set<VmId>& silent_here);
   // Announces the stall if it is known whether the endpoint is reached.
   void AnnounceStall(State& state);
-  std::vector<AttemptNumber> AttemptsAt(const State& state) const;
-  std::vector<AttemptNumber> MarkStalled(Time now,
-                                         State& state,
-                                         std::string_view evidence);
+  void MarkStalled(Time now, State& state, std::string_view evidence);
+  static bool IsPathLost(const State& state);
+  // Whether most of the service's replicas that run streams of this node have
+  // been silent since the time.
+  bool IsSilenceCommon(const ServiceId& service, Time since) const;
+  // Leaves only the candidates that were heard after the time.
+  static void KeepHeard(Time since, Candidates& candidates);
 
   ReplicaSelectorSettings settings_;
   ZoneId zone_;
--- a/coordination/gateway/replica_selector_stall.cc
+++ b/coordination/gateway/replica_selector_stall.cc
@@ -14,7 +14,7 @@
       continue;
     }
     const State* state = FindTarget(attempt);
-    if (state == nullptr || state->stalled_until) {
+    if (state == nullptr || state->is_stalled) {
       continue;
     }
     const Time last =
@@ -40,12 +40,11 @@
       });
 }
 
-std::vector<AttemptNumber> ReplicaSelector::Tick(Time now) {
+void ReplicaSelector::Tick(Time now) {
   limits_.Tick(now, [this](const VmId& vm) { return states_.contains(vm); });
   holds_.Tick(now);
   CheckPaths(now, FindSilentHere(now));
   const std::set<VmId> silent = FindSilent(now);
-  std::vector<AttemptNumber> stalled;
   for (auto& [vm, state] : states_) {
     if (!silent.contains(vm)) {
       state.suspected_since.reset();
@@ -63,10 +62,51 @@
     state.suspected_since.reset();
     state.awaits_announcement = true;
     AnnounceStall(state);
-    const auto marked = MarkStalled(now, state, "own_streams");
-    stalled.insert(stalled.end(), marked.begin(), marked.end());
+    MarkStalled(now, state, "own_streams");
   }
-  return stalled;
+}
+
+bool ReplicaSelector::IsInDoubt(AttemptNumber attempt) const {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return false;
+  }
+  const State* state = FindTarget(found->second);
+  return state == nullptr || state->is_stalled || IsPathLost(*state);
+}
+
+bool ReplicaSelector::IsPathLost(AttemptNumber attempt) const {
+  const auto found = attempts_.find(attempt);
+  const State* state =
+      found == attempts_.end() ? nullptr : FindTarget(found->second);
+  return state != nullptr && IsPathLost(*state);
+}
+
+bool ReplicaSelector::IsPathLost(const State& state) {
+  return state.is_path_checked && !state.is_reached;
+}
+
+void ReplicaSelector::KeepHeard(Time since, Candidates& candidates) {
+  for (auto* states :
+       {&candidates.near, &candidates.far, &candidates.limited}) {
+    std::erase_if(*states, [&](const State* state) {
+      return state->last_contact <= since;
+    });
+  }
+}
+
+bool ReplicaSelector::IsSilenceCommon(const ServiceId& service,
+                                      Time since) const {
+  std::set<VmId> silent;
+  std::set<VmId> heard;
+  for (const auto& [number, attempt] : attempts_) {
+    const State* state = FindTarget(attempt);
+    if (state != nullptr && state->replica.service == service &&
+        attempt.sent <= since) {
+      (state->last_contact > since ? heard : silent).insert(attempt.vm);
+    }
+  }
+  return silent.size() > std::max<std::size_t>(1, heard.size());
 }
 
 std::vector<Replica> ReplicaSelector::TakeSuspectedStalls() {
@@ -85,26 +125,25 @@
   state->last_progress = std::max(state->last_progress, now - ago);
 }
 
-std::vector<AttemptNumber> ReplicaSelector::OnPeerStall(Time now,
-                                                        const VmId& vm,
-                                                        Generation generation) {
+void ReplicaSelector::OnPeerStall(Time now,
+                                  const VmId& vm,
+                                  Generation generation) {
   State* state = Find(vm);
   if (state == nullptr || state->replica.generation != generation ||
-      state->stalled_until) {
-    return {};
+      state->is_stalled) {
+    return;
   }
   // Recent progress outweighs another node's report of a stall.
-  if (now - state->last_progress < settings_.stall_timeout / 2) {
-    return {};
+  if (now - state->last_progress >= settings_.stall_timeout / 2) {
+    MarkStalled(now, *state, "other_node");
   }
-  return MarkStalled(now, *state, "other_node");
 }
 
-std::vector<AttemptNumber> ReplicaSelector::MarkStalled(
-    Time now,
-    State& state,
-    std::string_view evidence) {
-  state.stalled_until = now + settings_.stalled_exclusion_time;
+void ReplicaSelector::MarkStalled(Time now,
+                                  State& state,
+                                  std::string_view evidence) {
+  state.is_stalled = true;
+  state.next_trial = now + settings_.stall_trial_interval;
   events_({EventKind::kConnectionStalled,
            state.replica.vm.value(),
            {},
@@ -112,19 +151,6 @@
             {"evidence", std::string(evidence)},
             {"silent_ms", (now - state.last_progress).millis()},
             {"in_flight", state.in_flight}}});
-  return AttemptsAt(state);
-}
-
-std::vector<AttemptNumber> ReplicaSelector::AttemptsAt(
-    const State& state) const {
-  std::vector<AttemptNumber> attempts;
-  for (const auto& [number, attempt] : attempts_) {
-    if (attempt.vm == state.replica.vm &&
-        attempt.generation == state.replica.generation) {
-      attempts.push_back(number);
-    }
-  }
-  return attempts;
 }
 
 std::set<VmId> ReplicaSelector::FindSilentHere(Time now) {
@@ -137,7 +163,7 @@
     const Time last =
         std::max(attempt.progress.value_or(attempt.sent), state->last_event);
     if (now - last > (attempt.progress ? settings_.stall_timeout
-                                       : settings_.first_event_timeout)) {
+                                       : settings_.first_event_check_delay)) {
       silent.insert(attempt.vm);
     }
   }
@@ -161,21 +187,15 @@
   return std::exchange(path_checks_, {});
 }
 
-std::vector<AttemptNumber> ReplicaSelector::OnPathCheck(Time now,
-                                                        const VmId& vm,
-                                                        bool is_reached) {
+void ReplicaSelector::OnPathCheck(const VmId& vm, bool is_reached) {
   State* state = Find(vm);
   if (state == nullptr || !state->is_path_check_pending) {
-    return {};
+    return;
   }
   state->is_path_check_pending = false;
   state->is_path_checked = true;
   state->is_reached = is_reached;
   AnnounceStall(*state);
-  if (is_reached || !FindSilentHere(now).contains(vm)) {
-    return {};
-  }
-  return AttemptsAt(*state);
 }
 
 void ReplicaSelector::AnnounceStall(State& state) {
--- a/core/event.cc
+++ b/core/event.cc
@@ -57,6 +57,8 @@
       return "request_dispatched";
     case EventKind::kRequestRelayed:
       return "request_relayed";
+    case EventKind::kRequestHedged:
+      return "request_hedged";
     case EventKind::kRequestRetried:
       return "request_retried";
     case EventKind::kRequestFinished:
--- a/core/event.h
+++ b/core/event.h
@@ -43,6 +43,7 @@
   kRequestRefused,
   kRequestDispatched,
   kRequestRelayed,
+  kRequestHedged,
   kRequestRetried,
   kRequestFinished,
   kRequestOutcomeUnknown,
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -160,6 +160,10 @@
              kShortDuration,
              "Timeout without a byte from a plain service, for requests that "
              "may be repeated.");
+  reader.Add("endpoints.stream_silence_ms",
+             &settings.core.requests.stream_hedge_delay, kShortDuration,
+             "Silence of a stalled endpoint after which a stream that may be "
+             "resumed gets a second attempt beside the first.");
   ReplicaSelectorSettings& selector = settings.core.selector;
   reader.Add("routing.silence_limit_ms", &selector.stall_timeout,
              kShortDuration,
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -68,11 +68,14 @@
 
 void ForwardExchange::PerformStep(const ForwardStep& step) {
   if (const auto* send = std::get_if<SendForward>(&step)) {
-    StartAttempt(*send);
+    CancelSecondAttempt();
+    StartAttempt(attempt_, *send);
   } else if (const auto* relay = std::get_if<RelayForward>(&step)) {
     StartRelay(*relay);
   } else if (std::holds_alternative<AwaitDecision>(step)) {
     return;
+  } else if (std::holds_alternative<KeepSecondAttempt>(step)) {
+    PromoteSecondAttempt();
   } else if (std::holds_alternative<PassAnswer>(step)) {
     RespondWithAnswer();
   } else if (const auto* refused = std::get_if<ForwardRefused>(&step)) {
@@ -91,11 +94,11 @@
   }
 }
 
-void ForwardExchange::StartAttempt(const SendForward& send) {
-  attempt_ = Attempt();
-  attempt_.vm = send.vm;
-  attempt_.streams = send.streams;
-  attempt_.resume_after = send.resume_after;
+void ForwardExchange::StartAttempt(Attempt& attempt, const SendForward& send) {
+  attempt = Attempt();
+  attempt.vm = send.vm;
+  attempt.streams = send.streams;
+  attempt.resume_after = send.resume_after;
   HttpCallOptions options;
   options.connect_timeout = settings_.connect_timeout;
   options.deadline = send.time_left;
@@ -104,11 +107,12 @@
                                  : settings_.service_idle_timeout;
   options.reuse_connection = !send.fresh_connection;
   options.accept_unframed = true;
-  BeginExchange(*parts_.endpoints, send.address,
+  BeginExchange(attempt, *parts_.endpoints, send.address,
                 parts_.dialect->make_attempt_request(request_, send), options);
 }
 
 void ForwardExchange::StartRelay(const RelayForward& relay) {
+  CancelSecondAttempt();
   attempt_ = Attempt();
   attempt_.is_relayed = true;
   attempt_.streams = relay.streams;
@@ -123,164 +127,238 @@
   RemoveRelayHeaders(request.headers);
   request.headers.push_back(
       {std::string(kRelayHeader), EncodeRelayTerms(relay.terms)});
-  BeginExchange(*parts_.peers, relay.node, std::move(request), options);
+  BeginExchange(attempt_, *parts_.peers, relay.node, std::move(request),
+                options);
 }
 
-void ForwardExchange::BeginExchange(HttpClient& client,
+void ForwardExchange::BeginExchange(Attempt& attempt,
+                                    HttpClient& client,
                                     const Address& address,
                                     HttpRequest request,
                                     const HttpCallOptions& options) {
-  const int number = ++attempt_number_;
+  const int number = ++last_attempt_number_;
+  attempt.number = number;
   ++attempts_;
   HttpCallHandlers handlers;
-  const auto if_current = [weak = weak_from_this(), number](auto run) {
+  const auto if_running = [weak = weak_from_this(), number](auto run) {
     const auto self = weak.lock();
-    if (self && !self->finished_ && self->attempt_number_ == number) {
-      run(*self);
+    Attempt* running =
+        self && !self->finished_ ? self->FindAttempt(number) : nullptr;
+    if (running != nullptr) {
+      run(*self, *running);
     }
   };
-  handlers.on_head = [if_current](const HttpResponse& head) {
-    if_current([&](ForwardExchange& self) { self.OnHead(head); });
+  handlers.on_head = [if_running](const HttpResponse& head) {
+    if_running([&](ForwardExchange& self, Attempt& running) {
+      self.OnHead(running, head);
+    });
   };
-  handlers.on_body = [if_current](std::string_view chunk) {
-    if_current([&](ForwardExchange& self) { self.OnBody(chunk); });
+  handlers.on_body = [if_running](std::string_view chunk) {
+    if_running([&](ForwardExchange& self, Attempt& running) {
+      self.OnBody(running, chunk);
+    });
   };
-  handlers.on_end = [if_current] {
-    if_current([](ForwardExchange& self) { self.OnEnd(); });
+  handlers.on_end = [if_running] {
+    if_running(
+        [](ForwardExchange& self, Attempt& running) { self.OnEnd(running); });
   };
-  handlers.on_failure = [if_current](const HttpFailure& failure) {
-    if_current([&](ForwardExchange& self) { self.OnFailure(failure); });
+  handlers.on_failure = [if_running](const HttpFailure& failure) {
+    if_running([&](ForwardExchange& self, Attempt& running) {
+      self.OnFailure(running, failure);
+    });
   };
-  attempt_.call =
+  attempt.call =
       client.Send(address, std::move(request), options, std::move(handlers));
 }
 
-void ForwardExchange::OnHead(const HttpResponse& head) {
-  attempt_.head = head;
-  attempt_.has_head = true;
-  attempt_.answer = parts_.dialect->read_answer(head, request_id_);
+ForwardExchange::Attempt* ForwardExchange::FindAttempt(int number) {
+  if (attempt_.number == number) {
+    return &attempt_;
+  }
+  return second_ && second_->number == number ? &*second_ : nullptr;
+}
+
+bool ForwardExchange::IsSecond(const Attempt& attempt) const {
+  return second_ && &attempt == &*second_;
+}
+
+void ForwardExchange::OnHead(Attempt& attempt, const HttpResponse& head) {
+  attempt.head = head;
+  attempt.has_head = true;
+  attempt.answer = parts_.dialect->read_answer(head, request_id_);
   // Any other answer may come from another VM, or from this one at an earlier
   // time.
-  if (attempt_.is_relayed) {
-    attempt_.relay_answer = ReadRelayAnswer(head);
-    RemoveRelayHeaders(attempt_.head.headers);
-    attempt_.vm = attempt_.relay_answer.endpoint;
+  if (attempt.is_relayed) {
+    attempt.relay_answer = ReadRelayAnswer(head);
+    RemoveRelayHeaders(attempt.head.headers);
+    attempt.vm = attempt.relay_answer.endpoint;
   }
   const bool is_from_endpoint =
-      !attempt_.answer.is_misdirected &&
-      (attempt_.answer.matches_request || attempt_.answer.is_not_executed);
-  if (is_from_endpoint && !attempt_.is_relayed) {
-    parts_.core->OnReport(parts_.clock(), id_, attempt_.answer.report);
-  } else if (is_from_endpoint && !attempt_.vm.empty()) {
-    parts_.core->OnRelayedReport(parts_.clock(), id_, attempt_.vm,
-                                 attempt_.answer.report);
+      !attempt.answer.is_misdirected &&
+      (attempt.answer.matches_request || attempt.answer.is_not_executed);
+  if (is_from_endpoint && IsSecond(attempt)) {
+    parts_.core->OnSecondAttemptReport(parts_.clock(), id_,
+                                       attempt.answer.report);
+  } else if (is_from_endpoint && !attempt.is_relayed) {
+    parts_.core->OnReport(parts_.clock(), id_, attempt.answer.report);
+  } else if (is_from_endpoint && !attempt.vm.empty()) {
+    parts_.core->OnRelayedReport(parts_.clock(), id_, attempt.vm,
+                                 attempt.answer.report);
   }
   const bool is_good =
-      attempt_.answer.matches_request && attempt_.answer.has_proof &&
-      !attempt_.answer.has_content_coding && IsSuccess(head.status);
+      attempt.answer.matches_request && attempt.answer.has_proof &&
+      !attempt.answer.has_content_coding && IsSuccess(head.status);
   // A stream that has begun can be continued only with the events of another
   // run of the request. Any other answer that may come from a run breaks it.
-  if (stream_started_ && !is_good && !attempt_.answer.is_not_executed &&
-      !attempt_.answer.is_misdirected && !attempt_.relay_answer.refusal) {
-    EndAttempt(ForwardEndKind::kConnectionBroken);
+  if (stream_started_ && !is_good && !attempt.answer.is_not_executed &&
+      !attempt.answer.is_misdirected && !attempt.relay_answer.refusal) {
+    EndAttempt(attempt, ForwardEndKind::kConnectionBroken);
     return;
   }
-  if (is_good && attempt_.streams) {
-    attempt_.streams_events = true;
-    attempt_.splitter.emplace(attempt_.resume_after);
+  if (is_good && attempt.streams) {
+    attempt.streams_events = true;
+    attempt.splitter.emplace(attempt.resume_after);
   }
 }
 
-void ForwardExchange::OnBody(std::string_view chunk) {
-  if (!attempt_.streams_events) {
-    attempt_.buffered_body += chunk;
-    if (attempt_.buffered_body.size() > settings_.max_buffered_bytes) {
-      EndAttempt(ForwardEndKind::kConnectionBroken);
+void ForwardExchange::OnBody(Attempt& attempt, std::string_view chunk) {
+  if (!attempt.streams_events) {
+    attempt.buffered_body += chunk;
+    if (attempt.buffered_body.size() > settings_.max_buffered_bytes) {
+      EndAttempt(attempt, ForwardEndKind::kConnectionBroken);
     }
     return;
   }
-  const std::optional<std::string_view> events = attempt_.splitter->Feed(chunk);
+  const std::optional<std::string_view> events = attempt.splitter->Feed(chunk);
   if (!events) {
-    EndAttempt(ForwardEndKind::kConnectionBroken);
+    EndAttempt(attempt, ForwardEndKind::kConnectionBroken);
     return;
   }
   if (!events->empty()) {
-    attempt_.has_events = true;
+    attempt.has_events = true;
+    // The view may point into the splitter, which moves with its attempt.
+    std::string new_events(*events);
+    if (IsSecond(attempt)) {
+      parts_.core->OnSecondAttemptWon(parts_.clock(), id_);
+      PromoteSecondAttempt();
+    }
+    CancelSecondAttempt();
     parts_.core->OnProgress(parts_.clock(), id_);
-    ForwardEvents(*events);
+    ForwardEvents(std::move(new_events));
   }
 }
 
-void ForwardExchange::ForwardEvents(std::string_view events) {
+void ForwardExchange::ForwardEvents(std::string events) {
   if (!stream_started_) {
     stream_started_ = true;
     first_byte_ = parts_.clock();
     responder_->StartStream(attempt_.head.status, TakeAnswerHeaders());
   }
-  responder_->Write(std::string(events));
+  responder_->Write(std::move(events));
   last_event_ = attempt_.splitter->last_id();
 }
 
-void ForwardExchange::OnEnd() {
-  const AnswerHead& answer = attempt_.answer;
+void ForwardExchange::OnEnd(Attempt& attempt) {
+  const AnswerHead& answer = attempt.answer;
   // A node that refuses without a reason did not read the request: it has too
   // many connections.
-  if (attempt_.is_relayed &&
-      (attempt_.relay_answer.refusal ||
-       (attempt_.head.status == kUnavailable && !answer.has_proof))) {
-    EndAttempt(ForwardEndKind::kNotRun);
+  if (attempt.is_relayed &&
+      (attempt.relay_answer.refusal ||
+       (attempt.head.status == kUnavailable && !answer.has_proof))) {
+    EndAttempt(attempt, ForwardEndKind::kNotRun);
     return;
   }
   if (answer.is_misdirected) {
-    EndAttempt(ForwardEndKind::kOtherVm);
+    EndAttempt(attempt, ForwardEndKind::kOtherVm);
     return;
   }
   if (answer.is_not_executed) {
-    EndAttempt(ForwardEndKind::kNotRun);
+    EndAttempt(attempt, ForwardEndKind::kNotRun);
     return;
   }
   // A complete answer that has no proof or belongs to another attempt says
   // nothing about this request, which may have run.
   if (!answer.matches_request || !answer.has_proof ||
       answer.has_content_coding) {
-    EndAttempt(ForwardEndKind::kConnectionBroken);
+    EndAttempt(attempt, ForwardEndKind::kConnectionBroken);
     return;
   }
   const StreamEnd stream_end =
-      attempt_.streams_events
-          ? FindStreamEnd(IsUnframed(attempt_.head), attempt_.has_events,
-                          attempt_.splitter->has_partial_event())
+      attempt.streams_events
+          ? FindStreamEnd(IsUnframed(attempt.head), attempt.has_events,
+                          attempt.splitter->has_partial_event())
           : StreamEnd::kComplete;
   if (stream_end != StreamEnd::kComplete) {
-    EndAttempt(ForwardEndKind::kConnectionBroken,
+    EndAttempt(attempt, ForwardEndKind::kConnectionBroken,
                stream_end == StreamEnd::kClosedEarly);
     return;
   }
-  EndAttempt(IsSuccess(attempt_.head.status) ? ForwardEndKind::kSucceeded
-                                             : ForwardEndKind::kEndpointFailed);
+  EndAttempt(attempt, IsSuccess(attempt.head.status)
+                          ? ForwardEndKind::kSucceeded
+                          : ForwardEndKind::kEndpointFailed);
 }
 
-void ForwardExchange::OnFailure(const HttpFailure& failure) {
+void ForwardExchange::OnFailure(Attempt& attempt, const HttpFailure& failure) {
   if (failure.kind == HttpFailureKind::kDeadlineExceeded) {
-    EndAttempt(ForwardEndKind::kDeadlineExceeded);
+    EndAttempt(attempt, ForwardEndKind::kDeadlineExceeded);
     return;
   }
   if (failure.progress == HttpProgress::kNothingSent) {
-    EndAttempt(ForwardEndKind::kNothingSent);
+    EndAttempt(attempt, ForwardEndKind::kNothingSent);
     return;
   }
   if (failure.kind == HttpFailureKind::kProgressTimeout) {
-    EndAttempt(ForwardEndKind::kSilent);
+    EndAttempt(attempt, ForwardEndKind::kSilent);
     return;
   }
-  EndAttempt(ForwardEndKind::kConnectionBroken,
+  EndAttempt(attempt, ForwardEndKind::kConnectionBroken,
              failure.kind == HttpFailureKind::kConnectionReset ||
                  failure.kind == HttpFailureKind::kTruncated);
 }
 
-void ForwardExchange::EndStalledAttempt() {
-  if (!finished_) {
-    EndAttempt(ForwardEndKind::kSilent);
+void ForwardExchange::FailOver() {
+  if (finished_) {
+    return;
+  }
+  const std::optional<ForwardStep> step = parts_.core->FailOver(
+      parts_.clock(), id_, MakeEnd(attempt_, ForwardEndKind::kSilent));
+  if (step) {
+    Cancel(attempt_);
+    PerformStep(*step);
+  }
+}
+
+void ForwardExchange::StartSecondAttempt() {
+  if (finished_ || second_) {
+    return;
+  }
+  const std::optional<SendForward> send = parts_.core->StartSecondAttempt(
+      parts_.clock(), id_, MakeEnd(attempt_, ForwardEndKind::kSilent));
+  if (send) {
+    second_.emplace();
+    StartAttempt(*second_, *send);
+  }
+}
+
+void ForwardExchange::PromoteSecondAttempt() {
+  Cancel(attempt_);
+  attempt_ = std::move(*second_);
+  second_.reset();
+}
+
+void ForwardExchange::Cancel(Attempt& attempt) {
+  // Invalidates pending callbacks of the attempt.
+  attempt.number = 0;
+  if (attempt.call) {
+    attempt.call->Cancel();
+    attempt.call.reset();
+  }
+}
+
+void ForwardExchange::CancelSecondAttempt() {
+  if (second_) {
+    Cancel(*second_);
+    second_.reset();
   }
 }
 
@@ -290,22 +368,33 @@
   }
 }
 
-void ForwardExchange::EndAttempt(ForwardEndKind kind, bool closed_by_endpoint) {
-  // Invalidates pending callbacks of this attempt.
-  ++attempt_number_;
-  if (attempt_.call) {
-    attempt_.call->Cancel();
-    attempt_.call.reset();
-  }
+ForwardEnd ForwardExchange::MakeEnd(const Attempt& attempt,
+                                    ForwardEndKind kind) const {
   ForwardEnd end;
   end.kind = kind;
-  end.at_fault = attempt_.answer.at_fault;
-  end.closed_by_endpoint = closed_by_endpoint;
+  end.at_fault = attempt.answer.at_fault;
   end.delivered = stream_started_;
   end.last_event = last_event_;
-  end.is_client_error =
-      attempt_.has_head && IsClientError(attempt_.head.status);
-  end.refusal = attempt_.relay_answer.refusal;
+  end.is_client_error = attempt.has_head && IsClientError(attempt.head.status);
+  end.refusal = attempt.relay_answer.refusal;
+  return end;
+}
+
+void ForwardExchange::EndAttempt(Attempt& attempt,
+                                 ForwardEndKind kind,
+                                 bool closed_by_endpoint) {
+  Cancel(attempt);
+  ForwardEnd end = MakeEnd(attempt, kind);
+  end.closed_by_endpoint = closed_by_endpoint;
+  if (IsSecond(attempt) && kind == ForwardEndKind::kSucceeded) {
+    parts_.core->OnSecondAttemptWon(parts_.clock(), id_);
+    PromoteSecondAttempt();
+  } else if (IsSecond(attempt)) {
+    second_.reset();
+    parts_.core->OnSecondAttemptEnded(parts_.clock(), id_, end);
+    parts_.run_actions();
+    return;
+  }
   PerformStep(parts_.core->OnEnded(parts_.clock(), id_, end));
   parts_.run_actions();
 }
@@ -341,17 +430,15 @@
   if (finished_) {
     return;
   }
-  ++attempt_number_;
-  if (attempt_.call) {
-    attempt_.call->Cancel();
-    attempt_.call.reset();
-  }
+  Cancel(attempt_);
+  CancelSecondAttempt();
   parts_.core->OnCallerGone(parts_.clock(), id_);
   Finish(ForwardOutcome::kCallerDisconnected, 0);
 }
 
 void ForwardExchange::Finish(ForwardOutcome outcome, int status) {
   finished_ = true;
+  CancelSecondAttempt();
   responder_.reset();
   const Time now = parts_.clock();
   ForwardSummary summary;
--- a/transport/gateway/forward_exchange.h
+++ b/transport/gateway/forward_exchange.h
@@ -55,7 +55,9 @@
 };
 
 // Proxies one request of a caller: performs the steps that the core decides,
-// attempt by attempt, and forwards the answer. Not thread-safe.
+// attempt by attempt, and forwards the answer. A second attempt may run beside
+// a silent one; the caller gets the events of the first that sends a new one.
+// Not thread-safe.
 class ForwardExchange : public std::enable_shared_from_this<ForwardExchange> {
  public:
   struct Parts {
@@ -82,15 +84,17 @@
   // that the core assigned.
   ForwardId Start();
   bool is_finished() const { return finished_; }
-  // Ends the current attempt as stalled, so that the core may choose another
-  // endpoint.
-  void EndStalledAttempt();
+  // Replaces the current attempt, which is lost, if the core has another one.
+  void FailOver();
+  // Starts a second attempt beside the current one if the core has one.
+  void StartSecondAttempt();
   // Performs the step that ends the request's wait.
   void Continue(const ForwardStep& step);
 
  private:
-  // The state of the current attempt.
   struct Attempt {
+    // Distinguishes callbacks of this attempt from those of others.
+    int number = 0;
     std::shared_ptr<HttpCall> call;
     // The endpoint; empty if the request is passed on to another node.
     VmId vm;
@@ -111,22 +115,36 @@
   };
 
   void PerformStep(const ForwardStep& step);
-  void StartAttempt(const SendForward& send);
+  void StartAttempt(Attempt& attempt, const SendForward& send);
   // Passes the request on to another node.
   void StartRelay(const RelayForward& relay);
-  void BeginExchange(HttpClient& client,
+  void BeginExchange(Attempt& attempt,
+                     HttpClient& client,
                      const Address& address,
                      HttpRequest request,
                      const HttpCallOptions& options);
+  // Returns the running attempt of this number, or null.
+  Attempt* FindAttempt(int number);
+  bool IsSecond(const Attempt& attempt) const;
   // Returns the answer's headers for the caller.
   std::vector<HttpHeader> TakeAnswerHeaders();
-  void OnHead(const HttpResponse& head);
-  void OnBody(std::string_view chunk);
-  void OnEnd();
-  void OnFailure(const HttpFailure& failure);
-  void EndAttempt(ForwardEndKind kind, bool closed_by_endpoint = false);
+  void OnHead(Attempt& attempt, const HttpResponse& head);
+  void OnBody(Attempt& attempt, std::string_view chunk);
+  void OnEnd(Attempt& attempt);
+  void OnFailure(Attempt& attempt, const HttpFailure& failure);
+  ForwardEnd MakeEnd(const Attempt& attempt, ForwardEndKind kind) const;
+  // The attempt may be the second one, which then ends by itself unless it has
+  // the whole answer.
+  void EndAttempt(Attempt& attempt,
+                  ForwardEndKind kind,
+                  bool closed_by_endpoint = false);
+  // The second attempt has sent what the caller waits for: it replaces the
+  // first one.
+  void PromoteSecondAttempt();
+  static void Cancel(Attempt& attempt);
+  void CancelSecondAttempt();
   void RespondWithAnswer();
-  void ForwardEvents(std::string_view events);
+  void ForwardEvents(std::string events);
   void Respond(HttpResponse response, ForwardOutcome outcome);
   void OnCallerGone();
   void Finish(ForwardOutcome outcome, int status);
@@ -139,8 +157,9 @@
   std::shared_ptr<HttpResponder> responder_;
   ForwardId id_;
   Attempt attempt_;
-  // Distinguishes callbacks of the current attempt from those of earlier ones.
-  int attempt_number_ = 0;
+  // Runs beside `attempt_`.
+  std::optional<Attempt> second_;
+  int last_attempt_number_ = 0;
   Time arrived_;
   std::optional<Time> first_byte_;
   int attempts_ = 0;
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -363,7 +363,15 @@
   const auto found = exchanges_.find(action.id);
   if (found != exchanges_.end()) {
     const std::shared_ptr<ForwardExchange> exchange = found->second;
-    exchange->EndStalledAttempt();
+    exchange->FailOver();
+  }
+}
+
+void GatewayRuntime::Execute(const HedgeForward& action) {
+  const auto found = exchanges_.find(action.id);
+  if (found != exchanges_.end()) {
+    const std::shared_ptr<ForwardExchange> exchange = found->second;
+    exchange->StartSecondAttempt();
   }
 }
 
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -134,6 +134,7 @@
   void Execute(const CheckEndpoint& action);
   void Execute(const ContinueForward& action);
   void Execute(const FailOverForward& action);
+  void Execute(const HedgeForward& action);
   void Execute(const DropPooledConnections& action);
   static HttpCallOptions OptionsWithTimeout(Duration limit);
   // Endpoints may answer with neither a length nor chunks.
--- a/transport/log_rate_limiter.cc
+++ b/transport/log_rate_limiter.cc
@@ -12,6 +12,7 @@
 LogClass LogClassOf(EventKind kind) {
   switch (kind) {
     case EventKind::kRequestRefused:
+    case EventKind::kRequestHedged:
     case EventKind::kRequestRetried:
     case EventKind::kRequestOutcomeUnknown:
     case EventKind::kTrialPreempted:
