gateway: the silence of a plain service no longer fails its requests

On a fresh connection the whole time was allowed.

Cause: the same as for streams, in the HTTP call's progress timeout (and the kernel's timeout of unacknowledged bytes, which follows it). Now the call has the request's whole time, and a request that may be repeated gets a second attempt on a new connection beside the silent one after endpoints.service_silence_ms, which keeps its name and default.

ForwardHedgeTest.ARepeatableRequestGetsASecondAttempt is new with the mechanism. What is lost: a request that may run once on a kept connection whose peer died without a sign waits for its time limit.

--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -53,6 +53,8 @@
   Duration stream_hedge_delay = Duration::Millis(1000);
   // The same if the endpoint does not accept new connections of this node.
   Duration lost_path_hedge_delay = Duration::Millis(400);
+  // The same for a repeatable request to a plain service.
+  Duration service_hedge_delay = Duration::Millis(500);
   // Interval between two tries to place a second attempt.
   Duration hedge_retry_interval = Duration::Millis(100);
 };
--- a/coordination/gateway/forward_controller_hedges.cc
+++ b/coordination/gateway/forward_controller_hedges.cc
@@ -21,7 +21,7 @@
   }
   const Duration silence = SilenceOf(now, open_request);
   if (!streams) {
-    return false;
+    return silence >= settings_.service_hedge_delay;
   }
   return (silence >= settings_.stream_hedge_delay &&
           selector_->IsInDoubt(open_request.attempt)) ||
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -156,10 +156,10 @@
   ForwardExchangeSettings& exchange = settings.runtime.exchange;
   reader.Add("endpoints.connect_timeout_ms", &exchange.connect_timeout,
              kShortDuration, "Timeout for connecting to an endpoint.");
-  reader.Add("endpoints.service_silence_ms", &exchange.service_idle_timeout,
-             kShortDuration,
-             "Timeout without a byte from a plain service, for requests that "
-             "may be repeated.");
+  reader.Add("endpoints.service_silence_ms",
+             &settings.core.requests.service_hedge_delay, kShortDuration,
+             "Silence of a plain service after which a request that may be "
+             "repeated gets a second attempt beside the first.");
   reader.Add("endpoints.stream_silence_ms",
              &settings.core.requests.stream_hedge_delay, kShortDuration,
              "Silence of a stalled endpoint after which a stream that may be "
--- a/tests/coordination/gateway/forward_hedge_test.cc
+++ b/tests/coordination/gateway/forward_hedge_test.cc
@@ -215,6 +215,14 @@
   EXPECT_EQ(controller_.open_requests(), 1U);
 }
 
+TEST_F(ForwardHedgeTest, ARepeatableRequestGetsASecondAttempt) {
+  const ForwardId id = Arrive("/whole/1");
+  StaySilent(Duration::Millis(550));
+  ASSERT_EQ(controller_.FindHedgeable(now_), std::vector<ForwardId>{id});
+  EXPECT_TRUE(StartSecond(id, false));
+  EXPECT_TRUE(controller_.FindHedgeable(now_ + Duration::Seconds(1)).empty());
+}
+
 // Guards against an answer that is cut when its endpoint breaks while another
 // one already continues it.
 TEST_F(ForwardHedgeTest, TheSecondAttemptGoesOnIfTheFirstBreaks) {
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -102,9 +102,8 @@
   HttpCallOptions options;
   options.connect_timeout = settings_.connect_timeout;
   options.deadline = send.time_left;
-  options.progress_timeout = send.streams || send.fresh_connection
-                                 ? send.time_left
-                                 : settings_.service_idle_timeout;
+  // Silence does not end an attempt: the core may start a second one beside it.
+  options.progress_timeout = send.time_left;
   options.reuse_connection = !send.fresh_connection;
   options.accept_unframed = true;
   BeginExchange(attempt, *parts_.endpoints, send.address,
--- a/transport/gateway/forward_exchange.h
+++ b/transport/gateway/forward_exchange.h
@@ -18,10 +18,6 @@
   // The timeout for a new connection to an endpoint. A VM without power does
   // not answer, and the request loses this time waiting for it.
   Duration connect_timeout = Duration::Millis(350);
-  // An attempt at a plain service fails after this time without a byte. It does
-  // not apply to attempts with a fresh connection, whose requests cannot be
-  // sent again elsewhere.
-  Duration service_idle_timeout = Duration::Millis(500);
   // Answers other than forwarded event streams are buffered until they are
   // complete. An attempt whose answer is larger than this fails.
   std::size_t max_buffered_bytes = 8UL * 1024 * 1024;
