gateway: a refusal of the first attempt leaves the second one running

A client error counts only as a whole answer of the endpoint, and the second attempt's own one is now passed on. - A silent plain service kept its share of new requests: it is backed off when a second attempt wins. - A node that is cut off replaced an open attempt by a new one of its own; it only relays now. - The budget is asked before an endpoint's place is taken, since a place given back counts as a request of this node; lost relays are tried again every 200 ms instead of every tick. - Second attempts that are refused count like other refusals, and end after four. - A plain answer that has begun to arrive gets no second attempt. - Progress withdraws an older failed path check and a stall that is not announced yet, and a whole answer ends the verdict on a stalled replica.

--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -177,6 +177,7 @@
   open_request.endpoint = {replica.vm, replica.incarnation, replica.zone};
   open_request.address = replica.address;
   open_request.first_event.reset();
+  open_request.has_head = false;
   open_request.sent = now;
   open_request.are_parts_proven = false;
   open_request.attempt =
@@ -252,10 +253,12 @@
     return ForwardTruncated{};
   }
   OpenRequest& open_request = found->second;
-  const bool has_failed = end.kind != ForwardEndKind::kSucceeded &&
-                          end.kind != ForwardEndKind::kDeadlineExceeded &&
-                          !end.is_client_error;
-  if (open_request.second && has_failed) {
+  // The caller gets the endpoint's answer, or its time is over.
+  const bool is_final =
+      end.kind == ForwardEndKind::kSucceeded ||
+      end.kind == ForwardEndKind::kDeadlineExceeded ||
+      (end.kind == ForwardEndKind::kEndpointFailed && end.is_client_error);
+  if (open_request.second && !is_final) {
     return OnFirstAttemptFailed(now, id, open_request, end);
   }
   CancelSecondAttempt(open_request);
@@ -569,6 +572,7 @@
                                  const EndpointReport& report) {
   const auto found = open_requests_.find(id);
   if (found != open_requests_.end()) {
+    found->second.has_head = true;
     reachability_->OnContact(now);
     selector_->OnReport(now, found->second.attempt, report);
   }
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -56,7 +56,7 @@
   // The same for a repeatable request to a plain service.
   Duration service_hedge_delay = Duration::Millis(500);
   // Interval between two tries to place a second attempt.
-  Duration hedge_retry_interval = Duration::Millis(100);
+  Duration hedge_retry_interval = Duration::Millis(200);
 };
 
 // The id of an arrived request and the first step to take for it.
@@ -170,6 +170,8 @@
     // Time of the current attempt, and of its first event.
     Time sent;
     std::optional<Time> first_event;
+    // The endpoint of the current attempt has begun to answer.
+    bool has_head = false;
     // The current attempt showed that the parts crash no endpoint.
     bool are_parts_proven = false;
     std::optional<SecondAttempt> second;
--- a/coordination/gateway/forward_controller_hedges.cc
+++ b/coordination/gateway/forward_controller_hedges.cc
@@ -7,6 +7,14 @@
 #include "coordination/gateway/forward_controller.h"
 
 namespace gcw {
+namespace {
+
+bool MayHaveRun(ForwardEndKind end) {
+  return end != ForwardEndKind::kNotRun && end != ForwardEndKind::kOtherVm &&
+         end != ForwardEndKind::kNothingSent;
+}
+
+}  // namespace
 
 bool ForwardController::IsHedgeable(Time now,
                                     const OpenRequest& open_request) const {
@@ -15,13 +23,14 @@
   // A trial shows whether the request crashes its endpoint, so it runs alone.
   if (open_request.second || open_request.is_trial ||
       policy == RetryPolicy::kNever || now < open_request.next_hedge ||
+      open_request.refusals > settings_.max_refusals ||
       open_request.possible_runs + 1 >= open_request.max_runs ||
       now + settings_.min_time_left >= open_request.deadline) {
     return false;
   }
   const Duration silence = SilenceOf(now, open_request);
   if (!streams) {
-    return silence >= settings_.service_hedge_delay;
+    return silence >= settings_.service_hedge_delay && !open_request.has_head;
   }
   return (silence >= settings_.stream_hedge_delay &&
           selector_->IsInDoubt(open_request.attempt)) ||
@@ -55,7 +64,10 @@
   ++next.possible_runs;
   next.excluded.push_back(open_request.endpoint.vm);
   UpdateUrgency(now, next, silent.delivered);
+  // The budget is asked first, because a place that is taken and given back
+  // counts as a request of this node.
   if (!MayRunAgain(now, next, silent) ||
+      !budget_->MaySpend(now, open_request.service) ||
       crash_guard_->Judge(now, next.suspects).verdict > CrashVerdict::kApart) {
     return std::nullopt;
   }
@@ -69,10 +81,7 @@
   if (!IsOk(send)) {
     return std::nullopt;
   }
-  if (!budget_->TrySpend(now, open_request.service)) {
-    selector_->OnCancelled(next.attempt);
-    return std::nullopt;
-  }
+  budget_->TrySpend(now, open_request.service);
   open_request.sends = next.sends;
   open_request.urgency = next.urgency;
   open_request.second = {next.endpoint, next.address, next.attempt, now};
@@ -93,6 +102,7 @@
   open_request.attempt = second.number;
   open_request.sent = second.sent;
   open_request.first_event.reset();
+  open_request.has_head = false;
   open_request.are_parts_proven = false;
   by_attempt_[second.number] = id;
 }
@@ -113,9 +123,13 @@
   OpenRequest& open_request = found->second;
   const VmId silent = open_request.endpoint.vm;
   const Duration silence = SilenceOf(now, open_request);
-  // The silent endpoint is not known to have failed: the selector has excluded
-  // it until it makes progress.
-  selector_->OnCancelled(open_request.attempt);
+  // A silent replica of a model is not known to have failed: the selector has
+  // excluded it until it makes progress. A plain service is only backed off.
+  if (open_request.route->streams) {
+    selector_->OnCancelled(open_request.attempt);
+  } else {
+    selector_->OnEnded(now, open_request.attempt, ForwardEndKind::kSilent);
+  }
   by_attempt_.erase(open_request.attempt);
   open_request.excluded.push_back(silent);
   ++open_request.possible_runs;
@@ -147,10 +161,8 @@
   open_request.second.reset();
   open_request.excluded = std::move(second.excluded);
   open_request.has_reached_endpoint = second.has_reached_endpoint;
-  const bool is_run = end.kind != ForwardEndKind::kNotRun &&
-                      end.kind != ForwardEndKind::kOtherVm &&
-                      end.kind != ForwardEndKind::kNothingSent;
-  open_request.possible_runs += is_run ? 1 : 0;
+  open_request.possible_runs += MayHaveRun(end.kind) ? 1 : 0;
+  open_request.refusals += MayHaveRun(end.kind) ? 0 : 1;
 }
 
 void ForwardController::OnSecondAttemptReport(Time now,
@@ -173,10 +185,7 @@
   if (end.kind == ForwardEndKind::kEndpointFailed) {
     ReportHarmless(now, open_request);
   }
-  const bool is_run = end.kind != ForwardEndKind::kNotRun &&
-                      end.kind != ForwardEndKind::kOtherVm &&
-                      end.kind != ForwardEndKind::kNothingSent;
-  open_request.possible_runs += is_run ? 1 : 0;
+  open_request.possible_runs += MayHaveRun(end.kind) ? 1 : 0;
   PromoteSecondAttempt(id, open_request);
   EmitEvent(EventKind::kRequestRetried, open_request,
             {{"after", std::string(ForwardEndKindName(end.kind))},
@@ -199,10 +208,11 @@
 std::optional<ForwardStep>
 ForwardController::FailOver(Time now, ForwardId id, const ForwardEnd& silent) {
   const auto found = open_requests_.find(id);
-  if (found == open_requests_.end()) {
+  if (found == open_requests_.end() || now < found->second.next_hedge) {
     return std::nullopt;
   }
   OpenRequest& open_request = found->second;
+  open_request.next_hedge = now + settings_.hedge_retry_interval;
   // Everything that the next attempt needs is taken before the running one is
   // given up.
   OpenRequest next = open_request;
@@ -214,7 +224,14 @@
   if (!open_request.relay_node) {
     next.excluded.push_back(open_request.endpoint.vm);
   }
-  if (!MayRunAgain(now, next, silent)) {
+  if (open_request.second) {
+    next.excluded.push_back(open_request.second->endpoint.vm);
+  }
+  // A node that reaches no endpoint gains nothing by another attempt of its
+  // own.
+  if (!MayRunAgain(now, next, silent) ||
+      !budget_->MaySpend(now, open_request.service) ||
+      (reachability_->is_cut() && !FindRelay(now, next))) {
     return std::nullopt;
   }
   Result<ForwardStep, RefusalKind> step = Retry(now, next, silent, true);
--- a/coordination/gateway/replica_selector.cc
+++ b/coordination/gateway/replica_selector.cc
@@ -385,6 +385,8 @@
   state->last_progress = now;
   state->last_event = now;
   state->last_contact = now;
+  state->is_path_checked = false;
+  state->awaits_announcement = false;
   if (!is_first) {
     state->event_interval_ms =
         state->event_interval_ms == 0
@@ -431,6 +433,7 @@
   switch (end) {
     case ForwardEndKind::kSucceeded:
       state->last_contact = now;
+      state->is_stalled = false;
       state->backoff.OnSucceeded();
       return;
     case ForwardEndKind::kNothingSent:
--- a/coordination/gateway/shared_retry_budget.cc
+++ b/coordination/gateway/shared_retry_budget.cc
@@ -27,14 +27,24 @@
 }
 
 bool SharedRetryBudget::TrySpend(Time now, const ServiceId& service) {
-  Account& account = accounts_[service];
+  if (!MaySpend(now, service)) {
+    return false;
+  }
+  ++SlotAt(accounts_[service], SlotNumber(now)).spent;
+  return true;
+}
+
+bool SharedRetryBudget::MaySpend(Time now, const ServiceId& service) const {
+  const auto account = accounts_.find(service);
+  const Slots slots =
+      account == accounts_.end() ? Slots() : account->second.slots;
   const std::int64_t current = SlotNumber(now);
   // Retries are counted over one slot more than requests, so that no window
   // that begins within a slot contains more retries than allowed.
   const std::int64_t oldest = current - static_cast<std::int64_t>(kSlots);
   std::int64_t requests = 0;
   std::int64_t spent = 0;
-  for (const Slot& slot : account.slots) {
+  for (const Slot& slot : slots) {
     if (slot.number >= oldest) {
       spent += slot.spent;
       requests += slot.number > oldest ? slot.requests : 0;
@@ -43,11 +53,7 @@
   const double allowed = settings_.usable_fraction *
                          (settings_.ratio * static_cast<double>(requests) +
                           settings_.slack / static_cast<double>(node_count_));
-  if (static_cast<double>(spent + 1) > allowed) {
-    return false;
-  }
-  ++SlotAt(account, current).spent;
-  return true;
+  return static_cast<double>(spent + 1) <= allowed;
 }
 
 void SharedRetryBudget::SetNodeCount(std::size_t nodes) {
--- a/coordination/gateway/shared_retry_budget.h
+++ b/coordination/gateway/shared_retry_budget.h
@@ -32,6 +32,8 @@
   void OnRequest(Time now, const ServiceId& service);
   // Returns true and counts the retry if one more may be sent.
   bool TrySpend(Time now, const ServiceId& service);
+  // Whether one more retry may be sent.
+  bool MaySpend(Time now, const ServiceId& service) const;
   // Sets the number of nodes that share the slack.
   void SetNodeCount(std::size_t nodes);
 
@@ -42,8 +44,9 @@
     std::int64_t requests = 0;
     std::int64_t spent = 0;
   };
+  using Slots = std::array<Slot, kSlots + 1>;
   struct Account {
-    std::array<Slot, kSlots + 1> slots;
+    Slots slots;
   };
 
   std::int64_t SlotNumber(Time now) const;
--- a/tests/coordination/gateway/forward_hedge_test.cc
+++ b/tests/coordination/gateway/forward_hedge_test.cc
@@ -241,6 +241,53 @@
       controller_.OnEnded(now_, id, end)));
 }
 
+// Guards against a second attempt that is given up because the first endpoint
+// refuses the request with a client error's status.
+TEST_F(ForwardHedgeTest, TheSecondAttemptGoesOnIfTheFirstIsRefused) {
+  for (const ForwardEndKind kind :
+       {ForwardEndKind::kOtherVm, ForwardEndKind::kNotRun,
+        ForwardEndKind::kConnectionBroken}) {
+    const ForwardId id = Arrive("/stream/1");
+    controller_.OnProgress(now_, id);
+    StaySilent(Duration::Millis(1200));
+    ASSERT_TRUE(StartSecond(id, true));
+    ForwardEnd end = Silent(true);
+    end.kind = kind;
+    end.is_client_error = true;
+    EXPECT_TRUE(std::holds_alternative<KeepSecondAttempt>(
+        controller_.OnEnded(now_, id, end)));
+    end.kind = ForwardEndKind::kSucceeded;
+    controller_.OnEnded(now_, id, end);
+  }
+}
+
+// Guards against second attempts without end where endpoints refuse them.
+TEST_F(ForwardHedgeTest, RefusedSecondAttemptsEnd) {
+  const ForwardId id = Arrive("/stream/1");
+  controller_.OnProgress(now_, id);
+  StaySilent(Duration::Millis(1200));
+  int started = 0;
+  for (int i = 0; i < 20; ++i) {
+    StaySilent(Duration::Millis(200));
+    if (!controller_.FindHedgeable(now_).empty() && StartSecond(id, true)) {
+      ++started;
+      ForwardEnd end = Silent(true);
+      end.kind = ForwardEndKind::kNothingSent;
+      controller_.OnSecondAttemptEnded(now_, id, end);
+    }
+  }
+  EXPECT_GE(started, 1);
+  EXPECT_LE(started, 4);
+}
+
+// Guards against a second run of a request whose answer has begun to arrive.
+TEST_F(ForwardHedgeTest, AnAnswerThatHasBegunGetsNoSecondAttempt) {
+  const ForwardId id = Arrive("/whole/1");
+  controller_.OnReport(now_, id, {});
+  StaySilent(Duration::Millis(900));
+  EXPECT_TRUE(controller_.FindHedgeable(now_).empty());
+}
+
 // Guards against an answer that is cut when the second attempt fails while its
 // own endpoint has only paused.
 TEST_F(ForwardHedgeTest, TheFirstAttemptGoesOnIfTheSecondFails) {
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -385,7 +385,10 @@
   Cancel(attempt);
   ForwardEnd end = MakeEnd(attempt, kind);
   end.closed_by_endpoint = closed_by_endpoint;
-  if (IsSecond(attempt) && kind == ForwardEndKind::kSucceeded) {
+  const bool is_answer =
+      kind == ForwardEndKind::kSucceeded ||
+      (kind == ForwardEndKind::kEndpointFailed && end.is_client_error);
+  if (IsSecond(attempt) && is_answer) {
     parts_.core->OnSecondAttemptWon(parts_.clock(), id_);
     PromoteSecondAttempt();
   } else if (IsSecond(attempt)) {
