gateway: a stream that broke waits for a place instead of being cut at once

Cause: a stream that breaks and lacks a place, a retry or an endpoint at that very moment was cut, although its caller waits for two seconds and places become free all the while.

Now such a stream waits and asks every 200 ms, until two seconds after its last event, when its caller leaves, or until its time is over; then it is cut as before. The runs that its route allows bind as before, and each further attempt spends from the budget. Requests without an event are answered at once, so that their callers may come back.

ForwardHedgeTest.ABrokenStreamWaitsForAPlace and ABrokenStreamWithoutAPlaceIsGivenUp are new. The simulated world keeps the events of a request that waits, which had none before.

--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -65,6 +65,7 @@
     return;
   }
   EndRelay(id, found->second);
+  resuming_.erase(id);
   CancelSecondAttempt(found->second);
   accepted_relays_ -= found->second.request.relay ? 1 : 0;
   open_requests_.erase(found);
@@ -278,6 +279,10 @@
     relayed_.insert(id);
     return step;
   }
+  if (std::holds_alternative<AwaitDecision>(step)) {
+    resuming_.insert(id);
+    return step;
+  }
   Remove(id);
   return step;
 }
@@ -367,6 +372,13 @@
                                              bool may_have_reached_endpoint) {
   Result<ForwardStep, RefusalKind> retry =
       Retry(now, open_request, end, may_have_reached_endpoint);
+  if (!IsOk(retry) && MayWaitToResume(now, open_request, end, ErrorOf(retry))) {
+    open_request.resume_from = end;
+    // Only the end itself counts as a refusal.
+    open_request.resume_from->kind = ForwardEndKind::kConnectionBroken;
+    open_request.next_hedge = now + settings_.hedge_retry_interval;
+    return AwaitDecision{};
+  }
   if (!IsOk(retry)) {
     return GiveUp(now, open_request, end, ErrorOf(retry));
   }
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -57,6 +57,9 @@
   Duration service_hedge_delay = Duration::Millis(500);
   // Interval between two tries to place a second attempt.
   Duration hedge_retry_interval = Duration::Millis(200);
+  // A stream that broke and finds no place elsewhere waits for one until this
+  // long after its last event, when its caller leaves.
+  Duration max_resume_wait = Duration::Seconds(2);
 };
 
 // The id of an arrived request and the first step to take for it.
@@ -102,6 +105,9 @@
   // The request need not wait any longer. Returns its next step.
   ForwardStep OnDecision(Time now, const CrashDecision& decision);
 
+  // Returns the steps of streams that waited for a place at an endpoint.
+  std::vector<std::pair<ForwardId, ForwardStep>> ResumeWaiting(Time now);
+
   // Returns the requests whose silent attempts may get a second attempt beside
   // them.
   std::vector<ForwardId> FindHedgeable(Time now);
@@ -175,6 +181,8 @@
     // The current attempt showed that the parts crash no endpoint.
     bool are_parts_proven = false;
     std::optional<SecondAttempt> second;
+    // How the last attempt ended, if the request waits for the next one.
+    std::optional<ForwardEnd> resume_from;
     // Earliest time of the next try to place a second attempt.
     Time next_hedge;
     std::int64_t sends = 0;
@@ -270,6 +278,11 @@
   // Returns a node that the request may be passed on to.
   std::optional<Address> FindRelay(Time now,
                                    const OpenRequest& open_request) const;
+  // Whether a stream that broke may find what it lacked a little later.
+  bool MayWaitToResume(Time now,
+                       const OpenRequest& open_request,
+                       const ForwardEnd& end,
+                       RefusalKind lacking) const;
   // Whether a second attempt would be allowed and useful.
   bool IsHedgeable(Time now, const OpenRequest& open_request) const;
   // The second attempt takes the place of the first one.
@@ -351,6 +364,8 @@
   std::map<AttemptNumber, ForwardId> by_attempt_;
   // Requests that were passed on to other nodes.
   std::set<ForwardId> relayed_;
+  // Requests that wait for a place at an endpoint after their streams broke.
+  std::set<ForwardId> resuming_;
   std::size_t accepted_relays_ = 0;
   ForwardId last_id_;
 };
--- a/coordination/gateway/forward_controller_hedges.cc
+++ b/coordination/gateway/forward_controller_hedges.cc
@@ -196,6 +196,51 @@
   return KeepSecondAttempt{};
 }
 
+bool ForwardController::MayWaitToResume(Time now,
+                                        const OpenRequest& open_request,
+                                        const ForwardEnd& end,
+                                        RefusalKind lacking) const {
+  const bool may_pass = lacking == RefusalKind::kNoCapacity ||
+                        lacking == RefusalKind::kNoEndpoint ||
+                        lacking == RefusalKind::kRetryBudget ||
+                        lacking == RefusalKind::kEndpointLimit ||
+                        lacking == RefusalKind::kEndpointCooldown;
+  return may_pass && end.delivered && MayRunAgain(now, open_request, end) &&
+         now - open_request.last_event < settings_.max_resume_wait;
+}
+
+std::vector<std::pair<ForwardId, ForwardStep>> ForwardController::ResumeWaiting(
+    Time now) {
+  std::vector<std::pair<ForwardId, ForwardStep>> steps;
+  const std::set<ForwardId> waiting = resuming_;
+  for (const ForwardId id : waiting) {
+    OpenRequest& open_request = open_requests_.at(id);
+    if (now < open_request.next_hedge) {
+      continue;
+    }
+    open_request.next_hedge = now + settings_.hedge_retry_interval;
+    const ForwardEnd end = *open_request.resume_from;
+    Result<ForwardStep, RefusalKind> step = RefusalKind::kDeadline;
+    if (MayRunAgain(now, open_request, end)) {
+      step = Retry(now, open_request, end, true);
+    }
+    if (IsOk(step)) {
+      resuming_.erase(id);
+      open_request.resume_from.reset();
+      if (std::holds_alternative<SendForward>(ValueOf(step))) {
+        by_attempt_[open_request.attempt] = id;
+      } else {
+        relayed_.insert(id);
+      }
+      steps.emplace_back(id, std::move(ValueOf(step)));
+    } else if (!MayWaitToResume(now, open_request, end, ErrorOf(step))) {
+      steps.emplace_back(id, GiveUp(now, open_request, end, ErrorOf(step)));
+      Remove(id);
+    }
+  }
+  return steps;
+}
+
 std::vector<ForwardId> ForwardController::RunningRequests() const {
   std::vector<ForwardId> running;
   running.reserve(by_attempt_.size());
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -131,6 +131,9 @@
   for (const ForwardId id : forwards_.FindHedgeable(now)) {
     actions_.emplace_back(HedgeForward{id});
   }
+  for (auto& [id, step] : forwards_.ResumeWaiting(now)) {
+    actions_.emplace_back(ContinueForward{id, std::move(step)});
+  }
   for (const Replica& replica : selector_.TakeSuspectedStalls()) {
     QueryStallWitnesses({replica.vm, replica.generation});
   }
--- a/tests/coordination/gateway/forward_hedge_test.cc
+++ b/tests/coordination/gateway/forward_hedge_test.cc
@@ -261,6 +261,51 @@
   }
 }
 
+// Guards against an answer that is cut because its endpoint broke while no
+// other one had room, although a place becomes free before its caller leaves.
+TEST_F(ForwardHedgeTest, ABrokenStreamWaitsForAPlace) {
+  const ForwardId id = Arrive("/stream/1");
+  controller_.OnProgress(now_, id);
+  for (const char* vm : {"v0", "v1", "v2"}) {
+    selector_.OnLoad(now_, VmId(vm), {6, 20, 6});
+  }
+  ForwardEnd end = Silent(true);
+  end.kind = ForwardEndKind::kConnectionBroken;
+  ASSERT_TRUE(std::holds_alternative<AwaitDecision>(
+      controller_.OnEnded(now_, id, end)));
+  now_ = now_ + Duration::Millis(300);
+  EXPECT_TRUE(controller_.ResumeWaiting(now_).empty());
+  for (const char* vm : {"v0", "v1", "v2"}) {
+    selector_.OnLoad(now_, VmId(vm), {1, 0, 6});
+  }
+  now_ = now_ + Duration::Millis(300);
+  const auto steps = controller_.ResumeWaiting(now_);
+  ASSERT_EQ(steps.size(), 1U);
+  ASSERT_TRUE(std::holds_alternative<SendForward>(steps.front().second));
+  EXPECT_EQ(std::get<SendForward>(steps.front().second).resume_after, 7);
+  controller_.OnProgress(now_, id);
+  end.kind = ForwardEndKind::kSucceeded;
+  EXPECT_TRUE(
+      std::holds_alternative<PassAnswer>(controller_.OnEnded(now_, id, end)));
+}
+
+// Guards against a caller that waits for a broken stream longer than callers
+// do.
+TEST_F(ForwardHedgeTest, ABrokenStreamWithoutAPlaceIsGivenUp) {
+  const ForwardId id = Arrive("/stream/1");
+  controller_.OnProgress(now_, id);
+  ForwardEnd end = Silent(true);
+  end.kind = ForwardEndKind::kConnectionBroken;
+  selector_.SetReplicas(now_, {});
+  ASSERT_TRUE(std::holds_alternative<AwaitDecision>(
+      controller_.OnEnded(now_, id, end)));
+  now_ = now_ + Duration::Millis(2100);
+  const auto steps = controller_.ResumeWaiting(now_);
+  ASSERT_EQ(steps.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<ForwardTruncated>(steps.front().second));
+  EXPECT_EQ(controller_.open_requests(), 0U);
+}
+
 // Guards against second attempts without end where endpoints refuse them.
 TEST_F(ForwardHedgeTest, RefusedSecondAttemptsEnd) {
   const ForwardId id = Arrive("/stream/1");
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -871,10 +871,10 @@
     if (found == waiting_.end()) {
       return;
     }
-    const SimulatedRequest request = found->second;
+    const auto [request, events] = found->second;
     waiting_.erase(found);
     on_decided(request);
-    Take(index, next.id, request, next.step);
+    Take(index, next.id, request, next.step, events);
   }
 
   // Time until the engine's process answers again.
@@ -996,7 +996,7 @@
       return;
     }
     if (std::holds_alternative<AwaitDecision>(step)) {
-      waiting_[{node, id}] = request;
+      waiting_[{node, id}] = {request, events};
       return;
     }
     if (const auto* relay = std::get_if<RelayForward>(&step)) {
@@ -1430,8 +1430,10 @@
     Time last_event;
   };
   std::map<std::pair<std::size_t, ForwardId>, Relay> relays_;
-  // Requests that wait for their next step.
-  std::map<std::pair<std::size_t, ForwardId>, SimulatedRequest> waiting_;
+  // Requests that wait for their next step, and the number of events that their
+  // callers have.
+  std::map<std::pair<std::size_t, ForwardId>, std::pair<SimulatedRequest, int>>
+      waiting_;
   // A follower's pending request.
   struct PendingChangesRequest {
     std::size_t node;
