--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -377,6 +377,11 @@
     // Only the end itself counts as a refusal.
     open_request.resume_from->kind = ForwardEndKind::kConnectionBroken;
     open_request.next_hedge = now + settings_.hedge_retry_interval;
+    EmitEvent(EventKind::kRequestQueued, open_request,
+              {{"end", std::string(ForwardEndKindName(end.kind))},
+               {"reason", std::string(RefusalKindName(ErrorOf(retry)))},
+               {"vm", open_request.endpoint.vm.value()},
+               {"sends", open_request.sends}});
     return AwaitDecision{};
   }
   if (!IsOk(retry)) {
--- a/tests/support/silence_world.h
+++ b/tests/support/silence_world.h
@@ -271,6 +271,7 @@
         last_outcome_ = FieldOf(event, "answer") + " " + FieldOf(event, "end") +
                         " " + FieldOf(event, "reason");
         [[fallthrough]];
+      case EventKind::kRequestQueued:
       case EventKind::kRequestRefused:
         ++reasons_[FieldOf(event, "reason")];
         return;
