gateway: the second attempt is made by assignment

clang does not find the default constructor of a nested class with member initializers through std::optional::emplace inside the enclosing class; found by the linter.

--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -334,7 +334,7 @@
   const std::optional<SendForward> send = parts_.core->StartSecondAttempt(
       parts_.clock(), id_, MakeEnd(attempt_, ForwardEndKind::kSilent));
   if (send) {
-    second_.emplace();
+    second_ = Attempt();
     StartAttempt(*second_, *send);
   }
 }
