gateway: the log and the metrics show who uses the retry budget

An operator could not see how much of the retries of all nodes was spent, by which node, with which part of the slack, how long after its start, and what was sent again without being counted. retry_budget_used tells it once a second for each service and node; request_retried has is_counted, and also tells requests that came back from another node. The same as metrics. No decision changes.

--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -460,12 +460,16 @@
     }
     return RefusalKind::kRetryBudget;
   }
+  if (!may_have_reached_endpoint) {
+    budget_->OnUncounted(open_request.service);
+  }
   EmitEvent(EventKind::kRequestRetried, open_request,
             {{"after", std::string(ForwardEndKindName(end.kind))},
              {"vm", open_request.endpoint.vm.value()},
              {"failed_vm", failed.value()},
              {"silent_ms", silence.millis()},
              {"sends", open_request.sends},
+             {"is_counted", may_have_reached_endpoint},
              {"resume_after", resume.value_or(-1)}});
   return step;
 }
--- a/coordination/gateway/forward_controller_relays.cc
+++ b/coordination/gateway/forward_controller_relays.cc
@@ -151,8 +151,17 @@
           now, open_request,
           end.delivered ? end.last_event : open_request.request.resume_after,
           true);
-      return IsOk(next) ? std::move(ValueOf(next))
-                        : GiveUp(now, open_request, end, ErrorOf(next));
+      if (!IsOk(next)) {
+        return GiveUp(now, open_request, end, ErrorOf(next));
+      }
+      budget_->OnUncounted(open_request.service);
+      EmitEvent(EventKind::kRequestRetried, open_request,
+                {{"after", std::string(ForwardEndKindName(end.kind))},
+                 {"node", node.value()},
+                 {"vm", open_request.endpoint.vm.value()},
+                 {"sends", open_request.sends},
+                 {"is_counted", false}});
+      return std::move(ValueOf(next));
     }
     case ForwardEndKind::kConnectionBroken:
     case ForwardEndKind::kSilent:
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -121,6 +121,7 @@
 }
 
 GatewayActions GatewayCore::Tick(Time now) {
+  first_tick_ = first_tick_.value_or(now);
   UpdateFollowing(now);
   Apply(mirror_.Tick(now));
   Apply(GatewayModule::kLease, lease_.Tick(now));
@@ -150,6 +151,7 @@
   RunCrashGuard(now);
   RunController(now);
   WriteOverview(now);
+  ReportRetryBudgets(now);
   QueryWitnessesForController(now);
   return TakeActions();
 }
@@ -212,6 +214,39 @@
   }
 }
 
+Duration GatewayCore::Age(Time now) const {
+  return first_tick_ ? now - *first_tick_ : Duration();
+}
+
+void GatewayCore::ReportRetryBudgets(Time now) {
+  if (now < next_retry_report_) {
+    return;
+  }
+  next_retry_report_ = now + settings_.retry_report_interval;
+  for (const RetryBudgetStatus& budget : budget_.Report(now)) {
+    RetryBudgetStatus& reported = reported_budgets_[budget.service];
+    const std::int64_t spent = budget.total_spent - reported.total_spent;
+    const std::int64_t denied = budget.total_denied - reported.total_denied;
+    const std::int64_t uncounted =
+        budget.total_uncounted - reported.total_uncounted;
+    reported = budget;
+    if (spent + denied + uncounted == 0) {
+      continue;
+    }
+    events_({EventKind::kRetryBudgetUsed,
+             budget.service.value(),
+             {},
+             {{"spent", spent},
+              {"denied", denied},
+              {"uncounted", uncounted},
+              {"window_spent", budget.spent},
+              {"window_requests", budget.requests},
+              {"window_allowed", budget.allowed},
+              {"share_nodes", static_cast<std::int64_t>(budget_.node_count())},
+              {"age_ms", Age(now).millis()}}});
+  }
+}
+
 GatewayActions GatewayCore::OnLimitNotice(Time now, const LimitNotice& notice) {
   selector_.OnLimitNotice(now, notice);
   return TakeActions();
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -68,6 +68,8 @@
   // callers, and accepts no requests of other nodes for `relay_pause`.
   Duration max_tick_delay = Duration::Millis(300);
   Duration relay_pause = Duration::Millis(500);
+  // Interval at which used budgets for retries are logged.
+  Duration retry_report_interval = Duration::Seconds(1);
   // How long callers may cache the list of addresses; some cache it three times
   // as long. While all nodes are down a look-up blocks for a second, so the
   // less often callers look up, the fewer of them come back a second late. This
@@ -369,6 +371,14 @@
   std::size_t accepted_relays() const { return forwards_.accepted_relays(); }
   const FleetView& view() const { return view_; }
   const StoreMirror& mirror() const { return mirror_; }
+  // The budgets for retries, and the number of nodes that share the slack of
+  // each.
+  std::vector<RetryBudgetStatus> RetryBudgets(Time now) const {
+    return budget_.Report(now);
+  }
+  std::size_t retry_share_nodes() const { return budget_.node_count(); }
+  // Time since this process began to work.
+  Duration Age(Time now) const;
   bool is_controller(Time now) const;
   // Absent if this node knows nothing newer.
   std::optional<MirrorSnapshot> Snapshot(Revision newer_than) const {
@@ -422,6 +432,8 @@
   void AnnounceStalls(Time now);
   void QueryWitnessesForController(Time now);
   void NotifyLimits(Time now);
+  // Reports which budgets for retries were used since the last report.
+  void ReportRetryBudgets(Time now);
   // Checks whether this node reaches the endpoints, and asks other nodes.
   void UpdateReachability(Time now);
   void OnReachabilityChanged(bool was_cut);
@@ -473,7 +485,11 @@
   Time next_witness_query_;
   std::uint64_t applied_configuration_changes_ = 0;
   std::uint64_t applied_node_changes_ = 0;
+  std::optional<Time> first_tick_;
   std::optional<Time> last_tick_;
+  Time next_retry_report_;
+  // The budgets at the last report.
+  std::map<ServiceId, RetryBudgetStatus> reported_budgets_;
   // Until when this node accepts no requests of other nodes.
   Time relay_pause_until_;
   std::optional<Time> stop_requested_at_;
--- a/coordination/gateway/shared_retry_budget.cc
+++ b/coordination/gateway/shared_retry_budget.cc
@@ -27,33 +27,56 @@
 }
 
 bool SharedRetryBudget::TrySpend(Time now, const ServiceId& service) {
+  Account& account = accounts_[service];
   if (!MaySpend(now, service)) {
+    ++account.denied;
     return false;
   }
-  ++SlotAt(accounts_[service], SlotNumber(now)).spent;
+  ++account.spent;
+  ++SlotAt(account, SlotNumber(now)).spent;
   return true;
 }
 
+void SharedRetryBudget::OnUncounted(const ServiceId& service) {
+  ++accounts_[service].uncounted;
+}
+
 bool SharedRetryBudget::MaySpend(Time now, const ServiceId& service) const {
   const auto account = accounts_.find(service);
-  const Slots slots =
-      account == accounts_.end() ? Slots() : account->second.slots;
+  const Window window = LastWindow(
+      now, account == accounts_.end() ? Slots() : account->second.slots);
+  return static_cast<double>(window.spent + 1) <= window.allowed;
+}
+
+SharedRetryBudget::Window SharedRetryBudget::LastWindow(
+    Time now,
+    const Slots& slots) const {
   const std::int64_t current = SlotNumber(now);
   // Retries are counted over one slot more than requests, so that no window
   // that begins within a slot contains more retries than allowed.
   const std::int64_t oldest = current - static_cast<std::int64_t>(kSlots);
-  std::int64_t requests = 0;
-  std::int64_t spent = 0;
+  Window window;
   for (const Slot& slot : slots) {
     if (slot.number >= oldest) {
-      spent += slot.spent;
-      requests += slot.number > oldest ? slot.requests : 0;
+      window.spent += slot.spent;
+      window.requests += slot.number > oldest ? slot.requests : 0;
     }
   }
-  const double allowed = settings_.usable_fraction *
-                         (settings_.ratio * static_cast<double>(requests) +
-                          settings_.slack / static_cast<double>(node_count_));
-  return static_cast<double>(spent + 1) <= allowed;
+  window.allowed = settings_.usable_fraction *
+                   (settings_.ratio * static_cast<double>(window.requests) +
+                    settings_.slack / static_cast<double>(node_count_));
+  return window;
+}
+
+std::vector<RetryBudgetStatus> SharedRetryBudget::Report(Time now) const {
+  std::vector<RetryBudgetStatus> report;
+  report.reserve(accounts_.size());
+  for (const auto& [service, account] : accounts_) {
+    const Window window = LastWindow(now, account.slots);
+    report.push_back({service, window.requests, window.spent, window.allowed,
+                      account.spent, account.denied, account.uncounted});
+  }
+  return report;
 }
 
 void SharedRetryBudget::SetNodeCount(std::size_t nodes) {
--- a/coordination/gateway/shared_retry_budget.h
+++ b/coordination/gateway/shared_retry_budget.h
@@ -5,7 +5,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
+#include "coordination/gateway/retry_budget_status.h"
 #include "state/state.h"
 
 namespace gcw {
@@ -34,9 +36,15 @@
   bool TrySpend(Time now, const ServiceId& service);
   // Whether one more retry may be sent.
   bool MaySpend(Time now, const ServiceId& service) const;
+  // Counts another send of a request that needs no retry of the budget.
+  void OnUncounted(const ServiceId& service);
   // Sets the number of nodes that share the slack.
   void SetNodeCount(std::size_t nodes);
 
+  std::size_t node_count() const { return node_count_; }
+  // Returns the budgets of all services that had requests.
+  std::vector<RetryBudgetStatus> Report(Time now) const;
+
  private:
   static constexpr std::size_t kSlots = 10;
   struct Slot {
@@ -47,10 +55,20 @@
   using Slots = std::array<Slot, kSlots + 1>;
   struct Account {
     Slots slots;
+    std::int64_t spent = 0;
+    std::int64_t denied = 0;
+    std::int64_t uncounted = 0;
+  };
+  struct Window {
+    std::int64_t requests = 0;
+    std::int64_t spent = 0;
+    // Number of retries that are allowed in the window.
+    double allowed = 0;
   };
 
   std::int64_t SlotNumber(Time now) const;
   Slot& SlotAt(Account& account, std::int64_t number);
+  Window LastWindow(Time now, const Slots& slots) const;
 
   SharedRetryBudgetSettings settings_;
   std::size_t node_count_ = 1;
--- a/core/event.cc
+++ b/core/event.cc
@@ -61,6 +61,8 @@
       return "request_hedged";
     case EventKind::kRequestRetried:
       return "request_retried";
+    case EventKind::kRetryBudgetUsed:
+      return "retry_budget_used";
     case EventKind::kRequestFinished:
       return "request_finished";
     case EventKind::kRequestOutcomeUnknown:
--- a/core/event.h
+++ b/core/event.h
@@ -45,6 +45,7 @@
   kRequestRelayed,
   kRequestHedged,
   kRequestRetried,
+  kRetryBudgetUsed,
   kRequestFinished,
   kRequestOutcomeUnknown,
   kRequestCancelled,
--- a/transport/gateway/gateway_metrics.cc
+++ b/transport/gateway/gateway_metrics.cc
@@ -45,6 +45,22 @@
   return metrics.AddCounter(std::move(spec));
 }
 
+MetricSpec MakeServiceSpec(std::string name, std::string help) {
+  MetricSpec spec;
+  spec.name = std::move(name);
+  spec.help = std::move(help);
+  spec.label_names = {"service"};
+  return spec;
+}
+
+// Raises the counter to the value, which does not fall.
+void RaiseTo(Counter& counter, std::int64_t value) {
+  const auto target = static_cast<std::uint64_t>(value);
+  if (target > counter.value()) {
+    counter.Add(target - counter.value());
+  }
+}
+
 DistributionFamily& AddLatencyFamily(Metrics& metrics,
                                      std::string name,
                                      std::string help) {
@@ -68,6 +84,21 @@
       total_times_(AddLatencyFamily(metrics_,
                                     "gcw_request_ms",
                                     "From arrival to the end, milliseconds.")),
+      retries_(metrics_.AddCounter(
+          MakeServiceSpec("gcw_retry_budget_spent_total",
+                          "Further sends that the retry budget allowed."))),
+      denied_retries_(metrics_.AddCounter(
+          MakeServiceSpec("gcw_retry_budget_denied_total",
+                          "Further sends that the retry budget denied."))),
+      uncounted_sends_(metrics_.AddCounter(MakeServiceSpec(
+          "gcw_uncounted_sends_total",
+          "Further sends that the retry budget does not count."))),
+      retry_budget_spent_(metrics_.AddGauge(
+          MakeServiceSpec("gcw_retry_budget_window_spent",
+                          "Retries of this node in the last window."))),
+      retry_budget_allowed_(metrics_.AddGauge(MakeServiceSpec(
+          "gcw_retry_budget_window_allowed",
+          "Retries that this node may send in a window, rounded down."))),
       requests(AddUnlabeledCounter(metrics_,
                                    "gcw_requests_total",
                                    "Requests of callers that were read.")),
@@ -111,7 +142,29 @@
       accepted_relays(AddUnlabeledGauge(
           metrics_,
           "gcw_accepted_relays",
-          "Open requests that other nodes passed on to this one.")) {}
+          "Open requests that other nodes passed on to this one.")),
+      retry_share_nodes(AddUnlabeledGauge(
+          metrics_,
+          "gcw_retry_share_nodes",
+          "Number of nodes that share the slack of the retry budgets.")),
+      age_ms(AddUnlabeledGauge(metrics_,
+                               "gcw_age_ms",
+                               "Time since the process began to work.")) {}
+
+void GatewayMetrics::RecordRetryBudgets(
+    const std::vector<RetryBudgetStatus>& budgets,
+    std::size_t share_nodes) {
+  retry_share_nodes.Set(static_cast<std::int64_t>(share_nodes));
+  for (const RetryBudgetStatus& budget : budgets) {
+    const std::vector<std::string> labels = {budget.service.value()};
+    RaiseTo(retries_.With(labels), budget.total_spent);
+    RaiseTo(denied_retries_.With(labels), budget.total_denied);
+    RaiseTo(uncounted_sends_.With(labels), budget.total_uncounted);
+    retry_budget_spent_.With(labels).Set(budget.spent);
+    retry_budget_allowed_.With(labels).Set(
+        static_cast<std::int64_t>(budget.allowed));
+  }
+}
 
 void GatewayMetrics::CountEvent(const TimelineEvent& event) {
   events_.With({std::string(EventKindName(event.draft.kind))}).Add();
--- a/transport/gateway/gateway_metrics.h
+++ b/transport/gateway/gateway_metrics.h
@@ -1,7 +1,9 @@
 #ifndef TRANSPORT_GATEWAY_GATEWAY_METRICS_H_
 #define TRANSPORT_GATEWAY_GATEWAY_METRICS_H_
 
+#include <cstddef>
 #include <string>
+#include <vector>
 
 #include "core/core.h"
 #include "transport/gateway/forward_exchange.h"
@@ -19,6 +21,9 @@
   void CountEvent(const TimelineEvent& event);
   // Records the outcome and the latencies of a finished request.
   void RecordRequest(const ForwardSummary& summary);
+  // Records the budgets for retries, which `share_nodes` nodes share.
+  void RecordRetryBudgets(const std::vector<RetryBudgetStatus>& budgets,
+                          std::size_t share_nodes);
 
  private:
   Metrics metrics_;
@@ -27,6 +32,11 @@
   CounterFamily& refusals_;
   DistributionFamily& first_byte_times_;
   DistributionFamily& total_times_;
+  CounterFamily& retries_;
+  CounterFamily& denied_retries_;
+  CounterFamily& uncounted_sends_;
+  GaugeFamily& retry_budget_spent_;
+  GaugeFamily& retry_budget_allowed_;
 
  public:
   Counter& requests;
@@ -41,6 +51,8 @@
   Gauge& endpoints_unreachable;
   Gauge& relayed_requests;
   Gauge& accepted_relays;
+  Gauge& retry_share_nodes;
+  Gauge& age_ms;
 };
 
 }  // namespace gcw
