standin: endpoints of the platform reject requests in the platform's words

Rejections of gcw-standin platform carried the header that gcw-node's endpoints use, so a gateway took each for a broken answer: the caller of a request that had not run got 502. Seen in the log of GatewayRetryTest (after=broke, silent_ms=0). They carry the platform's header now. New for tests: reject_on, reject_off and arrival_log.

--- a/programs/gcw_standin/platform_engine.cc
+++ b/programs/gcw_standin/platform_engine.cc
@@ -91,11 +91,16 @@
     const HttpRequest& request,
     const std::shared_ptr<HttpResponder>& responder) {
   ++arrivals_;
+  on_arrival_(request);
   limit_meter_.OnRequest(standin_server_.now());
+  if (rejects_) {
+    responder->Respond({kUnavailable, {{std::string(kNotExecutedHeader), "1"}}, {}});
+    return;
+  }
   if (cooldown_) {
     responder->Respond(
         {kUnavailable,
-         {{std::string(kNotRunHeader), "1"},
+         {{std::string(kNotExecutedHeader), "1"},
           {std::string(kRetryAfterHeader),
            std::to_string(static_cast<double>(cooldown_->millis()) / 1000)}},
          {}});
@@ -293,7 +298,7 @@
     return;
   }
   if (membership->phase != MemberPhase::kOpen) {
-    responder->Respond({kUnavailable, {{std::string(kNotRunHeader), "1"}}, {}});
+    responder->Respond({kUnavailable, {{std::string(kNotExecutedHeader), "1"}}, {}});
     return;
   }
   int first = 0;
--- a/programs/gcw_standin/platform_engine.h
+++ b/programs/gcw_standin/platform_engine.h
@@ -70,6 +70,12 @@
   // The endpoint refuses requests and asks for this cooldown from now on, or
   // accepts them.
   void SetCooldown(std::optional<Duration> cooldown) { cooldown_ = cooldown; }
+  // The endpoint rejects all requests from now on, or accepts them.
+  void SetRejects(bool rejects) { rejects_ = rejects; }
+  // Sets what is called for each request that arrives.
+  void SetArrivalCallback(std::function<void(const HttpRequest&)> on_arrival) {
+    on_arrival_ = std::move(on_arrival);
+  }
   // The endpoint's answers say from now on that it is about to stop.
   void AnnounceEnd() { is_leaving_ = true; }
   // Number of requests that arrived, whether they ran or not.
@@ -117,6 +123,8 @@
   std::int64_t arrivals_ = 0;
   LimitMeter limit_meter_;
   std::optional<Duration> cooldown_;
+  bool rejects_ = false;
+  std::function<void(const HttpRequest&)> on_arrival_ = [](const auto&) {};
   bool is_leaving_ = false;
 };
 
--- a/programs/gcw_standin/platform_http_frontend.cc
+++ b/programs/gcw_standin/platform_http_frontend.cc
@@ -76,6 +76,10 @@
   added.SetCrashes(
       [this](const HttpRequest& request) { return MustCrash(request); },
       [this, registration] { OnCrash(registration); });
+  added.SetRejects(rejects_);
+  added.SetArrivalCallback([this](const HttpRequest& request) {
+    arrival_log_.push_back({server_.now(), request.Header(kAttemptIdHeader)});
+  });
   engines_[registration.id] = std::move(created);
   if (!added.Listen(settings_.ip)) {
     engines_.erase(registration.id);
@@ -165,6 +169,15 @@
     responder.Respond({kOk, {}, boost::json::serialize(arrivals)});
     return;
   }
+  if (path == "/standin/arrival_log") {
+    responder.Respond({kOk, {}, DescribeArrivalLog()});
+    return;
+  }
+  if (path == "/standin/reject_on" || path == "/standin/reject_off") {
+    SetRejects(path == "/standin/reject_on");
+    responder.Respond({kOk, {}, {}});
+    return;
+  }
   if (path == "/standin/crash_on") {
     const std::string part = QueryValue(request.target, "part");
     if (part.empty()) {
@@ -257,6 +270,22 @@
   return kOk;
 }
 
+void PlatformHttpFrontend::SetRejects(bool rejects) {
+  rejects_ = rejects;
+  for (const auto& [id, engine] : engines_) {
+    engine->SetRejects(rejects);
+  }
+}
+
+std::string PlatformHttpFrontend::DescribeArrivalLog() const {
+  boost::json::array log;
+  log.reserve(arrival_log_.size());
+  for (const Arrival& arrival : arrival_log_) {
+    log.push_back(boost::json::array{arrival.time.millis(), arrival.attempt});
+  }
+  return boost::json::serialize(log);
+}
+
 void PlatformHttpFrontend::OnCrash(const VmRegistration& crashed) {
   constexpr Duration kRestartDelay = Duration::Seconds(1);
   ++crashes_;
--- a/programs/gcw_standin/platform_http_frontend.h
+++ b/programs/gcw_standin/platform_http_frontend.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "programs/gcw_standin/platform_documents.h"
 #include "programs/gcw_standin/platform_engine.h"
@@ -40,12 +41,15 @@
 // /standin/cooldown?vm=ID&ms=N` makes an endpoint refuse requests and ask for
 // that cooldown, or accept them without `ms`; `POST /standin/leaving?vm=ID`
 // makes its answers say that it is about to stop. `GET /standin/arrivals`
-// returns how many requests reached each endpoint. `POST
-// /standin/crash_on?body=TEXT` or `?part=ID` makes every endpoint that begins
-// to run a request with that body, or with that part among those of its prompt
-// that others share, crash; `POST /standin/crash_off` ends that for all, and
-// `GET /standin/crashes` returns how many have; another endpoint under another
-// id takes the place of each after a second.
+// returns how many requests reached each endpoint, and `GET
+// /standin/arrival_log` the time, in milliseconds, and the attempt id of each
+// of them. `POST /standin/reject_on` makes all endpoints reject requests, and
+// `POST /standin/reject_off` ends that. `POST /standin/crash_on?body=TEXT` or
+// `?part=ID` makes every endpoint that begins to run a request with that body,
+// or with that part among those of its prompt that others share, crash; `POST
+// /standin/crash_off` ends that for all, and `GET /standin/crashes` returns how
+// many have; another endpoint under another id takes the place of each after a
+// second.
 class PlatformHttpFrontend {
  public:
   PlatformHttpFrontend(StandinServer& server,
@@ -72,6 +76,8 @@
   int SetLimit(const HttpRequest& request);
   int SetCooldown(const HttpRequest& request);
   int AnnounceEnd(const HttpRequest& request);
+  void SetRejects(bool rejects);
+  std::string DescribeArrivalLog() const;
   void OnCrash(const VmRegistration& crashed);
   bool MustCrash(const HttpRequest& request) const;
   // Returns null if the request names no endpoint.
@@ -98,6 +104,12 @@
     Time last_heard;
   };
   std::map<VmId, RemoteEndpoint> remote_endpoints_;
+  struct Arrival {
+    Time time;
+    std::string attempt;
+  };
+  std::vector<Arrival> arrival_log_;
+  bool rejects_ = false;
   // Bodies of requests that crash endpoints.
   std::set<std::string> crashing_bodies_;
   std::set<std::string> crashing_parts_;
