--- a/tests/coordination/gateway/forward_controller_test.cc
+++ b/tests/coordination/gateway/forward_controller_test.cc
@@ -194,6 +194,50 @@
       controller_.OnEnded(now_, admission.id, end)));
 }
 
+// A node that reaches no endpoint, and others that do.
+class ForwardControllerRelayTest : public ForwardControllerTest {
+ protected:
+  ForwardControllerRelayTest() {
+    SetReplicas(1);
+    controller_.OnEnded(now_, Arrive("/whole/1").id,
+                        End(ForwardEndKind::kNothingSent));
+    now_ = now_ + Duration::Millis(200);
+    ReachReport report;
+    report.accepts_relays = true;
+    report.services = {{ServiceId("s"), ModelId(), 1, Duration()}};
+    for (const char* node : {"n2", "n3"}) {
+      relays_.OnReport(now_, Address(node), ZoneId("z"), report);
+    }
+  }
+
+  // Passes a request on to another node, which refuses it, and returns the next
+  // step.
+  ForwardStep PassOnAndRefuse(RefusalKind refusal) {
+    const ForwardAdmission admission = Arrive("/whole/1");
+    EXPECT_TRUE(std::holds_alternative<RelayForward>(admission.step));
+    ForwardEnd end = End(ForwardEndKind::kNotRun);
+    end.refusal = refusal;
+    return controller_.OnEnded(now_, admission.id, end);
+  }
+};
+
+// Guards against sends that nobody counts: the other node's endpoint rejected
+// the request, so another send is a retry.
+TEST_F(ForwardControllerRelayTest, ARequestRejectedThroughAnotherNodeIsARetry) {
+  while (budget_.TrySpend(now_, ServiceId("s"))) {
+  }
+  const ForwardStep step = PassOnAndRefuse(RefusalKind::kEndpointRefused);
+  ASSERT_TRUE(std::holds_alternative<ForwardRefused>(step));
+  EXPECT_EQ(std::get<ForwardRefused>(step).kind, RefusalKind::kRetryBudget);
+}
+
+TEST_F(ForwardControllerRelayTest, ARequestThatNoEndpointHadIsNoRetry) {
+  while (budget_.TrySpend(now_, ServiceId("s"))) {
+  }
+  EXPECT_TRUE(std::holds_alternative<RelayForward>(
+      PassOnAndRefuse(RefusalKind::kQueueFull)));
+}
+
 // A fleet of engines, which order their waiting requests by precedence.
 class ForwardControllerPrecedenceTest : public ForwardControllerTest {
  protected:
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -61,6 +61,8 @@
     // Number of the caller's attempts before this one.
     int earlier_attempts = 0;
     Time arrived;
+    // Number of the caller's attempt, counted over all nodes.
+    std::int64_t number = 0;
     std::optional<RelaySource> relayed_by;
   };
   struct Stream {
@@ -338,6 +340,7 @@
     settings.mirror.prefixes = {"cfg", "vm/", "node/", "role/",
                                 std::string(kCrashRecordPrefix)};
     settings.mirror.expiring_prefixes = {"vm/", "node/"};
+    adjust_settings(settings);
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
       settings.seeds.emplace_back(std::to_string(i));
     }
@@ -387,6 +390,18 @@
         });
   }
 
+  // Starts a node that the fleet did not have before; returns its index.
+  std::size_t AddNode() {
+    nodes_.emplace_back();
+    StartNode(nodes_.size() - 1);
+    return nodes_.size() - 1;
+  }
+  // The node is told to stop, and ends once its stop is complete.
+  void StopNode(std::size_t index) {
+    nodes_[index].core->OnStopRequested(now_);
+    EndWhenDrained(index, nodes_[index].run);
+  }
+
   // Publishes the next version of the configuration.
   void ChangeConfiguration(
       const std::function<void(FleetConfiguration&)>& change) {
@@ -399,6 +414,7 @@
   // A caller's attempt arrives at the node.
   void Send(std::size_t node, SimulatedRequest simulated) {
     simulated.arrived = now_;
+    simulated.number = ++last_attempt_number_;
     const ForwardAdmission admission =
         nodes_[node].core->OnArrived(now_, MakeRequest(simulated));
     Take(node, admission.id, simulated, admission.step);
@@ -412,6 +428,14 @@
       [](const SimulatedRequest&) {};
   bool store_down = false;
   bool traffic = false;
+  // Changes the settings of nodes that start.
+  std::function<void(GatewaySettings&)> adjust_settings = [](GatewaySettings&) {
+  };
+  // How an engine that was sent a request ends it at once. It runs the request
+  // if this returns nothing.
+  std::function<std::optional<ForwardEndKind>(const SimulatedRequest&,
+                                              const VmId&)>
+      end_at_once = [](const auto&, const VmId&) { return std::nullopt; };
   // Interval at which each node gets a request for each model.
   Duration request_interval = Duration::Millis(100);
   // Answers to refused requests, in order.
@@ -963,6 +987,20 @@
     });
   }
 
+  void EndWhenDrained(std::size_t index, int run) {
+    constexpr Duration kReview = Duration::Millis(50);
+    Schedule(kReview, [this, index, run] {
+      if (!nodes_[index].alive || nodes_[index].run != run) {
+        return;
+      }
+      if (nodes_[index].core->is_drain_complete(now_)) {
+        KillNode(index);
+      } else {
+        EndWhenDrained(index, run);
+      }
+    });
+  }
+
   void SendRequests() {
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
       if (!IsRunning(i) || idle_nodes.contains(i)) {
@@ -1048,6 +1086,17 @@
     if (arrives) {
       OnArrival(node, request, vm);
     }
+    if (const auto kind = arrives ? end_at_once(request, vm) : std::nullopt) {
+      EndAtOnce({.node = node,
+                 .id = id,
+                 .request = request,
+                 .vm = vm,
+                 .events = events,
+                 .run = nodes_[node].run,
+                 .is_second = is_second},
+                *kind);
+      return;
+    }
     if (!arrives || !engines_.at(vm).cooldown) {
       streams_.push_back({node, id, request, vm, engine_simulation_.GroupAt(vm),
                           events, nodes_[node].run, now_, now_,
@@ -1082,14 +1131,24 @@
     });
   }
 
+  void EndAtOnce(const Stream& stream, ForwardEndKind kind) {
+    Schedule(kNetworkDelay * 2,
+             [this, stream, kind] { EndUnopened(stream, kind); });
+  }
+
   void OnConnectionRefused(const Stream& refused) {
-    if (!IsRunning(refused.node) || nodes_[refused.node].run != refused.run) {
+    EndUnopened(refused, ForwardEndKind::kNothingSent);
+  }
+
+  // An attempt without a stream ended.
+  void EndUnopened(const Stream& stream, ForwardEndKind kind) {
+    if (!IsRunning(stream.node) || nodes_[stream.node].run != stream.run) {
       return;
     }
-    ForwardEnd end = MakeEnd(refused);
-    end.kind = ForwardEndKind::kNothingSent;
-    Stream ended = refused;
-    if (promoted_connections_.erase({refused.node, refused.id}) > 0) {
+    ForwardEnd end = MakeEnd(stream);
+    end.kind = kind;
+    Stream ended = stream;
+    if (promoted_connections_.erase({stream.node, stream.id}) > 0) {
       ended.is_second = false;
     }
     EndStream(ended, end);
@@ -1451,6 +1510,7 @@
   std::map<ChangesRequestId, PendingChangesRequest> pending_changes_requests_;
   std::int64_t last_changes_request_ = 0;
   std::int64_t last_request_id_ = 0;
+  std::int64_t last_attempt_number_ = 0;
   std::int64_t last_content_ = 0;
 };
 
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -213,8 +213,11 @@
   };
 
   // Starts `gcw-gateway` for the platform whose store is at the address
-  // `store`.
-  GatewayAddresses StartGateway(const std::string& id, const Address& store) {
+  // `store`; `settings` are added to those that every gateway needs. A gateway
+  // of the same id is killed first if it still runs.
+  GatewayAddresses StartGateway(const std::string& id,
+                                const Address& store,
+                                const std::string& settings = {}) {
     folder_.Write(id + ".toml",
                   "[node]\nid = \"" + id +
                       "\"\nzone = \"zone-1\"\nregion = \"region-1\"\n"
@@ -223,7 +226,7 @@
                       "entries = \"127.0.0.1:0\"\n"
                       "peers = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n"
                       "[store]\naddress = \"" +
-                      store.value() + "\"\n");
+                      store.value() + "\"\n" + settings);
     const boost::json::object line = Start(
         id, "gcw-gateway", {"--settings", folder_.File(id + ".toml").string()});
     const boost::json::object& fields = line.at("fields").as_object();
