gateway: a node has a part of the slack only while all nodes count it

What callers saw: nothing but fewer and slower answers; the users saw more repeats than the fleet may send. Cause: each node took slack / (nodes in its view at that moment). A node that started had a part at once, one that left was no longer counted and went on spending, and a node that alone was left in a view had the whole slack (share_nodes 1 to 9 in a rolling restart of 9 nodes).

FleetShare: a node counts as long as any view lists it and for 20 s more; it has a part once it has been listed for longer than others take to see it (3 s, or the propagation delay and 1 s), and none once its view is older than 9 s or does not list it. A part is given up before the others grow into it. Fixtures of unit tests give their one node a part, which it had before by default.

--- a/bench/gateway_deferral_bench.cc
+++ b/bench/gateway_deferral_bench.cc
@@ -113,7 +113,7 @@
                      random,
                      DiscardEvents()) {
       selector.SetNodeCount(nodes);
-      budget.SetNodeCount(nodes);
+      budget.SetSlackParts(nodes);
     }
     ReplicaSelector selector;
     SharedRetryBudget budget;
--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -24,6 +24,7 @@
 #include "coordination/gateway/endpoint_limits.h"
 #include "coordination/gateway/endpoint_report.h"
 #include "coordination/gateway/fleet_controller.h"
+#include "coordination/gateway/fleet_share.h"
 #include "coordination/gateway/fleet_view.h"
 #include "coordination/gateway/forward_controller.h"
 #include "coordination/gateway/forward_request.h"
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -78,6 +78,7 @@
                 codecs.fleet.overview_key,
                 codecs.encode_overview),
       selector_(settings_.selector, settings_.self.zone, random_, events_),
+      retry_share_(settings_.retry_share),
       budget_(settings_.retries),
       crash_guard_(
           settings_.crashes,
@@ -214,6 +215,15 @@
   }
 }
 
+void GatewayCore::UpdateRetryShare(Time now) {
+  if (mirror_.loaded()) {
+    retry_share_.Update(now, view_.nodes().size(),
+                        view_.nodes().contains(settings_.self.id),
+                        mirror_.complete_at());
+  }
+  budget_.SetSlackParts(retry_share_.Parts(now));
+}
+
 Duration GatewayCore::Age(Time now) const {
   return first_tick_ ? now - *first_tick_ : Duration();
 }
@@ -233,17 +243,18 @@
     if (spent + denied + uncounted == 0) {
       continue;
     }
-    events_({EventKind::kRetryBudgetUsed,
-             budget.service.value(),
-             {},
-             {{"spent", spent},
-              {"denied", denied},
-              {"uncounted", uncounted},
-              {"window_spent", budget.spent},
-              {"window_requests", budget.requests},
-              {"window_allowed", budget.allowed},
-              {"share_nodes", static_cast<std::int64_t>(budget_.node_count())},
-              {"age_ms", Age(now).millis()}}});
+    events_(
+        {EventKind::kRetryBudgetUsed,
+         budget.service.value(),
+         {},
+         {{"spent", spent},
+          {"denied", denied},
+          {"uncounted", uncounted},
+          {"window_spent", budget.spent},
+          {"window_requests", budget.requests},
+          {"window_allowed", budget.allowed},
+          {"share_nodes", static_cast<std::int64_t>(retry_share_nodes(now))},
+          {"age_ms", Age(now).millis()}}});
   }
 }
 
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -11,6 +11,7 @@
 
 #include "coordination/gateway/crash_guard.h"
 #include "coordination/gateway/fleet_controller.h"
+#include "coordination/gateway/fleet_share.h"
 #include "coordination/gateway/fleet_view.h"
 #include "coordination/gateway/forward_controller.h"
 #include "coordination/gateway/gateway_keys.h"
@@ -57,6 +58,7 @@
   OverviewWriterSettings overview;
   ReplicaSelectorSettings selector;
   SharedRetryBudgetSettings retries;
+  FleetShareSettings retry_share;
   CrashGuardSettings crashes;
   ForwardControllerSettings requests;
   ReachabilityMonitorSettings reachability;
@@ -371,12 +373,14 @@
   std::size_t accepted_relays() const { return forwards_.accepted_relays(); }
   const FleetView& view() const { return view_; }
   const StoreMirror& mirror() const { return mirror_; }
-  // The budgets for retries, and the number of nodes that share the slack of
-  // each.
   std::vector<RetryBudgetStatus> RetryBudgets(Time now) const {
     return budget_.Report(now);
   }
-  std::size_t retry_share_nodes() const { return budget_.node_count(); }
+  // Into how many parts the nodes divide the slack of the retry budgets; zero
+  // while this node has no part.
+  std::size_t retry_share_nodes(Time now) const {
+    return retry_share_.Parts(now).value_or(0);
+  }
   // Time since this process began to work.
   Duration Age(Time now) const;
   bool is_controller(Time now) const;
@@ -432,6 +436,8 @@
   void AnnounceStalls(Time now);
   void QueryWitnessesForController(Time now);
   void NotifyLimits(Time now);
+  // Brings this node's part of the retries up to date with its view.
+  void UpdateRetryShare(Time now);
   // Reports which budgets for retries were used since the last report.
   void ReportRetryBudgets(Time now);
   // Checks whether this node reaches the endpoints, and asks other nodes.
@@ -464,6 +470,7 @@
   FleetController controller_;
   OverviewWriter overview_;
   ReplicaSelector selector_;
+  FleetShare retry_share_;
   SharedRetryBudget budget_;
   CrashGuard crash_guard_;
   RelaySelector relays_;
--- a/coordination/gateway/gateway_core_replicas.cc
+++ b/coordination/gateway/gateway_core_replicas.cc
@@ -28,7 +28,7 @@
   for (Address& address : view_.TakeRestartedAddresses()) {
     actions_.emplace_back(DropPooledConnections{std::move(address)});
   }
-  budget_.SetNodeCount(view_.serving_nodes());
+  UpdateRetryShare(now);
   selector_.SetNodeCount(view_.serving_nodes());
   forwards_.SetNodeCount(view_.serving_nodes());
   UpdateNodes(now);
--- a/coordination/gateway/shared_retry_budget.cc
+++ b/coordination/gateway/shared_retry_budget.cc
@@ -62,9 +62,11 @@
       window.requests += slot.number > oldest ? slot.requests : 0;
     }
   }
-  window.allowed = settings_.usable_fraction *
-                   (settings_.ratio * static_cast<double>(window.requests) +
-                    settings_.slack / static_cast<double>(node_count_));
+  const double slack =
+      parts_ ? settings_.slack / static_cast<double>(*parts_) : 0;
+  window.allowed =
+      settings_.usable_fraction *
+      (settings_.ratio * static_cast<double>(window.requests) + slack);
   return window;
 }
 
@@ -79,8 +81,4 @@
   return report;
 }
 
-void SharedRetryBudget::SetNodeCount(std::size_t nodes) {
-  node_count_ = std::max<std::size_t>(1, nodes);
-}
-
 }  // namespace gcw
--- a/coordination/gateway/shared_retry_budget.h
+++ b/coordination/gateway/shared_retry_budget.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -38,10 +39,10 @@
   bool MaySpend(Time now, const ServiceId& service) const;
   // Counts another send of a request that needs no retry of the budget.
   void OnUncounted(const ServiceId& service);
-  // Sets the number of nodes that share the slack.
-  void SetNodeCount(std::size_t nodes);
+  // Sets into how many parts the nodes divide the slack; absent while this node
+  // has no part of it.
+  void SetSlackParts(std::optional<std::size_t> parts) { parts_ = parts; }
 
-  std::size_t node_count() const { return node_count_; }
   // Returns the budgets of all services that had requests.
   std::vector<RetryBudgetStatus> Report(Time now) const;
 
@@ -71,7 +72,7 @@
   Window LastWindow(Time now, const Slots& slots) const;
 
   SharedRetryBudgetSettings settings_;
-  std::size_t node_count_ = 1;
+  std::optional<std::size_t> parts_;
   std::unordered_map<ServiceId, Account> accounts_;
 };
 
--- a/coordination/gateway/store_mirror.h
+++ b/coordination/gateway/store_mirror.h
@@ -171,6 +171,8 @@
   // Whether all prefixes were read, from the service or from another node.
   bool loaded() const { return loaded_; }
   bool reachable() const { return reachable_; }
+  // The latest time at which this copy is known to have been complete.
+  std::optional<Time> complete_at() const { return complete_at_; }
   // The revision up to which this copy is complete.
   Revision revision() const { return revision_; }
   // Absent if this mirror knows nothing newer.
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -394,6 +394,9 @@
       1, std::llround(kWeightPerCore * raw.processor_share));
   settings.core.mirror.max_propagation_delay =
       std::min(raw.leaving_known_within, raw.configuration_known_within);
+  settings.core.retry_share.settle_time = std::max(
+      settings.core.retry_share.settle_time,
+      settings.core.mirror.max_propagation_delay + Duration::Seconds(1));
   settings.core.self.caller_address = Address(raw.callers);
   settings.core.self.peer_address = Address(raw.peers);
   settings.core.self.operator_address = Address(raw.peers);
--- a/tests/coordination/gateway/forward_controller_test.cc
+++ b/tests/coordination/gateway/forward_controller_test.cc
@@ -55,6 +55,7 @@
                       events_.push_back(event.kind);
                       return EventId();
                     }) {
+    budget_.SetSlackParts(1);
     SetReplicas(3);
   }
 
@@ -430,6 +431,7 @@
                            SeededRandom(*rc::gen::inRange(1, 100000)),
                            DiscardEvents());
   SharedRetryBudget budget({0.2, 100, Duration::Seconds(10), 0.8});
+  budget.SetSlackParts(1);
   CrashGuard crash_guard(
       {}, [](const EndpointRun&) { return true; },
       [](const VmId&) { return std::size_t{1}; }, {}, SeededRandom(4),
--- a/tests/coordination/gateway/forward_hedge_test.cc
+++ b/tests/coordination/gateway/forward_hedge_test.cc
@@ -50,6 +50,7 @@
                      .reachability = &reachability_},
                     SeededRandom(2),
                     DiscardEvents()) {
+    budget_.SetSlackParts(1);
     std::vector<Replica> replicas;
     for (int i = 0; i < 3; ++i) {
       Replica replica;
--- a/tests/coordination/gateway/overload_test.cc
+++ b/tests/coordination/gateway/overload_test.cc
@@ -88,7 +88,9 @@
                       .relays = &relays,
                       .reachability = &reachability},
                      random,
-                     DiscardEvents()) {}
+                     DiscardEvents()) {
+      budget.SetSlackParts(1);
+    }
     ReplicaSelector selector;
     SharedRetryBudget budget;
     CrashGuard crash_guard{{},
--- a/tests/coordination/gateway/shared_retry_budget_test.cc
+++ b/tests/coordination/gateway/shared_retry_budget_test.cc
@@ -19,7 +19,7 @@
   const auto nodes = *rc::gen::inRange<std::size_t>(1, 9);
   std::vector<SharedRetryBudget> budgets(nodes, SharedRetryBudget(settings));
   for (SharedRetryBudget& budget : budgets) {
-    budget.SetNodeCount(nodes);
+    budget.SetSlackParts(nodes);
   }
   const ServiceId service("s");
   std::deque<Time> requests;
@@ -51,6 +51,7 @@
 
 TEST(SharedRetryBudgetTest, ServicesHaveSeparateBudgets) {
   SharedRetryBudget budget({0, 10, Duration::Seconds(10), 1});
+  budget.SetSlackParts(1);
   const Time now = Time::FromMillis(1000000);
   while (budget.TrySpend(now, ServiceId("a"))) {
   }
--- a/transport/gateway/gateway_metrics.cc
+++ b/transport/gateway/gateway_metrics.cc
@@ -146,7 +146,8 @@
       retry_share_nodes(AddUnlabeledGauge(
           metrics_,
           "gcw_retry_share_nodes",
-          "Number of nodes that share the slack of the retry budgets.")),
+          "Parts into which the nodes divide the slack of the retry budgets; 0 "
+          "while this node has none.")),
       age_ms(AddUnlabeledGauge(metrics_,
                                "gcw_age_ms",
                                "Time since the process began to work.")) {}
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -262,7 +262,7 @@
   parts_.metrics->suspected_requests.Set(
       static_cast<std::int64_t>(parts_.core->suspected_requests(Now())));
   parts_.metrics->RecordRetryBudgets(parts_.core->RetryBudgets(Now()),
-                                     parts_.core->retry_share_nodes());
+                                     parts_.core->retry_share_nodes(Now()));
   parts_.metrics->age_ms.Set(parts_.core->Age(Now()).millis());
   responder->Respond({kOk,
                       {{"Content-Type", "text/plain; version=0.0.4"}},
