--- a/tests/programs/gateway_retry_test.cc
+++ b/tests/programs/gateway_retry_test.cc
@@ -127,8 +127,6 @@
   std::this_thread::sleep_for(std::chrono::seconds(1));
   StopCallers();
   const RetryRule rule = JudgeArrivals();
-            << " worst " << rule.WorstWindow().repeats << " allowed "
-            << rule.WorstWindow().allowed << "\n";
   EXPECT_EQ(rule.FirstViolation(), "");
   EXPECT_GT(rule.repeats(), 0);
 }
