gateway: a node that starts has no retries that it spent before it ended

Each node now has a token bucket for each service that starts empty and is filled by its own requests and its part of the slack.

--- a/bench/gateway_deferral_bench.cc
+++ b/bench/gateway_deferral_bench.cc
@@ -96,7 +96,7 @@
          std::size_t nodes,
          const Random& random)
         : selector(selector_settings, ZoneId("z"), random, DiscardEvents()),
-          budget({0.2, 300, Duration::Seconds(10), 0.8}),
+          budget({.slack = 300}, random),
           crash_guard(
               {},
               [](const EndpointRun&) { return true; },
@@ -113,7 +113,7 @@
                      random,
                      DiscardEvents()) {
       selector.SetNodeCount(nodes);
-      budget.SetSlackParts(nodes);
+      budget.Update(Time(), nodes);
     }
     ReplicaSelector selector;
     SharedRetryBudget budget;
--- a/coordination/gateway/forward_controller_hedges.cc
+++ b/coordination/gateway/forward_controller_hedges.cc
@@ -67,8 +67,8 @@
   // The budget is asked first, because a place that is taken and given back
   // counts as a request of this node.
   if (!MayRunAgain(now, next, silent) ||
-      !budget_->MaySpend(now, open_request.service) ||
-      crash_guard_->Judge(now, next.suspects).verdict > CrashVerdict::kApart) {
+      crash_guard_->Judge(now, next.suspects).verdict > CrashVerdict::kApart ||
+      !budget_->TrySpend(now, open_request.service)) {
     return std::nullopt;
   }
   const std::optional<std::int64_t> resume =
@@ -79,9 +79,9 @@
   Result<SendForward, RefusalKind> send =
       Dispatch(now, next, resume, heard_since);
   if (!IsOk(send)) {
+    budget_->Refund(now, open_request.service);
     return std::nullopt;
   }
-  budget_->TrySpend(now, open_request.service);
   open_request.sends = next.sends;
   open_request.urgency = next.urgency;
   open_request.second = {next.endpoint, next.address, next.attempt, now};
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -79,7 +79,7 @@
                 codecs.encode_overview),
       selector_(settings_.selector, settings_.self.zone, random_, events_),
       retry_share_(settings_.retry_share),
-      budget_(settings_.retries),
+      budget_(settings_.retries, random_),
       crash_guard_(
           settings_.crashes,
           [this](const EndpointRun& run) {
@@ -221,7 +221,14 @@
                         view_.nodes().contains(settings_.self.id),
                         mirror_.complete_at());
   }
-  budget_.SetSlackParts(retry_share_.Parts(now));
+  budget_.Update(now, retry_share_.Parts(now));
+  retry_share_updated_ = now;
+}
+
+void GatewayCore::RefreshRetryShare(Time now) {
+  if (now - retry_share_updated_ > settings_.max_tick_delay) {
+    UpdateRetryShare(now);
+  }
 }
 
 Duration GatewayCore::Age(Time now) const {
@@ -252,7 +259,8 @@
           {"uncounted", uncounted},
           {"window_spent", budget.spent},
           {"window_requests", budget.requests},
-          {"window_allowed", budget.allowed},
+          {"available", budget.available},
+          {"capacity", budget.capacity},
           {"share_nodes", static_cast<std::int64_t>(retry_share_nodes(now))},
           {"age_ms", Age(now).millis()}}});
   }
@@ -441,6 +449,7 @@
 ForwardStep GatewayCore::OnEnded(Time now,
                                  ForwardId id,
                                  const ForwardEnd& end) {
+  RefreshRetryShare(now);
   return forwards_.OnEnded(now, id, end);
 }
 
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -330,6 +330,7 @@
   std::optional<SendForward> StartSecondAttempt(Time now,
                                                 ForwardId id,
                                                 const ForwardEnd& silent) {
+    RefreshRetryShare(now);
     return forwards_.StartSecondAttempt(now, id, silent);
   }
   void OnSecondAttemptWon(Time now, ForwardId id) {
@@ -346,6 +347,7 @@
   std::optional<ForwardStep> FailOver(Time now,
                                       ForwardId id,
                                       const ForwardEnd& silent) {
+    RefreshRetryShare(now);
     return forwards_.FailOver(now, id, silent);
   }
 
@@ -438,6 +440,8 @@
   void NotifyLimits(Time now);
   // Brings this node's part of the retries up to date with its view.
   void UpdateRetryShare(Time now);
+  // The same if the last tick is long ago, as in a process that stood still.
+  void RefreshRetryShare(Time now);
   // Reports which budgets for retries were used since the last report.
   void ReportRetryBudgets(Time now);
   // Checks whether this node reaches the endpoints, and asks other nodes.
@@ -494,6 +498,7 @@
   std::uint64_t applied_node_changes_ = 0;
   std::optional<Time> first_tick_;
   std::optional<Time> last_tick_;
+  Time retry_share_updated_;
   Time next_retry_report_;
   // The budgets at the last report.
   std::map<ServiceId, RetryBudgetStatus> reported_budgets_;
--- a/coordination/gateway/retry_budget_status.h
+++ b/coordination/gateway/retry_budget_status.h
@@ -13,8 +13,10 @@
   // Of the last window.
   std::int64_t requests = 0;
   std::int64_t spent = 0;
-  // Number of retries that this node may send in the window.
-  double allowed = 0;
+  // Number of retries that this node may send at once, and the most that it can
+  // save up now.
+  double available = 0;
+  double capacity = 0;
   // Since the process started.
   std::int64_t total_spent = 0;
   std::int64_t total_denied = 0;
--- a/tests/coordination/gateway/forward_controller_test.cc
+++ b/tests/coordination/gateway/forward_controller_test.cc
@@ -41,7 +41,7 @@
  protected:
   ForwardControllerTest()
       : selector_({}, ZoneId("z"), SeededRandom(1), DiscardEvents()),
-        budget_({0.2, 100, Duration::Seconds(10), 0.8}),
+        budget_({}, SeededRandom(6)),
         relays_({}, ZoneId("z"), SeededRandom(3)),
         reachability_({}, DiscardEvents()),
         controller_({},
@@ -55,7 +55,7 @@
                       events_.push_back(event.kind);
                       return EventId();
                     }) {
-    budget_.SetSlackParts(1);
+    budget_.Update(now_ - Duration::Seconds(60), 1);
     SetReplicas(3);
   }
 
@@ -430,8 +430,8 @@
   ReplicaSelector selector({}, ZoneId("z"),
                            SeededRandom(*rc::gen::inRange(1, 100000)),
                            DiscardEvents());
-  SharedRetryBudget budget({0.2, 100, Duration::Seconds(10), 0.8});
-  budget.SetSlackParts(1);
+  SharedRetryBudget budget({}, SeededRandom(6));
+  budget.Update(now - Duration::Seconds(60), 1);
   CrashGuard crash_guard(
       {}, [](const EndpointRun&) { return true; },
       [](const VmId&) { return std::size_t{1}; }, {}, SeededRandom(4),
--- a/tests/coordination/gateway/forward_hedge_test.cc
+++ b/tests/coordination/gateway/forward_hedge_test.cc
@@ -39,7 +39,7 @@
  protected:
   explicit ForwardHedgeTest(SharedRetryBudgetSettings budget = {})
       : selector_({}, ZoneId("z"), SeededRandom(1), DiscardEvents()),
-        budget_(budget),
+        budget_(budget, SeededRandom(6)),
         relays_({}, ZoneId("z"), SeededRandom(3)),
         reachability_({}, DiscardEvents()),
         controller_({},
@@ -50,7 +50,7 @@
                      .reachability = &reachability_},
                     SeededRandom(2),
                     DiscardEvents()) {
-    budget_.SetSlackParts(1);
+    budget_.Update(now_ - Duration::Seconds(60), 1);
     std::vector<Replica> replicas;
     for (int i = 0; i < 3; ++i) {
       Replica replica;
--- a/tests/coordination/gateway/overload_test.cc
+++ b/tests/coordination/gateway/overload_test.cc
@@ -64,6 +64,9 @@
       for (; due_requests_ >= 1; due_requests_ -= 1) {
         Submit(DrawBelow(random_, kNodes), now_, DrawUnit(random_) < abusive);
       }
+      for (const auto& node : nodes_) {
+        node->budget.Update(now_, 1);
+      }
       SubmitDueReturns();
       for (std::size_t i = 0; i < kGroups; ++i) {
         if ((now_.millis() + static_cast<std::int64_t>(i) * 10) %
@@ -80,7 +83,7 @@
   struct Node {
     Node(const ZoneId& zone, const Random& random)
         : selector({}, zone, random, DiscardEvents()),
-          budget({0.2, 136, Duration::Seconds(10), 0.8}),
+          budget({.slack = 136}, random),
           controller({},
                      {.selector = &selector,
                       .budget = &budget,
@@ -88,9 +91,7 @@
                       .relays = &relays,
                       .reachability = &reachability},
                      random,
-                     DiscardEvents()) {
-      budget.SetSlackParts(1);
-    }
+                     DiscardEvents()) {}
     ReplicaSelector selector;
     SharedRetryBudget budget;
     CrashGuard crash_guard{{},
--- a/transport/gateway/gateway_metrics.cc
+++ b/transport/gateway/gateway_metrics.cc
@@ -96,9 +96,9 @@
       retry_budget_spent_(metrics_.AddGauge(
           MakeServiceSpec("gcw_retry_budget_window_spent",
                           "Retries of this node in the last window."))),
-      retry_budget_allowed_(metrics_.AddGauge(MakeServiceSpec(
-          "gcw_retry_budget_window_allowed",
-          "Retries that this node may send in a window, rounded down."))),
+      retry_budget_available_(metrics_.AddGauge(MakeServiceSpec(
+          "gcw_retry_budget_available",
+          "Retries that this node may send at once, rounded down."))),
       requests(AddUnlabeledCounter(metrics_,
                                    "gcw_requests_total",
                                    "Requests of callers that were read.")),
@@ -162,8 +162,8 @@
     RaiseTo(denied_retries_.With(labels), budget.total_denied);
     RaiseTo(uncounted_sends_.With(labels), budget.total_uncounted);
     retry_budget_spent_.With(labels).Set(budget.spent);
-    retry_budget_allowed_.With(labels).Set(
-        static_cast<std::int64_t>(budget.allowed));
+    retry_budget_available_.With(labels).Set(
+        static_cast<std::int64_t>(budget.available));
   }
 }
 
--- a/transport/gateway/gateway_metrics.h
+++ b/transport/gateway/gateway_metrics.h
@@ -36,7 +36,7 @@
   CounterFamily& denied_retries_;
   CounterFamily& uncounted_sends_;
   GaugeFamily& retry_budget_spent_;
-  GaugeFamily& retry_budget_allowed_;
+  GaugeFamily& retry_budget_available_;
 
  public:
   Counter& requests;
