gateway: a request that an endpoint rejected through another node is a repeat

The refusal of a node that was passed a request now says whether no endpoint has received it (Gcw-Unsent); if one may have, the next send needs a retry of the budget.

--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -452,12 +452,7 @@
   // reached an endpoint.
   if (may_have_reached_endpoint &&
       !budget_->TrySpend(now, open_request.service)) {
-    if (std::holds_alternative<SendForward>(ValueOf(step))) {
-      selector_->OnCancelled(open_request.attempt);
-    } else {
-      relays_->OnEnded(*open_request.relay_node);
-      open_request.relay_node.reset();
-    }
+    CancelPlacement(open_request, ValueOf(step));
     return RefusalKind::kRetryBudget;
   }
   if (!may_have_reached_endpoint) {
@@ -475,6 +470,16 @@
 }
 
 void ForwardController::UpdateUrgency(Time now,
+void ForwardController::CancelPlacement(OpenRequest& open_request,
+                                        const ForwardStep& step) {
+  if (std::holds_alternative<SendForward>(step)) {
+    selector_->OnCancelled(open_request.attempt);
+    return;
+  }
+  relays_->OnEnded(*open_request.relay_node);
+  open_request.relay_node.reset();
+}
+
                                       OpenRequest& open_request,
                                       bool is_delivered) {
   if (is_delivered) {
@@ -529,7 +534,7 @@
              {"sends", open_request.sends},
              {"waited_ms", (now - open_request.arrived).millis()},
              {"retry_after_ms", retry_after.millis()}});
-  return ForwardRefused{kind, retry_after};
+  return ForwardRefused{kind, retry_after, !open_request.has_reached_endpoint};
 }
 
 void ForwardController::SetNodeCount(std::size_t nodes) {
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -245,6 +245,8 @@
                                          OpenRequest& open_request,
                                          std::optional<std::int64_t> resume,
                                          bool prefers_relay);
+  // Takes back a step of `Place` that is not performed.
+  void CancelPlacement(OpenRequest& open_request, const ForwardStep& step);
   // Passes the request on to another node if one reaches endpoints that this
   // node does not.
   std::optional<RelayForward> Relay(Time now,
--- a/coordination/gateway/forward_controller_relays.cc
+++ b/coordination/gateway/forward_controller_relays.cc
@@ -154,13 +154,22 @@
       if (!IsOk(next)) {
         return GiveUp(now, open_request, end, ErrorOf(next));
       }
-      budget_->OnUncounted(open_request.service);
+      // An endpoint that rejected it through the other node has received it.
+      const bool is_counted =
+          end.kind != ForwardEndKind::kNothingSent && !end.is_unsent;
+      if (is_counted && !budget_->TrySpend(now, open_request.service)) {
+        CancelPlacement(open_request, ValueOf(next));
+        return GiveUp(now, open_request, end, RefusalKind::kRetryBudget);
+      }
+      if (!is_counted) {
+        budget_->OnUncounted(open_request.service);
+      }
       EmitEvent(EventKind::kRequestRetried, open_request,
                 {{"after", std::string(ForwardEndKindName(end.kind))},
                  {"node", node.value()},
                  {"vm", open_request.endpoint.vm.value()},
                  {"sends", open_request.sends},
-                 {"is_counted", false}});
+                 {"is_counted", is_counted}});
       return std::move(ValueOf(next));
     }
     case ForwardEndKind::kConnectionBroken:
--- a/coordination/gateway/forward_request.h
+++ b/coordination/gateway/forward_request.h
@@ -107,6 +107,8 @@
 };
 
 // Final step: the request may have run.
+  // No endpoint has received the request.
+  bool is_unsent = false;
 struct ForwardOutcomeUnknown {
   // True if the deadline passed, false if the endpoint failed.
   bool timed_out = false;
@@ -163,5 +165,7 @@
 };
 
 }  // namespace gcw
+  // That node says that no endpoint has received the request.
+  bool is_unsent = false;
 
 #endif  // COORDINATION_GATEWAY_FORWARD_REQUEST_H_
--- a/coordination/gateway/gateway_core_relays.cc
+++ b/coordination/gateway/gateway_core_relays.cc
@@ -100,7 +100,8 @@
            {},
            {{"reason", std::string(RefusalKindName(kind))},
             {"is_relayed", request.relay.has_value()}}});
-  return {ForwardId(), ForwardRefused{kind, settings_.requests.retry_after}};
+  return {ForwardId(),
+          ForwardRefused{kind, settings_.requests.retry_after, true}};
 }
 
 ZoneId GatewayCore::ZoneOf(const Address& node) const {
--- a/tests/coordination/gateway/forward_controller_test.cc
+++ b/tests/coordination/gateway/forward_controller_test.cc
@@ -213,11 +213,12 @@
 
   // Passes a request on to another node, which refuses it, and returns the next
   // step.
-  ForwardStep PassOnAndRefuse(RefusalKind refusal) {
+  ForwardStep PassOnAndRefuse(RefusalKind refusal, bool is_unsent) {
     const ForwardAdmission admission = Arrive("/whole/1");
     EXPECT_TRUE(std::holds_alternative<RelayForward>(admission.step));
     ForwardEnd end = End(ForwardEndKind::kNotRun);
     end.refusal = refusal;
+    end.is_unsent = is_unsent;
     return controller_.OnEnded(now_, admission.id, end);
   }
 };
@@ -227,7 +228,8 @@
 TEST_F(ForwardControllerRelayTest, ARequestRejectedThroughAnotherNodeIsARetry) {
   while (budget_.TrySpend(now_, ServiceId("s"))) {
   }
-  const ForwardStep step = PassOnAndRefuse(RefusalKind::kEndpointRefused);
+  const ForwardStep step =
+      PassOnAndRefuse(RefusalKind::kEndpointRefused, false);
   ASSERT_TRUE(std::holds_alternative<ForwardRefused>(step));
   EXPECT_EQ(std::get<ForwardRefused>(step).kind, RefusalKind::kRetryBudget);
 }
@@ -236,7 +238,7 @@
   while (budget_.TrySpend(now_, ServiceId("s"))) {
   }
   EXPECT_TRUE(std::holds_alternative<RelayForward>(
-      PassOnAndRefuse(RefusalKind::kQueueFull)));
+      PassOnAndRefuse(RefusalKind::kQueueFull, true)));
 }
 
 // A fleet of engines, which order their waiting requests by precedence.
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -1279,6 +1279,7 @@
     if (const auto* refused = std::get_if<ForwardRefused>(&step)) {
       end.kind = ForwardEndKind::kNotRun;
       end.refusal = refused->kind;
+      end.is_unsent = refused->is_unsent;
     } else if (std::holds_alternative<PassAnswer>(step)) {
       end.kind = ForwardEndKind::kSucceeded;
     }
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -83,6 +83,9 @@
     if (relay_terms_) {
       response.headers.push_back({std::string(kRelayRefusalHeader),
                                   std::string(RefusalKindName(refused->kind))});
+      if (refused->is_unsent) {
+        response.headers.push_back({std::string(kRelayUnsentHeader), "1"});
+      }
     }
     Respond(std::move(response), ForwardOutcome::kRefused);
   } else if (const auto* unknown = std::get_if<ForwardOutcomeUnknown>(&step)) {
@@ -393,6 +396,10 @@
     PromoteSecondAttempt();
   } else if (IsSecond(attempt)) {
     second_.reset();
+  // A node that refuses without a reason did not read the request.
+  end.is_unsent = attempt.relay_answer.is_unsent ||
+                  (attempt.is_relayed && kind == ForwardEndKind::kNotRun &&
+                   !attempt.relay_answer.refusal);
     parts_.core->OnSecondAttemptEnded(parts_.clock(), id_, end);
     parts_.run_actions();
     return;
--- a/transport/gateway/relay_headers.h
+++ b/transport/gateway/relay_headers.h
@@ -16,12 +16,15 @@
 inline constexpr std::string_view kRelayHeader = "Gcw-Relay";
 // Why the node refused the request, which it did not run.
 inline constexpr std::string_view kRelayRefusalHeader = "Gcw-Refusal";
+// No endpoint has received the request that the node refused.
+inline constexpr std::string_view kRelayUnsentHeader = "Gcw-Unsent";
 // The endpoint that answered.
 inline constexpr std::string_view kRelayEndpointHeader = "Gcw-Endpoint";
 
 // What the head of an answer says that came through another node.
 struct RelayAnswer {
   std::optional<RefusalKind> refusal;
+  bool is_unsent = false;
   // Empty if the other node answers itself.
   VmId endpoint;
 };
