requests: the retries of a gcw-node start empty

Each gcw-node kept its retries in the process and had a full burst of 50 at each start, so nodes that start again and again kept up the load that their limit is there to end.

The node's budget starts empty and fills from the first request on. A contract's part of it still starts full: it only divides the node's. RetryBudgetTest.NodesThatStartAgainAndAgainSendNoMore: at most a tenth of the requests and one a second over 20 starts. The other tests of the budget begin 60 s after the first request, with the same bounds.

--- a/coordination/requests/retry_budget.cc
+++ b/coordination/requests/retry_budget.cc
@@ -22,11 +22,6 @@
   return "unknown";
 }
 
-RetryBudget::RetryBudget(const RetryBudgetSettings& settings)
-    : settings_(settings) {
-  node_.balance = settings_.node_burst;
-}
-
 void RetryBudget::Refill(Time now,
                          double per_second,
                          double burst,
@@ -43,7 +38,10 @@
       contract, Account{.balance = settings_.contract_burst, .refilled = now});
   Account& account = found->second;
   Refill(now, settings_.contract_per_second, settings_.contract_burst, account);
-  Refill(now, settings_.node_per_second, settings_.node_burst, node_);
+  if (!node_) {
+    node_ = Account{.balance = 0, .refilled = now};
+  }
+  Refill(now, settings_.node_per_second, settings_.node_burst, *node_);
   return account;
 }
 
@@ -51,8 +49,8 @@
   Account& account = AccountOf(now, contract);
   account.balance = std::min(settings_.contract_burst,
                              account.balance + settings_.contract_share);
-  node_.balance =
-      std::min(settings_.node_burst, node_.balance + settings_.node_share);
+  node_->balance =
+      std::min(settings_.node_burst, node_->balance + settings_.node_share);
 }
 
 RetryVerdict RetryBudget::TrySpend(Time now,
@@ -71,11 +69,11 @@
   if (account.balance < 1) {
     return RetryVerdict::kContractBudget;
   }
-  if (node_.balance < 1) {
+  if (node_->balance < 1) {
     return RetryVerdict::kNodeBudget;
   }
   account.balance -= 1;
-  node_.balance -= 1;
+  node_->balance -= 1;
   return RetryVerdict::kAllowed;
 }
 
--- a/coordination/requests/retry_budget.h
+++ b/coordination/requests/retry_budget.h
@@ -2,6 +2,7 @@
 #define COORDINATION_REQUESTS_RETRY_BUDGET_H_
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 
@@ -54,10 +55,12 @@
 // Limits the load that retries add. Without a limit, failing endpoints multiply
 // the load on the remaining ones until these fail too, and the overload
 // continues after its cause is gone. The budget is a share of first attempts,
-// so the load is at most 1 + `node_share` times the callers' demand.
+// so the load is at most 1 + `node_share` times the callers' demand. The node's
+// budget starts empty, so that nodes that start again and again send no more.
 class RetryBudget {
  public:
-  explicit RetryBudget(const RetryBudgetSettings& settings);
+  explicit RetryBudget(const RetryBudgetSettings& settings)
+      : settings_(settings) {}
 
   // Earns budget for a first attempt.
   void OnFirstAttempt(Time now, const ContractId& contract);
@@ -69,7 +72,7 @@
   // Drops idle contracts.
   void Tick(Time now);
 
-  double node_balance() const { return node_.balance; }
+  double node_balance() const { return node_ ? node_->balance : 0; }
   std::size_t known_contracts() const { return contracts_.size(); }
 
  private:
@@ -85,7 +88,8 @@
                      Account& account);
 
   RetryBudgetSettings settings_;
-  Account node_;
+  // Filled from the first attempt on.
+  std::optional<Account> node_;
   std::unordered_map<ContractId, Account> contracts_;
   Time next_clean_up_;
 };
--- a/tests/coordination/requests/retry_test.cc
+++ b/tests/coordination/requests/retry_test.cc
@@ -11,25 +11,34 @@
 namespace gcw {
 namespace {
 
+constexpr Time kStart = Time::FromMillis(60000);
+
 RequestProfile RequestOf(const std::string& contract) {
   RequestProfile profile = ModelRequest();
   profile.contract = ContractId(contract);
+  profile.deadline = kStart + Duration::Seconds(60);
   return profile;
 }
 
+// Returns a budget that is full at `kStart`.
+RetryBudget FullBudget() {
+  RetryBudget budget{RetryBudgetSettings()};
+  budget.OnFirstAttempt(Millis(0), ContractId("first"));
+  return budget;
+}
+
 // Guards against an overload that continues after a fault although callers ask
 // for no more than before: a third of the endpoints fail, each failure is
 // retried, and retries grow with failures instead of with first attempts.
 TEST(RetryBudgetTest, RetriesAreAShareOfFirstAttempts) {
-  RetryBudget budget{RetryBudgetSettings()};
+  RetryBudget budget = FullBudget();
   int retries = 0;
   for (int i = 0; i < 4000; ++i) {
     const RequestProfile profile = RequestOf("c" + std::to_string(i % 20));
-    budget.OnFirstAttempt(Millis(0), profile.contract);
-    retries +=
-        budget.TrySpend(Millis(0), profile, {}) == RetryVerdict::kAllowed;
+    budget.OnFirstAttempt(kStart, profile.contract);
+    retries += budget.TrySpend(kStart, profile, {}) == RetryVerdict::kAllowed;
   }
-  // A tenth of the attempts, plus the initial budget.
+  // A tenth of the attempts, plus what was saved.
   EXPECT_LE(retries, 4000 / 10 + 50);
   EXPECT_GE(retries, 4000 / 10);
 }
@@ -37,40 +46,58 @@
 // Guards against a contract whose failing requests use up the retries of all
 // others, as with a single budget for the node.
 TEST(RetryBudgetTest, AContractSpendsItsOwnBudgetFirst) {
-  RetryBudget budget{RetryBudgetSettings()};
+  RetryBudget budget = FullBudget();
   const RequestProfile flood = RequestOf("flood");
   RetryVerdict last = RetryVerdict::kAllowed;
   for (int i = 0; i < 30; ++i) {
-    last = budget.TrySpend(Millis(0), flood, {});
+    last = budget.TrySpend(kStart, flood, {});
   }
   EXPECT_EQ(last, RetryVerdict::kContractBudget);
-  EXPECT_EQ(budget.TrySpend(Millis(0), RequestOf("other"), {}),
+  EXPECT_EQ(budget.TrySpend(kStart, RequestOf("other"), {}),
             RetryVerdict::kAllowed);
 }
 
 // Guards against a second run: the connection breaks after the request was
 // written, so the request may have run and must not be retried.
 TEST(RetryBudgetTest, PossiblyRunRequestIsNotRetried) {
-  RetryBudget budget{RetryBudgetSettings()};
+  RetryBudget budget = FullBudget();
   RequestProfile profile = RequestOf("team");
   profile.repeatable = false;
-  EXPECT_EQ(budget.TrySpend(Millis(0), profile, {.was_not_run = false}),
+  EXPECT_EQ(budget.TrySpend(kStart, profile, {.was_not_run = false}),
             RetryVerdict::kNotRepeatable);
-  EXPECT_EQ(budget.TrySpend(Millis(0), profile, {.was_not_run = true}),
+  EXPECT_EQ(budget.TrySpend(kStart, profile, {.was_not_run = true}),
             RetryVerdict::kAllowed);
 }
 
 TEST(RetryBudgetTest, NothingIsRetriedPastItsDeadlineOrTooOften) {
-  RetryBudget budget{RetryBudgetSettings()};
+  RetryBudget budget = FullBudget();
   RequestProfile profile = RequestOf("team");
-  profile.deadline = Millis(1000);
-  EXPECT_EQ(budget.TrySpend(Millis(800), profile,
+  profile.deadline = kStart + Duration::Millis(1000);
+  EXPECT_EQ(budget.TrySpend(kStart + Duration::Millis(800), profile,
                             {.expected_first_byte = Duration::Millis(300)}),
             RetryVerdict::kDeadline);
-  EXPECT_EQ(budget.TrySpend(Millis(0), profile, {.attempts = 3}),
+  EXPECT_EQ(budget.TrySpend(kStart, profile, {.attempts = 3}),
             RetryVerdict::kTooManyAttempts);
 }
 
+// Guards against nodes that have all their retries again after each start, and
+// together keep up the load that made the endpoints fail.
+TEST(RetryBudgetTest, NodesThatStartAgainAndAgainSendNoMore) {
+  int retries = 0;
+  for (int start = 0; start < 20; ++start) {
+    RetryBudget budget{RetryBudgetSettings()};
+    for (int i = 0; i < 100; ++i) {
+      const Time now = Millis(start * 1000 + i * 10);
+      const RequestProfile profile = RequestOf("c" + std::to_string(i % 20));
+      budget.OnFirstAttempt(now, profile.contract);
+      retries += budget.TrySpend(now, profile, {}) == RetryVerdict::kAllowed;
+    }
+  }
+  // A tenth of the attempts, and one a second.
+  EXPECT_LE(retries, 20 * 100 / 10 + 20);
+  EXPECT_GT(retries, 0);
+}
+
 TEST(RetryBudgetTest, ForgetsIdleContracts) {
   RetryBudget budget{RetryBudgetSettings()};
   budget.OnFirstAttempt(Millis(0), ContractId("a"));
