gateway: a node that takes over the loads begins without a burst of them

The node that directs the groups began with three loads beyond the rate, whatever the node before it had just begun; with a slow weight store and several take-overs that exceeds its rate.

The limiter starts without tokens. LoadPacerTest.NodesThatTakeOverInTurnKeepTheRate: ten take-overs in 40 s at half a load a second begin at most 20; a burst of three for each is 30.

--- a/coordination/gateway/load_pacer.cc
+++ b/coordination/gateway/load_pacer.cc
@@ -19,7 +19,6 @@
   std::erase_if(running_, [&](const auto& load) { return load.second <= now; });
   if (last_refill_ == Time()) {
     last_refill_ = now;
-    tokens_ = settings_.burst;
   }
   const auto elapsed_ms = static_cast<double>((now - last_refill_).millis());
   tokens_ = std::min(settings_.burst,
--- a/coordination/gateway/load_pacer.h
+++ b/coordination/gateway/load_pacer.h
@@ -33,7 +33,8 @@
 };
 
 // Limits the rate and the concurrency of loads from the weight store, which
-// refuses or slows loads beyond its rate for all VMs.
+// refuses or slows loads beyond its rate for all VMs. It starts without tokens,
+// because the node that had the task before may have just spent all of them.
 class LoadPacer {
  public:
   explicit LoadPacer(const LoadPacerSettings& settings) : settings_(settings) {}
--- a/tests/coordination/gateway/load_pacer_test.cc
+++ b/tests/coordination/gateway/load_pacer_test.cc
@@ -52,5 +52,26 @@
   EXPECT_EQ(BeginLoads(pacer, later, 100, 110), 1);
 }
 
+// Guards against nodes that take over the loads in turn and each begin a burst
+// of them, which the weight store then refuses.
+TEST(LoadPacerTest, NodesThatTakeOverInTurnKeepTheRate) {
+  EngineProfile profile = Profile();
+  profile.loads_per_second = 0.5;
+  int begun = 0;
+  for (int turn = 0; turn < 10; ++turn) {
+    LoadPacer pacer({});
+    pacer.SetProfile(profile);
+    pacer.OnTraffic();
+    for (int tick = 0; tick < 40; ++tick) {
+      const Time now = Time::FromMillis(1000 + turn * 4000 + tick * 100);
+      pacer.Tick(now);
+      begun += BeginLoads(pacer, now, begun, begun + 5);
+    }
+  }
+  // Half a load a second allows 20 in 40 seconds.
+  EXPECT_LE(begun, 20);
+  EXPECT_GT(begun, 0);
+}
+
 }  // namespace
 }  // namespace gcw
