gateway: bytes without end from an endpoint cost no other request

The client ends an answer after 16 interim answers, 256 KB of framing and 16 bytes of it for each byte of the body, and when its head or body takes too long. All buffered answers of a process share 32 MB beyond 64 KB each. The answer to a request that may run again has half of the time that is left at its head, so that another endpoint can still serve it. The attempt counts as the endpoint's failure and its connection is closed.

--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -201,6 +201,7 @@
       open_request.route->retry_policy == RetryPolicy::kNever ||
       (open_request.route->streams && open_request.possible_runs > 0);
   send.streams = open_request.route->streams;
+  send.is_repeatable = open_request.route->retry_policy != RetryPolicy::kNever;
   if (HasModels(open_request)) {
     send.precedence = Precedence{open_request.rank, open_request.urgency};
   }
@@ -469,7 +470,6 @@
   return step;
 }
 
-void ForwardController::UpdateUrgency(Time now,
 void ForwardController::CancelPlacement(OpenRequest& open_request,
                                         const ForwardStep& step) {
   if (std::holds_alternative<SendForward>(step)) {
@@ -480,6 +480,7 @@
   open_request.relay_node.reset();
 }
 
+void ForwardController::UpdateUrgency(Time now,
                                       OpenRequest& open_request,
                                       bool is_delivered) {
   if (is_delivered) {
--- a/coordination/gateway/forward_controller_relays.cc
+++ b/coordination/gateway/forward_controller_relays.cc
@@ -91,6 +91,7 @@
   relay.fresh_connection =
       open_request.route->retry_policy == RetryPolicy::kNever;
   relay.streams = open_request.route->streams;
+  relay.is_repeatable = open_request.route->retry_policy != RetryPolicy::kNever;
   // One run is kept back for the case that the other node is lost.
   const std::int64_t runs_left =
       open_request.max_runs - open_request.possible_runs;
--- a/coordination/gateway/forward_request.h
+++ b/coordination/gateway/forward_request.h
@@ -71,6 +71,8 @@
   // without notice.
   bool fresh_connection = false;
   bool streams = false;
+  // The request may run again at another endpoint.
+  bool is_repeatable = false;
   // Position in the endpoint's queue: by rank, and within a rank by urgency.
   // Absent for endpoints that start requests in order of arrival.
   std::optional<Precedence> precedence;
@@ -85,6 +87,7 @@
   std::optional<std::int64_t> resume_after;
   bool fresh_connection = false;
   bool streams = false;
+  bool is_repeatable = false;
   RelayTerms terms;
 };
 
@@ -104,11 +107,11 @@
   RefusalKind kind = RefusalKind::kNoEndpoint;
   // Zero if a retry by the caller cannot succeed.
   Duration retry_after;
+  // No endpoint has received the request.
+  bool is_unsent = false;
 };
 
 // Final step: the request may have run.
-  // No endpoint has received the request.
-  bool is_unsent = false;
 struct ForwardOutcomeUnknown {
   // True if the deadline passed, false if the endpoint failed.
   bool timed_out = false;
@@ -162,10 +165,10 @@
   bool is_client_error = false;
   // Why the node refused that the request was passed on to.
   std::optional<RefusalKind> refusal;
+  // That node says that no endpoint has received the request.
+  bool is_unsent = false;
 };
 
 }  // namespace gcw
-  // That node says that no endpoint has received the request.
-  bool is_unsent = false;
 
 #endif  // COORDINATION_GATEWAY_FORWARD_REQUEST_H_
--- a/protocol/sse_event_splitter.h
+++ b/protocol/sse_event_splitter.h
@@ -30,8 +30,11 @@
 
   // The id of the last whole event.
   std::optional<std::int64_t> last_id() const { return last_id_; }
-  // True if the buffer holds the beginning of an unfinished event.
-  bool has_partial_event() const { return returned_bytes_ < buffer_.size(); }
+  // Size of the beginning of an unfinished event in the buffer.
+  std::size_t partial_event_bytes() const {
+    return buffer_.size() - returned_bytes_;
+  }
+  bool has_partial_event() const { return partial_event_bytes() > 0; }
 
  private:
   bool ReadEventId(std::string_view event);
--- /dev/null
+++ b/tests/programs/gateway_endless_test.cc
@@ -0,0 +1,157 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <cstdint>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "programs/gcw_standin/platform_documents.h"
+#include "tests/support/gateway_path.h"
+#include "tests/transport/raw_peer.h"
+
+namespace gcw {
+namespace {
+
+constexpr int kCallers = 24;
+constexpr int kRequestsPerCaller = 12;
+// A gateway's machine has 256 MB, half of which are for its answers.
+constexpr std::int64_t kMaxMemoryKb = 128 * 1024;
+
+// Gateways before sound endpoints and some that send bytes without end.
+class GatewayEndlessTest : public GatewayPathTest {
+ protected:
+  GatewayEndlessTest() : GatewayPathTest({"--domains", "0", "--plain", "6"}) {}
+  ~GatewayEndlessTest() override {
+    // The endpoints end once nobody is connected to them.
+    fleet_.Signal("gw-1", SIGKILL);
+    fleet_.Signal("gw-2", SIGKILL);
+    stop_ = true;
+    if (registrar_.joinable()) {
+      registrar_.join();
+    }
+  }
+
+  // Adds an endpoint that answers each request with `begin`, and with `again`
+  // over and over until the gateway closes the connection.
+  void AddEndless(const std::string& begin,
+                  const std::string& again,
+                  std::chrono::milliseconds pause) {
+    servers_.push_back(std::make_unique<ScriptedServer>(
+        [this, begin, again, pause](RawPeer& peer, int) {
+          if (peer.ReadHead().empty() || !peer.Send(begin)) {
+            return;
+          }
+          ++answers_;
+          while (peer.Send(again)) {
+            std::this_thread::sleep_for(pause);
+          }
+        }));
+    VmRegistration registration;
+    registration.id = VmId("endless-" + std::to_string(servers_.size()));
+    registration.service = ServiceId("desk");
+    registration.zone = ZoneId("zone-1");
+    registration.slots = 6;
+    registration.address =
+        Address("127.0.0.1:" + std::to_string(servers_.back()->port()));
+    registrations_.push_back(registration);
+  }
+
+  // Registers the endpoints, and again before their registrations expire.
+  void Register() {
+    RegisterOnce();
+    registrar_ = std::thread([this] {
+      while (!stop_) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        RegisterOnce();
+      }
+    });
+  }
+  void RegisterOnce() {
+    for (const VmRegistration& registration : registrations_) {
+      const auto answer =
+          Call(store_, {"POST",
+                        "/standin/register?vm=" + registration.id.value(),
+                        {},
+                        EncodeRegistrationEntry(registration)});
+      EXPECT_TRUE(IsOk(answer) && ValueOf(answer).status == 200);
+    }
+  }
+
+  // Sends requests from all callers at once; returns the number of those that
+  // were not served.
+  int CountUnserved() {
+    std::vector<std::future<int>> callers;
+    callers.reserve(kCallers);
+    for (int i = 0; i < kCallers; ++i) {
+      callers.push_back(std::async(std::launch::async, [this, i] {
+        int unserved = 0;
+        for (int request = 0; request < kRequestsPerCaller; ++request) {
+          const Address& entry = i % 2 == 0 ? first_.callers : second_.callers;
+          unserved += SendRequest(entry, "safe").status == 200 ? 0 : 1;
+        }
+        return unserved;
+      }));
+    }
+    int unserved = 0;
+    for (auto& caller : callers) {
+      unserved += caller.get();
+    }
+    return unserved;
+  }
+
+  void ExpectServedInLittleMemory() {
+    Register();
+    EXPECT_EQ(CountUnserved(), 0);
+    EXPECT_GT(answers_, 0);
+    EXPECT_LT(fleet_.PeakMemoryKb("gw-1"), kMaxMemoryKb);
+    EXPECT_LT(fleet_.PeakMemoryKb("gw-2"), kMaxMemoryKb);
+  }
+
+  std::atomic<int> answers_ = 0;
+  std::vector<std::unique_ptr<ScriptedServer>> servers_;
+  std::vector<VmRegistration> registrations_;
+  std::thread registrar_;
+  std::atomic<bool> stop_ = false;
+};
+
+// Guards against bodies without end that take all memory of a gateway and the
+// time of other requests.
+TEST_F(GatewayEndlessTest, BodiesWithoutEndCostNoOtherRequest) {
+  ASSERT_TRUE(fleet_.WaitUntil(
+      [this] { return SendRequest(first_.callers, "safe").status == 200; }));
+  for (int i = 0; i < 3; ++i) {
+    AddEndless("HTTP/1.1 200 OK\r\n\r\n", std::string(64UL * 1024, 'x'),
+               std::chrono::milliseconds(0));
+  }
+  ExpectServedInLittleMemory();
+}
+
+// Guards against heads without end that take all memory of a gateway and the
+// time of other requests.
+TEST_F(GatewayEndlessTest, HeadsWithoutEndCostNoOtherRequest) {
+  ASSERT_TRUE(fleet_.WaitUntil(
+      [this] { return SendRequest(first_.callers, "safe").status == 200; }));
+  AddEndless("", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n",
+             std::chrono::milliseconds(0));
+  AddEndless("HTTP/1.1 200 OK\r\n", "A: b\r\n", std::chrono::milliseconds(0));
+  AddEndless("HTTP/1.1 200 OK\r\n", "A: b\r\n", std::chrono::milliseconds(50));
+  ExpectServedInLittleMemory();
+}
+
+// Guards against a body that arrives so slowly that the request has no time
+// left for another endpoint.
+TEST_F(GatewayEndlessTest, DribbledBodiesCostNoOtherRequest) {
+  ASSERT_TRUE(fleet_.WaitUntil(
+      [this] { return SendRequest(first_.callers, "safe").status == 200; }));
+  // A request may reach two endpoints, so only one of them is like this.
+  AddEndless("HTTP/1.1 200 OK\r\n\r\n", "x", std::chrono::milliseconds(50));
+  ExpectServedInLittleMemory();
+}
+
+}  // namespace
+}  // namespace gcw
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -20,6 +21,7 @@
 #include <memory>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -104,6 +106,18 @@
            info.si_pid == pid_;
   }
 
+  // Returns the largest amount of memory that the child has used so far.
+  std::int64_t PeakMemoryKb() const {
+    constexpr std::string_view kField = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);) {
+      if (line.starts_with(kField)) {
+        return std::stoll(line.substr(kField.size()));
+      }
+    }
+    return 0;
+  }
+
   // Reads the object on the first line of standard output, which tells where
   // the program listens. Returns an empty one if no line arrives in time.
   boost::json::object ReadAnnouncement(std::chrono::milliseconds timeout) {
@@ -245,6 +259,10 @@
     return children_.at(name)->TakeOutput();
   }
 
+  std::int64_t PeakMemoryKb(const std::string& name) const {
+    return children_.at(name)->PeakMemoryKb();
+  }
+
   void Signal(const std::string& name, int signal) const {
     children_.at(name)->Signal(signal);
   }
--- a/transport/caller_exchange.cc
+++ b/transport/caller_exchange.cc
@@ -27,6 +27,8 @@
       return AttemptFailureKind::kDeadline;
     case HttpFailureKind::kMalformedAnswer:
       return AttemptFailureKind::kMalformed;
+    case HttpFailureKind::kAnswerTimeout:
+      return AttemptFailureKind::kStalled;
     case HttpFailureKind::kTruncated:
       return AttemptFailureKind::kTruncated;
     case HttpFailureKind::kCancelled:
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -101,6 +101,7 @@
   attempt = Attempt();
   attempt.vm = send.vm;
   attempt.streams = send.streams;
+  attempt.is_repeatable = send.is_repeatable;
   attempt.resume_after = send.resume_after;
   HttpCallOptions options;
   options.connect_timeout = settings_.connect_timeout;
@@ -109,6 +110,7 @@
   options.progress_timeout = send.time_left;
   options.reuse_connection = !send.fresh_connection;
   options.accept_unframed = true;
+  options.head_timeout = settings_.head_timeout;
   BeginExchange(attempt, *parts_.endpoints, send.address,
                 parts_.dialect->make_attempt_request(request_, send), options);
 }
@@ -118,6 +120,7 @@
   attempt_ = Attempt();
   attempt_.is_relayed = true;
   attempt_.streams = relay.streams;
+  attempt_.is_repeatable = relay.is_repeatable;
   attempt_.resume_after = relay.resume_after;
   HttpCallOptions options;
   options.connect_timeout = settings_.connect_timeout;
@@ -140,6 +143,8 @@
                                     const HttpCallOptions& options) {
   const int number = ++last_attempt_number_;
   attempt.number = number;
+  attempt.deadline = parts_.clock() + options.deadline;
+  attempt.memory = AnswerMemory::Reservation(parts_.answer_memory);
   ++attempts_;
   HttpCallHandlers handlers;
   const auto if_running = [weak = weak_from_this(), number](auto run) {
@@ -220,19 +225,31 @@
   if (is_good && attempt.streams) {
     attempt.streams_events = true;
     attempt.splitter.emplace(attempt.resume_after);
+    return;
+  }
+  if (attempt.is_repeatable) {
+    LimitBodyTime(attempt);
   }
 }
 
+void ForwardExchange::LimitBodyTime(const Attempt& attempt) const {
+  const Duration left = attempt.deadline - parts_.clock();
+  attempt.call->SetBodyTimeout(Duration::Millis(static_cast<std::int64_t>(
+      static_cast<double>(left.millis()) * settings_.body_time_share)));
+}
+
 void ForwardExchange::OnBody(Attempt& attempt, std::string_view chunk) {
   if (!attempt.streams_events) {
     attempt.buffered_body += chunk;
-    if (attempt.buffered_body.size() > settings_.max_buffered_bytes) {
+    if (attempt.buffered_body.size() > settings_.max_buffered_bytes ||
+        !attempt.memory.Resize(attempt.buffered_body.size())) {
       EndAttempt(attempt, ForwardEndKind::kConnectionBroken);
     }
     return;
   }
   const std::optional<std::string_view> events = attempt.splitter->Feed(chunk);
-  if (!events) {
+  if (!events ||
+      !attempt.memory.Resize(attempt.splitter->partial_event_bytes())) {
     EndAttempt(attempt, ForwardEndKind::kConnectionBroken);
     return;
   }
@@ -379,6 +396,10 @@
   end.last_event = last_event_;
   end.is_client_error = attempt.has_head && IsClientError(attempt.head.status);
   end.refusal = attempt.relay_answer.refusal;
+  // A node that refuses without a reason did not read the request.
+  end.is_unsent = attempt.relay_answer.is_unsent ||
+                  (attempt.is_relayed && kind == ForwardEndKind::kNotRun &&
+                   !attempt.relay_answer.refusal);
   return end;
 }
 
@@ -396,10 +417,6 @@
     PromoteSecondAttempt();
   } else if (IsSecond(attempt)) {
     second_.reset();
-  // A node that refuses without a reason did not read the request.
-  end.is_unsent = attempt.relay_answer.is_unsent ||
-                  (attempt.is_relayed && kind == ForwardEndKind::kNotRun &&
-                   !attempt.relay_answer.refusal);
     parts_.core->OnSecondAttemptEnded(parts_.clock(), id_, end);
     parts_.run_actions();
     return;
--- a/transport/gateway/forward_exchange.h
+++ b/transport/gateway/forward_exchange.h
@@ -8,6 +8,7 @@
 
 #include "coordination/coordination.h"
 #include "protocol/protocol.h"
+#include "transport/gateway/answer_memory.h"
 #include "transport/gateway/gateway_dialect.h"
 #include "transport/gateway/relay_headers.h"
 #include "transport/http_client.h"
@@ -21,6 +22,16 @@
   // Answers other than forwarded event streams are buffered until they are
   // complete. An attempt whose answer is larger than this fails.
   std::size_t max_buffered_bytes = 8UL * 1024 * 1024;
+  // What all of them may take together beyond `buffer_allowance` for each. An
+  // attempt whose answer finds no room fails.
+  std::size_t max_total_buffered_bytes = 32UL * 1024 * 1024;
+  std::size_t buffer_allowance = 64UL * 1024;
+  // An answer that is not forwarded as it arrives must end within this part of
+  // the time that is left at its head, so that another attempt is possible. The
+  // answer to a request that may not run again has all the time.
+  double body_time_share = 0.5;
+  // The same for the time until an answer that has begun has its head.
+  Duration head_timeout = Duration::Seconds(1);
   // Not used. A limit on the bytes queued for a caller, above which the
   // stream's endpoint is not read.
   std::size_t max_unsent_bytes = 256UL * 1024;
@@ -61,6 +72,8 @@
     const GatewayDialect* dialect = nullptr;
     HttpClient* endpoints = nullptr;
     HttpClient* peers = nullptr;
+    // Shared by all exchanges; null if there is no limit.
+    std::shared_ptr<AnswerMemory> answer_memory;
     Clock clock;
     // Performs what the core asks for after an event of the request.
     std::function<void()> run_actions;
@@ -96,6 +109,8 @@
     VmId vm;
     bool is_relayed = false;
     bool streams = false;
+    bool is_repeatable = false;
+    Time deadline;
     std::optional<std::int64_t> resume_after;
     // What the other node's answer says.
     RelayAnswer relay_answer;
@@ -107,6 +122,7 @@
     // An event of the answer arrived.
     bool has_events = false;
     std::string buffered_body;
+    AnswerMemory::Reservation memory;
     std::optional<SseEventSplitter> splitter;
   };
 
@@ -126,6 +142,7 @@
   std::vector<HttpHeader> TakeAnswerHeaders();
   void OnHead(Attempt& attempt, const HttpResponse& head);
   void OnBody(Attempt& attempt, std::string_view chunk);
+  void LimitBodyTime(const Attempt& attempt) const;
   void OnEnd(Attempt& attempt);
   void OnFailure(Attempt& attempt, const HttpFailure& failure);
   ForwardEnd MakeEnd(const Attempt& attempt, ForwardEndKind kind) const;
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -13,6 +13,8 @@
 constexpr std::size_t kMaxOtherConnections = 512;
 // Each open request of another node has a connection of its own.
 constexpr std::size_t kMaxPeerConnections = 1024;
+// Maximum answer of an endpoint to a probe, a check or an order.
+constexpr std::size_t kMaxReportBytes = 256UL * 1024;
 
 ProbeResult ProbeVerdictFor(const HttpFailure& failure) {
   if (failure.kind == HttpFailureKind::kConnectRefused) {
@@ -35,6 +37,7 @@
 
 HttpCallOptions GatewayRuntime::EndpointOptions(Duration limit) {
   HttpCallOptions options = OptionsWithTimeout(limit);
+  options.max_answer_bytes = kMaxReportBytes;
   options.accept_unframed = true;
   return options;
 }
@@ -47,6 +50,9 @@
       watch_client_(*parts_.context),
       engine_client_(*parts_.context),
       peer_client_(*parts_.context),
+      answer_memory_(std::make_shared<AnswerMemory>(
+          settings_.exchange.buffer_allowance,
+          settings_.exchange.max_total_buffered_bytes)),
       timer_(*parts_.context) {}
 
 std::optional<GatewayListenError> GatewayRuntime::Listen() {
@@ -208,6 +214,7 @@
   parts.dialect = &parts_.dialect;
   parts.endpoints = &endpoint_client_;
   parts.peers = &peer_client_;
+  parts.answer_memory = answer_memory_;
   parts.clock = parts_.clock;
   parts.run_actions = [this] {
     Execute(parts_.core->TakeRequestActions(Now()));
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -148,6 +148,7 @@
   HttpClient watch_client_;
   HttpClient engine_client_;
   HttpClient peer_client_;
+  std::shared_ptr<AnswerMemory> answer_memory_;
   boost::asio::steady_timer timer_;
   std::unordered_map<GatewayListener, std::unique_ptr<HttpServer>> servers_;
   std::unordered_map<GatewayListener, std::string> ips_;
--- a/transport/http_client.h
+++ b/transport/http_client.h
@@ -23,6 +23,8 @@
   // the deadline applies.
   virtual void Pause() {}
   virtual void Resume() {}
+  // Sets the time within which the response, whose head has arrived, must end.
+  virtual void SetBodyTimeout(Duration /*timeout*/) {}
 };
 
 // Makes HTTP/1.1 calls to endpoints. A connection carries one request at a time
--- a/transport/http_client_call.cc
+++ b/transport/http_client_call.cc
@@ -21,6 +21,13 @@
 
 constexpr std::size_t kReadBytes = 16UL * 1024;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+// The parser keeps a line that is not complete, such as that of a chunk's size.
+constexpr std::size_t kMaxUnparsedBytes = kMaxHeadBytes + kReadBytes;
+// Bytes of interim responses, heads, chunk lines and trailers that a response
+// may have, and how many more for each byte of its body.
+constexpr std::uint64_t kMaxFramingBytes = 256UL * 1024;
+constexpr std::uint64_t kFramingBytesPerBodyByte = 16;
+constexpr int kMaxInterimAnswers = 16;
 
 HttpFailureKind ConnectFailure(const error_code& error) {
   return error == boost::asio::error::timed_out
@@ -108,6 +115,14 @@
   });
 }
 
+void HttpClientCall::SetBodyTimeout(Duration timeout) {
+  boost::asio::post(strand_, [self = shared_from_this(), timeout] {
+    if (!self->done_) {
+      self->SetAnswerTimeout(timeout);
+    }
+  });
+}
+
 void HttpClientCall::Begin() {
   if (done_) {
     return;
@@ -185,10 +200,25 @@
 }
 
 void HttpClientCall::ResetProgressTimeout() {
-  if (!paused_) {
-    SetStepTimeout(options_.progress_timeout,
-                   HttpFailureKind::kProgressTimeout);
+  if (paused_) {
+    return;
+  }
+  const auto left =
+      answer_deadline_
+          ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                *answer_deadline_ - SteadyClock::now())
+          : ToChrono(options_.progress_timeout);
+  if (left < ToChrono(options_.progress_timeout)) {
+    SetStepTimeout(std::max(Duration(), Duration::Millis(left.count())),
+                   HttpFailureKind::kAnswerTimeout);
+    return;
   }
+  SetStepTimeout(options_.progress_timeout, HttpFailureKind::kProgressTimeout);
+}
+
+void HttpClientCall::SetAnswerTimeout(Duration timeout) {
+  answer_deadline_ = SteadyClock::now() + ToChrono(timeout);
+  ResetProgressTimeout();
 }
 
 void HttpClientCall::OnTimeout() {
@@ -266,6 +296,10 @@
     return;
   }
   buffer_.commit(size);
+  if (!head_delivered_ && !answer_deadline_) {
+    SetAnswerTimeout(options_.head_timeout);
+  }
+  received_bytes_ += size;
   ResetProgressTimeout();
   ParseBuffered();
 }
@@ -306,9 +340,19 @@
       break;
     }
   }
+  if (!IsFramingSound()) {
+    Fail(HttpFailureKind::kMalformedAnswer);
+    return;
+  }
   WaitReadable();
 }
 
+bool HttpClientCall::IsFramingSound() const {
+  return buffer_.size() <= kMaxUnparsedBytes &&
+         received_bytes_ - body_bytes_ <=
+             kMaxFramingBytes + kFramingBytesPerBodyByte * body_bytes_;
+}
+
 void HttpClientCall::StartParser() {
   parser_.emplace();
   parser_->eager(true);
@@ -325,7 +369,13 @@
     return false;
   }
   if (status < 200) {
-    // This is an interim response; the final one follows.
+    // This is an interim response; the final one may follow much later.
+    if (++interim_answers_ > kMaxInterimAnswers) {
+      Fail(HttpFailureKind::kMalformedAnswer);
+      return false;
+    }
+    answer_deadline_.reset();
+    ResetProgressTimeout();
     StartParser();
     return true;
   }
@@ -335,6 +385,12 @@
     return false;
   }
   head_delivered_ = true;
+  answer_deadline_.reset();
+  if (options_.body_timeout) {
+    SetAnswerTimeout(*options_.body_timeout);
+  } else {
+    ResetProgressTimeout();
+  }
   if (handlers_.on_head) {
     handlers_.on_head(
         HttpResponse{static_cast<int>(status), ToHeaders(head), {}});
@@ -347,6 +403,7 @@
   if (body.empty()) {
     return;
   }
+  body_bytes_ += body.size();
   if (handlers_.on_body) {
     handlers_.on_body(body);
   }
--- a/transport/http_client_call.h
+++ b/transport/http_client_call.h
@@ -2,6 +2,7 @@
 #define TRANSPORT_HTTP_CLIENT_CALL_H_
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,6 +39,7 @@
   void Cancel() override;
   void Pause() override;
   void Resume() override;
+  void SetBodyTimeout(Duration timeout) override;
 
  private:
   using SteadyClock = std::chrono::steady_clock;
@@ -50,6 +52,7 @@
   // Sets the timeout of the current step, capped by the call's deadline.
   void SetStepTimeout(Duration timeout, HttpFailureKind timeout_kind);
   void ResetProgressTimeout();
+  void SetAnswerTimeout(Duration timeout);
   void OnTimeout();
 
   void Write();
@@ -63,6 +66,8 @@
   // Called when the head is complete. Returns whether the call continues.
   bool AcceptHead();
   void DeliverBody();
+  // Whether what the server sent besides the body is still within its limits.
+  bool IsFramingSound() const;
   void End();
   void Fail(HttpFailureKind kind);
   bool request_sent() const {
@@ -88,6 +93,12 @@
   bool write_failed_ = false;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  // Received so far, and how much of it was part of the body.
+  std::uint64_t received_bytes_ = 0;
+  std::uint64_t body_bytes_ = 0;
+  int interim_answers_ = 0;
+  // When the part of the response that has begun must have ended.
+  std::optional<SteadyClock::time_point> answer_deadline_;
   bool head_delivered_ = false;
   bool read_waiting_ = false;
   bool paused_ = false;
--- a/transport/http_types.h
+++ b/transport/http_types.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -118,6 +119,8 @@
   // would end when its connection closes, and a truncated one would look
   // complete.
   kMalformedAnswer,
+  // The response began and did not end within its time.
+  kAnswerTimeout,
   // The response ended before its announced length or its last chunk.
   kTruncated,
   kCancelled,
@@ -136,6 +139,12 @@
   Duration progress_timeout = Duration::Seconds(10);
   // Maximum time for the whole exchange.
   Duration deadline = Duration::Seconds(60);
+  // Maximum time from the first byte of the response to the end of its head. A
+  // server that sends a byte now and then never exceeds the progress timeout.
+  Duration head_timeout = Duration::Seconds(2);
+  // Maximum time from the end of its head to the end of the response; absent if
+  // only the deadline limits it.
+  std::optional<Duration> body_timeout = std::nullopt;
   std::size_t max_answer_bytes = 64UL * 1024 * 1024;
   // Uses a pooled connection if one is free. Requests that must not be repeated
   // use a new one, because a pooled connection may have died unnoticed.
