--- a/programs/gcw_standin/platform_engine.cc
+++ b/programs/gcw_standin/platform_engine.cc
@@ -94,7 +94,8 @@
   on_arrival_(request);
   limit_meter_.OnRequest(standin_server_.now());
   if (rejects_) {
-    responder->Respond({kUnavailable, {{std::string(kNotExecutedHeader), "1"}}, {}});
+    responder->Respond(
+        {kUnavailable, {{std::string(kNotExecutedHeader), "1"}}, {}});
     return;
   }
   if (cooldown_) {
@@ -298,7 +299,8 @@
     return;
   }
   if (membership->phase != MemberPhase::kOpen) {
-    responder->Respond({kUnavailable, {{std::string(kNotExecutedHeader), "1"}}, {}});
+    responder->Respond(
+        {kUnavailable, {{std::string(kNotExecutedHeader), "1"}}, {}});
     return;
   }
   int first = 0;
