--- a/transport/gateway/answer_memory.cc
+++ b/transport/gateway/answer_memory.cc
@@ -31,7 +31,8 @@
   }
   const std::size_t needed =
       bytes > memory_->allowance_ ? bytes - memory_->allowance_ : 0;
-  if (needed > taken_ && memory_->taken_ + (needed - taken_) > memory_->limit_) {
+  if (needed > taken_ &&
+      memory_->taken_ + (needed - taken_) > memory_->limit_) {
     return false;
   }
   memory_->taken_ = memory_->taken_ - taken_ + needed;
--- a/transport/http_client_call.cc
+++ b/transport/http_client_call.cc
@@ -203,11 +203,10 @@
   if (paused_) {
     return;
   }
-  const auto left =
-      answer_deadline_
-          ? std::chrono::duration_cast<std::chrono::milliseconds>(
-                *answer_deadline_ - SteadyClock::now())
-          : ToChrono(options_.progress_timeout);
+  const auto left = answer_deadline_
+                        ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                              *answer_deadline_ - SteadyClock::now())
+                        : ToChrono(options_.progress_timeout);
   if (left < ToChrono(options_.progress_timeout)) {
     SetStepTimeout(std::max(Duration(), Duration::Millis(left.count())),
                    HttpFailureKind::kAnswerTimeout);
