--- a/tests/support/retry_rule.h
+++ b/tests/support/retry_rule.h
@@ -37,6 +37,8 @@
     Time start;
     std::int64_t repeats = 0;
     double allowed = 0;
+
+    double Excess() const { return static_cast<double>(repeats) - allowed; }
   };
 
   // Returns the window that is closest to its limit, or furthest beyond it.
@@ -50,8 +52,7 @@
           std::max({Count(requests_, start), Count(requests_, start - window_),
                     Count(requests_, start - window_ / 2)});
       window.allowed = ratio_ * static_cast<double>(requests) + slack_;
-      if (window.repeats - window.allowed > worst.repeats - worst.allowed ||
-          worst.repeats == 0) {
+      if (window.Excess() > worst.Excess() || worst.repeats == 0) {
         worst = window;
       }
     }
--- a/tests/support/retry_world.h
+++ b/tests/support/retry_world.h
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -139,7 +140,7 @@
   std::vector<std::size_t> DrawNodes(double share) {
     std::vector<std::size_t> nodes = RunningNodes();
     const auto count = static_cast<std::size_t>(
-        share * static_cast<double>(nodes.size()) + 0.5);
+        std::lround(share * static_cast<double>(nodes.size())));
     for (std::size_t i = 0; i < count; ++i) {
       std::swap(nodes[i], nodes[i + DrawBelow(random_, nodes.size() - i)]);
     }
