--- a/tests/programs/gateway_explained_test.cc
+++ b/tests/programs/gateway_explained_test.cc
@@ -25,16 +25,6 @@
     return events_;
   }
 
-  // Reads the logs while it waits: a gateway leaves out lines for which its
-  // output has no room.
-  bool ServesBothModelsWhileReading() {
-    return fleet_.WaitUntil([this] {
-      ReadLogs();
-      return SendRequest(first_.callers, "large").status == 200 &&
-             SendRequest(second_.callers, "small").status == 200;
-    });
-  }
-
   bool HasLogged(EventKind kind) {
     const auto& events = ReadLogs();
     return std::any_of(
@@ -89,11 +79,11 @@
 // request's event says that no endpoint was available; the group's events say
 // why and for how long.
 TEST_F(GatewayExplainedTest, ExplainsRefusalDuringRepair) {
-  ASSERT_TRUE(ServesBothModelsWhileReading());
+  ASSERT_TRUE(ServesBothModels());
   KillVms(0, 2);
   ASSERT_TRUE(fleet_.WaitUntil(
       [this] { return SendRequest(first_.callers, "large").status == 503; }));
-  ASSERT_TRUE(ServesBothModelsWhileReading());
+  ASSERT_TRUE(ServesBothModels());
   ASSERT_TRUE(fleet_.WaitUntil([this] {
     return HasLogged(EventKind::kGroupServing) &&
            HasLogged(EventKind::kRequestRefused);
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -134,10 +134,9 @@
                                        : std::move(value.as_object());
   }
 
-  // Returns what the program has written to standard output since the last
-  // call.
-  std::string TakeOutput() const {
-    std::string output;
+  // Reads what the program has written to standard output. Programs leave out
+  // lines for which the pipe has no room.
+  void ReadOutput() {
     char bytes[4096];
     pollfd descriptor{output_, POLLIN, 0};
     while (poll(&descriptor, 1, 0) > 0) {
@@ -145,12 +144,33 @@
       if (size <= 0) {
         break;
       }
-      output.append(bytes, static_cast<std::size_t>(size));
+      unread_.append(bytes, static_cast<std::size_t>(size));
+      recent_.append(bytes, static_cast<std::size_t>(size));
     }
-    return output;
+    recent_ = EndOf(recent_);
+  }
+
+  // Returns what the program has written to standard output since the last
+  // call.
+  std::string TakeOutput() {
+    ReadOutput();
+    return std::exchange(unread_, {});
+  }
+
+  // Returns the end of what the program has written to standard output.
+  std::string RecentOutput() {
+    ReadOutput();
+    return recent_;
+  }
+
+  // Returns the part of a long text that failed tests print.
+  static std::string EndOf(const std::string& text) {
+    return text.substr(text.size() - std::min(text.size(), kMaxTextShown));
   }
 
  private:
+  static constexpr std::size_t kMaxTextShown = 16000;
+
   int Spawn(const std::string& program,
             const std::vector<std::string>& arguments,
             const std::string& log,
@@ -173,10 +193,12 @@
 
   pid_t pid_ = 0;
   int output_ = -1;
+  std::string unread_;
+  std::string recent_;
 };
 
 // Runs stand-ins and nodes as processes on loopback, on ports that the kernel
-// chooses. A failed test prints the end of their logs.
+// chooses. A failed test prints the end of their logs and outputs.
 class ProcessFleet {
  public:
   static constexpr const char* kOperatorCredential = "test-operator-credential";
@@ -273,6 +295,9 @@
   bool WaitUntil(const std::function<bool()>& condition) const {
     const auto end = std::min(Now() + kMaxWait, started_ + kMaxTestTime);
     while (!condition()) {
+      for (const auto& [name, child] : children_) {
+        child->ReadOutput();
+      }
       if (Now() > end) {
         return false;
       }
@@ -284,7 +309,6 @@
  private:
   static constexpr std::chrono::seconds kMaxWait{60};
   static constexpr std::chrono::seconds kMaxTestTime{100};
-  static constexpr std::size_t kLogBytesShown = 4000;
 
   static std::chrono::steady_clock::time_point Now() {
     return std::chrono::steady_clock::now();
@@ -312,10 +336,10 @@
 
   void PrintLogs() const {
     for (const auto& [name, child] : children_) {
-      const std::string log = folder_.Read(name + ".log");
-      const std::size_t skipped =
-          log.size() - std::min(log.size(), kLogBytesShown);
-      std::cerr << "== log of " << name << '\n' << log.substr(skipped) << '\n';
+      std::cerr << "== log of " << name << '\n'
+                << ChildProcess::EndOf(folder_.Read(name + ".log")) << '\n'
+                << "== output of " << name << '\n'
+                << child->RecentOutput() << '\n';
     }
   }
 
