gateway: a trial outlives another crash that its node records

Cause, from the output of a failed run of GatewayCrashTest.ABlockIsExplainedAndLifted (one of 40, 20 beside each other): gw-1 was granted the trial of a crashing request at 2.264 s; at 2.394 s it confirmed the third crash and added it to the record; at 2.798 s it confirmed that the trial had crashed its endpoint, and did not write that. CrashRecords forgot the trial that it held with each write of its own other than the grant, though the record still named it. The trial stayed open without a result for 10 s, copies were refused without a block, and a second trial took one endpoint more.

The holder now keeps the trial as long as the record that it wrote names it, as it does for records that others wrote.

Ruled out for that run: a slow service. The trial was granted within 100 ms.

--- a/coordination/gateway/crash_records.cc
+++ b/coordination/gateway/crash_records.cc
@@ -311,9 +311,10 @@
     return;
   }
   records_[fingerprint] = {write.proposed, revision, now};
+  const CrashRecord& record = write.proposed;
   if (write.purpose == Purpose::kTrial) {
     held_trials_.insert(fingerprint);
-  } else {
+  } else if (!record.trial_is_open || record.trial_holder != self_) {
     held_trials_.erase(fingerprint);
   }
 }
--- a/tests/coordination/gateway/crash_records_test.cc
+++ b/tests/coordination/gateway/crash_records_test.cc
@@ -185,6 +185,22 @@
   EXPECT_EQ(second_.Find(kRequest)->crashes.size(), 5U);
 }
 
+// Guards against a trial whose failure is lost because its node noticed another
+// crash meanwhile.
+TEST_F(CrashRecordsTest, ATrialOutlivesAnotherCrashThatItsNodeRecords) {
+  first_.RequestTrial(now_, WholeRequest(kRequest), Crashes(3));
+  Answer(first_);
+  ASSERT_TRUE(first_.HoldsTrial(kRequest));
+  first_.Record(now_, WholeRequest(kRequest), Crashes(4));
+  Answer(first_);
+  EXPECT_TRUE(first_.HoldsTrial(kRequest));
+  first_.OnTrialFailed(now_, kRequest, Crashes(5), 1);
+  Answer(first_);
+  EXPECT_EQ(first_.StateOf(now_, kRequest), State::kBlocked);
+  Show(second_);
+  EXPECT_EQ(second_.StateOf(now_, kRequest), State::kBlocked);
+}
+
 TEST_F(CrashRecordsTest, ARemovedRecordAllowsTheRequestEverywhere) {
   FailTrial(first_);
   Show(second_);
