tests: a caller goes on until its request is blocked, also with a slow store

GatewayCrashTest.ABlockIsExplainedAndLifted sent the request no more once it was refused, and waited for a block. A refusal may come before a trial: a copy waits 250 ms for the service's grant. With an answer after 300 or 400 ms the test failed always, with 150 ms it passed.

The test goes on sending. That a trial is lost would show as a further crash, so it checks that four endpoints crash at most.

--- a/tests/programs/gateway_crash_test.cc
+++ b/tests/programs/gateway_crash_test.cc
@@ -32,6 +32,17 @@
            answer.body == RefusalMessage(RefusalKind::kFingerprintBlocked);
   }
 
+  // Before a trial's result, the request is refused without a block, and one
+  // whose trial is granted late runs only when it comes again.
+  bool IsBlockedInTheEnd() {
+    return fleet_.WaitUntil([&] {
+      const bool is_refused = IsRefusedAsCrashing(first_.callers);
+      const boost::json::array blocks = Blocks(first_.peers);
+      return is_refused && blocks.size() == 1 &&
+             blocks.front().as_object().at("blocked_ms").as_int64() > 0;
+    });
+  }
+
   boost::json::array Blocks(const Address& node) {
     return boost::json::parse(Get(node, "/v1/blocks").body)
         .as_object()
@@ -78,18 +89,24 @@
   EXPECT_EQ(CountCrashes(), crashes);
 }
 
+// Guards against a crashing request that is never blocked because the key-value
+// service grants its trials when its callers are gone.
+TEST_F(GatewayCrashTest, ASlowStoreBlocksACrashingRequest) {
+  ASSERT_TRUE(ServesBothModels());
+  SetFault("slow_ms", 400);
+  Call(store_, {"POST", "/standin/crash_on?body=crashing", {}, {}});
+  ASSERT_TRUE(IsRefusedInTheEnd());
+  EXPECT_TRUE(IsBlockedInTheEnd());
+  EXPECT_LE(CountCrashes(), 4);
+}
+
 // A caller asks why its request is refused, and operators allow it again.
 TEST_F(GatewayCrashTest, ABlockIsExplainedAndLifted) {
   ASSERT_TRUE(ServesBothModels());
   Call(store_, {"POST", "/standin/crash_on?body=crashing", {}, {}});
   ASSERT_TRUE(IsRefusedInTheEnd());
-  // Before the trial's result, the request is refused without a block.
-  ASSERT_TRUE(fleet_.WaitUntil([&] {
-    const boost::json::array blocks = Blocks(first_.peers);
-    return blocks.size() == 1 &&
-           blocks.front().as_object().at("blocked_ms").as_int64() > 0 &&
-           IsRefusedAsCrashing(first_.callers);
-  }));
+  ASSERT_TRUE(IsBlockedInTheEnd());
+  EXPECT_LE(CountCrashes(), 4);
   const boost::json::object block = Blocks(first_.peers).front().as_object();
   EXPECT_GT(block.at("blocked_ms").as_int64(), 500000);
   EXPECT_GE(block.at("crashed_vms").as_array().size(), 3U);
--- a/tests/support/gateway_path.h
+++ b/tests/support/gateway_path.h
@@ -14,6 +14,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
 
 #include "platform/platform.h"
 #include "tests/support/process_fleet.h"
@@ -90,12 +91,10 @@
   }
 
   // Sets a fault of the stand-in, which rejects unknown names.
-  void SetFault(const std::string& name, bool value) {
-    const auto answer = Call(store_, {"POST",
-                                      "/faults",
-                                      {},
-                                      R"({"name":")" + name + R"(","value":)" +
-                                          (value ? "true}" : "false}")});
+  void SetFault(const std::string& name, const boost::json::value& value) {
+    const boost::json::object fault = {{"name", name}, {"value", value}};
+    const auto answer =
+        Call(store_, {"POST", "/faults", {}, boost::json::serialize(fault)});
     ASSERT_TRUE(IsOk(answer));
     ASSERT_EQ(ValueOf(answer).status, 200);
   }
