transport: the end of an empty chunked body may arrive in pieces

Cause: Beast's parser asserts, when it goes on after the line of the last chunk, that five bytes are there. With an empty body, and a read that ends within "0\r\n\r\n", there are three or four: the client called the parser again with what it had just left, or with one byte more. Builds without assertions, such as the users', evaluate the same steps and go on rightly; builds with them end the process on an endpoint's sound answer.

The client now calls the parser again only after another read, and once five bytes are there; what the parser leaves always has that many to come.

Elsewhere: the servers' sessions read requests through the same parser; a test of theirs is still to be written.

--- a/tests/transport/endless_answer_test.cc
+++ b/tests/transport/endless_answer_test.cc
@@ -126,6 +126,22 @@
                 HttpFailureKind::kMalformedAnswer);
 }
 
+// Guards against a parser that aborts the process because the end of an empty
+// body arrives in pieces.
+TEST_F(EndlessAnswerTest, AnEmptyBodyInPiecesIsWhole) {
+  const ScriptedServer server([](RawPeer& peer, int) {
+    peer.ReadHead();
+    peer.Send(std::string(kChunkedHead) + "0\r\n");
+    for (const char* piece : {"\r", "\n"}) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      peer.Send(piece);
+    }
+  });
+  const auto answer = Fetch(server);
+  ASSERT_TRUE(IsOk(answer));
+  EXPECT_EQ(ValueOf(answer).body, "");
+}
+
 TEST_F(EndlessAnswerTest, AChunkedBodyEnds) {
   ExpectFailure(FetchEndless(std::string(kChunkedHead), "4\r\nabcd\r\n"),
                 HttpFailureKind::kMalformedAnswer);
--- a/transport/http_client_call.cc
+++ b/transport/http_client_call.cc
@@ -23,6 +23,9 @@
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 // The parser keeps a line that is not complete, such as that of a chunk's size.
 constexpr std::size_t kMaxUnparsedBytes = kMaxHeadBytes + kReadBytes;
+// The parser leaves the begin of a head or of a chunk's line. When it goes on,
+// it asserts that there is enough for the shortest end of a chunked body.
+constexpr std::size_t kMinBytesToGoOn = 5;
 // Bytes of interim responses, heads, chunk lines and trailers that a response
 // may have, and how many more for each byte of its body.
 constexpr std::uint64_t kMaxFramingBytes = 256UL * 1024;
@@ -280,6 +283,7 @@
     return;
   }
   error_code error;
+  const bool is_line_begun = buffer_.size() > 0;
   const std::size_t size =
       connection_->socket.read_some(buffer_.prepare(kReadBytes), error);
   if (error == boost::asio::error::would_block) {
@@ -300,6 +304,10 @@
   }
   received_bytes_ += size;
   ResetProgressTimeout();
+  if (is_line_begun && buffer_.size() < kMinBytesToGoOn) {
+    WaitReadable();
+    return;
+  }
   ParseBuffered();
 }
 
@@ -335,7 +343,7 @@
       End();
       return;
     }
-    if (size == 0) {
+    if (size == 0 || error == http::error::need_more) {
       break;
     }
   }
