--- /dev/null
+++ b/review/standin/scenarios.h
@@ -0,0 +1,431 @@
+#ifndef REVIEW_STANDIN_SCENARIOS_H_
+#define REVIEW_STANDIN_SCENARIOS_H_
+
+#include <atomic>
+
+#include "platform.h"
+
+namespace review {
+
+// A process of the plain service. It answers GET and POST with `n=` bytes after
+// `ms=` milliseconds and keeps a record of what it ran.
+class Replica {
+ public:
+  Replica(Store& store, std::string id, std::string service, Record& record)
+      : store_(store),
+        id_(std::move(id)),
+        service_(std::move(service)),
+        record_(record) {
+    port_ = Serve([this](int fd, Reader& reader, Message& request) {
+      return Handle(fd, reader, request);
+    });
+    std::thread([this] {
+      for (int sequence = 1;; ++sequence) {
+        Register(sequence);
+        Sleep(1.2);
+      }
+    }).detach();
+  }
+
+  int Runs(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return runs_[id];
+  }
+  bool HasSent(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return sent_.count(id) > 0;
+  }
+
+ private:
+  void Register(int sequence) {
+    store_.Put("servers/" + id_,
+               boost::json::serialize(boost::json::object{
+                   {"backend", service_},
+                   {"address", "127.0.0.1:" + std::to_string(port_)},
+                   {"zone", "zone-a"},
+                   {"version", "v1"},
+                   {"batch_slots", 6},
+                   {"lifecycle", "ready"},
+                   {"warmup_left_ms", 0},
+                   {"sequence", sequence}}));
+  }
+
+  bool Handle(int fd, Reader& reader, Message& request) {
+    const std::string& line = request.first_line;
+    const Place place(*this);
+    if (!reader.ReadBody(request)) {
+      return false;
+    }
+    if (line.find(" /healthz") != std::string::npos) {
+      return WriteAll(fd,
+                      Response(200, "X-Replica-Id: " + id_ + "\r\n", "ok"));
+    }
+    const std::string expected = request.Header("X-Expect-Replica");
+    if (!expected.empty() && expected != id_) {
+      return WriteAll(fd,
+                      Response(421, "X-Replica-Id: " + id_ + "\r\n", ""));
+    }
+    const std::string attempt = request.Header("X-Attempt-Id");
+    {
+      const std::lock_guard lock(mutex_);
+      ++runs_[attempt];
+    }
+    record_.Add("replica %s runs %s (%zu bytes)", id_.c_str(), attempt.c_str(),
+                request.body.size());
+    Sleep(0.001 * Number(line, "ms=", 20));
+    const bool is_sent = WriteAll(
+        fd, Response(200,
+                     "X-Attempt-Id: " + attempt + "\r\nX-Replica-Signature: " +
+                         id_ + "." + attempt + "\r\nX-Replica-Load: 1,0,6\r\n",
+                     std::string(
+                         static_cast<std::size_t>(Number(line, "n=", 800)),
+                         'x')));
+    if (is_sent) {
+      const std::lock_guard lock(mutex_);
+      sent_.insert(attempt);
+    }
+    return is_sent;
+  }
+
+  // One of the places in which requests run; further ones wait unread.
+  class Place {
+   public:
+    explicit Place(Replica& replica) : replica_(replica) {
+      std::unique_lock lock(replica_.mutex_);
+      replica_.freed_.wait(lock, [this] { return replica_.free_places_ > 0; });
+      --replica_.free_places_;
+    }
+    ~Place() {
+      const std::lock_guard lock(replica_.mutex_);
+      ++replica_.free_places_;
+      replica_.freed_.notify_one();
+    }
+
+   private:
+    Replica& replica_;
+  };
+
+  static double Number(const std::string& text,
+                       const std::string& name,
+                       double otherwise) {
+    const std::size_t found = text.find(name);
+    return found == std::string::npos
+               ? otherwise
+               : std::strtod(text.c_str() + found + name.size(), nullptr);
+  }
+
+  Store& store_;
+  const std::string id_;
+  const std::string service_;
+  Record& record_;
+  std::mutex mutex_;
+  std::condition_variable freed_;
+  int free_places_ = 6;
+  std::map<std::string, int> runs_;
+  std::set<std::string> sent_;
+  int port_ = 0;
+};
+
+struct World {
+  World(const std::string& program,
+        const std::string& record_file,
+        const std::string& folder,
+        bool trouble)
+      : has_trouble(trouble), record(record_file) {
+    for (const char* name : {"edge-1", "edge-2"}) {
+      nodes.push_back(std::make_unique<Node>(program, folder, name, store));
+    }
+  }
+
+  static boost::json::object Route(const std::string& name,
+                                   const std::string& type) {
+    return {{"name", "r-" + name},
+            {"hostname", "desk.example"},
+            {"prefix", "/" + name + "/"},
+            {"route_type", type},
+            {"timeout_ms", 8000},
+            {"target_latency_ms", 2000},
+            {"priority", 1},
+            {"backend", "desk"},
+            {"max_attempts", 2},
+            {"public", false}};
+  }
+
+  void WriteManifest(int version) {
+    store.Put(
+        "op/config",
+        boost::json::serialize(boost::json::object{
+            {"version", version},
+            {"routes", boost::json::array{Route("read", "safe"),
+                                          Route("book", "unsafe")}},
+            {"backends", boost::json::array{boost::json::object{
+                             {"name", "desk"},
+                             {"health_path", "/healthz"},
+                             {"max_connections", 400}}}},
+            {"limits", boost::json::object{{"max_header_bytes", 16384},
+                                           {"max_body_bytes", 4194304},
+                                           {"header_timeout_ms", 5000},
+                                           {"idle_timeout_ms", 60000}}},
+            {"tenants", boost::json::array{boost::json::object{
+                            {"name", "team"},
+                            {"api_keys", boost::json::array{"key-1"}}}}}}));
+  }
+
+  // Starts everything; false if the system does not serve within 20 s.
+  bool Start() {
+    WriteManifest(1);
+    for (int i = 0; i < 3; ++i) {
+      replicas.push_back(std::make_unique<Replica>(
+          store, "i-" + std::to_string(i), "desk", record));
+    }
+    std::vector<int> seeds;
+    for (const auto& node : nodes) {
+      seeds.push_back(node->peers);
+    }
+    for (const auto& node : nodes) {
+      node->Start(seeds);
+    }
+    for (const auto& node : nodes) {
+      while (!node->IsReady() || !ServesProbe(*node)) {
+        if (Now() > 20) {
+          return false;
+        }
+        Sleep(0.1);
+      }
+    }
+    // The machines are in touch from `contact_ms` on.
+    Sleep(4);
+    return true;
+  }
+
+  bool ServesProbe(const Node& node) {
+    return Call(node.callers, "GET", "/read/a",
+                "X-Attempt-Id: probe\r\nAuthorization: Bearer key-1\r\n",
+                "") == 200;
+  }
+
+  int Runs(const std::string& id) {
+    int runs = 0;
+    for (const auto& replica : replicas) {
+      runs += replica->Runs(id);
+    }
+    return runs;
+  }
+  bool HasSent(const std::string& id) {
+    return std::any_of(replicas.begin(), replicas.end(),
+                       [&](const auto& replica) { return replica->HasSent(id); });
+  }
+
+  void End() {
+    for (const auto& node : nodes) {
+      node->Kill();
+    }
+  }
+
+  const bool has_trouble;
+  Record record;
+  Store store;
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::vector<std::unique_ptr<Replica>> replicas;
+};
+
+inline std::string Head(const std::string& line,
+                        const std::string& id,
+                        std::size_t body) {
+  return line + " HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: " + id +
+         "\r\nX-Deadline-Ms: 8000\r\nAuthorization: Bearer "
+         "key-1\r\nContent-Length: " +
+         std::to_string(body) + "\r\n\r\n";
+}
+
+// A SIGTERM while callers on slow links receive answers that have already
+// arrived at the node whole.
+inline int RunStop(World& world) {
+  constexpr int kCallers = 4;
+  constexpr std::size_t kAnswer = 6000000;
+  constexpr double kBytesPerSecond = 1600000;
+  constexpr int kWorkMs = 3200;
+  if (!world.Start()) {
+    return 2;
+  }
+  Node& node = *world.nodes[0];
+  std::atomic<int> lost = 0;
+  std::atomic<int> whole = 0;
+  std::atomic<int> other = 0;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&, i] {
+      const std::string id = "a-" + std::to_string(i);
+      const int fd = Connect(node.callers, 32768, 1448);
+      Reader reader(fd);
+      const double sent = Now();
+      const bool is_sent =
+          WriteAll(fd, Head((i % 2 == 0 ? "GET /read/a?n=" : "POST /book/a?n=") +
+                                std::to_string(kAnswer) + "&ms=" +
+                                std::to_string(kWorkMs),
+                            id, 0));
+      world.record.Add("caller %s sent its request to %s", id.c_str(),
+                       node.name().c_str());
+      Message answer;
+      std::size_t received = 0;
+      bool has_ended = !is_sent || !reader.ReadHead(answer);
+      const bool is_success =
+          answer.first_line.find(" 200 ") != std::string::npos;
+      received = reader.buffer().size();
+      const double began = Now();
+      while (!has_ended && received < kAnswer && Now() - sent < 8) {
+        char bytes[16384];
+        const ssize_t size = recv(fd, bytes, sizeof(bytes), 0);
+        has_ended = size <= 0;
+        received += size > 0 ? static_cast<std::size_t>(size) : 0;
+        const double ahead =
+            began + static_cast<double>(received) / kBytesPerSecond - Now();
+        if (ahead > 0) {
+          Sleep(ahead);
+        }
+      }
+      close(fd);
+      const double took = Now() - sent;
+      const int runs = world.Runs(id);
+      world.record.Add(
+          "caller %s: '%s', %zu of %zu bytes after %.2f s, ran %d times, the "
+          "replica had sent its whole answer: %d",
+          id.c_str(), answer.first_line.c_str(), received, kAnswer, took, runs,
+          world.HasSent(id));
+      if (is_success && received == kAnswer) {
+        ++whole;
+      } else if (has_ended && took < 8 && runs > 0 && world.HasSent(id)) {
+        ++lost;
+      } else {
+        ++other;
+      }
+    });
+  }
+  Sleep(0.5);
+  const double stopped = Now();
+  if (world.has_trouble) {
+    node.Signal(SIGTERM);
+    world.record.Add("SIGTERM to %s", node.name().c_str());
+  }
+  while (world.has_trouble && !node.HasEnded() && Now() - stopped < 8) {
+    Sleep(0.02);
+  }
+  if (world.has_trouble) {
+    world.record.Add("%s %s %.2f s after SIGTERM", node.name().c_str(),
+                     node.HasEnded() ? "ended by itself" : "still runs",
+                     Now() - stopped);
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  world.record.Add("whole %d, lost %d, other %d", whole.load(), lost.load(),
+                   other.load());
+  if (lost > 0) {
+    return 1;
+  }
+  return whole == kCallers ? 0 : 2;
+}
+
+// The platform: ends a process that exceeds its memory (DEPLOY.md), and keeps
+// the highest value of each.
+class MemoryWatch {
+ public:
+  MemoryWatch(World& world, double limit_mb)
+      : thread_([this, &world, limit_mb] {
+          while (!is_done_) {
+            for (const auto& node : world.nodes) {
+              const double memory = node->MemoryMb();
+              double& highest = highest_[node->name()];
+              highest = std::max(highest, memory);
+              if (memory > limit_mb) {
+                world.record.Add("%s has %.0f MB, over its %.0f MB: killed",
+                                 node->name().c_str(), memory, limit_mb);
+                node->Kill();
+                ++kills_;
+              }
+            }
+            Sleep(0.005);
+          }
+        }) {}
+  void Stop() {
+    is_done_ = true;
+    thread_.join();
+  }
+  int kills() const { return kills_; }
+  double highest(const std::string& name) { return highest_[name]; }
+
+ private:
+  std::atomic<bool> is_done_ = false;
+  std::atomic<int> kills_ = 0;
+  std::map<std::string, double> highest_;
+  std::thread thread_;
+};
+
+// Callers post bodies of the size that the manifest allows while one of two
+// machines is lost.
+inline int RunUploads(World& world) {
+  constexpr int kCallers = 32;
+  constexpr std::size_t kBody = 4000000;
+  constexpr double kMemoryMb = 260;
+  if (!world.Start()) {
+    return 2;
+  }
+  MemoryWatch memory(world, kMemoryMb);
+  std::vector<Node*> up;
+  for (const auto& node : world.nodes) {
+    up.push_back(node.get());
+  }
+  if (world.has_trouble) {
+    up.back()->Kill();
+    world.record.Add("%s is lost", up.back()->name().c_str());
+    up.pop_back();
+    // Callers look up the addresses again.
+    Sleep(6);
+  }
+  std::atomic<int> answered = 0;
+  std::atomic<int> lost = 0;
+  std::atomic<int> other = 0;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&, i] {
+      Node& node = *up[static_cast<std::size_t>(i) % up.size()];
+      const std::string id = "u-" + std::to_string(i);
+      const int fd = Connect(node.callers);
+      Reader reader(fd);
+      Message answer;
+      // The channel is a kept one.
+      bool is_open = WriteAll(fd, Head("GET /read/a?ms=5", "k" + id, 0)) &&
+                     reader.Read(answer);
+      const double sent = Now();
+      is_open = is_open &&
+                WriteAll(fd, Head("POST /book/a?ms=300", id, kBody) +
+                                 std::string(kBody, 'b'));
+      const bool is_answered = is_open && reader.Read(answer);
+      close(fd);
+      const int runs = world.Runs(id);
+      world.record.Add("caller %s at %s: %s after %.2f s, ran %d times",
+                       id.c_str(), node.name().c_str(),
+                       is_answered ? answer.first_line.c_str()
+                                   : "channel closed without an answer",
+                       Now() - sent, runs);
+      ++(is_answered ? answered : runs > 0 ? lost : other);
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  memory.Stop();
+  for (const auto& node : world.nodes) {
+    world.record.Add("%s: at most %.0f MB", node->name().c_str(),
+                     memory.highest(node->name()));
+  }
+  world.record.Add(
+      "answered %d; closed without an answer: %d that ran, %d others; killed "
+      "for memory: %d",
+      answered.load(), lost.load(), other.load(), memory.kills());
+  return lost > 3 ? 1 : 0;
+}
+
+}  // namespace review
+
+#endif  // REVIEW_STANDIN_SCENARIOS_H_
--- /dev/null
+++ b/review/standin/standin.cc
@@ -0,0 +1,26 @@
+// Plays clients, replicas and the platform around the system's own processes.
+// Usage: standin SCENARIO GATEWAY_PROGRAM RECORD_FILE TEMPORARY_FOLDER
+// Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
+
+#include "scenarios.h"
+
+int main(int argc, char** argv) {
+  if (argc != 5) {
+    return 2;
+  }
+  const char* trouble = std::getenv("TROUBLE");
+  const bool has_trouble = trouble == nullptr || std::string(trouble) != "0";
+  review::Now();
+  review::World world(argv[2], argv[3], argv[4], has_trouble);
+  const std::string scenario = argv[1];
+  int result = 2;
+  if (scenario == "stop") {
+    result = review::RunStop(world);
+  } else if (scenario == "uploads") {
+    result = review::RunUploads(world);
+  }
+  world.End();
+  world.record.Add("result %d", result);
+  // Threads of the stand-ins are still running.
+  _exit(result);
+}
