--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -332,6 +332,64 @@
   int port_ = 0;
 };
 
+// deploy/gateway.toml.template, filled in as DEPLOY.md tells.
+class Template {
+ public:
+  static std::string FillIn(
+      const std::map<std::string, std::string>& fields,
+      const std::map<std::string, std::vector<std::string>>& lists) {
+    std::ifstream file("deploy/gateway.toml.template");
+    std::stringstream text;
+    text << file.rdbuf();
+    if (text.str().empty()) {
+      std::fprintf(stderr, "deploy/gateway.toml.template is not here\n");
+      _exit(2);
+    }
+    return Expand(text.str(), fields, lists);
+  }
+
+ private:
+  static std::string Expand(
+      const std::string& text,
+      const std::map<std::string, std::string>& fields,
+      const std::map<std::string, std::vector<std::string>>& lists) {
+    std::string result;
+    std::size_t at = 0;
+    while (true) {
+      const std::size_t open = text.find("{{", at);
+      result += text.substr(at, open - at);
+      if (open == std::string::npos) {
+        return result;
+      }
+      const std::size_t close = text.find("}}", open);
+      const std::string name = text.substr(open + 2, close - open - 2);
+      at = close + 2;
+      if (name[0] != '#') {
+        const auto field = fields.find(name);
+        result += field == fields.end() ? "" : field->second;
+        continue;
+      }
+      const std::string end = "{{/" + name.substr(1) + "}}";
+      const std::size_t last = text.find(end, at);
+      const std::string section = text.substr(at, last - at);
+      at = last + end.size();
+      const auto list = lists.find(name.substr(1));
+      if (list == lists.end()) {
+        result += fields.count(name.substr(1)) > 0
+                      ? Expand(section, fields, lists)
+                      : "";
+        continue;
+      }
+      for (std::size_t i = 0; i < list->second.size(); ++i) {
+        std::map<std::string, std::string> entry = fields;
+        entry["."] = list->second[i];
+        entry[","] = i + 1 < list->second.size() ? "," : "";
+        result += Expand(section, entry, lists);
+      }
+    }
+  }
+};
+
 // One process of the system, started as deploy/system.toml does.
 class Node {
  public:
@@ -343,34 +401,15 @@
         callers(FreePort()),
         readiness(FreePort()),
         entries(FreePort()),
-        peers(FreePort()),
-        metrics(FreePort()) {}
+        peers(FreePort()) {}
 
-  void Start(const std::vector<int>& seeds) {
+  // `bounds` replaces figures of the sheet.
+  void Start(const std::vector<int>& seeds,
+             const std::map<std::string, std::string>& bounds = {}) {
     const std::string settings = folder_ + "/" + name_ + ".toml";
     {
-      // deploy/gateway.toml.template, filled in with the sheet of the site.
-      const auto address = [](int port) {
-        return "\"127.0.0.1:" + std::to_string(port) + "\"\n";
-      };
       std::ofstream file(settings);
-      file << "[node]\nid = \"" << name_
-           << "\"\nzone = \"zone-a\"\nregion = \"region\"\n"
-              "processor_share = 0.25\n[deployment]\ncontracts = "
-              "[\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\","
-              "\"engine\",\"stream\",\"tenants\",\"platform\",\"gangs\"]\n"
-              "[listen]\ncallers = "
-           << address(callers) << "readiness = " << address(readiness)
-           << "entries = " << address(entries) << "peers = " << address(peers)
-           << "metrics = " << address(metrics) << "[peers]\nseeds = [";
-      for (std::size_t i = 0; i < seeds.size(); ++i) {
-        file << (i > 0 ? "," : "") << "\"127.0.0.1:" << seeds[i] << "\"";
-      }
-      file << "]\n[store]\naddress = " << address(store_port_)
-           << "leaving_known_within_ms = 2000\n"
-              "configuration_known_within_ms = 2000\n"
-              "[retries]\nratio = 0.2\nslack = 134\nwindow_ms = 10000\n"
-              "[stop]\ngrace_ms = 8000\n";
+      file << Template::FillIn(Fields(bounds), Lists(seeds));
     }
     const std::string log = folder_ + "/" + name_ + ".log";
     pid_ = fork();
@@ -418,6 +457,51 @@
   const std::string& name() const { return name_; }
 
  private:
+  std::map<std::string, std::string> Fields(
+      const std::map<std::string, std::string>& bounds) const {
+    const auto address = [](int port) {
+      return "127.0.0.1:" + std::to_string(port);
+    };
+    std::map<std::string, std::string> fields = {
+        {"node_name", name_},
+        {"ip", MetricsIp()},
+        {"zone", "zone-a"},
+        {"region", "region"},
+        {"limits.cpu_quota", "0.25"},
+        {"listen.front", address(callers)},
+        {"listen.readiness", address(readiness)},
+        {"listen.directory", address(entries)},
+        {"listen.control", address(peers)},
+        {"platform.address", address(store_port_)},
+        {"bounds.drain_ms", "2000"},
+        {"bounds.config_ms", "2000"},
+        {"bounds.retry_ratio", "0.2"},
+        {"bounds.retry_slack", "132"},
+        {"bounds.retry_window_s", "10"},
+        {"bounds.grace_s", "8"}};
+    for (const auto& [name, figure] : bounds) {
+      fields["bounds." + name] = figure;
+    }
+    return fields;
+  }
+  // The template sets the port of the metrics, so each process needs a loopback
+  // address of its own.
+  std::string MetricsIp() const {
+    return "127.77." + std::to_string(getpid() % 250 + 1) + "." +
+           std::to_string(name_.back() - '0');
+  }
+  static std::map<std::string, std::vector<std::string>> Lists(
+      const std::vector<int>& seeds) {
+    std::map<std::string, std::vector<std::string>> lists = {
+        {"contracts",
+         {"base", "drain", "config", "cost", "retry", "recover", "engine",
+          "stream", "tenants", "platform", "gangs"}}};
+    for (const int port : seeds) {
+      lists["seed_nodes"].push_back("127.0.0.1:" + std::to_string(port));
+    }
+    return lists;
+  }
+
   std::string program_;
   std::string folder_;
   std::string name_;
@@ -430,7 +514,6 @@
   const int readiness;
   const int entries;
   const int peers;
-  const int metrics;
 };
 
 }  // namespace review
--- a/review/standin/scenarios.h
+++ b/review/standin/scenarios.h
@@ -426,6 +426,71 @@
   return lost > 3 ? 1 : 0;
 }
 
+// The settings file changes, and later all processes are killed and started with
+// the settings in effect.
+inline int RunSettings(World& world) {
+  constexpr double kRestartDelay = 0.5;
+  constexpr double kRecoverSeconds = 12;
+  if (!world.Start()) {
+    return 2;
+  }
+  std::map<std::string, std::string> bounds;
+  if (world.has_trouble) {
+    bounds["grace_s"] = "7.5";
+  }
+  std::vector<int> seeds;
+  for (const auto& node : world.nodes) {
+    seeds.push_back(node->peers);
+  }
+  const auto count_served = [&](const char* when) {
+    int served = 0;
+    for (int i = 0; i < 40; ++i) {
+      const Node& node = *world.nodes[static_cast<std::size_t>(i) % 2];
+      served += world.ServesProbe(node) ? 1 : 0;
+      Sleep(0.05);
+    }
+    world.record.Add("%s: %d of 40 requests served", when, served);
+    return served;
+  };
+  const int before = count_served("before");
+  world.record.Add("the settings name grace_s %s",
+                   world.has_trouble ? "7.5" : "8, as before");
+  for (const auto& node : world.nodes) {
+    node->Kill();
+    world.record.Add("%s is killed", node->name().c_str());
+  }
+  std::vector<double> ended(world.nodes.size(), Now());
+  int starts = 0;
+  const double back = Now() + kRestartDelay;
+  int after = -1;
+  std::thread measure([&] {
+    Sleep(back + kRecoverSeconds - Now());
+    after = count_served("12 s after the machines are back");
+  });
+  while (after < 0) {
+    for (std::size_t i = 0; i < world.nodes.size(); ++i) {
+      Node& node = *world.nodes[i];
+      if (!node.HasEnded()) {
+        continue;
+      }
+      if (ended[i] == 0) {
+        ended[i] = Now();
+        world.record.Add("%s ended by itself, exit status %d",
+                         node.name().c_str(), WEXITSTATUS(node.status()));
+      }
+      if (Now() - ended[i] >= kRestartDelay) {
+        node.Start(seeds, bounds);
+        ended[i] = 0;
+        ++starts;
+      }
+    }
+    Sleep(0.02);
+  }
+  measure.join();
+  world.record.Add("%d starts", starts);
+  return before < 10 ? 2 : after < 10 ? 1 : 0;
+}
+
 }  // namespace review
 
 #endif  // REVIEW_STANDIN_SCENARIOS_H_
--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -18,6 +18,8 @@
     result = review::RunStop(world);
   } else if (scenario == "uploads") {
     result = review::RunUploads(world);
+  } else if (scenario == "settings") {
+    result = review::RunSettings(world);
   }
   world.End();
   world.record.Add("result %d", result);
