--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -63,26 +63,33 @@
   return ntohs(address.sin_port);
 }
 
-inline int ListenOnLoopback() {
+// Port 0 lets the kernel choose. Returns -1 if the port is in use.
+inline int ListenOnLoopback(int port = 0) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int one = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-  const sockaddr_in address = LoopbackAddress(0);
+  const sockaddr_in address = LoopbackAddress(port);
   if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) !=
           0 ||
       listen(fd, 512) != 0) {
-    std::perror("listen");
-    std::exit(2);
+    close(fd);
+    return -1;
   }
   return fd;
 }
 
-// Returns a port that was free a moment ago.
+// Returns a port that is free, below those that the kernel chooses from, so that
+// nothing else takes it before the process that it is for listens there.
 inline int FreePort() {
-  const int fd = ListenOnLoopback();
-  const int port = PortOf(fd);
-  close(fd);
-  return port;
+  static int next = getpid() * 7;
+  while (true) {
+    const int port = 12000 + ++next % 18000;
+    const int fd = ListenOnLoopback(port);
+    if (fd >= 0) {
+      close(fd);
+      return port;
+    }
+  }
 }
 
 // Returns -1 if the address does not accept the connection. `receive_buffer`
@@ -217,6 +224,10 @@
 
 inline int Serve(const Handler& handler) {
   const int listener = ListenOnLoopback();
+  if (listener < 0) {
+    std::perror("listen");
+    _exit(2);
+  }
   std::thread([listener, handler] {
     while (true) {
       const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
