--- a/review/standin/net.h
+++ b/review/standin/net.h
@@ -14,6 +14,9 @@
 #include <cstring>
 #include <functional>
 #include <map>
+#include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -219,34 +222,79 @@
   bool was_reset_ = false;
 };
 
-// One thread for each connection. The handler returns false to close it.
+// The handler returns false to close the connection.
 using Handler = std::function<bool(int fd, Reader& reader, Message& request)>;
 
-inline int Serve(const Handler& handler) {
-  const int listener = ListenOnLoopback();
-  if (listener < 0) {
-    std::perror("listen");
-    _exit(2);
-  }
-  std::thread([listener, handler] {
-    while (true) {
-      const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
-      if (fd < 0) {
-        continue;
-      }
-      const int one = 1;
-      setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-      std::thread([fd, handler] {
-        Reader reader(fd);
-        Message request;
-        while (reader.ReadHead(request) && handler(fd, reader, request)) {
+// One thread for each connection.
+class Server {
+ public:
+  explicit Server(Handler handler)
+      : state_(std::make_shared<State>()), handler_(std::move(handler)) {
+    state_->listener = ListenOnLoopback();
+    if (state_->listener < 0) {
+      std::perror("listen");
+      _exit(2);
+    }
+    port_ = PortOf(state_->listener);
+    std::thread([state = state_, handler = handler_] {
+      while (true) {
+        const int fd = accept4(state->listener, nullptr, nullptr, SOCK_CLOEXEC);
+        const std::lock_guard lock(state->mutex);
+        if (state->has_ended) {
+          return;
+        }
+        if (fd < 0) {
+          continue;
         }
-        close(fd);
-      }).detach();
+        const int one = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+        state->connections.insert(fd);
+        std::thread([state, handler, fd] { ServeConnection(state, handler, fd); })
+            .detach();
+      }
+    }).detach();
+  }
+
+  int port() const { return port_; }
+
+  // Ends as a process does: nothing listens any more, and connections close.
+  void End() {
+    const std::lock_guard lock(state_->mutex);
+    if (state_->has_ended) {
+      return;
     }
-  }).detach();
-  return PortOf(listener);
-}
+    state_->has_ended = true;
+    shutdown(state_->listener, SHUT_RDWR);
+    close(state_->listener);
+    for (const int fd : state_->connections) {
+      shutdown(fd, SHUT_RDWR);
+    }
+  }
+
+ private:
+  struct State {
+    std::mutex mutex;
+    int listener = -1;
+    bool has_ended = false;
+    std::set<int> connections;
+  };
+
+  static void ServeConnection(const std::shared_ptr<State>& state,
+                              const Handler& handler,
+                              int fd) {
+    Reader reader(fd);
+    Message request;
+    while (reader.ReadHead(request) && handler(fd, reader, request)) {
+    }
+    const std::lock_guard lock(state->mutex);
+    state->connections.erase(fd);
+    close(fd);
+  }
+
+  std::shared_ptr<State> state_;
+  Handler handler_;
+  int port_ = 0;
+};
 
 inline std::string Response(int status,
                             const std::string& headers,
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <cstdarg>
 #include <cstdio>
@@ -67,13 +68,19 @@
 
 class Store {
  public:
-  Store() {
-    port_ = Serve([this](int fd, Reader& reader, Message& request) {
-      return reader.ReadBody(request) && WriteAll(fd, Handle(request));
-    });
-  }
-
-  int port() const { return port_; }
+  Store()
+      : server_([this](int fd, Reader& reader, Message& request) {
+          // An outage is silent: no call is answered, and nothing is done.
+          if (!reader.ReadBody(request) || is_down_) {
+            Sleep(is_down_ ? 30 : 0);
+            return false;
+          }
+          return WriteAll(fd, Handle(request));
+        }) {}
+
+  int port() const { return server_.port(); }
+  void SetDown(bool is_down) { is_down_ = is_down; }
+  bool is_down() const { return is_down_; }
 
   // Writes of the operator and of replicas.
   void Put(const std::string& key, const std::string& value) {
@@ -283,6 +290,11 @@
         return Answer(200, {{"events", std::move(events)},
                             {"current_rev", revision_}});
       }
+      if (is_down_) {
+        lock.unlock();
+        Sleep(30);
+        lock.lock();
+      }
       changed_.wait_for(lock, std::chrono::milliseconds(20));
     }
   }
@@ -329,7 +341,9 @@
   std::map<std::int64_t, Lease> leases_;
   std::int64_t revision_ = 100;
   std::int64_t last_lease_ = 1000;
-  int port_ = 0;
+  std::atomic<bool> is_down_ = false;
+  // Last: its threads use everything above.
+  Server server_;
 };
 
 // deploy/gateway.toml.template, filled in as DEPLOY.md tells.
--- a/review/standin/scenarios.h
+++ b/review/standin/scenarios.h
@@ -2,6 +2,7 @@
 #define REVIEW_STANDIN_SCENARIOS_H_
 
 #include <atomic>
+#include <deque>
 
 #include "platform.h"
 
@@ -15,15 +16,20 @@
       : store_(store),
         id_(std::move(id)),
         service_(std::move(service)),
-        record_(record) {
-    port_ = Serve([this](int fd, Reader& reader, Message& request) {
-      return Handle(fd, reader, request);
-    });
+        record_(record),
+        server_([this](int fd, Reader& reader, Message& request) {
+          return Handle(fd, reader, request);
+        }) {
     std::thread([this] {
-      for (int sequence = 1;; ++sequence) {
-        Register(sequence);
+      for (int sequence = 1; !has_crashed_; ++sequence) {
+        if (!store_.is_down()) {
+          Register(sequence);
+        }
         Sleep(1.2);
       }
+      // Its entry goes after three heartbeats of silence.
+      Sleep(2.4);
+      store_.Remove("servers/" + id_);
     }).detach();
   }
 
@@ -35,18 +41,37 @@
     const std::lock_guard lock(mutex_);
     return sent_.count(id) > 0;
   }
+  bool has_crashed() const { return has_crashed_; }
+  // The replica turns cold while it serves. Its entry says so at the next
+  // heartbeat. It crashes under `crash_rate` requests in a second.
+  void TurnCold(double seconds, std::size_t crash_rate) {
+    const std::lock_guard lock(mutex_);
+    cold_until_ = Now() + seconds;
+    crash_rate_ = crash_rate;
+  }
+  double last_heartbeat() const { return last_heartbeat_; }
+  // The most requests that arrived within a second since it turned cold.
+  std::size_t max_cold_rate() const { return max_cold_rate_; }
+  // How often the request that crashes replicas has reached this one.
+  int deadly_arrivals() const { return deadly_arrivals_; }
 
  private:
   void Register(int sequence) {
+    double cold = 0;
+    {
+      const std::lock_guard lock(mutex_);
+      cold = std::max(0.0, cold_until_ - Now());
+    }
+    last_heartbeat_ = Now();
     store_.Put("servers/" + id_,
                boost::json::serialize(boost::json::object{
                    {"backend", service_},
-                   {"address", "127.0.0.1:" + std::to_string(port_)},
+                   {"address", "127.0.0.1:" + std::to_string(server_.port())},
                    {"zone", "zone-a"},
                    {"version", "v1"},
                    {"batch_slots", 6},
                    {"lifecycle", "ready"},
-                   {"warmup_left_ms", 0},
+                   {"warmup_left_ms", static_cast<std::int64_t>(cold * 1000)},
                    {"sequence", sequence}}));
   }
 
@@ -57,8 +82,13 @@
       return false;
     }
     if (line.find(" /healthz") != std::string::npos) {
-      return WriteAll(fd,
-                      Response(200, "X-Replica-Id: " + id_ + "\r\n", "ok"));
+      const double cold = std::max(0.0, cold_until_ - Now());
+      return WriteAll(
+          fd, Response(200,
+                       "X-Replica-Id: " + id_ + "\r\nX-Warmup-Ms: " +
+                           std::to_string(static_cast<int>(cold * 1000)) +
+                           "\r\n",
+                       "ok"));
     }
     const std::string expected = request.Header("X-Expect-Replica");
     if (!expected.empty() && expected != id_) {
@@ -66,12 +96,28 @@
                       Response(421, "X-Replica-Id: " + id_ + "\r\n", ""));
     }
     const std::string attempt = request.Header("X-Attempt-Id");
+    if (attempt.empty()) {
+      return WriteAll(fd, Response(200, "Content-Type: application/json\r\n",
+                                   "{\"queued\":0,\"active\":0}"));
+    }
     {
       const std::lock_guard lock(mutex_);
       ++runs_[attempt];
     }
+    if (!BearsColdArrival()) {
+      return false;
+    }
     record_.Add("replica %s runs %s (%zu bytes)", id_.c_str(), attempt.c_str(),
                 request.body.size());
+    if (request.body == "deadly") {
+      ++deadly_arrivals_;
+      Sleep(0.03);
+      if (!has_crashed_.exchange(true)) {
+        record_.Add("replica %s crashes", id_.c_str());
+        server_.End();
+      }
+      return false;
+    }
     Sleep(0.001 * Number(line, "ms=", 20));
     const bool is_sent = WriteAll(
         fd, Response(200,
@@ -87,6 +133,31 @@
     return is_sent;
   }
 
+  // Counts a request that arrived while the replica is cold. Returns false if the
+  // replica has crashed.
+  bool BearsColdArrival() {
+    {
+      const std::lock_guard lock(mutex_);
+      if (Now() >= cold_until_) {
+        return true;
+      }
+      arrivals_.push_back(Now());
+      while (arrivals_.front() <= Now() - 1) {
+        arrivals_.pop_front();
+      }
+      max_cold_rate_ = std::max<std::size_t>(max_cold_rate_, arrivals_.size());
+      if (arrivals_.size() <= crash_rate_) {
+        return true;
+      }
+    }
+    if (!has_crashed_.exchange(true)) {
+      record_.Add("replica %s crashes: cold, over %zu requests in a second",
+                  id_.c_str(), crash_rate_);
+      server_.End();
+    }
+    return false;
+  }
+
   // One of the places in which requests run; further ones wait unread.
   class Place {
    public:
@@ -123,17 +194,28 @@
   int free_places_ = 6;
   std::map<std::string, int> runs_;
   std::set<std::string> sent_;
-  int port_ = 0;
+  std::atomic<bool> has_crashed_ = false;
+  std::atomic<int> deadly_arrivals_ = 0;
+  std::atomic<double> cold_until_ = 0;
+  std::size_t crash_rate_ = 0;
+  std::deque<double> arrivals_;
+  std::atomic<std::size_t> max_cold_rate_ = 0;
+  std::atomic<double> last_heartbeat_ = 0;
+  // Last: its threads use everything above.
+  Server server_;
 };
 
 struct World {
   World(const std::string& program,
         const std::string& record_file,
         const std::string& folder,
-        bool trouble)
-      : has_trouble(trouble), record(record_file) {
-    for (const char* name : {"edge-1", "edge-2"}) {
-      nodes.push_back(std::make_unique<Node>(program, folder, name, store));
+        bool trouble,
+        int node_count,
+        int replica_count)
+      : has_trouble(trouble), record(record_file), replicas_(replica_count) {
+    for (int i = 1; i <= node_count; ++i) {
+      nodes.push_back(std::make_unique<Node>(
+          program, folder, "edge-" + std::to_string(i), store));
     }
   }
 
@@ -152,16 +234,20 @@
   }
 
   void WriteManifest(int version) {
+    boost::json::object service{{"name", "desk"},
+                                {"health_path", "/healthz"},
+                                {"max_connections", 400}};
+    if (warmup_per_second > 0) {
+      service["warmup_s"] = 3;
+      service["warmup_per_s"] = warmup_per_second;
+    }
     store.Put(
         "op/config",
         boost::json::serialize(boost::json::object{
             {"version", version},
             {"routes", boost::json::array{Route("read", "safe"),
                                           Route("book", "unsafe")}},
-            {"backends", boost::json::array{boost::json::object{
-                             {"name", "desk"},
-                             {"health_path", "/healthz"},
-                             {"max_connections", 400}}}},
+            {"backends", boost::json::array{service}},
             {"limits", boost::json::object{{"max_header_bytes", 16384},
                                            {"max_body_bytes", 4194304},
                                            {"header_timeout_ms", 5000},
@@ -174,7 +260,7 @@
   // Starts everything; false if the system does not serve within 20 s.
   bool Start() {
     WriteManifest(1);
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < replicas_; ++i) {
       replicas.push_back(std::make_unique<Replica>(
           store, "i-" + std::to_string(i), "desk", record));
     }
@@ -183,7 +269,7 @@
       seeds.push_back(node->peers);
     }
     for (const auto& node : nodes) {
-      node->Start(seeds);
+      node->Start(seeds, bounds);
     }
     for (const auto& node : nodes) {
       while (!node->IsReady() || !ServesProbe(*node)) {
@@ -222,11 +308,17 @@
     }
   }
 
+  // Of the plain service; 0 if its replicas are never cold.
+  int warmup_per_second = 0;
+  std::map<std::string, std::string> bounds;
   const bool has_trouble;
   Record record;
   Store store;
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<std::unique_ptr<Replica>> replicas;
+
+ private:
+  int replicas_;
 };
 
 inline std::string Head(const std::string& line,
@@ -491,6 +583,190 @@
   return before < 10 ? 2 : after < 10 ? 1 : 0;
 }
 
+// A request that crashes replicas comes again after all machines were lost in an
+// outage of the store.
+inline int RunDeadly(World& world) {
+  constexpr double kContactSeconds = 3;
+  constexpr double kOutageSeconds = 7;
+  constexpr int kCopies = 4;
+  if (!world.Start()) {
+    return 2;
+  }
+  std::vector<int> seeds;
+  for (int i = 0; i < 3; ++i) {
+    seeds.push_back(world.nodes[static_cast<std::size_t>(i)]->peers);
+  }
+  std::atomic<int> sends = 0;
+  // Replicas that crash are back after two seconds, under other ids.
+  const std::size_t initial = world.replicas.size();
+  const auto count_crashed = [&] {
+    int crashed = 0;
+    for (std::size_t i = 0; i < world.replicas.size(); ++i) {
+      crashed += world.replicas[i]->has_crashed() ? 1 : 0;
+    }
+    return crashed;
+  };
+  const auto replace = [&] {
+    while (static_cast<int>(world.replicas.size()) <
+           static_cast<int>(initial) + count_crashed()) {
+      world.replicas.push_back(std::make_unique<Replica>(
+          world.store, "i-" + std::to_string(world.replicas.size()), "desk",
+          world.record));
+    }
+  };
+  const auto send = [&](std::size_t node) {
+    const std::string id = "d-" + std::to_string(++sends);
+    world.record.Add("request %s sent to %s", id.c_str(),
+                     world.nodes[node]->name().c_str());
+    const int status =
+        Call(world.nodes[node]->callers, "GET", "/read/deadly",
+             "X-Attempt-Id: " + id +
+                 "\r\nX-Deadline-Ms: 1500\r\nAuthorization: Bearer key-1\r\n",
+             "deadly");
+    world.record.Add("request %s answered %d", id.c_str(), status);
+  };
+  const double down = Now();
+  if (world.has_trouble) {
+    world.store.SetDown(true);
+    world.record.Add("the store is down (silent)");
+    Sleep(0.5);
+  }
+  // Two arrivals, each with one retry of the node.
+  send(0);
+  Sleep(0.5);
+  send(1);
+  Sleep(0.5);
+  const int before = count_crashed();
+  world.record.Add("%d replicas have crashed", before);
+  if (world.has_trouble) {
+    for (const auto& node : world.nodes) {
+      node->Kill();
+    }
+    world.record.Add("all processes are killed");
+    Sleep(1.1);
+    for (const auto& node : world.nodes) {
+      node->Start(seeds);
+    }
+  }
+  Sleep(2);
+  replace();
+  Sleep(down + kOutageSeconds - Now());
+  if (world.has_trouble) {
+    world.store.SetDown(false);
+    world.record.Add("the store is back");
+  }
+  Sleep(1);
+  for (const auto& node : world.nodes) {
+    while (!node->IsReady() || !world.ServesProbe(*node)) {
+      if (Now() > 60) {
+        return 2;
+      }
+      Sleep(0.1);
+    }
+  }
+  Sleep(kContactSeconds + 4);
+  const auto count_arrivals = [&] {
+    int arrivals = 0;
+    for (const auto& replica : world.replicas) {
+      arrivals += replica->deadly_arrivals();
+    }
+    return arrivals;
+  };
+  const int third = count_crashed();
+  const int arrivals = count_arrivals();
+  world.record.Add("all machines are in touch; the request comes again");
+  for (int round = 0; round < 3; ++round) {
+    std::vector<std::thread> copies;
+    for (std::size_t i = 0; i < kCopies; ++i) {
+      copies.emplace_back([&, i] { send(i); });
+    }
+    for (std::thread& copy : copies) {
+      copy.join();
+    }
+    Sleep(4);
+    replace();
+  }
+  const int more = count_arrivals() - arrivals;
+  world.record.Add(
+      "%d replicas crashed before; it reached replicas %d times more, and %d "
+      "more crashed",
+      third, more, count_crashed() - third);
+  return third < 3 ? 2 : more > 3 ? 1 : 0;
+}
+
+// A replica turns cold while it serves.
+inline int RunCold(World& world) {
+  constexpr int kWarmupPerSecond = 26;
+  // warmup_per_s x warmup_overshoot + warmup_slack.
+  constexpr std::size_t kBound = 44;
+  constexpr double kColdSeconds = 3;
+  constexpr int kCallersPerNode = 2;
+  constexpr double kInterval = 0.05;
+  world.warmup_per_second = kWarmupPerSecond;
+  world.bounds = {{"warmup_overshoot", "1.5"}, {"warmup_slack", "5"}};
+  if (!world.Start()) {
+    return 2;
+  }
+  // The replicas were ready before traffic, so they are warm.
+  Sleep(8);
+  std::atomic<bool> is_done = false;
+  std::atomic<int> sent = 0;
+  std::atomic<int> good = 0;
+  std::atomic<int> unknown = 0;
+  std::vector<std::thread> callers;
+  for (const auto& node : world.nodes) {
+    for (int i = 0; i < kCallersPerNode; ++i) {
+      callers.emplace_back([&, i] {
+        double next = Now() + 0.01 * i;
+        while (!is_done) {
+          const int number = ++sent;
+          const std::string id = "c-" + std::to_string(number);
+          const int status =
+              Call(node->callers, "POST", "/book/a?ms=20",
+                   "X-Attempt-Id: " + id +
+                       "\r\nX-Deadline-Ms: 1500\r\nAuthorization: Bearer "
+                       "key-1\r\n",
+                   "b");
+          if (status == 200) {
+            ++good;
+          } else if (status != 503) {
+            ++unknown;
+            world.record.Add("request %s, which may not be repeated: %d",
+                             id.c_str(), status);
+          }
+          next += kInterval;
+          if (next > Now()) {
+            Sleep(next - Now());
+          }
+        }
+      });
+    }
+  }
+  Sleep(5);
+  Replica& replica = *world.replicas[0];
+  const double heartbeat = replica.last_heartbeat();
+  while (replica.last_heartbeat() == heartbeat) {
+    Sleep(0.01);
+  }
+  Sleep(0.1);
+  const int unknown_before = unknown;
+  if (world.has_trouble) {
+    replica.TurnCold(kColdSeconds, 2 * kWarmupPerSecond);
+    world.record.Add("replica i-0 turns cold");
+  }
+  Sleep(kColdSeconds + 2);
+  is_done = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  world.record.Add(
+      "%d requests, %d good; most at the cold replica in a second: %zu, bound "
+      "%zu; crashed: %d; requests without a known outcome: %d",
+      sent.load(), good.load(), replica.max_cold_rate(), kBound,
+      replica.has_crashed(), unknown - unknown_before);
+  return replica.max_cold_rate() > kBound ? 1 : 0;
+}
+
 }  // namespace review
 
 #endif  // REVIEW_STANDIN_SCENARIOS_H_
--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -11,8 +11,11 @@
   const char* trouble = std::getenv("TROUBLE");
   const bool has_trouble = trouble == nullptr || std::string(trouble) != "0";
   review::Now();
-  review::World world(argv[2], argv[3], argv[4], has_trouble);
   const std::string scenario = argv[1];
+  const bool is_deadly = scenario == "deadly";
+  review::World world(argv[2], argv[3], argv[4], has_trouble,
+                      is_deadly || scenario == "cold" ? 7 : 2,
+                      is_deadly ? 16 : 3);
   int result = 2;
   if (scenario == "stop") {
     result = review::RunStop(world);
@@ -20,6 +23,10 @@
     result = review::RunUploads(world);
   } else if (scenario == "settings") {
     result = review::RunSettings(world);
+  } else if (scenario == "cold") {
+    result = review::RunCold(world);
+  } else if (is_deadly) {
+    result = review::RunDeadly(world);
   }
   world.End();
   world.record.Add("result %d", result);
