--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -5,6 +5,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <algorithm>
@@ -428,6 +429,8 @@
     const std::string log = folder_ + "/" + name_ + ".log";
     pid_ = fork();
     if (pid_ == 0) {
+      // Nothing stays behind if the stand-in itself is ended.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, 1);
       dup2(out, 2);
