settings: the platform's figures may be fractions and of any size

Cause: the template made milliseconds by appending zeros to a text, durations had to be integers, and the ranges of settings that the platform fills in were those that seemed usual.

Change: durations may be fractions, and may be given in seconds by the key's unit (stop.grace_s). Settings that the platform fills in take every value that is not negative; what cannot be used as it is is limited where it is used (a retry window of 0 divided by zero, a large limit of cold endpoints kept every send). A reload logs each error and not their number only.

--- a/coordination/gateway/shared_retry_budget.cc
+++ b/coordination/gateway/shared_retry_budget.cc
@@ -7,7 +7,9 @@
 
 SharedRetryBudget::SharedRetryBudget(const SharedRetryBudgetSettings& settings,
                                      Random random)
-    : settings_(settings), random_(std::move(random)) {}
+    : settings_(settings), random_(std::move(random)) {
+  settings_.window = std::max(settings_.window, kMinWindow);
+}
 
 std::int64_t SharedRetryBudget::SlotNumber(Time now) const {
   return now.millis() * static_cast<std::int64_t>(kSlotsPerWindow) /
--- a/coordination/gateway/shared_retry_budget.h
+++ b/coordination/gateway/shared_retry_budget.h
@@ -57,6 +57,8 @@
 
  private:
   static constexpr std::size_t kSlotsPerWindow = 50;
+  // A slot takes a millisecond at least.
+  static constexpr Duration kMinWindow = Duration::Millis(kSlotsPerWindow);
   struct Slot {
     std::int64_t number = -1;
     std::int64_t requests = 0;
--- a/coordination/gateway/warmup/warm_up_limits.cc
+++ b/coordination/gateway/warmup/warm_up_limits.cc
@@ -6,6 +6,12 @@
 #include <utility>
 
 namespace gcw {
+namespace {
+
+// Registrations and the platform may name any limit.
+constexpr double kMaxLimit = 1e9;
+
+}  // namespace
 
 WarmUpLimits::WarmUpLimits(WarmUpLimitSettings settings, EventSink events)
     : settings_(settings),
@@ -83,7 +89,8 @@
   }
   std::deque<Time>& sent = found->second.sent;
   sent.push_back(now);
-  while (sent.size() > SenderQuota(found->second)) {
+  while (sent.size() > SenderQuota(found->second) ||
+         now - sent.front() >= settings_.window) {
     sent.pop_front();
   }
 }
@@ -102,7 +109,8 @@
 double WarmUpLimits::UsableLimit(const Endpoint& endpoint) const {
   const double limit =
       endpoint.state.rate.per_second() * settings_.overshoot + settings_.slack;
-  return std::max(1.0, std::floor(limit * settings_.usable_fraction));
+  return std::clamp(std::floor(limit * settings_.usable_fraction), 1.0,
+                    kMaxLimit);
 }
 
 std::size_t WarmUpLimits::SenderCount(const Endpoint& endpoint) const {
--- a/programs/gcw_gateway/gateway_process.cc
+++ b/programs/gcw_gateway/gateway_process.cc
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <random>
+#include <sstream>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -140,6 +141,14 @@
     const std::string& settings_path) const {
   const auto read = ReadGatewaySettings(settings_path);
   const auto* errors = std::get_if<1>(&read);
+  if (errors != nullptr) {
+    for (const SettingError& error : *errors) {
+      std::ostringstream text;
+      text << error;
+      LogEvent(LogSeverity::kError, "setting_invalid",
+               {{"key", error.key}, {"error", text.str()}});
+    }
+  }
   LogEvent(errors != nullptr ? LogSeverity::kError : LogSeverity::kInfo,
            "settings_reloaded",
            {{"errors", static_cast<std::int64_t>(
--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -20,9 +20,13 @@
                                        Duration::Seconds(60)};
 constexpr DurationRange kBlockDuration{Duration::Seconds(1),
                                        Duration::Seconds(86400)};
-// The range of settings that the platform sets. A node must start with any
+// The ranges of settings that the platform sets. A node must start with any
 // value that the platform chooses.
-constexpr DurationRange kPlatformDuration{Duration(), Duration::Seconds(86400)};
+constexpr DurationRange kPlatformDuration{Duration(),
+                                          Duration::Seconds(1'000'000'000)};
+constexpr NumberRange kPlatformNumber{0, 1e9};
+// Changes reach a node sooner than any longer bound of the platform.
+constexpr Duration kMaxPropagationDelay = Duration::Seconds(60);
 
 // Rule set of deployments whose endpoints are under hard and uneven load.
 constexpr std::string_view kPoolContract = "pool";
@@ -74,8 +78,7 @@
              SettingPresence::kRequired);
   reader.Add("node.region", &self.region, kIdText, "Region of the data centre.",
              SettingPresence::kRequired);
-  reader.Add("node.processor_share", &raw.processor_share,
-             NumberRange{0.01, 1000},
+  reader.Add("node.processor_share", &raw.processor_share, kPlatformNumber,
              "Share of a processor core that the node has; nodes with a larger "
              "share are preferred as the keeper of groups.");
   reader.Add("listen.callers", &raw.callers, kAddressText,
@@ -161,10 +164,10 @@
 
 void DeclareWarmUp(GatewayProcessSettings& settings, SettingsReader& reader) {
   WarmUpLimitSettings& warm_up = settings.core.selector.warm_up;
-  reader.Add("warm_up.overshoot", &warm_up.overshoot, NumberRange{1, 100},
+  reader.Add("warm_up.overshoot", &warm_up.overshoot, kPlatformNumber,
              "Factor on the warm-up rate of a service: a cold endpoint may get "
              "that many requests in any second, plus warm_up.slack.");
-  reader.Add("warm_up.slack", &warm_up.slack, NumberRange{0, 1e6},
+  reader.Add("warm_up.slack", &warm_up.slack, kPlatformNumber,
              "Number of requests that a cold endpoint may get in any second "
              "beyond that.");
 }
@@ -207,8 +210,7 @@
              kShortDuration,
              "Mean time after which refused callers are told to retry.");
   reader.Add(
-      "stop.grace_ms", &settings.core.stop_grace_period,
-      {Duration::Seconds(1), Duration::Seconds(3600)},
+      "stop.grace_ms", &settings.core.stop_grace_period, kPlatformDuration,
       "Time after which the platform ends a node that was told to stop.");
   reader.Add(
       "stop.refuses_after_ms", &settings.core.drain_accept_period,
@@ -299,12 +301,12 @@
   reader.Add("deferral.rate_span_ms", &deferral.rate_interval, kShortDuration,
              "Time window over which started requests are counted.");
   SharedRetryBudgetSettings& retries = settings.core.retries;
-  reader.Add("retries.ratio", &retries.ratio, NumberRange{0, 10},
+  reader.Add("retries.ratio", &retries.ratio, kPlatformNumber,
              "Limit on retries of all nodes, as a share of the requests.");
   reader.Add(
-      "retries.slack", &retries.slack, NumberRange{0, 1e6},
+      "retries.slack", &retries.slack, kPlatformNumber,
       "Number of retries of all nodes allowed in a window beyond that share.");
-  reader.Add("retries.window_ms", &retries.window, kShortDuration,
+  reader.Add("retries.window_ms", &retries.window, kPlatformDuration,
              "Time window over which requests and retries are counted.");
 }
 
@@ -460,7 +462,8 @@
   settings.core.self.weight = std::max<std::int64_t>(
       1, std::llround(kWeightPerCore * raw.processor_share));
   settings.core.mirror.max_propagation_delay =
-      std::min(raw.leaving_known_within, raw.configuration_known_within);
+      std::min({raw.leaving_known_within, raw.configuration_known_within,
+                kMaxPropagationDelay});
   if (raw.evacuation_known_within > Duration()) {
     settings.core.mirror.max_propagation_delay =
         std::min(settings.core.mirror.max_propagation_delay,
--- a/transport/setting_error.cc
+++ b/transport/setting_error.cc
@@ -16,6 +16,8 @@
       return "wrong type";
     case SettingErrorKind::kOutOfRange:
       return "out of range";
+    case SettingErrorKind::kRepeated:
+      return "given twice";
     case SettingErrorKind::kSecretUnreadable:
       return "secret cannot be read";
     case SettingErrorKind::kBadDeclaration:
--- a/transport/setting_error.h
+++ b/transport/setting_error.h
@@ -14,6 +14,8 @@
   kMissing,
   kWrongType,
   kOutOfRange,
+  // The same setting is given in another unit.
+  kRepeated,
   // The file named by a `*_file` key cannot be read, or its content is too
   // short or too long.
   kSecretUnreadable,
--- a/transport/settings_reader.cc
+++ b/transport/settings_reader.cc
@@ -1,6 +1,7 @@
 #include "transport/settings_reader.h"
 
 #include <algorithm>
+#include <cmath>
 #include <filesystem>
 #include <fstream>
 #include <numeric>
@@ -15,7 +16,8 @@
 // An unknown key within this edit distance of a declared key is taken for a
 // misspelling of it.
 constexpr std::size_t kMaxSuggestionDistance = 3;
-constexpr std::string_view kDurationSuffix = "_ms";
+constexpr std::string_view kMillisSuffix = "_ms";
+constexpr std::string_view kSecondsSuffix = "_s";
 constexpr std::string_view kSecretSuffix = "_file";
 constexpr std::string_view kRedacted = "(withheld)";
 
@@ -53,6 +55,20 @@
   return text.str();
 }
 
+std::optional<double> AsNumber(const SettingValue& value) {
+  if (const auto* integer = std::get_if<std::int64_t>(&value)) {
+    return static_cast<double>(*integer);
+  }
+  if (const auto* number = std::get_if<double>(&value)) {
+    return *number;
+  }
+  return std::nullopt;
+}
+
+double InSeconds(Duration duration) {
+  return static_cast<double>(duration.millis()) / 1000;
+}
+
 std::string JoinWithCommas(const std::vector<std::string>& items) {
   std::string joined;
   for (const std::string& item : items) {
@@ -136,20 +152,16 @@
            default_value.str(), std::string(doc), presence, false,
            [target, range](const SettingValue& value,
                            const std::string&) -> Result<Apply, CheckFailure> {
-             const auto* integer = std::get_if<std::int64_t>(&value);
-             const auto* floating = std::get_if<double>(&value);
-             if (integer == nullptr && floating == nullptr) {
+             const std::optional<double> number = AsNumber(value);
+             if (!number) {
                return CheckFailure{SettingErrorKind::kWrongType};
              }
-             const double number = floating != nullptr
-                                       ? *floating
-                                       : static_cast<double>(*integer);
              // Every comparison with NaN is false, so NaN is rejected.
-             const bool in_range = number >= range.min && number <= range.max;
+             const bool in_range = *number >= range.min && *number <= range.max;
              if (!in_range) {
                return CheckFailure{SettingErrorKind::kOutOfRange};
              }
-             return Apply([target, number] { *target = number; });
+             return Apply([target, number = *number] { *target = number; });
            }});
 }
 
@@ -183,13 +195,45 @@
                          DurationRange range,
                          std::string_view doc,
                          SettingPresence presence) {
-  if (!key.ends_with(kDurationSuffix)) {
+  if (!key.ends_with(kMillisSuffix)) {
     AddDeclarationError(key, "the key of a duration must end in _ms");
   }
-  AddInteger(key, target->millis(), {range.min.millis(), range.max.millis()},
-             doc, presence, [target](std::int64_t number) {
-               *target = Duration::Millis(number);
-             });
+  const bool is_declared =
+      Declare({std::string(key), "number",
+               DescribeRange(range.min.millis(), range.max.millis()),
+               std::to_string(target->millis()), std::string(doc), presence,
+               false, CheckDuration(target, range, Duration::Millis(1)), ""});
+  if (!is_declared || !key.ends_with(kMillisSuffix)) {
+    return;
+  }
+  std::string seconds_key(key.substr(0, key.size() - kMillisSuffix.size()));
+  seconds_key += kSecondsSuffix;
+  Declare({std::move(seconds_key), "number",
+           DescribeRange(InSeconds(range.min), InSeconds(range.max)), "", "",
+           SettingPresence::kOptional, false,
+           CheckDuration(target, range, Duration::Seconds(1)),
+           std::string(key)});
+}
+
+SettingsReader::Check SettingsReader::CheckDuration(Duration* target,
+                                                    DurationRange range,
+                                                    Duration unit) {
+  return [target, range, unit](
+             const SettingValue& value,
+             const std::string&) -> Result<Apply, CheckFailure> {
+    const std::optional<double> number = AsNumber(value);
+    if (!number) {
+      return CheckFailure{SettingErrorKind::kWrongType};
+    }
+    const double millis = *number * static_cast<double>(unit.millis());
+    const bool in_range = millis >= static_cast<double>(range.min.millis()) &&
+                          millis <= static_cast<double>(range.max.millis());
+    if (!in_range) {
+      return CheckFailure{SettingErrorKind::kOutOfRange};
+    }
+    return Apply(
+        [target, millis] { *target = Duration::Millis(std::llround(millis)); });
+  };
 }
 
 void SettingsReader::Add(std::string_view key,
@@ -323,12 +367,13 @@
            }});
 }
 
-void SettingsReader::Declare(Declaration declaration) {
+bool SettingsReader::Declare(Declaration declaration) {
   if (Find(declaration.key) != nullptr) {
     AddDeclarationError(declaration.key, "the key is declared more than once");
-    return;
+    return false;
   }
   declarations_.push_back(std::move(declaration));
+  return true;
 }
 
 void SettingsReader::AddDeclarationError(std::string_view key,
@@ -408,6 +453,7 @@
       errors.push_back(std::move(std::get<SettingError>(checked)));
     }
   }
+  ReportRepeatedKeys(document, errors);
   ReportMissingKeys(document, errors);
   if (errors.empty()) {
     for (const Apply& apply : applies) {
@@ -455,12 +501,34 @@
   return error;
 }
 
+void SettingsReader::ReportRepeatedKeys(
+    const SettingsDocument& document,
+    std::vector<SettingError>& errors) const {
+  for (const auto& [key, entry] : document.entries()) {
+    const Declaration* declaration = Find(key);
+    if (declaration != nullptr &&
+        document.entries().contains(declaration->alias_of)) {
+      errors.push_back({SettingErrorKind::kRepeated, document.file(),
+                        entry.line, key, entry.source_text,
+                        declaration->alias_of + " is the same setting"});
+    }
+  }
+}
+
 void SettingsReader::ReportMissingKeys(
     const SettingsDocument& document,
     std::vector<SettingError>& errors) const {
+  const auto is_given = [this, &document](const std::string& key) {
+    return document.entries().contains(key) ||
+           std::any_of(declarations_.begin(), declarations_.end(),
+                       [&](const Declaration& each) {
+                         return each.alias_of == key &&
+                                document.entries().contains(each.key);
+                       });
+  };
   for (const Declaration& declaration : declarations_) {
     if (declaration.presence == SettingPresence::kRequired &&
-        !document.entries().contains(declaration.key)) {
+        !is_given(declaration.key)) {
       errors.push_back({SettingErrorKind::kMissing, document.file(), 0,
                         declaration.key, "",
                         declaration.type + ", " + declaration.allowed});
@@ -472,6 +540,9 @@
   out << "| key | type | allowed | default | meaning |\n"
       << "|---|---|---|---|---|\n";
   for (const Declaration& each : declarations_) {
+    if (!each.alias_of.empty()) {
+      continue;
+    }
     const bool is_required = each.presence == SettingPresence::kRequired;
     out << "| `" << each.key << "` | " << each.type << " | " << each.allowed
         << " | " << (is_required ? "required" : '`' + each.default_value + '`')
--- a/transport/settings_reader.h
+++ b/transport/settings_reader.h
@@ -78,7 +78,8 @@
            TextRange range,
            std::string_view doc,
            SettingPresence presence = SettingPresence::kOptional);
-  // A duration in milliseconds; the key must end in `_ms`.
+  // A duration in milliseconds, which may be a fraction; the key must end in
+  // `_ms`. A file may give it in seconds instead, with `_s` in place of `_ms`.
   void Add(std::string_view key,
            Duration* target,
            DurationRange range,
@@ -169,6 +170,8 @@
     SettingPresence presence;
     bool is_secret = false;
     Check check;
+    // The key of the same setting in its main unit; empty if this is it.
+    std::string alias_of{};
   };
 
   void AddInteger(std::string_view key,
@@ -177,6 +180,9 @@
                   std::string_view doc,
                   SettingPresence presence,
                   std::function<void(std::int64_t)> apply);
+  static Check CheckDuration(Duration* target,
+                             DurationRange range,
+                             Duration unit);
   void AddText(std::string_view key,
                const std::string& default_value,
                TextRange range,
@@ -189,7 +195,8 @@
                       std::string_view doc,
                       SettingPresence presence,
                       std::function<void(std::size_t)> apply);
-  void Declare(Declaration declaration);
+  // Returns false, and adds an error, if the key is declared already.
+  bool Declare(Declaration declaration);
   void AddDeclarationError(std::string_view key, std::string allowed);
   const Declaration* Find(std::string_view key) const;
   bool HasKeysBelow(std::string_view table) const;
@@ -199,6 +206,9 @@
       const std::string& file,
       const std::string& key,
       const SettingsDocument::Entry& entry) const;
+  // Reports settings that are given in two units.
+  void ReportRepeatedKeys(const SettingsDocument& document,
+                          std::vector<SettingError>& errors) const;
   void ReportMissingKeys(const SettingsDocument& document,
                          std::vector<SettingError>& errors) const;
 
