gateway: one copy of a request runs at a time while crashes may be unknown

Cause: nodes that start with lost evidence try a request out after its first crash, but before that crash each node that has a copy takes it for a first run. What held was a rule of each node by itself.

Change: while evidence may be missing, the node that is about to send a request claims a lock of its fingerprint from the node that rendezvous hashing chooses, and releases it with what the run showed (docs/design/0037, with the ways that were weighed). So one run and two trials reach endpoints.

--- a/bench/gateway_deferral_bench.cc
+++ b/bench/gateway_deferral_bench.cc
@@ -108,6 +108,7 @@
                      {.selector = &selector,
                       .budget = &budget,
                       .crash_guard = &crash_guard,
+                      .run_locks = &run_locks,
                       .relays = &relays,
                       .reachability = &reachability},
                      random,
@@ -118,6 +119,7 @@
     ReplicaSelector selector;
     SharedRetryBudget budget;
     CrashGuard crash_guard;
+    RunLockClient run_locks{{}, [](Fingerprint) { return Address(); }};
     RelaySelector relays{{}, ZoneId("z"), SeededRandom(5)};
     ReachabilityMonitor reachability{{}, DiscardEvents()};
     ForwardController controller;
--- a/coordination/gateway/crash_evidence.cc
+++ b/coordination/gateway/crash_evidence.cc
@@ -353,6 +353,15 @@
   return notice;
 }
 
+std::vector<CrashNotice> CrashEvidence::NoticesOf(
+    Time now,
+    Fingerprint fingerprint) const {
+  if (CountCrashes(now, fingerprint) == 0) {
+    return {};
+  }
+  return {MakeNotice(now, fingerprint)};
+}
+
 std::vector<CrashNotice> CrashEvidence::TakeNotices(Time now) {
   std::vector<CrashNotice> notices;
   if (news_.empty() || (!has_urgent_news_ && now < next_notice_)) {
--- a/coordination/gateway/crash_evidence.h
+++ b/coordination/gateway/crash_evidence.h
@@ -119,6 +119,9 @@
   // Number of requests with crashes.
   std::size_t CountSuspects(Time now) const;
 
+  // Returns what is known of the suspect; empty if it has no crash that counts.
+  std::vector<CrashNotice> NoticesOf(Time now, Fingerprint fingerprint) const;
+
   // Number of changes so far.
   std::int64_t changes() const { return changes_; }
   // Returns what other nodes should be told, at most one message.
--- a/coordination/gateway/crash_guard.h
+++ b/coordination/gateway/crash_guard.h
@@ -193,6 +193,13 @@
   // Returns false if nothing is known of the request.
   bool Lift(Time now, Fingerprint fingerprint);
   std::vector<CrashBlock> Blocks(Time now) const;
+  // Whether crashes may be unknown because all nodes that knew them were lost.
+  bool MayLackEvidence(Time now) const { return records_.MayLackEvidence(now); }
+  // What other nodes should know of the request before they run it; empty if
+  // nothing is known of it.
+  std::vector<CrashNotice> NoticesOf(Time now, Fingerprint fingerprint) const {
+    return evidence_.NoticesOf(now, fingerprint);
+  }
   std::size_t blocked_requests(Time now) const {
     return records_.Blocked(now).size();
   }
--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -14,6 +14,7 @@
       selector_(parts.selector),
       budget_(parts.budget),
       crash_guard_(parts.crash_guard),
+      run_locks_(parts.run_locks),
       relays_(parts.relays),
       reachability_(parts.reachability),
       on_model_request_(parts.on_model_request),
@@ -30,6 +31,7 @@
     std::shared_ptr<const RouteTable> routes) {
   ++last_id_;
   OpenRequest open_request;
+  open_request.id = last_id_;
   open_request.request = std::move(request);
   open_request.routes = std::move(routes);
   open_request.arrived = now;
@@ -64,6 +66,7 @@
 }
 
 void ForwardController::Remove(ForwardId id) {
+  run_locks_->OnEnded(id);
   const auto found = open_requests_.find(id);
   if (found == open_requests_.end()) {
     return;
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -21,6 +21,7 @@
 #include "coordination/gateway/relay_selector.h"
 #include "coordination/gateway/replica_selector.h"
 #include "coordination/gateway/route_explanation.h"
+#include "coordination/gateway/run_locks/run_lock_client.h"
 #include "coordination/gateway/shared_retry_budget.h"
 #include "coordination/requests/retry_after.h"
 #include "state/state.h"
@@ -84,6 +85,7 @@
     ReplicaSelector* selector = nullptr;
     SharedRetryBudget* budget = nullptr;
     CrashGuard* crash_guard = nullptr;
+    RunLockClient* run_locks = nullptr;
     RelaySelector* relays = nullptr;
     ReachabilityMonitor* reachability = nullptr;
     // Called for each request of a caller that names a model.
@@ -113,6 +115,8 @@
   void OnCallerGone(Time now, ForwardId id);
   // The request need not wait any longer. Returns its next step.
   ForwardStep OnDecision(Time now, const CrashDecision& decision);
+  // The same for a request that waited for its run lock.
+  ForwardStep OnRunLockDecided(Time now, ForwardId id);
 
   // Returns the steps of streams that waited for a place at an endpoint.
   std::vector<std::pair<ForwardId, ForwardStep>> ResumeWaiting(Time now);
@@ -170,6 +174,7 @@
     Time sent;
   };
   struct OpenRequest {
+    ForwardId id;
     ForwardRequest request;
     std::shared_ptr<const RouteTable> routes;
     const RouteRule* route = nullptr;
@@ -221,6 +226,8 @@
     bool has_trial_reached_endpoint = false;
     // The last attempt broke, and the next one is a trial.
     bool awaits_trial = false;
+    // The request holds its run lock, or runs without it.
+    bool is_run_lock_decided = false;
     // The node that the request is passed on to now.
     std::optional<Address> relay_node;
     // All nodes that it was passed on to.
@@ -306,6 +313,8 @@
   ForwardStep DispatchFirst(Time now, OpenRequest& open_request);
   // The same, unless the request is suspected of crashing endpoints.
   ForwardStep DispatchOrWait(Time now, ForwardId id, OpenRequest& open_request);
+  // Whether the request has to wait for its run lock before it is sent.
+  bool NeedsRunLock(Time now, const OpenRequest& open_request) const;
   // Returns the first step after the wait.
   ForwardStep TakeDecision(Time now,
                            const CrashDecision& decision,
@@ -417,6 +426,7 @@
   ReplicaSelector* selector_;
   SharedRetryBudget* budget_;
   CrashGuard* crash_guard_;
+  RunLockClient* run_locks_;
   RelaySelector* relays_;
   ReachabilityMonitor* reachability_;
   ModelRequestHook on_model_request_;
--- a/coordination/gateway/forward_controller_suspects.cc
+++ b/coordination/gateway/forward_controller_suspects.cc
@@ -52,12 +52,38 @@
     case CrashVerdict::kAllowed:
       break;
   }
+  if (NeedsRunLock(now, open_request)) {
+    run_locks_->Wait(now, id, open_request.fingerprint);
+    return AwaitDecision{};
+  }
   return DispatchFirst(now, open_request);
 }
 
+bool ForwardController::NeedsRunLock(Time now,
+                                     const OpenRequest& open_request) const {
+  // The node that a relayed request arrived at holds its lock.
+  return !open_request.is_run_lock_decided && !open_request.request.relay &&
+         crash_guard_->MayLackEvidence(now) &&
+         !run_locks_->IsHarmless(open_request.fingerprint);
+}
+
+ForwardStep ForwardController::OnRunLockDecided(Time now, ForwardId id) {
+  const auto found = open_requests_.find(id);
+  if (found == open_requests_.end()) {
+    run_locks_->OnEnded(id);
+    return ForwardTruncated{};
+  }
+  OpenRequest open_request = std::move(found->second);
+  open_request.is_run_lock_decided = true;
+  ForwardStep step = DispatchOrWait(now, id, open_request);
+  Track(id, std::move(open_request), step);
+  return step;
+}
+
 ForwardStep ForwardController::WaitForDecision(Time now,
                                                ForwardId id,
                                                OpenRequest& open_request) {
+  run_locks_->OnOutcome(now, id, RunOutcome::kSuspected);
   // A request that no endpoint can take need not wait. Another node decides for
   // itself.
   const Result<ReplicaChoice, RefusalKind> choice =
@@ -183,6 +209,7 @@
 
 void ForwardController::ReportHarmless(Time now, OpenRequest& open_request) {
   crash_guard_->OnHarmless(now, open_request.fingerprint);
+  run_locks_->OnOutcome(now, open_request.id, RunOutcome::kHarmless);
   ReportPartsHarmless(now, open_request,
                       open_request.first_event.value_or(open_request.sent));
 }
@@ -203,6 +230,7 @@
                                                OpenRequest& open_request) {
   if (IsProvenHarmless(now, open_request)) {
     crash_guard_->OnHarmless(now, open_request.fingerprint);
+    run_locks_->OnOutcome(now, open_request.id, RunOutcome::kHarmless);
   }
   if (!open_request.are_parts_proven &&
       now - *open_request.first_event >= crash_guard_->part_proof_time()) {
@@ -229,6 +257,11 @@
     });
   }
   crash_guard_->OnBroken(now, broken);
+  const bool is_suspected = crash_guard_->Judge(now, open_request.fingerprint) >
+                            CrashVerdict::kAllowed;
+  run_locks_->OnOutcome(
+      now, open_request.id,
+      is_suspected ? RunOutcome::kSuspected : RunOutcome::kUnknown);
 }
 
 }  // namespace gcw
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -92,12 +92,18 @@
           codecs.crash_record,
           random_,
           events_),
+      run_lock_table_(settings_.run_locks),
+      run_locks_(settings_.run_locks,
+                 [this](Fingerprint fingerprint) {
+                   return ChooseRunLockOwner(fingerprint);
+                 }),
       relays_(settings_.relays, settings_.self.zone, random_),
       reachability_(settings_.reachability, events_),
       forwards_(settings_.requests,
                 {.selector = &selector_,
                  .budget = &budget_,
                  .crash_guard = &crash_guard_,
+                 .run_locks = &run_locks_,
                  .relays = &relays_,
                  .reachability = &reachability_,
                  .on_model_request =
@@ -156,6 +162,9 @@
   AnnounceStalls(now);
   NotifyLimits(now);
   crash_guard_.Tick(now, reachability_.is_suspected());
+  run_lock_table_.Tick(now);
+  run_locks_.Tick(now);
+  UpdateRunLocks(now);
   RunCrashGuard(now);
   RunController(now);
   WriteOverview(now);
@@ -383,6 +392,7 @@
 }
 
 GatewayActions GatewayCore::TakeRequestActions(Time now) {
+  UpdateRunLocks(now);
   RunCrashGuard(now);
   return TakeActions();
 }
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -19,6 +19,8 @@
 #include "coordination/gateway/reachability_monitor.h"
 #include "coordination/gateway/relay_selector.h"
 #include "coordination/gateway/replica_selector.h"
+#include "coordination/gateway/run_locks/run_lock_client.h"
+#include "coordination/gateway/run_locks/run_lock_table.h"
 #include "coordination/gateway/shared_retry_budget.h"
 #include "coordination/gateway/store_mirror.h"
 #include "coordination/roles/node_lease.h"
@@ -60,6 +62,7 @@
   SharedRetryBudgetSettings retries;
   FleetShareSettings retry_share;
   CrashGuardSettings crashes;
+  RunLockSettings run_locks;
   ForwardControllerSettings requests;
   ReachabilityMonitorSettings reachability;
   RelaySelectorSettings relays;
@@ -184,6 +187,21 @@
   Address address;
   std::vector<CrashNotice> notices;
 };
+// Asks the node at the address, which owns the lock, for it.
+struct ClaimRunLock {
+  Address owner;
+  RunLockClaim claim;
+};
+// Gives the lock back to the node at the address.
+struct ReleaseRunLock {
+  Address owner;
+  RunLockRelease release;
+};
+// Replies to another node's claim.
+struct AnswerRunLockClaim {
+  RunLockClaimId id;
+  RunLockReply reply;
+};
 // Asks the node at the address which endpoints it reaches.
 struct QueryReach {
   Address address;
@@ -218,6 +236,9 @@
                                    NotifyLimit,
                                    CheckEndpoint,
                                    NotifyCrashes,
+                                   ClaimRunLock,
+                                   ReleaseRunLock,
+                                   AnswerRunLockClaim,
                                    QueryReach,
                                    ContinueForward,
                                    SendGroupOrder,
@@ -286,6 +307,13 @@
                               ProbeResult result);
   GatewayActions OnCrashNotices(Time now,
                                 const std::vector<CrashNotice>& notices);
+  // Another node claims a lock that this node owns; AnswerRunLockClaim replies.
+  GatewayActions OnRunLockClaim(Time now, const RunLockClaim& claim);
+  GatewayActions OnRunLockRelease(Time now, const RunLockRelease& release);
+  // The owner replies to ClaimRunLock, or does not answer.
+  GatewayActions OnRunLockReply(Time now,
+                                const RunLockClaim& claim,
+                                const RunLockReply& reply);
   // Returns which endpoints this node reaches, for the reply to another node.
   ReachReport Reach(Time now) const;
   // The node at the address replies to QueryReach.
@@ -460,6 +488,15 @@
   void UpdateLostEvidence(Time now);
   // Takes the actions of the crash guard.
   void RunCrashGuard(Time now);
+  // Takes the actions of both sides of run locks.
+  void UpdateRunLocks(Time now);
+  // Returns false if neither side had anything to do.
+  bool ExchangeRunLocks(Time now);
+  void SendRunLockClaim(Time now, const RunLockClient::OutgoingClaim& claim);
+  void SendRunLockRelease(Time now,
+                          const RunLockClient::OutgoingRelease& release);
+  // Returns the address of the node that owns the request's run lock.
+  Address ChooseRunLockOwner(Fingerprint fingerprint) const;
   void WriteOverview(Time now);
   FleetOverview DescribeFleet() const;
   void QueryStallWitnesses(const StallNotice& group);
@@ -509,6 +546,8 @@
   FleetShare retry_share_;
   SharedRetryBudget budget_;
   CrashGuard crash_guard_;
+  RunLockTable run_lock_table_;
+  RunLockClient run_locks_;
   RelaySelector relays_;
   ReachabilityMonitor reachability_;
   ForwardController forwards_;
@@ -541,6 +580,10 @@
   // The service was away, and no other node's copy was received, since the
   // start.
   bool started_in_outage_ = false;
+  // This node's claims of locks that it owns itself, by their ids, which are
+  // negative.
+  std::map<RunLockClaimId, RunLockClaim> local_claims_;
+  RunLockClaimId last_local_claim_;
   GatewayActions actions_;
 };
 
--- a/coordination/gateway/proof_log.cc
+++ b/coordination/gateway/proof_log.cc
@@ -4,16 +4,16 @@
 
 namespace gcw {
 
-void ProofLog::OnProven(Time now, Fingerprint part) {
-  if (recent_.size() >= max_parts_ / 2 && !recent_.contains(part)) {
+void ProofLog::OnProven(Time now, Fingerprint suspect) {
+  if (recent_.size() >= max_suspects_ / 2 && !recent_.contains(suspect)) {
     older_ = std::exchange(recent_, {});
   }
-  recent_[part] = now;
+  recent_[suspect] = now;
 }
 
-Time ProofLog::LastProof(Fingerprint part) const {
+Time ProofLog::LastProof(Fingerprint suspect) const {
   for (const auto* proofs : {&recent_, &older_}) {
-    const auto found = proofs->find(part);
+    const auto found = proofs->find(suspect);
     if (found != proofs->end()) {
       return found->second;
     }
--- a/coordination/gateway/proof_log.h
+++ b/coordination/gateway/proof_log.h
@@ -8,18 +8,21 @@
 
 namespace gcw {
 
-// Remembers when parts of prompts last ran without a crash. Bounded: the parts
-// that were not proven of late are forgotten.
+// Remembers when suspects, which are requests or parts of prompts, last ran
+// without a crash. Bounded: those that were not proven of late are forgotten.
 class ProofLog {
  public:
-  explicit ProofLog(std::size_t max_parts) : max_parts_(max_parts) {}
+  explicit ProofLog(std::size_t max_suspects) : max_suspects_(max_suspects) {}
 
-  void OnProven(Time now, Fingerprint part);
+  void OnProven(Time now, Fingerprint suspect);
+  bool Contains(Fingerprint suspect) const {
+    return recent_.contains(suspect) || older_.contains(suspect);
+  }
   // Returns `Time()` if no proof is remembered.
-  Time LastProof(Fingerprint part) const;
+  Time LastProof(Fingerprint suspect) const;
 
  private:
-  std::size_t max_parts_;
+  std::size_t max_suspects_;
   std::unordered_map<Fingerprint, Time> recent_;
   std::unordered_map<Fingerprint, Time> older_;
 };
--- a/protocol/crash_json.cc
+++ b/protocol/crash_json.cc
@@ -14,6 +14,20 @@
     {CrashState::kCleared, "cleared"},
 }};
 
+constexpr ChoiceNames<RunOutcome, 3> kOutcomes{{
+    {RunOutcome::kUnknown, "unknown"},
+    {RunOutcome::kHarmless, "harmless"},
+    {RunOutcome::kSuspected, "suspected"},
+}};
+
+constexpr ChoiceNames<RunLockAnswer, 5> kAnswers{{
+    {RunLockAnswer::kGranted, "granted"},
+    {RunLockAnswer::kHarmless, "harmless"},
+    {RunLockAnswer::kSuspected, "suspected"},
+    {RunLockAnswer::kBusy, "busy"},
+    {RunLockAnswer::kNoAnswer, "no_answer"},
+}};
+
 boost::json::object CrashToJson(const CrashId& crash) {
   return {{"vm", ToJson(crash.vm)}, {"incarnation", ToJson(crash.incarnation)}};
 }
@@ -37,6 +51,14 @@
           {"crashes", std::move(crashes)}};
 }
 
+boost::json::array NoticesToJson(const std::vector<CrashNotice>& notices) {
+  boost::json::array encoded;
+  for (const CrashNotice& notice : notices) {
+    encoded.push_back(NoticeToJson(notice));
+  }
+  return encoded;
+}
+
 // Nodes and records of the version before have no parts.
 PromptPartId ReadPart(JsonReader& reader) {
   return reader.Has("part") ? reader.TextId<PromptPartId>("part")
@@ -90,12 +112,8 @@
 }
 
 std::string EncodeCrashNotices(const std::vector<CrashNotice>& notices) {
-  boost::json::array encoded;
-  for (const CrashNotice& notice : notices) {
-    encoded.push_back(NoticeToJson(notice));
-  }
   return boost::json::serialize(
-      boost::json::object{{"requests", std::move(encoded)}});
+      boost::json::object{{"requests", NoticesToJson(notices)}});
 }
 
 Decoded<std::vector<CrashNotice>> DecodeCrashNotices(std::string_view text) {
@@ -104,6 +122,61 @@
   });
 }
 
+std::string EncodeRunLockClaim(const RunLockClaim& claim) {
+  return boost::json::serialize(
+      boost::json::object{{"fingerprint", ToJson(claim.fingerprint)},
+                          {"node", ToJson(claim.node)},
+                          {"number", ToJson(claim.number)},
+                          {"wait_ms", claim.wait.millis()}});
+}
+
+Decoded<RunLockClaim> DecodeRunLockClaim(std::string_view text) {
+  return DecodeJson(text, [](JsonReader& reader) {
+    RunLockClaim claim;
+    claim.fingerprint = reader.CountOf<Fingerprint>("fingerprint");
+    claim.node = reader.TextId<Address>("node");
+    claim.number = reader.CountOf<RunLockClaimNumber>("number");
+    claim.wait = reader.DurationMillis("wait_ms");
+    return claim;
+  });
+}
+
+std::string EncodeRunLockRelease(const RunLockRelease& release) {
+  return boost::json::serialize(
+      boost::json::object{{"fingerprint", ToJson(release.fingerprint)},
+                          {"node", ToJson(release.node)},
+                          {"number", ToJson(release.number)},
+                          {"outcome", ChoiceToJson(release.outcome, kOutcomes)},
+                          {"requests", NoticesToJson(release.notices)}});
+}
+
+Decoded<RunLockRelease> DecodeRunLockRelease(std::string_view text) {
+  return DecodeJson(text, [](JsonReader& reader) {
+    RunLockRelease release;
+    release.fingerprint = reader.CountOf<Fingerprint>("fingerprint");
+    release.node = reader.TextId<Address>("node");
+    release.number = reader.CountOf<RunLockClaimNumber>("number");
+    release.outcome = reader.Enum("outcome", kOutcomes);
+    release.notices = reader.List("requests", ReadNotice);
+    return release;
+  });
+}
+
+std::string EncodeRunLockReply(const RunLockReply& reply) {
+  return boost::json::serialize(
+      boost::json::object{{"answer", ChoiceToJson(reply.answer, kAnswers)},
+                          {"requests", NoticesToJson(reply.notices)}});
+}
+
+Decoded<RunLockReply> DecodeRunLockReply(std::string_view text) {
+  return DecodeJson(text, [](JsonReader& reader) {
+    RunLockReply reply;
+    reply.answer = reader.Enum("answer", kAnswers);
+    reply.notices = reader.List("requests", ReadNotice);
+    return reply;
+  });
+}
+
 std::string EncodeCrashBlocks(const std::vector<CrashBlock>& blocks) {
   boost::json::array encoded;
   for (const CrashBlock& block : blocks) {
--- a/tests/coordination/gateway/crash_guard_test.cc
+++ b/tests/coordination/gateway/crash_guard_test.cc
@@ -420,6 +420,75 @@
   EXPECT_EQ(world.FirstViolation(), "");
 }
 
+// All nodes that know of the crashes are lost in an outage, and the request
+// comes again once the fleet is in touch. Returns the rule that was broken.
+std::string ReturnAfterALoss(std::size_t nodes, std::uint64_t seed) {
+  CrashWorld world(nodes, seed);
+  world.store_down = true;
+  world.DisturbAll();
+  world.Run(Duration::Millis(500));
+  for (int i = 0; i < 4 && world.rule().crashes(kCrashing) < 3; ++i) {
+    world.SendCrashing(kCrashing);
+    world.Run(Duration::Millis(500));
+  }
+  world.RestartAllNodes();
+  world.Run(Duration::Seconds(4));
+  world.store_down = false;
+  world.DisturbAll();
+  world.Run(Duration::Seconds(8));
+  for (int round = 0; round < 3; ++round) {
+    world.SendCrashing(kCrashing, 4);
+    world.Run(Duration::Seconds(4));
+  }
+  EXPECT_GE(world.rule().crashes(kCrashing), 3U);
+  EXPECT_EQ(world.healthy_blocked(), 0) << nodes << " nodes, seed " << seed;
+  return world.FirstViolation();
+}
+
+// Guards against copies of a crashing request that arrive at different nodes at
+// once and are each taken for its first run, after a loss of all nodes.
+TEST(CrashGuardTest, CopiesAfterALossOfAllNodesReachFewEndpoints) {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
+    EXPECT_EQ(ReturnAfterALoss(7, seed), "") << "seed " << seed;
+  }
+  for (const std::uint64_t seed : {1, 2}) {
+    EXPECT_EQ(ReturnAfterALoss(84, seed), "") << "84 nodes, seed " << seed;
+  }
+}
+
+// Guards against copies of a sound request that are refused, or wait for long,
+// because nodes that may lack evidence let one of them run at a time.
+TEST(CrashGuardTest, SoundCopiesAfterALossOfAllNodesAreServed) {
+  for (const std::size_t nodes : {3UL, 9UL, 60UL}) {
+    CrashWorld world(nodes);
+    world.store_down = true;
+    world.Run(Duration::Seconds(1));
+    world.RestartAllNodes();
+    world.Run(Duration::Seconds(2));
+    world.store_down = false;
+    world.DisturbAll();
+    world.Run(Duration::Seconds(8));
+    world.traffic = false;
+    world.Run(Duration::Seconds(3));
+    const int served = world.healthy_served();
+    constexpr int kRequests = 10;
+    constexpr int kCopies = 4;
+    for (int i = 0; i < kRequests; ++i) {
+      for (int copy = 0; copy < kCopies; ++copy) {
+        world.SendFromCaller(Fingerprint(100 + i), false);
+      }
+      world.Run(Duration::Millis(500));
+    }
+    world.Run(Duration::Seconds(4));
+    EXPECT_EQ(world.healthy_blocked(), 0) << nodes << " nodes";
+    EXPECT_EQ(world.healthy_served() - served, kRequests * kCopies)
+        << nodes << " nodes";
+    EXPECT_LE(world.longest_wait(), kLongestWaitBesideTrial)
+        << nodes << " nodes";
+    EXPECT_GT(world.run_lock_claims, 0) << nodes << " nodes";
+  }
+}
+
 // Guards against healthy requests that are refused beside a crash because nodes
 // that may lack evidence ask for a trial after the first crash.
 TEST(CrashGuardTest, ALossOfAllNodesInAnOutageRefusesNoHealthyRequest) {
--- a/tests/coordination/gateway/forward_controller_test.cc
+++ b/tests/coordination/gateway/forward_controller_test.cc
@@ -48,6 +48,7 @@
                     {.selector = &selector_,
                      .budget = &budget_,
                      .crash_guard = &crash_guard_,
+                     .run_locks = &run_locks_,
                      .relays = &relays_,
                      .reachability = &reachability_},
                     SeededRandom(2),
@@ -100,6 +101,7 @@
                           {},
                           SeededRandom(4),
                           DiscardEvents()};
+  RunLockClient run_locks_{{}, [](Fingerprint) { return Address(); }};
   RelaySelector relays_;
   ReachabilityMonitor reachability_;
   ForwardController controller_;
@@ -438,12 +440,14 @@
       {}, [](const EndpointRun&) { return true; },
       [](const VmId&) { return std::size_t{1}; }, {}, SeededRandom(4),
       DiscardEvents());
+  RunLockClient run_locks({}, [](Fingerprint) { return Address(); });
   RelaySelector relays({}, ZoneId("z"), SeededRandom(5));
   ReachabilityMonitor reachability({}, DiscardEvents());
   ForwardController controller({},
                                {.selector = &selector,
                                 .budget = &budget,
                                 .crash_guard = &crash_guard,
+                                .run_locks = &run_locks,
                                 .relays = &relays,
                                 .reachability = &reachability},
                                SeededRandom(3), DiscardEvents());
--- a/tests/coordination/gateway/forward_hedge_test.cc
+++ b/tests/coordination/gateway/forward_hedge_test.cc
@@ -46,6 +46,7 @@
                     {.selector = &selector_,
                      .budget = &budget_,
                      .crash_guard = &crash_guard_,
+                     .run_locks = &run_locks_,
                      .relays = &relays_,
                      .reachability = &reachability_},
                     SeededRandom(2),
@@ -118,6 +119,7 @@
                           {},
                           SeededRandom(4),
                           DiscardEvents()};
+  RunLockClient run_locks_{{}, [](Fingerprint) { return Address(); }};
   RelaySelector relays_;
   ReachabilityMonitor reachability_;
   ForwardController controller_;
--- a/tests/coordination/gateway/route_explanation_test.cc
+++ b/tests/coordination/gateway/route_explanation_test.cc
@@ -102,11 +102,12 @@
   ReplicaSelector selector{{}, ZoneId("z"), SeededRandom(5), DiscardEvents()};
   SharedRetryBudget budget{{}, SeededRandom(6)};
   CrashGuard crash_guard{{}, {}, {}, {}, SeededRandom(4), DiscardEvents()};
+  RunLockClient run_locks{{}, [](Fingerprint) { return Address(); }};
   RelaySelector relays{{}, ZoneId("z"), SeededRandom(3)};
   ReachabilityMonitor reachability{{}, DiscardEvents()};
   ForwardController controller{
       {},
-      {&selector, &budget, &crash_guard, &relays, &reachability},
+      {&selector, &budget, &crash_guard, &run_locks, &relays, &reachability},
       SeededRandom(2),
       DiscardEvents()};
 };
--- a/tests/protocol/crash_json_test.cc
+++ b/tests/protocol/crash_json_test.cc
@@ -44,6 +44,42 @@
             CrashState::kCleared);
 }
 
+TEST(CrashJsonTest, KeepsMessagesAboutRunLocks) {
+  RunLockClaim claim;
+  claim.fingerprint = Fingerprint(4503599627370495);
+  claim.node = Address("10.0.0.1:80");
+  claim.number = RunLockClaimNumber(7);
+  claim.wait = Duration::Millis(900);
+  const auto read_claim = DecodeRunLockClaim(EncodeRunLockClaim(claim));
+  ASSERT_TRUE(IsOk(read_claim));
+  EXPECT_EQ(ValueOf(read_claim).fingerprint, claim.fingerprint);
+  EXPECT_EQ(ValueOf(read_claim).node, claim.node);
+  EXPECT_EQ(ValueOf(read_claim).number, claim.number);
+  EXPECT_EQ(ValueOf(read_claim).wait, claim.wait);
+
+  CrashNotice notice;
+  notice.fingerprint = claim.fingerprint;
+  notice.crashes = {
+      {{VmId("a"), Incarnation(7)}, {CrashState::kUnconfirmed, Duration()}}};
+  RunLockRelease release;
+  release.fingerprint = claim.fingerprint;
+  release.node = claim.node;
+  release.number = claim.number;
+  release.outcome = RunOutcome::kSuspected;
+  release.notices = {notice};
+  const auto read_release = DecodeRunLockRelease(EncodeRunLockRelease(release));
+  ASSERT_TRUE(IsOk(read_release));
+  EXPECT_EQ(ValueOf(read_release).number, claim.number);
+  EXPECT_EQ(ValueOf(read_release).outcome, RunOutcome::kSuspected);
+  EXPECT_EQ(ValueOf(read_release).notices.size(), 1U);
+
+  const auto read_reply = DecodeRunLockReply(
+      EncodeRunLockReply({RunLockAnswer::kSuspected, {notice}}));
+  ASSERT_TRUE(IsOk(read_reply));
+  EXPECT_EQ(ValueOf(read_reply).answer, RunLockAnswer::kSuspected);
+  EXPECT_EQ(ValueOf(read_reply).notices.front().crashes.size(), 1U);
+}
+
 // Guards against a message of another program that blocks requests.
 TEST(CrashJsonTest, RejectsMalformedMessages) {
   const std::string negative_age =
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -491,6 +491,8 @@
   int relayed_requests = 0;
   int crash_notices = 0;
   bool lose_crash_notices = false;
+  // Number of claims of run locks that nodes have sent to others.
+  int run_lock_claims = 0;
   bool lose_limit_notices = false;
   // Whether new connections to engines that were killed time out.
   bool lost_machines_time_out = false;
@@ -908,6 +910,45 @@
     });
   }
 
+  void Perform(std::size_t index, const ClaimRunLock& ask) {
+    const std::size_t owner = std::stoul(ask.owner.value());
+    RunLockClaim claim = ask.claim;
+    claim.id = RunLockClaimId(++last_run_lock_claim_);
+    run_lock_claims_[claim.id] = {index, nodes_[index].run, ask.claim};
+    ++run_lock_claims;
+    Schedule(claim.wait + Duration::Millis(500), [this, id = claim.id] {
+      Perform(0, AnswerRunLockClaim{id, {}});
+    });
+    Schedule(kNetworkDelay, [this, owner, run = nodes_[owner].run, claim] {
+      RunAtNode(owner, run, [&](GatewayCore& core) {
+        return core.OnRunLockClaim(now_, claim);
+      });
+    });
+  }
+
+  void Perform(std::size_t /*index*/, const AnswerRunLockClaim& answer) {
+    const auto found = run_lock_claims_.find(answer.id);
+    if (found == run_lock_claims_.end()) {
+      return;
+    }
+    const PendingRunLockClaim pending = found->second;
+    run_lock_claims_.erase(found);
+    Schedule(kNetworkDelay, [this, pending, reply = answer.reply] {
+      RunAtNode(pending.node, pending.run, [&](GatewayCore& core) {
+        return core.OnRunLockReply(now_, pending.claim, reply);
+      });
+    });
+  }
+
+  void Perform(std::size_t /*index*/, const ReleaseRunLock& release) {
+    const std::size_t owner = std::stoul(release.owner.value());
+    Schedule(kNetworkDelay, [this, owner, run = nodes_[owner].run, release] {
+      RunAtNode(owner, run, [&](GatewayCore& core) {
+        return core.OnRunLockRelease(now_, release.release);
+      });
+    });
+  }
+
   void Perform(std::size_t index, const QueryReach& ask) {
     const std::size_t other = std::stoul(ask.address.value());
     ++reach_queries;
@@ -1544,6 +1585,14 @@
   };
   std::map<ChangesRequestId, PendingChangesRequest> pending_changes_requests_;
   std::int64_t last_changes_request_ = 0;
+  // A node's pending claim of a run lock.
+  struct PendingRunLockClaim {
+    std::size_t node;
+    int run;
+    RunLockClaim claim;
+  };
+  std::map<RunLockClaimId, PendingRunLockClaim> run_lock_claims_;
+  std::int64_t last_run_lock_claim_ = 0;
   std::int64_t last_request_id_ = 0;
   std::int64_t last_attempt_number_ = 0;
   std::int64_t last_content_ = 0;
--- a/tests/support/overload_simulation.h
+++ b/tests/support/overload_simulation.h
@@ -151,6 +151,7 @@
                      {.selector = &selector,
                       .budget = &budget,
                       .crash_guard = &crash_guard,
+                      .run_locks = &run_locks,
                       .relays = &relays,
                       .reachability = &reachability},
                      random,
@@ -169,6 +170,7 @@
                            {},
                            SeededRandom(4),
                            DiscardEvents()};
+    RunLockClient run_locks{{}, [](Fingerprint) { return Address(); }};
     RelaySelector relays{{}, ZoneId("z"), SeededRandom(5)};
     ReachabilityMonitor reachability{{}, DiscardEvents()};
     ForwardController controller;
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -114,6 +114,11 @@
   void ServeProgressQuery(const StallNotice& group, HttpResponder& responder);
   void ServeLimitNotice(const HttpRequest& request, HttpResponder& responder);
   void ServeCrashNotices(const HttpRequest& request, HttpResponder& responder);
+  // Held until the lock is granted or the claim's wait has expired.
+  void ServeRunLockClaim(const HttpRequest& request,
+                         const std::shared_ptr<HttpResponder>& responder);
+  void ServeRunLockRelease(const HttpRequest& request,
+                           HttpResponder& responder);
   void ServeReachQuery(HttpResponder& responder);
   void ServeBlocks(HttpResponder& responder);
   void ServeEvacuations(HttpResponder& responder);
@@ -133,6 +138,9 @@
   void Execute(const SendGroupOrder& action);
   void Execute(const ProbeEngine& action);
   void Execute(const NotifyCrashes& action);
+  void Execute(const ClaimRunLock& action);
+  void Execute(const ReleaseRunLock& action);
+  void Execute(const AnswerRunLockClaim& action);
   void Execute(const QueryReach& action);
   void Execute(const CheckEndpoint& action);
   void Execute(const ContinueForward& action);
@@ -160,6 +168,10 @@
   std::unordered_map<ChangesRequestId, std::shared_ptr<HttpResponder>>
       pending_change_requests_;
   ChangesRequestId last_change_request_id_;
+  // Pending claims of other nodes.
+  std::unordered_map<RunLockClaimId, std::shared_ptr<HttpResponder>>
+      pending_run_lock_claims_;
+  RunLockClaimId last_run_lock_claim_id_;
   // The configuration version of the caller limits in force.
   ConfigurationVersion caller_limits_version_;
   StoreHealthMonitor store_health_{LogStoreHealth};
--- a/transport/gateway/gateway_runtime_peers.cc
+++ b/transport/gateway/gateway_runtime_peers.cc
@@ -20,6 +20,8 @@
 constexpr std::string_view kProgressPath = "/v1/progress";
 constexpr std::string_view kLimitPath = "/v1/endpoint_limit";
 constexpr std::string_view kCrashPath = "/v1/crash_notice";
+constexpr std::string_view kRunLockClaimPath = "/v1/run_lock/claim";
+constexpr std::string_view kRunLockReleasePath = "/v1/run_lock/release";
 constexpr std::string_view kReachPath = "/v1/reach";
 constexpr std::string_view kBlocksPath = "/v1/blocks";
 constexpr std::string_view kEvacuationsPath = "/v1/evacuations";
@@ -74,6 +76,14 @@
     ServeCrashNotices(request, *responder);
     return;
   }
+  if (path == kRunLockClaimPath) {
+    ServeRunLockClaim(request, responder);
+    return;
+  }
+  if (path == kRunLockReleasePath) {
+    ServeRunLockRelease(request, *responder);
+    return;
+  }
   if (path == kReachPath) {
     ServeReachQuery(*responder);
     return;
@@ -181,6 +191,35 @@
   Execute(parts_.core->OnCrashNotices(Now(), ValueOf(notices)));
 }
 
+void GatewayRuntime::ServeRunLockClaim(
+    const HttpRequest& request,
+    const std::shared_ptr<HttpResponder>& responder) {
+  auto claim = DecodeRunLockClaim(request.body);
+  if (!IsOk(claim)) {
+    LogEvent(LogSeverity::kWarning, "peer_message_malformed",
+             {{"field", ErrorOf(claim).field}});
+    responder->Respond({kBadRequest, {}, {}});
+    return;
+  }
+  ++last_run_lock_claim_id_;
+  ValueOf(claim).id = last_run_lock_claim_id_;
+  pending_run_lock_claims_[last_run_lock_claim_id_] = responder;
+  Execute(parts_.core->OnRunLockClaim(Now(), ValueOf(claim)));
+}
+
+void GatewayRuntime::ServeRunLockRelease(const HttpRequest& request,
+                                         HttpResponder& responder) {
+  const auto release = DecodeRunLockRelease(request.body);
+  if (!IsOk(release)) {
+    LogEvent(LogSeverity::kWarning, "peer_message_malformed",
+             {{"field", ErrorOf(release).field}});
+    responder.Respond({kBadRequest, {}, {}});
+    return;
+  }
+  responder.Respond({kNoContent, {}, {}});
+  Execute(parts_.core->OnRunLockRelease(Now(), ValueOf(release)));
+}
+
 void GatewayRuntime::ServeRelayed(
     HttpRequest request,
     const std::shared_ptr<HttpResponder>& responder) {
@@ -362,6 +401,53 @@
                      [](const Result<HttpResponse, HttpFailure>&) {});
 }
 
+void GatewayRuntime::Execute(const ClaimRunLock& action) {
+  HttpRequest request{"POST",
+                      std::string(kRunLockClaimPath),
+                      {{"Content-Type", "application/json"}},
+                      EncodeRunLockClaim(action.claim)};
+  peer_client_.Fetch(
+      action.owner, std::move(request),
+      OptionsWithTimeout(action.claim.wait + settings_.peer_timeout),
+      [this,
+       claim = action.claim](const Result<HttpResponse, HttpFailure>& answer) {
+        RunLockReply reply;
+        if (IsOk(answer) && ValueOf(answer).status == kOk) {
+          auto decoded = DecodeRunLockReply(ValueOf(answer).body);
+          if (IsOk(decoded)) {
+            reply = std::move(ValueOf(decoded));
+          } else {
+            LogEvent(LogSeverity::kWarning, "peer_message_malformed",
+                     {{"field", ErrorOf(decoded).field}});
+          }
+        }
+        Execute(parts_.core->OnRunLockReply(Now(), claim, reply));
+      });
+}
+
+void GatewayRuntime::Execute(const ReleaseRunLock& action) {
+  HttpRequest request{"POST",
+                      std::string(kRunLockReleasePath),
+                      {{"Content-Type", "application/json"}},
+                      EncodeRunLockRelease(action.release)};
+  // A lock that was not released expires.
+  peer_client_.Fetch(action.owner, std::move(request),
+                     OptionsWithTimeout(settings_.peer_timeout),
+                     [](const Result<HttpResponse, HttpFailure>&) {});
+}
+
+void GatewayRuntime::Execute(const AnswerRunLockClaim& action) {
+  const auto claim = pending_run_lock_claims_.find(action.id);
+  if (claim == pending_run_lock_claims_.end()) {
+    return;
+  }
+  const std::shared_ptr<HttpResponder> responder = claim->second;
+  pending_run_lock_claims_.erase(claim);
+  responder->Respond({kOk,
+                      {{"Content-Type", "application/json"}},
+                      EncodeRunLockReply(action.reply)});
+}
+
 void GatewayRuntime::Execute(const QueryReach& action) {
   peer_client_.Fetch(
       action.address, {"GET", std::string(kReachPath), {}, {}},
