gateway: a planned stop takes only what it can finish, and answers the rest

Another operator saw: in a planned stop of one node requests that came late in the grace were taken, and cut without an answer at its end, among them requests that may not be repeated (LOST).

Cause: requests were taken until 2.9 s after SIGTERM whatever the grace, and the process ended 0.6 s before its end with whatever was open. Bytes that callers had not read yet did not count as open.

Change: a node that stops refuses a request at once if neither its time limit nor the longest run of its service of late ends before the grace does; the same holds for further attempts. Requests are taken in the first half of a short grace. At the end each open request gets an answer: 503 if it did not run, else the unknown outcome. Unsent bytes and requests that are being read keep the process until half of the margin is left.

--- a/coordination/coordination.h
+++ b/coordination/coordination.h
@@ -23,6 +23,7 @@
 #include "coordination/gateway/crash_guard.h"
 #include "coordination/gateway/crash_records.h"
 #include "coordination/gateway/deferral_policy.h"
+#include "coordination/gateway/draining/run_time_log.h"
 #include "coordination/gateway/endpoint_holds.h"
 #include "coordination/gateway/endpoint_limits.h"
 #include "coordination/gateway/endpoint_report.h"
--- a/coordination/gateway/forward_controller.cc
+++ b/coordination/gateway/forward_controller.cc
@@ -23,7 +23,8 @@
       deferral_policy_(settings.deferral),
       returning_callers_(settings.overload.returning_callers),
       ranked_admission_(settings.deferral, settings.overload.ranked_admission),
-      customer_shares_(settings.overload.customer_shares) {}
+      customer_shares_(settings.overload.customer_shares),
+      run_times_(settings.run_times) {}
 
 ForwardAdmission ForwardController::OnArrived(
     Time now,
@@ -110,6 +111,9 @@
                          open_request.route->time_limit),
                      open_request.route->time_limit);
   open_request.service = ChooseService(*open_request.route);
+  if (!FitsIntoDrain(now, open_request)) {
+    return Refuse(now, open_request, RefusalKind::kDraining);
+  }
   AddSuspects(open_request);
   open_request.max_runs = open_request.route->max_attempts;
   const std::optional<RelayTerms>& relay = open_request.request.relay;
@@ -334,6 +338,7 @@
   switch (end.kind) {
     case ForwardEndKind::kSucceeded:
       ReportHarmless(now, open_request);
+      RecordRunTime(now, open_request);
       return PassAnswer{};
     case ForwardEndKind::kEndpointFailed: {
       ++open_request.possible_runs;
@@ -426,6 +431,10 @@
   if (now + settings_.min_time_left >= open_request.deadline) {
     return RefusalKind::kDeadline;
   }
+  // A stream that has begun is worth each further event.
+  if (!end.delivered && !FitsIntoDrain(now, open_request)) {
+    return RefusalKind::kDraining;
+  }
   // A trial is one attempt, and any other request stops after the crash that
   // makes trials necessary.
   const bool may_send =
--- a/coordination/gateway/forward_controller.h
+++ b/coordination/gateway/forward_controller.h
@@ -13,6 +13,7 @@
 
 #include "coordination/gateway/crash_guard.h"
 #include "coordination/gateway/deferral_policy.h"
+#include "coordination/gateway/draining/run_time_log.h"
 #include "coordination/gateway/endpoint_report.h"
 #include "coordination/gateway/forward_request.h"
 #include "coordination/gateway/overload/deferral_reason.h"
@@ -29,6 +30,7 @@
 namespace gcw {
 
 struct ForwardControllerSettings {
+  RunTimeLogSettings run_times;
   // A request is not retried with less time left: even a short answer would
   // come too late.
   Duration min_time_left = Duration::Millis(60);
@@ -158,6 +160,12 @@
 
   void SetNodeCount(std::size_t nodes);
 
+  // The node stops: requests that may not be finished by `end` are refused.
+  void BeginDrain(Time end) { drain_end_ = end; }
+  // Ends all open requests, which can no longer be finished, and returns their
+  // final steps.
+  std::vector<std::pair<ForwardId, ForwardStep>> EndAll(Time now);
+
   std::size_t open_requests() const { return open_requests_.size(); }
   // Number of open requests that were passed on to other nodes.
   std::size_t relayed_requests() const { return relayed_.size(); }
@@ -331,6 +339,12 @@
                               ForwardId id,
                               OpenRequest& open_request);
   void Remove(ForwardId id);
+  // Whether the request is expected to be finished before the node ends.
+  bool FitsIntoDrain(Time now, const OpenRequest& open_request) const;
+  // Remembers how long the request took.
+  void RecordRunTime(Time now, const OpenRequest& open_request);
+  // Ends the request, whose attempt may run.
+  ForwardStep EndUnfinished(Time now, OpenRequest& open_request);
   // Tells the reachability monitor how an attempt ended.
   void ReportReachability(Time now,
                           const OpenRequest& open_request,
@@ -451,6 +465,9 @@
   // Requests that wait for a place at an endpoint after their streams broke.
   std::set<ForwardId> resuming_;
   std::size_t accepted_relays_ = 0;
+  RunTimeLog run_times_;
+  // When a node that stops ends its open requests; absent if it does not stop.
+  std::optional<Time> drain_end_;
   ForwardId last_id_;
 };
 
--- a/coordination/gateway/forward_controller_relays.cc
+++ b/coordination/gateway/forward_controller_relays.cc
@@ -138,6 +138,7 @@
   switch (end.kind) {
     case ForwardEndKind::kSucceeded:
       ReportHarmless(now, open_request);
+      RecordRunTime(now, open_request);
       return PassAnswer{};
     case ForwardEndKind::kEndpointFailed:
       // The other node has tried further endpoints.
--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -438,21 +438,43 @@
   }
   stop_requested_at_ = now;
   events_({EventKind::kNodeDraining, settings_.self.id.value(), {}, {}});
+  forwards_.BeginDrain(now + DrainPeriod());
   NodeRecord record = settings_.self;
   record.leaving = true;
   Apply(GatewayModule::kLease, lease_.SetRecord(now, std::move(record)));
 }
 
+Duration GatewayCore::DrainMargin() const {
+  return std::min(settings_.stop_margin, settings_.stop_grace_period / 4);
+}
+
+Duration GatewayCore::DrainPeriod() const {
+  return settings_.stop_grace_period - DrainMargin();
+}
+
+bool GatewayCore::is_drain_over(Time now) const {
+  return stop_requested_at_ && now - *stop_requested_at_ >= DrainPeriod();
+}
+
+bool GatewayCore::is_grace_over(Time now) const {
+  return stop_requested_at_ &&
+         now - *stop_requested_at_ >= DrainPeriod() + DrainMargin() / 2;
+}
+
 bool GatewayCore::is_drain_complete(Time now) const {
-  if (!stop_requested_at_) {
-    return false;
-  }
-  const Duration elapsed = now - *stop_requested_at_;
-  return elapsed >= settings_.stop_grace_period - settings_.stop_margin ||
-         (elapsed >= settings_.min_drain_time &&
+  return is_drain_over(now) ||
+         (stop_requested_at_ &&
+          now - *stop_requested_at_ >= settings_.min_drain_time &&
           forwards_.open_requests() == 0);
 }
 
+GatewayActions GatewayCore::EndOpenRequests(Time now) {
+  for (auto& [id, step] : forwards_.EndAll(now)) {
+    actions_.emplace_back(EndForward{id, std::move(step)});
+  }
+  return TakeRequestActions(now);
+}
+
 ForwardAdmission GatewayCore::OnArrived(Time now, ForwardRequest request) {
   if (!traffic_seen_) {
     traffic_seen_ = true;
@@ -471,7 +493,8 @@
 
 bool GatewayCore::refuses_callers(Time now) const {
   return stop_requested_at_ &&
-         now - *stop_requested_at_ >= settings_.drain_accept_period;
+         now - *stop_requested_at_ >=
+             std::min(settings_.drain_accept_period, DrainPeriod() / 2);
 }
 
 RouteExplanation GatewayCore::ExplainRoute(Time now,
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -129,7 +129,8 @@
   Duration min_drain_time = Duration::Millis(3200);
   // The platform kills a node this long after it told it to stop.
   Duration stop_grace_period = Duration::Seconds(8);
-  // The part of the grace period that is reserved for sending the last answers.
+  // The part of the grace period that is reserved for sending the last answers;
+  // at most a quarter of it.
   Duration stop_margin = Duration::Millis(600);
 };
 
@@ -211,6 +212,11 @@
   ForwardId id;
   ForwardStep step;
 };
+// Ends the request, whose attempt may run, with a final step.
+struct EndForward {
+  ForwardId id;
+  ForwardStep step;
+};
 // The request's attempt is silent: a second one may start beside it, see
 // GatewayCore::StartSecondAttempt.
 struct HedgeForward {
@@ -241,6 +247,7 @@
                                    AnswerRunLockClaim,
                                    QueryReach,
                                    ContinueForward,
+                                   EndForward,
                                    SendGroupOrder,
                                    ProbeEngine,
                                    HedgeForward,
@@ -390,6 +397,13 @@
   bool stopping() const { return stop_requested_at_.has_value(); }
   // Whether a planned stop is complete, so that the process may end.
   bool is_drain_complete(Time now) const;
+  // Whether the open requests of a planned stop have to be ended, so that their
+  // callers get an answer before the process ends.
+  bool is_drain_over(Time now) const;
+  // Whether the process has to end now.
+  bool is_grace_over(Time now) const;
+  // Ends all open requests; EndForward performs their final steps.
+  GatewayActions EndOpenRequests(Time now);
   std::size_t open_requests() const { return forwards_.open_requests(); }
   std::size_t limited_endpoints() const {
     return selector_.limited_endpoints();
@@ -514,6 +528,9 @@
   // Checks whether this node reaches the endpoints, and asks other nodes.
   void UpdateReachability(Time now);
   void OnReachabilityChanged(bool was_cut);
+  // The time of a planned stop in which requests may be finished.
+  Duration DrainPeriod() const;
+  Duration DrainMargin() const;
   // Whether a planned stop has gone on for so long that callers are refused.
   bool refuses_callers(Time now) const;
   // Why this node accepts no requests of other nodes; absent if it does.
--- a/tests/programs/gateway_endless_test.cc
+++ b/tests/programs/gateway_endless_test.cc
@@ -12,9 +12,8 @@
 #include <thread>
 #include <vector>
 
-#include "programs/gcw_standin/platform_documents.h"
 #include "tests/support/gateway_path.h"
-#include "tests/transport/raw_peer.h"
+#include "tests/support/scripted_endpoints.h"
 
 namespace gcw {
 namespace {
@@ -44,10 +43,6 @@
     // The endpoints end once nobody is connected to them.
     fleet_.Signal("gw-1", SIGKILL);
     fleet_.Signal("gw-2", SIGKILL);
-    stop_ = true;
-    if (registrar_.joinable()) {
-      registrar_.join();
-    }
   }
 
   // Adds an endpoint that answers each request with `begin`, and with `again`
@@ -55,46 +50,16 @@
   void AddEndless(const std::string& begin,
                   const std::string& again,
                   std::chrono::milliseconds pause) {
-    servers_.push_back(std::make_unique<ScriptedServer>(
-        [this, begin, again, pause](RawPeer& peer, int) {
-          if (peer.ReadHead().empty() || !peer.Send(begin)) {
-            return;
-          }
-          ++answers_;
-          while (peer.Send(again)) {
-            std::this_thread::sleep_for(pause);
-          }
-        }));
-    VmRegistration registration;
-    registration.id = VmId("endless-" + std::to_string(servers_.size()));
-    registration.service = ServiceId("desk");
-    registration.zone = ZoneId("zone-1");
-    registration.slots = 6;
-    registration.address =
-        Address("127.0.0.1:" + std::to_string(servers_.back()->port()));
-    registrations_.push_back(registration);
-  }
-
-  // Registers the endpoints, and again before their registrations expire.
-  void Register() {
-    RegisterOnce();
-    registrar_ = std::thread([this] {
-      while (!stop_) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(500));
-        RegisterOnce();
+    endpoints_.Add([this, begin, again, pause](RawPeer& peer, int) {
+      if (peer.ReadHead().empty() || !peer.Send(begin)) {
+        return;
+      }
+      ++answers_;
+      while (peer.Send(again)) {
+        std::this_thread::sleep_for(pause);
       }
     });
   }
-  void RegisterOnce() {
-    for (const VmRegistration& registration : registrations_) {
-      const auto answer =
-          Call(store_, {"POST",
-                        "/standin/register?vm=" + registration.id.value(),
-                        {},
-                        EncodeRegistrationEntry(registration)});
-      EXPECT_TRUE(IsOk(answer) && ValueOf(answer).status == 200);
-    }
-  }
 
   // Sends requests from all callers at once; returns the number of those that
   // were not served.
@@ -126,7 +91,7 @@
   // Returns the number of requests that were not served.
   int ExpectLittleMemory() {
     [[maybe_unused]] const std::int64_t before = PeakMemoryKb();
-    Register();
+    endpoints_.Register();
     const int unserved = CountUnserved();
     EXPECT_GT(answers_, 0);
 // The shadow memory of ThreadSanitizer is many times larger.
@@ -137,10 +102,8 @@
   }
 
   std::atomic<int> answers_ = 0;
-  std::vector<std::unique_ptr<ScriptedServer>> servers_;
-  std::vector<VmRegistration> registrations_;
-  std::thread registrar_;
-  std::atomic<bool> stop_ = false;
+  ScriptedEndpoints endpoints_{
+      [this](HttpRequest request) { return Call(store_, std::move(request)); }};
 };
 
 // Guards against bodies without end that take all memory of a gateway.
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -978,6 +978,18 @@
     Take(index, next.id, waiting.request, next.step, waiting.events);
   }
 
+  void Perform(std::size_t index, const EndForward& ended) {
+    waiting_.erase({index, ended.id});
+    for (auto it = streams_.begin(); it != streams_.end(); ++it) {
+      if (it->node == index && it->id == ended.id) {
+        const SimulatedRequest request = it->request;
+        streams_.erase(it);
+        Finish(request, index, ended.step);
+        return;
+      }
+    }
+  }
+
   // Time until the engine's process answers again.
   Duration StopTime(const Engine& engine) const {
     return engine.alive && engine.is_stopped_in_pause
--- a/tests/transport/raw_peer.h
+++ b/tests/transport/raw_peer.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_TRANSPORT_RAW_PEER_H_
 #define TESTS_TRANSPORT_RAW_PEER_H_
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -55,6 +56,16 @@
   }
   // Reads the head of a message, without its body.
   std::string ReadHead() { return ReadUntil("\r\n\r\n"); }
+  // Returns fewer bytes if the connection ends.
+  std::string ReadExactly(std::size_t size) {
+    boost::system::error_code error;
+    if (unread_.size() < size) {
+      boost::asio::read(socket_, boost::asio::dynamic_buffer(unread_),
+                        boost::asio::transfer_exactly(size - unread_.size()),
+                        error);
+    }
+    return ConsumeUnread(std::min(size, unread_.size()));
+  }
   void CloseSending() {
     boost::system::error_code error;
     socket_.shutdown(Tcp::socket::shutdown_send, error);
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -387,6 +387,13 @@
   }
 }
 
+void ForwardExchange::End(const ForwardStep& step) {
+  if (!finished_) {
+    Cancel(attempt_);
+    PerformStep(step);
+  }
+}
+
 ForwardEnd ForwardExchange::MakeEnd(const Attempt& attempt,
                                     ForwardEndKind kind) const {
   ForwardEnd end;
--- a/transport/gateway/forward_exchange.h
+++ b/transport/gateway/forward_exchange.h
@@ -99,6 +99,8 @@
   void StartSecondAttempt();
   // Performs the step that ends the request's wait.
   void Continue(const ForwardStep& step);
+  // Abandons the running attempts and performs the final step.
+  void End(const ForwardStep& step);
 
  private:
   struct Attempt {
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -151,20 +151,43 @@
   parts_.metrics->accepted_relays.Set(
       static_cast<std::int64_t>(parts_.core->accepted_relays()));
   ApplyCallerLimits();
-  if (!parts_.core->is_drain_complete(Now())) {
+  if (!EndIfStopped()) {
+    ScheduleTick();
+  }
+}
+
+bool GatewayRuntime::EndIfStopped() {
+  const Time now = Now();
+  if (parts_.core->is_drain_over(now) &&
+      !std::exchange(open_requests_ended_, true)) {
+    LogEvent(LogSeverity::kWarning, "open_requests_ended",
+             {{"open_requests", static_cast<std::int64_t>(exchanges_.size())}});
+    Execute(parts_.core->EndOpenRequests(now));
+  }
+  if (!parts_.core->is_drain_complete(now) || HasBusyConnections()) {
     stop_completed_at_.reset();
   } else if (!stop_completed_at_) {
-    stop_completed_at_ = Now();
+    stop_completed_at_ = now;
   }
-  if (stop_completed_at_ &&
-      Now() - *stop_completed_at_ >= settings_.exit_delay && !stopped_) {
-    stopped_ = true;
-    LogEvent(LogSeverity::kInfo, "node_stopped",
-             {{"open_requests", static_cast<std::int64_t>(exchanges_.size())}});
-    parts_.context->stop();
-    return;
+  const bool is_quiet =
+      stop_completed_at_ && now - *stop_completed_at_ >= settings_.exit_delay;
+  if ((!is_quiet && !parts_.core->is_grace_over(now)) || stopped_) {
+    return stopped_;
   }
-  ScheduleTick();
+  stopped_ = true;
+  LogEvent(LogSeverity::kInfo, "node_stopped",
+           {{"open_requests", static_cast<std::int64_t>(exchanges_.size())},
+            {"busy_connections", HasBusyConnections()}});
+  parts_.context->stop();
+  return true;
+}
+
+bool GatewayRuntime::HasBusyConnections() const {
+  return std::any_of(servers_.begin(), servers_.end(), [](const auto& server) {
+    return (server.first == GatewayListener::kCallers ||
+            server.first == GatewayListener::kPeers) &&
+           server.second->has_busy_connections();
+  });
 }
 
 void GatewayRuntime::ApplyCallerLimits() {
@@ -379,6 +402,14 @@
   }
 }
 
+void GatewayRuntime::Execute(const EndForward& action) {
+  const auto found = exchanges_.find(action.id);
+  if (found != exchanges_.end()) {
+    const std::shared_ptr<ForwardExchange> exchange = found->second;
+    exchange->End(action.step);
+  }
+}
+
 void GatewayRuntime::Execute(const FailOverForward& action) {
   const auto found = exchanges_.find(action.id);
   if (found != exchanges_.end()) {
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -84,6 +84,11 @@
  private:
   void ScheduleTick();
   void Tick();
+  // Ends the process once a planned stop is complete. Returns whether it has.
+  bool EndIfStopped();
+  // Whether callers or other nodes have not been sent all of their answers, or
+  // are sending a request.
+  bool HasBusyConnections() const;
   // Applies the request limits of the operators' configuration to callers.
   void ApplyCallerLimits();
   bool ListenOn(GatewayListener listener,
@@ -144,6 +149,7 @@
   void Execute(const QueryReach& action);
   void Execute(const CheckEndpoint& action);
   void Execute(const ContinueForward& action);
+  void Execute(const EndForward& action);
   void Execute(const FailOverForward& action);
   void Execute(const HedgeForward& action);
   void Execute(const DropPooledConnections& action);
@@ -178,6 +184,7 @@
   // When a planned stop was first seen complete; unset while it is not.
   std::optional<Time> stop_completed_at_;
   bool stopped_ = false;
+  bool open_requests_ended_ = false;
 };
 
 }  // namespace gcw
--- a/transport/http_server.cc
+++ b/transport/http_server.cc
@@ -1,5 +1,6 @@
 #include "transport/http_server.h"
 
+#include <algorithm>
 #include <mutex>
 #include <utility>
 
@@ -159,6 +160,12 @@
   }
 }
 
+bool HttpServer::has_busy_connections() const {
+  const auto sessions = state_->connections->Sessions();
+  return std::any_of(sessions.begin(), sessions.end(),
+                     [](const auto& session) { return session->is_busy(); });
+}
+
 std::size_t HttpServer::open_connections() const {
   return state_->connections->open_connections();
 }
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -48,6 +48,9 @@
   // shortly after a response that promised to keep the connection open.
   void StopAccepting();
   std::size_t open_connections() const;
+  // Whether any connection has bytes to send, or has received a part of a
+  // request.
+  bool has_busy_connections() const;
 
  private:
   struct State;
--- a/transport/http_server_session.cc
+++ b/transport/http_server_session.cc
@@ -147,6 +147,7 @@
 void HttpServerSession::ParseRequest() {
   if (phase_ == Phase::kIdle) {
     phase_ = Phase::kReading;
+    is_reading_ = true;
     continue_sent_ = false;
     timer_.Set(server_->header_timeout());
     parser_.emplace();
@@ -184,6 +185,7 @@
 }
 
 void HttpServerSession::Dispatch() {
+  is_reading_ = false;
   auto message = parser_->release();
   parser_.reset();
   // A transfer coding other than chunked leaves the end of the body unknown.
@@ -214,6 +216,7 @@
 }
 
 void HttpServerSession::RespondError(HttpErrorKind kind) {
+  is_reading_ = false;
   timer_.Clear();
   parser_.reset();
   phase_ = Phase::kResponding;
@@ -371,6 +374,7 @@
     return;
   }
   phase_ = Phase::kClosed;
+  is_reading_ = false;
   timer_.Stop();
   parser_.reset();
   error_code error;
--- a/transport/http_server_session.h
+++ b/transport/http_server_session.h
@@ -1,6 +1,7 @@
 #ifndef TRANSPORT_HTTP_SERVER_SESSION_H_
 #define TRANSPORT_HTTP_SERVER_SESSION_H_
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -35,6 +36,9 @@
   void Close();
 
   HttpOutbox& outbox() { return outbox_; }
+  // Whether the connection has bytes to send, or has received a part of a
+  // request. May be called from any thread.
+  bool is_busy() const { return is_reading_ || outbox_.has_unsent_bytes(); }
 
  private:
   enum class Phase { kIdle, kReading, kResponding, kLingering, kClosed };
@@ -71,6 +75,7 @@
   std::string write_buffer_;
   std::size_t write_offset_ = 0;
   std::size_t lingered_bytes_ = 0;
+  std::atomic<bool> is_reading_ = false;
   bool read_waiting_ = false;
   bool write_waiting_ = false;
   bool eof_seen_ = false;
