platform: one odd entry of another writer hides no others and ends no node

By reading: numbers beyond 64 bits were converted to integers, ids that are no UTF-8 made the overview unreadable for all nodes, and one entry that cannot be read hid a whole answer of the store.

Change: addresses, slots, ids and times of a registration are checked, and entries of the store's answers are read one by one; what cannot be read is skipped, logged and counted in gcw_unreadable_entries, and counts once it is mended. A call with an overlong header fails instead of throwing.

HttpFramingTest.OverlongHeadersFailTheRequest is new.

--- a/coordination/gateway/fleet_view.cc
+++ b/coordination/gateway/fleet_view.cc
@@ -46,7 +46,9 @@
       MarkZoneChanged(*zone);
     }
   } else if (key.starts_with(kNodePrefix)) {
-    if (std::optional<NodeRecord> node = codec_.decode_node(entry.value)) {
+    std::optional<NodeRecord> node = codec_.decode_node(entry.value);
+    MarkReadable(entry.key, node.has_value());
+    if (node) {
       OnNode(NodeId(entry.key.substr(kNodePrefix.size())), *std::move(node));
     }
   } else if (key.starts_with(kRolePrefix)) {
@@ -57,6 +59,7 @@
 
 void FleetView::OnDeleted(Time now, const std::string& key) {
   const std::string_view view = key;
+  unreadable_keys_.erase(key);
   if (view.starts_with(codec_.vm_prefix)) {
     const VmId vm(key.substr(codec_.vm_prefix.size()));
     unreadable_vms_.erase(vm);
@@ -94,6 +97,7 @@
 void FleetView::OnConfiguration(const StoreEntry& entry) {
   std::optional<FleetConfiguration> decoded =
       codec_.decode_configuration(entry.value);
+  MarkReadable(entry.key, decoded.has_value());
   // If a document cannot be read, the last good one stays in force.
   if (!decoded) {
     return;
@@ -116,6 +120,7 @@
     return;
   }
   std::optional<FleetOverview> overview = codec_.decode_overview(entry.value);
+  MarkReadable(entry.key, overview.has_value());
   if (!overview) {
     return;
   }
@@ -176,6 +181,14 @@
   RemoveVm(vm);
 }
 
+void FleetView::MarkReadable(const std::string& key, bool is_readable) {
+  if (is_readable) {
+    unreadable_keys_.erase(key);
+  } else {
+    unreadable_keys_.insert(key);
+  }
+}
+
 void FleetView::OnNode(const NodeId& id, NodeRecord node) {
   RemoveNode(id);
   ++node_changes_;
--- a/coordination/gateway/fleet_view.h
+++ b/coordination/gateway/fleet_view.h
@@ -77,6 +77,11 @@
     return evacuated_zones_.Contains(vm.zone);
   }
 
+  // Number of entries that cannot be read.
+  std::size_t unreadable_entries() const {
+    return unreadable_vms_.size() + unreadable_keys_.size();
+  }
+
   // Returns the VMs that were registered, changed or removed since the last
   // call.
   std::set<VmId> TakeChangedVms();
@@ -99,6 +104,8 @@
   // Returns the data centre that the key evacuates, if it does.
   std::optional<ZoneId> EvacuatedBy(std::string_view key) const;
   void OnUnreadableRegistration(const VmId& vm);
+  // Remembers whether the entry can be read.
+  void MarkReadable(const std::string& key, bool is_readable);
   void OnNode(const NodeId& id, NodeRecord node);
   void RemoveNode(const NodeId& id);
   // Returns false if the VM was not known.
@@ -125,6 +132,8 @@
   // VMs whose entries cannot be decoded, for example because something else
   // overwrote them.
   std::set<VmId> unreadable_vms_;
+  // The same for other entries, by their keys.
+  std::set<std::string> unreadable_keys_;
   std::uint64_t node_changes_ = 0;
   std::uint64_t configuration_changes_ = 0;
 };
--- a/protocol/json_reader.cc
+++ b/protocol/json_reader.cc
@@ -66,6 +66,15 @@
   return number;
 }
 
+std::int64_t JsonReader::CountUpTo(std::string_view name, std::int64_t max) {
+  const std::int64_t number = Count(name);
+  if (number > max) {
+    Fail(CodecErrorKind::kOutOfRange, name);
+    return 0;
+  }
+  return number;
+}
+
 double JsonReader::Number(std::string_view name) {
   const boost::json::value& field = Field(name);
   if (const double* number = field.if_double()) {
@@ -113,6 +122,15 @@
   return Duration::Millis(Count(name));
 }
 
+Duration JsonReader::FractionalMillis(std::string_view name) {
+  const double millis = Number(name);
+  if (std::abs(millis) > static_cast<double>(kMaxInteger)) {
+    Fail(CodecErrorKind::kOutOfRange, name);
+    return Duration();
+  }
+  return Duration::Millis(std::llround(millis));
+}
+
 void JsonReader::Fail(CodecErrorKind kind, std::string_view name) {
   if (!*error_) {
     *error_ = CodecError{kind, FieldPath(name)};
--- a/protocol/json_reader.h
+++ b/protocol/json_reader.h
@@ -39,6 +39,8 @@
   std::int64_t Integer(std::string_view name);
   // Reads an integer that must not be negative.
   std::int64_t Count(std::string_view name);
+  // The same for an integer of at most `max`.
+  std::int64_t CountUpTo(std::string_view name, std::int64_t max);
   double Number(std::string_view name);
   bool Bool(std::string_view name);
   std::vector<std::string> Strings(std::string_view name);
@@ -56,6 +58,8 @@
 
   Time TimeMillis(std::string_view name);
   Duration DurationMillis(std::string_view name);
+  // Reads a number of milliseconds that may be a fraction.
+  Duration FractionalMillis(std::string_view name);
 
   template <typename Choice, std::size_t kSize>
   Choice Enum(std::string_view name, const ChoiceNames<Choice, kSize>& names) {
@@ -94,6 +98,31 @@
     return items;
   }
 
+  // The same without the items that cannot be read. `on_error(CodecError)` is
+  // called for each of these.
+  template <typename Read, typename OnError>
+  auto ReadableItems(std::string_view name, Read read, OnError on_error) {
+    using Item = decltype(read(std::declval<JsonReader&>()));
+    std::vector<Item> items;
+    const boost::json::array* array = Field(name).if_array();
+    if (array == nullptr) {
+      Fail(CodecErrorKind::kWrongType, name);
+      return items;
+    }
+    items.reserve(array->size());
+    for (const boost::json::value& value : *array) {
+      std::optional<CodecError> error;
+      JsonReader nested(value, FieldPath(name), error);
+      Item item = read(nested);
+      if (error) {
+        on_error(*error);
+      } else {
+        items.push_back(std::move(item));
+      }
+    }
+    return items;
+  }
+
   // True if the field exists and is not null.
   bool IsPresent(std::string_view name) const;
 
--- a/tests/transport/http_client_test.cc
+++ b/tests/transport/http_client_test.cc
@@ -13,6 +13,7 @@
 
 #include "tests/transport/io_threads.h"
 #include "tests/transport/raw_peer.h"
+#include "transport/http_framing.h"
 #include "transport/http_server.h"
 
 namespace gcw {
@@ -27,6 +28,17 @@
   return Address("127.0.0.1:" + std::to_string(port));
 }
 
+// Guards against an address or a header of another writer that ends the
+// process.
+TEST(HttpFramingTest, OverlongHeadersFailTheRequest) {
+  const std::string overlong(200000, 'x');
+  EXPECT_TRUE(EncodeRequest({"GET", "/", {{"A", "b"}}, {}}, "h"));
+  EXPECT_FALSE(EncodeRequest({"GET", "/", {}, {}}, overlong));
+  EXPECT_FALSE(EncodeRequest({"GET", "/", {{"A", overlong}}, {}}, "h"));
+  EXPECT_EQ(EncodeResponse({200, {{"A", overlong}}, {}}, {}).find("xx"),
+            std::string::npos);
+}
+
 class HttpClientTest : public ::testing::Test {
  protected:
   ~HttpClientTest() override { io_.Stop(); }
--- a/transport/gateway/gateway_metrics.cc
+++ b/transport/gateway/gateway_metrics.cc
@@ -196,6 +196,11 @@
           AddUnlabeledGauge(metrics_,
                             "gcw_evacuated_zones",
                             "Data centres whose endpoints get no requests.")),
+      unreadable_entries(AddUnlabeledGauge(
+          metrics_,
+          "gcw_unreadable_entries",
+          "Entries of the key-value service that are skipped because they "
+          "cannot be read.")),
       cold_endpoints(AddUnlabeledGauge(
           metrics_,
           "gcw_cold_endpoints",
--- a/transport/gateway/gateway_metrics.h
+++ b/transport/gateway/gateway_metrics.h
@@ -76,6 +76,7 @@
   Gauge& retry_share_nodes;
   Gauge& age_ms;
   Gauge& evacuated_zones;
+  Gauge& unreadable_entries;
   Gauge& cold_endpoints;
   Gauge& cold_endpoint_senders;
 };
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -296,6 +296,8 @@
   parts_.metrics->age_ms.Set(parts_.core->Age(Now()).millis());
   parts_.metrics->evacuated_zones.Set(
       static_cast<std::int64_t>(parts_.core->Evacuations(Now()).size()));
+  parts_.metrics->unreadable_entries.Set(
+      static_cast<std::int64_t>(parts_.core->view().unreadable_entries()));
   parts_.metrics->RecordModelLoads(parts_.core->ModelLoads(Now()),
                                    parts_.core->rejected_with_room());
   parts_.metrics->cold_endpoints.Set(
--- a/transport/http_framing.cc
+++ b/transport/http_framing.cc
@@ -22,6 +22,13 @@
     "Keep-Alive", "Proxy-Connection", "TE",
     "Trailer",    "Transfer-Encoding"};
 
+// Beast throws if a header is longer than 64 KB.
+constexpr std::size_t kMaxHeaderBytes = 60UL * 1024;
+
+bool IsTooLong(const HttpHeader& header) {
+  return header.name.size() + header.value.size() > kMaxHeaderBytes;
+}
+
 bool IsControl(char c) {
   const auto byte = static_cast<unsigned char>(c);
   return (byte < 0x20 && c != '\t') || byte == 0x7f;
@@ -34,7 +41,7 @@
 }
 
 bool IsForwardable(const HttpHeader& header) {
-  return IsToken(header.name) &&
+  return IsToken(header.name) && !IsTooLong(header) &&
          std::ranges::none_of(header.value, IsControl) &&
          std::ranges::none_of(kFramingHeaders, [&](std::string_view name) {
            return boost::beast::iequals(name, header.name);
@@ -129,7 +136,9 @@
   const bool target_is_clean = std::ranges::none_of(request.target, [](char c) {
     return IsControl(c) || c == ' ' || c == '\t';
   });
-  if (!IsToken(request.method) || request.target.empty() || !target_is_clean) {
+  if (!IsToken(request.method) || request.target.empty() || !target_is_clean ||
+      host.size() > kMaxHeaderBytes ||
+      std::ranges::any_of(request.headers, IsTooLong)) {
     return std::nullopt;
   }
   http::request<http::empty_body> head;
--- a/transport/http_framing.h
+++ b/transport/http_framing.h
@@ -38,7 +38,8 @@
 std::string EncodeLastChunk(const ResponseFraming& framing);
 
 // Returns nullopt if the method or the target contains characters, such as a
-// line break, that would change the meaning of what follows.
+// line break, that would change the meaning of what follows, or if the host or
+// a header is too long.
 std::optional<std::string> EncodeRequest(const HttpRequest& request,
                                          const std::string& host);
 
