gateway: one account for the memory of all requests and unsent answers

Change: the platform's memory_mb is a setting (memory.limit_mb). Requests, a body twice because it is kept and sent, and unsent responses are counted for each listener: 35% of the memory for callers, 15% for other nodes. A request that finds no room is refused before it is read whole, with 503, Retry-After and a closed connection; accepted requests always get their answer. A caller that leaves 4 MB of a stream unread counts as gone. gcw_buffered_bytes and gcw_refused_for_memory show it.

--- a/programs/gcw_gateway/gateway_settings.cc
+++ b/programs/gcw_gateway/gateway_settings.cc
@@ -34,6 +34,9 @@
 // When a function is in use that some rule sets ask for.
 enum class FeatureSwitch { kAuto, kOn, kOff };
 
+constexpr double kBytesPerMb = 1024.0 * 1024;
+constexpr double kMinMemoryMb = 32;
+
 // The weight of a node that has a whole processor core; the lowest weight is 1.
 constexpr double kWeightPerCore = 100;
 
@@ -65,6 +68,7 @@
   FeatureSwitch overload = FeatureSwitch::kAuto;
   // The share of one processor core that the node has.
   double processor_share = 1;
+  double memory_limit_mb = 256;
 };
 
 void DeclareNode(GatewayProcessSettings& settings,
@@ -81,6 +85,9 @@
   reader.Add("node.processor_share", &raw.processor_share, kPlatformNumber,
              "Share of a processor core that the node has; nodes with a larger "
              "share are preferred as the keeper of groups.");
+  reader.Add("memory.limit_mb", &raw.memory_limit_mb, kPlatformNumber,
+             "Memory in MB that the node may use. Requests are refused before "
+             "messages take half of it; at least 32 MB are assumed.");
   reader.Add("listen.callers", &raw.callers, kAddressText,
              "\"ip:port\" for callers' requests.", SettingPresence::kRequired);
   reader.Add("listen.readiness", &raw.readiness, kAddressText,
@@ -459,6 +466,8 @@
           MakeSettingValueError(path, "peers.seeds", seed, "ip:port"));
     }
   }
+  settings.runtime.memory_limit = static_cast<std::size_t>(
+      std::max(kMinMemoryMb, raw.memory_limit_mb) * kBytesPerMb);
   settings.core.self.weight = std::max<std::int64_t>(
       1, std::llround(kWeightPerCore * raw.processor_share));
   settings.core.mirror.max_propagation_delay =
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -1,9 +1,11 @@
 #include "transport/http_server.h"
 
 #include <atomic>
+#include <chrono>
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -92,6 +94,60 @@
   EXPECT_EQ(handled_, 0);
 }
 
+// Guards against requests that each are within their limit and together take
+// all memory.
+TEST_F(HttpServerTest, RequestsBeyondTheMemoryAreRefusedUntilSomeHaveEnded) {
+  limits_.max_buffered_bytes = 100UL * 1024;
+  std::promise<Responder> first;
+  Serve([&first, this](const HttpRequest&, Responder responder) {
+    if (handled_ == 1) {
+      first.set_value(std::move(responder));
+    } else {
+      responder->Respond({200, {}, "later"});
+    }
+  });
+  const std::string body(40UL * 1024, 'x');
+  const std::string request =
+      "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  RawPeer holder(server_->port());
+  holder.Send(request);
+  Responder responder = first.get_future().get();
+  EXPECT_EQ(server_->buffered_bytes(), 2 * body.size());
+  const std::string refused = Exchange(request);
+  EXPECT_THAT(refused, StartsWith("HTTP/1.1 503 "));
+  EXPECT_THAT(refused, HasSubstr("Retry-After: 1\r\n"));
+  EXPECT_THAT(Exchange("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "a000\r\n" +
+                       body),
+              StartsWith("HTTP/1.1 503 "));
+  EXPECT_EQ(handled_, 1);
+  EXPECT_EQ(server_->out_of_memory(), 2);
+  responder->Respond({200, {}, "first"});
+  responder.reset();
+  EXPECT_THAT(holder.ReadToEnd(), HasSubstr("first"));
+  EXPECT_THAT(Exchange(request), HasSubstr("later"));
+}
+
+// Guards against responses that callers do not read and nobody counts.
+TEST_F(HttpServerTest, UnsentResponsesCount) {
+  limits_.max_buffered_bytes = 1024UL * 1024;
+  Serve([](const HttpRequest&, const Responder& responder) {
+    responder->Respond({200, {}, std::string(16UL * 1024 * 1024, 'x')});
+  });
+  RawPeer slow(server_->port());
+  slow.Send(kGet);
+  while (server_->buffered_bytes() < limits_.max_buffered_bytes) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  EXPECT_TRUE(server_->has_busy_connections());
+  EXPECT_THAT(Exchange(kGet), StartsWith("HTTP/1.1 503 "));
+  slow.Close();
+  while (server_->buffered_bytes() > 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
 TEST_F(HttpServerTest, TimesOutSlowRequests) {
   limits_.request_timeout = Duration::Millis(50);
   ServeEcho();
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -4,6 +4,7 @@
 
 #include "protocol/protocol.h"
 #include "transport/gateway/answer_framing.h"
+#include "transport/json_log.h"
 
 namespace gcw {
 namespace {
@@ -275,6 +276,14 @@
   }
   responder_->Write(std::move(events));
   last_event_ = attempt_.splitter->last_id();
+  if (responder_->unsent_bytes() > settings_.max_unsent_bytes) {
+    LogEvent(LogSeverity::kWarning, "caller_reads_too_slowly",
+             {{"request", request_id_.value()},
+              {"unsent_bytes",
+               static_cast<std::int64_t>(responder_->unsent_bytes())}});
+    responder_->Abort();
+    OnCallerGone();
+  }
 }
 
 void ForwardExchange::OnEnd(Attempt& attempt) {
--- a/transport/gateway/forward_exchange.h
+++ b/transport/gateway/forward_exchange.h
@@ -32,9 +32,8 @@
   double body_time_share = 0.5;
   // The same for the time until an answer that has begun has its head.
   Duration head_timeout = Duration::Seconds(1);
-  // Not used. A limit on the bytes queued for a caller, above which the
-  // stream's endpoint is not read.
-  std::size_t max_unsent_bytes = 256UL * 1024;
+  // A caller that leaves more bytes of its stream unread counts as gone.
+  std::size_t max_unsent_bytes = 4UL * 1024 * 1024;
 };
 
 // The final outcome of a request for its caller.
--- a/transport/gateway/gateway_metrics.cc
+++ b/transport/gateway/gateway_metrics.cc
@@ -201,6 +201,15 @@
           "gcw_unreadable_entries",
           "Entries of the key-value service that are skipped because they "
           "cannot be read.")),
+      buffered_bytes(AddUnlabeledGauge(
+          metrics_,
+          "gcw_buffered_bytes",
+          "Bytes of requests, of answers that are buffered and of unsent "
+          "responses.")),
+      refused_for_memory(AddUnlabeledGauge(
+          metrics_,
+          "gcw_refused_for_memory",
+          "Requests that were refused because there was no memory for them.")),
       cold_endpoints(AddUnlabeledGauge(
           metrics_,
           "gcw_cold_endpoints",
--- a/transport/gateway/gateway_metrics.h
+++ b/transport/gateway/gateway_metrics.h
@@ -77,6 +77,8 @@
   Gauge& age_ms;
   Gauge& evacuated_zones;
   Gauge& unreadable_entries;
+  Gauge& buffered_bytes;
+  Gauge& refused_for_memory;
   Gauge& cold_endpoints;
   Gauge& cold_endpoint_senders;
 };
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -25,6 +25,23 @@
              : ProbeResult::kConnected;
 }
 
+// Returns the part of the process's memory for requests and unsent responses of
+// the listener. The rest is for buffered answers of endpoints, for what the
+// node knows, and for bytes in the kernel, which count too.
+std::size_t MaxBufferedBytes(GatewayListener listener, std::size_t memory) {
+  switch (listener) {
+    case GatewayListener::kCallers:
+      return memory / 100 * 35;
+    case GatewayListener::kPeers:
+      return memory / 100 * 15;
+    case GatewayListener::kReadiness:
+    case GatewayListener::kEntries:
+    case GatewayListener::kMetrics:
+      break;
+  }
+  return memory / 100;
+}
+
 }  // namespace
 
 HttpCallOptions GatewayRuntime::OptionsWithTimeout(Duration limit) {
@@ -52,7 +69,8 @@
       peer_client_(*parts_.context),
       answer_memory_(std::make_shared<AnswerMemory>(
           settings_.exchange.buffer_allowance,
-          settings_.exchange.max_total_buffered_bytes)),
+          std::min(settings_.exchange.max_total_buffered_bytes,
+                   settings_.memory_limit / 8))),
       timer_(*parts_.context) {}
 
 std::optional<GatewayListenError> GatewayRuntime::Listen() {
@@ -101,6 +119,8 @@
                               std::optional<GatewayListenError>& error) {
   HttpServerLimits limits;
   limits.max_connections = connection_limit;
+  limits.max_buffered_bytes =
+      MaxBufferedBytes(listener, settings_.memory_limit);
   auto listening =
       HttpServer::Listen(*parts_.context, listen_address.ip,
                          listen_address.port, limits, std::move(handler));
@@ -296,6 +316,14 @@
   parts_.metrics->age_ms.Set(parts_.core->Age(Now()).millis());
   parts_.metrics->evacuated_zones.Set(
       static_cast<std::int64_t>(parts_.core->Evacuations(Now()).size()));
+  std::size_t buffered_bytes = answer_memory_->taken();
+  std::int64_t out_of_memory = 0;
+  for (const auto& [listener, server] : servers_) {
+    buffered_bytes += server->buffered_bytes();
+    out_of_memory += server->out_of_memory();
+  }
+  parts_.metrics->buffered_bytes.Set(static_cast<std::int64_t>(buffered_bytes));
+  parts_.metrics->refused_for_memory.Set(out_of_memory);
   parts_.metrics->unreadable_entries.Set(
       static_cast<std::int64_t>(parts_.core->view().unreadable_entries()));
   parts_.metrics->RecordModelLoads(parts_.core->ModelLoads(Now()),
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -42,6 +42,8 @@
   // If the IP address is empty, no metrics are served.
   GatewayListenAddress metrics;
   std::size_t max_caller_connections = 2500;
+  // The memory that the process may use.
+  std::size_t memory_limit = 256UL * 1024 * 1024;
   ForwardExchangeSettings exchange;
 };
 
--- a/transport/http_error.cc
+++ b/transport/http_error.cc
@@ -30,6 +30,10 @@
     case HttpErrorKind::kTooManyConnections:
       return {503, "too_many_connections",
               "Too many connections; ask /v1/entries for another address."};
+    case HttpErrorKind::kOutOfMemory:
+      return {503, "out_of_memory",
+              "The node has no memory for the request, which was not run; ask "
+              "another one."};
     case HttpErrorKind::kNoAnswer:
       return {500, "internal", "The request was given up without an answer."};
   }
@@ -61,7 +65,12 @@
 
 HttpResponse MakeErrorResponse(HttpErrorKind kind) {
   const ErrorInfo info = InfoFor(kind);
-  return MakeErrorResponse(info.status, info.type, info.message);
+  HttpResponse response =
+      MakeErrorResponse(info.status, info.type, info.message);
+  if (kind == HttpErrorKind::kOutOfMemory) {
+    response.headers.push_back({"Retry-After", "1"});
+  }
+  return response;
 }
 
 }  // namespace gcw
--- a/transport/http_error.h
+++ b/transport/http_error.h
@@ -16,6 +16,8 @@
   kBodyTooLarge,
   kHeadersTooLarge,
   kTooManyConnections,
+  // All messages together take as much memory as the server may use.
+  kOutOfMemory,
   // The handler released the request without a response.
   kNoAnswer,
 };
--- a/transport/http_outbox.cc
+++ b/transport/http_outbox.cc
@@ -136,9 +136,9 @@
   return response_id == response_id_ ? unsent_ : 0;
 }
 
-bool HttpOutbox::has_unsent_bytes() const {
+std::size_t HttpOutbox::unsent_bytes() const {
   const std::lock_guard lock(mutex_);
-  return unsent_ > 0;
+  return unsent_;
 }
 
 std::function<void()> HttpOutbox::SetCallerGoneHook(
--- a/transport/http_outbox.h
+++ b/transport/http_outbox.h
@@ -53,7 +53,7 @@
   void OnResponderReleased(std::uint64_t response_id);
   std::size_t unsent_bytes(std::uint64_t response_id) const;
   // The same for all responses. May be called from any thread.
-  bool has_unsent_bytes() const;
+  std::size_t unsent_bytes() const;
   // Sets the hook to call when the caller goes away. If the caller has already
   // gone, the hook is returned, to be called at once.
   std::function<void()> SetCallerGoneHook(std::uint64_t response_id,
--- a/transport/http_server.cc
+++ b/transport/http_server.cc
@@ -166,6 +166,14 @@
                      [](const auto& session) { return session->is_busy(); });
 }
 
+std::size_t HttpServer::buffered_bytes() const {
+  return state_->connections->buffered_bytes();
+}
+
+std::int64_t HttpServer::out_of_memory() const {
+  return state_->connections->out_of_memory();
+}
+
 std::size_t HttpServer::open_connections() const {
   return state_->connections->open_connections();
 }
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -48,6 +48,10 @@
   // shortly after a response that promised to keep the connection open.
   void StopAccepting();
   std::size_t open_connections() const;
+  // Bytes of requests and of unsent responses of all connections.
+  std::size_t buffered_bytes() const;
+  // Number of requests that were refused for want of memory.
+  std::int64_t out_of_memory() const;
   // Whether any connection has bytes to send, or has received a part of a
   // request.
   bool has_busy_connections() const;
--- a/transport/http_server_session.cc
+++ b/transport/http_server_session.cc
@@ -1,5 +1,6 @@
 #include "transport/http_server_session.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/dispatch.hpp>
@@ -21,6 +22,8 @@
 // bytes have been received ahead. From then on, only a failed write shows that
 // a caller has left.
 constexpr std::size_t kMaxPipelinedBytes = 16UL * 1024;
+// A request's body is kept for further attempts, and copied for each of them.
+constexpr std::size_t kCopiesOfBody = 2;
 constexpr std::size_t kMaxLingerBytes = 1024UL * 1024;
 
 HttpErrorKind ToHttpErrorKind(const error_code& error) {
@@ -163,6 +166,11 @@
     RespondError(ToHttpErrorKind(error));
     return;
   }
+  if (!HasMemoryForRequest()) {
+    server_->CountOutOfMemory();
+    RespondError(HttpErrorKind::kOutOfMemory);
+    return;
+  }
   if (parser_->is_done()) {
     Dispatch();
     return;
@@ -174,6 +182,34 @@
   WaitReadable();
 }
 
+bool HttpServerSession::HasMemoryForRequest() {
+  const std::size_t received = kCopiesOfBody * parser_->get().body().size();
+  std::size_t missing =
+      received > request_bytes_ ? received - request_bytes_ : 0;
+  if (const auto length = parser_->content_length()) {
+    missing = std::max(
+        missing, kCopiesOfBody * static_cast<std::size_t>(*length) -
+                     std::min(kCopiesOfBody * static_cast<std::size_t>(*length),
+                              request_bytes_));
+  }
+  if (!server_->MayBuffer(missing)) {
+    return false;
+  }
+  CountBuffered(received);
+  return true;
+}
+
+void HttpServerSession::CountBuffered(std::size_t request_bytes) {
+  request_bytes_ = request_bytes;
+  const std::size_t total = request_bytes_ + outbox_.unsent_bytes();
+  if (total > counted_bytes_) {
+    server_->AddBuffered(total - counted_bytes_);
+  } else {
+    server_->RemoveBuffered(counted_bytes_ - total);
+  }
+  counted_bytes_ = total;
+}
+
 void HttpServerSession::SendContinueOnce() {
   if (continue_sent_ || !parser_->is_header_done() ||
       !boost::beast::iequals(parser_->get()[http::field::expect],
@@ -205,6 +241,7 @@
       message.version(),
       message.keep_alive() && message.version() >= 11 && !server_->stopping(),
       message.method() == http::verb::head};
+  message.body().shrink_to_fit();
   HttpRequest request{message.method_string(), message.target(),
                       ToHeaders(message), std::move(message.body())};
   const std::uint64_t response_id = outbox_.Begin(framing_);
@@ -219,6 +256,7 @@
   is_reading_ = false;
   timer_.Clear();
   parser_.reset();
+  CountBuffered(0);
   phase_ = Phase::kResponding;
   framing_ = {11, false, false};
   const std::uint64_t response_id = outbox_.Begin(framing_);
@@ -226,6 +264,9 @@
 }
 
 void HttpServerSession::Flush() {
+  if (phase_ != Phase::kClosed) {
+    CountBuffered(request_bytes_);
+  }
   if (phase_ == Phase::kClosed || phase_ == Phase::kLingering ||
       write_waiting_) {
     return;
@@ -288,6 +329,7 @@
 }
 
 void HttpServerSession::OnResponseSent(HttpResponseEnd end) {
+  CountBuffered(0);
   if (end == HttpResponseEnd::kAborted) {
     // Before HTTP/1.1 there are no chunks, and a normal close would look like
     // the end of the response.
@@ -380,7 +422,9 @@
   error_code error;
   socket_.close(error);
   server_->Remove(this);
-  if (const auto hook = outbox_.MarkCallerGone()) {
+  const auto hook = outbox_.MarkCallerGone();
+  CountBuffered(0);
+  if (hook) {
     hook();
   }
 }
--- a/transport/http_server_session.h
+++ b/transport/http_server_session.h
@@ -38,7 +38,7 @@
   HttpOutbox& outbox() { return outbox_; }
   // Whether the connection has bytes to send, or has received a part of a
   // request. May be called from any thread.
-  bool is_busy() const { return is_reading_ || outbox_.has_unsent_bytes(); }
+  bool is_busy() const { return is_reading_ || outbox_.unsent_bytes() > 0; }
 
  private:
   enum class Phase { kIdle, kReading, kResponding, kLingering, kClosed };
@@ -51,6 +51,10 @@
   void SendContinueOnce();
   void Dispatch();
   void RespondError(HttpErrorKind kind);
+  // Returns false if there is no memory for the request that is being read.
+  bool HasMemoryForRequest();
+  // Counts what the connection buffers: `request_bytes` and unsent bytes.
+  void CountBuffered(std::size_t request_bytes);
   void Flush();
   // Returns whether everything taken from the outbox has been written.
   bool WriteBuffered();
@@ -75,6 +79,10 @@
   std::string write_buffer_;
   std::size_t write_offset_ = 0;
   std::size_t lingered_bytes_ = 0;
+  // Of the request that is read or responded to.
+  std::size_t request_bytes_ = 0;
+  // What the server has counted for the connection.
+  std::size_t counted_bytes_ = 0;
   std::atomic<bool> is_reading_ = false;
   bool read_waiting_ = false;
   bool write_waiting_ = false;
--- a/transport/http_server_state.h
+++ b/transport/http_server_state.h
@@ -38,6 +38,17 @@
   bool closed() const { return closed_; }
   void set_closed() { closed_ = true; }
 
+  // Counts bytes that a connection buffers.
+  void AddBuffered(std::size_t bytes) { buffered_bytes_ += bytes; }
+  void RemoveBuffered(std::size_t bytes) { buffered_bytes_ -= bytes; }
+  // Whether a request that needs this many bytes more may be read.
+  bool MayBuffer(std::size_t bytes) const {
+    return buffered_bytes_ + bytes <= limits_.max_buffered_bytes;
+  }
+  std::size_t buffered_bytes() const { return buffered_bytes_; }
+  void CountOutOfMemory() { ++out_of_memory_; }
+  std::int64_t out_of_memory() const { return out_of_memory_; }
+
   enum class Admission { kServe, kRefuse, kDrop };
   // Adds a connection. Some connections beyond the limit are sent an error, and
   // the rest are dropped.
@@ -57,6 +68,8 @@
   std::atomic<std::size_t> max_body_bytes_;
   std::atomic<std::int64_t> header_timeout_ms_;
   std::atomic<std::int64_t> idle_timeout_ms_;
+  std::atomic<std::size_t> buffered_bytes_ = 0;
+  std::atomic<std::int64_t> out_of_memory_ = 0;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> closed_ = false;
   mutable std::mutex mutex_;
--- a/transport/http_types.h
+++ b/transport/http_types.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -68,11 +69,16 @@
 using HttpHandler =
     std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
 
-// Limits of a server. All but `max_connections` apply to each connection.
+// Limits of a server. All but `max_connections` and `max_buffered_bytes` apply
+// to each connection.
 struct HttpServerLimits {
   std::size_t max_header_bytes = 16UL * 1024;
   std::size_t max_body_bytes = 4UL * 1024 * 1024;
   std::size_t max_connections = 20000;
+  // Bytes of requests and of unsent responses of all connections together.
+  // Above this, requests are refused before they are read whole; responses are
+  // always accepted.
+  std::size_t max_buffered_bytes = std::numeric_limits<std::size_t>::max();
   // Maximum time from a request's first byte to the end of its header.
   Duration header_timeout = Duration::Seconds(20);
   // Maximum time from the end of a request's header to the end of its body.
