gateway: a stopping node still takes requests of which it knows no run times

GatewayCoreTest.StoppingNodeRefusesRequestsItCouldNotFinish and StoppingNodeEndsOnceNoRequestIsOpen failed on: a service of which no request had finished of late counted with its time limit, so a node refused its requests from SIGTERM on. Both tests pass again, unchanged.

--- a/coordination/gateway/forward_controller_drain.cc
+++ b/coordination/gateway/forward_controller_drain.cc
@@ -13,14 +13,13 @@
   if (!drain_end_) {
     return true;
   }
-  // A request ends at its deadline at the latest.
-  Duration needed = open_request.deadline - now;
   const ModelId model =
       HasModels(open_request) ? open_request.request.model : ModelId();
-  if (const auto longest = run_times_.Longest(open_request.service, model)) {
-    needed = std::min(needed, *longest);
-  }
-  return now + needed <= *drain_end_;
+  const std::optional<Duration> longest =
+      run_times_.Longest(open_request.service, model);
+  // A request ends at its deadline at the latest.
+  return !longest ||
+         std::min(open_request.deadline, now + *longest) <= *drain_end_;
 }
 
 void ForwardController::RecordRunTime(Time now,
