--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -82,7 +82,7 @@
 
 // Returns an entry that is odd as a whole, or in one of its fields.
 std::string DrawOddEntry(const object& sound) {
-  const std::string value = DrawOddValue();
+  std::string value = DrawOddValue();
   if (*rc::gen::inRange(0, 4) == 0) {
     return value;
   }
