tests: the end of a planned stop is checked in virtual time

GatewayStopTest compared the time until the process ended with the grace, which depends on the load of the machine that runs it. GatewayStopTest still waits for the process to end by itself.

--- a/tests/coordination/gateway/gateway_core_test.cc
+++ b/tests/coordination/gateway/gateway_core_test.cc
@@ -79,6 +79,21 @@
   EXPECT_TRUE(world_.node(0).core->is_drain_complete(world_.now()));
 }
 
+// Guards against nodes that the platform kills because they wait for requests
+// or for callers until the grace is over.
+TEST_F(GatewayCoreTest, StoppingNodeEndsBeforeItsGraceIsOver) {
+  const GatewayCore& core = *world_.node(0).core;
+  const Duration grace = GatewaySettings().stop_grace_period;
+  world_.node(0).core->OnStopRequested(world_.now());
+  world_.Run(grace - GatewaySettings().stop_margin - Duration::Millis(100));
+  EXPECT_FALSE(core.is_drain_over(world_.now()));
+  world_.Run(Duration::Millis(150));
+  EXPECT_TRUE(core.is_drain_over(world_.now()));
+  EXPECT_FALSE(core.is_grace_over(world_.now()));
+  world_.Run(Duration::Millis(350));
+  EXPECT_TRUE(core.is_grace_over(world_.now()));
+}
+
 TEST_F(GatewayCoreTest, AdvertisesOnlyNodesThatAreNotStopping) {
   EXPECT_EQ(world_.node(0).core->AdvertisedAddresses().size(), 2U);
   world_.node(1).core->OnStopRequested(world_.now());
--- a/tests/programs/gateway_stop_test.cc
+++ b/tests/programs/gateway_stop_test.cc
@@ -126,12 +126,8 @@
       StartCaller("once");
     }
     std::this_thread::sleep_for(milliseconds(1000));
-    const auto stopped_at = std::chrono::steady_clock::now();
     fleet_.Signal("gw-1", SIGTERM);
     ASSERT_TRUE(fleet_.WaitUntil([this] { return fleet_.HasEnded("gw-1"); }));
-    EXPECT_LT(std::chrono::steady_clock::now() - stopped_at,
-              milliseconds(kGrace.millis()))
-        << "ended by the platform";
     for (std::thread& caller : callers_) {
       caller.join();
     }
