gateway: a run that is harmless when it breaks clears its request

Cause: a trial that has streamed for 500 ms is harmless, but that was noted only at its next event. If another request ended its endpoint before, the trial was no suspect of the crash and no result either: it stayed open in the store, and copies waited 1,070 ms for another one.

Change: the break of a harmless run clears the request as its progress would.

--- a/coordination/gateway/forward_controller_suspects.cc
+++ b/coordination/gateway/forward_controller_suspects.cc
@@ -248,7 +248,10 @@
   BrokenAttempt broken;
   broken.endpoint = open_request.endpoint;
   broken.address = open_request.address;
-  if (!IsProvenHarmless(now, open_request)) {
+  const bool is_harmless = IsProvenHarmless(now, open_request);
+  if (is_harmless) {
+    crash_guard_->OnHarmless(now, open_request.fingerprint);
+  } else {
     broken.suspects = open_request.suspects;
   }
   if (open_request.are_parts_proven) {
@@ -259,9 +262,13 @@
   crash_guard_->OnBroken(now, broken);
   const bool is_suspected = crash_guard_->Judge(now, open_request.fingerprint) >
                             CrashVerdict::kAllowed;
-  run_locks_->OnOutcome(
-      now, open_request.id,
-      is_suspected ? RunOutcome::kSuspected : RunOutcome::kUnknown);
+  RunOutcome outcome = RunOutcome::kUnknown;
+  if (is_harmless) {
+    outcome = RunOutcome::kHarmless;
+  } else if (is_suspected) {
+    outcome = RunOutcome::kSuspected;
+  }
+  run_locks_->OnOutcome(now, open_request.id, outcome);
 }
 
 }  // namespace gcw
--- a/tests/coordination/gateway/crash_guard_test.cc
+++ b/tests/coordination/gateway/crash_guard_test.cc
@@ -456,6 +456,15 @@
   }
 }
 
+// Guards against sound requests that are refused because their trial stays
+// open: it had streamed for long enough when another request crashed its
+// endpoint.
+TEST(CrashGuardTest, SoundRequestsBesideCopiesAfterALossAreServed) {
+  for (const std::uint64_t seed : {118, 139}) {
+    EXPECT_EQ(ReturnAfterALoss(7, seed), "") << "seed " << seed;
+  }
+}
+
 // Guards against copies of a sound request that are refused, or wait for long,
 // because nodes that may lack evidence let one of them run at a time.
 TEST(CrashGuardTest, SoundCopiesAfterALossOfAllNodesAreServed) {
