gateway: unread and endless answers of many callers stay within the memory

Cause: answers that callers do not read were counted, but nothing ended them, so callers that do not read kept all others out; an answer found no room because endless ones had taken it; an answer of the store could have 64 MB.

Change: if blocked connections together leave a third of their account unsent, the one without progress for longest is closed. If buffered answers need room, the longest is evicted; one log line names the endpoint. Answers of the store have 8 MB, and a watch that has more is followed by reading the range in pages.

Tests of too long answers expect kAnswerTooLarge, a kind of its own.

--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -290,6 +290,11 @@
   }
 
   // Polls until the condition holds; returns false if it does not hold in time.
+  // Returns the end of what the program has written to standard output.
+  std::string RecentOutput(const std::string& name) const {
+    return children_.at(name)->RecentOutput();
+  }
+
   // All waits of a test end before CTest's own timeout, which would leave the
   // processes running.
   bool WaitUntil(const std::function<bool()>& condition) const {
--- a/tests/transport/http_client_test.cc
+++ b/tests/transport/http_client_test.cc
@@ -233,6 +233,11 @@
            std::string("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n"),
            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" +
                std::string(101, 'x'),
+       }) {
+    ExpectFailure(FetchBytes(bytes), HttpFailureKind::kAnswerTooLarge,
+                  HttpProgress::kAnswerBegun);
+  }
+  for (const std::string& bytes : std::vector<std::string>{
            std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                        "zz\r\n"),
            // Without a length, a truncated answer would look complete.
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -148,6 +148,28 @@
   }
 }
 
+// Guards against callers that do not read and together take all memory: each of
+// them may leave a whole response unsent.
+TEST_F(HttpServerTest, TheConnectionThatIsBlockedLongestMakesRoom) {
+  constexpr std::size_t kBytes = 32UL * 1024 * 1024;
+  limits_.max_blocked_bytes = kBytes / 4 * 5;
+  Serve([](const HttpRequest&, const Responder& responder) {
+    responder->Respond({200, {}, std::string(kBytes, 'x')});
+  });
+  RawPeer first(server_->port());
+  first.Send(kGet);
+  while (server_->buffered_bytes() == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  RawPeer second(server_->port());
+  second.Send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  while (server_->open_connections() != 1 || server_->buffered_bytes() == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  EXPECT_GT(second.ReadToEnd().size(), kBytes);
+  EXPECT_LT(first.ReadToEnd().size(), kBytes);
+}
+
 TEST_F(HttpServerTest, TimesOutSlowRequests) {
   limits_.request_timeout = Duration::Millis(50);
   ServeEcho();
--- a/transport/action_executor.cc
+++ b/transport/action_executor.cc
@@ -14,7 +14,8 @@
 ProbeReply ToFailedProbe(const CallError& error) {
   const auto* failure = std::get_if<HttpFailure>(&error);
   if (failure == nullptr ||
-      failure->kind == HttpFailureKind::kMalformedAnswer) {
+      failure->kind == HttpFailureKind::kMalformedAnswer ||
+      failure->kind == HttpFailureKind::kAnswerTooLarge) {
     return ProbeFailed{ProbeFailure::kMalformed};
   }
   // A reset means that the process closed the connection: it has exited or is
--- a/transport/caller_exchange.cc
+++ b/transport/caller_exchange.cc
@@ -26,6 +26,7 @@
     case HttpFailureKind::kDeadlineExceeded:
       return AttemptFailureKind::kDeadline;
     case HttpFailureKind::kMalformedAnswer:
+    case HttpFailureKind::kAnswerTooLarge:
       return AttemptFailureKind::kMalformed;
     case HttpFailureKind::kAnswerTimeout:
       return AttemptFailureKind::kStalled;
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -145,7 +145,6 @@
   const int number = ++last_attempt_number_;
   attempt.number = number;
   attempt.deadline = parts_.clock() + options.deadline;
-  attempt.memory = AnswerMemory::Reservation(parts_.answer_memory);
   ++attempts_;
   HttpCallHandlers handlers;
   const auto if_running = [weak = weak_from_this(), number](auto run) {
@@ -156,6 +155,14 @@
       run(*self, *running);
     }
   };
+  attempt.memory = AnswerMemory::Reservation(
+      parts_.answer_memory, [if_running, post = parts_.post] {
+        post([if_running] {
+          if_running([](ForwardExchange& self, Attempt& running) {
+            self.DropAnswer(running);
+          });
+        });
+      });
   handlers.on_head = [if_running](const HttpResponse& head) {
     if_running([&](ForwardExchange& self, Attempt& running) {
       self.OnHead(running, head);
@@ -244,16 +251,19 @@
     attempt.buffered_body += chunk;
     if (attempt.buffered_body.size() > settings_.max_buffered_bytes ||
         !attempt.memory.Resize(attempt.buffered_body.size())) {
-      EndAttempt(attempt, ForwardEndKind::kConnectionBroken);
+      DropAnswer(attempt);
     }
     return;
   }
   const std::optional<std::string_view> events = attempt.splitter->Feed(chunk);
-  if (!events ||
-      !attempt.memory.Resize(attempt.splitter->partial_event_bytes())) {
+  if (!events) {
     EndAttempt(attempt, ForwardEndKind::kConnectionBroken);
     return;
   }
+  if (!attempt.memory.Resize(attempt.splitter->partial_event_bytes())) {
+    DropAnswer(attempt);
+    return;
+  }
   if (!events->empty()) {
     attempt.has_events = true;
     // The view may point into the splitter, which moves with its attempt.
@@ -268,6 +278,17 @@
   }
 }
 
+void ForwardExchange::DropAnswer(Attempt& attempt) {
+  const std::size_t buffered = attempt.splitter
+                                   ? attempt.splitter->partial_event_bytes()
+                                   : attempt.buffered_body.size();
+  LogEvent(LogSeverity::kWarning, "answer_too_long",
+           {{"vm", attempt.vm.value()},
+            {"buffered_bytes", static_cast<std::int64_t>(buffered)}},
+           request_id_);
+  EndAttempt(attempt, ForwardEndKind::kConnectionBroken);
+}
+
 void ForwardExchange::ForwardEvents(std::string events) {
   if (!stream_started_) {
     stream_started_ = true;
--- a/transport/gateway/forward_exchange.h
+++ b/transport/gateway/forward_exchange.h
@@ -74,6 +74,8 @@
     // Shared by all exchanges; null if there is no limit.
     std::shared_ptr<AnswerMemory> answer_memory;
     Clock clock;
+    // Runs a task later on the thread of the exchanges.
+    std::function<void(std::function<void()>)> post;
     // Performs what the core asks for after an event of the request.
     std::function<void()> run_actions;
     // Called once when the exchange has finished.
@@ -143,6 +145,8 @@
   std::vector<HttpHeader> TakeAnswerHeaders();
   void OnHead(Attempt& attempt, const HttpResponse& head);
   void OnBody(Attempt& attempt, std::string_view chunk);
+  // The answer is too long, or there is no memory for it.
+  void DropAnswer(Attempt& attempt);
   void LimitBodyTime(const Attempt& attempt) const;
   void OnEnd(Attempt& attempt);
   void OnFailure(Attempt& attempt, const HttpFailure& failure);
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include "transport/json_log.h"
 
 namespace gcw {
@@ -15,6 +17,9 @@
 constexpr std::size_t kMaxPeerConnections = 1024;
 // Maximum answer of an endpoint to a probe, a check or an order.
 constexpr std::size_t kMaxReportBytes = 256UL * 1024;
+// Maximum answer of the key-value service. A page of a range has one megabyte
+// and one value more at most.
+constexpr std::size_t kMaxStoreAnswerBytes = 8UL * 1024 * 1024;
 
 ProbeResult ProbeVerdictFor(const HttpFailure& failure) {
   if (failure.kind == HttpFailureKind::kConnectRefused) {
@@ -121,6 +126,7 @@
   limits.max_connections = connection_limit;
   limits.max_buffered_bytes =
       MaxBufferedBytes(listener, settings_.memory_limit);
+  limits.max_blocked_bytes = limits.max_buffered_bytes / 3;
   auto listening =
       HttpServer::Listen(*parts_.context, listen_address.ip,
                          listen_address.port, limits, std::move(handler));
@@ -259,6 +265,9 @@
   parts.peers = &peer_client_;
   parts.answer_memory = answer_memory_;
   parts.clock = parts_.clock;
+  parts.post = [this](std::function<void()> task) {
+    boost::asio::post(*parts_.context, std::move(task));
+  };
   parts.run_actions = [this] {
     Execute(parts_.core->TakeRequestActions(Now()));
   };
@@ -352,6 +361,8 @@
     timeout = timeout + watch->wait;
   }
   HttpClient& client = watch != nullptr ? watch_client_ : store_client_;
+  HttpCallOptions options = OptionsWithTimeout(timeout);
+  options.max_answer_bytes = kMaxStoreAnswerBytes;
   parts_.metrics->store_calls.Add();
   client.Fetch(
       settings_.store, parts_.dialect.make_store_request(action.request.call),
@@ -361,6 +372,13 @@
         if (IsOk(answer)) {
           reply = parts_.dialect.read_store_reply(action.request.call,
                                                   ValueOf(answer));
+        } else if (ErrorOf(answer).kind == HttpFailureKind::kAnswerTooLarge &&
+                   std::holds_alternative<StoreWatch>(action.request.call)) {
+          // The next watch would get the same changes again, and pages of the
+          // range are short.
+          StoreWatchReply watched;
+          watched.compacted = true;
+          reply = std::move(watched);
         } else {
           // Other idle connections may be dead too.
           client.CloseIdleConnections(settings_.store);
--- a/transport/http_client_call.cc
+++ b/transport/http_client_call.cc
@@ -335,7 +335,9 @@
       return;
     }
     if (parse_failed) {
-      Fail(HttpFailureKind::kMalformedAnswer);
+      Fail(error == http::error::body_limit
+               ? HttpFailureKind::kAnswerTooLarge
+               : HttpFailureKind::kMalformedAnswer);
       return;
     }
     DeliverBody();
--- a/transport/http_server_session.cc
+++ b/transport/http_server_session.cc
@@ -267,8 +267,11 @@
   if (phase_ != Phase::kClosed) {
     CountBuffered(request_bytes_);
   }
-  if (phase_ == Phase::kClosed || phase_ == Phase::kLingering ||
-      write_waiting_) {
+  if (phase_ == Phase::kClosed || phase_ == Phase::kLingering) {
+    return;
+  }
+  if (write_waiting_) {
+    CountBlocked();
     return;
   }
   HttpResponseEnd end = HttpResponseEnd::kOpen;
@@ -308,6 +311,8 @@
 
 void HttpServerSession::WaitWritable() {
   write_waiting_ = true;
+  blocked_number_ = server_->NextBlockedNumber();
+  CountBlocked();
   if (phase_ == Phase::kResponding) {
     timer_.Set(server_->limits().write_timeout);
   }
@@ -317,8 +322,20 @@
                      });
 }
 
+void HttpServerSession::CountBlocked() {
+  server_->RemoveBlocked(blocked_bytes_);
+  blocked_bytes_ = outbox_.unsent_bytes();
+  server_->AddBlocked(blocked_bytes_);
+}
+
+void HttpServerSession::EndBlock() {
+  blocked_number_ = 0;
+  server_->RemoveBlocked(std::exchange(blocked_bytes_, 0));
+}
+
 void HttpServerSession::OnWritable(const error_code& error) {
   write_waiting_ = false;
+  EndBlock();
   if (error || phase_ == Phase::kClosed) {
     return;
   }
@@ -424,6 +441,7 @@
   server_->Remove(this);
   const auto hook = outbox_.MarkCallerGone();
   CountBuffered(0);
+  EndBlock();
   if (hook) {
     hook();
   }
--- a/transport/http_server_session.h
+++ b/transport/http_server_session.h
@@ -39,6 +39,9 @@
   // Whether the connection has bytes to send, or has received a part of a
   // request. May be called from any thread.
   bool is_busy() const { return is_reading_ || outbox_.unsent_bytes() > 0; }
+  // Grows with the moment from which the caller has accepted no byte; 0 if the
+  // connection does not wait for its caller. May be called from any thread.
+  std::uint64_t blocked_number() const { return blocked_number_; }
 
  private:
   enum class Phase { kIdle, kReading, kResponding, kLingering, kClosed };
@@ -59,6 +62,10 @@
   // Returns whether everything taken from the outbox has been written.
   bool WriteBuffered();
   void WaitWritable();
+  // Counts the unsent bytes while the connection waits for its caller to read.
+  void CountBlocked();
+  // The connection no longer waits.
+  void EndBlock();
   void OnWritable(const boost::system::error_code& error);
   void OnResponseSent(HttpResponseEnd end);
   void AwaitNextRequest();
@@ -83,6 +90,8 @@
   std::size_t request_bytes_ = 0;
   // What the server has counted for the connection.
   std::size_t counted_bytes_ = 0;
+  std::size_t blocked_bytes_ = 0;
+  std::atomic<std::uint64_t> blocked_number_ = 0;
   std::atomic<bool> is_reading_ = false;
   bool read_waiting_ = false;
   bool write_waiting_ = false;
--- a/transport/http_server_state.cc
+++ b/transport/http_server_state.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include "transport/http_server_session.h"
+#include "transport/json_log.h"
+
 namespace gcw {
 
 HttpServerState::HttpServerState(HttpServerLimits limits, HttpHandler handler)
@@ -19,6 +22,26 @@
   idle_timeout_ms_ = limits.idle_timeout.millis();
 }
 
+void HttpServerState::AddBlocked(std::size_t bytes) {
+  blocked_bytes_ += bytes;
+  if (blocked_bytes_ <= limits_.max_blocked_bytes) {
+    return;
+  }
+  std::shared_ptr<HttpServerSession> slowest;
+  for (const std::shared_ptr<HttpServerSession>& session : Sessions()) {
+    const std::uint64_t number = session->blocked_number();
+    if (number != 0 && (!slowest || number < slowest->blocked_number())) {
+      slowest = session;
+    }
+  }
+  if (slowest) {
+    LogEvent(LogSeverity::kWarning, "caller_reads_too_slowly",
+             {{"unsent_bytes",
+               static_cast<std::int64_t>(slowest->outbox().unsent_bytes())}});
+    slowest->Close();
+  }
+}
+
 HttpServerState::Admission HttpServerState::Add(
     const std::shared_ptr<HttpServerSession>& session) {
   const std::lock_guard lock(mutex_);
--- a/transport/http_server_state.h
+++ b/transport/http_server_state.h
@@ -41,6 +41,12 @@
   // Counts bytes that a connection buffers.
   void AddBuffered(std::size_t bytes) { buffered_bytes_ += bytes; }
   void RemoveBuffered(std::size_t bytes) { buffered_bytes_ -= bytes; }
+  // Counts unsent bytes of a connection whose caller does not read. Closes the
+  // connection that is blocked for longest if there are too many.
+  void AddBlocked(std::size_t bytes);
+  void RemoveBlocked(std::size_t bytes) { blocked_bytes_ -= bytes; }
+  // Returns a number that grows with each call.
+  std::uint64_t NextBlockedNumber() { return ++last_blocked_number_; }
   // Whether a request that needs this many bytes more may be read.
   bool MayBuffer(std::size_t bytes) const {
     return buffered_bytes_ + bytes <= limits_.max_buffered_bytes;
@@ -69,6 +75,8 @@
   std::atomic<std::int64_t> header_timeout_ms_;
   std::atomic<std::int64_t> idle_timeout_ms_;
   std::atomic<std::size_t> buffered_bytes_ = 0;
+  std::atomic<std::size_t> blocked_bytes_ = 0;
+  std::atomic<std::uint64_t> last_blocked_number_ = 0;
   std::atomic<std::int64_t> out_of_memory_ = 0;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> closed_ = false;
--- a/transport/http_types.cc
+++ b/transport/http_types.cc
@@ -41,6 +41,8 @@
       return "deadline";
     case HttpFailureKind::kMalformedAnswer:
       return "malformed_answer";
+    case HttpFailureKind::kAnswerTooLarge:
+      return "answer_too_large";
     case HttpFailureKind::kAnswerTimeout:
       return "answer_timeout";
     case HttpFailureKind::kTruncated:
--- a/transport/http_types.h
+++ b/transport/http_types.h
@@ -69,8 +69,8 @@
 using HttpHandler =
     std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)>;
 
-// Limits of a server. All but `max_connections` and `max_buffered_bytes` apply
-// to each connection.
+// Limits of a server. `max_connections`, `max_buffered_bytes` and
+// `max_blocked_bytes` are for all connections together.
 struct HttpServerLimits {
   std::size_t max_header_bytes = 16UL * 1024;
   std::size_t max_body_bytes = 4UL * 1024 * 1024;
@@ -79,6 +79,9 @@
   // Above this, requests are refused before they are read whole; responses are
   // always accepted.
   std::size_t max_buffered_bytes = std::numeric_limits<std::size_t>::max();
+  // Unsent bytes of all connections whose callers do not read. Above this, the
+  // connection that has made no progress for longest is closed.
+  std::size_t max_blocked_bytes = std::numeric_limits<std::size_t>::max();
   // Maximum time from a request's first byte to the end of its header.
   Duration header_timeout = Duration::Seconds(20);
   // Maximum time from the end of a request's header to the end of its body.
@@ -125,6 +128,8 @@
   // would end when its connection closes, and a truncated one would look
   // complete.
   kMalformedAnswer,
+  // The response is longer than the call allows.
+  kAnswerTooLarge,
   // The response began and did not end within its time.
   kAnswerTimeout,
   // The response ended before its announced length or its last chunk.
