gateway: a planned stop keeps to the grace period of the settings file

If the platform's figure became shorter, requests were cut at its end without an answer.

Change: the settings file is read again at SIGTERM, and its grace applies. A file with errors leaves the old grace in force and is logged.

--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -432,11 +432,14 @@
   }
 }
 
-void GatewayCore::OnStopRequested(Time now) {
+void GatewayCore::OnStopRequested(Time now,
+                                  std::optional<Duration> grace_period) {
   if (stop_requested_at_) {
     return;
   }
   stop_requested_at_ = now;
+  settings_.stop_grace_period =
+      grace_period.value_or(settings_.stop_grace_period);
   events_({EventKind::kNodeDraining, settings_.self.id.value(), {}, {}});
   forwards_.BeginDrain(now + DrainPeriod());
   NodeRecord record = settings_.self;
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -327,7 +327,9 @@
   GatewayActions OnReachReport(Time now,
                                const Address& node,
                                const ReachReport& report);
-  void OnStopRequested(Time now);
+  // `grace_period` replaces the one of the settings if it is given.
+  void OnStopRequested(Time now,
+                       std::optional<Duration> grace_period = std::nullopt);
 
   // Returns the actions that events of requests, which return a step, led to.
   GatewayActions TakeRequestActions(Time now);
--- a/programs/gcw_gateway/gateway_process.cc
+++ b/programs/gcw_gateway/gateway_process.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <utility>
@@ -104,7 +105,10 @@
         signals(context, SIGTERM, SIGINT, SIGHUP) {}
 
   void WaitForSignal(const std::string& settings_path);
-  void CheckSettingsFile(const std::string& settings_path) const;
+  // Reads the settings file again and logs its errors. Returns an absent value
+  // if there are any.
+  std::optional<GatewayProcessSettings> ReadAgain(
+      const std::string& settings_path) const;
 
   GatewayProcessSettings settings;
   Clock clock;
@@ -125,10 +129,10 @@
     if (error) {
       return;
     }
-    if (signal == SIGHUP) {
-      CheckSettingsFile(settings_path);
-    } else {
-      runtime.BeginStop();
+    const auto changed = ReadAgain(settings_path);
+    if (signal != SIGHUP) {
+      runtime.BeginStop(changed ? std::optional(changed->core.stop_grace_period)
+                                : std::nullopt);
     }
     WaitForSignal(settings_path);
   });
@@ -136,10 +140,11 @@
 
 // Settings do not change while a node runs: everything that may change comes
 // from the key-value service. A reload only checks the file, so that errors in
-// it are known before the next start.
-void GatewayProcess::Parts::CheckSettingsFile(
+// it are known before the next start. The exception is the grace period, which
+// the platform applies as it is when the node is told to stop.
+std::optional<GatewayProcessSettings> GatewayProcess::Parts::ReadAgain(
     const std::string& settings_path) const {
-  const auto read = ReadGatewaySettings(settings_path);
+  auto read = ReadGatewaySettings(settings_path);
   const auto* errors = std::get_if<1>(&read);
   if (errors != nullptr) {
     for (const SettingError& error : *errors) {
@@ -153,6 +158,10 @@
            "settings_reloaded",
            {{"errors", static_cast<std::int64_t>(
                            errors != nullptr ? errors->size() : 0)}});
+  if (errors != nullptr) {
+    return std::nullopt;
+  }
+  return std::get<0>(std::move(read));
 }
 
 std::variant<std::unique_ptr<GatewayProcess>, GatewayListenError>
--- a/tests/programs/gateway_stop_test.cc
+++ b/tests/programs/gateway_stop_test.cc
@@ -1,9 +1,11 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <csignal>
 #include <exception>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
@@ -11,6 +13,7 @@
 #include <thread>
 #include <vector>
 
+#include "tests/support/endpoint_proxies.h"
 #include "tests/support/gateway_path.h"
 #include "tests/support/scripted_endpoints.h"
 
@@ -21,22 +24,13 @@
 
 constexpr Duration kGrace = Duration::Seconds(3);
 
-// Returns the value of the header, or an empty text.
-std::string HeaderIn(const std::string& head, std::string_view name) {
-  const std::size_t found = head.find(std::string(name) + ": ");
-  if (found == std::string::npos) {
-    return {};
-  }
-  const std::size_t start = found + name.size() + 2;
-  return head.substr(start, head.find('\r', start) - start);
-}
-
 // A gateway that is stopped while callers use their connections until it is
 // gone, before endpoints that take a given time for each request.
 class GatewayStopTest : public GatewayPathTest {
  protected:
   GatewayStopTest() : GatewayPathTest({"--domains", "0", "--plain", "0"}) {
-    first_ = fleet_.StartGateway("gw-1", store_, StopSettings());
+    first_ = fleet_.StartGateway("gw-1", store_, StopSettings(kGrace));
+    entry_ = first_.callers;
   }
   ~GatewayStopTest() override {
     fleet_.Signal("gw-1", SIGKILL);
@@ -46,8 +40,8 @@
     }
   }
 
-  static std::string StopSettings() {
-    return "[stop]\ngrace_ms = " + std::to_string(kGrace.millis()) + "\n";
+  static std::string StopSettings(Duration grace) {
+    return "[stop]\ngrace_ms = " + std::to_string(grace.millis()) + "\n";
   }
 
   void AddEndpoints(milliseconds work) {
@@ -71,16 +65,13 @@
   }
 
   // Sends requests on one connection after the other until the gateway accepts
-  // none.
-  void StartCaller(const std::string& route) {
-    callers_.emplace_back([this, route] {
-      const std::string address = first_.callers.value();
-      const auto port = static_cast<std::uint16_t>(
-          std::stoi(address.substr(address.rfind(':') + 1)));
+  // none, `pipelined` requests at a time.
+  void StartCaller(const std::string& route, int pipelined) {
+    callers_.emplace_back([this, route, pipelined] {
       try {
         while (true) {
-          RawPeer peer(port);
-          while (SendOne(peer, route)) {
+          RawPeer peer(PortOf(entry_));
+          while (SendSome(peer, route, pipelined)) {
           }
         }
       } catch (const std::exception&) {
@@ -90,18 +81,25 @@
   }
 
   // Returns whether the connection may be used again.
-  bool SendOne(RawPeer& peer, const std::string& route) {
-    const std::string id = "s" + std::to_string(++last_request_);
-    const bool is_sent =
-        peer.Send("POST /" + route + "/x HTTP/1.1\r\nHost: models.example\r\n" +
-                  std::string(kAttemptIdHeader) + ": " + id + "\r\n" +
+  bool SendSome(RawPeer& peer, const std::string& route, int count) {
+    std::vector<std::string> ids;
+    std::string requests;
+    for (int i = 0; i < count; ++i) {
+      ids.push_back("s" + std::to_string(++last_request_));
+      requests += "POST /" + route + "/x HTTP/1.1\r\nHost: models.example\r\n" +
+                  std::string(kAttemptIdHeader) + ": " + ids.back() + "\r\n" +
                   std::string(kPatienceHeader) + ": 8000\r\n" +
                   "Authorization: Bearer standin-key\r\n"
-                  "Content-Length: 4\r\n\r\n" +
-                  id.substr(0, 1) + "abc");
-    if (!is_sent) {
-      return false;
+                  "Content-Length: 4\r\n\r\nsabc";
     }
+    return peer.Send(requests) &&
+           std::all_of(ids.begin(), ids.end(), [&](const std::string& id) {
+             return ReadAnswer(peer, id);
+           });
+  }
+
+  // Returns whether the connection may be used again.
+  bool ReadAnswer(RawPeer& peer, const std::string& id) {
     const std::string head = peer.ReadHead();
     if (!head.ends_with("\r\n\r\n")) {
       return false;
@@ -117,17 +115,30 @@
   }
 
   // Stops the gateway under load and checks what the callers have seen.
-  void ExpectAnAnswerForEachRun(milliseconds work) {
+  // `meanwhile` is called again and again until the gateway has ended.
+  void ExpectAnAnswerForEachRun(
+      milliseconds work,
+      int pipelined = 1,
+      const std::function<void()>& meanwhile = [] {}) {
     AddEndpoints(work);
     ASSERT_TRUE(fleet_.WaitUntil(
-        [this] { return SendRequest(first_.callers, "safe").status == 200; }));
+        [this] { return SendRequest(entry_, "safe").status == 200; }));
+    StopUnderLoad("gw-1", pipelined, meanwhile);
+  }
+
+  void StopUnderLoad(const std::string& gateway,
+                     int pipelined,
+                     const std::function<void()>& meanwhile) {
     for (int i = 0; i < 4; ++i) {
-      StartCaller("safe");
-      StartCaller("once");
+      StartCaller("safe", pipelined);
+      StartCaller("once", pipelined);
     }
     std::this_thread::sleep_for(milliseconds(1000));
-    fleet_.Signal("gw-1", SIGTERM);
-    ASSERT_TRUE(fleet_.WaitUntil([this] { return fleet_.HasEnded("gw-1"); }));
+    fleet_.Signal(gateway, SIGTERM);
+    ASSERT_TRUE(fleet_.WaitUntil([&] {
+      meanwhile();
+      return fleet_.HasEnded(gateway);
+    }));
     for (std::thread& caller : callers_) {
       caller.join();
     }
@@ -145,6 +156,8 @@
     EXPECT_FALSE(answers_.empty());
   }
 
+  // The gateway that is stopped.
+  Address entry_;
   std::mutex mutex_;
   std::set<std::string> runs_;
   // The status of each whole answer.
@@ -168,6 +181,111 @@
 TEST_F(GatewayStopTest, RunsLongerThanTheGraceAreAnsweredInAPlannedStop) {
   ExpectAnAnswerForEachRun(milliseconds(5000));
 }
+TEST_F(GatewayStopTest, PipelinedRequestsAreAnsweredInAPlannedStop) {
+  ExpectAnAnswerForEachRun(milliseconds(700), 3);
+}
+
+// Guards against reloads and further signals that end a planned stop early.
+TEST_F(GatewayStopTest, RunsAreAnsweredBesideReloadsAndASecondStop) {
+  ExpectAnAnswerForEachRun(milliseconds(1000), 1, [this] {
+    fleet_.Signal("gw-1", SIGHUP);
+    fleet_.Signal("gw-1", SIGTERM);
+  });
+}
+
+// Guards against runs without an answer after the grace period has become
+// shorter: the platform applies the one in the settings file.
+TEST_F(GatewayStopTest, TheGracePeriodInTheSettingsFileCounts) {
+  first_ = fleet_.StartGateway("gw-1", store_, StopSettings(kGrace * 100));
+  entry_ = first_.callers;
+  fleet_.ChangeSettings("gw-1", StopSettings(kGrace * 100),
+                        StopSettings(kGrace));
+  ExpectAnAnswerForEachRun(milliseconds(5000));
+  EXPECT_NE(fleet_.RecentOutput("gw-1").find("open_requests_ended"),
+            std::string::npos);
+}
+
+// A gateway that is stopped while it passes all requests on to other nodes,
+// since it has lost its paths to the endpoints.
+class GatewayRelayStopTest : public GatewayStopTest {
+ protected:
+  GatewayRelayStopTest() : proxies_(context_, store_) {
+    entry_ = fleet_
+                 .StartGateway("gw-3", proxies_.store_address(),
+                               StopSettings(kGrace))
+                 .callers;
+  }
+  ~GatewayRelayStopTest() override { fleet_.Signal("gw-3", SIGKILL); }
+
+  EndpointProxies proxies_;
+};
+
+TEST_F(GatewayRelayStopTest, RelayedRunsAreAnsweredInAPlannedStop) {
+  AddEndpoints(milliseconds(700));
+  const auto is_served = [this] {
+    return SendRequest(first_.callers, "safe").status == 200 &&
+           SendRequest(second_.callers, "safe").status == 200 &&
+           SendRequest(entry_, "safe").status == 200;
+  };
+  ASSERT_TRUE(fleet_.WaitUntil(is_served));
+  proxies_.Cut();
+  ASSERT_TRUE(fleet_.WaitUntil(is_served));
+  StopUnderLoad("gw-3", 1, [] {});
+}
+
+// Gateways before the stand-in's model groups.
+class GatewayStreamStopTest : public GatewayPathTest {};
+
+// Guards against streams that are cut, or run for callers who never hear of
+// them, in a planned stop.
+TEST_F(GatewayStreamStopTest, StreamsAreWholeInAPlannedStop) {
+  ASSERT_TRUE(ServesBothModels());
+  const std::int64_t runs = CountRuns("vm-");
+  std::atomic<int> whole = 0;
+  std::atomic<int> cut = 0;
+  const auto send = [&](RawPeer& peer) {
+    peer.Send("POST /large/x HTTP/1.1\r\nHost: models.example\r\n" +
+              std::string(kAttemptIdHeader) + ": s" +
+              std::to_string(++last_request_) + "\r\n" +
+              std::string(kModelHeader) + ": large\r\n" +
+              std::string(kTokensHeader) + ": 100,120\r\n" +
+              std::string(kPatienceHeader) + ": 8000\r\n" +
+              "Authorization: Bearer standin-key\r\n"
+              "Content-Length: 4\r\n\r\nbody");
+    const std::string head = peer.ReadHead();
+    if (!head.starts_with("HTTP/1.1 200 ")) {
+      return false;
+    }
+    const bool is_whole =
+        peer.ReadUntil("\r\n0\r\n\r\n").ends_with("0\r\n\r\n");
+    ++(is_whole ? whole : cut);
+    return is_whole && head.find("Connection: close") == std::string::npos;
+  };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&] {
+      try {
+        while (true) {
+          RawPeer peer(PortOf(first_.callers));
+          while (send(peer)) {
+          }
+        }
+      } catch (const std::exception&) {
+        // The gateway is gone.
+      }
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(1000));
+  fleet_.Signal("gw-1", SIGTERM);
+  EXPECT_TRUE(fleet_.WaitUntil([this] { return fleet_.HasEnded("gw-1"); }));
+  fleet_.Signal("gw-1", SIGKILL);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  EXPECT_GT(whole, 0);
+  EXPECT_EQ(cut, 0);
+  EXPECT_EQ(CountRuns("vm-") - runs, whole);
+}
 
 }  // namespace
 }  // namespace gcw
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -271,6 +271,15 @@
             AddressIn(fields, "peers")};
   }
 
+  // Replaces a part of the program's settings file.
+  void ChangeSettings(const std::string& id,
+                      const std::string& part,
+                      const std::string& changed) const {
+    std::string text = folder_.Read(id + ".toml");
+    text.replace(text.find(part), part.size(), changed);
+    folder_.Write(id + ".toml", text);
+  }
+
   bool HasEnded(const std::string& name) const {
     return children_.at(name)->HasEnded();
   }
@@ -281,6 +290,11 @@
     return children_.at(name)->TakeOutput();
   }
 
+  // Returns the end of what the program has written to standard output.
+  std::string RecentOutput(const std::string& name) const {
+    return children_.at(name)->RecentOutput();
+  }
+
   std::int64_t PeakMemoryKb(const std::string& name) const {
     return children_.at(name)->PeakMemoryKb();
   }
@@ -290,11 +304,6 @@
   }
 
   // Polls until the condition holds; returns false if it does not hold in time.
-  // Returns the end of what the program has written to standard output.
-  std::string RecentOutput(const std::string& name) const {
-    return children_.at(name)->RecentOutput();
-  }
-
   // All waits of a test end before CTest's own timeout, which would leave the
   // processes running.
   bool WaitUntil(const std::function<bool()>& condition) const {
--- a/transport/gateway/gateway_runtime.cc
+++ b/transport/gateway/gateway_runtime.cc
@@ -240,8 +240,8 @@
            peer_limits.header_timeout, peer_limits.idle_timeout});
 }
 
-void GatewayRuntime::BeginStop() {
-  parts_.core->OnStopRequested(Now());
+void GatewayRuntime::BeginStop(std::optional<Duration> grace_period) {
+  parts_.core->OnStopRequested(Now(), grace_period);
   const auto callers = servers_.find(GatewayListener::kCallers);
   if (callers != servers_.end()) {
     callers->second->AnnounceStop();
@@ -366,7 +366,7 @@
   parts_.metrics->store_calls.Add();
   client.Fetch(
       settings_.store, parts_.dialect.make_store_request(action.request.call),
-      OptionsWithTimeout(timeout),
+      options,
       [this, action, &client](const Result<HttpResponse, HttpFailure>& answer) {
         StoreReply reply = StoreNoAnswer{};
         if (IsOk(answer)) {
--- a/transport/gateway/gateway_runtime.h
+++ b/transport/gateway/gateway_runtime.h
@@ -78,7 +78,8 @@
   std::optional<GatewayListenError> Listen();
   void Start();
   // Begins a planned stop; the context is stopped when it is complete.
-  void BeginStop();
+  // `grace_period` replaces the one of the settings if it is given.
+  void BeginStop(std::optional<Duration> grace_period);
 
   // Returns an empty address if the listener is not open.
   Address ListenerAddress(GatewayListener listener) const;
