gateway: an entry of no node hardly moves the controller's role

Change: a node hands the role over once a minute at most. The role still moves to a better node that has come.

GatewayOddEntriesTest also writes entries that are longer together than one answer of the store may be; the stand-in reads ranges in pages as the platform's service does.

--- a/coordination/gateway/gateway_core.cc
+++ b/coordination/gateway/gateway_core.cc
@@ -586,8 +586,6 @@
 }
 
 bool GatewayCore::ShouldHandOver(Time now, const NodeId& holder) {
-  // The time starts anew with each term: if no other node takes the role, it
-  // must not change hands all the time.
   const bool has_better_controller =
       holder == settings_.self.id && mirror_.reachable() &&
       std::any_of(view_.nodes().begin(), view_.nodes().end(),
@@ -596,9 +594,17 @@
                     return !node.leaving && node.weight > settings_.self.weight;
                   });
   if (!has_better_controller) {
+    if (better_controller_since_ &&
+        now - *better_controller_since_ >= settings_.role_handover_delay) {
+      handed_over_at_ = now;
+    }
     better_controller_since_.reset();
     return false;
   }
+  if (handed_over_at_ &&
+      now - *handed_over_at_ < settings_.role_handover_interval) {
+    return false;
+  }
   if (!better_controller_since_) {
     better_controller_since_ = now;
   }
--- a/coordination/gateway/gateway_core.h
+++ b/coordination/gateway/gateway_core.h
@@ -116,6 +116,9 @@
   // The controller hands its role over once a node of larger weight has been
   // known for this long, which is longer than the entry of a lost node stays.
   Duration role_handover_delay = Duration::Millis(2500);
+  // Minimum time between two such handovers of one node. An entry of a node
+  // that does not exist may promise a weight that no node has.
+  Duration role_handover_interval = Duration::Seconds(60);
   // A node accepts requests for this long after a planned stop has begun.
   // Requests that come later could still run when the node has to end, and
   // would be cut off. It should be longer than callers cache the addresses if
@@ -583,6 +586,8 @@
   std::optional<Time> role_free_since_;
   // Since when a node of larger weight than this one is known.
   std::optional<Time> better_controller_since_;
+  // When this node last handed the role over to such a node.
+  std::optional<Time> handed_over_at_;
   Time next_witness_query_;
   std::uint64_t applied_configuration_changes_ = 0;
   std::uint64_t applied_node_changes_ = 0;
--- a/programs/gcw_standin/platform_documents.cc
+++ b/programs/gcw_standin/platform_documents.cc
@@ -8,6 +8,10 @@
 namespace gcw {
 namespace {
 
+// The platform's service returns a range in pages of this size.
+constexpr std::size_t kMaxPageItems = 500;
+constexpr std::size_t kMaxPageBytes = 1024UL * 1024;
+
 using boost::json::array;
 using boost::json::object;
 
@@ -139,11 +143,17 @@
 
 HttpResponse EncodeRange(const StoreRangeReply& range) {
   array items;
+  std::size_t bytes = 0;
   for (const StoreEntry& entry : range.entries) {
+    if (items.size() >= kMaxPageItems || bytes >= kMaxPageBytes) {
+      break;
+    }
+    bytes += entry.value.size();
     items.push_back(EncodeEntry(entry));
   }
+  const bool is_whole = items.size() == range.entries.size();
   return MakeJsonResponse(kOk, {{"items", std::move(items)},
-                                {"more_pages", range.more},
+                                {"more_pages", range.more || !is_whole},
                                 {"current_rev", range.revision.value()}});
 }
 
--- a/programs/gcw_standin/standin_store.cc
+++ b/programs/gcw_standin/standin_store.cc
@@ -73,7 +73,9 @@
 
 StoreReply StandinStore::Execute(Time, const StoreRange& call) {
   StoreRangeReply reply{.revision = revision_, .entries = {}};
-  for (auto entry = entries_.lower_bound(call.prefix);
+  const auto first = call.after.empty() ? entries_.lower_bound(call.prefix)
+                                        : entries_.upper_bound(call.after);
+  for (auto entry = first;
        entry != entries_.end() && entry->first.starts_with(call.prefix);
        ++entry) {
     reply.entries.push_back(entry->second);
--- a/tests/coordination/gateway/gateway_core_test.cc
+++ b/tests/coordination/gateway/gateway_core_test.cc
@@ -136,6 +136,25 @@
   EXPECT_TRUE(std::holds_alternative<SendForward>(SendRequest(1)));
 }
 
+// Guards against a controller that hands its role over again and again because
+// an entry promises a node of larger weight that does not exist.
+TEST_F(GatewayCoreTest, AnEntryWithoutANodeHardlyMovesTheRole) {
+  NodeRecord record;
+  record.id = NodeId("absent");
+  record.weight = 1000000000000;
+  world_.WriteNodeEntry(record);
+  const RoleName role{std::string(kControllerRole)};
+  int changes = 0;
+  NodeId holder = world_.node(0).core->view().HolderOf(role);
+  for (int i = 0; i < 600; ++i) {
+    world_.Run(Duration::Millis(100));
+    const NodeId now = world_.node(0).core->view().HolderOf(role);
+    changes += now != holder && !now.empty() ? 1 : 0;
+    holder = now;
+  }
+  EXPECT_LE(changes, 2);
+}
+
 // Guards against a node that the service rejects and that learns of no change
 // meanwhile.
 TEST_F(GatewayCoreTest, NodeCutFromServiceLearnsFromAnotherNode) {
--- a/tests/programs/gateway_odd_entries_test.cc
+++ b/tests/programs/gateway_odd_entries_test.cc
@@ -97,6 +97,10 @@
   EXPECT_TRUE(ServesAll(40));
   EXPECT_EQ(runs, 0);
 
+  // All changes together are longer than one answer of the store may be.
+  for (int i = 0; i < 12; ++i) {
+    Put("long-" + std::to_string(i), std::string(1000000, '['));
+  }
   Put("odd-5", Entry("6", address), revisions[5]);
   EXPECT_TRUE(fleet_.WaitUntil([&] {
     SendRequest(first_.callers, "safe");
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -292,6 +292,12 @@
   void WriteStoreEntry(const std::string& key, const std::string& value) {
     Put(key, value);
   }
+  // Writes the entry of a node that does not run.
+  void WriteNodeEntry(const NodeRecord& record) {
+    node_records_.push_back(record);
+    Put(std::string(kNodePrefix) + record.id.value(),
+        std::to_string(node_records_.size() - 1));
+  }
   // Operators evacuate the data centre, or take the evacuation back.
   void Evacuate(const std::string& zone) {
     Put(std::string(kEvacuationPrefix) + zone, "{}");
