--- a/tests/programs/gateway_stop_test.cc
+++ b/tests/programs/gateway_stop_test.cc
@@ -261,8 +261,10 @@
     ++(is_whole ? whole : cut);
     return is_whole && head.find("Connection: close") == std::string::npos;
   };
+  constexpr int kCallers = 8;
   std::vector<std::thread> callers;
-  for (int i = 0; i < 8; ++i) {
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
       try {
         while (true) {
