--- a/review/standin-2/standins.py
+++ b/review/standin-2/standins.py
@@ -180,6 +180,9 @@
         return all(self.items.get(row["key"], {}).get("revision", 0) == row["revision"]
                    for row in entry.get("expected", []))
 
+    def has_leases(self, entry):
+        return all(write.get("lease", 0) in (0, *self.leases) for write in entry.get("writes", []))
+
     def apply(self, entry):
         for write in entry.get("writes", []):
             self.put(write["key"], base64.b64decode(write["value"]), write.get("lease", 0))
@@ -188,7 +191,7 @@
 
     async def do_late(self, entry, delay):
         await asyncio.sleep(delay)
-        held = self.holds(entry)
+        held = self.holds(entry) and self.has_leases(entry)
         self.log.append(f"{now():.3f} late write of {[w['key'] for w in entry['writes']]}: "
                         f"{'done' if held else 'its condition no longer holds'}")
         if held:
@@ -218,8 +221,7 @@
             if not self.holds(entry):
                 rows = [self.items[r["key"]] for r in entry["expected"] if r["key"] in self.items]
                 return encode(412, None, {"items": rows})
-            if any(w.get("lease", 0) and w["lease"] not in self.leases
-                   for w in entry.get("writes", [])):
+            if not self.has_leases(entry):
                 return encode(404)
             self.apply(entry)
             return encode(200, None, {"revision": self.revision})
