review: the DRAIN case becomes case 10, settings come from the template

The stand-ins fill in deploy/gateway.toml.template and give each gateway a loopback address of its own.

--- a/review/6/run.py
+++ b/review/10/run.py
@@ -29,7 +29,7 @@
 
     replicas = []
     for n in range(3):
-        replica = await Replica(store, f"i-{n}", "desk").start()
+        replica = await Replica(store, f"i-{n}", "desk", slots=26).start()
         replica.work = lambda request, writer, r=replica: work(r, request, writer)
         replicas.append(replica)
     store.put("op/config", configuration(1, [
--- a/review/standin-2/standins.py
+++ b/review/standin-2/standins.py
@@ -1,15 +1,17 @@
 """Stand-ins for the users' platform: store, replicas, and a harness that starts gateways.
 
-Everything listens on loopback, on ports that the kernel chooses. Time is the real clock.
+Everything listens on loopback addresses: store and replicas on ports that the kernel chooses,
+each gateway on an address of its own. Time is the real clock.
 """
 
 import asyncio
 import base64
 import json
 import os
+import random
+import re
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -339,10 +341,45 @@
             "max_attempts": attempts, "public": False, **more}
 
 
-def free_port():
-    with socket.socket() as s:
-        s.bind((IP, 0))
-        return s.getsockname()[1]
+def render(text, fields):
+    """Fills in a settings template as DEPLOY.md tells."""
+
+    def look(name, scopes):
+        if name == ".":
+            return scopes[-1]
+        for scope in reversed(scopes):
+            value = scope
+            for part in name.split("."):
+                value = value.get(part) if isinstance(value, dict) else None
+            if value is not None:
+                return value
+        return None
+
+    def show(value):
+        if value is None:
+            return ""
+        if isinstance(value, bool):
+            return "true" if value else "false"
+        return ",".join(map(str, value)) if isinstance(value, list) else str(value)
+
+    def fill(text, scopes, is_last=True):
+        section = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.S)
+
+        def expand(match):
+            value = look(match[2], scopes)
+            if match[1] == "^":
+                return fill(match[3], scopes) if not value else ""
+            if value is None or value is False:
+                return ""
+            rows = value if isinstance(value, list) else [value]
+            return "".join(fill(match[3], scopes + [row], i + 1 == len(rows))
+                           for i, row in enumerate(rows))
+
+        text = section.sub(expand, text)
+        text = text.replace("{{,}}", "" if is_last else ",")
+        return re.sub(r"\{\{([\w.]+)\}\}", lambda m: show(look(m[1], scopes)), text)
+
+    return fill(text, [fields])
 
 
 CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream",
@@ -352,53 +389,27 @@
 class Gateway:
     """A gcw-gateway process, started as deploy/system.toml says."""
 
-    def __init__(self, folder, name, store_address, zone="zone-a", seeds=(), memory_mb=260,
-                 bounds=None):
+    def __init__(self, folder, name, store_address, zone="zone-a", bounds=None):
         self.folder, self.name, self.store_address, self.zone = folder, name, store_address, zone
-        self.seeds = list(seeds)
-        self.memory_mb = memory_mb
-        self.ports = {k: free_port() for k in ("callers", "readiness", "entries", "peers", "metrics")}
+        # A loopback address of its own, as each machine has one; the ports are the same on all.
+        self.ip = "127." + ".".join(str(random.randint(1, 250)) for _ in range(3))
+        self.ports = {name: (self.ip, port) for name, port in
+                      (("callers", 8227), ("readiness", 8220), ("entries", 8224), ("peers", 8229))}
         self.process = None
         self.log_path = os.path.join(folder, name + ".log")
-        self.bounds = bounds or {}
+        self.bounds = {"drain_ms": 2000, "config_ms": 2000, "retry_ratio": 0.2,
+                       "retry_slack": 132, "retry_window_s": 10, "grace_s": 8, **(bounds or {})}
 
     def settings(self):
-        b = {"drain_ms": 2000, "config_ms": 2000, "retry_ratio": 0.2, "retry_slack": 132,
-             "retry_window_s": 10, "grace_s": 8, **self.bounds}
-        p = self.ports
-        seeds = ",".join(f'"{s}"' for s in self.seeds)
-        contracts = ",".join(f'"{c}"' for c in CONTRACTS)
-        return f"""[node]
-id = "{self.name}"
-zone = "{self.zone}"
-region = "region-a"
-processor_share = 0.25
-[memory]
-limit_mb = {self.memory_mb}
-[descriptors]
-limit = 4100
-[deployment]
-contracts = [{contracts}]
-[listen]
-callers = "{IP}:{p['callers']}"
-readiness = "{IP}:{p['readiness']}"
-entries = "{IP}:{p['entries']}"
-peers = "{IP}:{p['peers']}"
-metrics = "{IP}:{p['metrics']}"
-[peers]
-seeds = [{seeds}]
-[store]
-address = "{self.store_address}"
-leaving_known_within_ms = {b['drain_ms']}
-configuration_known_within_ms = {b['config_ms']}
-[warm_up]
-[retries]
-ratio = {b['retry_ratio']}
-slack = {b['retry_slack']}
-window_s = {b['retry_window_s']}
-[stop]
-grace_s = {b['grace_s']}
-"""
+        addresses = {name: f"{ip}:{port}" for name, (ip, port) in self.ports.items()}
+        with open(os.path.join(ROOT, "deploy", "gateway.toml.template")) as f:
+            return render(f.read(), {
+                "node_name": self.name, "zone": self.zone, "region": "region-a", "ip": self.ip,
+                "limits": {"cpu_quota": 0.25, "cpu_cores": 1, "memory_mb": 260, "max_fds": 4100},
+                "contracts": CONTRACTS, "seed_nodes": [],
+                "listen": {"front": addresses["callers"], "readiness": addresses["readiness"],
+                           "directory": addresses["entries"], "control": addresses["peers"]},
+                "platform": {"address": self.store_address}, "bounds": self.bounds})
 
     async def start(self):
         path = os.path.join(self.folder, self.name + ".toml")
@@ -413,10 +424,6 @@
         log.close()
         return self
 
-    @property
-    def peer_address(self):
-        return f"{IP}:{self.ports['peers']}"
-
     def signal(self, number):
         if self.process.returncode is None:
             self.process.send_signal(number)
@@ -460,10 +467,10 @@
     return Answer(status, headers, body, complete)
 
 
-async def call(port, data, timeout=10):
+async def call(address, data, timeout=10):
     """Sends bytes on a new connection and reads one answer. None if there is none."""
     try:
-        reader, writer = await asyncio.wait_for(asyncio.open_connection(IP, port), 1)
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(*address), 1)
     except (OSError, asyncio.TimeoutError):
         return None
     try:
@@ -505,24 +512,24 @@
     gateways = []
 
     async def main():
+        loop = asyncio.get_running_loop()
         # Connections that end with the case leave cancelled tasks behind.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop.set_exception_handler(lambda *_: None)
+        case = asyncio.ensure_future(body(folder, record, trouble, gateways))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, case.cancel)
         try:
-            return await asyncio.wait_for(body(folder, record, trouble, gateways), 115)
+            return await asyncio.wait_for(case, 115)
         finally:
             for gateway in gateways:
                 if gateway.process is not None and gateway.process.returncode is None:
-                    try:
-                        gateway.process.send_signal(signal.SIGCONT)
-                        gateway.process.kill()
-                    except ProcessLookupError:
-                        pass
+                    gateway.process.kill()
                     await gateway.process.wait()
 
     status = 2
     try:
         status = asyncio.run(main())
-    except Exception as error:  # The case could not run.
+    except (Exception, asyncio.CancelledError) as error:  # The case could not run.
         record(f"could not run: {type(error).__name__}: {error}")
         if os.environ.get("VERBOSE"):
             raise
