HttpClient: a reset during the request ends no answer without a length

Callers saw: an endpoint that did not read a long upload sent a part of an answer without a length and reset the connection; the caller got that part (or nothing at all) as a whole 200 or 500, with the endpoint's proof, and a stream ended as complete. The same with the kernel's timeout for a peer that takes no more bytes.

Cause: the kernel reports the error of a connection once, to the first call that meets it. While the request is written that is the write; HttpClientCall only noted that it could write no more, and the read that followed reported an end of file, which was taken for the proper end of the answer. Trace of the plain calls after a reset, on Linux: send ECONNRESET, recv 4 bytes, recv 0. After a half-close and then a reset: send EPIPE, recv 4 bytes, recv 0.

Change: the call keeps the error that a write met, and an end of file after it is that error. Everything that has arrived is read before more is written, so that a proper close is seen by the read even if a reset follows it.

An answer without a length whose connection is closed properly while the request is written is still accepted: a server may answer early and RFC 9112 lets such an answer end with the close; refusing it would turn a 413 into an unknown outcome, and nothing proves it broken. If a close and the reset that follows it both arrive between a read and the next write, the answer is lost and the caller gets an error.

The stand-in of the platform has a stream route of the plain service for the test of streams.

--- a/programs/gcw_standin/platform_documents.h
+++ b/programs/gcw_standin/platform_documents.h
@@ -23,8 +23,8 @@
 };
 // Returns the operators' configuration document. It has the models `large` (6
 // VMs) and `small` (3) under `/large/` and `/small/` and a plain service under
-// `/safe/` and `/once/`, all on the host `models.example`. The only key belongs
-// to the team `paid`.
+// `/safe/`, `/once/` and, for streams, `/events/`, all on the host
+// `models.example`. The only key belongs to the team `paid`.
 std::string EncodeStandinConfiguration(
     const StandinConfigurationOptions& options);
 std::string EncodeRegistrationEntry(const VmRegistration& registration);
--- /dev/null
+++ b/tests/programs/gateway_broken_answer_test.cc
@@ -0,0 +1,202 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <csignal>
+#include <mutex>
+#include <set>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "tests/support/gateway_path.h"
+#include "tests/support/scripted_endpoints.h"
+
+namespace gcw {
+namespace {
+
+// Longer than what the kernel takes from the gateway while an endpoint does not
+// read, and within the limit of bodies.
+constexpr std::size_t kUploadBytes = 4000000;
+constexpr std::string_view kProof = "sound";
+constexpr std::string_view kOkLine = "HTTP/1.1 200 OK";
+constexpr std::string_view kEvent = "id: 1\ndata: one\n\n";
+
+// How the endpoint ends the connection after its answer.
+enum class Ending {
+  kClose,
+  // Closes its sending side and reads until the gateway closes.
+  kHalfClose,
+  kResetAtOnce,
+  kResetLater,
+};
+
+// What one endpoint answers to each request.
+struct ScriptedAnswer {
+  // May follow an interim answer.
+  std::string status_line;
+  // Follows the lines that identify the answer.
+  std::string rest;
+  Ending ending = Ending::kClose;
+};
+
+// Gateways in front of endpoints of which each gives a scripted answer.
+class GatewayBrokenAnswerTest : public GatewayPathTest {
+ protected:
+  GatewayBrokenAnswerTest()
+      : GatewayPathTest({"--domains", "0", "--plain", "0"}) {}
+  ~GatewayBrokenAnswerTest() override {
+    // The endpoints end once nobody is connected to them.
+    fleet_.Signal("gw-1", SIGKILL);
+    fleet_.Signal("gw-2", SIGKILL);
+  }
+
+  void AddEndpoints(const std::vector<ScriptedAnswer>& answers) {
+    for (const ScriptedAnswer& answer : answers) {
+      const std::size_t number = endpoint_count_++;
+      endpoints_.Add([this, answer, number](RawPeer& peer, int) {
+        for (std::string head = peer.ReadHead(); !head.empty();
+             head = peer.ReadHead()) {
+          if (HeaderIn(head, kAttemptIdHeader).empty()) {
+            // A probe.
+            peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+            continue;
+          }
+          Answer(peer, head, answer);
+          const std::lock_guard lock(mutex_);
+          answered_.insert(number);
+          return;
+        }
+      });
+    }
+    endpoints_.Register();
+  }
+
+  // Sends requests until each endpoint has answered one. Returns the answers.
+  std::vector<HttpResponse> CollectAnswers(const std::string& route,
+                                           const std::string& body) {
+    std::vector<HttpResponse> answers;
+    EXPECT_TRUE(fleet_.WaitUntil([&] {
+      answers.push_back(
+          SendRequest(first_.callers, route, "standin-key", body));
+      const std::lock_guard lock(mutex_);
+      return answered_.size() == endpoint_count_;
+    }));
+    return answers;
+  }
+
+  // An answer that bears the proof, or is a success, would be taken for the
+  // endpoint's. A stream that was broken off has neither.
+  void ExpectNoneIsPassedOn(const std::string& route, const std::string& body) {
+    for (const HttpResponse& answer : CollectAnswers(route, body)) {
+      EXPECT_EQ(answer.Header(kProofHeader), "");
+      EXPECT_NE(answer.status, 200)
+          << answer.body.size() << " bytes: " << answer.body;
+    }
+  }
+
+  static const std::string& Upload() {
+    static const std::string upload(kUploadBytes, 'x');
+    return upload;
+  }
+
+ private:
+  static void Answer(RawPeer& peer,
+                     const std::string& request,
+                     const ScriptedAnswer& answer) {
+    peer.Send(answer.status_line + "\r\n" + std::string(kAttemptIdHeader) +
+              ": " + HeaderIn(request, kAttemptIdHeader) + "\r\n" +
+              std::string(kProofHeader) + ": " + std::string(kProof) + "\r\n" +
+              answer.rest);
+    switch (answer.ending) {
+      case Ending::kClose:
+        peer.Close();
+        return;
+      case Ending::kHalfClose:
+        peer.CloseSending();
+        peer.ReadToEnd();
+        return;
+      case Ending::kResetLater:
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        [[fallthrough]];
+      case Ending::kResetAtOnce:
+        peer.Reset();
+        return;
+    }
+  }
+
+  std::mutex mutex_;
+  std::size_t endpoint_count_ = 0;
+  // Numbers of the endpoints that have answered a request.
+  std::set<std::size_t> answered_;
+  ScriptedEndpoints endpoints_{
+      [this](HttpRequest request) { return Call(store_, std::move(request)); }};
+};
+
+// Answers without a length that are reset while the request is written.
+std::vector<ScriptedAnswer> ResetUnframedAnswers(const std::string& part) {
+  const std::string rest = "\r\n" + part;
+  return {
+      {std::string(kOkLine), rest, Ending::kResetLater},
+      {std::string(kOkLine), rest, Ending::kResetAtOnce},
+      {"HTTP/1.0 200 OK", rest, Ending::kResetLater},
+      {"HTTP/1.1 100 Continue\r\n\r\n" + std::string(kOkLine), rest,
+       Ending::kResetLater},
+  };
+}
+
+// Guards against a part of an answer that is passed on as whole because the
+// reset that cut it was reported to the write of the request.
+TEST_F(GatewayBrokenAnswerTest, AResetDuringAnUploadEndsNoAnswer) {
+  AddEndpoints(ResetUnframedAnswers("part"));
+  ExpectNoneIsPassedOn("safe", Upload());
+}
+
+// Guards against the same with a request whose second run would be an error, so
+// that the outcome is unknown.
+TEST_F(GatewayBrokenAnswerTest, AResetDuringAnUploadLeavesTheOutcomeUnknown) {
+  AddEndpoints(ResetUnframedAnswers("part"));
+  ExpectNoneIsPassedOn("once", Upload());
+}
+
+// Guards against an empty answer in place of one whose body was lost, and
+// against an endpoint's failure that is passed on in part.
+TEST_F(GatewayBrokenAnswerTest, AResetDuringAnUploadEndsNoEmptyAnswer) {
+  std::vector<ScriptedAnswer> answers = ResetUnframedAnswers("");
+  answers.push_back(
+      {"HTTP/1.1 500 Internal Server Error", "\r\npart", Ending::kResetLater});
+  AddEndpoints(answers);
+  ExpectNoneIsPassedOn("safe", Upload());
+}
+
+// Guards against a stream that ends as if it were complete.
+TEST_F(GatewayBrokenAnswerTest, AResetDuringAnUploadEndsNoStream) {
+  AddEndpoints(ResetUnframedAnswers(std::string(kEvent)));
+  ExpectNoneIsPassedOn("events", Upload());
+}
+
+// Guards against sound answers that are lost because their endpoints do not
+// read the request to its end.
+TEST_F(GatewayBrokenAnswerTest, WholeAnswersDuringUploadsArePassedOn) {
+  AddEndpoints({
+      {std::string(kOkLine), "\r\nwhole", Ending::kHalfClose},
+      {std::string(kOkLine), "Content-Length: 5\r\n\r\nwhole",
+       Ending::kHalfClose},
+      {std::string(kOkLine), "Content-Length: 5\r\n\r\nwhole",
+       Ending::kResetLater},
+      {std::string(kOkLine),
+       "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+       Ending::kResetLater},
+  });
+  ASSERT_TRUE(fleet_.WaitUntil(
+      [this] { return SendRequest(first_.callers, "safe").status == 200; }));
+  for (const HttpResponse& answer : CollectAnswers("once", Upload())) {
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.Header(kProofHeader), kProof);
+    EXPECT_EQ(answer.body, "whole");
+  }
+}
+
+}  // namespace
+}  // namespace gcw
--- /dev/null
+++ b/tests/transport/answer_integrity_test.cc
@@ -0,0 +1,56 @@
+#include <chrono>
+#include <future>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "tests/transport/answer_integrity.h"
+
+namespace gcw {
+namespace {
+
+// Guards against a reset that is reported to the write of the request, after
+// which reads report an end of file.
+TEST_F(AnswerIntegrityTest, AResetDuringTheRequestEndsNoUnframedAnswer) {
+  for (const std::string bytes :
+       {"HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.0 200 OK\r\n\r\npart", "HTTP/1.1 500 No\r\n\r\npart",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\npart"}) {
+    ExpectFailure(FetchBytes(bytes, kUploadBytes, Ending::kReset),
+                  HttpFailureKind::kConnectionReset);
+  }
+}
+
+// Guards against the same with the kernel's timeout for a peer that takes no
+// more bytes.
+TEST_F(AnswerIntegrityTest, ATimeoutDuringTheRequestEndsNoUnframedAnswer) {
+  options_.progress_timeout = Duration::Millis(500);
+  std::promise<void> ended;
+  const ScriptedServer server([&](RawPeer& peer, int) {
+    peer.ReadHead();
+    peer.Send("HTTP/1.1 200 OK\r\n\r\n");
+    // Each byte is progress for the client, but not for the kernel, which
+    // probes the window after 200 ms without a byte.
+    auto has_ended = ended.get_future();
+    while (has_ended.wait_for(std::chrono::milliseconds(300)) ==
+           std::future_status::timeout) {
+      peer.Send("x");
+    }
+  });
+  const Answer answer = Fetch(server, kUploadBytes);
+  ended.set_value();
+  ExpectFailure(answer, HttpFailureKind::kProgressTimeout);
+}
+
+// Guards against sound answers that are lost because the server closes the
+// connection before it has read the request.
+TEST_F(AnswerIntegrityTest, ACloseDuringTheRequestEndsAnUnframedAnswer) {
+  const Answer answer =
+      FetchBytes("HTTP/1.1 413 No\r\n\r\ntoo large", kUploadBytes);
+  ASSERT_TRUE(IsOk(answer));
+  EXPECT_EQ(ValueOf(answer).status, 413);
+  EXPECT_EQ(ValueOf(answer).body, "too large");
+}
+
+}  // namespace
+}  // namespace gcw
--- a/transport/http_client_call.cc
+++ b/transport/http_client_call.cc
@@ -31,7 +31,7 @@
              : HttpFailureKind::kConnectRefused;
 }
 
-HttpFailureKind ReadFailure(const error_code& error) {
+HttpFailureKind BrokenConnectionFailure(const error_code& error) {
   // The kernel reports a peer that acknowledges nothing with this error
   // (TCP_USER_TIMEOUT).
   return error == boost::asio::error::timed_out
@@ -225,7 +225,20 @@
 }
 
 void HttpClientCall::Write() {
-  while (!done_ && !write_failed_ && !request_sent()) {
+  while (!done_ && !write_error_ && !request_sent()) {
+    // The kernel reports the error of a connection once, to a read or a write,
+    // and reports an end of file to later reads. After a proper close, a read
+    // reports the end of file and a write an error.
+    if (progress_ != HttpProgress::kNothingSent) {
+      const bool has_read = Read();
+      if (done_) {
+        return;
+      }
+      if (has_read) {
+        WaitWritable();
+        return;
+      }
+    }
     error_code error;
     const std::size_t size = connection_->socket.write_some(
         boost::asio::buffer(encoded_request_.data() + written_bytes_,
@@ -240,9 +253,9 @@
       return;
     }
     if (error) {
-      // The server may have responded before it closed the connection; the read
-      // decides the outcome.
-      write_failed_ = true;
+      // The server may have responded before the connection broke; what has
+      // arrived decides the outcome.
+      write_error_ = error;
       return;
     }
     progress_ = std::max(progress_, HttpProgress::kMaybeSent);
@@ -272,9 +285,9 @@
       });
 }
 
-void HttpClientCall::Read() {
+bool HttpClientCall::Read() {
   if (paused_) {
-    return;
+    return false;
   }
   error_code error;
   const bool is_line_begun = buffer_.size() > 0;
@@ -282,15 +295,15 @@
       connection_->socket.read_some(buffer_.prepare(kReadBytes), error);
   if (error == boost::asio::error::would_block) {
     WaitReadable();
-    return;
+    return false;
   }
   if (error == boost::asio::error::eof) {
     OnEof();
-    return;
+    return false;
   }
   if (error) {
-    Fail(ReadFailure(error));
-    return;
+    Fail(BrokenConnectionFailure(error));
+    return false;
   }
   buffer_.commit(size);
   if (!head_delivered_ && !answer_deadline_) {
@@ -300,12 +313,19 @@
   ResetProgressTimeout();
   if (is_line_begun && buffer_.size() < kMinBytesToResumeParsing) {
     WaitReadable();
-    return;
+    return true;
   }
   ParseBuffered();
+  return true;
 }
 
 void HttpClientCall::OnEof() {
+  // A broken connection looks closed to reads after its error was reported to a
+  // write.
+  if (write_error_) {
+    Fail(BrokenConnectionFailure(write_error_));
+    return;
+  }
   if (head_delivered_ && parser_->need_eof()) {
     error_code error;
     parser_->put_eof(error);
--- a/transport/http_client_call.h
+++ b/transport/http_client_call.h
@@ -60,7 +60,8 @@
   void WaitWritable();
 
   void WaitReadable();
-  void Read();
+  // Returns whether bytes have arrived.
+  bool Read();
   void OnEof();
   void ParseBuffered();
   void StartParser();
@@ -89,7 +90,8 @@
   HttpProgress progress_ = HttpProgress::kNothingSent;
   std::string encoded_request_;
   std::size_t written_bytes_ = 0;
-  bool write_failed_ = false;
+  // The error that broke the connection, if it was reported to a write.
+  boost::system::error_code write_error_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   FramingMeter framing_;
