HttpClient: trailers are no headers

Callers saw: fields that an endpoint sent after a chunked body came out as headers of the answer, so that an answer without a proof could get one from a trailer. Whether they did depended on how the answer arrived: only if the trailers came in the same read as the head.

Cause: the parser read on from the head to the end of the message in one call and puts trailers where it puts the head; the head was copied after that.

--- a/tests/programs/gateway_broken_answer_test.cc
+++ b/tests/programs/gateway_broken_answer_test.cc
@@ -198,5 +198,17 @@
   }
 }
 
+// Guards against fields after the body that are taken for those of the head.
+TEST_F(GatewayBrokenAnswerTest, TrailersAreNotPassedOnAsHeaders) {
+  AddEndpoints({{std::string(kOkLine),
+                 "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+                 "X-Late: a\r\n\r\n"}});
+  ASSERT_TRUE(fleet_.WaitUntil(
+      [this] { return SendRequest(first_.callers, "safe").status == 200; }));
+  const HttpResponse answer = SendRequest(first_.callers, "safe");
+  EXPECT_EQ(answer.body, "whole");
+  EXPECT_EQ(answer.Header("X-Late"), "");
+}
+
 }  // namespace
 }  // namespace gcw
--- a/tests/transport/answer_integrity_test.cc
+++ b/tests/transport/answer_integrity_test.cc
@@ -52,5 +52,16 @@
   EXPECT_EQ(ValueOf(answer).body, "too large");
 }
 
+// Guards against a field that is taken for a header only if it arrives together
+// with the head.
+TEST_F(AnswerIntegrityTest, TrailersAreNoHeaders) {
+  const Answer answer = FetchBytes(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nwhole\r\n0\r\nX-Late: a\r\n\r\n");
+  ASSERT_TRUE(IsOk(answer));
+  EXPECT_EQ(ValueOf(answer).body, "whole");
+  EXPECT_EQ(ValueOf(answer).Header("X-Late"), "");
+}
+
 }  // namespace
 }  // namespace gcw
--- a/transport/http_client_call.cc
+++ b/transport/http_client_call.cc
@@ -372,7 +372,6 @@
 
 void HttpClientCall::StartParser() {
   parser_.emplace();
-  parser_->eager(true);
   parser_->header_limit(kMaxHeadBytes);
   parser_->body_limit(options_.max_answer_bytes);
   parser_->skip(request_.method == "HEAD");
@@ -402,6 +401,9 @@
     return false;
   }
   head_delivered_ = true;
+  // The parser adds trailers to the head, so it stops at the end of the head
+  // until that is copied.
+  parser_->eager(true);
   answer_deadline_.reset();
   if (options_.body_timeout) {
     SetAnswerTimeout(*options_.body_timeout);
