HttpClient: an answer with a folded header line is malformed

Callers saw: a line of a head that begins with a blank or a tab was joined to the field before it. Where that field was the proof, the caller got a 200 with another proof.

Cause: Beast's parser still accepts obsolete line folding, which RFC 9112 (5.2) lets a proxy refuse, and shows only the joined value.

Change: the lines of a head are searched for folds before the parser's result is used; such an answer fails as malformed and its connection is closed.

Evidence: both tests of folded lines fail on (the caller got the proof "sound folded") and pass now.

--- a/tests/programs/gateway_broken_answer_test.cc
+++ b/tests/programs/gateway_broken_answer_test.cc
@@ -198,6 +198,18 @@
   }
 }
 
+// Guards against a line of a head that changes the field before it, such as the
+// proof.
+TEST_F(GatewayBrokenAnswerTest, FoldedHeaderLinesArePassedOnByNone) {
+  const std::string whole = "Content-Length: 5\r\n\r\nwhole";
+  AddEndpoints({
+      {std::string(kOkLine), " folded\r\n" + whole},
+      {std::string(kOkLine), "\tfolded\r\n" + whole},
+      {std::string(kOkLine), "X-Other: a\r\n  b\r\n" + whole},
+  });
+  ExpectNoneIsPassedOn("safe", "body");
+}
+
 // Guards against fields after the body that are taken for those of the head.
 TEST_F(GatewayBrokenAnswerTest, TrailersAreNotPassedOnAsHeaders) {
   AddEndpoints({{std::string(kOkLine),
@@ -210,5 +222,35 @@
   EXPECT_EQ(answer.Header("X-Late"), "");
 }
 
+// Guards against lines that are no fields and are passed on, or that change
+// where the body begins.
+TEST_F(GatewayBrokenAnswerTest, MalformedFieldsArePassedOnByNone) {
+  using std::string_literals::operator""s;
+  const std::string whole = "Content-Length: 5\r\n\r\nwhole";
+  std::vector<ScriptedAnswer> answers;
+  for (const std::string& line :
+       {"X Other: a"s, "X\tOther: a"s, "X\x01Other: a"s, "X\0Other: a"s,
+        "X\x7fOther: a"s, "X-Other : a"s, ": a"s, "X-Other"s, "X-Other: a\x01"s,
+        "X-Other: a\0b"s, "X-Other: a\nX-Next: b"s, "X-Other: a\rb"s}) {
+    answers.push_back({std::string(kOkLine), line + "\r\n" + whole});
+  }
+  AddEndpoints(answers);
+  ExpectNoneIsPassedOn("safe", "body");
+}
+
+// Guards against a head that ends early and is passed on with an empty or short
+// body.
+TEST_F(GatewayBrokenAnswerTest, CutHeadsArePassedOnByNone) {
+  std::vector<ScriptedAnswer> answers;
+  for (const char* head :
+       {"", "X", "X-Other", "X-Other:", "X-Other: a", "X-Other: a\r",
+        "X-Other: a\r\n", "X-Other: a\r\n\r", "Content-Length: 0\r\n"}) {
+    answers.push_back({std::string(kOkLine), head});
+    answers.push_back({std::string(kOkLine), head, Ending::kResetLater});
+  }
+  AddEndpoints(answers);
+  ExpectNoneIsPassedOn("safe", "body");
+}
+
 }  // namespace
 }  // namespace gcw
--- a/tests/transport/answer_integrity_test.cc
+++ b/tests/transport/answer_integrity_test.cc
@@ -52,6 +52,20 @@
   EXPECT_EQ(ValueOf(answer).body, "too large");
 }
 
+// Guards against a line that changes the field before it.
+TEST_F(AnswerIntegrityTest, FoldedHeaderLinesAreMalformed) {
+  const std::string line = "HTTP/1.1 200 OK\r\n";
+  const std::string whole = "Content-Length: 5\r\n\r\nwhole";
+  for (const std::string fields :
+       {"X-A: b\r\n c\r\n", "X-A: b\r\n\tc\r\n", "X-A:\r\n c\r\n",
+        "X-A: b\r\n \r\n", "X-A: b\r\nX-B: c\r\n d\r\nX-C: e\r\n", " a\r\n"}) {
+    ExpectFailure(FetchBytes(line + fields + whole),
+                  HttpFailureKind::kMalformedAnswer);
+  }
+  ExpectFailure(FetchBytes(line + "Content-Length: 5\r\n 5\r\n\r\nwhole"),
+                HttpFailureKind::kMalformedAnswer);
+}
+
 // Guards against a field that is taken for a header only if it arrives together
 // with the head.
 TEST_F(AnswerIntegrityTest, TrailersAreNoHeaders) {
--- a/transport/http_client_call.cc
+++ b/transport/http_client_call.cc
@@ -343,6 +343,12 @@
   while (buffer_.size() > 0) {
     error_code error;
     const std::size_t size = parser_->put(buffer_.data(), error);
+    const std::string_view parsed(
+        static_cast<const char*>(buffer_.data().data()), size);
+    if (!head_delivered_ && HasFoldedLine(parsed)) {
+      Fail(HttpFailureKind::kMalformedAnswer);
+      return;
+    }
     buffer_.consume(size);
     const bool parse_failed = error && error != http::error::need_more;
     if (parser_->is_header_done() && !head_delivered_ && !AcceptHead()) {
--- a/transport/http_framing.cc
+++ b/transport/http_framing.cc
@@ -160,6 +160,11 @@
   return EncodeHead(head) + request.body;
 }
 
+bool HasFoldedLine(std::string_view head_lines) {
+  return head_lines.find("\n ") != std::string_view::npos ||
+         head_lines.find("\n\t") != std::string_view::npos;
+}
+
 std::vector<HttpHeader> ToHeaders(const http::fields& fields) {
   std::vector<HttpHeader> headers;
   headers.reserve(
--- a/transport/http_framing.h
+++ b/transport/http_framing.h
@@ -43,6 +43,10 @@
 std::optional<std::string> EncodeRequest(const HttpRequest& request,
                                          const std::string& host);
 
+// Returns whether whole lines of a head contain one that continues the line
+// before it. The parser joins the two, which would change a field.
+bool HasFoldedLine(std::string_view head_lines);
+
 std::vector<HttpHeader> ToHeaders(const boost::beast::http::fields& fields);
 
 }  // namespace gcw
