HttpClient: an answer with a transfer coding but chunked is malformed

Callers saw: the encoded bytes of an answer with another transfer coding (a known one, an unknown one, one after chunked) as the body of a 200, read until the connection ended. With "gzip, chunked" the chunks were taken off and the compressed bytes came out.

Cause: the parser looks only whether the last coding is chunked, and reads to the end of the connection if it is not. `IsUnframed` asked the same question of the head's fields and answered otherwise for such codings, so that a stream of this kind counted as framed.

Change: an answer may have no transfer coding or chunked, once; any other one is malformed. The head that the client delivers says whether the body ends with the connection, as the parser decides it, and `IsUnframed` is gone. Its test is replaced by TellsAnswersThatEndWithTheirConnection, which checks the same three heads and more through the client.

--- a/tests/programs/gateway_broken_answer_test.cc
+++ b/tests/programs/gateway_broken_answer_test.cc
@@ -210,6 +210,20 @@
   ExpectNoneIsPassedOn("safe", "body");
 }
 
+// Guards against encoded bytes that are passed on as a body.
+TEST_F(GatewayBrokenAnswerTest, UnknownTransferCodingsArePassedOnByNone) {
+  const std::string body = "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+  AddEndpoints({
+      {std::string(kOkLine), "Transfer-Encoding: gzip" + body},
+      {std::string(kOkLine), "Transfer-Encoding: other" + body},
+      {std::string(kOkLine), "Transfer-Encoding: chunked, gzip" + body},
+      {std::string(kOkLine), "Transfer-Encoding: gzip, chunked" + body},
+      {std::string(kOkLine),
+       "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked" + body},
+  });
+  ExpectNoneIsPassedOn("safe", "body");
+}
+
 // Guards against fields after the body that are taken for those of the head.
 TEST_F(GatewayBrokenAnswerTest, TrailersAreNotPassedOnAsHeaders) {
   AddEndpoints({{std::string(kOkLine),
--- a/tests/transport/answer_framing_test.cc
+++ b/tests/transport/answer_framing_test.cc
@@ -5,12 +5,6 @@
 namespace gcw {
 namespace {
 
-TEST(AnswerFramingTest, AnswersWithoutLengthOrChunksAreUnframed) {
-  EXPECT_TRUE(IsUnframed({200, {{"Content-Type", "text/event-stream"}}, ""}));
-  EXPECT_FALSE(IsUnframed({200, {{"content-length", "7"}}, ""}));
-  EXPECT_FALSE(IsUnframed({200, {{"Transfer-Encoding", "chunked"}}, ""}));
-}
-
 // Guards against a stream that is taken for whole because its connection was
 // closed, and against a whole one that is taken for broken off.
 TEST(AnswerFramingTest, AnUnframedStreamIsWholeUnlessItEndsInsideAnEvent) {
--- a/tests/transport/answer_integrity_test.cc
+++ b/tests/transport/answer_integrity_test.cc
@@ -52,6 +52,23 @@
   EXPECT_EQ(ValueOf(answer).body, "too large");
 }
 
+TEST_F(AnswerIntegrityTest, TellsAnswersThatEndWithTheirConnection) {
+  for (const std::string head : {"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n",
+                                 "HTTP/1.1 200 OK\r\nConnection: close\r\n"}) {
+    const Answer answer = FetchBytes(head + "\r\nbody");
+    ASSERT_TRUE(IsOk(answer)) << head;
+    EXPECT_TRUE(ValueOf(answer).ends_with_connection) << head;
+  }
+  for (const std::string head :
+       {"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n", "HTTP/1.1 204 Empty\r\n",
+        "HTTP/1.1 304 Same\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"}) {
+    const Answer answer = FetchBytes(head + "\r\n0\r\n\r\n");
+    ASSERT_TRUE(IsOk(answer)) << head;
+    EXPECT_FALSE(ValueOf(answer).ends_with_connection) << head;
+  }
+}
+
 // Guards against a line that changes the field before it.
 TEST_F(AnswerIntegrityTest, FoldedHeaderLinesAreMalformed) {
   const std::string line = "HTTP/1.1 200 OK\r\n";
@@ -66,6 +83,24 @@
                 HttpFailureKind::kMalformedAnswer);
 }
 
+// Guards against encoded bytes that are taken for a body.
+TEST_F(AnswerIntegrityTest, TransferCodingsOtherThanChunkedAreMalformed) {
+  for (const std::string field :
+       {"gzip", "other", "identity", "", "chunked, gzip", "gzip, chunked",
+        "chunked, chunked", "chunked;a=b", "xchunked",
+        "gzip\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: gzip", "gzip\r\nContent-Length: 15"}) {
+    ExpectFailure(FetchBytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + field +
+                             "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"),
+                  HttpFailureKind::kMalformedAnswer);
+  }
+  const Answer chunked = FetchBytes(
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked \r\n\r\n"
+      "5\r\nwhole\r\n0\r\n\r\n");
+  ASSERT_TRUE(IsOk(chunked));
+  EXPECT_EQ(ValueOf(chunked).body, "whole");
+}
+
 // Guards against a field that is taken for a header only if it arrives together
 // with the head.
 TEST_F(AnswerIntegrityTest, TrailersAreNoHeaders) {
--- a/transport/gateway/answer_framing.cc
+++ b/transport/gateway/answer_framing.cc
@@ -2,15 +2,10 @@
 
 namespace gcw {
 
-bool IsUnframed(const HttpResponse& head) {
-  return head.Header("Content-Length").empty() &&
-         head.Header("Transfer-Encoding").empty();
-}
-
-StreamEnd FindStreamEnd(bool is_unframed,
+StreamEnd FindStreamEnd(bool ends_with_connection,
                         bool has_events,
                         bool has_partial_event) {
-  if (is_unframed && (has_partial_event || !has_events)) {
+  if (ends_with_connection && (has_partial_event || !has_events)) {
     return StreamEnd::kClosedEarly;
   }
   return has_partial_event ? StreamEnd::kMalformed : StreamEnd::kComplete;
--- a/transport/gateway/answer_framing.h
+++ b/transport/gateway/answer_framing.h
@@ -1,14 +1,8 @@
 #ifndef TRANSPORT_GATEWAY_ANSWER_FRAMING_H_
 #define TRANSPORT_GATEWAY_ANSWER_FRAMING_H_
 
-#include "transport/http_types.h"
-
 namespace gcw {
 
-// Whether the answer announces neither a length nor chunks, so that it ends
-// when its connection closes.
-bool IsUnframed(const HttpResponse& head);
-
 // How the events of a stream's answer ended.
 enum class StreamEnd {
   kComplete,
@@ -18,9 +12,9 @@
   kMalformed,
 };
 
-// `has_events` is true if any event arrived, `has_partial_event` if the last
-// one is not whole.
-StreamEnd FindStreamEnd(bool is_unframed,
+// `ends_with_connection` is that of the answer's head. `has_events` is true if
+// any event arrived, `has_partial_event` if the last one is not whole.
+StreamEnd FindStreamEnd(bool ends_with_connection,
                         bool has_events,
                         bool has_partial_event);
 
--- a/transport/gateway/forward_exchange.cc
+++ b/transport/gateway/forward_exchange.cc
@@ -334,7 +334,7 @@
   }
   const StreamEnd stream_end =
       attempt.streams_events
-          ? FindStreamEnd(IsUnframed(attempt.head), attempt.has_events,
+          ? FindStreamEnd(attempt.head.ends_with_connection, attempt.has_events,
                           attempt.splitter->has_partial_event())
           : StreamEnd::kComplete;
   if (stream_end != StreamEnd::kComplete) {
--- a/transport/http_client_call.cc
+++ b/transport/http_client_call.cc
@@ -386,7 +386,7 @@
 bool HttpClientCall::AcceptHead() {
   const auto& head = parser_->get();
   const unsigned status = head.result_int();
-  if (status == 101) {
+  if (status == 101 || !HasSupportedCoding(head)) {
     Fail(HttpFailureKind::kMalformedAnswer);
     return false;
   }
@@ -417,8 +417,9 @@
     ResetProgressTimeout();
   }
   if (handlers_.on_head) {
-    handlers_.on_head(
-        HttpResponse{static_cast<int>(status), ToHeaders(head), {}});
+    HttpResponse response{static_cast<int>(status), ToHeaders(head), {}};
+    response.ends_with_connection = parser_->need_eof();
+    handlers_.on_head(response);
   }
   return true;
 }
--- a/transport/http_framing.cc
+++ b/transport/http_framing.cc
@@ -160,6 +160,13 @@
   return EncodeHead(head) + request.body;
 }
 
+bool HasSupportedCoding(const http::fields& head) {
+  const std::size_t codings = head.count(http::field::transfer_encoding);
+  return codings == 0 ||
+         (codings == 1 && boost::beast::iequals(
+                              head[http::field::transfer_encoding], "chunked"));
+}
+
 bool HasFoldedLine(std::string_view head_lines) {
   return head_lines.find("\n ") != std::string_view::npos ||
          head_lines.find("\n\t") != std::string_view::npos;
--- a/transport/http_framing.h
+++ b/transport/http_framing.h
@@ -43,6 +43,10 @@
 std::optional<std::string> EncodeRequest(const HttpRequest& request,
                                          const std::string& host);
 
+// Returns whether the body's end can be found and its bytes can be decoded: no
+// transfer coding is applied, or only chunked, once.
+bool HasSupportedCoding(const boost::beast::http::fields& head);
+
 // Returns whether whole lines of a head contain one that continues the line
 // before it. The parser joins the two, which would change a field.
 bool HasFoldedLine(std::string_view head_lines);
--- a/transport/http_types.h
+++ b/transport/http_types.h
@@ -35,6 +35,9 @@
   int status = 200;
   std::vector<HttpHeader> headers;
   std::string body;
+  // Set by the client: no length was announced, and the body ends when the
+  // connection closes.
+  bool ends_with_connection = false;
 
   const std::string& Header(std::string_view name) const;
 };
