HttpServer: no response has a status or a field that is none

Callers saw: an endpoint's answer of status 600 to 999 was passed on, and a stream of status 204 or 304 would have had chunks where the caller expects the next response. A handler's status above 999 ended the process with an exception of Beast.

Cause: the server wrote whatever status the handler gave, and checked names of fields only for blanks, control bytes and colons.

Change: `FinalStatus` holds numbers from 200 to 599 only, and heads are encoded from it. The outbox, which all responses pass, replaces a response without such a status by a 500 of ours and logs it. A name of a field must be a token of RFC 9110; others are left out as before. HttpFramingTest calls the new signature with the same expectation.

--- a/tests/transport/http_client_test.cc
+++ b/tests/transport/http_client_test.cc
@@ -35,8 +35,10 @@
   EXPECT_TRUE(EncodeRequest({"GET", "/", {{"A", "b"}}, {}}, "h"));
   EXPECT_FALSE(EncodeRequest({"GET", "/", {}, {}}, overlong));
   EXPECT_FALSE(EncodeRequest({"GET", "/", {{"A", overlong}}, {}}, "h"));
-  EXPECT_EQ(EncodeResponse({200, {{"A", overlong}}, {}}, {}).find("xx"),
-            std::string::npos);
+  EXPECT_EQ(
+      EncodeResponse(*FinalStatus::FromNumber(200), {{"A", overlong}}, {}, {})
+          .find("xx"),
+      std::string::npos);
 }
 
 class HttpClientTest : public ::testing::Test {
--- a/transport/http_error.cc
+++ b/transport/http_error.cc
@@ -41,6 +41,8 @@
               "another one."};
     case HttpErrorKind::kNoAnswer:
       return {500, "internal", "The request was given up without an answer."};
+    case HttpErrorKind::kInvalidResponse:
+      return {500, "internal", "The answer is not valid HTTP/1.1."};
   }
   return {500, "internal", "Unknown error."};
 }
--- a/transport/http_error.h
+++ b/transport/http_error.h
@@ -22,6 +22,8 @@
   kOutOfMemory,
   // The handler released the request without a response.
   kNoAnswer,
+  // The handler's response has a status that ends no exchange.
+  kInvalidResponse,
 };
 
 int HttpErrorStatus(HttpErrorKind kind);
--- a/transport/http_framing.cc
+++ b/transport/http_framing.cc
@@ -35,10 +35,16 @@
   return (byte < 0x20 && c != '\t') || byte == 0x7f;
 }
 
+bool IsTokenCharacter(char c) {
+  constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
+  return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') ||
+         (c >= 'a' && c <= 'z') ||
+         kPunctuation.find(c) != std::string_view::npos;
+}
+
+// Whether the text is a token of RFC 9110, such as a header's name.
 bool IsToken(std::string_view text) {
-  return !text.empty() && std::ranges::none_of(text, [](char c) {
-    return IsControl(c) || c == ' ' || c == '\t' || c == ':';
-  });
+  return !text.empty() && std::ranges::all_of(text, IsTokenCharacter);
 }
 
 bool IsForwardable(const HttpHeader& header) {
@@ -71,39 +77,36 @@
 }
 
 http::response<http::empty_body> MakeHead(
-    int status,
+    FinalStatus status,
     const std::vector<HttpHeader>& headers,
     const ResponseFraming& framing) {
   http::response<http::empty_body> head;
   head.version(framing.version);
-  head.result(static_cast<unsigned>(status));
+  head.result(static_cast<unsigned>(status.number()));
   InsertHeaders(headers, head);
   head.keep_alive(framing.keep_alive);
   return head;
 }
 
-bool StatusHasNoBody(int status) {
-  return status < 200 || status == 204 || status == 304;
-}
-
 }  // namespace
 
-std::string EncodeResponse(const HttpResponse& response,
+std::string EncodeResponse(FinalStatus status,
+                           const std::vector<HttpHeader>& headers,
+                           std::string_view body,
                            const ResponseFraming& framing) {
-  http::response<http::empty_body> head =
-      MakeHead(response.status, response.headers, framing);
-  if (StatusHasNoBody(response.status)) {
+  http::response<http::empty_body> head = MakeHead(status, headers, framing);
+  if (status.excludes_body()) {
     return EncodeHead(head);
   }
-  head.content_length(response.body.size());
+  head.content_length(body.size());
   std::string bytes = EncodeHead(head);
   if (!framing.head_only) {
-    bytes += response.body;
+    bytes += body;
   }
   return bytes;
 }
 
-std::string EncodeStreamHead(int status,
+std::string EncodeStreamHead(FinalStatus status,
                              const std::vector<HttpHeader>& headers,
                              const ResponseFraming& framing) {
   http::response<http::empty_body> head = MakeHead(status, headers, framing);
--- a/transport/http_framing.h
+++ b/transport/http_framing.h
@@ -26,11 +26,13 @@
 // malformed ones in the given lists, so that headers about one connection never
 // leak to another.
 
-std::string EncodeResponse(const HttpResponse& response,
+std::string EncodeResponse(FinalStatus status,
+                           const std::vector<HttpHeader>& headers,
+                           std::string_view body,
                            const ResponseFraming& framing);
 // Encodes the status line and headers of a response whose body follows in
-// chunks.
-std::string EncodeStreamHead(int status,
+// chunks. The status must not exclude a body.
+std::string EncodeStreamHead(FinalStatus status,
                              const std::vector<HttpHeader>& headers,
                              const ResponseFraming& framing);
 // Encodes one chunk. An empty chunk is omitted, because it would end the body.
--- a/transport/http_outbox.cc
+++ b/transport/http_outbox.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "transport/http_error.h"
+#include "transport/json_log.h"
 
 namespace gcw {
 
@@ -62,6 +63,11 @@
 
 void HttpOutbox::Respond(std::uint64_t response_id,
                          const HttpResponse& response) {
+  const auto status = FinalStatus::FromNumber(response.status);
+  if (!status) {
+    RespondInvalid(response_id, response.status);
+    return;
+  }
   std::function<void()> released_hook;
   bool wake = false;
   {
@@ -70,7 +76,8 @@
       return;
     }
     status_ = response.status;
-    wake = Append(EncodeResponse(response, framing_));
+    wake = Append(
+        EncodeResponse(*status, response.headers, response.body, framing_));
     released_hook = End(HttpResponseEnd::kComplete);
   }
   WakeIf(wake);
@@ -79,6 +86,11 @@
 void HttpOutbox::StartStream(std::uint64_t response_id,
                              int status,
                              const std::vector<HttpHeader>& headers) {
+  const auto final_status = FinalStatus::FromNumber(status);
+  if (!final_status || final_status->excludes_body()) {
+    RespondInvalid(response_id, status);
+    return;
+  }
   bool wake = false;
   {
     const std::lock_guard lock(mutex_);
@@ -86,12 +98,18 @@
       return;
     }
     status_ = status;
-    wake = Append(EncodeStreamHead(status, headers, framing_));
+    wake = Append(EncodeStreamHead(*final_status, headers, framing_));
     stage_ = Stage::kStreaming;
   }
   WakeIf(wake);
 }
 
+void HttpOutbox::RespondInvalid(std::uint64_t response_id, int status) {
+  LogEvent(LogSeverity::kError, "invalid_response_status",
+           {{"status", static_cast<std::int64_t>(status)}});
+  Respond(response_id, MakeErrorResponse(HttpErrorKind::kInvalidResponse));
+}
+
 void HttpOutbox::Write(std::uint64_t response_id, std::string_view chunk) {
   bool wake = false;
   {
--- a/transport/http_outbox.h
+++ b/transport/http_outbox.h
@@ -42,7 +42,7 @@
   std::function<void()> MarkCallerGone();
 
   // The methods below are called by the responder. Calls out of order are
-  // ignored.
+  // ignored. A response whose status is not valid is replaced by an error.
   void Respond(std::uint64_t response_id, const HttpResponse& response);
   void StartStream(std::uint64_t response_id,
                    int status,
@@ -64,6 +64,7 @@
  private:
   enum class Stage { kNone, kWaiting, kStreaming, kEnded, kGone };
 
+  void RespondInvalid(std::uint64_t response_id, int status);
   bool IsAtStage(std::uint64_t response_id, Stage stage) const;
   // Returns whether the strand must be woken.
   bool Append(std::string_view bytes);
--- a/transport/http_types.cc
+++ b/transport/http_types.cc
@@ -17,8 +17,24 @@
   return absent;
 }
 
+constexpr int kMinFinalStatus = 200;
+constexpr int kMaxFinalStatus = 599;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
 }  // namespace
 
+std::optional<FinalStatus> FinalStatus::FromNumber(int number) {
+  if (number < kMinFinalStatus || number > kMaxFinalStatus) {
+    return std::nullopt;
+  }
+  return FinalStatus(number);
+}
+
+bool FinalStatus::excludes_body() const {
+  return number_ == kNoContent || number_ == kNotModified;
+}
+
 const std::string& HttpRequest::Header(std::string_view name) const {
   return FindHeader(headers, name);
 }
--- a/transport/http_types.h
+++ b/transport/http_types.h
@@ -42,6 +42,21 @@
   const std::string& Header(std::string_view name) const;
 };
 
+// The status of a response that ends an exchange.
+class FinalStatus {
+ public:
+  // Returns nothing unless the number is from 200 to 599.
+  static std::optional<FinalStatus> FromNumber(int number);
+  int number() const { return number_; }
+  // Whether responses of this status have no body.
+  bool excludes_body() const;
+
+ private:
+  explicit FinalStatus(int number) : number_(number) {}
+
+  int number_;
+};
+
 // Responds to one request of a caller. All methods may be called from any
 // thread. Either `Respond` is called once, or `StartStream`, any number of
 // `Write`, and then `Finish` or `Abort`.
