HttpClient: an answer whose status is none is malformed

Callers saw: an endpoint's status from 600 to 999 with the endpoint's proof. A status below 100 counted as interim: its body, if it looked like an answer, was read as the answer to the request.

Cause: every status below 200 but 101 was an interim answer, and every other one a final answer.

Change: an answer is interim from 100 to 199 but for 101, final if it has a `FinalStatus`, else malformed.

--- a/tests/programs/gateway_broken_answer_test.cc
+++ b/tests/programs/gateway_broken_answer_test.cc
@@ -236,6 +236,21 @@
   EXPECT_EQ(answer.Header("X-Late"), "");
 }
 
+// Guards against a status that is none and is passed on.
+TEST_F(GatewayBrokenAnswerTest, InvalidStatusesArePassedOnByNone) {
+  const std::string whole = "Content-Length: 5\r\n\r\nwhole";
+  std::vector<ScriptedAnswer> answers;
+  for (const char* status : {"000", "001", "099", "600", "999", "20", "2000",
+                             "-20", "+20", "2 0", "abc"}) {
+    answers.push_back({"HTTP/1.1 " + std::string(status) + " OK", whole});
+  }
+  AddEndpoints(answers);
+  for (const HttpResponse& answer : CollectAnswers("safe", "body")) {
+    EXPECT_EQ(answer.Header(kProofHeader), "") << answer.status;
+    EXPECT_TRUE(answer.status >= 500 && answer.status < 600) << answer.status;
+  }
+}
+
 // Guards against lines that are no fields and are passed on, or that change
 // where the body begins.
 TEST_F(GatewayBrokenAnswerTest, MalformedFieldsArePassedOnByNone) {
--- a/tests/transport/answer_integrity_test.cc
+++ b/tests/transport/answer_integrity_test.cc
@@ -112,5 +112,21 @@
   EXPECT_EQ(ValueOf(answer).Header("X-Late"), "");
 }
 
+// Guards against a status that is none, and against the body of such an answer
+// that is taken for the next one.
+TEST_F(AnswerIntegrityTest, InvalidStatusesAreMalformed) {
+  const std::string hidden =
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+  for (const std::string status :
+       {"000", "001", "099", "101", "600", "999", "20", "2000", "-20", "2 0"}) {
+    ExpectFailure(FetchBytes("HTTP/1.1 " + status + " OK\r\n\r\n" + hidden),
+                  HttpFailureKind::kMalformedAnswer);
+    ExpectFailure(
+        FetchBytes("HTTP/1.1 " + status + " OK\r\nContent-Length: " +
+                   std::to_string(hidden.size()) + "\r\n\r\n" + hidden),
+        HttpFailureKind::kMalformedAnswer);
+  }
+}
+
 }  // namespace
 }  // namespace gcw
--- a/transport/http_client_call.cc
+++ b/transport/http_client_call.cc
@@ -39,6 +39,15 @@
              : HttpFailureKind::kConnectionReset;
 }
 
+// Whether another response follows on the connection. The client asks for no
+// switch of protocols, which is the other meaning of such a status.
+bool IsInterimStatus(int status) {
+  constexpr int kFirst = 100;
+  constexpr int kLast = 199;
+  constexpr int kSwitchingProtocols = 101;
+  return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
+}
+
 // Returns how long the connection may stay idle, based on the server's
 // `Keep-Alive` header. Only a part of the announced time is used: a request
 // sent just as the server closes the connection is lost, and its outcome is
@@ -385,12 +394,15 @@
 
 bool HttpClientCall::AcceptHead() {
   const auto& head = parser_->get();
-  const unsigned status = head.result_int();
-  if (status == 101 || !HasSupportedCoding(head)) {
+  const int status = static_cast<int>(head.result_int());
+  const bool is_valid =
+      (IsInterimStatus(status) || FinalStatus::FromNumber(status)) &&
+      HasSupportedCoding(head);
+  if (!is_valid) {
     Fail(HttpFailureKind::kMalformedAnswer);
     return false;
   }
-  if (status < 200) {
+  if (IsInterimStatus(status)) {
     // This is an interim response; the final one may follow much later.
     if (++interim_answers_ > kMaxInterimAnswers) {
       Fail(HttpFailureKind::kMalformedAnswer);
@@ -417,7 +429,7 @@
     ResetProgressTimeout();
   }
   if (handlers_.on_head) {
-    HttpResponse response{static_cast<int>(status), ToHeaders(head), {}};
+    HttpResponse response{status, ToHeaders(head), {}};
     response.ends_with_connection = parser_->need_eof();
     handlers_.on_head(response);
   }
