HttpServer: a request with a transfer coding but chunked is malformed

Callers saw: a request body of coding "gzip, chunked" reached the endpoint without its chunks and without the coding's name, so the endpoint ran bytes that it could not know to be compressed.

Cause: as for answers, only the last coding was looked at.

Change: the server asks `HasSupportedCoding` too.

--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -107,6 +107,10 @@
            "POST / HTTP/1.1\r\nContent-Length: 1\r\n"  // NOLINT
            "Transfer-Encoding: chunked\r\n\r\n",
            "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+           "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+           "0\r\n\r\n",
+           "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n"  // NOLINT
+           "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
        }) {
     const std::string answer = Exchange(request);
--- a/transport/http_server_session.cc
+++ b/transport/http_server_session.cc
@@ -358,9 +358,7 @@
   framing_ = {message.version(),
               message.keep_alive() && message.version() >= 11,
               message.method() == http::verb::head};
-  // A transfer coding other than chunked leaves the end of the body unknown.
-  has_unknown_coding_ =
-      message.count(http::field::transfer_encoding) > 0 && !message.chunked();
+  has_unknown_coding_ = !HasSupportedCoding(message);
   expects_continue_ =
       boost::beast::iequals(message[http::field::expect], "100-continue");
   message.clear();
