Tests: the body of an answer of status 000 is no answer

The tests of invalid statuses send head and body together. Where the body arrives later, read it as the answer to the request: a trial with status 000 got "200 whole".

--- a/tests/transport/answer_integrity_test.cc
+++ b/tests/transport/answer_integrity_test.cc
@@ -169,5 +169,22 @@
   }
 }
 
+// Guards against the same where the body arrives after the head.
+TEST_F(AnswerIntegrityTest, BodiesOfInvalidStatusesAreNoAnswers) {
+  for (const std::string status : {"000", "001", "099"}) {
+    const std::string hidden = WholeAnswer("200", "");
+    const std::string answer = WholeAnswer(status, "", hidden);
+    const ScriptedServer server([&](RawPeer& peer, int) {
+      peer.ReadHead();
+      peer.Send(answer.substr(0, answer.size() - hidden.size()));
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      peer.Send(hidden);
+      peer.CloseSending();
+      peer.ReadToEnd();
+    });
+    ExpectFailure(Fetch(server, 4), HttpFailureKind::kMalformedAnswer);
+  }
+}
+
 }  // namespace
 }  // namespace gcw
