tests: checks of a process's log read all of it, not its end

"open_requests_ended" was not found in the log of the gateway.

Cause: the test is wrong, not the gateway. It searched RecentOutput(), the last 16,000 bytes, which are kept for failed tests to print. The gateway had logged the line; the requests refused afterwards fill the log at up to 45 lines a second of the rate limiter. If the stop crosses the start of a second, two such bursts follow the line and push it out.

Change: the check is the same but over all that the process has written, as is the one of GatewayAnswerMemoryTest, which had the same fault and had not failed. ProcessFleet no longer offers the end of an output, so that no check can use it.

--- a/tests/programs/gateway_memory_test.cc
+++ b/tests/programs/gateway_memory_test.cc
@@ -94,7 +94,7 @@
         "Authorization: Bearer standin-key\r\nContent-Length: 4\r\n\r\nbody");
     EXPECT_TRUE(callers.back()->ReadHead().starts_with("HTTP/1.1 200 "));
   }
-  EXPECT_NE(fleet_.RecentOutput("gw-1").find("caller_reads_too_slowly"),
+  EXPECT_NE(fleet_.TakeOutput("gw-1").find("caller_reads_too_slowly"),
             std::string::npos);
   endless_.Register();
   for (int i = 0; i < kCallers; ++i) {
--- a/tests/programs/gateway_stop_test.cc
+++ b/tests/programs/gateway_stop_test.cc
@@ -201,7 +201,7 @@
   fleet_.ChangeSettings("gw-1", StopSettings(kGrace * 100),
                         StopSettings(kGrace));
   ExpectAnAnswerForEachRun(milliseconds(5000));
-  EXPECT_NE(fleet_.RecentOutput("gw-1").find("open_requests_ended"),
+  EXPECT_NE(fleet_.TakeOutput("gw-1").find("open_requests_ended"),
             std::string::npos);
 }
 
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -163,7 +163,8 @@
     return std::exchange(unread_, {});
   }
 
-  // Returns the end of what the program has written to standard output.
+  // Returns the end of what the program has written to standard output, as
+  // failed tests print it. It does not hold each line: checks use TakeOutput().
   std::string RecentOutput() {
     ReadOutput();
     return recent_;
@@ -296,11 +297,6 @@
     return children_.at(name)->TakeOutput();
   }
 
-  // Returns the end of what the program has written to standard output.
-  std::string RecentOutput(const std::string& name) const {
-    return children_.at(name)->RecentOutput();
-  }
-
   std::int64_t PeakMemoryKb(const std::string& name) const {
     return children_.at(name)->PeakMemoryKb();
   }
